Lay out the workspace with base, settings and the design page

Cause: nothing exists yet; every later part needs one layout, one error type and one set of checks. Ruled out: a flat source folder (it hides what lives for a request, a connection, a version or the process); ulfius on the caller and peer ports (it buffers and truncates bodies, see docs/design.md section 10). Conclusion: the seams for the thin path stand.

--- /dev/null
+++ b/packages/process/settings/settings.cc
@@ -0,0 +1,204 @@
+#include "process/settings/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <span>
+#include <sstream>
+
+#include <toml++/toml.h>
+
+namespace pistachioquay {
+
+namespace {
+
+boost::leaf::error_id invalid(std::string_view message, std::string_view remedy)
+{
+    return fail(error_kind::InvalidSettings, message, remedy);
+}
+
+std::string quoted(std::string_view text)
+{
+    return "`" + std::string(text) + "`";
+}
+
+result<toml::table> parseToml(std::string_view text)
+{
+    try {
+        return toml::parse(text);
+    } catch (const toml::parse_error &failure) {
+        std::ostringstream where;
+        where << failure.description() << " at " << failure.source().begin;
+        return invalid(where.str(), "correct the TOML syntax there");
+    }
+}
+
+// Fails on the first key of `table` that is not in `known`; both are full dotted names.
+result<void> checkKnown(const toml::table &table, std::string_view prefix, std::span<const std::string_view> known)
+{
+    for (const auto &[key, node] : table) {
+        const std::string name = std::string(prefix) + std::string(key.str());
+        if (const auto *inner = node.as_table()) {
+            BOOST_LEAF_CHECK(checkKnown(*inner, name + ".", known));
+        } else if (std::ranges::find(known, name) == known.end()) {
+            std::string names;
+            for (const std::string_view each : known) {
+                names += (names.empty() ? "" : ", ") + std::string(each);
+            }
+            return invalid("unknown key " + quoted(name), "remove it or use one of: " + names);
+        }
+    }
+    return {};
+}
+
+result<std::string> readText(const toml::table &table, std::string_view key)
+{
+    const auto node = table.at_path(key);
+    if (!node) {
+        return invalid("missing key " + quoted(key), "add it to the settings file");
+    }
+    const auto text = node.value_exact<std::string>();
+    if (!text || text->empty()) {
+        return invalid(quoted(key) + " is not a text", "write a non-empty quoted string");
+    }
+    return *text;
+}
+
+result<endpoint> readEndpoint(const toml::table &table, std::string_view key)
+{
+    BOOST_LEAF_AUTO(text, readText(table, key));
+    const auto address = attempt([&] {
+        return parseEndpoint(text);
+    });
+    if (!address) {
+        return invalid(quoted(key) + ": " + address.failure().message, address.failure().remedy);
+    }
+    return *address;
+}
+
+result<std::int64_t>
+readNumber(const toml::table &table, std::string_view key, std::int64_t least, std::int64_t most, std::int64_t fallback)
+{
+    const auto node = table.at_path(key);
+    if (!node) {
+        return fallback;
+    }
+    const auto number = node.value_exact<std::int64_t>();
+    if (!number || *number < least || *number > most) {
+        return invalid(quoted(key) + " is out of range or not a whole number",
+                       "give a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    }
+    return *number;
+}
+
+result<std::vector<endpoint>> readEndpoints(const toml::table &table, std::string_view key)
+{
+    std::vector<endpoint> addresses;
+    const auto node = table.at_path(key);
+    if (!node) {
+        return addresses;
+    }
+    const auto *list = node.as_array();
+    if (list == nullptr) {
+        return invalid(quoted(key) + " is not a list", "write [\"IP:PORT\", ...]");
+    }
+    for (const auto &item : *list) {
+        const auto text = item.value_exact<std::string>();
+        const auto address = attempt([&] {
+            return parseEndpoint(text.value_or(""));
+        });
+        if (!address) {
+            return invalid(quoted(key) + ": " + address.failure().message, address.failure().remedy);
+        }
+        addresses.push_back(*address);
+    }
+    return addresses;
+}
+
+result<void> checkDistinct(const node_settings &settings)
+{
+    const std::array<endpoint, 4> listeners = {settings.callerAddress,
+                                               settings.peerAddress,
+                                               settings.controlAddress,
+                                               settings.syncAddress};
+    for (auto each = listeners.begin(); each != listeners.end(); ++each) {
+        if (std::find(std::next(each), listeners.end(), *each) != listeners.end()) {
+            return invalid("two `listen` keys have the address " + toText(*each),
+                           "give caller, peer, control and sync an address of their own");
+        }
+    }
+    return {};
+}
+
+result<void> readAddresses(const toml::table &table, node_settings &settings)
+{
+    BOOST_LEAF_ASSIGN(settings.callerAddress, readEndpoint(table, "listen.caller"));
+    BOOST_LEAF_ASSIGN(settings.peerAddress, readEndpoint(table, "listen.peer"));
+    BOOST_LEAF_ASSIGN(settings.controlAddress, readEndpoint(table, "listen.control"));
+    BOOST_LEAF_ASSIGN(settings.gossipAddress, readEndpoint(table, "listen.gossip"));
+    BOOST_LEAF_ASSIGN(settings.syncAddress, readEndpoint(table, "listen.sync"));
+    BOOST_LEAF_ASSIGN(settings.upstream, readEndpoint(table, "upstream.address"));
+    BOOST_LEAF_ASSIGN(settings.platformLog, readEndpoint(table, "platform.log"));
+    BOOST_LEAF_ASSIGN(settings.seeds, readEndpoints(table, "seeds.gossip"));
+    return checkDistinct(settings);
+}
+
+constexpr std::array<std::string_view, 14> nodeKeys = {
+    "node.id",
+    "node.data_centre",
+    "node.service",
+    "listen.caller",
+    "listen.peer",
+    "listen.control",
+    "listen.gossip",
+    "listen.sync",
+    "upstream.address",
+    "upstream.slots",
+    "platform.log",
+    "seeds.gossip",
+    "limits.drain_ms",
+    "limits.connections",
+};
+
+constexpr std::array<std::string_view, 3> cliKeys = {"platform.log", "nodes.control", "operator.name"};
+
+} // namespace
+
+result<node_settings> readNodeSettings(std::string_view toml)
+{
+    constexpr std::int64_t maxSlots = 10'000;
+    constexpr std::int64_t maxDrainMs = 600'000;
+    constexpr std::int64_t maxConnections = 10'000;
+    node_settings settings;
+    BOOST_LEAF_AUTO(table, parseToml(toml));
+    BOOST_LEAF_CHECK(checkKnown(table, "", nodeKeys));
+    BOOST_LEAF_ASSIGN(settings.dataCentre, readText(table, "node.data_centre"));
+    BOOST_LEAF_ASSIGN(settings.service, readText(table, "node.service"));
+    BOOST_LEAF_CHECK(readAddresses(table, settings));
+    settings.nodeId = settings.service + "@" + toText(settings.peerAddress);
+    if (table.at_path("node.id")) {
+        BOOST_LEAF_ASSIGN(settings.nodeId, readText(table, "node.id"));
+    }
+    BOOST_LEAF_AUTO(slots, readNumber(table, "upstream.slots", 1, maxSlots, 0));
+    if (slots == 0) {
+        return invalid("missing key `upstream.slots`", "say how many requests the upstream runs at once");
+    }
+    settings.slots = static_cast<std::uint32_t>(slots);
+    BOOST_LEAF_AUTO(drainMs, readNumber(table, "limits.drain_ms", 0, maxDrainMs, settings.drainTimeout.count()));
+    settings.drainTimeout = milliseconds(drainMs);
+    BOOST_LEAF_AUTO(connections, readNumber(table, "limits.connections", 1, maxConnections, settings.maxConnections));
+    settings.maxConnections = static_cast<std::uint32_t>(connections);
+    return settings;
+}
+
+result<cli_settings> readCliSettings(std::string_view toml)
+{
+    cli_settings settings;
+    BOOST_LEAF_AUTO(table, parseToml(toml));
+    BOOST_LEAF_CHECK(checkKnown(table, "", cliKeys));
+    BOOST_LEAF_ASSIGN(settings.platformLog, readEndpoint(table, "platform.log"));
+    BOOST_LEAF_ASSIGN(settings.nodes, readEndpoints(table, "nodes.control"));
+    BOOST_LEAF_ASSIGN(settings.author, readText(table, "operator.name"));
+    return settings;
+}
+
+} // namespace pistachioquay
