--- /dev/null
+++ b/packages/process/spread/spread_test.cc
@@ -0,0 +1,120 @@
+// Guards the decisions around spreading versions: what a peer is given, when a restarted node may route, who writes
+// snapshots.
+#include <catch2/catch.hpp>
+
+#include "process/spread/record_buffer.h"
+#include "process/spread/snapshot_duty.h"
+#include "process/spread/startup_gate.h"
+
+using namespace pistachioquay;
+
+namespace {
+
+const time_point start = time_point(std::chrono::hours(1));
+
+record_buffer bufferOf(std::uint64_t first, std::uint64_t count)
+{
+    record_buffer buffer;
+    for (std::uint64_t offset = first; offset < first + count; ++offset) {
+        appendToBuffer(buffer, {offset, "r" + std::to_string(offset)});
+    }
+    return buffer;
+}
+
+} // namespace
+
+TEST_CASE("a peer behind the buffer is sent to a snapshot, never a range with a gap")
+{
+    const record_buffer buffer = bufferOf(10, 5);
+    CHECK_FALSE(recordsFrom(buffer, 9, 15, 1000));
+    CHECK(recordsFrom(buffer, 10, 15, 1000)->size() == 5);
+    CHECK(recordsFrom(buffer, 14, 15, 1000)->front().offset == 14);
+    CHECK(recordsFrom(buffer, 15, 15, 1000)->empty());
+    CHECK_FALSE(recordsFrom(record_buffer{}, 3, 15, 1000));
+}
+
+TEST_CASE("a response is bounded in bytes but always makes progress")
+{
+    const record_buffer buffer = bufferOf(10, 5);
+    CHECK(recordsFrom(buffer, 10, 15, 1)->size() == 1);
+    CHECK(recordsFrom(buffer, 10, 15, 6)->size() == 2);
+}
+
+TEST_CASE("the buffer is bounded and a gap empties it")
+{
+    record_buffer buffer = bufferOf(1, bufferedRecords + 10);
+    CHECK(buffer.records.size() == bufferedRecords);
+    CHECK(buffer.records.front().offset == 11);
+    appendToBuffer(buffer, {5000, "x"});
+    CHECK(buffer.records.size() == 1);
+    CHECK(buffer.bytes == 1);
+}
+
+TEST_CASE("a node that heard of its own newer version does not route at an older one")
+{
+    startup_gate gate;
+    gate = withPeerNews(gate, {.position = 20, .version = 19}, start);
+    gate = advanceGate(gate, {.position = 10, .version = 9}, start + seconds(60));
+    CHECK_FALSE(gate.wasOpened);
+    gate = advanceGate(gate, {.position = 20, .version = 19}, start + seconds(60));
+    CHECK(gate.wasOpened);
+}
+
+TEST_CASE("a node listens to further peers before it trusts the first one")
+{
+    startup_gate gate = withPeerNews({}, {.position = 10, .version = 9}, start);
+    CHECK_FALSE(advanceGate(gate, {.position = 10, .version = 9}, start + milliseconds(999)).wasOpened);
+    gate = withPeerNews(gate, {.position = 20, .version = 19}, start + milliseconds(999));
+    CHECK_FALSE(advanceGate(gate, {.position = 10, .version = 9}, start + seconds(5)).wasOpened);
+}
+
+TEST_CASE("the log's end opens the gate, and an older read of the end does not move it back")
+{
+    startup_gate gate = withLogEnd({}, 20);
+    CHECK(withLogEnd(gate, 5) == gate);
+    CHECK_FALSE(advanceGate(gate, {.position = 19, .version = 18}, start).wasOpened);
+    gate = advanceGate(gate, {.position = 20, .version = 18}, start);
+    CHECK(gate.wasOpened);
+    CHECK(advanceGate(gate, {.position = 1, .version = 0}, start).wasOpened);
+}
+
+TEST_CASE("a node that can reach neither log nor peers never routes")
+{
+    CHECK_FALSE(advanceGate({}, {.position = 1, .version = 0}, start + std::chrono::hours(9)).wasOpened);
+}
+
+TEST_CASE("snapshots are written in time, by one node, and only at the log's end")
+{
+    const snapshot_rules rules{.retention = milliseconds(100'000)};
+    snapshot_facts facts{.position = 50, .snapshotPosition = 40, .logFirst = 1, .logNext = 50, .isSnapshotKept = true};
+    facts.oldestUncoveredMs = 0;
+    facts.snapshotTimeMs = 0;
+    CHECK_FALSE(isSnapshotDue(facts, rules, 0, 24'999));
+    CHECK(isSnapshotDue(facts, rules, 0, 25'000));
+    CHECK_FALSE(isSnapshotDue(facts, rules, 1, 25'000));
+    CHECK(isSnapshotDue(facts, rules, 1, 31'250));
+    facts.logNext = 51;
+    CHECK_FALSE(isSnapshotDue(facts, rules, 0, 99'000));
+}
+
+TEST_CASE("a snapshot that expired during an outage is written again at once by any node")
+{
+    const snapshot_rules rules{.retention = milliseconds(100'000)};
+    snapshot_facts facts{.position = 50,
+                         .snapshotPosition = 50,
+                         .logFirst = 50,
+                         .logNext = 50,
+                         .isSnapshotKept = false};
+    CHECK(isSnapshotDue(facts, rules, 3, 0));
+    facts.snapshotPosition = 0;
+    CHECK(isSnapshotDue(facts, rules, 3, 0));
+}
+
+TEST_CASE("a quiet tree is written again before its only snapshot expires")
+{
+    const snapshot_rules rules{.retention = milliseconds(100'000)};
+    snapshot_facts facts{.position = 50, .snapshotPosition = 50, .logFirst = 50, .logNext = 50, .isSnapshotKept = true};
+    facts.snapshotTimeMs = 0;
+    CHECK_FALSE(isSnapshotDue(facts, rules, 0, 49'999));
+    CHECK(isSnapshotDue(facts, rules, 0, 50'000));
+}
