--- a/packages/connection/log_client/log_client.cc
+++ b/packages/connection/log_client/log_client.cc
@@ -75,7 +75,7 @@
     target.sin_family = AF_INET;
     target.sin_port = htons(address.port);
     inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
-    connect(handle, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+    (void)connect(handle, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
     pollfd waiting{handle, POLLOUT, 0};
     int status = -1;
     socklen_t size = sizeof(status);
