--- a/packages/version/tree/compiled_config.h
+++ b/packages/version/tree/compiled_config.h
@@ -77,7 +77,7 @@
 {
     std::uint64_t version = 0;
     std::string dataCentre;
-    std::vector<route> routes; // longest prefix first, then by name
+    std::vector<route> routes; // longest prefix first, then by prefix and name
     std::map<std::string, service_config> services;
 
     friend auto operator<=>(const compiled_config &, const compiled_config &) = default;
