Add the HTTP server, client and proxy as a first working version

Cause: the request path is the base of the node and of the load generator. Faults, drain and latency are not tested yet.

--- /dev/null
+++ b/packages/request/proxy/inbound.cc
@@ -0,0 +1,261 @@
+// Peer port: requests of other nodes for the own worker.
+#include "request/proxy/core.h"
+
+namespace pistachioquay::internal {
+
+namespace {
+
+constexpr milliseconds defaultTimeLeft{10000};
+
+class inbound_request
+{
+public:
+    inbound_request(core &shared, const request_head &head, const caller_watch &watch)
+        : m_core(shared)
+        , m_head(head)
+        , m_watch(watch)
+        , m_context(readContext(head.headers))
+        , m_deadline(steadyNow() + m_context.timeLeft.value_or(defaultTimeLeft))
+        , m_isHeld(isWhollyHeld(head))
+    {
+        ++m_core.counts.inboundRequests;
+        m_core.inFlight.begin();
+    }
+
+    std::optional<http_response> onHead();
+    bool onBody(std::string_view piece);
+    http_response onEnd();
+    void onDone(bool isComplete);
+
+private:
+    std::optional<http_response> checkRequest();
+    std::optional<http_response> acquireSlot();
+    void releaseSlot();
+    void openCall();
+    http_response respond();
+    http_response workerFailure();
+    http_response signedResponse(http_response response);
+    work_class workClass() const
+    {
+        return m_context.workClass.value_or(work_class::Interactive);
+    }
+
+    core &m_core;
+    request_head m_head;
+    const caller_watch &m_watch;
+    call_context m_context;
+    time_point m_deadline;
+    bool m_isHeld;
+    bool m_hasSlot = false;
+    std::string m_body;
+    std::unique_ptr<http_call> m_call;
+};
+
+http_response inbound_request::signedResponse(http_response response)
+{
+    const slot_load load = m_core.slots.load();
+    header_list &headers = response.head.headers;
+    setHeader(headers, requestIdHeader, m_context.requestId);
+    setHeader(headers, versionHeader, m_context.version);
+    setHeader(headers, runningHeader, std::to_string(load.running));
+    setHeader(headers, waitingHeader, std::to_string(load.waiting));
+    return response;
+}
+
+std::optional<http_response> inbound_request::checkRequest()
+{
+    if (m_context.requestId.empty()) {
+        return m_core.refuse(400,
+                             node_outcome::NotRun,
+                             "no_request_id",
+                             "the request carries no X-Pq-Request-Id",
+                             "send requests of callers to the caller port");
+    }
+    if (m_context.service != m_core.options.service) {
+        return m_core.refuse(503,
+                             node_outcome::NotRun,
+                             "other_service",
+                             "this node serves \"" + m_core.options.service + "\", not \"" + m_context.service + "\"",
+                             "send the request to a node of the service");
+    }
+    if (m_core.isDraining || !m_core.sources.isAccepting()) {
+        return m_core.refuse(503,
+                             node_outcome::NotRun,
+                             m_core.isDraining ? "draining" : "not_accepting",
+                             "this node takes no new work",
+                             "send the request to another node of the service");
+    }
+    return std::nullopt;
+}
+
+std::optional<http_response> inbound_request::acquireSlot()
+{
+    switch (m_core.slots.acquire(workClass(), m_deadline, m_watch)) {
+    case slot_decision::Granted:
+        m_hasSlot = true;
+        return std::nullopt;
+    case slot_decision::QueueFull:
+        return m_core.refuse(503,
+                             node_outcome::NotRun,
+                             "queue_full",
+                             "too many requests wait for the worker",
+                             "send the request to another node of the service, or later");
+    case slot_decision::DeadlinePassed:
+        return m_core.refuse(503,
+                             node_outcome::NotRun,
+                             "deadline",
+                             "the deadline passed while the request waited for the worker",
+                             "raise deadline_ms in the policy or add workers");
+    case slot_decision::CallerGone:
+        break;
+    }
+    return m_core.refuse(503,
+                         node_outcome::NotRun,
+                         "cancelled",
+                         "the sender closed its connection",
+                         "send the request again");
+}
+
+void inbound_request::releaseSlot()
+{
+    if (std::exchange(m_hasSlot, false)) {
+        m_core.slots.release(workClass());
+    }
+}
+
+void inbound_request::openCall()
+{
+    call_request request;
+    request.target = m_core.options.upstream;
+    request.head.method = m_head.method;
+    request.head.target = m_head.target;
+    request.head.bodyLength = m_head.bodyLength;
+    request.head.headers = forwardedHeaders(m_head.headers);
+    request.deadline = m_deadline;
+    call_context next = m_context;
+    next.timeLeft = std::max(milliseconds(0), milliseconds(millisBetween(steadyNow(), m_deadline)));
+    writeContext(next, request.head.headers);
+    m_call = std::make_unique<http_call>(m_core.pool, std::move(request), m_watch);
+}
+
+std::optional<http_response> inbound_request::onHead()
+{
+    if (auto refused = checkRequest()) {
+        return signedResponse(std::move(*refused));
+    }
+    if (m_isHeld) {
+        return std::nullopt;
+    }
+    if (auto refused = acquireSlot()) {
+        return signedResponse(std::move(*refused));
+    }
+    openCall();
+    if (!m_call->awaitBodyWanted() && m_call->failure() != call_failure::None) {
+        return workerFailure();
+    }
+    return std::nullopt;
+}
+
+bool inbound_request::onBody(std::string_view piece)
+{
+    if (!m_isHeld) {
+        return m_call->send(piece);
+    }
+    m_body += piece;
+    return true;
+}
+
+http_response inbound_request::onEnd()
+{
+    if (m_isHeld) {
+        if (auto refused = acquireSlot()) {
+            return signedResponse(std::move(*refused));
+        }
+        openCall();
+    }
+    m_call->provideLast(m_body);
+    return respond();
+}
+
+http_response inbound_request::respond()
+{
+    const response_head *const head = m_call->awaitHead();
+    if (head == nullptr) {
+        return workerFailure();
+    }
+    const auto workerId = findHeader(head->headers, requestIdHeader);
+    if (workerId && *workerId != m_context.requestId) {
+        m_call.reset();
+        return signedResponse(m_core.refuse(502,
+                                            node_outcome::Unknown,
+                                            "crossed_response",
+                                            "the worker responded to another request",
+                                            "check the worker; look up whether the request took effect"));
+    }
+    http_response response;
+    response.head = {head->status, forwardedHeaders(head->headers), head->bodyLength};
+    response.read = [this](std::span<char> buffer) {
+        const read_result got = m_call->read(buffer);
+        if (got.state == read_state::Cut) {
+            ++m_core.counts.truncated;
+        }
+        if (got.state != read_state::Data) {
+            releaseSlot();
+        }
+        return got;
+    };
+    return signedResponse(std::move(response));
+}
+
+http_response inbound_request::workerFailure()
+{
+    const std::string detail(failureName(m_call->failure()));
+    const bool isDeadline = m_call->failure() == call_failure::DeadlinePassed;
+    const bool isUnsent = m_call->progress() == call_progress::NoConnection;
+    releaseSlot();
+    if (isUnsent) {
+        return signedResponse(m_core.refuse(503,
+                                            node_outcome::NotRun,
+                                            "worker_unreachable",
+                                            "the worker was not reached: " + detail,
+                                            "check that the worker runs"));
+    }
+    return signedResponse(m_core.refuse(isDeadline ? 504 : 502,
+                                        node_outcome::Unknown,
+                                        isDeadline ? "deadline" : "response_lost",
+                                        "the request was sent to the worker, but there is no response: " + detail,
+                                        "look up whether the request took effect before sending it again"));
+}
+
+void inbound_request::onDone(bool isComplete)
+{
+    if (!isComplete && m_watch.isGone()) {
+        ++m_core.counts.cancelled;
+    }
+    m_call.reset();
+    releaseSlot();
+    m_core.inFlight.end();
+}
+
+} // namespace
+
+exchange inboundExchange(core &shared, const request_head &head, const caller_watch &watch)
+{
+    const auto request = std::make_shared<inbound_request>(shared, head, watch);
+    exchange steps;
+    steps.onHead = [request] {
+        return request->onHead();
+    };
+    steps.onBody = [request](std::string_view piece) {
+        return request->onBody(piece);
+    };
+    steps.onEnd = [request] {
+        return request->onEnd();
+    };
+    steps.onDone = [request](bool isComplete) {
+        request->onDone(isComplete);
+    };
+    return steps;
+}
+
+} // namespace pistachioquay::internal
