--- /dev/null
+++ b/packages/process/membership/summaries.cc
@@ -0,0 +1,84 @@
+#include <algorithm>
+
+#include "process/membership/step.h"
+
+namespace pistachioquay::internal {
+
+namespace {
+
+constexpr milliseconds minLoadInterval{500};
+constexpr milliseconds loadIntervalPerMember{15}; // keeps the reports at a reader at 67 a second
+constexpr std::size_t nodesPerSummary = 3;
+constexpr milliseconds minSummaryTtl{10'000};
+constexpr std::size_t summariesPerSecond = 6; // about one datagram
+
+std::uint32_t spareOf(const member &data)
+{
+    const std::uint32_t taken = data.load.running + data.load.waiting;
+    return data.slots > taken ? data.slots - taken : 0;
+}
+
+struct candidate
+{
+    const member *data = nullptr;
+    std::uint32_t spare = 0;
+};
+
+void addNodes(service_summary &summary, std::vector<candidate> &candidates)
+{
+    // Workers with spare slots come first; among these the order is stable, so that the addresses change little.
+    std::ranges::sort(candidates, [&](const candidate &left, const candidate &right) {
+        const bool leftHasSpare = left.spare > 0;
+        const bool rightHasSpare = right.spare > 0;
+        if (leftHasSpare != rightHasSpare) {
+            return leftHasSpare;
+        }
+        return rendezvousWeight(memberKey(left.data->nodeId), summary.service)
+            > rendezvousWeight(memberKey(right.data->nodeId), summary.service);
+    });
+    candidates.resize(std::min(candidates.size(), nodesPerSummary));
+    for (const candidate &chosen : candidates) {
+        const member &data = *chosen.data;
+        summary.nodes.push_back({data.nodeId, data.started, data.peer, data.slots});
+    }
+}
+
+} // namespace
+
+milliseconds loadInterval(const membership_state &state)
+{
+    const auto count = static_cast<std::int64_t>(liveCount(state));
+    return std::max(minLoadInterval, loadIntervalPerMember * count);
+}
+
+std::map<std::string, service_summary> ownSummaries(const membership_state &state, time_point now)
+{
+    const duration loadLease = std::max<duration>(seconds(5), loadInterval(state) * 4);
+    std::map<std::string, std::vector<candidate>> services;
+    if (state.self.state == member_state::Ready) {
+        services[state.self.service].push_back({&state.self, spareOf(state.self)});
+    }
+    for (const auto &[key, known] : state.members) {
+        if (isLive(known) && known.data.state == member_state::Ready) {
+            const bool isFresh = known.loadAt != time_point{} && now - known.loadAt < loadLease;
+            services[known.data.service].push_back({&known.data, isFresh ? spareOf(known.data) : 0});
+        }
+    }
+    const auto cycle = seconds(services.size() / summariesPerSecond + 1);
+    const milliseconds ttl = minSummaryTtl + 2 * milliseconds(cycle);
+    const std::uint64_t stamp = state.self.started + static_cast<std::uint64_t>(millisBetween(state.startedAt, now));
+    std::map<std::string, service_summary> summaries;
+    for (auto &[service, candidates] : services) {
+        service_summary
+            summary{state.self.dataCentre, service, stamp, 0, static_cast<std::uint32_t>(ttl.count()), 0, 0, {}};
+        summary.readyWorkers = static_cast<std::uint32_t>(candidates.size());
+        for (const candidate &ready : candidates) {
+            summary.spareSlots += ready.spare;
+        }
+        addNodes(summary, candidates);
+        summaries.emplace(service, std::move(summary));
+    }
+    return summaries;
+}
+
+} // namespace pistachioquay::internal
