--- a/packages/connection/log_client/log_client.cc
+++ b/packages/connection/log_client/log_client.cc
@@ -1,6 +1,7 @@
 #include "connection/log_client/log_client.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <memory>
 #include <mutex>
 
@@ -75,11 +76,12 @@
     target.sin_family = AF_INET;
     target.sin_port = htons(address.port);
     inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
-    connect(handle, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
+    const bool isStarted =
+        connect(handle, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) == 0 || errno == EINPROGRESS;
     pollfd waiting{handle, POLLOUT, 0};
     int status = -1;
     socklen_t size = sizeof(status);
-    const bool isDecided = poll(&waiting, 1, static_cast<int>(timeout.count())) == 1;
+    const bool isDecided = isStarted && poll(&waiting, 1, static_cast<int>(timeout.count())) == 1;
     const bool isConnected = isDecided && getsockopt(handle, SOL_SOCKET, SO_ERROR, &status, &size) == 0 && status == 0;
     close(handle);
     return isConnected;
--- a/packages/connection/log_client/log_client.h
+++ b/packages/connection/log_client/log_client.h
@@ -21,7 +21,7 @@
 namespace pistachioquay {
 
 // Largest record that the log accepts.
-inline constexpr std::size_t maxRecordBytes = 1024 * 1024;
+inline constexpr std::size_t maxRecordBytes = 1'048'576;
 
 // One record of a stream.
 struct log_record
--- a/testing/harness/harness_test.cc
+++ b/testing/harness/harness_test.cc
@@ -87,10 +87,10 @@
 TEST_CASE("no free address is given twice")
 {
     constexpr std::size_t count = 50;
-    std::set<endpoint> seen;
+    std::set<std::uint16_t> seen;
     for (std::size_t round = 0; round < 4; ++round) {
         for (const endpoint &address : freeAddresses(count)) {
-            CHECK(seen.insert(address).second);
+            CHECK(seen.insert(address.port).second);
         }
     }
 }
--- a/testing/harness/http.cc
+++ b/testing/harness/http.cc
@@ -66,7 +66,9 @@
     const std::unique_ptr<CURL, curl_deleter> handle(curl_easy_init());
     curl_slist *list = nullptr;
     for (const auto &[name, value] : call.headers) {
-        list = curl_slist_append(list, (name + ": " + value).c_str());
+        std::string line = name;
+        line.append(": ").append(value);
+        list = curl_slist_append(list, line.c_str());
     }
     const std::unique_ptr<curl_slist, curl_deleter> headers(list);
     const std::string url = "http://" + toText(call.address) + call.path;
--- a/testing/platform_log/server.cc
+++ b/testing/platform_log/server.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t maxBodyBytes = 1024 * 1024;
+constexpr std::size_t maxBodyBytes = 1'048'576;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusForbidden = 403;
--- a/testing/platform_log/store.cc
+++ b/testing/platform_log/store.cc
@@ -23,7 +23,7 @@
 stored_range
 log_store::read(const std::string &stream, std::optional<std::uint64_t> from, std::size_t max, std::int64_t nowMs)
 {
-    constexpr std::size_t maxResponseBytes = 4 * 1024 * 1024; // bounds the memory of one response
+    constexpr std::size_t maxResponseBytes = 4'194'304; // bounds the memory of one response
     stream_state &state = m_streams[stream];
     dropExpired(state, nowMs);
     ++m_stats[stream].reads;
--- a/testing/upstream/response_body.cc
+++ b/testing/upstream/response_body.cc
@@ -43,7 +43,7 @@
 
 MHD_Response *makeBody(std::string body, const body_faults &faults)
 {
-    constexpr std::size_t blockBytes = 64 * 1024;
+    constexpr std::size_t blockBytes = 65'536;
     const std::uint64_t size = faults.isChunked ? MHD_SIZE_UNKNOWN : body.size();
     auto *source = new body_source{std::move(body), faults};
     return MHD_create_response_from_callback(size, blockBytes, &readBody, source, &freeBody);
--- a/testing/upstream/server.cc
+++ b/testing/upstream/server.cc
@@ -48,7 +48,7 @@
 namespace {
 
 constexpr std::uint32_t statusUnavailable = 503;
-constexpr std::size_t maxControlBytes = 64 * 1024;
+constexpr std::size_t maxControlBytes = 65'536;
 
 std::string headerOf(MHD_Connection *connection, const char *name)
 {
@@ -155,8 +155,8 @@
 bool worker_server::start()
 {
     constexpr unsigned maxConnections = 2000;
-    constexpr std::size_t stackBytes = 256 * 1024;
-    constexpr std::size_t connectionBytes = 128 * 1024;
+    constexpr std::size_t stackBytes = 262'144;
+    constexpr std::size_t connectionBytes = 131'072;
     if (!m_options.recordFile.empty() && !m_record.isOpen()) {
         return false;
     }
