Join the parts to a running node and test the whole path with real processes

Cause: versions, membership and the request path stood as separate libraries; nothing ran. Ruled out: every node reading the log (8,400 long polls); a node that starts beside others acting as a reader at once (a restarted data centre would read the log from each node), so it waits 1.5 s for peers. Conclusion: the thin path stands; spread at scale is not measured yet.

--- /dev/null
+++ b/packages/process/node/config_store.cc
@@ -0,0 +1,146 @@
+#include "process/node/config_store.h"
+
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "version/fold/snapshot.h"
+#include "version/tree/compile.h"
+
+namespace pistachioquay {
+
+config_store::config_store(std::string dataCentre)
+    : m_dataCentre(std::move(dataCentre))
+{
+}
+
+std::shared_ptr<const compiled_config> config_store::config() const
+{
+    return m_config.load();
+}
+
+fold_progress config_store::progress() const
+{
+    const std::lock_guard guard(m_mutex);
+    return progressOf(m_state);
+}
+
+absorb_report config_store::absorb(std::span<const timed_record> records, time_point now)
+{
+    const std::lock_guard guard(m_mutex);
+    const bool wasBlocked = m_state.isSchemaBlocked;
+    const absorb_report report = absorbRecords(m_state, records);
+    if (m_state.isSchemaBlocked && !wasBlocked) {
+        LOG(ERROR) << "[fold] Record " << m_state.folded.position << " has a newer schema; version "
+                   << m_state.folded.version << " stays in force. Replace this node by a newer release.";
+    }
+    publishLocked(now);
+    return report;
+}
+
+absorb_report config_store::absorb(fold_state snapshot, time_point now)
+{
+    const std::lock_guard guard(m_mutex);
+    const absorb_report report = absorbSnapshot(m_state, std::move(snapshot));
+    publishLocked(now);
+    return report;
+}
+
+void config_store::noteLog(std::uint64_t first, std::uint64_t next, time_point now)
+{
+    const std::lock_guard guard(m_mutex);
+    noteLogRange(m_state, first, next);
+    m_state.gate = withLogEnd(m_state.gate, next);
+    publishLocked(now);
+}
+
+void config_store::notePeer(const fold_progress &heard, time_point now)
+{
+    const std::lock_guard guard(m_mutex);
+    m_state.gate = withPeerNews(m_state.gate, heard, now);
+    publishLocked(now);
+}
+
+void config_store::noteSnapshotInLog(std::uint64_t position, std::int64_t timeMs, bool isKept)
+{
+    const std::lock_guard guard(m_mutex);
+    noteSnapshot(m_state, position, timeMs, isKept);
+}
+
+void config_store::tick(time_point now)
+{
+    const std::lock_guard guard(m_mutex);
+    publishLocked(now);
+}
+
+pull_response config_store::respond(std::uint64_t position) const
+{
+    pull_response response;
+    std::unique_lock guard(m_mutex);
+    response.position = m_state.folded.position;
+    response.version = m_state.folded.version;
+    if (position >= m_state.folded.position) {
+        return response;
+    }
+    auto records = recordsFrom(m_state.recent, position, m_state.folded.position, maxPulledBytes);
+    if (records) {
+        for (config_record &each : *records) {
+            response.records.push_back({std::move(each), 0});
+        }
+        return response;
+    }
+    // The copy shares the tree, so the encoding runs without the lock.
+    const fold_state copy = m_state.folded;
+    guard.unlock();
+    response.snapshotParts = encodeSnapshot(copy);
+    return response;
+}
+
+std::optional<fold_state>
+config_store::dueSnapshot(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const
+{
+    const std::lock_guard guard(m_mutex);
+    if (m_state.isSchemaBlocked || !isSnapshotDue(m_state.snapshots, rules, rank, nowMs)) {
+        return std::nullopt;
+    }
+    return m_state.folded;
+}
+
+store_status config_store::status() const
+{
+    const std::lock_guard guard(m_mutex);
+    const auto config = m_config.load();
+    return {
+        .progress = progressOf(m_state),
+        .versionInForce = config ? config->version : 0,
+        .isRouting = m_state.gate.wasOpened,
+        .isSchemaBlocked = m_state.isSchemaBlocked,
+        .rejectedRecords = m_state.rejectedRecords,
+        .snapshotPosition = m_state.snapshots.snapshotPosition,
+        .logNext = m_state.snapshots.logNext,
+    };
+}
+
+void config_store::publishLocked(time_point now)
+{
+    m_state.gate = advanceGate(m_state.gate, progressOf(m_state), now);
+    if (!m_state.gate.wasOpened) {
+        return;
+    }
+    const auto current = m_config.load();
+    const std::uint64_t version = m_state.folded.version;
+    if (version == 0 || (current && current->version >= version)) {
+        return;
+    }
+    auto compiled = attempt([&] {
+        return compileConfig(m_state.folded.tree, m_dataCentre, version);
+    });
+    if (!compiled) {
+        LOG(ERROR) << "[fold] Version " << version << " does not compile. " << describe(compiled.failure());
+        return;
+    }
+    m_config.store(std::make_shared<const compiled_config>(*std::move(compiled)));
+    LOG(INFO) << "[fold] Version " << version << " is in force.";
+}
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/process/node/status_json.h
@@ -0,0 +1,33 @@
+// JSON texts of the control port.
+//
+//   const std::string body = statusJson(facts);
+#pragma once
+
+#include <string>
+
+#include "process/membership/gossip.h"
+#include "process/metrics/metrics.h"
+#include "process/node/config_store.h"
+#include "request/proxy/proxy.h"
+
+namespace pistachioquay {
+
+// What a status response is made of.
+struct status_facts
+{
+    std::string nodeId;
+    std::string dataCentre;
+    std::string service;
+    std::string state; // starting, ready or draining
+    store_status store;
+    gossip_status gossip;
+    proxy_status proxy;
+};
+
+// statusJson returns the body of GET /v1/status. Thread safe.
+std::string statusJson(const status_facts &facts);
+
+// reportJson returns the body of GET /v1/report. Thread safe.
+std::string reportJson(const std::string &nodeId, const std::string &dataCentre, const metrics_snapshot &figures);
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/process/node/sync_client.cc
@@ -0,0 +1,83 @@
+#include "process/node/sync_client.h"
+
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "connection/wire/codec.h"
+#include "connection/wire/socket.h"
+#include "process/node/pause.h"
+
+namespace pistachioquay {
+
+namespace {
+
+constexpr milliseconds connectWait{500};
+constexpr milliseconds requestWait{500};
+constexpr seconds responseWait{5};
+constexpr milliseconds busyBase{20};
+constexpr milliseconds busyCap{1000};
+
+} // namespace
+
+sync_client::sync_client(std::string nodeId,
+                         config_store &store,
+                         version_ring &ring,
+                         std::function<void(const std::string &)> onMembers)
+    : m_nodeId(std::move(nodeId))
+    , m_store(store)
+    , m_ring(ring)
+    , m_onMembers(std::move(onMembers))
+{
+}
+
+void sync_client::request(const pull_target &target)
+{
+    m_requests.tryPush(target);
+}
+
+void sync_client::run(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        if (const auto target = m_requests.pop(stop)) {
+            handle(*target, stop);
+        }
+    }
+}
+
+result<pull_response> sync_client::pullOnce(const pull_target &target, bool wantsRecords)
+{
+    const pull_request request{m_nodeId, m_store.progress().position, wantsRecords, target.wantsMembers};
+    decode_counters counters;
+    BOOST_LEAF_AUTO(stream, connectTcp(target.address, steadyNow() + connectWait));
+    BOOST_LEAF_CHECK(sendFrame(stream, encodeMessage(request, syncFormat), steadyNow() + requestWait));
+    BOOST_LEAF_AUTO(frame, receiveFrame(stream, maxSyncFrameBytes, steadyNow() + responseWait));
+    return decodeMessage<pull_response>(frame, syncFormat, counters);
+}
+
+void sync_client::handle(const pull_target &target, const std::stop_token &stop)
+{
+    const bool wantsRecords = target.position > m_store.progress().position;
+    if (!wantsRecords && !target.wantsMembers) {
+        return;
+    }
+    auto response = attempt([&] {
+        return pullOnce(target, wantsRecords);
+    });
+    if (!response) {
+        VLOG(1) << "[sync] A pull from " << toText(target.address) << " failed. " << describe(response.failure());
+        return;
+    }
+    if (response->isBusy) {
+        pauseFor(fullJitter(busyBase, busyCap, m_busyResponses, m_generator), stop);
+        ++m_busyResponses;
+        return;
+    }
+    m_busyResponses = 0;
+    if (!response->memberList.empty()) {
+        m_onMembers(response->memberList);
+    }
+    m_ring.tryPush(peer_news{*std::move(response)});
+}
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/process/node/sync_server.cc
@@ -0,0 +1,106 @@
+#include "process/node/sync_server.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "connection/wire/codec.h"
+
+namespace pistachioquay {
+
+namespace {
+
+constexpr milliseconds acceptWait{200};
+constexpr milliseconds requestWait{1000};
+constexpr seconds responseWait{5};
+constexpr std::size_t maxRequestBytes = 4096;
+
+result<void> respondBusy(const tcp_stream &stream)
+{
+    pull_response busy;
+    busy.isBusy = true;
+    return sendFrame(stream, encodeMessage(busy, syncFormat), steadyNow() + requestWait);
+}
+
+} // namespace
+
+sync_server::sync_server(tcp_listener listener, std::function<pull_response(const pull_request &)> respond)
+    : m_listener(std::move(listener))
+    , m_respond(std::move(respond))
+{
+}
+
+sync_server::~sync_server()
+{
+    stop();
+}
+
+void sync_server::start()
+{
+    m_threads.emplace_back([this](const std::stop_token &stop) {
+        acceptPulls(stop);
+    });
+    for (std::size_t count = 0; count < syncWorkers; ++count) {
+        m_threads.emplace_back([this](const std::stop_token &stop) {
+            servePulls(stop);
+        });
+    }
+}
+
+void sync_server::stop()
+{
+    std::ranges::for_each(m_threads, [](std::jthread &each) {
+        each.request_stop();
+    });
+    m_threads.clear();
+}
+
+void sync_server::acceptPulls(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        auto accepted = attempt([&] {
+            return acceptTcp(m_listener, acceptWait);
+        });
+        if (!accepted) {
+            LOG_EVERY_N(WARNING, 100) << "[sync] Cannot accept. " << describe(accepted.failure());
+            std::this_thread::sleep_for(acceptWait);
+            continue;
+        }
+        if (!*accepted) {
+            continue;
+        }
+        auto stream = std::make_shared<tcp_stream>(**std::move(accepted));
+        if (!m_queue.tryPush(stream)) {
+            attempt([&] {
+                return respondBusy(*stream);
+            });
+        }
+    }
+}
+
+void sync_server::servePulls(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        if (const auto stream = m_queue.pop(stop)) {
+            serveOne(**stream);
+        }
+    }
+}
+
+void sync_server::serveOne(const tcp_stream &stream)
+{
+    decode_counters counters;
+    const auto served = attempt([&]() -> result<void> {
+        BOOST_LEAF_AUTO(frame, receiveFrame(stream, maxRequestBytes, steadyNow() + requestWait));
+        BOOST_LEAF_AUTO(request, decodeMessage<pull_request>(frame, syncFormat, counters));
+        const std::string response = encodeMessage(m_respond(request), syncFormat);
+        return sendFrame(stream, response, steadyNow() + responseWait);
+    });
+    if (!served) {
+        LOG_EVERY_N(WARNING, 100) << "[sync] A pull failed. " << describe(served.failure());
+    }
+}
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/process/node/worker_health.cc
@@ -0,0 +1,79 @@
+#include "process/node/worker_health.h"
+
+#include <utility>
+
+#include <glog/logging.h>
+#include <ulfius.h>
+
+#include "process/node/pause.h"
+
+namespace pistachioquay {
+
+namespace {
+
+constexpr milliseconds pollInterval{250};
+constexpr long pollTimeoutS = 1;
+constexpr long firstServerError = 500;
+
+bool pollOnce(const std::string &url)
+{
+    _u_request request;
+    _u_response response;
+    ulfius_init_request(&request);
+    ulfius_init_response(&response);
+    ulfius_set_request_properties(&request,
+                                  U_OPT_HTTP_VERB,
+                                  "GET",
+                                  U_OPT_HTTP_URL,
+                                  url.c_str(),
+                                  U_OPT_TIMEOUT,
+                                  pollTimeoutS,
+                                  U_OPT_NONE);
+    const bool isSent = ulfius_send_http_request(&request, &response) == U_OK;
+    const bool hasAnswered = isSent && response.status < firstServerError;
+    ulfius_clean_request(&request);
+    ulfius_clean_response(&response);
+    return hasAnswered;
+}
+
+} // namespace
+
+readiness withPoll(readiness known, bool hasAnswered)
+{
+    if (hasAnswered) {
+        return {.isReady = true, .failures = 0};
+    }
+    ++known.failures;
+    known.isReady = known.isReady && known.failures < failuresUntilUnready;
+    return known;
+}
+
+worker_health::worker_health(endpoint upstream, std::function<void()> onChange)
+    : m_upstream(std::move(upstream))
+    , m_onChange(std::move(onChange))
+{
+}
+
+void worker_health::run(const std::stop_token &stop)
+{
+    const std::string url = "http://" + toText(m_upstream) + "/health";
+    readiness known;
+    while (!stop.stop_requested()) {
+        const readiness next = withPoll(known, pollOnce(url));
+        if (next.isReady != known.isReady) {
+            LOG(INFO) << "[worker] The upstream at " << toText(m_upstream)
+                      << (next.isReady ? " is ready." : " does not respond.");
+            m_isReady = next.isReady;
+            m_onChange();
+        }
+        known = next;
+        pauseFor(pollInterval, stop);
+    }
+}
+
+bool worker_health::isReady() const
+{
+    return m_isReady;
+}
+
+} // namespace pistachioquay
--- a/packages/process/settings/settings.cc
+++ b/packages/process/settings/settings.cc
@@ -142,7 +142,7 @@
     return checkDistinct(settings);
 }
 
-constexpr std::array<std::string_view, 14> nodeKeys = {
+constexpr std::array<std::string_view, 15> nodeKeys = {
     "node.id",
     "node.data_centre",
     "node.service",
@@ -154,6 +154,7 @@
     "upstream.address",
     "upstream.slots",
     "platform.log",
+    "platform.retention_ms",
     "seeds.gossip",
     "limits.drain_ms",
     "limits.connections",
@@ -166,6 +167,8 @@
 result<node_settings> readNodeSettings(std::string_view toml)
 {
     constexpr std::int64_t maxSlots = 10'000;
+    constexpr std::int64_t minRetentionMs = 1'000;
+    constexpr std::int64_t maxRetentionMs = 31'536'000'000; // a year
     constexpr std::int64_t maxDrainMs = 600'000;
     constexpr std::int64_t maxConnections = 10'000;
     node_settings settings;
@@ -183,6 +186,10 @@
         return invalid("missing key `upstream.slots`", "say how many requests the upstream runs at once");
     }
     settings.slots = static_cast<std::uint32_t>(slots);
+    BOOST_LEAF_AUTO(
+        retentionMs,
+        readNumber(table, "platform.retention_ms", minRetentionMs, maxRetentionMs, settings.logRetention.count()));
+    settings.logRetention = milliseconds(retentionMs);
     BOOST_LEAF_AUTO(drainMs, readNumber(table, "limits.drain_ms", 0, maxDrainMs, settings.drainTimeout.count()));
     settings.drainTimeout = milliseconds(drainMs);
     BOOST_LEAF_AUTO(connections, readNumber(table, "limits.connections", 1, maxConnections, settings.maxConnections));
--- a/packages/process/settings/settings.h
+++ b/packages/process/settings/settings.h
@@ -31,6 +31,7 @@
     endpoint upstream; // `upstream.address`
     std::uint32_t slots = 0; // `upstream.slots`, requests that the worker runs at once
     endpoint platformLog; // `platform.log`
+    milliseconds logRetention{86'400'000}; // `platform.retention_ms`, time that the log keeps records
     std::vector<endpoint> seeds; // `seeds.gossip`, gossip addresses of nodes to join by
     milliseconds drainTimeout{30'000}; // `limits.drain_ms`
     std::uint32_t maxConnections = 512; // `limits.connections`, for each HTTP port
--- a/packages/process/spread/spread_test.cc
+++ b/packages/process/spread/spread_test.cc
@@ -2,9 +2,12 @@
 // snapshots.
 #include <catch2/catch.hpp>
 
+#include "base/random.h"
 #include "process/spread/record_buffer.h"
 #include "process/spread/snapshot_duty.h"
 #include "process/spread/startup_gate.h"
+#include "process/spread/version_state.h"
+#include "version/fold/edit_record.h"
 
 using namespace pistachioquay;
 
@@ -118,3 +121,77 @@
     CHECK_FALSE(isSnapshotDue(facts, rules, 0, 49'999));
     CHECK(isSnapshotDue(facts, rules, 0, 50'000));
 }
+
+namespace {
+
+timed_record editAt(std::uint64_t offset, std::uint64_t base, const std::string &name)
+{
+    const edit_record record{hash128{offset, 1}, base, "awa", {addPlace({name, {}})}};
+    return {{offset, encodeRecord(record)}, 1000 + static_cast<std::int64_t>(offset)};
+}
+
+std::vector<timed_record> editsOf(std::uint64_t count)
+{
+    std::vector<timed_record> records;
+    for (std::uint64_t offset = 1; offset <= count; ++offset) {
+        records.push_back(editAt(offset, offset - 1, "dc-" + std::to_string(offset)));
+    }
+    return records;
+}
+
+fold_state foldedTo(std::uint64_t count)
+{
+    version_state state;
+    absorbRecords(state, editsOf(count));
+    return state.folded;
+}
+
+} // namespace
+
+TEST_CASE("any order, repetition or loss of records and snapshots only moves a node forward")
+{
+    constexpr std::uint64_t records = 12;
+    constexpr int sequences = 3000;
+    const std::vector<timed_record> log = editsOf(records);
+    const fold_state whole = foldedTo(records);
+    random_generator generator(20261204);
+    for (int sequence = 0; sequence < sequences; ++sequence) {
+        version_state state;
+        for (int step = 0; step < 20; ++step) {
+            const fold_progress before = progressOf(state);
+            const std::uint64_t from = generator() % records;
+            const std::uint64_t count = 1 + generator() % (records - from);
+            if (generator() % 5 == 0) {
+                absorbSnapshot(state, foldedTo(from));
+            } else {
+                absorbRecords(state, std::span(log).subspan(from, count));
+            }
+            const fold_progress after = progressOf(state);
+            REQUIRE(after.position >= before.position);
+            REQUIRE(after.version >= before.version);
+            REQUIRE(state.folded == foldedTo(after.position - 1));
+        }
+        absorbRecords(state, log);
+        REQUIRE(state.folded == whole);
+    }
+}
+
+TEST_CASE("a corrupt record is rejected as a whole and the fold goes on behind it")
+{
+    std::vector<timed_record> log = editsOf(2);
+    log.push_back({{3, "garbage"}, 1});
+    log.push_back(editAt(4, 2, "dc-4"));
+    version_state state;
+    const absorb_report report = absorbRecords(state, log);
+    CHECK(report.versionChanged);
+    CHECK(progressOf(state) == fold_progress{5, 4});
+    CHECK(state.rejectedRecords == 1);
+}
+
+TEST_CASE("a snapshot that is behind never replaces a newer state")
+{
+    version_state state;
+    absorbRecords(state, editsOf(5));
+    CHECK(absorbSnapshot(state, foldedTo(4)) == absorb_report{});
+    CHECK(progressOf(state) == fold_progress{6, 5});
+}
--- /dev/null
+++ b/packages/process/spread/sync_messages.h
@@ -0,0 +1,54 @@
+// Messages of the sync port: a node that is behind pulls records, or a snapshot when the records are no longer kept.
+//
+//   sendFrame(stream, encodeMessage(pull_request{nodeId, position}, syncFormat), deadline);
+//   const auto response = decodeMessage<pull_response>(frame, syncFormat, counters);
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "process/spread/version_state.h"
+
+namespace pistachioquay {
+
+inline constexpr std::uint16_t syncFormat = 1;
+inline constexpr std::size_t maxPulledBytes = 512 * 1024; // of records in one response
+inline constexpr std::size_t maxSyncFrameBytes = 64 * 1024 * 1024; // a snapshot at the design size is a few MB
+
+struct pull_request
+{
+    std::string nodeId;
+    std::uint64_t position = 0;
+    bool wantsRecords = true;
+    bool wantsMembers = false;
+
+    friend auto operator<=>(const pull_request &, const pull_request &) = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(nodeId, position, wantsRecords, wantsMembers);
+    }
+};
+
+struct pull_response
+{
+    bool isBusy = false; // too many pulls at once: ask another node later
+    std::uint64_t position = 0; // of the responding node
+    std::uint64_t version = 0;
+    std::vector<timed_record> records;
+    std::vector<std::string> snapshotParts; // in place of records when they are no longer kept
+    std::string memberList; // encoded by the membership library
+
+    friend auto operator<=>(const pull_response &, const pull_response &) = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(isBusy, position, version, records, snapshotParts, memberList);
+    }
+};
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/process/spread/version_state.h
@@ -0,0 +1,85 @@
+// The versions that one node knows: the fold, the newest records for peers, the start-up gate and the facts about
+// snapshots. All functions only go forward: no input makes the position or the version smaller.
+//
+//   version_state state;
+//   const absorb_report report = absorbRecords(state, batch.records);
+//   if (report.versionChanged) swapIn(compileConfig(state.folded.tree, dataCentre, state.folded.version));
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <span>
+#include <string>
+
+#include "process/spread/record_buffer.h"
+#include "process/spread/snapshot_duty.h"
+#include "process/spread/startup_gate.h"
+#include "version/fold/fold.h"
+
+namespace pistachioquay {
+
+// A record with the time at which the log took it; 0 when a peer passed it on without the time.
+struct timed_record
+{
+    config_record record;
+    std::int64_t timeMs = 0;
+
+    friend auto operator<=>(const timed_record &, const timed_record &) = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(record, timeMs);
+    }
+};
+
+// Verdict on a record, kept for status.
+struct record_verdict
+{
+    std::uint64_t offset = 0;
+    fold_verdict verdict;
+
+    friend auto operator<=>(const record_verdict &, const record_verdict &) = default;
+};
+
+inline constexpr std::size_t keptVerdicts = 64;
+
+// Not thread safe.
+struct version_state
+{
+    fold_state folded;
+    record_buffer recent;
+    startup_gate gate;
+    snapshot_facts snapshots;
+    bool isSchemaBlocked = false; // the next record has a schema that this program does not read
+    std::deque<record_verdict> verdicts; // newest last
+    std::uint64_t rejectedRecords = 0;
+};
+
+// What a change of the state means for the node.
+struct absorb_report
+{
+    bool positionChanged = false;
+    bool versionChanged = false;
+    bool hasGap = false; // records are missing before the first one given: a snapshot or older records are needed
+
+    friend auto operator<=>(const absorb_report &, const absorb_report &) = default;
+};
+
+// progressOf returns how far the state has folded.
+fold_progress progressOf(const version_state &state);
+
+// absorbRecords folds the records that follow the position, in order; older ones are ignored, and a gap stops it.
+absorb_report absorbRecords(version_state &state, std::span<const timed_record> records);
+
+// absorbSnapshot takes over a whole state if it is ahead. A state with an older version or position is ignored.
+absorb_report absorbSnapshot(version_state &state, fold_state snapshot);
+
+// noteLogRange notes the range of offsets that the log of stream `config` keeps.
+void noteLogRange(version_state &state, std::uint64_t first, std::uint64_t next);
+
+// noteSnapshot notes the newest snapshot in the log: its position and time. `isKept` is false when the log keeps none.
+void noteSnapshot(version_state &state, std::uint64_t position, std::int64_t timeMs, bool isKept);
+
+} // namespace pistachioquay
