--- a/packages/connection/http/client.cc
+++ b/packages/connection/http/client.cc
@@ -364,7 +364,7 @@
         },
         call.request.deadline,
         call_failure::DeadlinePassed);
-    return call.hasHead && call.failure == call_failure::None ? &call.head : nullptr;
+    return call.hasHead && call.failure != call_failure::Undelimited ? &call.head : nullptr;
 }
 
 bool http_call::awaitSmallBody()
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -180,7 +180,7 @@
 http_response inbound_request::respond()
 {
     const response_head *const head = m_call->awaitHead();
-    if (head == nullptr) {
+    if (head == nullptr || m_call->failure() != call_failure::None) {
         return workerFailure();
     }
     const auto workerId = findHeader(head->headers, requestIdHeader);
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -229,8 +229,10 @@
 {
     m_response = m_call->awaitHead();
     // A short response of an idempotent request is awaited whole, so that it can be requested again if it is cut.
-    if (m_response != nullptr && m_next.isIdempotent && m_isHeld && !m_call->awaitSmallBody()
-        && m_call->failure() != call_failure::None) {
+    if (m_response != nullptr && m_next.isIdempotent && m_isHeld) {
+        m_call->awaitSmallBody();
+    }
+    if (m_response != nullptr && m_call->failure() != call_failure::None) {
         ++m_core.counts.truncated;
         m_response = nullptr;
     }
--- a/packages/request/proxy/retry_choice.cc
+++ b/packages/request/proxy/retry_choice.cc
@@ -44,7 +44,6 @@
     }
     switch (last) {
     case try_end::NotRun:
-        return triesMade < mostUnrunTries;
     case try_end::NoConnection:
         return triesMade < mostUnrunTries;
     case try_end::WorkerBusy:
