Test the proxy against dead workers, crossed and cut responses, cancellation and drain

Cause: a call cancelled by its caller was counted as answered, because the response was written to the closed socket. Change: a request whose caller is gone closes its connection without a response and counts as cancelled; tests with nodes and raw workers on loopback.

--- a/packages/connection/http/client.h
+++ b/packages/connection/http/client.h
@@ -129,8 +129,8 @@
     // provideLast sets the last piece of the body (which may be the only one, and empty) without waiting. The bytes
     // live until `awaitHead` returns.
     void provideLast(std::string_view piece);
-    // awaitHead waits for the final response head; null if the call failed before. A call can have failed behind its head:
-    // `failure` tells, and `read` ends with Cut.
+    // awaitHead waits for the final response head; null if the call failed before. A call can have failed behind its
+    // head: `failure` tells, and `read` ends with Cut.
     const response_head *awaitHead();
     // awaitSmallBody waits until the whole body has arrived, if its announced length fits the buffer of the call; true
     // if it has.
--- a/packages/connection/http/message.h
+++ b/packages/connection/http/message.h
@@ -67,7 +67,8 @@
 // Fills a part of the buffer; blocks until there is at least one byte or the body ends.
 using body_reader = std::function<read_result(std::span<char>)>;
 
-// A response to send. The body is `text`, or what `read` returns if `read` is set.
+// A response to send. The body is `text`, or what `read` returns if `read` is set. Status 0 closes the connection
+// without a response.
 struct http_response
 {
     response_head head;
--- a/packages/connection/http/server.cc
+++ b/packages/connection/http/server.cc
@@ -163,6 +163,9 @@
     if (!request.held) {
         return MHD_YES;
     }
+    if (request.held->head.status == 0) {
+        return MHD_NO;
+    }
     // libmicrohttpd closes the connection after a response that is queued before the body. Only a sender that waits for
     // "100 Continue" gets it then; from any other sender the body is read first, or a reset could destroy the response.
     if (request.head.bodyLength != 0 && request.head.expectsContinue) {
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -213,6 +213,9 @@
     const bool isDeadline = m_call->failure() == call_failure::DeadlinePassed;
     const bool isUnsent = m_call->progress() == call_progress::NoConnection;
     releaseSlot();
+    if (m_call->failure() == call_failure::Cancelled) {
+        return {};
+    }
     if (isUnsent) {
         return signedResponse(m_core.refuse(503,
                                             node_outcome::NotRun,
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -310,8 +310,11 @@
 {
     const bool isDeadline = m_call && m_call->failure() == call_failure::DeadlinePassed;
     closeCall();
-    const std::string kind = last == try_end::CallerGone ? "cancelled" : isDeadline ? "deadline" : "call_failed";
-    if (!m_mayHaveRun && last != try_end::CallerGone) {
+    if (last == try_end::CallerGone) {
+        return {};
+    }
+    const std::string kind = isDeadline ? "deadline" : "call_failed";
+    if (!m_mayHaveRun) {
         return finished(m_core.refuse(503,
                                       node_outcome::NotRun,
                                       kind,
--- a/packages/request/proxy/proxy_test.cc
+++ b/packages/request/proxy/proxy_test.cc
@@ -1,87 +1,247 @@
-#include <catch2/catch.hpp>
-
-#include "connection/http/client.h"
-#include "connection/http/server.h"
-#include "request/proxy/proxy.h"
+#include "request/proxy/proxy_fixture.h"
 
 using namespace pistachioquay;
+using namespace pistachioquay::testing;
+
+namespace {
 
-TEST_CASE("a call goes through two nodes to the worker and back", "[proxy]")
+// The headers that a node sends to the peer port.
+header_list peerHeaders(const std::string &service)
 {
-    http_server upstream({.address = {"127.0.0.1", 0}}, [](const request_head &head, const caller_watch &) {
-        auto body = std::make_shared<std::string>();
-        exchange steps;
-        steps.onBody = [body](std::string_view piece) {
-            *body += piece;
-            return true;
-        };
-        steps.onEnd = [head, body] {
-            return textResponse(200, "text/plain", head.method + " " + head.target + " " + *body);
-        };
-        return steps;
+    return {{"X-Pq-Request-Id", "1f"}, {"X-Pq-Service", service}, {"X-Pq-Deadline-Ms", "5000"}};
+}
+
+} // namespace
+
+TEST_CASE("a call goes through two nodes, without hop-by-hop headers and foreign node headers", "[proxy]")
+{
+    std::string seen;
+    raw_server upstream([&](raw_connection &peer, int) {
+        seen = peer.receiveUntil("\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
+                  "Keep-Alive: timeout=5\r\nX-Pq-Outcome: not-run\r\n\r\nok");
     });
-    REQUIRE(attempt([&] {
-        return upstream.start();
-    }));
-    auto config = std::make_shared<compiled_config>();
-    config->version = 7;
-    route orders;
-    orders.name = "orders";
-    orders.prefix = "/orders";
-    orders.methods = {"POST"};
-    orders.service = "orders";
-    config->routes.push_back(orders);
-    auto workers = std::make_shared<worker_view>();
-    proxy_sources sources;
-    sources.config = [&] {
-        return config;
-    };
-    sources.workers = [&] {
-        return workers;
-    };
-    sources.isAccepting = [] {
-        return true;
-    };
-    proxy_options options{.callerAddress = {"127.0.0.1", 0},
-                          .peerAddress = {"127.0.0.1", 0},
-                          .upstream = upstream.address(),
-                          .service = "orders",
-                          .dataCentre = "be-1",
-                          .nodeId = "n1",
-                          .slots = 6,
-                          .maxConnections = 20};
-    proxy inner(options, sources);
-    REQUIRE(attempt([&] {
-        return inner.start();
+    test_mesh mesh;
+    const auto node = mesh.addNode("n1", upstream.address());
+    const caller_response got =
+        mesh.call("GET",
+                  "/read/a%2Fb?q=%20",
+                  {{"Connection", "X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}, {"X-Pq-Version", "99"}});
+    CHECK(got.status == 200);
+    CHECK(got.body == "ok");
+    CHECK(got.header("X-Pq-Version") == "7");
+    CHECK(got.header("X-Pq-Request-Id").size() == 32);
+    CHECK(got.header("X-Pq-Outcome").empty()); // a header of the worker must not be taken for one of a node
+    CHECK(got.header("Keep-Alive").empty());
+    CHECK(std::ranges::count(got.headers, std::string("Set-Cookie"), &header_field::name) == 2);
+    CHECK(seen.starts_with("GET /read/a%2Fb?q=%20 HTTP/1.1\r\n"));
+    CHECK(seen.find("X-End: 2") != std::string::npos);
+    CHECK(seen.find("X-Hop") == std::string::npos);
+    CHECK(seen.find("X-Pq-Version: 7") != std::string::npos);
+    CHECK(seen.find("X-Pq-Depth: 1") != std::string::npos);
+}
+
+TEST_CASE("a request without a route, a fitting method, a worker or a configuration is refused as not run", "[proxy]")
+{
+    test_mesh mesh;
+    const caller_response noRoute = mesh.call("GET", "/readable");
+    CHECK(noRoute.status == 404);
+    CHECK(noRoute.header("X-Pq-Outcome") == "not-run");
+    CHECK(noRoute.body.find("\"error\":\"no_route\"") != std::string::npos);
+    CHECK(noRoute.body.find("\"remedy\":") != std::string::npos);
+    const caller_response wrongMethod = mesh.call("DELETE", "/write/7");
+    CHECK(wrongMethod.status == 405);
+    CHECK(wrongMethod.header("Allow") == "POST");
+    const caller_response noWorker = mesh.call("GET", "/read");
+    CHECK(noWorker.status == 503);
+    CHECK(noWorker.header("X-Pq-Outcome") == "not-run");
+    const caller_response tooDeep = mesh.call("GET", "/read", {{"X-Pq-Depth", "16"}});
+    CHECK(tooDeep.header("X-Pq-Outcome") == "not-run");
+    CHECK(tooDeep.body.find("too_deep") != std::string::npos);
+    mesh.setConfig(nullptr);
+    const caller_response noConfig = mesh.call("GET", "/read");
+    CHECK(noConfig.status == 503);
+    CHECK(noConfig.header("X-Pq-Outcome") == "not-run");
+    CHECK(mesh.entry->status().refusals.at("no_configuration") == 1);
+}
+
+TEST_CASE("the peer port takes only requests of nodes for the own service", "[proxy]")
+{
+    std::atomic<int> runs = 0;
+    raw_server upstream(okWorker(runs));
+    test_mesh mesh;
+    const auto node = mesh.addNode("n1", upstream.address());
+    CHECK(mesh.callTo(node->peerAddress(), "GET", "/read", peerHeaders("shop")).header("X-Pq-Outcome") == "not-run");
+    CHECK(mesh.callTo(node->peerAddress(), "GET", "/read").status == 400);
+    CHECK(runs == 0);
+    const caller_response got = mesh.callTo(node->peerAddress(), "GET", "/read", peerHeaders("orders"));
+    CHECK(got.status == 200);
+    CHECK(got.header("X-Pq-Request-Id") == "1f");
+    CHECK(got.header("X-Pq-Running") == "1");
+    CHECK(got.header("X-Pq-Waiting") == "0");
+}
+
+TEST_CASE("a worker that is down gives not-run, a worker that dies in the call gives unknown", "[proxy]")
+{
+    test_mesh mesh;
+    endpoint closedPort;
+    {
+        std::atomic<int> runs = 0;
+        raw_server gone(okWorker(runs));
+        closedPort = gone.address();
+    }
+    const auto down = mesh.addNode("down", closedPort);
+    const caller_response notRun = mesh.call("POST", "/write");
+    CHECK(notRun.status == 503);
+    CHECK(notRun.header("X-Pq-Outcome") == "not-run");
+
+    raw_server dying([](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+    });
+    test_mesh other;
+    const auto node = other.addNode("dying", dying.address());
+    const caller_response unknown = other.call("POST", "/write");
+    CHECK(unknown.status == 502);
+    CHECK(unknown.header("X-Pq-Outcome") == "unknown");
+    CHECK(dying.connections() == 1);
+}
+
+TEST_CASE("a non-idempotent request moves on only after not-run, and runs once", "[proxy]")
+{
+    std::atomic<int> runs = 0;
+    raw_server upstream(okWorker(runs));
+    endpoint closedPort;
+    {
+        raw_server gone(okWorker(runs));
+        closedPort = gone.address();
+    }
+    test_mesh mesh;
+    const auto down = mesh.addNode("down", closedPort); // responds not-run
+    mesh.addWorker("left", closedPort); // no connection
+    const auto up = mesh.addNode("up", upstream.address());
+    for (int index = 1; index <= 20; ++index) {
+        CHECK(mesh.call("POST", "/write").status == 200);
+        CHECK(runs == index);
+    }
+    CHECK(mesh.entry->status().retries > 0);
+}
+
+TEST_CASE("an idempotent request whose response is lost is tried on another worker", "[proxy]")
+{
+    const std::string cut = GENERATE(as<std::string>(), "", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut");
+    std::atomic<int> runs = 0;
+    raw_server upstream(okWorker(runs));
+    raw_server dying([&](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+        peer.send(cut);
+    });
+    test_mesh mesh;
+    const auto first = mesh.addNode("dying", dying.address());
+    const auto second = mesh.addNode("up", upstream.address());
+    int failed = 0;
+    for (int index = 0; index < 5; ++index) { // the budget always allows 5 retries
+        failed += mesh.call("GET", "/read").status == 200 ? 0 : 1;
+    }
+    CHECK(failed == 0);
+    CHECK(runs == 5);
+    // A call that was tried again above this node is not tried again here.
+    bool hasFailed = false;
+    for (int index = 0; index < 20 && !hasFailed; ++index) {
+        hasFailed = mesh.call("GET", "/read", {{"X-Pq-Attempt", "1"}}).status == 502;
+    }
+    CHECK(hasFailed);
+}
+
+TEST_CASE("a response that was cut on the way does not end cleanly at the caller", "[proxy]")
+{
+    raw_server upstream([](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
+        std::this_thread::sleep_for(milliseconds(50)); // the head passes before the connection ends
+    });
+    test_mesh mesh;
+    const auto node = mesh.addNode("n1", upstream.address());
+    const caller_response got = mesh.call("POST", "/write");
+    CHECK(got.progress != call_progress::Complete);
+    CHECK((got.status == 502 || got.body == "first"));
+    CHECK(mesh.entry->status().truncated == 1);
+}
+
+TEST_CASE("a response that belongs to another request is refused", "[proxy]")
+{
+    raw_server crossed([](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Pq-Request-Id: 00\r\n\r\nother");
+    });
+    test_mesh asPeer;
+    asPeer.addWorker("crossed", crossed.address());
+    const caller_response got = asPeer.call("POST", "/write");
+    CHECK(got.status == 502);
+    CHECK(got.header("X-Pq-Outcome") == "unknown");
+    CHECK(got.body.find("other\"") == std::string::npos);
+    test_mesh asWorker;
+    const auto node = asWorker.addNode("n1", crossed.address());
+    const caller_response fromWorker = asWorker.call("POST", "/write");
+    CHECK(fromWorker.status == 502);
+    CHECK(fromWorker.body.find("crossed_response") != std::string::npos);
+}
+
+TEST_CASE("a caller that closes its connection cancels the call at the worker and frees the slot", "[proxy]")
+{
+    std::promise<void> arrived;
+    std::promise<bool> cancelled;
+    raw_server upstream([&](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+        arrived.set_value();
+        cancelled.set_value(peer.isClosedByPeer());
+    });
+    test_mesh mesh;
+    const auto node = mesh.addNode("n1", upstream.address());
+    raw_connection caller(mesh.entry->callerAddress());
+    caller.send("GET /read HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(arrived.get_future().wait_for(longestWait) == std::future_status::ready);
+    CHECK(node->status().running == 1);
+    caller.close();
+    CHECK(cancelled.get_future().get());
+    CHECK(waitFor([&] {
+        return node->status().running == 0 && mesh.entry->status().cancelled == 1;
     }));
-    worker known;
-    known.nodeId = "n1";
-    known.service = "orders";
-    known.peerAddress = inner.peerAddress();
-    workers->services["orders"].local.push_back(known);
-    options.service = "shop";
-    proxy entry(options, sources);
-    REQUIRE(attempt([&] {
-        return entry.start();
+}
+
+TEST_CASE("a drain refuses new work and cuts nothing in flight", "[proxy]")
+{
+    std::promise<void> arrived;
+    std::promise<void> goOn;
+    auto mayGoOn = goOn.get_future().share();
+    raw_server upstream([&](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+        arrived.set_value();
+        mayGoOn.wait_for(longestWait);
+        peer.send(okResponse);
+    });
+    test_mesh mesh;
+    const auto node = mesh.addNode("n1", upstream.address());
+    auto running = std::async(std::launch::async, [&] {
+        return mesh.call("POST", "/write");
+    });
+    REQUIRE(arrived.get_future().wait_for(longestWait) == std::future_status::ready);
+    auto draining = std::async(std::launch::async, [&] {
+        node->drain(longestWait);
+    });
+    const header_list headers = peerHeaders("orders");
+    CHECK(waitFor([&] {
+        return mesh.callTo(node->peerAddress(), "GET", "/nothing", peerHeaders("shop")).status == 503
+            && mesh.callTo(node->callerAddress(), "GET", "/nothing").status == 503;
     }));
-    client_pool pool({});
-    const caller_watch watch;
-    for (int index = 0; index < 3; ++index) {
-        call_request request;
-        request.target = entry.callerAddress();
-        request.head = {"POST", "/orders/7?full=1", {}, 5, false};
-        request.deadline = steadyNow() + seconds(5);
-        http_call call(pool, request, watch);
-        call.provideLast("hello");
-        const response_head *head = call.awaitHead();
-        REQUIRE(head != nullptr);
-        CHECK(head->status == 200);
-        CHECK(findHeader(head->headers, "X-Pq-Version") == "7");
-        char buffer[100];
-        const read_result got = call.read(buffer);
-        CHECK(std::string_view(buffer, got.bytes) == "POST /orders/7?full=1 hello");
-        CHECK(call.read(buffer).state == read_state::End);
-        CHECK(call.progress() == call_progress::Complete);
-    }
-    CHECK(pool.status().reused == 2);
+    const caller_response refused = mesh.callTo(node->peerAddress(), "POST", "/write", headers);
+    CHECK(refused.status == 503);
+    CHECK(refused.header("X-Pq-Outcome") == "not-run");
+    CHECK(refused.body.find("draining") != std::string::npos);
+    // A call that the running request makes through its own node is still served.
+    CHECK(mesh.callTo(node->callerAddress(), "GET", "/nothing", {{"X-Pq-Depth", "1"}}).status == 404);
+    CHECK(draining.wait_for(milliseconds(0)) == std::future_status::timeout);
+    goOn.set_value();
+    CHECK(running.get().status == 200);
+    CHECK(draining.wait_for(longestWait) == std::future_status::ready);
+    node->stop();
 }
