--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -180,7 +180,7 @@
 http_response inbound_request::respond()
 {
     const response_head *const head = m_call->awaitHead();
-    if (head == nullptr) {
+    if (head == nullptr || m_call->failure() != call_failure::None) {
         return workerFailure();
     }
     const auto workerId = findHeader(head->headers, requestIdHeader);
@@ -213,6 +213,9 @@
     const bool isDeadline = m_call->failure() == call_failure::DeadlinePassed;
     const bool isUnsent = m_call->progress() == call_progress::NoConnection;
     releaseSlot();
+    if (m_call->failure() == call_failure::Cancelled) {
+        return {};
+    }
     if (isUnsent) {
         return signedResponse(m_core.refuse(503,
                                             node_outcome::NotRun,
