Compare verdicts for equality only

Cause: fold_verdict has no order any more, so the defaulted operator<=> of record_verdict is deleted, which the linter reports. Change: operator== only.

--- a/packages/process/spread/version_state.h
+++ b/packages/process/spread/version_state.h
@@ -40,7 +40,7 @@
     std::uint64_t offset = 0;
     fold_verdict verdict;
 
-    friend auto operator<=>(const record_verdict &, const record_verdict &) = default;
+    friend bool operator==(const record_verdict &, const record_verdict &) = default;
 };
 
 inline constexpr std::size_t keptVerdicts = 64;
