--- a/packages/process/node/config_store.cc
+++ b/packages/process/node/config_store.cc
@@ -113,6 +113,7 @@
     return {
         .progress = progressOf(m_state),
         .versionInForce = config ? config->version : 0,
+        .inForceSinceMs = m_inForceSinceMs,
         .isRouting = m_state.gate.wasOpened,
         .isSchemaBlocked = m_state.isSchemaBlocked,
         .rejectedRecords = m_state.rejectedRecords,
@@ -140,6 +141,7 @@
         return;
     }
     m_config.store(std::make_shared<const compiled_config>(*std::move(compiled)));
+    m_inForceSinceMs = unixNowMs();
     LOG(INFO) << "[fold] Version " << version << " is in force.";
 }
 
--- a/packages/process/node/config_store.h
+++ b/packages/process/node/config_store.h
@@ -26,6 +26,7 @@
 {
     fold_progress progress;
     std::uint64_t versionInForce = 0;
+    std::int64_t inForceSinceMs = 0; // wall-clock time of the swap
     bool isRouting = false;
     bool isSchemaBlocked = false;
     std::uint64_t rejectedRecords = 0;
@@ -74,6 +75,7 @@
     const std::string m_dataCentre;
     mutable std::mutex m_mutex;
     version_state m_state;
+    std::int64_t m_inForceSinceMs = 0;
     std::atomic<std::shared_ptr<const compiled_config>> m_config;
 };
 
--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -332,6 +332,7 @@
         .store = store.status(),
         .gossip = gossip->status(),
         .proxy = requests->status(),
+        .syncBytes = sync->transferredBytes() + pulls.transferredBytes(),
     };
 }
 
--- a/packages/process/node/status_json.cc
+++ b/packages/process/node/status_json.cc
@@ -203,6 +203,8 @@
                              number(facts.store.snapshotPosition),
                              "log_next",
                              number(facts.store.logNext));
+    json_object_set_new(body, "in_force_since_ms", json_integer(facts.store.inForceSinceMs));
+    json_object_set_new(body, "sync_bytes", json_integer(number(facts.syncBytes)));
     json_object_set_new(body, "readers", textsJson(facts.gossip.readers));
     json_object_set_new(body, "requests", requestsJson(facts.proxy));
     json_object_set_new(body, "gossip", gossipJson(facts.gossip));
--- a/packages/process/node/status_json.h
+++ b/packages/process/node/status_json.h
@@ -22,6 +22,7 @@
     store_status store;
     gossip_status gossip;
     proxy_status proxy;
+    std::uint64_t syncBytes = 0; // sent and received on the sync port, as server and as client
 };
 
 // statusJson returns the body of GET /v1/status. Thread safe.
--- a/packages/process/node/sync_client.cc
+++ b/packages/process/node/sync_client.cc
@@ -50,11 +50,19 @@
     const pull_request request{m_nodeId, m_store.progress().position, wantsRecords, target.wantsMembers};
     decode_counters counters;
     BOOST_LEAF_AUTO(stream, connectTcp(target.address, steadyNow() + connectWait));
-    BOOST_LEAF_CHECK(sendFrame(stream, encodeMessage(request, syncFormat), steadyNow() + requestWait));
+    const std::string sent = encodeMessage(request, syncFormat);
+    BOOST_LEAF_CHECK(sendFrame(stream, sent, steadyNow() + requestWait));
+    m_bytes += sent.size();
     BOOST_LEAF_AUTO(frame, receiveFrame(stream, maxSyncFrameBytes, steadyNow() + responseWait));
+    m_bytes += frame.size();
     return decodeMessage<pull_response>(frame, syncFormat, counters);
 }
 
+std::uint64_t sync_client::transferredBytes() const
+{
+    return m_bytes;
+}
+
 void sync_client::handle(const pull_target &target, const std::stop_token &stop)
 {
     const bool wantsRecords = target.position > m_store.progress().position;
--- a/packages/process/node/sync_client.h
+++ b/packages/process/node/sync_client.h
@@ -4,6 +4,7 @@
 //   client.request({peer.syncAddress, position});
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <stop_token>
 #include <string>
@@ -39,6 +40,9 @@
     // request queues a pull; it is dropped when the queue is full, because the next heartbeat asks again. Thread safe.
     void request(const pull_target &target);
 
+    // transferredBytes returns the bytes of all frames so far. Thread safe.
+    std::uint64_t transferredBytes() const;
+
     // run works until stop is requested. Called once.
     void run(const std::stop_token &stop);
 
@@ -53,6 +57,7 @@
     bounded_ring<pull_target> m_requests{queuedRequests};
     random_generator m_generator = seededFromDevice();
     unsigned m_busyResponses = 0;
+    std::atomic<std::uint64_t> m_bytes = 0;
 };
 
 } // namespace pistachioquay
--- a/packages/process/node/sync_server.cc
+++ b/packages/process/node/sync_server.cc
@@ -57,6 +57,11 @@
     m_threads.clear();
 }
 
+std::uint64_t sync_server::transferredBytes() const
+{
+    return m_bytes;
+}
+
 void sync_server::acceptPulls(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
@@ -96,6 +101,7 @@
         BOOST_LEAF_AUTO(frame, receiveFrame(stream, maxRequestBytes, steadyNow() + requestWait));
         BOOST_LEAF_AUTO(request, decodeMessage<pull_request>(frame, syncFormat, counters));
         const std::string response = encodeMessage(m_respond(request), syncFormat);
+        m_bytes += frame.size() + response.size();
         return sendFrame(stream, response, steadyNow() + responseWait);
     });
     if (!served) {
--- a/packages/process/node/sync_server.h
+++ b/packages/process/node/sync_server.h
@@ -5,7 +5,9 @@
 //   server.start();
 #pragma once
 
+#include <atomic>
 #include <functional>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -30,6 +32,9 @@
     // start runs the accepting thread and the workers. Called once.
     void start();
 
+    // transferredBytes returns the bytes of all frames so far. Thread safe.
+    std::uint64_t transferredBytes() const;
+
     // stop ends all threads; pulls that run are finished or time out. Can be repeated.
     void stop();
 
@@ -41,6 +46,7 @@
     tcp_listener m_listener;
     std::function<pull_response(const pull_request &)> m_respond;
     bounded_ring<std::shared_ptr<tcp_stream>> m_queue{queuedPulls};
+    std::atomic<std::uint64_t> m_bytes = 0;
     std::vector<std::jthread> m_threads;
 };
 
