--- a/packages/request/proxy/core.cc
+++ b/packages/request/proxy/core.cc
@@ -24,10 +24,10 @@
     });
 }
 
-core::core(proxy_options given, proxy_sources from)
+core::core(proxy_options given, proxy_sources from, proxy_tuning tuning)
     : options(std::move(given))
     , sources(std::move(from))
-    , pool(client_options{.maxPerTarget = options.maxConnections})
+    , pool(client_options{.maxPerTarget = options.maxConnections, .keepsConnections = tuning.keepsConnections})
     , slots(options.slots)
 {
 }
--- a/packages/request/proxy/core.h
+++ b/packages/request/proxy/core.h
@@ -47,7 +47,7 @@
 
 struct core
 {
-    core(proxy_options given, proxy_sources from);
+    core(proxy_options given, proxy_sources from, proxy_tuning tuning);
 
     proxy_options options;
     proxy_sources sources;
--- a/packages/request/proxy/proxy.cc
+++ b/packages/request/proxy/proxy.cc
@@ -36,19 +36,28 @@
 
 struct proxy::state
 {
-    state(proxy_options options, proxy_sources sources)
-        : shared(std::move(options), std::move(sources))
-        , callerServer({.address = shared.options.callerAddress, .maxConnections = shared.options.maxConnections},
+    state(proxy_options options, proxy_sources sources, proxy_tuning tuning)
+        : shared(std::move(options), std::move(sources), tuning)
+        , callerServer(serverOptions(shared.options.callerAddress, tuning),
                        [this](const request_head &head, const caller_watch &watch) {
                            return internal::outboundExchange(shared, head, watch);
                        })
-        , peerServer({.address = shared.options.peerAddress, .maxConnections = shared.options.maxConnections},
+        , peerServer(serverOptions(shared.options.peerAddress, tuning),
                      [this](const request_head &head, const caller_watch &watch) {
                          return internal::inboundExchange(shared, head, watch);
                      })
     {
     }
 
+    server_options serverOptions(const endpoint &address, proxy_tuning tuning) const
+    {
+        server_options made;
+        made.address = address;
+        made.maxConnections = shared.options.maxConnections;
+        made.threads = tuning.usesEventLoop ? server_threads::EventLoop : server_threads::PerConnection;
+        return made;
+    }
+
     // Closes connections that were idle for long, and those to nodes that have left.
     void upkeep(const std::stop_token &stop)
     {
@@ -77,8 +86,8 @@
     std::jthread upkeepThread;
 };
 
-proxy::proxy(proxy_options options, proxy_sources sources)
-    : m_state(std::make_unique<state>(std::move(options), std::move(sources)))
+proxy::proxy(proxy_options options, proxy_sources sources, proxy_tuning tuning)
+    : m_state(std::make_unique<state>(std::move(options), std::move(sources), tuning))
 {
 }
 
--- a/packages/request/proxy/proxy.h
+++ b/packages/request/proxy/proxy.h
@@ -62,10 +62,18 @@
     friend bool operator==(const proxy_status &, const proxy_status &) = default;
 };
 
+// Choices that exist to compare alternatives (see docs/decisions/connection-and-thread-model.md). Nodes use the
+// defaults.
+struct proxy_tuning
+{
+    bool keepsConnections = true; // false: a new connection for each outbound call
+    bool usesEventLoop = false; // true: one thread for all connections of a port
+};
+
 class proxy
 {
 public:
-    proxy(proxy_options options, proxy_sources sources);
+    proxy(proxy_options options, proxy_sources sources, proxy_tuning tuning = {});
     proxy(proxy &&) noexcept;
     proxy &operator=(proxy &&) noexcept;
     proxy(const proxy &) = delete;
--- a/packages/request/proxy/proxy_test.cc
+++ b/packages/request/proxy/proxy_test.cc
@@ -1,3 +1,7 @@
+#include <fstream>
+
+#include <unistd.h>
+
 #include "request/proxy/proxy_fixture.h"
 
 using namespace pistachioquay;
@@ -11,6 +15,16 @@
     return {{"X-Pq-Request-Id", "1f"}, {"X-Pq-Service", service}, {"X-Pq-Deadline-Ms", "5000"}};
 }
 
+// Memory of this process that is in RAM.
+std::size_t residentBytes()
+{
+    std::ifstream statm("/proc/self/statm");
+    std::size_t all = 0;
+    std::size_t resident = 0;
+    statm >> all >> resident;
+    return resident * static_cast<std::size_t>(::getpagesize());
+}
+
 } // namespace
 
 TEST_CASE("a call goes through two nodes, without hop-by-hop headers and foreign node headers", "[proxy]")
@@ -245,3 +259,107 @@
     CHECK(draining.wait_for(longestWait) == std::future_status::ready);
     node->stop();
 }
+
+TEST_CASE("a slow 20 MB upload neither blocks short calls nor is held in memory", "[proxy]")
+{
+    constexpr std::size_t uploadBytes = 20UL * 1024 * 1024;
+    constexpr std::size_t allowedGrowth = 6UL * 1024 * 1024; // the caller, the worker and two nodes are in this process
+    std::promise<void> halfway;
+    std::promise<void> goOn;
+    auto mayGoOn = goOn.get_future().share();
+    std::atomic<std::size_t> received = 0;
+    raw_server upstream([&](raw_connection &peer, int) {
+        std::string head = peer.receiveUntil("\r\n\r\n");
+        while (head.starts_with("GET")) {
+            peer.send(okResponse);
+            head = peer.receiveUntil("\r\n\r\n");
+        }
+        if (head.empty()) {
+            return;
+        }
+        received += head.size() - head.find("\r\n\r\n") - 4;
+        bool isWaiting = true;
+        while (received < uploadBytes) {
+            const std::string piece = peer.receiveSome();
+            if (piece.empty()) {
+                return;
+            }
+            received += piece.size();
+            if (isWaiting && received > uploadBytes / 2) {
+                isWaiting = false;
+                halfway.set_value();
+                mayGoOn.wait_for(longestWait);
+            }
+        }
+        peer.send(okResponse);
+    });
+    test_mesh mesh;
+    const auto node = mesh.addNode("n1", upstream.address());
+    REQUIRE(mesh.call("GET", "/read").status == 200);
+    const std::size_t before = residentBytes();
+    auto upload = std::async(std::launch::async, [&] {
+        raw_connection caller(mesh.entry->callerAddress());
+        caller.send("POST /write HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(uploadBytes) + "\r\n\r\n");
+        const std::string piece(64UL * 1024, 'x');
+        for (std::size_t sent = 0; sent < uploadBytes; sent += piece.size()) {
+            if (!caller.send(piece)) {
+                return std::string("cut");
+            }
+        }
+        return caller.receiveUntil("ok");
+    });
+    REQUIRE(halfway.get_future().wait_for(longestWait) == std::future_status::ready);
+    for (int index = 0; index < 100; ++index) {
+        CHECK(mesh.call("GET", "/read").status == 200);
+    }
+    CHECK(residentBytes() < before + allowedGrowth);
+    goOn.set_value();
+    CHECK(upload.get().starts_with("HTTP/1.1 200"));
+    CHECK(received == uploadBytes);
+    CHECK(residentBytes() < before + allowedGrowth);
+}
+
+TEST_CASE("a long body goes to another worker if the first one refuses it before its first byte", "[proxy]")
+{
+    std::atomic<int> runs = 0;
+    raw_server upstream([&](raw_connection &peer, int) {
+        peer.receiveUntil("end");
+        ++runs;
+        peer.send(okResponse);
+    });
+    endpoint closedPort;
+    {
+        raw_server gone(okWorker(runs));
+        closedPort = gone.address();
+    }
+    test_mesh mesh;
+    const auto down = mesh.addNode("down", closedPort);
+    const auto up = mesh.addNode("up", upstream.address());
+    const std::string body = std::string(200000, 'x') + "end";
+    for (int index = 1; index <= 20; ++index) {
+        raw_connection caller(mesh.entry->callerAddress());
+        caller.send("POST /write HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                    + body);
+        CHECK(caller.receiveUntil("ok").starts_with("HTTP/1.1 200"));
+        CHECK(runs == index);
+    }
+    CHECK(mesh.entry->status().retries > 0);
+}
+
+TEST_CASE("an upload that stalls is cut after 5 s and frees its slot", "[proxy]")
+{
+    raw_server upstream([](raw_connection &peer, int) {
+        peer.isClosedByPeer();
+    });
+    test_mesh mesh;
+    const auto node = mesh.addNode("n1", upstream.address());
+    raw_connection caller(mesh.entry->callerAddress());
+    caller.send("POST /write HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\nfirst bytes");
+    CHECK(waitFor([&] {
+        return node->status().running == 1;
+    }));
+    CHECK(caller.isClosedByPeer());
+    CHECK(waitFor([&] {
+        return node->status().running == 0;
+    }));
+}
