Send short responses with their head in one piece

Cause: strace of a node showed two sends for each response, head and body, and so two wake-ups at the next hop. Change: a response whose body has arrived whole is sent from a buffer; larger ones still stream.

--- a/packages/connection/http/client.cc
+++ b/packages/connection/http/client.cc
@@ -382,6 +382,16 @@
     return call.progress == call_progress::Complete;
 }
 
+std::optional<std::string> http_call::takeWhole()
+{
+    state &call = *m_state;
+    if (call.progress != call_progress::Complete) {
+        return std::nullopt;
+    }
+    call.received.erase(0, std::exchange(call.consumed, 0));
+    return std::exchange(call.received, {});
+}
+
 read_result http_call::read(std::span<char> buffer)
 {
     state &call = *m_state;
--- a/packages/connection/http/client.h
+++ b/packages/connection/http/client.h
@@ -135,6 +135,8 @@
     // awaitSmallBody waits until the whole body has arrived, if its announced length fits the buffer of the call; true
     // if it has.
     bool awaitSmallBody();
+    // takeWhole returns the rest of the body if all of it has arrived; empty otherwise. Does not wait.
+    std::optional<std::string> takeWhole();
     // read returns the next bytes of the response body, End after a complete one, Cut after a failure.
     read_result read(std::span<char> buffer);
 
--- a/packages/connection/http/message.cc
+++ b/packages/connection/http/message.cc
@@ -58,6 +58,16 @@
 
 } // namespace
 
+void setBody(http_response &response, std::optional<std::string> whole, body_reader read)
+{
+    if (whole && response.head.bodyLength.value_or(whole->size()) == whole->size()) {
+        response.head.bodyLength = whole->size();
+        response.text = std::move(*whole);
+    } else {
+        response.read = std::move(read);
+    }
+}
+
 http_response textResponse(unsigned status, std::string_view contentType, std::string text)
 {
     http_response response;
--- a/packages/connection/http/message.h
+++ b/packages/connection/http/message.h
@@ -76,6 +76,10 @@
     body_reader read;
 };
 
+// setBody gives a response a whole body, which is sent in one piece with the head, or the reader of one to stream. HEAD
+// responses keep the announced length and have no body. Not thread safe for one response.
+void setBody(http_response &response, std::optional<std::string> whole, body_reader read);
+
 // textResponse builds a response with a whole body. Thread safe.
 http_response textResponse(unsigned status, std::string_view contentType, std::string text);
 
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -194,7 +194,7 @@
     }
     http_response response;
     response.head = {head->status, forwardedHeaders(head->headers), head->bodyLength};
-    response.read = [this](std::span<char> buffer) {
+    setBody(response, m_call->takeWhole(), [this](std::span<char> buffer) {
         const read_result got = m_call->read(buffer);
         if (got.state == read_state::Cut) {
             ++m_core.counts.truncated;
@@ -203,8 +203,12 @@
             releaseSlot();
         }
         return got;
-    };
-    return signedResponse(std::move(response));
+    });
+    response = signedResponse(std::move(response));
+    if (m_call->progress() == call_progress::Complete) {
+        releaseSlot();
+    }
+    return response;
 }
 
 http_response inbound_request::workerFailure()
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -296,13 +296,13 @@
     if (const auto outcome = findHeader(m_response->headers, outcomeHeader)) {
         setHeader(response.head.headers, outcomeHeader, *outcome);
     }
-    response.read = [this](std::span<char> buffer) {
+    setBody(response, m_call->takeWhole(), [this](std::span<char> buffer) {
         const read_result got = m_call->read(buffer);
         if (got.state == read_state::Cut) {
             ++m_core.counts.truncated;
         }
         return got;
-    };
+    });
     return finished(std::move(response));
 }
 
