Report a timeout of the log as such when libcurl ends it early

Cause: the test of a slow log failed in about 1 of 50 runs on a busy machine; the client said Io in place of Timeout. Ruled out: a lost connection; ulfius returned code 5 (libcurl) after 999.5 and 999.9 ms of a 1 s timeout. Change: the client allows for 2 ms when it compares the time that has passed with the timeout. Conclusion: libcurl 7.88 rounds to milliseconds and ends a timeout up to 1 ms early. Both kinds mean maybe appended.

--- a/packages/connection/log_client/log_client.cc
+++ b/packages/connection/log_client/log_client.cc
@@ -120,15 +120,16 @@
 
 result<http_reply> send(const request_holder &request, const endpoint &address)
 {
+    constexpr milliseconds timerRounding(2); // libcurl 7.88 ends a timeout up to 1 ms early
     response_holder response(static_cast<_u_response *>(o_malloc(sizeof(_u_response))));
     ulfius_init_response(response.get());
     const time_point sentAt = steadyNow();
     const int status = ulfius_send_http_request(request.get(), response.get());
-    if (status != U_OK && steadyNow() - sentAt >= seconds(request->timeout)) {
+    if (status != U_OK && steadyNow() - sentAt >= seconds(request->timeout) - timerRounding) {
         return fail(error_kind::Timeout, "the log at " + toText(address) + " did not respond in time", searchRemedy);
     }
     if (status != U_OK) {
-        return fail(error_kind::Io, "the connection to the log at " + toText(address) + " was lost", searchRemedy);
+        return fail(error_kind::Io, "the connection to the log at " + toText(address) + " was lost ", searchRemedy);
     }
     const auto *body = static_cast<const char *>(response->binary_body);
     return http_reply{response->status, body == nullptr ? "" : std::string(body, response->binary_body_length)};
--- a/packages/connection/log_client/log_client_test.cc
+++ b/packages/connection/log_client/log_client_test.cc
@@ -71,6 +71,7 @@
 void checkNotAppended(const outcome<std::uint64_t> &tried, error_kind kind)
 {
     REQUIRE_FALSE(tried);
+    INFO(describe(tried.failure()));
     CHECK(tried.failure().kind == kind);
     CHECK(isCertainlyNotAppended(tried.failure()));
     CHECK_FALSE(tried.failure().remedy.empty());
@@ -79,6 +80,7 @@
 void checkMaybeAppended(const outcome<std::uint64_t> &tried, error_kind kind)
 {
     REQUIRE_FALSE(tried);
+    INFO(describe(tried.failure()));
     CHECK(tried.failure().kind == kind);
     CHECK_FALSE(isCertainlyNotAppended(tried.failure()));
     CHECK_FALSE(tried.failure().remedy.empty());
@@ -218,7 +220,10 @@
     log.setFaults(R"({"delay_ms": 1300})");
     const log_target impatient{log.target().address, milliseconds(900)};
     checkMaybeAppended(append(impatient, "one"), error_kind::Timeout);
-    CHECK(read(impatient, 1).failure().kind == error_kind::Timeout);
+    const auto slowRead = read(impatient, 1);
+    REQUIRE_FALSE(slowRead);
+    INFO(describe(slowRead.failure()));
+    CHECK(slowRead.failure().kind == error_kind::Timeout);
     log.setFaults(R"({"delay_ms": 0})");
     const auto later = read(log.target(), 1, 10, bound);
     REQUIRE(later);
