--- a/packages/version/fold/corruption_test.cc
+++ b/packages/version/fold/corruption_test.cc
@@ -1,8 +1,7 @@
 // Guards against corrupt, truncated or foreign bytes that are taken as good or end the process.
 #include <catch2/catch.hpp>
 
-#include <rapidcheck.h>
-
+#include "testing/property.h"
 #include "version/fold/archive.h"
 #include "version/fold/edit_record.h"
 #include "version/fold/fold.h"
@@ -12,6 +11,8 @@
 
 namespace {
 
+constexpr int sequences = 2000;
+
 const edit_record goodRecord{{1, 2},
                              0,
                              "awa",
@@ -80,7 +81,7 @@
 
 TEST_CASE("any bytes, even with a good hash, get a verdict")
 {
-    CHECK(rc::check([] {
+    CHECK(holds("any bytes, even with a good hash, get a verdict", sequences, [] {
         const auto bytes = *rc::gen::arbitrary<std::string>();
         RC_ASSERT(verdictOn(bytes) == verdict_kind::Malformed);
         RC_ASSERT(verdictOn(sealedRecord(recordSchema, bytes)) != verdict_kind::Accepted);
--- a/packages/version/fold/fold_property_test.cc
+++ b/packages/version/fold/fold_property_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "testing/property.h"
 #include "version/fold/edit_record.h"
 #include "version/fold/fold.h"
 #include "version/fold/snapshot.h"
@@ -14,6 +15,8 @@
 
 namespace {
 
+constexpr int sequences = 2000;
+
 // A record as the property draws it: the base is so many versions behind the newest; some records repeat an id.
 struct drawn_record
 {
@@ -123,27 +126,29 @@
 TEST_CASE("versions never move back, rejected records change nothing, and every tree in force is valid")
 {
     std::map<verdict_kind, std::size_t> seen;
-    CHECK(rc::check([&] {
-        folded_log log;
-        for (const drawn_record &drawn : anyLog()) {
-            const fold_state before = log.state;
-            append(log, drawn);
-            const fold_verdict &verdict = log.verdicts.back();
-            ++seen[verdict.kind];
-            RC_ASSERT(log.state.position == before.position + 1);
-            if (verdict.kind == verdict_kind::Accepted) {
-                RC_ASSERT(log.state.version == before.position);
-                RC_ASSERT(bool(attempt([&] {
-                    return validateTree(log.state.tree);
-                })));
-            } else {
-                RC_ASSERT(log.state.version == before.version);
-                RC_ASSERT(log.state.tree == before.tree);
-                RC_ASSERT(log.state.changes == before.changes);
-                RC_ASSERT(!verdict.message.empty() || verdict.first == verdict_kind::Accepted);
-            }
-        }
-    }));
+    CHECK(holds("versions never move back, rejected records change nothing, and every tree in force is valid",
+                sequences,
+                [&] {
+                    folded_log log;
+                    for (const drawn_record &drawn : anyLog()) {
+                        const fold_state before = log.state;
+                        append(log, drawn);
+                        const fold_verdict &verdict = log.verdicts.back();
+                        ++seen[verdict.kind];
+                        RC_ASSERT(log.state.position == before.position + 1);
+                        if (verdict.kind == verdict_kind::Accepted) {
+                            RC_ASSERT(log.state.version == before.position);
+                            RC_ASSERT(bool(attempt([&] {
+                                return validateTree(log.state.tree);
+                            })));
+                        } else {
+                            RC_ASSERT(log.state.version == before.version);
+                            RC_ASSERT(log.state.tree == before.tree);
+                            RC_ASSERT(log.state.changes == before.changes);
+                            RC_ASSERT(!verdict.message.empty() || verdict.first == verdict_kind::Accepted);
+                        }
+                    }
+                }));
     for (const auto kind :
          {verdict_kind::Accepted, verdict_kind::Conflict, verdict_kind::InvalidTree, verdict_kind::Duplicate}) {
         CHECK(seen[kind] > 300);
@@ -152,7 +157,7 @@
 
 TEST_CASE("a record conflicts exactly if it overlaps an accepted record after its base")
 {
-    CHECK(rc::check([] {
+    CHECK(holds("a record conflicts exactly if it overlaps an accepted record after its base", sequences, [] {
         folded_log log;
         for (const drawn_record &drawn : anyLog()) {
             append(log, drawn);
@@ -166,24 +171,26 @@
 
 TEST_CASE("of two concurrent records, disjoint ones both take effect and overlapping ones have one winner")
 {
-    CHECK(rc::check([] {
-        const auto first = *sample::anyEdits();
-        const auto second = *sample::anyEdits();
-        const auto verdictsOf = [&](const std::vector<edit> &one, const std::vector<edit> &other) {
-            fold_state state = startState();
-            const auto a = foldInto(state, encodeRecord({{1, 1}, 1, "awa", one})).kind;
-            const auto b = foldInto(state, encodeRecord({{1, 2}, 1, "ben", other})).kind;
-            return std::pair(a, b);
-        };
-        const auto [a, b] = verdictsOf(first, second);
-        RC_PRE(a == verdict_kind::Accepted && verdictsOf(second, first).first == verdict_kind::Accepted);
-        RC_ASSERT((b == verdict_kind::Conflict) == isOverlap(first, second));
-    }));
+    CHECK(holds("of two concurrent records, disjoint ones both take effect and overlapping ones have one winner",
+                sequences,
+                [] {
+                    const auto first = *sample::anyEdits();
+                    const auto second = *sample::anyEdits();
+                    const auto verdictsOf = [&](const std::vector<edit> &one, const std::vector<edit> &other) {
+                        fold_state state = startState();
+                        const auto a = foldInto(state, encodeRecord({{1, 1}, 1, "awa", one})).kind;
+                        const auto b = foldInto(state, encodeRecord({{1, 2}, 1, "ben", other})).kind;
+                        return std::pair(a, b);
+                    };
+                    const auto [a, b] = verdictsOf(first, second);
+                    RC_PRE(a == verdict_kind::Accepted && verdictsOf(second, first).first == verdict_kind::Accepted);
+                    RC_ASSERT((b == verdict_kind::Conflict) == isOverlap(first, second));
+                }));
 }
 
 TEST_CASE("a repeated record gets the first verdict and changes nothing")
 {
-    CHECK(rc::check([] {
+    CHECK(holds("a repeated record gets the first verdict and changes nothing", sequences, [] {
         folded_log log;
         for (const drawn_record &drawn : anyLog()) {
             append(log, drawn);
@@ -200,7 +207,7 @@
 
 TEST_CASE("a snapshot at any position and the records after it give the state of the whole fold")
 {
-    CHECK(rc::check([] {
+    CHECK(holds("a snapshot at any position and the records after it give the state of the whole fold", sequences, [] {
         folded_log log;
         std::vector<fold_state> states;
         for (const drawn_record &drawn : anyLog()) {
--- a/packages/version/fold/publish.cc
+++ b/packages/version/fold/publish.cc
@@ -56,7 +56,7 @@
     return progress;
 }
 
-publish_progress onAppendFailed(publish_progress progress)
+publish_progress onAppendLost(publish_progress progress)
 {
     ++progress.appends;
     progress.isOpen = true;
--- a/packages/version/fold/publish.h
+++ b/packages/version/fold/publish.h
@@ -3,7 +3,7 @@
 //
 //   publish_progress progress{record.publishId};
 //   publish_decision next = decidePublish(progress);
-//   // Append: append and call onAppended or onAppendFailed.
+//   // Append: append and call onAppended or onAppendLost.
 //   // Read: read on to the log's end, onFolded for each record, then onLogEnd.
 //   // Report...: tell the operator and stop.
 #pragma once
@@ -31,7 +31,7 @@
 struct publish_progress
 {
     hash128 publishId;
-    std::uint32_t appends = 0; // attempts so far
+    std::uint32_t appends = 0; // attempts that took or may take effect
     std::uint64_t offset = 0; // where the log acknowledged the record; 0 for nowhere
     bool isOpen = false; // the log's end was not read since the last attempt failed
     bool isTimeUp = false;
@@ -58,8 +58,9 @@
 // onAppended notes that the log acknowledged the record at `offset`. Thread safe.
 publish_progress onAppended(publish_progress progress, std::uint64_t offset);
 
-// onAppendFailed notes that an append failed or that its response was lost. Thread safe.
-publish_progress onAppendFailed(publish_progress progress);
+// onAppendLost notes that the response to an append was lost, so that it may have taken effect. An append that
+// certainly took no effect is not noted at all: the next step is another append. Thread safe.
+publish_progress onAppendLost(publish_progress progress);
 
 // onFolded notes the verdict on the record at `offset`; `state` is the state after it. Thread safe.
 publish_progress
--- a/packages/version/fold/publish_test.cc
+++ b/packages/version/fold/publish_test.cc
@@ -77,7 +77,7 @@
         publish_decision next = decidePublish(progress);
         if (next.action == publish_action::Append) {
             const std::uint64_t offset = log.append(bytes);
-            progress = offset == 0 ? onAppendFailed(progress) : onAppended(progress, offset);
+            progress = offset == 0 ? onAppendLost(progress) : onAppended(progress, offset);
         } else if (next.action == publish_action::Read) {
             catchUp(log);
             progress = onLogEnd(progress);
@@ -202,7 +202,7 @@
 {
     publish_progress progress{{1, 2}};
     CHECK(decidePublish(progress).action == publish_action::Append);
-    progress = onAppendFailed(progress);
+    progress = onAppendLost(progress);
     CHECK(decidePublish(progress).action == publish_action::Read);
     CHECK(decidePublish(onLogEnd(progress)).action == publish_action::Append);
     progress.isTimeUp = true;
@@ -228,7 +228,7 @@
     for (int step = 0; step < 100; ++step) {
         if (decidePublish(progress).action == publish_action::Append) {
             ++appends;
-            progress = onAppendFailed(progress);
+            progress = onAppendLost(progress);
         } else {
             progress = onLogEnd(progress);
         }
--- a/packages/version/tree/tree_property_test.cc
+++ b/packages/version/tree/tree_property_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "testing/property.h"
 #include "version/tree/compile.h"
 #include "version/tree/sample_edits_test.h"
 #include "version/tree/tree_text.h"
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr int sequences = 2000;
+
 config_tree startTree()
 {
     const auto tree = attempt([] {
@@ -73,7 +76,7 @@
 {
     std::size_t valid = 0;
     std::size_t invalid = 0;
-    CHECK(rc::check([&] {
+    CHECK(holds("the check of edits gives the verdict of the check of the whole tree", sequences, [&] {
         walk(*sample::anySequence(),
              [&](const config_tree &, const std::vector<edit> &edits, const config_tree &after) {
                  const bool isWhole = isValid(after);
@@ -90,7 +93,7 @@
 
 TEST_CASE("a diff leads from one tree to the other, and the text reads back")
 {
-    CHECK(rc::check([] {
+    CHECK(holds("a diff leads from one tree to the other, and the text reads back", sequences, [] {
         walk(*sample::anySequence(),
              [](const config_tree &before, const std::vector<edit> &, const config_tree &after) {
                  const auto edits = diffTrees(before, after);
@@ -107,7 +110,7 @@
 
 TEST_CASE("no compiled route lacks its service, and the search finds what a scan finds")
 {
-    CHECK(rc::check([] {
+    CHECK(holds("no compiled route lacks its service, and the search finds what a scan finds", sequences, [] {
         walk(*sample::anySequence(), [](const config_tree &, const std::vector<edit> &, const config_tree &after) {
             for (const auto &[name, dataCentre] : after.dataCentres) {
                 const auto config = attempt([&, &zone = name] {
