--- a/packages/pistachioquay/main.cc
+++ /dev/null
@@ -1,4 +0,0 @@
-int main()
-{
-    return 0;
-}
