Run keyed requests at most once by claims in the platform's log

A caller that repeats a non-idempotent request through another node must not cause a second run when the first node or the worker's VM died. A record at the key's owner was ruled out: it is lost with the VM, and views that differ give two owners. Tickets that name their owner were ruled out for keys that callers choose.

--- /dev/null
+++ b/packages/request/once/once_test.cc
@@ -0,0 +1,352 @@
+// Guards against a second run of a non-idempotent request and against a false `not-run`, while nodes crash and pause,
+// appends are lost or repeated, and callers send the same key through several nodes at once.
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+#include "request/once/once.h"
+#include "testing/property.h"
+
+using namespace pistachioquay;
+
+namespace {
+
+const time_point start{seconds(1000)};
+constexpr std::int64_t startMs = 1'000'000;
+
+struct log_record
+{
+    std::int64_t timeMs = 0;
+    std::vector<claim_record> records;
+};
+
+struct open_request
+{
+    hash128 key;
+    time_point arrivedAt;
+};
+
+struct node_model
+{
+    once_state state;
+    std::map<hash128, open_request> requests; // by claim, that wait for an outcome
+    std::vector<hash128> ready; // claims with leave to run
+    std::vector<hash128> running;
+};
+
+class once_model
+{
+public:
+    void step(std::uint32_t word)
+    {
+        m_now += milliseconds((word >> 4U) % 40U);
+        const std::uint32_t choice = word >> 10U;
+        node_model &node = m_nodes.at(choice % m_nodes.size());
+        const std::uint32_t rest = choice / 4U;
+        switch (word % 16U) {
+        case 0:
+        case 1:
+        case 2:
+            begin(node, rest);
+            break;
+        case 3:
+        case 4:
+        case 5:
+            append(node, rest);
+            break;
+        case 6:
+        case 7:
+        case 8:
+            read(node, rest);
+            break;
+        case 9:
+        case 10:
+            run(node, rest);
+            break;
+        case 11:
+            abandon(node, rest);
+            break;
+        case 12:
+            deliverLate(rest);
+            break;
+        case 13:
+            if (rest % 2U == 0) {
+                node = {}; // the VM died and was replaced
+            } else {
+                restartOnce(node.state, 1);
+            }
+            break;
+        default:
+            endRuns(node);
+            break;
+        }
+    }
+
+    std::size_t runs() const
+    {
+        return m_runs.size();
+    }
+
+private:
+    void begin(node_model &node, std::uint32_t choice)
+    {
+        const hash128 key{0, choice % 3U};
+        const hash128 claim{1, ++m_lastClaim};
+        const time_point deadline = m_now + milliseconds(50 + choice / 4U % 4000U);
+        const once_result result = beginOnce(node.state, key, claim, deadline, m_now);
+        node.requests[claim] = {key, m_now};
+        if (result.kind == once_kind::Answer) {
+            answer(node, claim, result.outcome);
+        }
+    }
+
+    void append(node_model &node, std::uint32_t choice)
+    {
+        const auto batch = takeBatch(node.state.queue, m_now);
+        if (batch.empty()) {
+            return;
+        }
+        const std::vector<claim_record> records(batch.begin(), batch.end());
+        const bool isStored = choice % 4U != 0;
+        const bool isAnswered = isStored && choice / 4U % 4U != 0;
+        if (isStored) {
+            store(records);
+        } else if (choice / 4U % 2U == 0) {
+            m_late.push_back(records);
+        }
+        batchAppended(node.state.queue, isAnswered, m_now, m_generator);
+    }
+
+    void deliverLate(std::uint32_t choice)
+    {
+        if (!m_late.empty()) {
+            store(m_late.at(choice % m_late.size()));
+        }
+    }
+
+    void store(const std::vector<claim_record> &records)
+    {
+        m_log.push_back({startMs + millisBetween(start, m_now), records});
+    }
+
+    void read(node_model &node, std::uint32_t choice)
+    {
+        std::vector<once_result> actions;
+        std::size_t most = 1U + choice % 16U;
+        std::int64_t offset = node.state.index.position;
+        for (; offset <= static_cast<std::int64_t>(m_log.size()) && most > 0; ++offset, --most) {
+            const log_record &record = m_log.at(static_cast<std::size_t>(offset - 1));
+            RC_ASSERT(applyRecord(node.state, offset, record.timeMs, record.records, m_now, actions));
+        }
+        if (offset > static_cast<std::int64_t>(m_log.size())) {
+            noteReadEnd(node.state, m_now);
+        }
+        for (const once_result &action : actions) {
+            if (action.kind == once_kind::Run) {
+                node.ready.push_back(action.claim);
+            } else {
+                answer(node, action.claim, action.outcome);
+            }
+        }
+    }
+
+    void run(node_model &node, std::uint32_t choice)
+    {
+        if (node.ready.empty()) {
+            return;
+        }
+        const hash128 claim = node.ready.at(choice % node.ready.size());
+        if (!startRun(node.state, claim, m_now)) {
+            answer(node, claim, abandonRun(node.state, claim));
+        } else if (choice / 8U % 4U == 0) {
+            answer(node, claim, noteNothingSent(node.state, claim));
+        } else {
+            const hash128 key = node.requests.at(claim).key;
+            RC_ASSERT(m_runs.count(key) == 0U);
+            m_runs[key] = m_now;
+            node.running.push_back(claim);
+            node.requests.erase(claim);
+        }
+        std::erase(node.ready, claim);
+    }
+
+    void abandon(node_model &node, std::uint32_t choice)
+    {
+        if (!node.requests.empty()) {
+            const hash128 claim = std::next(node.requests.begin(), choice % node.requests.size())->first;
+            answer(node, claim, abandonRun(node.state, claim));
+            std::erase(node.ready, claim);
+        }
+    }
+
+    void endRuns(node_model &node)
+    {
+        for (const hash128 &claim : node.running) {
+            endRun(node.state, claim);
+        }
+        node.running.clear();
+    }
+
+    void answer(node_model &node, const hash128 &claim, once_outcome outcome)
+    {
+        const auto found = node.requests.find(claim);
+        if (found == node.requests.end()) {
+            return;
+        }
+        const auto ran = m_runs.find(found->second.key);
+        if (outcome == once_outcome::NotRun) {
+            RC_ASSERT((ran == m_runs.end() || ran->second >= found->second.arrivedAt));
+        }
+        if (outcome == once_outcome::Ran || outcome == once_outcome::Running) {
+            RC_ASSERT((ran != m_runs.end()));
+        }
+        node.requests.erase(found);
+    }
+
+    std::array<node_model, 3> m_nodes;
+    std::vector<log_record> m_log;
+    std::vector<std::vector<claim_record>> m_late; // appends that may still take effect, any number of times
+    std::map<hash128, time_point> m_runs; // by key
+    random_generator m_generator{1};
+    std::uint64_t m_lastClaim = 0;
+    time_point m_now = start;
+};
+
+// One node that reads back what it appends.
+struct single_node
+{
+    once_state state;
+    std::int64_t offset = 0;
+
+    std::vector<once_result> flush(time_point now)
+    {
+        const auto batch = takeBatch(state.queue, now);
+        const std::vector<claim_record> records(batch.begin(), batch.end());
+        random_generator generator(1);
+        batchAppended(state.queue, true, now, generator);
+        std::vector<once_result> actions;
+        applyRecord(state, ++offset, startMs + millisBetween(start, now), records, now, actions);
+        noteReadEnd(state, now);
+        return actions;
+    }
+};
+
+const hash128 key = keyOf("orders", "k1");
+const hash128 first{1, 1};
+const hash128 second{1, 2};
+
+} // namespace
+
+TEST_CASE("a key runs at most once and not-run is never false, whatever is lost, late, repeated or restarted")
+{
+    std::size_t runs = 0;
+    CHECK(holds("once", 40000, [&](const std::vector<std::uint32_t> &words) {
+        once_model model;
+        for (const std::uint32_t word : words) {
+            model.step(word);
+        }
+        runs += model.runs();
+    }));
+    CHECK(runs > 1000); // guards against a model in which nothing runs
+}
+
+TEST_CASE("a request runs after its claim was read back, and its repeat does not")
+{
+    single_node node;
+    REQUIRE(beginOnce(node.state, key, first, start + seconds(1), start).kind == once_kind::Wait);
+    CHECK_FALSE(startRun(node.state, first, start));
+    const auto actions = node.flush(start);
+    CHECK(actions == std::vector<once_result>{{once_kind::Run, first, once_outcome::NotRun}});
+    CHECK(startRun(node.state, first, start));
+    CHECK_FALSE(startRun(node.state, first, start));
+    CHECK(beginOnce(node.state, key, second, start + seconds(1), start).outcome == once_outcome::Running);
+    endRun(node.state, first);
+    CHECK(beginOnce(node.state, key, second, start + seconds(1), start).outcome == once_outcome::Ran);
+}
+
+TEST_CASE("a claim that was given up frees the key for the next request")
+{
+    single_node node;
+    beginOnce(node.state, key, first, start + seconds(1), start);
+    node.flush(start);
+    CHECK(abandonRun(node.state, first) == once_outcome::NotRun);
+    node.flush(start + seconds(1));
+    REQUIRE(beginOnce(node.state, key, second, start + seconds(9), start + seconds(2)).kind == once_kind::Wait);
+    CHECK(node.flush(start + seconds(2)).front().kind == once_kind::Run);
+}
+
+TEST_CASE("a claim of a node that died stays unknown, also for its restarted node")
+{
+    single_node node;
+    beginOnce(node.state, key, first, start + seconds(1), start);
+    node.flush(start);
+    single_node restarted;
+    std::vector<once_result> actions;
+    const std::vector<claim_record> records = {{claim_kind::Claim, key, first}};
+    applyRecord(restarted.state, 1, startMs, records, start, actions);
+    noteReadEnd(restarted.state, start + seconds(5));
+    CHECK(actions.empty());
+    CHECK(outcomeFor(restarted.state, key, start) == once_outcome::Unknown);
+    CHECK(beginOnce(restarted.state, key, second, start + seconds(9), start).outcome == once_outcome::Unknown);
+}
+
+TEST_CASE("without the log nothing runs, and nothing is said about earlier requests")
+{
+    once_state state;
+    REQUIRE(beginOnce(state, key, first, start + seconds(1), start).kind == once_kind::Wait);
+    takeBatch(state.queue, start);
+    CHECK(abandonRun(state, first) == once_outcome::Unknown);
+    CHECK_FALSE(startRun(state, first, start));
+}
+
+TEST_CASE("a node that was paused beyond the deadline does not run what it won")
+{
+    single_node node;
+    beginOnce(node.state, key, first, start + seconds(1), start);
+    node.flush(start);
+    CHECK_FALSE(startRun(node.state, first, start + seconds(60)));
+    CHECK(abandonRun(node.state, first) == once_outcome::NotRun);
+}
+
+TEST_CASE("a gap in the log is noticed, and keys are forgotten after the key memory")
+{
+    claim_index index;
+    const std::vector<claim_record> records = {{claim_kind::Claim, key, first}};
+    REQUIRE(applyClaims(index, 1, startMs, records));
+    CHECK_FALSE(applyClaims(index, 3, startMs, records));
+    REQUIRE(applyClaims(index, 2, startMs + keyMemoryMs - 1, {}));
+    CHECK(findClaim(index, key) != nullptr);
+    REQUIRE(applyClaims(index, 3, startMs + keyMemoryMs, {}));
+    CHECK(findClaim(index, key) == nullptr);
+    CHECK(index.byTime.empty());
+}
+
+TEST_CASE("a late copy of a void does not free the key from the claim that came after it")
+{
+    claim_index index;
+    const std::vector<claim_record> records = {{claim_kind::Claim, key, first},
+                                               {claim_kind::Void, key, first},
+                                               {claim_kind::Claim, key, second},
+                                               {claim_kind::Void, key, first},
+                                               {claim_kind::Claim, key, first}};
+    REQUIRE(applyClaims(index, 1, startMs, records));
+    REQUIRE(findClaim(index, key) != nullptr);
+    CHECK(findClaim(index, key)->claim == second);
+}
+
+TEST_CASE("appends of a node are spaced, and a failed batch goes first again")
+{
+    claim_queue queue;
+    random_generator generator(1);
+    enqueueClaim(queue, {claim_kind::Claim, key, first});
+    CHECK(takeBatch(queue, start).size() == 1);
+    enqueueClaim(queue, {claim_kind::Claim, key, second});
+    CHECK(takeBatch(queue, start + seconds(1)).empty()); // one append at a time
+    batchAppended(queue, false, start + seconds(1), generator);
+    CHECK(takeBatch(queue, start + seconds(4)).front().claim == first);
+    CHECK_FALSE(withdrawClaim(queue, first));
+    CHECK(withdrawClaim(queue, second));
+    batchAppended(queue, true, start + seconds(4), generator);
+    CHECK(takeBatch(queue, start + seconds(5)).empty());
+}
