Compare digests of the live members, and measure links between data centres

Cause: after a join of 1,050 nodes at once, some nodes lacked members until the next full list, 544 s later. Ruled out: more early lists, which help only if the peer's list is complete by then. Change: every datagram carries a 32-bit digest of the live members; a node that agrees with no peer for 5 s pulls a list, with a growing wait. Links between data centres slow down with their number, to bound the bytes of a reader.

--- a/packages/process/membership/links.cc
+++ b/packages/process/membership/links.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr milliseconds linkInterval{1'000};
+constexpr milliseconds joinDelay{500};
 constexpr milliseconds floodInterval{1'000};
 constexpr milliseconds largeFloodInterval{3'000};
 constexpr std::size_t largeDataCentre = 100;
@@ -167,7 +167,7 @@
         if (state.liveKeys.empty() && state.members.empty()) {
             state.contacts = record.contacts;
             std::erase(state.contacts, state.self.gossip);
-            state.next.join = std::min(state.next.join, context.now + linkInterval);
+            state.next.join = std::min(state.next.join, context.now + joinDelay);
         }
         return;
     }
@@ -175,7 +175,7 @@
     const auto found = state.links.find(record.dataCentre);
     if (found == state.links.end()) {
         if (state.links.size() < maxLinks) {
-            state.links.emplace(record.dataCentre, data_centre_link{record.contacts, heard, {}, {}});
+            state.links.emplace(record.dataCentre, data_centre_link{record.contacts, heard, {}});
         }
         return;
     }
@@ -194,10 +194,6 @@
     for (const service_summary &summary : datagram.summaries) {
         mergeSummary(context, summary);
     }
-    const auto link = state.links.find(datagram.entry->dataCentre);
-    if (link != state.links.end()) {
-        raiseTo(link->second.seen, {datagram.from.position, datagram.from.version});
-    }
     if (datagram.from.position > state.self.position) {
         requestRecords(context, datagram.entry->sync, datagram.from.position);
     }
@@ -233,7 +229,7 @@
     if (context.now < state.next.link) {
         return;
     }
-    state.next.link = context.now + linkInterval / 2 + jitter(context, linkInterval);
+    state.next.link = context.now + linkInterval(state) / 2 + jitter(context, linkInterval(state));
     if (state.links.empty() || !isReader(state, readerDuty)) {
         return;
     }
--- a/packages/process/membership/membership.cc
+++ b/packages/process/membership/membership.cc
@@ -21,6 +21,8 @@
 constexpr milliseconds readerContactInterval{5'000};
 constexpr milliseconds listInterval{600'000};
 constexpr milliseconds listGap{10'000};
+constexpr milliseconds disagreementTime{5'000}; // news about one change reaches all members in less
+constexpr std::uint32_t maxDigestRetries = 7;
 constexpr milliseconds deadProbeInterval{2'000};
 constexpr milliseconds deadProbeFast{
     250}; // while more than a tenth of the members is dead: a partition may have healed
@@ -248,6 +250,19 @@
     }
 }
 
+// Pulls a list when no peer had the same live members for a while: news was dropped, as after a mass join.
+void compareRound(step &context)
+{
+    membership_state &state = context.state;
+    const duration patience = std::min<duration>(disagreementTime * (1U << state.digestRetries), listInterval);
+    if (context.now - state.lastAgreed < patience || liveKeys(state).empty()) {
+        return;
+    }
+    state.lastAgreed = context.now;
+    state.digestRetries = std::min(state.digestRetries + 1, maxDigestRetries);
+    requestList(context, disagreementTime);
+}
+
 void drainRound(step &context)
 {
     if (context.state.drainRounds > 0) {
@@ -294,6 +309,7 @@
     raiseTo(state.ownHighest, {state.self.position, state.self.version});
     state.startedAt = now;
     state.lastEvent = now;
+    state.lastAgreed = now;
     state.next.listPull = now + listInterval;
     step context{state, now, nullptr, {}};
     enqueueSelf(context, true);
@@ -312,6 +328,7 @@
     }
     if (isDue(next.probe, now, probeInterval - milliseconds(50) + jitter(context, milliseconds(100)))) {
         probeRound(context);
+        compareRound(context);
     }
     if (isDue(next.forget, now, forgetInterval)) {
         forgetOld(context);
@@ -345,7 +362,7 @@
     step context = beginStep(state, now);
     const bool isPassedOn = list.entries.size() <= maxPassedOn;
     for (const member_update &update : list.entries) {
-        if (update.full && memberKey(update.full->nodeId) == update.key) {
+        if (update.full && isWellFormed(update)) {
             applyUpdate(context, update, isPassedOn);
         }
     }
@@ -378,7 +395,7 @@
     self.version = std::max(self.version, version);
     self.load = load;
     raiseTo(state.ownHighest, {self.position, self.version});
-    if (worker > self.state || (worker < self.state && self.state == member_state::Ready)) {
+    if (self.state < member_state::Draining && worker < member_state::Draining && worker != self.state) {
         state.readySince = now;
         self.state = worker;
         ++self.revision;
--- a/packages/process/membership/membership.h
+++ b/packages/process/membership/membership.h
@@ -77,6 +77,8 @@
     bool viewChanged = false;
 };
 
+inline constexpr std::uint16_t memberListFormat = 2; // for encodeMessage and decodeMessage of a member_list
+
 // The members that a node knows, as one answers a MemberList pull.
 struct member_list
 {
@@ -132,7 +134,6 @@
 {
     std::vector<endpoint> contacts;
     time_point lastHeard;
-    version_seen seen;
     std::map<std::string, std::pair<service_summary, time_point>> sent; // last summary of each service sent there
 };
 
@@ -185,6 +186,7 @@
     time_point gateUntil;
     time_point lastHeard; // last datagram from a member of the own data centre
     time_point firstAnswer;
+    time_point lastAgreed; // last time that a peer's digest was equal, or that a list was asked for because of it
     time_point readySince; // of the own worker
     std::uint64_t lastSequence = 0;
     std::uint64_t answerFloor = 0; // responses to older sequences were sent before the last pause
@@ -192,6 +194,8 @@
     std::uint32_t drainRounds = 0;
     std::uint32_t joinAttempts = 0;
     std::uint32_t earlyLists = 3; // list pulls that follow the first one soon
+    std::uint32_t liveDigest = 0; // of liveKeys and the own key
+    std::uint32_t digestRetries = 0;
     bool isAnswered = false; // a peer responded since the start, or since the last pause
     bool isLiveDirty = true;
     decode_counters garbled;
@@ -211,8 +215,8 @@
 // onMemberList takes the result of a MemberList pull.
 membership_actions onMemberList(membership_state &state, const member_list &list, time_point now);
 
-// setLocal sets what the node says about itself. An advanced position is announced to 4 random members. A draining node
-// stays draining, and a position or version below the present one is ignored.
+// setLocal sets what the node says about itself; `worker` is Starting or Ready, the other states come from beginDrain
+// and leave and are final. An advanced position is announced to 4 random members; one below the present one is ignored.
 membership_actions setLocal(membership_state &state,
                             std::uint64_t version,
                             std::uint64_t position,
--- a/packages/process/membership/message.cc
+++ b/packages/process/membership/message.cc
@@ -32,12 +32,6 @@
     return kind <= message_kind::Summaries;
 }
 
-bool isKnownUpdate(const member_update &update)
-{
-    return update.mark <= member_mark::Dead && update.state <= member_state::Left
-        && (!update.full || (update.full->state <= member_state::Left && memberKey(update.full->nodeId) == update.key));
-}
-
 } // namespace
 
 std::uint32_t dataCentreTag(std::string_view dataCentre)
@@ -63,7 +57,7 @@
     bool isValid = isKnownKind(datagram.kind) && datagram.from.state <= member_state::Left;
     isValid = isValid && (!datagram.entry || memberKey(datagram.entry->nodeId) == datagram.from.key);
     for (const member_update &update : datagram.updates) {
-        isValid = isValid && isKnownUpdate(update);
+        isValid = isValid && isWellFormed(update);
     }
     if (!isValid) {
         return internal::badContent("a value is out of range", counters);
@@ -71,6 +65,12 @@
     return datagram;
 }
 
+bool isWellFormed(const member_update &update)
+{
+    return update.mark <= member_mark::Dead && update.state <= member_state::Left
+        && (!update.full || (update.full->state <= member_state::Left && memberKey(update.full->nodeId) == update.key));
+}
+
 std::size_t encodedBound(const member_update &update)
 {
     if (!update.full) {
--- a/packages/process/membership/message.h
+++ b/packages/process/membership/message.h
@@ -43,13 +43,14 @@
     std::uint64_t version = 0;
     std::uint32_t schema = 0;
     worker_load load;
+    std::uint32_t digest = 0; // of the live members that the sender knows, with itself
 
     friend bool operator==(const sender_info &, const sender_info &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(key, started, incarnation, revision, state, slots, position, version, schema, load);
+        archive(key, started, incarnation, revision, state, slots, position, version, schema, load, digest);
     }
 };
 
@@ -138,6 +139,9 @@
 // decodeDatagram reads a datagram. Thread safe for separate counters. Fails with Corrupt or UnreadableSchema.
 result<message> decodeDatagram(std::string_view bytes, decode_counters &counters);
 
+// isWellFormed returns whether every value of an update is in range and its key fits its entry. Thread safe.
+bool isWellFormed(const member_update &update);
+
 // Upper bound of the bytes that an item takes in a datagram.
 std::size_t encodedBound(const member_update &update);
 std::size_t encodedBound(const service_summary &summary);
--- a/packages/process/membership/outgoing.cc
+++ b/packages/process/membership/outgoing.cc
@@ -28,7 +28,8 @@
                      self.position,
                      self.version,
                      self.schema,
-                     self.load};
+                     self.load,
+                     state.liveDigest};
     return datagram;
 }
 
--- a/packages/process/membership/receive.cc
+++ b/packages/process/membership/receive.cc
@@ -159,6 +159,10 @@
 void handleLocal(step &context, const endpoint &from, const message &received)
 {
     context.state.lastHeard = context.now;
+    if (received.from.digest == context.state.liveDigest) {
+        context.state.lastAgreed = context.now;
+        context.state.digestRetries = 0;
+    }
     applySender(context, received);
     for (const member_update &update : received.updates) {
         applyUpdate(context, update, true);
--- a/packages/process/membership/step.h
+++ b/packages/process/membership/step.h
@@ -56,6 +56,7 @@
 
 // summaries.cc: services of the own data centre.
 milliseconds loadInterval(const membership_state &state);
+milliseconds linkInterval(const membership_state &state);
 std::map<std::string, service_summary> ownSummaries(const membership_state &state, time_point now);
 
 // seenOf returns the highest that a key announced; zeros if the key is not known.
--- a/packages/process/membership/summaries.cc
+++ b/packages/process/membership/summaries.cc
@@ -10,7 +10,9 @@
 constexpr milliseconds loadIntervalPerMember{15}; // keeps the reports at a reader at 67 a second
 constexpr std::size_t nodesPerSummary = 3;
 constexpr milliseconds minSummaryTtl{10'000};
-constexpr std::size_t summariesPerSecond = 6; // about one datagram
+constexpr std::size_t summariesPerDatagram = 6;
+constexpr milliseconds minLinkInterval{1'000};
+constexpr std::int64_t linksPerSecond = 3; // bounds the bytes of a reader, with about 1 KB per link and round
 
 std::uint32_t spareOf(const member &data)
 {
@@ -51,6 +53,11 @@
     return std::max(minLoadInterval, loadIntervalPerMember * count);
 }
 
+milliseconds linkInterval(const membership_state &state)
+{
+    return std::max(minLinkInterval, minLinkInterval * static_cast<std::int64_t>(state.links.size()) / linksPerSecond);
+}
+
 std::map<std::string, service_summary> ownSummaries(const membership_state &state, time_point now)
 {
     const duration loadLease = std::max<duration>(seconds(5), loadInterval(state) * 4);
@@ -64,8 +71,8 @@
             services[known.data.service].push_back({&known.data, isFresh ? spareOf(known.data) : 0});
         }
     }
-    const auto cycle = seconds(services.size() / summariesPerSecond + 1);
-    const milliseconds ttl = minSummaryTtl + 2 * milliseconds(cycle);
+    const auto datagrams = static_cast<std::int64_t>(services.size() / summariesPerDatagram + 1);
+    const milliseconds ttl = minSummaryTtl + linkInterval(state) * datagrams;
     const std::uint64_t stamp = state.self.started + static_cast<std::uint64_t>(millisBetween(state.startedAt, now));
     std::map<std::string, service_summary> summaries;
     for (auto &[service, candidates] : services) {
--- a/packages/process/membership/table.cc
+++ b/packages/process/membership/table.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <bit>
+#include <functional>
+#include <numeric>
 
 #include "base/hash.h"
 #include "process/membership/step.h"
@@ -51,6 +53,13 @@
     context.state.next.gossip = context.now;
 }
 
+std::uint32_t digestOf(const membership_state &state)
+{
+    const std::uint64_t all =
+        std::accumulate(state.liveKeys.begin(), state.liveKeys.end(), selfKey(state), std::bit_xor<>());
+    return static_cast<std::uint32_t>(all);
+}
+
 bool concernsSelf(const member &self, const member_update &update)
 {
     if (update.incarnation != self.incarnation) {
@@ -259,6 +268,7 @@
             }
         }
         std::ranges::sort(state.liveKeys);
+        state.liveDigest = digestOf(state);
     }
     return state.liveKeys;
 }
