--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -37,7 +37,6 @@
 constexpr milliseconds joinGrace{1500};
 constexpr milliseconds lonelyGrace{2500};
 constexpr milliseconds lonelyJitter{2500};
-constexpr std::uint16_t memberListFormat = 1;
 
 member selfOf(const node_settings &settings)
 {
