Use the decisions for routing, admission and retries in the proxy

Cause: the proxy had stand-ins for these decisions, and its client_request had the name of a type of routing. Ruled out: looking for another worker before the retry decision, because beginCall counts a call as outstanding. Change: call_dispatch and slot_queue guard the pure decisions for the connection threads; findRoute of the tree; limits of the route at the worker's node; X-Pq-Reason tells a node that refuses for long from one that is full. Conclusion: hedging and quarantine are not joined yet.

--- a/packages/connection/http/client.cc
+++ b/packages/connection/http/client.cc
@@ -73,7 +73,7 @@
 
 struct http_call::state
 {
-    state(client_pool &pool, call_request request, const caller_watch &watch)
+    state(client_pool &pool, client_request request, const caller_watch &watch)
         : pool(pool)
         , request(std::move(request))
         , watch(watch)
@@ -81,7 +81,7 @@
     }
 
     client_pool &pool;
-    call_request request;
+    client_request request;
     const caller_watch &watch;
     std::unique_ptr<internal::connection> link;
     header_lines lines;
@@ -307,7 +307,7 @@
     pool.giveBack(request.target, std::move(link), false);
 }
 
-http_call::http_call(client_pool &pool, call_request request, const caller_watch &watch)
+http_call::http_call(client_pool &pool, client_request request, const caller_watch &watch)
     : m_state(std::make_unique<state>(pool, std::move(request), watch))
 {
     m_state->start();
--- a/packages/connection/http/client.h
+++ b/packages/connection/http/client.h
@@ -45,7 +45,7 @@
 std::string_view failureName(call_failure failure);
 
 // A request to send.
-struct call_request
+struct client_request
 {
     endpoint target;
     request_head head; // `bodyLength` as for the server: 0 for none, empty for chunked; `expectsContinue` asks first
@@ -115,7 +115,7 @@
 {
 public:
     // Starts the call without blocking. `watch` lives as long as the call.
-    http_call(client_pool &pool, call_request request, const caller_watch &watch);
+    http_call(client_pool &pool, client_request request, const caller_watch &watch);
     http_call(const http_call &) = delete;
     http_call &operator=(const http_call &) = delete;
     ~http_call();
--- a/packages/request/proxy/core.cc
+++ b/packages/request/proxy/core.cc
@@ -28,7 +28,7 @@
     : options(std::move(given))
     , sources(std::move(from))
     , pool(client_options{.maxPerTarget = options.maxConnections, .keepsConnections = tuning.keepsConnections})
-    , slots(options.slots)
+    , slots(options.slots, options.nodeId)
 {
 }
 
--- a/packages/request/proxy/core.h
+++ b/packages/request/proxy/core.h
@@ -9,11 +9,11 @@
 
 #include "connection/http/client.h"
 #include "connection/http/server.h"
+#include "request/proxy/dispatch.h"
 #include "request/proxy/node_headers.h"
 #include "request/proxy/proxy.h"
-#include "request/proxy/retry_choice.h"
 #include "request/proxy/slot_queue.h"
-#include "request/proxy/worker_choice.h"
+#include "request/retry/deadline.h"
 
 namespace pistachioquay::internal {
 
@@ -53,8 +53,7 @@
     proxy_sources sources;
     client_pool pool;
     slot_queue slots;
-    worker_choice choice;
-    retry_budgets budgets;
+    call_dispatch dispatch;
     counters counts;
     flight_count inFlight;
     std::atomic<bool> isDraining = false;
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -35,10 +35,6 @@
     http_response respond();
     http_response workerFailure();
     http_response signedResponse(http_response response);
-    work_class workClass() const
-    {
-        return m_context.workClass.value_or(work_class::Interactive);
-    }
 
     core &m_core;
     request_head m_head;
@@ -46,7 +42,8 @@
     call_context m_context;
     time_point m_deadline;
     bool m_isHeld;
-    bool m_hasSlot = false;
+    std::uint64_t m_ticket = 0; // of the slot; 0: none
+    bool m_hasResponse = false;
     std::string m_body;
     std::unique_ptr<http_call> m_call;
 };
@@ -67,21 +64,21 @@
     if (m_context.requestId.empty()) {
         return m_core.refuse(400,
                              node_outcome::NotRun,
-                             "no_request_id",
+                             "no-request-id",
                              "the request carries no X-Pq-Request-Id",
                              "send requests of callers to the caller port");
     }
     if (m_context.service != m_core.options.service) {
         return m_core.refuse(503,
                              node_outcome::NotRun,
-                             "other_service",
+                             "other-service",
                              "this node serves \"" + m_core.options.service + "\", not \"" + m_context.service + "\"",
                              "send the request to a node of the service");
     }
     if (m_core.isDraining || !m_core.sources.isAccepting()) {
         return m_core.refuse(503,
                              node_outcome::NotRun,
-                             m_core.isDraining ? "draining" : "not_accepting",
+                             m_core.isDraining ? "draining" : "not-accepting",
                              "this node takes no new work",
                              "send the request to another node of the service");
     }
@@ -90,42 +87,42 @@
 
 std::optional<http_response> inbound_request::acquireSlot()
 {
-    switch (m_core.slots.acquire(workClass(), m_deadline, m_watch)) {
-    case slot_decision::Granted:
-        m_hasSlot = true;
+    const std::shared_ptr<const compiled_config> config = m_core.sources.config();
+    const route *const matched = config ? findRoute(*config, m_head.method, m_head.target) : nullptr;
+    admission_request request;
+    request.workClass = m_context.workClass.value_or(work_class::Interactive);
+    request.deadline = m_deadline;
+    if (matched != nullptr && matched->service == m_core.options.service) {
+        request.limitName = matched->limitName;
+        request.bound = {matched->bound.requestsPerSecond, matched->bound.concurrency};
+    }
+    const slot_grant grant = m_core.slots.acquire(request, m_watch);
+    m_ticket = grant.ticket;
+    if (m_ticket != 0) {
         return std::nullopt;
-    case slot_decision::QueueFull:
-        return m_core.refuse(503,
-                             node_outcome::NotRun,
-                             "queue_full",
-                             "too many requests wait for the worker",
-                             "send the request to another node of the service, or later");
-    case slot_decision::DeadlinePassed:
-        return m_core.refuse(503,
-                             node_outcome::NotRun,
-                             "deadline",
-                             "the deadline passed while the request waited for the worker",
-                             "raise deadline_ms in the policy or add workers");
-    case slot_decision::CallerGone:
-        break;
     }
-    return m_core.refuse(503,
+    if (grant.reason == refusal_reason::None) {
+        return http_response{};
+    }
+    const bool isLimit = grant.reason == refusal_reason::RateLimit || grant.reason == refusal_reason::ConcurrencyLimit;
+    return m_core.refuse(isLimit ? 429 : 503,
                          node_outcome::NotRun,
-                         "cancelled",
-                         "the sender closed its connection",
-                         "send the request again");
+                         std::string(refusalName(grant.reason)),
+                         "the worker's node did not admit the request",
+                         isLimit ? "send it later, or raise the limit of the route"
+                                 : "send it to another node of the service, or later");
 }
 
 void inbound_request::releaseSlot()
 {
-    if (std::exchange(m_hasSlot, false)) {
-        m_core.slots.release(workClass());
+    if (m_ticket != 0) {
+        m_core.slots.release(std::exchange(m_ticket, 0), m_hasResponse);
     }
 }
 
 void inbound_request::openCall()
 {
-    call_request request;
+    client_request request;
     request.target = m_core.options.upstream;
     request.head.method = m_head.method;
     request.head.target = m_head.target;
@@ -188,10 +185,11 @@
         m_call.reset();
         return signedResponse(m_core.refuse(502,
                                             node_outcome::Unknown,
-                                            "crossed_response",
+                                            "crossed-response",
                                             "the worker responded to another request",
                                             "check the worker; look up whether the request took effect"));
     }
+    m_hasResponse = true;
     http_response response;
     response.head = {head->status, forwardedHeaders(head->headers), head->bodyLength};
     setBody(response, m_call->takeWhole(), [this](std::span<char> buffer) {
@@ -223,13 +221,13 @@
     if (isUnsent) {
         return signedResponse(m_core.refuse(503,
                                             node_outcome::NotRun,
-                                            "worker_unreachable",
+                                            "worker-down",
                                             "the worker was not reached: " + detail,
                                             "check that the worker runs"));
     }
     return signedResponse(m_core.refuse(isDeadline ? 504 : 502,
                                         node_outcome::Unknown,
-                                        isDeadline ? "deadline" : "response_lost",
+                                        isDeadline ? "deadline" : "response-lost",
                                         "the request was sent to the worker, but there is no response: " + detail,
                                         "look up whether the request took effect before sending it again"));
 }
--- a/packages/request/proxy/node_headers.cc
+++ b/packages/request/proxy/node_headers.cc
@@ -43,7 +43,7 @@
     }
     context.workClass = classFromName(textOf(headers, classHeader));
     context.isIdempotent = textOf(headers, idempotentHeader) == "true";
-    context.attempt = countOf(headers, attemptHeader);
+    context.attempt = countOf(headers, attemptCountHeader);
     context.depth = countOf(headers, depthHeader);
     context.service = textOf(headers, serviceHeader);
     context.version = textOf(headers, versionHeader);
@@ -59,7 +59,7 @@
     add(deadlineHeader, std::to_string(context.timeLeft.value_or(milliseconds(0)).count()));
     add(classHeader, std::string(className(context.workClass.value_or(work_class::Interactive))));
     add(idempotentHeader, context.isIdempotent ? "true" : "false");
-    add(attemptHeader, std::to_string(context.attempt));
+    add(attemptCountHeader, std::to_string(context.attempt));
     add(depthHeader, std::to_string(context.depth));
     add(serviceHeader, context.service);
     add(versionHeader, context.version);
@@ -90,6 +90,7 @@
     json_decref(body);
     http_response response = textResponse(status, "application/json", text ? text.get() : "{}");
     setHeader(response.head.headers, outcomeHeader, outcomeName(outcome));
+    setHeader(response.head.headers, reasonHeader, kind);
     return response;
 }
 
--- a/packages/request/proxy/node_headers.h
+++ b/packages/request/proxy/node_headers.h
@@ -19,16 +19,16 @@
 inline constexpr std::string_view deadlineHeader = "X-Pq-Deadline-Ms";
 inline constexpr std::string_view classHeader = "X-Pq-Class";
 inline constexpr std::string_view idempotentHeader = "X-Pq-Idempotent";
-inline constexpr std::string_view attemptHeader = "X-Pq-Attempt";
+inline constexpr std::string_view attemptCountHeader = "X-Pq-Attempt";
 inline constexpr std::string_view depthHeader = "X-Pq-Depth";
 inline constexpr std::string_view serviceHeader = "X-Pq-Service";
 inline constexpr std::string_view versionHeader = "X-Pq-Version";
 inline constexpr std::string_view runningHeader = "X-Pq-Running";
 inline constexpr std::string_view waitingHeader = "X-Pq-Waiting";
 inline constexpr std::string_view outcomeHeader = "X-Pq-Outcome";
+inline constexpr std::string_view reasonHeader = "X-Pq-Reason"; // kind of the error, between nodes
 
 inline constexpr std::size_t replayBytes = 64UL * 1024; // bodies up to this size are held for another try
-inline constexpr std::uint32_t deepestCall = 16;
 
 // What the node knows about a request that it responds to itself.
 enum class node_outcome
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -1,6 +1,8 @@
 // Caller port: requests of callers and of the own worker, sent to the node of a worker that the tree's routes name.
 #include <algorithm>
 
+#include <poll.h>
+
 #include "request/proxy/core.h"
 #include "request/proxy/route_choice.h"
 
@@ -8,6 +10,22 @@
 
 namespace {
 
+// Reasons of a node that refuses all work for some time.
+bool isLasting(std::string_view reason)
+{
+    return reason == "draining" || reason == "worker-down" || reason == "not-accepting" || reason == "other-service";
+}
+
+std::optional<load_report> loadOf(const header_list &headers)
+{
+    const auto running = parseCount(findHeader(headers, runningHeader).value_or(""));
+    const auto waiting = parseCount(findHeader(headers, waitingHeader).value_or(""));
+    if (!running || !waiting) {
+        return std::nullopt;
+    }
+    return load_report{static_cast<std::uint32_t>(*running), static_cast<std::uint32_t>(*waiting)};
+}
+
 class outbound_request
 {
 public:
@@ -30,15 +48,20 @@
 private:
     std::optional<http_response> checkRequest();
     std::optional<http_response> checkRoute();
+    std::optional<http_response> checkReach(time_point now);
     std::optional<http_response> runTries();
-    bool openCall();
+    bool beginTry();
+    void openCall();
     void closeCall();
-    try_end classify();
-    bool isRetryAllowed(try_end last);
-    http_response result(try_end last);
+    void classify();
+    void classifyResponse();
+    void noteEnd(try_progress progress, call_end end);
+    bool isRetryAllowed();
+    bool pauseFor(milliseconds delay);
+    http_response result();
     http_response workerResponse();
-    http_response failureResponse(try_end last);
-    http_response noWorkerResponse(try_end last);
+    http_response failureResponse();
+    http_response noWorkerResponse();
     http_response finished(http_response response);
 
     core &m_core;
@@ -52,9 +75,13 @@
     time_point m_deadline;
     std::string m_body;
     std::vector<std::string> m_tried; // node ids
-    bool m_mayHaveRun = false;
+    try_history m_history;
     bool m_isBodyGone = false; // body bytes were passed on that cannot be sent again
+    bool m_isCallerGone = false;
     std::string m_detail; // how the last failed try ended
+    call_choice m_choice; // worker of `m_call`
+    call_observation m_seen; // of `m_call`
+    time_point m_sentAt; // when the whole request was handed over
     std::unique_ptr<http_call> m_call;
     const response_head *m_response = nullptr; // of `m_call`
 };
@@ -85,24 +112,17 @@
     if (!m_config) {
         return m_core.refuse(503,
                              node_outcome::NotRun,
-                             "no_configuration",
+                             "no-configuration",
                              "this node has no configuration yet",
                              "send the request to another node, or publish a configuration");
     }
     if (!m_head.target.starts_with('/')) {
         return m_core.refuse(400,
                              node_outcome::NotRun,
-                             "bad_target",
+                             "bad-target",
                              "the request target is not a path",
                              "send a target that starts with /");
     }
-    if (m_arrived.depth >= deepestCall) {
-        return m_core.refuse(508,
-                             node_outcome::NotRun,
-                             "too_deep",
-                             "the call chain is more than 16 calls deep",
-                             "check the services for a loop of calls");
-    }
     return std::nullopt;
 }
 
@@ -112,7 +132,7 @@
     if (choice.matched == nullptr && choice.isMethodRefused) {
         http_response refused = m_core.refuse(405,
                                               node_outcome::NotRun,
-                                              "method_not_allowed",
+                                              "method-not-allowed",
                                               "the route of this path does not accept " + m_head.method,
                                               "use one of: " + choice.allowedMethods);
         setHeader(refused.head.headers, "Allow", choice.allowedMethods);
@@ -121,7 +141,7 @@
     if (choice.matched == nullptr) {
         return m_core.refuse(404,
                              node_outcome::NotRun,
-                             "no_route",
+                             "no-route",
                              "no route matches this path",
                              "check the path, or publish a route for it");
     }
@@ -141,15 +161,38 @@
     m_next.requestId = toHex(randomId(generator));
     m_next.workClass = m_route->applied.workClass;
     m_next.isIdempotent = m_route->applied.isIdempotent;
-    m_next.depth = m_arrived.depth + 1;
+    m_next.depth = m_arrived.depth < maxDepth ? m_arrived.depth + 1 : maxDepth + 1;
     m_next.service = m_route->service;
     m_next.version = std::to_string(m_config->version);
-    m_deadline =
-        now + std::min<milliseconds>(m_route->applied.deadline, m_arrived.timeLeft.value_or(milliseconds::max()));
-    m_core.budgets.noteCall(m_route->service, now);
+    m_deadline = deadlineAfter(now, m_arrived.timeLeft, m_route->applied.deadline);
+    if (auto tooLate = checkReach(now)) {
+        return finished(std::move(*tooLate));
+    }
+    m_core.dispatch.noteCall(m_route->service, now);
     return m_isHeld ? std::nullopt : runTries();
 }
 
+std::optional<http_response> outbound_request::checkReach(time_point now)
+{
+    switch (checkHop(m_deadline, m_next.depth, now)) {
+    case hop_refusal::TooDeep:
+        return m_core.refuse(508,
+                             node_outcome::NotRun,
+                             "too-deep",
+                             "the call chain is more than " + std::to_string(maxDepth) + " calls deep",
+                             "check the services for a loop of calls");
+    case hop_refusal::TooLittleTime:
+        return m_core.refuse(504,
+                             node_outcome::NotRun,
+                             "deadline",
+                             "too little time is left for the request",
+                             "raise X-Pq-Deadline-Ms, or deadline_ms in the policy");
+    case hop_refusal::None:
+        break;
+    }
+    return std::nullopt;
+}
+
 bool outbound_request::onBody(std::string_view piece)
 {
     if (m_isHeld) {
@@ -165,41 +208,53 @@
     if (m_isHeld) {
         return *runTries();
     }
+    m_sentAt = steadyNow();
     m_call->provideLast({});
-    return result(classify());
+    classify();
+    return result();
 }
 
 // Tries workers until there is a response to pass on, or, for a body that is not held, until a worker takes it (empty).
 std::optional<http_response> outbound_request::runTries()
 {
-    try_end last = try_end::NoConnection;
-    for (;;) {
-        if (!openCall()) {
-            return noWorkerResponse(last);
-        }
+    while (beginTry()) {
         if (m_isHeld) {
+            m_sentAt = steadyNow();
             m_call->provideLast(m_body);
         } else if (m_call->awaitBodyWanted()) {
             return std::nullopt;
         }
-        last = classify();
-        if (!isRetryAllowed(last)) {
-            return result(last);
+        classify();
+        if (!isRetryAllowed()) {
+            break;
         }
-        closeCall();
-        ++m_core.counts.retries;
     }
+    return m_call ? result() : noWorkerResponse();
 }
 
-bool outbound_request::openCall()
+// Closes the last call and opens one to another worker; false, with the last call kept, if there is none.
+bool outbound_request::beginTry()
 {
-    const std::shared_ptr<const worker_view> view = m_core.sources.workers();
-    const auto chosen = view ? m_core.choice.choose(*view, m_route->service, m_tried) : std::nullopt;
-    if (!chosen) {
+    const pistachioquay::call_request needed{m_route->applied.workClass, m_tried};
+    call_choice next = m_core.dispatch.begin(m_core.sources.workers(), m_route->service, needed, steadyNow());
+    if (!next.target) {
         return false;
     }
-    call_request request;
-    request.target = chosen->peerAddress;
+    if (m_call) {
+        ++m_core.counts.retries;
+    }
+    closeCall();
+    m_choice = std::move(next);
+    m_seen = {call_end::Cancelled, {}, std::nullopt};
+    m_tried.push_back(m_choice.target->nodeId);
+    openCall();
+    return true;
+}
+
+void outbound_request::openCall()
+{
+    client_request request;
+    request.target = m_choice.target->peerAddress;
     request.head.method = m_head.method;
     request.head.target = m_head.target;
     request.head.bodyLength = m_head.bodyLength;
@@ -207,13 +262,10 @@
     request.head.expectsContinue = !m_isHeld;
     request.head.headers = forwardedHeaders(m_head.headers);
     request.deadline = m_deadline;
-    m_next.attempt = m_arrived.attempt + static_cast<std::uint32_t>(m_tried.size());
-    m_next.timeLeft = std::max(milliseconds(0), milliseconds(millisBetween(steadyNow(), m_deadline)));
+    m_next.attempt = m_arrived.attempt + m_history.budgeted;
+    m_next.timeLeft = milliseconds(millisForNextHop(m_deadline, steadyNow()));
     writeContext(m_next, request.head.headers);
-    m_tried.push_back(chosen->nodeId);
-    m_core.choice.begin(chosen->nodeId);
     m_call = std::make_unique<http_call>(m_core.pool, std::move(request), m_watch);
-    return true;
 }
 
 void outbound_request::closeCall()
@@ -221,13 +273,21 @@
     if (m_call) {
         m_call.reset();
         m_response = nullptr;
-        m_core.choice.end(m_tried.back());
+        m_core.dispatch.end(m_route->service, m_choice, m_seen, steadyNow());
     }
 }
 
-try_end outbound_request::classify()
+void outbound_request::noteEnd(try_progress progress, call_end end)
+{
+    noteTry(m_history, progress);
+    m_seen.end = end;
+}
+
+// Sets what became of the call: `m_response`, `m_history` and `m_seen`.
+void outbound_request::classify()
 {
     m_response = m_call->awaitHead();
+    m_seen.latency = steadyNow() - m_sentAt;
     // A short response of an idempotent request is awaited whole, so that it can be requested again if it is cut.
     if (m_response != nullptr && m_next.isIdempotent && m_isHeld) {
         m_call->awaitSmallBody();
@@ -236,57 +296,76 @@
         ++m_core.counts.truncated;
         m_response = nullptr;
     }
-    if (m_response == nullptr) {
-        m_detail = failureName(m_call->failure());
-        if (m_call->failure() == call_failure::Cancelled) {
-            return try_end::CallerGone;
-        }
-        const bool isUnsent = m_call->progress() == call_progress::NoConnection;
-        m_mayHaveRun = m_mayHaveRun || !isUnsent;
-        return isUnsent ? try_end::NoConnection : try_end::Unknown;
+    if (m_response != nullptr) {
+        classifyResponse();
+        return;
+    }
+    m_detail = failureName(m_call->failure());
+    m_isCallerGone = m_call->failure() == call_failure::Cancelled;
+    const call_end broken = m_isCallerGone ? call_end::Cancelled : call_end::Broken;
+    switch (m_call->progress()) {
+    case call_progress::NoConnection:
+        noteEnd(try_progress::NoConnection, m_isCallerGone ? call_end::Cancelled : call_end::NoConnection);
+        break;
+    case call_progress::SentNoResponse:
+        noteEnd(try_progress::SentNoResponse, broken);
+        break;
+    default:
+        noteEnd(try_progress::PartialResponse, broken);
+        break;
     }
-    if (findHeader(m_response->headers, requestIdHeader) != m_next.requestId) {
+}
+
+void outbound_request::classifyResponse()
+{
+    const header_list &headers = m_response->headers;
+    m_seen.load = loadOf(headers);
+    const auto outcome = findHeader(headers, outcomeHeader);
+    if (findHeader(headers, requestIdHeader) != m_next.requestId) {
         m_detail = "the response belongs to another request";
         m_response = nullptr;
-        m_mayHaveRun = true;
-        return try_end::Unknown;
-    }
-    const auto outcome = findHeader(m_response->headers, outcomeHeader);
-    if (outcome == outcomeName(node_outcome::NotRun)) {
-        m_detail = "the worker's node did not run it";
-        return try_end::NotRun;
-    }
-    m_mayHaveRun = true;
-    if (outcome) {
+        noteEnd(try_progress::Unknown, call_end::Broken);
+    } else if (outcome == outcomeName(node_outcome::NotRun)) {
+        const std::string_view reason = findHeader(headers, reasonHeader).value_or("");
+        m_detail = "the worker's node did not run it: " + std::string(reason);
+        noteEnd(try_progress::NotRun, isLasting(reason) ? call_end::Draining : call_end::Refused);
+    } else if (outcome) {
         m_detail = "the worker's node does not know whether it ran";
-        return try_end::Unknown;
+        noteEnd(try_progress::Unknown, call_end::Broken);
+    } else if (m_response->status == 503) {
+        noteEnd(try_progress::WorkerUnavailable, call_end::Failed);
+    } else {
+        noteEnd(try_progress::WorkerStatus, m_response->status >= 500 ? call_end::Failed : call_end::Completed);
     }
-    return m_response->status == 503 ? try_end::WorkerBusy : try_end::Response;
 }
 
-bool outbound_request::isRetryAllowed(try_end last)
+bool outbound_request::isRetryAllowed()
 {
+    if (m_isCallerGone) {
+        return false;
+    }
     retry_facts facts;
-    facts.service = m_route->service;
     facts.isIdempotent = m_next.isIdempotent;
     facts.retries = m_route->applied.retries;
     facts.inheritedAttempts = m_arrived.attempt;
-    facts.isBodyHeld = !m_isBodyGone;
+    facts.isBodyReplayable = !m_isBodyGone;
     facts.deadline = m_deadline;
-    const std::shared_ptr<const worker_view> view = m_core.sources.workers();
-    if (!view || !m_core.choice.choose(*view, m_route->service, m_tried)) {
-        return false;
-    }
-    const auto tries = static_cast<std::uint32_t>(m_tried.size());
-    return mayRetry(facts, last, tries, m_core.budgets, steadyNow());
+    const retry_decision decision = m_core.dispatch.decide(m_route->service, facts, m_history, steadyNow());
+    return decision.verdict == retry_verdict::Retry && pauseFor(decision.delay);
+}
+
+// Waits before another try; false if the caller is gone.
+bool outbound_request::pauseFor(milliseconds delay)
+{
+    pollfd watched{m_watch.fd(), POLLIN, 0};
+    m_isCallerGone = ::poll(&watched, 1, static_cast<int>(delay.count())) > 0;
+    return !m_isCallerGone;
 }
 
-http_response outbound_request::result(try_end last)
+http_response outbound_request::result()
 {
-    const bool isPassedOn = m_response != nullptr
-        && (last == try_end::Response || last == try_end::WorkerBusy || last == try_end::Unknown
-            || (last == try_end::NotRun && !m_mayHaveRun));
-    return isPassedOn ? workerResponse() : failureResponse(last);
+    const bool isRefusalOnly = m_history.last == try_progress::NotRun && m_history.mayHaveRun;
+    return m_response != nullptr && !isRefusalOnly ? workerResponse() : failureResponse();
 }
 
 http_response outbound_request::workerResponse()
@@ -306,15 +385,15 @@
     return finished(std::move(response));
 }
 
-http_response outbound_request::failureResponse(try_end last)
+http_response outbound_request::failureResponse()
 {
     const bool isDeadline = m_call && m_call->failure() == call_failure::DeadlinePassed;
     closeCall();
-    if (last == try_end::CallerGone) {
+    if (m_isCallerGone) {
         return {};
     }
-    const std::string kind = isDeadline ? "deadline" : "call_failed";
-    if (!m_mayHaveRun) {
+    const std::string kind = isDeadline ? "deadline" : "call-failed";
+    if (!m_history.mayHaveRun) {
         return finished(m_core.refuse(503,
                                       node_outcome::NotRun,
                                       kind,
@@ -328,14 +407,11 @@
                                   "look up whether it took effect before sending it again"));
 }
 
-http_response outbound_request::noWorkerResponse(try_end last)
+http_response outbound_request::noWorkerResponse()
 {
-    if (!m_tried.empty()) {
-        return failureResponse(last);
-    }
     return finished(m_core.refuse(503,
                                   node_outcome::NotRun,
-                                  "no_worker",
+                                  "no-worker",
                                   "no worker of \"" + m_route->service + "\" is ready",
                                   "send the request again later, or start workers of the service"));
 }
--- a/packages/request/proxy/proxy.cc
+++ b/packages/request/proxy/proxy.cc
@@ -74,12 +74,26 @@
             }
             known = std::move(current);
             shared.pool.closeIdle(steadyNow());
+            observeOwnService();
             changed.wait_for(guard, stop, upkeepInterval, [] {
                 return false;
             });
         }
     }
 
+    // Tells the limits which nodes the own service has in the data centre.
+    void observeOwnService()
+    {
+        const std::shared_ptr<const worker_view> view = shared.sources.workers();
+        std::vector<std::string_view> nodeIds{shared.options.nodeId};
+        if (view && view->services.contains(shared.options.service)) {
+            for (const worker &known : view->services.at(shared.options.service).local) {
+                nodeIds.push_back(known.nodeId);
+            }
+        }
+        shared.slots.observe(nodeIds);
+    }
+
     internal::core shared;
     http_server callerServer;
     http_server peerServer;
@@ -116,6 +130,7 @@
 {
     const time_point until = steadyNow() + timeout;
     m_state->shared.isDraining = true;
+    m_state->shared.slots.drain();
     m_state->callerServer.closeConnectionsAfterResponse();
     m_state->peerServer.closeConnectionsAfterResponse();
     const bool isEmpty = m_state->shared.inFlight.waitForNone(until);
--- a/packages/request/proxy/proxy_fixture.h
+++ b/packages/request/proxy/proxy_fixture.h
@@ -44,8 +44,8 @@
 public:
     test_mesh()
     {
+        addRoute("/write", "POST", false); // longest prefix first, as the compiler sorts them
         addRoute("/read", "GET", true);
-        addRoute("/write", "POST", false);
         entry = makeNode("entry", {"127.0.0.1", 1}, 1);
     }
 
@@ -85,7 +85,7 @@
     caller_response
     callTo(const endpoint &address, const std::string &method, const std::string &target, header_list headers = {})
     {
-        call_request request;
+        client_request request;
         request.target = address;
         request.head = {method, target, std::move(headers), 0, false};
         request.deadline = steadyNow() + longestWait;
--- a/packages/request/proxy/route_choice.cc
+++ b/packages/request/proxy/route_choice.cc
@@ -1,34 +1,21 @@
 #include "request/proxy/route_choice.h"
 
-#include <algorithm>
-
 namespace pistachioquay::internal {
 
-namespace {
-
-bool isPrefixOf(std::string_view prefix, std::string_view path)
-{
-    if (!path.starts_with(prefix)) {
-        return false;
-    }
-    return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
-}
-
-} // namespace
-
 route_choice chooseRoute(const compiled_config &config, std::string_view method, std::string_view path)
 {
     route_choice choice;
+    choice.matched = findRoute(config, method, path);
+    if (choice.matched != nullptr) {
+        return choice;
+    }
     for (const route &candidate : config.routes) {
-        if (!isPrefixOf(candidate.prefix, path)) {
-            continue;
-        }
-        if (candidate.methods.empty() || std::ranges::find(candidate.methods, method) != candidate.methods.end()) {
-            return {&candidate, false, {}};
-        }
-        choice.isMethodRefused = true;
         for (const std::string &allowed : candidate.methods) {
-            choice.allowedMethods += (choice.allowedMethods.empty() ? "" : ", ") + allowed;
+            const bool isListed = choice.allowedMethods.find(allowed) != std::string::npos;
+            if (!isListed && findRoute(config, allowed, path) != nullptr) {
+                choice.isMethodRefused = true;
+                choice.allowedMethods += (choice.allowedMethods.empty() ? "" : ", ") + allowed;
+            }
         }
     }
     return choice;
--- a/packages/request/proxy/slot_queue.cc
+++ b/packages/request/proxy/slot_queue.cc
@@ -1,84 +1,91 @@
 #include "request/proxy/slot_queue.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace pistachioquay::internal {
 
 namespace {
 
-constexpr std::uint32_t queuePerSlot = 8;
 constexpr milliseconds callerCheckInterval{20};
 
-std::size_t indexOf(work_class workClass)
-{
-    return static_cast<std::size_t>(workClass);
-}
-
-std::uint32_t sum(const std::array<std::uint32_t, 4> &counts)
-{
-    return std::accumulate(counts.begin(), counts.end(), 0U);
-}
-
 } // namespace
 
-slot_queue::slot_queue(std::uint32_t slots)
-    : m_slots(std::max(1U, slots))
+slot_queue::slot_queue(std::uint32_t slots, std::string_view nodeId)
+    : m_state(makeAdmission(slots, nodeId, steadyNow()))
 {
 }
 
-slot_decision slot_queue::acquire(work_class workClass, time_point deadline, const caller_watch &watch)
+slot_grant slot_queue::acquire(const admission_request &request, const caller_watch &watch)
 {
-    const std::size_t index = indexOf(workClass);
     std::unique_lock guard(m_mutex);
-    if (m_waiting.at(index) >= m_slots * queuePerSlot) {
-        return slot_decision::QueueFull;
+    const admission_result result = admit(m_state, request, steadyNow());
+    if (result.kind != admission_kind::Queued) {
+        return {result.ticket, result.reason};
     }
-    ++m_waiting.at(index);
-    slot_decision decision = slot_decision::Granted;
-    while (!canRun(workClass) && decision == slot_decision::Granted) {
+    waiter &own = m_waiters[result.ticket];
+    slot_grant grant{result.ticket, refusal_reason::None};
+    admission_events events;
+    while (!own.isDecided) {
         const time_point now = steadyNow();
-        if (now >= deadline) {
-            decision = slot_decision::DeadlinePassed;
-        } else if (watch.isGone()) {
-            decision = slot_decision::CallerGone;
+        const time_point due = nextWakeup(m_state).value_or(time_point::max());
+        if (watch.isGone()) {
+            cancel(m_state, result.ticket, now, events);
+            own.isDecided = true;
+            grant.ticket = 0;
+        } else if (due <= now) {
+            advance(m_state, now, events);
         } else {
-            m_changed.wait_until(guard, std::min(deadline, now + callerCheckInterval));
+            own.changed.wait_until(guard, std::min(due, now + callerCheckInterval));
         }
+        wake(events);
+        events.clear();
     }
-    --m_waiting.at(index);
-    if (decision == slot_decision::Granted) {
-        ++m_running.at(index);
+    grant.reason = own.reason;
+    if (grant.reason != refusal_reason::None) {
+        grant.ticket = 0;
     }
-    m_changed.notify_all();
-    return decision;
+    m_waiters.erase(result.ticket);
+    return grant;
 }
 
-void slot_queue::release(work_class workClass)
+void slot_queue::release(std::uint64_t ticket, bool hasResponse)
 {
     const std::lock_guard guard(m_mutex);
-    --m_running.at(indexOf(workClass));
-    m_changed.notify_all();
+    admission_events events;
+    pistachioquay::release(m_state, ticket, hasResponse, steadyNow(), events);
+    wake(events);
+}
+
+void slot_queue::drain()
+{
+    const std::lock_guard guard(m_mutex);
+    admission_events events;
+    setMode(m_state, serving_mode::Draining, steadyNow(), events);
+    wake(events);
+}
+
+void slot_queue::observe(std::span<const std::string_view> nodeIds)
+{
+    const std::lock_guard guard(m_mutex);
+    observeWorkers(m_state.limits, nodeIds, steadyNow());
 }
 
 slot_load slot_queue::load() const
 {
     const std::lock_guard guard(m_mutex);
-    return {sum(m_running), sum(m_waiting)};
+    return {runningCount(m_state), waitingCount(m_state)};
 }
 
-bool slot_queue::canRun(work_class workClass) const
+void slot_queue::wake(const admission_events &events)
 {
-    const std::uint32_t running = sum(m_running);
-    const auto firstLower = m_waiting.begin() + static_cast<std::ptrdiff_t>(indexOf(workClass));
-    const std::uint32_t waitingAbove = std::accumulate(m_waiting.begin(), firstLower, 0U);
-    if (workClass == work_class::Lookup || workClass == work_class::Interactive) {
-        return running + waitingAbove < m_slots;
+    for (const admission_event &event : events) {
+        const auto found = m_waiters.find(event.ticket);
+        if (found != m_waiters.end()) {
+            found->second.isDecided = true;
+            found->second.reason = event.reason;
+            found->second.changed.notify_one();
+        }
     }
-    const std::uint32_t heavy =
-        m_running.at(indexOf(work_class::Upload)) + m_running.at(indexOf(work_class::Background));
-    const std::uint32_t kept = m_slots > 1 ? 1 : 0;
-    return heavy < std::max(1U, m_slots / 3) && running + waitingAbove + kept < m_slots;
 }
 
 } // namespace pistachioquay::internal
--- a/packages/request/proxy/slot_queue.h
+++ b/packages/request/proxy/slot_queue.h
@@ -1,25 +1,25 @@
-// Slots of the own worker and the queue in front of them. Private to the proxy.
+// Slots of the own worker and the queue in front of them: the admission decisions, guarded for the connection threads.
+// Private to the proxy.
 //
-//   const slot_decision decision = slots.acquire(workClass, deadline, watch);
-//   if (decision == slot_decision::Granted) { run(); slots.release(workClass); }
+//   const slot_grant grant = slots.acquire({work_class::Interactive, deadline}, watch);
+//   if (grant.ticket != 0) { run(); slots.release(grant.ticket, true); }
 #pragma once
 
-#include <array>
 #include <condition_variable>
+#include <map>
 #include <mutex>
+#include <span>
 
-#include "base/clock.h"
-#include "base/work_class.h"
 #include "connection/http/caller_watch.h"
+#include "request/admission/admission.h"
 
 namespace pistachioquay::internal {
 
-enum class slot_decision
+// A ticket, or why there is none; neither if the caller is gone.
+struct slot_grant
 {
-    Granted,
-    QueueFull,
-    DeadlinePassed,
-    CallerGone,
+    std::uint64_t ticket = 0;
+    refusal_reason reason = refusal_reason::None;
 };
 
 struct slot_load
@@ -32,23 +32,31 @@
 class slot_queue
 {
 public:
-    explicit slot_queue(std::uint32_t slots);
-
-    // acquire blocks until a slot is free for the class, the deadline passes, or the caller is gone.
-    slot_decision acquire(work_class workClass, time_point deadline, const caller_watch &watch);
-    // release frees a granted slot.
-    void release(work_class workClass);
+    slot_queue(std::uint32_t slots, std::string_view nodeId);
+
+    // acquire blocks until the request is granted or refused, or the caller is gone.
+    slot_grant acquire(const admission_request &request, const caller_watch &watch);
+    // release frees a granted slot; `hasResponse` if the worker responded.
+    void release(std::uint64_t ticket, bool hasResponse);
+    // drain refuses what waits and all that comes.
+    void drain();
+    // observe tells the limits which nodes the service has.
+    void observe(std::span<const std::string_view> nodeIds);
     // load returns what runs and waits now.
     slot_load load() const;
 
 private:
-    bool canRun(work_class workClass) const;
+    struct waiter
+    {
+        std::condition_variable changed;
+        bool isDecided = false;
+        refusal_reason reason = refusal_reason::None;
+    };
+    void wake(const admission_events &events);
 
-    std::uint32_t m_slots;
     mutable std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::array<std::uint32_t, 4> m_running{};
-    std::array<std::uint32_t, 4> m_waiting{};
+    admission_state m_state;
+    std::map<std::uint64_t, waiter> m_waiters; // by ticket
 };
 
 } // namespace pistachioquay::internal
