--- a/packages/connection/log_client/log_client_test.cc
+++ b/packages/connection/log_client/log_client_test.cc
@@ -2,14 +2,12 @@
 // the platform log is switched on in the stand-in.
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
 #include <thread>
 
-#include <rapidcheck.h>
-
 #include "connection/log_client/log_client.h"
 #include "testing/harness/cluster.h"
 #include "testing/harness/http.h"
+#include "testing/property.h"
 
 using namespace pistachioquay;
 
@@ -17,8 +15,6 @@
 
 constexpr milliseconds noWait(0);
 constexpr milliseconds bound(10'000);
-// rapidcheck reads its seed from the environment.
-const bool isSeedFixed = setenv("RC_PARAMS", "seed=1", 0) == 0;
 
 class started_log
 {
@@ -108,9 +104,8 @@
 
 TEST_CASE("any bytes survive the way through the log")
 {
-    REQUIRE(isSeedFixed);
     const started_log log;
-    const bool holds = rc::check("an appended record is read back unchanged", [&] {
+    const bool isKept = holds("an appended record is read back unchanged", 100, [&] {
         const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
         const auto offset = append(log.target(), bytes);
         RC_ASSERT(static_cast<bool>(offset));
@@ -118,7 +113,7 @@
         RC_ASSERT(static_cast<bool>(batch));
         RC_ASSERT(batch->records.front().data == bytes);
     });
-    CHECK(holds);
+    CHECK(isKept);
 }
 
 TEST_CASE("streams have offsets of their own")
--- a/packages/connection/log_client/log_response_test.cc
+++ b/packages/connection/log_client/log_response_test.cc
@@ -2,11 +2,8 @@
 // configuration.
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
-
-#include <rapidcheck.h>
-
 #include "connection/log_client/log_response.h"
+#include "testing/property.h"
 
 using namespace pistachioquay;
 using internal::decodeBatch;
@@ -15,9 +12,6 @@
 
 namespace {
 
-// rapidcheck reads its seed from the environment.
-const bool isSeedFixed = setenv("RC_PARAMS", "seed=1", 0) == 0;
-
 std::string record(std::uint64_t offset, std::string_view data = "b25l")
 {
     return R"({"offset": )" + std::to_string(offset) + R"(, "time_ms": 5, "data": ")" + std::string(data) + R"("})";
@@ -119,8 +113,7 @@
 
 TEST_CASE("any accepted batch has contiguous offsets from the requested one on")
 {
-    REQUIRE(isSeedFixed);
-    const bool holds = rc::check("an accepted batch answers the request", [] {
+    const bool isKept = holds("an accepted batch answers the request", 100, [] {
         const auto first = *rc::gen::inRange<std::uint64_t>(1, 5);
         const auto next = *rc::gen::inRange<std::uint64_t>(1, 8);
         const auto from = *rc::gen::inRange<std::uint64_t>(1, 8);
@@ -139,7 +132,7 @@
         }
         RC_ASSERT(static_cast<bool>(decoded) == isRight);
     });
-    CHECK(holds);
+    CHECK(isKept);
 }
 
 TEST_CASE("an append response needs a positive offset")
--- a/testing/platform_log/store_test.cc
+++ b/testing/platform_log/store_test.cc
@@ -1,20 +1,12 @@
 // Guards tests of the system against a stand-in that itself loses, doubles or renumbers records.
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
-
-#include <rapidcheck.h>
-
 #include "testing/platform_log/faults.h"
 #include "testing/platform_log/store.h"
+#include "testing/property.h"
 
 using namespace pistachioquay;
 
-namespace {
-// rapidcheck reads its seed from the environment.
-const bool isSeedFixed = setenv("RC_PARAMS", "seed=1", 0) == 0;
-} // namespace
-
 TEST_CASE("offsets begin at 1 for each stream")
 {
     log_store store(milliseconds(0));
@@ -64,8 +56,7 @@
 
 TEST_CASE("reads in any steps return each kept record once and in order")
 {
-    REQUIRE(isSeedFixed);
-    const bool holds = rc::check("reading in steps equals the appended records", [] {
+    const bool isKept = holds("reading in steps equals the appended records", 100, [] {
         const auto data = *rc::gen::container<std::vector<std::string>>(rc::gen::arbitrary<std::string>());
         const auto step = *rc::gen::inRange<std::size_t>(1, 5);
         log_store store(milliseconds(0));
@@ -82,7 +73,7 @@
         }
         RC_ASSERT(read == data);
     });
-    CHECK(holds);
+    CHECK(isKept);
 }
 
 TEST_CASE("faults change only the keys that are given, and unknown keys are refused")
