--- a/packages/pistachioquay/cli_test.cc
+++ b/packages/pistachioquay/cli_test.cc
@@ -360,6 +360,13 @@
     CHECK(follow().code == exit_code::Ok);
     CHECK(schemaWarnings(readFleet(access), 2).size() == 2);
     CHECK(schemaWarnings(readFleet(access), 1).empty());
+    const endpoint other{"127.0.0.1", 8013};
+    access.nodes = {control, other};
+    world.statuses[toText(control)] = statusAt(1);
+    world.statuses[toText(other)] = R"({"node": "n2", "data_centre": "be-1", "service": "orders", "version": 2,
+                                        "position": 4, "schema": 1, "state": "ready"})";
+    CHECK(follow().code == exit_code::Ok);
+    access.nodes = {control};
     world.statuses[toText(control)] = "[]";
     checkFailure(follow(), exit_code::Unavailable, "no status of a node");
 }
--- a/packages/pistachioquay/fleet_commands.cc
+++ b/packages/pistachioquay/fleet_commands.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr milliseconds followInterval{200};
+constexpr milliseconds followInterval{500};
 constexpr std::size_t maxShownNodes = 20;
 
 json_value jsonOf(const node_status &status)
--- a/packages/pistachioquay/view_commands.cc
+++ b/packages/pistachioquay/view_commands.cc
@@ -66,10 +66,10 @@
     if (entry.decoded.status != envelope_status::Good) {
         return text;
     }
-    text += "    by " + record.author + ", base " + std::to_string(record.base) + ", publish id "
+    text += "    by " + plainText(record.author) + ", base " + std::to_string(record.base) + ", publish id "
         + toHex(record.publishId) + ", log time " + std::to_string(entry.timeMs) + " ms\n";
     for (std::size_t index = 0; index < std::min(record.edits.size(), maxShownEdits); ++index) {
-        text += "    " + toText(record.edits[index]) + "\n";
+        text += "    " + plainText(toText(record.edits[index])) + "\n";
     }
     if (record.edits.size() > maxShownEdits) {
         text += "    and " + std::to_string(record.edits.size() - maxShownEdits) + " more edits\n";
@@ -86,12 +86,12 @@
     putText(item, "verdict", verdictName(entry.verdict.kind));
     putText(item, "message", entry.verdict.message);
     putText(item, "remedy", entry.verdict.remedy);
-    putText(item, "author", record.author);
+    putText(item, "author", plainText(record.author));
     putNumber(item, "base", record.base);
     putText(item, "publish_id", toHex(record.publishId));
     json_value edits = jsonArray();
     for (const edit &change : record.edits) {
-        append(edits, json_value(json_string(toText(change).c_str())));
+        append(edits, json_value(json_string(plainText(toText(change)).c_str())));
     }
     put(item, "edits", std::move(edits));
     return item;
--- a/packages/version/fold/corruption_test.cc
+++ b/packages/version/fold/corruption_test.cc
@@ -6,6 +6,7 @@
 #include "version/fold/edit_record.h"
 #include "version/fold/fold.h"
 #include "version/fold/snapshot.h"
+#include "version/fold/snapshot_search.h"
 
 using namespace pistachioquay;
 
@@ -98,6 +99,25 @@
     CHECK(verdictOn(sealedRecord(recordSchema, std::string(maxRecordSize, 'x'))) == verdict_kind::Malformed);
 }
 
+TEST_CASE("texts of a hostile record stay bounded and plain in the state, and its snapshot can be read")
+{
+    const std::string longName(15'000, 'n');
+    const tree_path path{{}, {value_kind::Policy, longName, "\x1b[2J" + longName}};
+    fold_state state = foldedState();
+    state = foldRecord(std::move(state), 2, encodeRecord({{1, 3}, 1, "e\x1bve", {setValue(path, true)}})).state;
+    const fold_verdict verdict = state.publishes.at({1, 3}).verdict;
+    CHECK(verdict.kind == verdict_kind::InvalidTree);
+    CHECK(verdict.message.size() < 3000);
+    CHECK(verdict.message.find('\x1b') == std::string::npos);
+    const edit change = setValue({{}, {value_kind::Policy, "p", "class"}}, std::string("upload"));
+    state = foldRecord(std::move(state), 3, encodeRecord({{1, 4}, 1, "e\x1bve", {change}})).state;
+    CHECK(state.changes.at(change.path).author == "e?ve");
+    snapshot_collector collector;
+    const auto restored = addSnapshotPart(collector, encodeSnapshot(state).front());
+    REQUIRE(restored);
+    CHECK(*restored == state);
+}
+
 TEST_CASE("a newer schema stops the fold, and a record without edits or with a future base does not")
 {
     const fold_step step = foldRecord(foldedState(), 2, sealedRecord(recordSchema + 1, "future"));
@@ -156,6 +176,43 @@
     CHECK(*whole == large);
 }
 
+TEST_CASE("the newest snapshot within the bounds is found, past incomplete, unreadable and foreign records")
+{
+    std::vector<std::string> stream;
+    fold_state state = foldedState();
+    for (std::uint64_t offset = 2; offset < 40; ++offset) {
+        stream.push_back(encodeSnapshot(state).front());
+        const edit change =
+            setValue({{}, {value_kind::Policy, "p", "retries"}}, static_cast<std::int64_t>(offset % 10));
+        state = foldRecord(std::move(state), offset, encodeRecord({{2, offset}, offset - 1, "awa", {change}})).state;
+    }
+    const snapshot_part whole = *attempt([&] {
+        return decodeSnapshotPart(stream.back());
+    });
+    stream.push_back("garbage");
+    stream.push_back(sealEnvelope(snapshotPartMagic, snapshotSchema, internal::writeBody([&](auto &archive) {
+                                      archive(whole.position + 1, whole.hash, std::uint32_t{0}, std::uint32_t{2});
+                                      internal::writeText(archive, whole.data);
+                                  })));
+    stream.push_back(sealEnvelope(snapshotPartMagic, snapshotSchema + 1, "future"));
+    const part_reader read = [&](std::uint64_t from, std::uint64_t to) -> result<std::vector<std::string>> {
+        return std::vector<std::string>(stream.begin() + static_cast<std::ptrdiff_t>(from - 1),
+                                        stream.begin() + static_cast<std::ptrdiff_t>(to - 1));
+    };
+    const auto positionFor = [&](const snapshot_bounds &bounds) {
+        const auto found = attempt([&] {
+            return findSnapshot(1, stream.size() + 1, bounds, read);
+        });
+        return found && *found ? (*found)->position : 0;
+    };
+    CHECK(positionFor({1, 1000}) == 39);
+    CHECK(positionFor({1, 20}) == 20);
+    CHECK(positionFor({1, 2}) == 2);
+    CHECK(positionFor({1, 1}) == 0);
+    CHECK(positionFor({39, 1000}) == 39);
+    CHECK(positionFor({40, 1000}) == 0);
+}
+
 TEST_CASE("when tombstones are discarded, older bases are refused rather than guessed")
 {
     std::vector<edit> edits;
--- a/packages/version/fold/fold.cc
+++ b/packages/version/fold/fold.cc
@@ -14,12 +14,12 @@
 
 using change_map = std::map<tree_path, change_mark>;
 
-fold_verdict rejected(verdict_kind kind, std::string message, std::string remedy)
+fold_verdict rejected(verdict_kind kind, std::string_view message, std::string_view remedy)
 {
     fold_verdict verdict;
     verdict.kind = kind;
-    verdict.message = std::move(message);
-    verdict.remedy = std::move(remedy);
+    verdict.message = plainText(message);
+    verdict.remedy = plainText(remedy);
     return verdict;
 }
 
@@ -83,7 +83,7 @@
                          + " changed in version " + std::to_string(winner.version) + ", after the base version "
                          + std::to_string(record.base),
                      "export version " + std::to_string(state.version) + ", repeat the edit there and publish again");
-        verdict.path = toText(change.path);
+        verdict.path = plainText(toText(change.path));
         verdict.winner = winner.author;
         verdict.winnerVersion = winner.version;
         return verdict;
@@ -115,7 +115,7 @@
     if (change.kind == edit_kind::RemovePlace) {
         dropMarksBelow(state, change.path.where);
     }
-    putMark(state, change.path, {version, isRemoval, author});
+    putMark(state, change.path, {version, isRemoval, plainText(author)});
 }
 
 // Discards the older half of the tombstones when there are too many, and raises the oldest base accordingly.
@@ -216,6 +216,19 @@
 
 } // namespace
 
+std::string plainText(std::string_view text)
+{
+    constexpr std::size_t maxPlainText = 2048;
+    std::string plain(text.substr(0, maxPlainText));
+    std::ranges::replace_if(
+        plain,
+        [](char character) {
+            return (character >= 0 && character < ' ') || character == 0x7f;
+        },
+        '?');
+    return plain;
+}
+
 fold_step foldRecord(fold_state state, std::uint64_t offset, std::string_view bytes)
 {
     if (offset != state.position) {
--- a/packages/version/fold/fold.h
+++ b/packages/version/fold/fold.h
@@ -93,6 +93,10 @@
 // verdict.
 fold_step foldRecord(fold_state state, std::uint64_t offset, std::string_view bytes);
 
+// plainText shortens a text out of a record and replaces its control characters, so that it can be kept and shown on
+// terminals. Thread safe.
+std::string plainText(std::string_view text);
+
 // verdictName returns the stable lower-case name of a verdict. Thread safe.
 std::string_view verdictName(verdict_kind kind);
 
