--- a/packages/process/membership/membership.cc
+++ b/packages/process/membership/membership.cc
@@ -14,12 +14,15 @@
 constexpr milliseconds repeatedPing{500}; // to a suspect, so that it hears of the suspicion
 constexpr milliseconds learnedSuspicion{6'000}; // the member that missed the acknowledgement decides before the others
 constexpr milliseconds expiryInterval{100};
+constexpr milliseconds forgetInterval{60'000};
 constexpr milliseconds joinRetry{500};
 constexpr milliseconds joinRetryCap{5'000};
 constexpr milliseconds contactInterval{30'000};
 constexpr milliseconds readerContactInterval{5'000};
-constexpr milliseconds listInterval{300'000};
+constexpr milliseconds listInterval{600'000};
 constexpr milliseconds listGap{10'000};
+constexpr milliseconds disagreementTime{5'000}; // news about one change reaches all members in less
+constexpr std::uint32_t maxDigestRetries = 7;
 constexpr milliseconds deadProbeInterval{2'000};
 constexpr milliseconds deadProbeFast{
     250}; // while more than a tenth of the members is dead: a partition may have healed
@@ -133,12 +136,15 @@
 
 void expireSuspicions(step &context)
 {
+    membership_state &state = context.state;
+    std::erase_if(state.suspects, [&](std::uint64_t key) {
+        const auto found = state.members.find(key);
+        return found == state.members.end() || found->second.mark != member_mark::Suspect || !isLive(found->second);
+    });
     std::vector<std::uint64_t> dead;
     std::vector<std::uint64_t> repeated;
-    for (auto &[key, known] : context.state.members) {
-        if (known.mark != member_mark::Suspect || known.data.state == member_state::Left) {
-            continue;
-        }
+    for (const std::uint64_t key : state.suspects) {
+        const known_member &known = state.members.at(key);
         const duration age = context.now - known.markedAt;
         if (age >= (known.isOwnSuspicion ? suspicionTime : learnedSuspicion)) {
             dead.push_back(key);
@@ -147,7 +153,7 @@
         }
     }
     for (const std::uint64_t key : dead) {
-        ++context.state.counters.deaths;
+        ++state.counters.deaths;
         markMember(context, key, member_mark::Dead);
     }
     for (const std::uint64_t key : repeated) {
@@ -233,13 +239,30 @@
 
 void listRound(step &context)
 {
-    context.state.next.listPull = context.now + listInterval * 3 / 4 + jitter(context, listInterval / 2);
-    context.state.next.listAllowed = context.now + listGap;
+    membership_state &state = context.state;
+    const bool isEarly = state.earlyLists > 0 && !state.liveKeys.empty();
+    state.earlyLists -= isEarly ? 1 : 0;
+    const milliseconds interval = isEarly ? listGap : listInterval;
+    state.next.listPull = context.now + interval * 3 / 4 + jitter(context, interval / 2);
+    state.next.listAllowed = context.now + (isEarly ? listGap / 2 : listGap);
     for (const std::uint64_t key : randomLive(context, 1)) {
-        context.actions.pulls.push_back({pull_kind::MemberList, context.state.members.at(key).data.sync, 0});
+        context.actions.pulls.push_back({pull_kind::MemberList, state.members.at(key).data.sync, 0});
     }
 }
 
+// Pulls a list when no peer had the same live members for a while: news was dropped, as after a mass join.
+void compareRound(step &context)
+{
+    membership_state &state = context.state;
+    const duration patience = std::min<duration>(disagreementTime * (1U << state.digestRetries), listInterval);
+    if (context.now - state.lastAgreed < patience || liveKeys(state).empty()) {
+        return;
+    }
+    state.lastAgreed = context.now;
+    state.digestRetries = std::min(state.digestRetries + 1, maxDigestRetries);
+    requestList(context, disagreementTime);
+}
+
 void drainRound(step &context)
 {
     if (context.state.drainRounds > 0) {
@@ -286,6 +309,7 @@
     raiseTo(state.ownHighest, {state.self.position, state.self.version});
     state.startedAt = now;
     state.lastEvent = now;
+    state.lastAgreed = now;
     state.next.listPull = now + listInterval;
     step context{state, now, nullptr, {}};
     enqueueSelf(context, true);
@@ -304,6 +328,9 @@
     }
     if (isDue(next.probe, now, probeInterval - milliseconds(50) + jitter(context, milliseconds(100)))) {
         probeRound(context);
+        compareRound(context);
+    }
+    if (isDue(next.forget, now, forgetInterval)) {
         forgetOld(context);
     }
     if (isDue(next.gossip, now, gossipInterval)) {
@@ -335,7 +362,7 @@
     step context = beginStep(state, now);
     const bool isPassedOn = list.entries.size() <= maxPassedOn;
     for (const member_update &update : list.entries) {
-        if (update.full && memberKey(update.full->nodeId) == update.key) {
+        if (update.full && isWellFormed(update)) {
             applyUpdate(context, update, isPassedOn);
         }
     }
@@ -368,7 +395,7 @@
     self.version = std::max(self.version, version);
     self.load = load;
     raiseTo(state.ownHighest, {self.position, self.version});
-    if (worker > self.state || (worker < self.state && self.state == member_state::Ready)) {
+    if (self.state < member_state::Draining && worker < member_state::Draining && worker != self.state) {
         state.readySince = now;
         self.state = worker;
         ++self.revision;
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -180,7 +180,7 @@
 http_response inbound_request::respond()
 {
     const response_head *const head = m_call->awaitHead();
-    if (head == nullptr) {
+    if (head == nullptr || m_call->failure() != call_failure::None) {
         return workerFailure();
     }
     const auto workerId = findHeader(head->headers, requestIdHeader);
@@ -194,7 +194,7 @@
     }
     http_response response;
     response.head = {head->status, forwardedHeaders(head->headers), head->bodyLength};
-    response.read = [this](std::span<char> buffer) {
+    setBody(response, m_call->takeWhole(), [this](std::span<char> buffer) {
         const read_result got = m_call->read(buffer);
         if (got.state == read_state::Cut) {
             ++m_core.counts.truncated;
@@ -203,8 +203,12 @@
             releaseSlot();
         }
         return got;
-    };
-    return signedResponse(std::move(response));
+    });
+    response = signedResponse(std::move(response));
+    if (m_call->progress() == call_progress::Complete) {
+        releaseSlot();
+    }
+    return response;
 }
 
 http_response inbound_request::workerFailure()
@@ -213,6 +217,9 @@
     const bool isDeadline = m_call->failure() == call_failure::DeadlinePassed;
     const bool isUnsent = m_call->progress() == call_progress::NoConnection;
     releaseSlot();
+    if (m_call->failure() == call_failure::Cancelled) {
+        return {};
+    }
     if (isUnsent) {
         return signedResponse(m_core.refuse(503,
                                             node_outcome::NotRun,
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -229,8 +229,10 @@
 {
     m_response = m_call->awaitHead();
     // A short response of an idempotent request is awaited whole, so that it can be requested again if it is cut.
-    if (m_response != nullptr && m_next.isIdempotent && m_isHeld && !m_call->awaitSmallBody()
-        && m_call->failure() != call_failure::None) {
+    if (m_response != nullptr && m_next.isIdempotent && m_isHeld) {
+        m_call->awaitSmallBody();
+    }
+    if (m_response != nullptr && m_call->failure() != call_failure::None) {
         ++m_core.counts.truncated;
         m_response = nullptr;
     }
@@ -294,13 +296,13 @@
     if (const auto outcome = findHeader(m_response->headers, outcomeHeader)) {
         setHeader(response.head.headers, outcomeHeader, *outcome);
     }
-    response.read = [this](std::span<char> buffer) {
+    setBody(response, m_call->takeWhole(), [this](std::span<char> buffer) {
         const read_result got = m_call->read(buffer);
         if (got.state == read_state::Cut) {
             ++m_core.counts.truncated;
         }
         return got;
-    };
+    });
     return finished(std::move(response));
 }
 
@@ -308,8 +310,11 @@
 {
     const bool isDeadline = m_call && m_call->failure() == call_failure::DeadlinePassed;
     closeCall();
-    const std::string kind = last == try_end::CallerGone ? "cancelled" : isDeadline ? "deadline" : "call_failed";
-    if (!m_mayHaveRun && last != try_end::CallerGone) {
+    if (last == try_end::CallerGone) {
+        return {};
+    }
+    const std::string kind = isDeadline ? "deadline" : "call_failed";
+    if (!m_mayHaveRun) {
         return finished(m_core.refuse(503,
                                       node_outcome::NotRun,
                                       kind,
