--- a/packages/request/admission/admission.cc
+++ b/packages/request/admission/admission.cc
@@ -354,6 +354,11 @@
     return next;
 }
 
+std::uint32_t waitingShortCount(const admission_state &state)
+{
+    return static_cast<std::uint32_t>(shortWaiting(state));
+}
+
 std::uint32_t waitingCount(const admission_state &state)
 {
     std::size_t count = 0;
--- a/packages/request/admission/admission.h
+++ b/packages/request/admission/admission.h
@@ -161,7 +161,10 @@
 // nextWakeup returns when `advance` is due although nothing was released; empty if no ticket waits. Not thread safe.
 std::optional<time_point> nextWakeup(const admission_state &state);
 
-// waitingCount returns the number of queued tickets, for `X-Pq-Waiting`. Not thread safe.
+// waitingShortCount returns the number of queued lookup and interactive tickets, for `X-Pq-Waiting`. Not thread safe.
+std::uint32_t waitingShortCount(const admission_state &state);
+
+// waitingCount returns the number of all queued tickets, for status output. Not thread safe.
 std::uint32_t waitingCount(const admission_state &state);
 
 // runningCount returns the number of granted tickets, for `X-Pq-Running`. Not thread safe.
--- a/packages/request/routing/estimate.cc
+++ b/packages/request/routing/estimate.cc
@@ -92,7 +92,7 @@
     }
     const double typical = windowMedian(window);
     const double excess = std::max(0.0, windowMean(window) - typical) * halved(now - window.lastAt, outlierHalfLife);
-    return (typical + (excess > outlierFloor * median ? excess : 0)) / median;
+    return std::sqrt((typical + (excess > outlierFloor * median ? excess : 0)) / median);
 }
 
 // The oldest open calls tell of a slow worker before its first slow response arrives.
@@ -107,39 +107,63 @@
     return ratio;
 }
 
+double slotCount(const tracked_worker &tracked)
+{
+    return std::max<std::uint32_t>(tracked.self->slots, 1);
+}
+
+double heavySlotCount(const tracked_worker &tracked)
+{
+    return std::max(1.0, std::floor(slotCount(tracked) / heavySlotDivisor));
+}
+
+// Own calls that run or delay short work; heavy calls beyond their share wait in a queue of their own.
+double ownLoad(const tracked_worker &tracked)
+{
+    const double heavy = std::min<double>(tracked.outstandingHeavy, heavySlotCount(tracked));
+    return tracked.outstanding - tracked.outstandingHeavy + heavy;
+}
+
 double load(const tracked_worker &tracked, time_point now)
 {
-    const double own = tracked.outstanding;
+    const double own = ownLoad(tracked);
     if (tracked.othersLoad <= 0) {
         return own;
     }
     return own + tracked.othersLoad * halved(now - tracked.reportedAt, reportHalfLife);
 }
 
-double slotCount(const tracked_worker &tracked)
+// Share of the slots in use that a call of the class would find, itself included.
+double useOf(const tracked_worker &tracked, work_class workClass, time_point now)
 {
-    return std::max<std::uint32_t>(tracked.self->slots, 1);
+    const double use = (load(tracked, now) + 1) / slotCount(tracked);
+    return isHeavy(workClass) ? std::max(use, (tracked.outstandingHeavy + 1) / heavySlotCount(tracked)) : use;
 }
 
 } // namespace
 
 double score(const routing_state &state, const tracked_worker &tracked, work_class workClass, time_point now)
 {
-    const double use = (load(tracked, now) + 1) / slotCount(tracked);
+    const double use = useOf(tracked, workClass, now);
     const double wait = crowdingWeight * std::min(use, 1.0) + std::max(0.0, use - 1);
     return std::max(latencyRatio(state, tracked, workClass, now), overdueRatio(state, tracked, now)) * (1 + wait);
 }
 
-bool hasSpareSlot(const tracked_worker &tracked, time_point now)
+bool isHeavy(work_class workClass)
+{
+    return workClass == work_class::Upload || workClass == work_class::Background;
+}
+
+bool hasSpareSlot(const tracked_worker &tracked, work_class workClass, time_point now)
 {
-    return load(tracked, now) < slotCount(tracked);
+    return useOf(tracked, workClass, now) < 1 + 1 / slotCount(tracked);
 }
 
 void noteLoad(tracked_worker &tracked, const std::optional<load_report> &load, time_point now)
 {
     if (load) {
         const float total = static_cast<float>(load->running) + static_cast<float>(load->waiting);
-        tracked.othersLoad = std::max(0.0F, total - static_cast<float>(tracked.outstanding));
+        tracked.othersLoad = std::max(0.0F, total - static_cast<float>(ownLoad(tracked)));
         tracked.reportedAt = now;
     }
 }
--- a/packages/request/routing/estimate.h
+++ b/packages/request/routing/estimate.h
@@ -10,8 +10,11 @@
 // score returns the expected time of a call relative to an idle, typical worker; smaller is better.
 double score(const routing_state &state, const tracked_worker &tracked, work_class workClass, time_point now);
 
-// hasSpareSlot tells whether the worker is believed to have a free slot.
-bool hasSpareSlot(const tracked_worker &tracked, time_point now);
+// isHeavy tells whether calls of the class share the few slots for long work.
+bool isHeavy(work_class workClass);
+
+// hasSpareSlot tells whether the worker is believed to have a free slot for a call of the class.
+bool hasSpareSlot(const tracked_worker &tracked, work_class workClass, time_point now);
 
 // noteLoad records the load that other nodes put on the worker, before the ending call is subtracted.
 void noteLoad(tracked_worker &tracked, const std::optional<load_report> &load, time_point now);
--- a/packages/request/routing/routing.cc
+++ b/packages/request/routing/routing.cc
@@ -136,6 +136,7 @@
     const bool isProbe = tracked.isEjected && !tracked.isProbing && tracked.nextProbeAt <= now;
     tracked.isProbing = tracked.isProbing || isProbe;
     ++tracked.outstanding;
+    tracked.outstandingHeavy += internal::isHeavy(workClass) ? 1U : 0U;
     const std::uint64_t call = ++state.lastCall;
     if (tracked.open.size() < maxOpenCalls) {
         tracked.open.push_back({call, now, workClass});
@@ -164,7 +165,7 @@
 call_choice beginCrowded(routing_state &state, const call_request &request, time_point now, random_generator &generator)
 {
     const auto spare = scanBest(state, state.local, request, now, generator, [&](const tracked_worker &tracked) {
-        return isUsable(tracked, request, now) && internal::hasSpareSlot(tracked, now);
+        return isUsable(tracked, request, now) && internal::hasSpareSlot(tracked, request.workClass, now);
     });
     if (spare.index != none) {
         return take(state, spare.index, false, request.workClass, now);
@@ -189,7 +190,7 @@
         return take(state, probe, false, request.workClass, now);
     }
     const best_worker best = state.local.empty() ? best_worker{} : drawBest(state, request, now, generator);
-    if (best.index != none && internal::hasSpareSlot(state.local[best.index], now)) {
+    if (best.index != none && internal::hasSpareSlot(state.local[best.index], request.workClass, now)) {
         internal::ejectIfSlow(state, best.index, request.workClass, now);
         return take(state, best.index, false, request.workClass, now);
     }
@@ -212,6 +213,9 @@
     tracked_worker &tracked = workers[index];
     internal::noteLoad(tracked, seen.load, now);
     tracked.outstanding -= std::min<std::uint32_t>(tracked.outstanding, 1);
+    if (internal::isHeavy(choice.workClass)) {
+        tracked.outstandingHeavy -= std::min<std::uint32_t>(tracked.outstandingHeavy, 1);
+    }
     std::erase_if(tracked.open, [&](const internal::open_call &open) {
         return open.call == choice.call;
     });
@@ -229,7 +233,8 @@
 bool isSaturated(const routing_state &state, time_point now)
 {
     return std::ranges::none_of(state.local, [&](const tracked_worker &tracked) {
-        return !tracked.isEjected && tracked.pausedUntil <= now && internal::hasSpareSlot(tracked, now);
+        return !tracked.isEjected && tracked.pausedUntil <= now
+            && internal::hasSpareSlot(tracked, work_class::Interactive, now);
     });
 }
 
--- a/packages/request/routing/routing.h
+++ b/packages/request/routing/routing.h
@@ -40,6 +40,7 @@
 inline constexpr std::size_t ejectedShareDivisor = 3; // at most a third of the candidates is ejected
 inline constexpr seconds rampUp{10};
 inline constexpr double rampUpStart = 0.1; // share of a worker that has just become ready
+inline constexpr std::uint32_t heavySlotDivisor = 3; // heavy calls hold at most this share of a worker's slots
 inline constexpr milliseconds reportHalfLife{200}; // decay of load that other nodes put on a worker
 inline constexpr seconds latencyMemory{10}; // samples older than this are ignored
 inline constexpr milliseconds firstReconnectDelay{100};
@@ -62,7 +63,8 @@
     Cancelled, // by the caller, or as the loser of a hedge
 };
 
-// Load of a worker as its node measured it (`X-Pq-Running`, `X-Pq-Waiting`).
+// Load of a worker as its node measured it (`X-Pq-Running`, `X-Pq-Waiting`). `waiting` counts lookup and interactive
+// only: waiting uploads do not delay short work, and would make a worker with free slots look full.
 struct load_report
 {
     std::uint32_t running = 0;
@@ -122,6 +124,7 @@
     std::array<latency_window, 4> latency;
     std::vector<open_call> open; // oldest first
     std::uint32_t outstanding = 0;
+    std::uint32_t outstandingHeavy = 0; // of these, uploads and background
     float othersLoad = 0; // calls of other nodes at `reportedAt`
     time_point reportedAt;
     time_point pausedUntil; // after a refusal or a failed connection
