Bound the cost of a choice while all workers are full, and recheck waiting long work

Long work that waited beside free slots got them only at the next release, which may be far off; nextWakeup now asks for a check every 100 ms in that case. A test covers it.

--- a/packages/request/admission/admission.cc
+++ b/packages/request/admission/admission.cc
@@ -351,7 +351,8 @@
             next = next ? std::min(*next, due) : due;
         }
     }
-    return next;
+    const bool hasFreeSlot = state.running.size() < state.slots;
+    return next && hasFreeSlot ? std::min(*next, state.demandAt + recheckInterval) : next;
 }
 
 std::uint32_t waitingShortCount(const admission_state &state)
--- a/packages/request/admission/admission.h
+++ b/packages/request/admission/admission.h
@@ -32,6 +32,7 @@
 inline constexpr double estimateWeight = 0.1; // weight of a new service time in the running mean
 inline constexpr double deviationsNeeded = 4.0; // time reserved for a run: mean + 4 mean deviations
 inline constexpr seconds demandMemory{1}; // time constant of the short-work demand
+inline constexpr milliseconds recheckInterval{100}; // while long work waits beside free slots for the demand to fall
 
 // Why a request was not run.
 enum class refusal_reason : std::uint8_t
@@ -158,7 +159,8 @@
 // tickets keep their slots until they are released. Not thread safe.
 void setMode(admission_state &state, serving_mode mode, time_point now, admission_events &events);
 
-// nextWakeup returns when `advance` is due although nothing was released; empty if no ticket waits. Not thread safe.
+// nextWakeup returns when `advance` is due although nothing was released: a deadline, or soon if tickets wait beside
+// free slots; empty if no ticket waits. Not thread safe.
 std::optional<time_point> nextWakeup(const admission_state &state);
 
 // waitingShortCount returns the number of queued lookup and interactive tickets, for `X-Pq-Waiting`. Not thread safe.
--- a/packages/request/admission/admission_test.cc
+++ b/packages/request/admission/admission_test.cc
@@ -212,6 +212,28 @@
     CHECK(events == admission_events{{upload.ticket, refusal_reason::None}});
 }
 
+TEST_CASE("long work does not wait for an unrelated release once the demand of short work has fallen")
+{
+    admission_state state = makeAdmission(6, "n1", start);
+    admission_events events;
+    std::vector<std::uint64_t> running(5);
+    for (std::uint64_t &ticket : running) {
+        ticket = admit(state, requestOf(work_class::Interactive, start + seconds(60)), start).ticket;
+    }
+    time_point now = start + seconds(5);
+    REQUIRE(admit(state, requestOf(work_class::Upload, now + seconds(60)), now).kind == admission_kind::Granted);
+    const auto second = admit(state, requestOf(work_class::Upload, now + seconds(60)), now);
+    for (const std::uint64_t ticket : running) {
+        release(state, ticket, true, now, events);
+    }
+    REQUIRE(events.empty());
+    while (events.empty() && now < start + seconds(8)) {
+        now = nextWakeup(state).value();
+        advance(state, now, events);
+    }
+    CHECK(events == admission_events{{second.ticket, refusal_reason::None}});
+}
+
 TEST_CASE("a request that cannot end before its deadline is refused at once")
 {
     admission_state state = makeBusy();
--- a/packages/request/routing/estimate.cc
+++ b/packages/request/routing/estimate.cc
@@ -156,7 +156,12 @@
 
 bool hasSpareSlot(const tracked_worker &tracked, work_class workClass, time_point now)
 {
-    return useOf(tracked, workClass, now) < 1 + 1 / slotCount(tracked);
+    const double own = ownLoad(tracked);
+    const bool hasHeavySlot = !isHeavy(workClass) || tracked.outstandingHeavy < heavySlotCount(tracked);
+    if (own >= slotCount(tracked) || !hasHeavySlot) {
+        return false;
+    }
+    return own + tracked.othersLoad < slotCount(tracked) || load(tracked, now) < slotCount(tracked);
 }
 
 void noteLoad(tracked_worker &tracked, const std::optional<load_report> &load, time_point now)
--- a/packages/request/routing/routing.cc
+++ b/packages/request/routing/routing.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr unsigned maxDraws = 12; // random draws before the candidates are scanned
+constexpr std::size_t maxScored = 8; // bounds the cost of a choice while all workers are full
 constexpr std::size_t none = SIZE_MAX;
 
 std::size_t drawIndex(std::size_t count, random_generator &generator)
@@ -74,7 +75,7 @@
     return best;
 }
 
-// Scans from a random start, so that equal candidates share the calls.
+// Scans at most `maxScored` workers from a random start, so that equal candidates share the calls.
 template<class Accepts>
 best_worker scanBest(const routing_state &state,
                      const std::vector<tracked_worker> &workers,
@@ -84,11 +85,13 @@
                      Accepts &&accepts)
 {
     best_worker best;
+    std::size_t scored = 0;
     const std::size_t start = workers.empty() ? 0 : drawIndex(workers.size(), generator);
-    for (std::size_t offset = 0; offset < workers.size(); ++offset) {
+    for (std::size_t offset = 0; offset < workers.size() && scored < maxScored; ++offset) {
         const std::size_t index = (start + offset) % workers.size();
         if (accepts(workers[index])) {
             best.offer(index, internal::score(state, workers[index], request.workClass, now));
+            ++scored;
         }
     }
     return best;
