Show the response of a failed long-body try

Cause: one run of pq_proxy_test failed at this check under load and did not show what the caller received. Change: the response is part of the test's output.

--- a/packages/request/proxy/proxy_test.cc
+++ b/packages/request/proxy/proxy_test.cc
@@ -348,7 +348,9 @@
         raw_connection caller(mesh.entry->callerAddress());
         caller.send("POST /write HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
                     + body);
-        CHECK(caller.receiveUntil("ok").starts_with("HTTP/1.1 200"));
+        const std::string response = caller.receiveUntil("ok");
+        INFO(response);
+        CHECK(response.starts_with("HTTP/1.1 200"));
         CHECK(runs == index);
     }
     CHECK(mesh.entry->status().retries > 0);
