--- a/packages/connection/http/client_test.cc
+++ b/packages/connection/http/client_test.cc
@@ -45,7 +45,7 @@
     return call.progress();
 }
 
-raw_server serverOf(std::string response)
+raw_server serverOf(const std::string &response)
 {
     return raw_server([response](raw_connection &peer, int) {
         peer.receiveUntil("\r\n\r\n");
--- a/packages/connection/http/server_test.cc
+++ b/packages/connection/http/server_test.cc
@@ -13,7 +13,7 @@
 // A server whose responses come from `respond`; reports how requests ended.
 struct test_server
 {
-    explicit test_server(std::function<http_response()> respond, seconds timeout = seconds(10))
+    explicit test_server(const std::function<http_response()> &respond, seconds timeout = seconds(10))
         : server({.address = {"127.0.0.1", 0}, .idleTimeout = timeout, .stallTimeout = timeout},
                  [this, respond](const request_head &, const caller_watch &) {
                      exchange steps;
