--- a/packages/process/membership/table.cc
+++ b/packages/process/membership/table.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <bit>
+#include <functional>
+#include <numeric>
 
 #include "base/hash.h"
 #include "process/membership/step.h"
@@ -12,6 +14,7 @@
 constexpr std::uint32_t minSends = 6;
 constexpr seconds tombstoneTime{24 * 3'600}; // longer than any delayed news about a dead member
 constexpr milliseconds listAfterUnknown{5'000};
+constexpr std::size_t pendingForList = 64; // more updates take longer to pass on than a list takes to pull
 constexpr milliseconds listAfterHeal{5'000};
 
 bool isReadyNow(const known_member &known)
@@ -19,10 +22,26 @@
     return isLive(known) && known.data.state == member_state::Ready;
 }
 
+// The parts of a belief that are compared before and after news.
+struct brief
+{
+    member_mark mark = member_mark::Alive;
+    std::uint64_t incarnation = 0;
+    std::uint64_t started = 0;
+    std::uint64_t dataStarted = 0;
+    bool isReady = false;
+};
+
+brief briefOf(const known_member &known)
+{
+    return {known.mark, known.data.incarnation, known.data.started, known.dataStarted, isReadyNow(known)};
+}
+
 void refute(step &context, const member_update &update)
 {
     member &self = context.state.self;
-    if (self.state == member_state::Left) {
+    // A node that left corrects only the belief that it did not.
+    if (self.state == member_state::Left && (update.state == member_state::Left || update.mark == member_mark::Dead)) {
         return;
     }
     // An earlier process whose clock was ahead: its start time must not hide this process.
@@ -34,6 +53,13 @@
     context.state.next.gossip = context.now;
 }
 
+std::uint32_t digestOf(const membership_state &state)
+{
+    const std::uint64_t all =
+        std::accumulate(state.liveKeys.begin(), state.liveKeys.end(), selfKey(state), std::bit_xor<>());
+    return static_cast<std::uint32_t>(all);
+}
+
 bool concernsSelf(const member &self, const member_update &update)
 {
     if (update.incarnation != self.incarnation) {
@@ -111,7 +137,8 @@
 {
     std::vector<pending_update> &pending = context.state.pending;
     const auto logOfCount = static_cast<std::uint32_t>(std::bit_width(liveCount(context.state)));
-    const std::uint32_t sends = std::max(minSends, sendsPerLog * logOfCount);
+    const bool isCrowded = pending.size() > pendingForList;
+    const std::uint32_t sends = isCrowded ? minSends : std::max(minSends, sendsPerLog * logOfCount);
     const auto found = std::ranges::find(pending, key, &pending_update::key);
     if (found != pending.end()) {
         isFull = isFull || found->isFull;
@@ -122,6 +149,9 @@
         ++context.state.counters.dropped;
     }
     pending.push_back({key, sends, isFull});
+    if (pending.size() > pendingForList) {
+        requestList(context, listAfterUnknown);
+    }
 }
 
 void enqueueSelf(step &context, bool isFull)
@@ -144,7 +174,7 @@
     if (known == nullptr) {
         return;
     }
-    const known_member before = isKnown ? *known : known_member{};
+    const brief before = isKnown ? briefOf(*known) : brief{};
     const bool isChanged = mergeUpdate(*known, update) || !isKnown;
     if (update.full) {
         raiseTo(known->highest, {update.full->position, update.full->version});
@@ -153,12 +183,16 @@
         return;
     }
     known->lastNews = context.now;
-    if (before.mark != known->mark || before.data.incarnation != known->data.incarnation) {
+    if (before.mark != known->mark || before.incarnation != known->data.incarnation) {
         known->markedAt = context.now;
         known->isOwnSuspicion = false;
+        if (known->mark == member_mark::Suspect
+            && std::ranges::find(state.suspects, update.key) == state.suspects.end()) {
+            state.suspects.push_back(update.key);
+        }
     }
-    const bool isNewProcess = before.data.started != known->data.started;
-    if (isReadyNow(*known) && (!isKnown || isNewProcess || !isReadyNow(before))) {
+    const bool isNewProcess = before.started != known->data.started;
+    if (isReadyNow(*known) && (isNewProcess || !before.isReady)) {
         known->readySince = context.now;
     }
     if (isKnown && before.mark == member_mark::Dead && isLive(*known)) {
@@ -234,6 +268,7 @@
             }
         }
         std::ranges::sort(state.liveKeys);
+        state.liveDigest = digestOf(state);
     }
     return state.liveKeys;
 }
