--- a/packages/request/admission/admission.cc
+++ b/packages/request/admission/admission.cc
@@ -351,7 +351,13 @@
             next = next ? std::min(*next, due) : due;
         }
     }
-    return next;
+    const bool hasFreeSlot = state.running.size() < state.slots;
+    return next && hasFreeSlot ? std::min(*next, state.demandAt + recheckInterval) : next;
+}
+
+std::uint32_t waitingShortCount(const admission_state &state)
+{
+    return static_cast<std::uint32_t>(shortWaiting(state));
 }
 
 std::uint32_t waitingCount(const admission_state &state)
