Read the status of a real node, and follow the renamed client request

Change: access.cc uses the new name; a test starts the log, a worker and its node, publishes, follows two versions and reads the status. Conclusion: the command line works against a running node.

--- a/packages/pistachioquay/access.cc
+++ b/packages/pistachioquay/access.cc
@@ -24,7 +24,7 @@
 result<std::string> fetchStatus(client_pool &pool, const endpoint &control)
 {
     constexpr unsigned statusOk = 200;
-    call_request request{.target = control, .deadline = steadyNow() + statusTimeout};
+    client_request request{.target = control, .deadline = steadyNow() + statusTimeout};
     request.head = {"GET", "/v1/status", {{"Host", toText(control)}}, 0, false};
     const caller_watch noWatch;
     http_call call(pool, std::move(request), noWatch);
--- a/packages/pistachioquay/cli_process_test.cc
+++ b/packages/pistachioquay/cli_process_test.cc
@@ -106,3 +106,29 @@
     INFO(refused.output);
     CHECK(refused.code == 3);
 }
+
+TEST_CASE("a node follows what the program publishes, and its status is read")
+{
+    const temp_folder folder;
+    const auto log = startLog(folder);
+    auto worker = require([&] {
+        return startWorkerNode(folder,
+                               {.name = "n1", .dataCentre = "be-1", .service = "orders", .platformLog = log.address});
+    });
+    const std::string control = toText(worker.node.settings.controlAddress);
+    write(folder.file("settings.toml"),
+          "[platform]\nlog = \"" + toText(log.address) + "\"\n[operator]\nname = \"awa\"\n[nodes]\ncontrol = [\""
+              + control + "\"]\n");
+    REQUIRE(waitForHttp(worker.node.settings.controlAddress, "/v1/status", 200, seconds(10)));
+    REQUIRE(run(folder, {"publish", folder.file("tree.toml")}).code == 0);
+    const run_result first = run(folder, {"follow", "1"});
+    INFO(first.output);
+    CHECK(first.code == 0);
+    CHECK(first.output == "version 1 is in force on 1 of 1 nodes\n");
+    REQUIRE(run(folder, {"add", "be-1", "be-1/orders"}).code == 0);
+    CHECK(run(folder, {"follow", "2"}).code == 0);
+    const run_result status = run(folder, {"status"});
+    CHECK(status.output.find("be-1/orders  ") == 0);
+    CHECK(status.output.find("version 2  position 3  schema 1") != std::string::npos);
+    CHECK(run(folder, {"--timeout", "1", "follow", "3"}).code == 3);
+}
