--- a/packages/connection/http/client.cc
+++ b/packages/connection/http/client.cc
@@ -73,7 +73,7 @@
 
 struct http_call::state
 {
-    state(client_pool &pool, call_request request, const caller_watch &watch)
+    state(client_pool &pool, client_request request, const caller_watch &watch)
         : pool(pool)
         , request(std::move(request))
         , watch(watch)
@@ -81,7 +81,7 @@
     }
 
     client_pool &pool;
-    call_request request;
+    client_request request;
     const caller_watch &watch;
     std::unique_ptr<internal::connection> link;
     header_lines lines;
@@ -307,7 +307,7 @@
     pool.giveBack(request.target, std::move(link), false);
 }
 
-http_call::http_call(client_pool &pool, call_request request, const caller_watch &watch)
+http_call::http_call(client_pool &pool, client_request request, const caller_watch &watch)
     : m_state(std::make_unique<state>(pool, std::move(request), watch))
 {
     m_state->start();
@@ -364,7 +364,7 @@
         },
         call.request.deadline,
         call_failure::DeadlinePassed);
-    return call.hasHead && call.failure == call_failure::None ? &call.head : nullptr;
+    return call.hasHead && call.failure != call_failure::Undelimited ? &call.head : nullptr;
 }
 
 bool http_call::awaitSmallBody()
@@ -382,6 +382,16 @@
     return call.progress == call_progress::Complete;
 }
 
+std::optional<std::string> http_call::takeWhole()
+{
+    state &call = *m_state;
+    if (call.progress != call_progress::Complete) {
+        return std::nullopt;
+    }
+    call.received.erase(0, std::exchange(call.consumed, 0));
+    return std::exchange(call.received, {});
+}
+
 read_result http_call::read(std::span<char> buffer)
 {
     state &call = *m_state;
--- a/packages/connection/http/client.h
+++ b/packages/connection/http/client.h
@@ -45,7 +45,7 @@
 std::string_view failureName(call_failure failure);
 
 // A request to send.
-struct call_request
+struct client_request
 {
     endpoint target;
     request_head head; // `bodyLength` as for the server: 0 for none, empty for chunked; `expectsContinue` asks first
@@ -115,7 +115,7 @@
 {
 public:
     // Starts the call without blocking. `watch` lives as long as the call.
-    http_call(client_pool &pool, call_request request, const caller_watch &watch);
+    http_call(client_pool &pool, client_request request, const caller_watch &watch);
     http_call(const http_call &) = delete;
     http_call &operator=(const http_call &) = delete;
     ~http_call();
@@ -129,11 +129,14 @@
     // provideLast sets the last piece of the body (which may be the only one, and empty) without waiting. The bytes
     // live until `awaitHead` returns.
     void provideLast(std::string_view piece);
-    // awaitHead waits for the final response head; null if the call failed.
+    // awaitHead waits for the final response head; null if the call failed before. A call can have failed behind its
+    // head: `failure` tells, and `read` ends with Cut.
     const response_head *awaitHead();
     // awaitSmallBody waits until the whole body has arrived, if its announced length fits the buffer of the call; true
     // if it has.
     bool awaitSmallBody();
+    // takeWhole returns the rest of the body if all of it has arrived; empty otherwise. Does not wait.
+    std::optional<std::string> takeWhole();
     // read returns the next bytes of the response body, End after a complete one, Cut after a failure.
     read_result read(std::span<char> buffer);
 
--- a/packages/connection/log_client/log_client_test.cc
+++ b/packages/connection/log_client/log_client_test.cc
@@ -2,14 +2,12 @@
 // the platform log is switched on in the stand-in.
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
 #include <thread>
 
-#include <rapidcheck.h>
-
 #include "connection/log_client/log_client.h"
 #include "testing/harness/cluster.h"
 #include "testing/harness/http.h"
+#include "testing/property.h"
 
 using namespace pistachioquay;
 
@@ -17,8 +15,6 @@
 
 constexpr milliseconds noWait(0);
 constexpr milliseconds bound(10'000);
-// rapidcheck reads its seed from the environment.
-const bool isSeedFixed = setenv("RC_PARAMS", "seed=1", 0) == 0;
 
 class started_log
 {
@@ -71,6 +67,7 @@
 void checkNotAppended(const outcome<std::uint64_t> &tried, error_kind kind)
 {
     REQUIRE_FALSE(tried);
+    INFO(describe(tried.failure()));
     CHECK(tried.failure().kind == kind);
     CHECK(isCertainlyNotAppended(tried.failure()));
     CHECK_FALSE(tried.failure().remedy.empty());
@@ -79,6 +76,7 @@
 void checkMaybeAppended(const outcome<std::uint64_t> &tried, error_kind kind)
 {
     REQUIRE_FALSE(tried);
+    INFO(describe(tried.failure()));
     CHECK(tried.failure().kind == kind);
     CHECK_FALSE(isCertainlyNotAppended(tried.failure()));
     CHECK_FALSE(tried.failure().remedy.empty());
@@ -106,9 +104,8 @@
 
 TEST_CASE("any bytes survive the way through the log")
 {
-    REQUIRE(isSeedFixed);
     const started_log log;
-    const bool holds = rc::check("an appended record is read back unchanged", [&] {
+    const bool isKept = holds("an appended record is read back unchanged", 100, [&] {
         const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
         const auto offset = append(log.target(), bytes);
         RC_ASSERT(static_cast<bool>(offset));
@@ -116,7 +113,7 @@
         RC_ASSERT(static_cast<bool>(batch));
         RC_ASSERT(batch->records.front().data == bytes);
     });
-    CHECK(holds);
+    CHECK(isKept);
 }
 
 TEST_CASE("streams have offsets of their own")
@@ -201,7 +198,7 @@
 {
     const started_log log;
     CHECK(append(log.target(), "one"));
-    log.setFaults(R"({"refuse_ms": 500})");
+    log.setFaults(R"({"refuse_ms": 2000})");
     CHECK(waitUntil(
         [&] {
             return !waitForPort(log.target().address, noWait);
@@ -218,7 +215,10 @@
     log.setFaults(R"({"delay_ms": 1300})");
     const log_target impatient{log.target().address, milliseconds(900)};
     checkMaybeAppended(append(impatient, "one"), error_kind::Timeout);
-    CHECK(read(impatient, 1).failure().kind == error_kind::Timeout);
+    const auto slowRead = read(impatient, 1);
+    REQUIRE_FALSE(slowRead);
+    INFO(describe(slowRead.failure()));
+    CHECK(slowRead.failure().kind == error_kind::Timeout);
     log.setFaults(R"({"delay_ms": 0})");
     const auto later = read(log.target(), 1, 10, bound);
     REQUIRE(later);
--- a/packages/request/proxy/proxy.cc
+++ b/packages/request/proxy/proxy.cc
@@ -36,19 +36,28 @@
 
 struct proxy::state
 {
-    state(proxy_options options, proxy_sources sources)
-        : shared(std::move(options), std::move(sources))
-        , callerServer({.address = shared.options.callerAddress, .maxConnections = shared.options.maxConnections},
+    state(proxy_options options, proxy_sources sources, proxy_tuning tuning)
+        : shared(std::move(options), std::move(sources), tuning)
+        , callerServer(serverOptions(shared.options.callerAddress, tuning),
                        [this](const request_head &head, const caller_watch &watch) {
                            return internal::outboundExchange(shared, head, watch);
                        })
-        , peerServer({.address = shared.options.peerAddress, .maxConnections = shared.options.maxConnections},
+        , peerServer(serverOptions(shared.options.peerAddress, tuning),
                      [this](const request_head &head, const caller_watch &watch) {
                          return internal::inboundExchange(shared, head, watch);
                      })
     {
     }
 
+    server_options serverOptions(const endpoint &address, proxy_tuning tuning) const
+    {
+        server_options made;
+        made.address = address;
+        made.maxConnections = shared.options.maxConnections;
+        made.threads = tuning.usesEventLoop ? server_threads::EventLoop : server_threads::PerConnection;
+        return made;
+    }
+
     // Closes connections that were idle for long, and those to nodes that have left.
     void upkeep(const std::stop_token &stop)
     {
@@ -65,20 +74,34 @@
             }
             known = std::move(current);
             shared.pool.closeIdle(steadyNow());
+            observeOwnService();
             changed.wait_for(guard, stop, upkeepInterval, [] {
                 return false;
             });
         }
     }
 
+    // Tells the limits which nodes the own service has in the data centre.
+    void observeOwnService()
+    {
+        const std::shared_ptr<const worker_view> view = shared.sources.workers();
+        std::vector<std::string_view> nodeIds{shared.options.nodeId};
+        if (view && view->services.contains(shared.options.service)) {
+            for (const worker &known : view->services.at(shared.options.service).local) {
+                nodeIds.push_back(known.nodeId);
+            }
+        }
+        shared.slots.observe(nodeIds);
+    }
+
     internal::core shared;
     http_server callerServer;
     http_server peerServer;
     std::jthread upkeepThread;
 };
 
-proxy::proxy(proxy_options options, proxy_sources sources)
-    : m_state(std::make_unique<state>(std::move(options), std::move(sources)))
+proxy::proxy(proxy_options options, proxy_sources sources, proxy_tuning tuning)
+    : m_state(std::make_unique<state>(std::move(options), std::move(sources), tuning))
 {
 }
 
@@ -107,6 +130,7 @@
 {
     const time_point until = steadyNow() + timeout;
     m_state->shared.isDraining = true;
+    m_state->shared.slots.drain();
     m_state->callerServer.closeConnectionsAfterResponse();
     m_state->peerServer.closeConnectionsAfterResponse();
     const bool isEmpty = m_state->shared.inFlight.waitForNone(until);
--- a/packages/version/fold/fold.h
+++ b/packages/version/fold/fold.h
@@ -40,7 +40,7 @@
     std::string message;
     std::string remedy;
 
-    friend auto operator<=>(const fold_verdict &, const fold_verdict &) = default;
+    friend bool operator==(const fold_verdict &, const fold_verdict &) = default;
 };
 
 // The last accepted change of a path.
@@ -50,7 +50,7 @@
     bool isTombstone = false; // the path was unset or the place was removed
     std::string author;
 
-    friend auto operator<=>(const change_mark &, const change_mark &) = default;
+    friend bool operator==(const change_mark &, const change_mark &) = default;
 };
 
 // What became of a publish id.
@@ -59,7 +59,7 @@
     std::uint64_t offset = 0;
     fold_verdict verdict;
 
-    friend auto operator<=>(const publish_entry &, const publish_entry &) = default;
+    friend bool operator==(const publish_entry &, const publish_entry &) = default;
 };
 
 // Publish ids whose verdicts are kept.
@@ -93,6 +93,10 @@
 // verdict.
 fold_step foldRecord(fold_state state, std::uint64_t offset, std::string_view bytes);
 
+// plainText shortens a text out of a record and replaces its control characters, so that it can be kept and shown on
+// terminals. Thread safe.
+std::string plainText(std::string_view text);
+
 // verdictName returns the stable lower-case name of a verdict. Thread safe.
 std::string_view verdictName(verdict_kind kind);
 
