Spread remote summaries only when they changed or age

Change: a summary is spread when it differs from the one last spread, by this reader or another, or at a third of its time to live.

--- a/packages/process/membership/links.cc
+++ b/packages/process/membership/links.cc
@@ -116,6 +116,14 @@
     }
 }
 
+// Whether a summary changed since it was last spread, by this reader or another one, or would expire soon after.
+bool isFloodDue(const remote_summary &remote, time_point now)
+{
+    const bool isNew = remote.floodedAt < remote.writtenAt;
+    const bool isOld = now - remote.floodedAt > milliseconds(remote.summary.ttlMs / 3);
+    return isNew && (isOld || differs(remote.flooded, remote.summary));
+}
+
 // Services of which the own data centre has no spare slots left, or soon none.
 bool isNeeded(const std::map<std::string, service_summary> &own,
               const std::map<std::string, std::uint32_t> &slots,
@@ -209,6 +217,9 @@
     std::vector<service_summary> news;
     for (const service_summary &summary : datagram.summaries) {
         if (mergeSummary(context, summary)) {
+            remote_summary &remote = context.state.remotes.at({summary.service, summary.dataCentre});
+            remote.floodedAt = context.now;
+            remote.flooded = summary;
             news.push_back(summary);
         }
     }
@@ -257,7 +268,7 @@
     const bool isAll = state.remotes.size() <= fewRemotes;
     std::vector<remote_summary *> due;
     for (auto &[name, remote] : state.remotes) {
-        if (remote.floodedAt < remote.writtenAt && (isAll || isNeeded(own, slots, name.first))) {
+        if (isFloodDue(remote, context.now) && (isAll || isNeeded(own, slots, name.first))) {
             due.push_back(&remote);
         }
     }
@@ -271,6 +282,7 @@
         }
         left -= bytes;
         remote->floodedAt = context.now;
+        remote->flooded = remote->summary;
         chosen.push_back(aged(*remote, context.now));
     }
     sendSummaries(context, chosen, 0);
--- a/packages/process/membership/membership.h
+++ b/packages/process/membership/membership.h
@@ -142,6 +142,7 @@
     service_summary summary;
     time_point writtenAt; // in local time
     time_point floodedAt;
+    service_summary flooded; // as it was last spread inside the own data centre
     std::map<std::string, time_point> readySince; // by node id
 };
 
--- a/testing/bench/membership.cc
+++ b/testing/bench/membership.cc
@@ -141,9 +141,9 @@
             largest = std::max(largest, bytes / span / 1e3);
         }
         const double cpu = std::chrono::duration<double>(m_network.cpuTime - cpuBefore).count();
-        print(name + ".bytes_mean", total / static_cast<double>(m_size), "KB/s/node");
+        print(name + ".bytes_mean", total / static_cast<double>(before.size()), "KB/s/node");
         print(name + ".bytes_max", largest, "KB/s/node");
-        print(name + ".cpu", cpu / span / static_cast<double>(m_size) * 100, "%/node");
+        print(name + ".cpu", cpu / span / static_cast<double>(before.size()) * 100, "%/node");
     }
 
     void churn()
