Report how fast each service burns its error budget

Cause: nodes counted latency and burn, but nothing recorded requests and nobody could read the figures together. Ruled out: a store for the figures (none of our own); a node that merges for others (set aside for control). Change: the proxy reports each finished request, the node matches it with the objectives in force, and `pistachioquay report` shows burn over 5 minutes and 1 hour for each data centre, service and objective, names nodes that did not respond, and exits with 5 if a budget burns faster than allowed over both windows. Conclusion: objectives come from the tree, so the report needs no settings of its own.

--- a/packages/pistachioquay/access.cc
+++ b/packages/pistachioquay/access.cc
@@ -21,11 +21,11 @@
                 "check that the node runs and that `nodes.control` names its control address");
 }
 
-result<std::string> fetchStatus(client_pool &pool, const endpoint &control)
+result<std::string> fetchPage(client_pool &pool, const endpoint &control, const std::string &path)
 {
     constexpr unsigned statusOk = 200;
     client_request request{.target = control, .deadline = steadyNow() + statusTimeout};
-    request.head = {"GET", "/v1/status", {{"Host", toText(control)}}, 0, false};
+    request.head = {"GET", path, {{"Host", toText(control)}}, 0, false};
     const caller_watch noWatch;
     http_call call(pool, std::move(request), noWatch);
     call.provideLast("");
@@ -45,7 +45,7 @@
         }
         body.append(buffer.data(), piece.bytes);
     }
-    return unavailable(control, "sent a truncated or oversized status");
+    return unavailable(control, "sent a truncated or oversized page");
 }
 
 } // namespace
@@ -65,7 +65,10 @@
         return readLastRecord(target, stream);
     };
     access.fetchStatus = [pool](const endpoint &control) {
-        return fetchStatus(*pool, control);
+        return fetchPage(*pool, control, "/v1/status");
+    };
+    access.fetchReport = [pool](const endpoint &control) {
+        return fetchPage(*pool, control, "/v1/report");
     };
     access.nodes = settings.nodes;
     access.author = settings.author;
--- a/packages/pistachioquay/access.h
+++ b/packages/pistachioquay/access.h
@@ -36,6 +36,7 @@
 {
     log_access log;
     std::function<result<std::string>(const endpoint &control)> fetchStatus; // body of GET /v1/status
+    std::function<result<std::string>(const endpoint &control)> fetchReport; // body of GET /v1/report; thread safe
     std::vector<endpoint> nodes; // control addresses from the settings
     std::string author;
     std::function<time_point()> now;
--- a/packages/pistachioquay/commands.h
+++ b/packages/pistachioquay/commands.h
@@ -61,6 +61,9 @@
 result<command_report> showStatus(cli_access &access);
 // followVersion waits until all known nodes have a version. Unavailable if the timeout passes first.
 result<command_report> followVersion(cli_access &access, std::uint64_t version, milliseconds timeout);
+// showBurn merges the service-level figures of all known nodes. Code Burning if an objective's budget burns faster than
+// allowed over both windows; nodes that do not respond are warnings.
+result<command_report> showBurn(cli_access &access);
 // writeSnapshot appends a snapshot to the log if one is due or if `isForced`.
 result<command_report> writeSnapshot(cli_access &access, milliseconds retention, bool isForced);
 
--- a/packages/pistachioquay/program/main.cc
+++ b/packages/pistachioquay/program/main.cc
@@ -32,6 +32,7 @@
   pistachioquay [options] republish VERSION
   pistachioquay [options] status
   pistachioquay [options] follow VERSION
+  pistachioquay [options] report
   pistachioquay [options] snapshot [--force]
   pistachioquay --help
   pistachioquay --version
@@ -56,6 +57,7 @@
   pistachioquay diff tree.toml                        what publish would change
   pistachioquay publish tree.toml                     prints the new version
   pistachioquay follow 12                             waits until all nodes have version 12
+  pistachioquay report                                error budgets: how fast each service burns its own
   pistachioquay republish 11                          the tree of version 11 as a new version
 
 Exit codes:
@@ -64,6 +66,7 @@
   2  wrong arguments or settings
   3  the log or the nodes do not respond, or a state cannot be restored; nothing was published
   4  unknown: a publish may or may not take effect; look for its publish id in the history
+  5  report: an error budget burns faster than its objective allows, over 5 minutes and over an hour
 )";
 
 using arguments = std::map<std::string, docopt::value>;
@@ -184,6 +187,9 @@
     if (isSet(given, "status")) {
         return showStatus(access);
     }
+    if (isSet(given, "report")) {
+        return showBurn(access);
+    }
     if (isSet(given, "follow")) {
         BOOST_LEAF_AUTO(version, numberOf(given, "VERSION"));
         BOOST_LEAF_AUTO(timeout, timeOf(given, "--timeout", seconds(1)));
--- a/packages/pistachioquay/report.h
+++ b/packages/pistachioquay/report.h
@@ -21,6 +21,7 @@
     Usage = 2, // wrong arguments or settings
     Unavailable = 3, // the log or the nodes do not respond, or a state cannot be restored; nothing took effect
     Unknown = 4, // a publish may or may not take effect
+    Burning = 5, // an error budget burns faster than its objective allows
 };
 
 struct command_report
--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -106,6 +106,7 @@
     void runFold(const std::stop_token &stop);
     void foldEvent(version_event event, time_point now);
     void notePeers(time_point now);
+    void observe(const request_sample &sample);
     status_facts statusFacts() const;
 
     const node_settings &settings;
@@ -320,6 +321,21 @@
                    now);
 }
 
+void node::parts::observe(const request_sample &sample)
+{
+    const auto config = store.config();
+    std::vector<named_objective> wanted;
+    if (config) {
+        const auto service = config->services.find(std::string(sample.service));
+        if (service != config->services.end()) {
+            for (const auto &[name, each] : service->second.objectives) {
+                wanted.push_back({name, each.targetPercent, each.latency});
+            }
+        }
+    }
+    figures.record(sample, wanted, steadyNow());
+}
+
 status_facts node::parts::statusFacts() const
 {
     const std::string state = isDraining ? "draining" : (health.isReady() ? "ready" : "starting");
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -63,8 +63,11 @@
     http_response failureResponse();
     http_response noWorkerResponse();
     http_response finished(http_response response);
+    void observe(bool isComplete);
 
     core &m_core;
+    const time_point m_arrivedAt = steadyNow();
+    int m_status = 0; // of the response to the caller
     request_head m_head;
     const caller_watch &m_watch;
     call_context m_arrived;
@@ -95,6 +98,7 @@
         setHeader(response.head.headers, versionHeader, std::to_string(m_config->version));
     }
     ++m_core.counts.responses.at(std::min(response.head.status / 100, 5U));
+    m_status = static_cast<int>(response.head.status);
     return response;
 }
 
@@ -416,8 +420,24 @@
                                   "send the request again later, or start workers of the service"));
 }
 
+// Reports a finished request for the service's objectives. A response that was cut on the way counts as failed; a
+// request whose caller has left says nothing about the service.
+void outbound_request::observe(bool isComplete)
+{
+    constexpr int badGateway = 502;
+    const bool hasLeft = m_isCallerGone || (!isComplete && m_watch.isGone());
+    if (m_route == nullptr || hasLeft || !m_core.sources.observe) {
+        return;
+    }
+    m_core.sources.observe({.service = m_route->service,
+                            .workClass = m_route->applied.workClass,
+                            .status = isComplete ? m_status : badGateway,
+                            .latency = steadyNow() - m_arrivedAt});
+}
+
 void outbound_request::onDone(bool isComplete)
 {
+    observe(isComplete);
     if (!isComplete && m_watch.isGone()) {
         ++m_core.counts.cancelled;
     }
--- a/packages/request/proxy/proxy.h
+++ b/packages/request/proxy/proxy.h
@@ -20,6 +20,7 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "process/metrics/metrics.h"
 #include "request/routing/worker.h"
 #include "version/tree/compiled_config.h"
 
@@ -44,6 +45,7 @@
     std::function<std::shared_ptr<const compiled_config>()> config; // null: nothing in force yet
     std::function<std::shared_ptr<const worker_view>()> workers; // null: none known
     std::function<bool()> isAccepting; // false: the peer port refuses new work
+    std::function<void(const request_sample &)> observe; // optional; gets each finished request of the caller port
 };
 
 // Counters since the start, and the present load.
