--- a/packages/process/membership/links.cc
+++ b/packages/process/membership/links.cc
@@ -9,8 +9,7 @@
 
 constexpr milliseconds joinDelay{500};
 constexpr milliseconds floodInterval{1'000};
-constexpr milliseconds largeFloodInterval{3'000};
-constexpr std::size_t largeDataCentre = 100;
+constexpr milliseconds slowFloodInterval{5'000}; // with many remote summaries; bounds the bytes of every node
 constexpr std::size_t floodFanout = 3;
 constexpr std::size_t fewRemotes = 64; // up to this many, every remote summary is spread, needed or not
 constexpr std::size_t maxLinks = 64;
@@ -258,7 +257,7 @@
     if (context.now < state.next.flood) {
         return;
     }
-    const milliseconds interval = liveCount(state) < largeDataCentre ? floodInterval : largeFloodInterval;
+    const milliseconds interval = state.remotes.size() <= fewRemotes ? floodInterval : slowFloodInterval;
     state.next.flood = context.now + interval / 2 + jitter(context, interval);
     if (state.remotes.empty() || !isReader(state, readerDuty)) {
         return;
--- a/packages/process/membership/summaries.cc
+++ b/packages/process/membership/summaries.cc
@@ -12,7 +12,7 @@
 constexpr milliseconds minSummaryTtl{10'000};
 constexpr std::size_t summariesPerDatagram = 6;
 constexpr milliseconds minLinkInterval{1'000};
-constexpr std::int64_t linksPerSecond = 3; // bounds the bytes of a reader, with about 1 KB per link and round
+constexpr std::int64_t linksPerSecond = 2; // bounds the bytes of a reader, with about 1 KB per link and round
 
 std::uint32_t spareOf(const member &data)
 {
