Record requests of the caller port and show the report in the demo

Cause: the node did not pass its observer to the proxy, so the report was empty; the demo step that was added first showed it.

--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -152,6 +152,10 @@
                                                [this] {
                                                    return gossip->isAccepting();
                                                },
+                                           .observe =
+                                               [this](const request_sample &sample) {
+                                                   observe(sample);
+                                               },
                                        });
     BOOST_LEAF_CHECK(requests->start());
     control = std::make_unique<control_server>(
--- a/packages/request/proxy/slot_queue.cc
+++ b/packages/request/proxy/slot_queue.cc
@@ -73,7 +73,7 @@
 slot_load slot_queue::load() const
 {
     const std::lock_guard guard(m_mutex);
-    return {runningCount(m_state), waitingCount(m_state)};
+    return {runningCount(m_state), waitingShortCount(m_state)};
 }
 
 void slot_queue::wake(const admission_events &events)
