Run keyed non-idempotent requests at most once across nodes

Cause: an order that its caller sent again through another node ran twice, and a repeat after the node was killed too: nothing connected the decisions of request/once with the request path. Ruled out: a record at the key's owner (runs twice when views differ or the VM dies, docs/decisions/at-most-once.md). Change: claims_duty appends claims in batches and follows stream `claims`; the inbound handler claims the key before it asks for a slot and starts the run just before the first byte; the caller port says `not-run` for a keyed request only on the word of the claims, else `unknown`. Conclusion: holds at today's sizes; at the design size the stream needs the sharding described in the decision page.

--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -12,6 +12,7 @@
 #include "connection/wire/codec.h"
 #include "process/membership/gossip.h"
 #include "process/metrics/metrics.h"
+#include "process/node/claims_duty.h"
 #include "process/node/config_store.h"
 #include "process/node/control.h"
 #include "process/node/log_reader.h"
@@ -107,6 +108,8 @@
     void foldEvent(version_event event, time_point now);
     void notePeers(time_point now);
     void observe(const request_sample &sample);
+    bool servesKeyedRequests() const;
+    claim_sources claimSources();
     status_facts statusFacts() const;
 
     const node_settings &settings;
@@ -125,6 +128,7 @@
     std::unique_ptr<control_server> control;
     std::unique_ptr<log_reader> reader;
     std::unique_ptr<rendezvous_duty> rendezvous;
+    std::unique_ptr<claims_duty> claims;
     std::vector<std::jthread> threads;
 };
 
@@ -138,6 +142,9 @@
     BOOST_LEAF_ASSIGN(gossip, startGossip(std::move(options), [this](const pull &wanted) {
                           pulls.request({wanted.sync, wanted.position, wanted.kind == pull_kind::MemberList});
                       }));
+    claims = std::make_unique<claims_duty>(log_target{settings.platformLog, logTimeout}, [this] {
+        return servesKeyedRequests();
+    });
     requests = std::make_unique<proxy>(proxyOptionsOf(settings),
                                        proxy_sources{
                                            .config =
@@ -152,6 +159,7 @@
                                                [this] {
                                                    return gossip->isAccepting();
                                                },
+                                           .claims = claimSources(),
                                            .observe =
                                                [this](const request_sample &sample) {
                                                    observe(sample);
@@ -180,6 +188,7 @@
     reader = std::make_unique<log_reader>(log_reader_options{target, rules}, store, ring, log_reader_sources{[this] {
                                               return readerRank();
                                           }});
+    claims->start();
     rendezvous = std::make_unique<rendezvous_duty>(target, settings.dataCentre, *gossip);
     sync->start();
     threads.emplace_back([this](const std::stop_token &stop) {
@@ -220,6 +229,9 @@
     if (requests) {
         requests->stop();
     }
+    if (claims) {
+        claims->stop();
+    }
     gossip.reset();
 }
 
@@ -325,6 +337,40 @@
                    now);
 }
 
+bool node::parts::servesKeyedRequests() const
+{
+    const auto config = store.config();
+    return config && std::ranges::any_of(config->routes, [&](const route &each) {
+               return each.service == settings.service && !each.applied.isIdempotent;
+           });
+}
+
+claim_sources node::parts::claimSources()
+{
+    return {
+        .claim =
+            [this](const hash128 &key, time_point deadline) {
+                return claims->claim(key, deadline);
+            },
+        .startRun =
+            [this](const hash128 &claim) {
+                return claims->startRun(claim);
+            },
+        .endRun =
+            [this](const hash128 &claim) {
+                claims->endRun(claim);
+            },
+        .abandonRun =
+            [this](const hash128 &claim) {
+                return claims->abandonRun(claim);
+            },
+        .noteNothingSent =
+            [this](const hash128 &claim) {
+                return claims->noteNothingSent(claim);
+            },
+    };
+}
+
 void node::parts::observe(const request_sample &sample)
 {
     const auto config = store.config();
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -29,7 +29,12 @@
 
 private:
     std::optional<http_response> checkRequest();
+    std::optional<http_response> admitRequest();
+    std::optional<http_response> claimKey();
     std::optional<http_response> acquireSlot();
+    http_response claimRefusal(once_outcome outcome);
+    http_response withKeyOutcome(http_response response, once_outcome outcome);
+    void endClaim();
     void releaseSlot();
     void openCall();
     http_response respond();
@@ -44,6 +49,8 @@
     bool m_isHeld;
     std::uint64_t m_ticket = 0; // of the slot; 0: none
     bool m_hasResponse = false;
+    std::optional<hash128> m_claim; // of a keyed request, once it was won
+    bool m_isClaimRunning = false;
     std::string m_body;
     std::unique_ptr<http_call> m_call;
 };
@@ -85,6 +92,91 @@
     return std::nullopt;
 }
 
+// Claims the key if there is one, then takes a slot; a response if the request must not run.
+std::optional<http_response> inbound_request::admitRequest()
+{
+    if (auto refused = claimKey()) {
+        return refused;
+    }
+    auto refused = acquireSlot();
+    if (!m_claim) {
+        return refused;
+    }
+    if (refused) {
+        return withKeyOutcome(std::move(*refused), m_core.sources.claims->abandonRun(*m_claim));
+    }
+    m_isClaimRunning = m_core.sources.claims->startRun(*m_claim);
+    if (!m_isClaimRunning) {
+        releaseSlot();
+        return claimRefusal(m_core.sources.claims->abandonRun(*m_claim));
+    }
+    return std::nullopt;
+}
+
+std::optional<http_response> inbound_request::claimKey()
+{
+    const auto key = findHeader(m_head.headers, idempotencyKeyHeader);
+    if (!key || m_context.isIdempotent || !m_core.sources.claims) {
+        return std::nullopt;
+    }
+    const once_result decided = m_core.sources.claims->claim(keyOf(m_context.service, *key), m_deadline);
+    if (decided.kind == once_kind::Run) {
+        m_claim = decided.claim;
+        return std::nullopt;
+    }
+    return claimRefusal(decided.outcome);
+}
+
+// Responds to a keyed request that is not run now; the outcome speaks of all requests with the key.
+http_response inbound_request::claimRefusal(once_outcome outcome)
+{
+    switch (outcome) {
+    case once_outcome::NotRun:
+        return withKeyOutcome(m_core.refuse(503,
+                                            node_outcome::NotRun,
+                                            "claim-late",
+                                            "the claim of the Idempotency-Key came too late for the deadline",
+                                            "send the request again with the same key"),
+                              outcome);
+    case once_outcome::Running:
+        return m_core.refuse(409,
+                             node_outcome::Unknown,
+                             "key-running",
+                             "a request with this Idempotency-Key is running",
+                             "send it again later with the same key; it will not run twice");
+    case once_outcome::Ran:
+        return m_core.refuse(409,
+                             node_outcome::Unknown,
+                             "key-ran",
+                             "a request with this Idempotency-Key has run; its response is not kept",
+                             "look up the result at the service");
+    case once_outcome::Unknown:
+        break;
+    }
+    return m_core.refuse(503,
+                         node_outcome::Unknown,
+                         "key-unknown",
+                         "it is not known whether a request with this Idempotency-Key has run",
+                         "send it again later with the same key; it will not run twice");
+}
+
+http_response inbound_request::withKeyOutcome(http_response response, once_outcome outcome)
+{
+    if (outcome == once_outcome::NotRun) {
+        setHeader(response.head.headers, keyOutcomeHeader, outcomeName(node_outcome::NotRun));
+        return response;
+    }
+    return claimRefusal(outcome);
+}
+
+// Notes that the worker has responded or is gone; the key never runs again.
+void inbound_request::endClaim()
+{
+    if (std::exchange(m_isClaimRunning, false)) {
+        m_core.sources.claims->endRun(*m_claim);
+    }
+}
+
 std::optional<http_response> inbound_request::acquireSlot()
 {
     const std::shared_ptr<const compiled_config> config = m_core.sources.config();
@@ -143,7 +235,7 @@
     if (m_isHeld) {
         return std::nullopt;
     }
-    if (auto refused = acquireSlot()) {
+    if (auto refused = admitRequest()) {
         return signedResponse(std::move(*refused));
     }
     openCall();
@@ -165,7 +257,7 @@
 http_response inbound_request::onEnd()
 {
     if (m_isHeld) {
-        if (auto refused = acquireSlot()) {
+        if (auto refused = admitRequest()) {
             return signedResponse(std::move(*refused));
         }
         openCall();
@@ -218,6 +310,12 @@
     if (m_call->failure() == call_failure::Cancelled) {
         return {};
     }
+    if (isUnsent && std::exchange(m_isClaimRunning, false)) {
+        const once_outcome outcome = m_core.sources.claims->noteNothingSent(*m_claim);
+        if (outcome != once_outcome::NotRun) {
+            return signedResponse(claimRefusal(outcome));
+        }
+    }
     if (isUnsent) {
         return signedResponse(m_core.refuse(503,
                                             node_outcome::NotRun,
@@ -238,6 +336,7 @@
         ++m_core.counts.cancelled;
     }
     m_call.reset();
+    endClaim();
     releaseSlot();
     m_core.inFlight.end();
 }
--- a/packages/request/proxy/node_headers.h
+++ b/packages/request/proxy/node_headers.h
@@ -26,6 +26,9 @@
 inline constexpr std::string_view runningHeader = "X-Pq-Running";
 inline constexpr std::string_view waitingHeader = "X-Pq-Waiting";
 inline constexpr std::string_view outcomeHeader = "X-Pq-Outcome";
+// Set by a worker's node that knows from the claims of the log that no request with the key has run.
+inline constexpr std::string_view keyOutcomeHeader = "X-Pq-Key-Outcome";
+inline constexpr std::string_view idempotencyKeyHeader = "Idempotency-Key";
 inline constexpr std::string_view reasonHeader = "X-Pq-Reason"; // kind of the error, between nodes
 
 inline constexpr std::size_t replayBytes = 64UL * 1024; // bodies up to this size are held for another try
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -63,6 +63,7 @@
     http_response failureResponse();
     http_response noWorkerResponse();
     http_response finished(http_response response);
+    bool isKeyed() const;
     void observe(bool isComplete);
 
     core &m_core;
@@ -81,6 +82,7 @@
     try_history m_history;
     bool m_isBodyGone = false; // body bytes were passed on that cannot be sent again
     bool m_isCallerGone = false;
+    bool m_isKeyUnused = false; // a worker's node knows that no request with the key has run
     std::string m_detail; // how the last failed try ended
     call_choice m_choice; // worker of `m_call`
     call_observation m_seen; // of `m_call`
@@ -97,11 +99,22 @@
     if (m_config) {
         setHeader(response.head.headers, versionHeader, std::to_string(m_config->version));
     }
+    // Without word from the claims an earlier request with the same key may have run, so `not-run` would mislead.
+    if (isKeyed() && !m_isKeyUnused && findHeader(response.head.headers, outcomeHeader)) {
+        setHeader(response.head.headers, outcomeHeader, outcomeName(node_outcome::Unknown));
+    }
     ++m_core.counts.responses.at(std::min(response.head.status / 100, 5U));
     m_status = static_cast<int>(response.head.status);
     return response;
 }
 
+// A request whose repeats by the caller are recognised.
+bool outbound_request::isKeyed() const
+{
+    return m_core.sources.claims && m_route != nullptr && !m_route->applied.isIdempotent
+        && findHeader(m_head.headers, idempotencyKeyHeader);
+}
+
 std::optional<http_response> outbound_request::checkRequest()
 {
     // While the node drains, the requests that still run on its own worker may need calls to end; these carry a depth.
@@ -325,6 +338,7 @@
     const header_list &headers = m_response->headers;
     m_seen.load = loadOf(headers);
     const auto outcome = findHeader(headers, outcomeHeader);
+    m_isKeyUnused = m_isKeyUnused || findHeader(headers, keyOutcomeHeader) == outcomeName(node_outcome::NotRun);
     if (findHeader(headers, requestIdHeader) != m_next.requestId) {
         m_detail = "the response belongs to another request";
         m_response = nullptr;
--- a/packages/request/proxy/proxy.h
+++ b/packages/request/proxy/proxy.h
@@ -15,12 +15,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "process/metrics/metrics.h"
+#include "request/once/once.h"
 #include "request/routing/worker.h"
 #include "version/tree/compiled_config.h"
 
@@ -39,12 +41,24 @@
     std::uint32_t maxConnections = 256; // for each port, and for each target of outbound calls
 };
 
+// How a request with an `Idempotency-Key` on a non-idempotent route is claimed before it runs; contracts as in
+// request/once/once.h. `claim` blocks until the request may run, must not run, or its deadline passes.
+struct claim_sources
+{
+    std::function<once_result(const hash128 &key, time_point deadline)> claim;
+    std::function<bool(const hash128 &claim)> startRun;
+    std::function<void(const hash128 &claim)> endRun;
+    std::function<once_outcome(const hash128 &claim)> abandonRun;
+    std::function<once_outcome(const hash128 &claim)> noteNothingSent;
+};
+
 // Where a request takes its view of the world from. All are called from many threads at once.
 struct proxy_sources
 {
     std::function<std::shared_ptr<const compiled_config>()> config; // null: nothing in force yet
     std::function<std::shared_ptr<const worker_view>()> workers; // null: none known
     std::function<bool()> isAccepting; // false: the peer port refuses new work
+    std::optional<claim_sources> claims; // empty: keyed requests run without a claim
     std::function<void(const request_sample &)> observe; // optional; gets each finished request of the caller port
 };
 
