Stop a request that crashes workers at two of them

Cause: a marked request that its caller sent 12 times crashed all 5 workers, because the quarantine decisions were not connected. Change: crash_guard in the proxy, reports on the sync port, refusals because of the request itself say nothing about the worker and are not retried elsewhere when it is quarantined. Conclusion: holds inside a data centre; nodes of other data centres are not told yet.

--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <future>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -33,6 +34,7 @@
 constexpr milliseconds announceInterval{200};
 constexpr milliseconds foldWait{250};
 constexpr seconds logTimeout{3};
+constexpr milliseconds workerCheckWait{50};
 // A node that starts beside others would take itself for a reader before it knows them, and a data centre that restarts
 // as a whole would read the log from every node. So it waits for its peers first.
 constexpr milliseconds joinGrace{1500};
@@ -110,6 +112,8 @@
     void observe(const request_sample &sample);
     bool servesKeyedRequests() const;
     claim_sources claimSources();
+    bool isWorkerGone() const;
+    void spreadReports(const std::vector<crash_report> &reports);
     status_facts statusFacts() const;
 
     const node_settings &settings;
@@ -160,6 +164,14 @@
                                                    return gossip->isAccepting();
                                                },
                                            .claims = claimSources(),
+                                           .isWorkerGone =
+                                               [this] {
+                                                   return isWorkerGone();
+                                               },
+                                           .spreadReports =
+                                               [this](const std::vector<crash_report> &reports) {
+                                                   spreadReports(reports);
+                                               },
                                            .observe =
                                                [this](const request_sample &sample) {
                                                    observe(sample);
@@ -280,6 +292,9 @@
         response.position = progress.position;
         response.version = progress.version;
     }
+    if (!request.crashReports.empty()) {
+        requests->mergeReports(request.crashReports);
+    }
     if (request.wantsMembers) {
         response.memberList = encodeMessage(gossip->memberList(), memberListFormat);
     }
@@ -345,6 +360,34 @@
            });
 }
 
+bool node::parts::isWorkerGone() const
+{
+    const auto connected = attempt([&] {
+        return connectTcp(settings.upstream, steadyNow() + workerCheckWait);
+    });
+    return !connected && connected.failure().kind == error_kind::Unavailable;
+}
+
+// Returns when all other nodes of the own service in the data centre have the reports, or after `maxHoldBack`.
+void node::parts::spreadReports(const std::vector<crash_report> &reports)
+{
+    const time_point deadline = steadyNow() + maxHoldBack;
+    std::vector<std::future<bool>> open;
+    for (const member &each : gossip->liveMembers()) {
+        if (each.service == settings.service && each.nodeId != settings.nodeId) {
+            open.push_back(std::async(std::launch::async, [this, peer = each.sync, &reports, deadline] {
+                return pulls.push(peer, reports, deadline);
+            }));
+        }
+    }
+    const auto missed = std::ranges::count_if(open, [](std::future<bool> &each) {
+        return !each.get();
+    });
+    if (missed > 0) {
+        LOG(WARNING) << "[proxy] " << missed << " nodes of the service do not know of a crash yet.";
+    }
+}
+
 claim_sources node::parts::claimSources()
 {
     return {
--- a/packages/process/node/sync_client.cc
+++ b/packages/process/node/sync_client.cc
@@ -1,5 +1,6 @@
 #include "process/node/sync_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <glog/logging.h>
@@ -45,19 +46,29 @@
     }
 }
 
-result<pull_response> sync_client::pullOnce(const pull_target &target, bool wantsRecords)
+result<pull_response> sync_client::exchange(const endpoint &peer, const pull_request &request, time_point deadline)
 {
-    const pull_request request{m_nodeId, m_store.progress().position, wantsRecords, target.wantsMembers};
     decode_counters counters;
-    BOOST_LEAF_AUTO(stream, connectTcp(target.address, steadyNow() + connectWait));
     const std::string sent = encodeMessage(request, syncFormat);
-    BOOST_LEAF_CHECK(sendFrame(stream, sent, steadyNow() + requestWait));
-    m_bytes += sent.size();
-    BOOST_LEAF_AUTO(frame, receiveFrame(stream, maxSyncFrameBytes, steadyNow() + responseWait));
-    m_bytes += frame.size();
+    BOOST_LEAF_AUTO(stream, connectTcp(peer, std::min(deadline, steadyNow() + connectWait)));
+    BOOST_LEAF_CHECK(sendFrame(stream, sent, std::min(deadline, steadyNow() + requestWait)));
+    BOOST_LEAF_AUTO(frame, receiveFrame(stream, maxSyncFrameBytes, deadline));
+    m_bytes += sent.size() + frame.size();
     return decodeMessage<pull_response>(frame, syncFormat, counters);
 }
 
+bool sync_client::push(const endpoint &peer, const std::vector<crash_report> &reports, time_point deadline)
+{
+    pull_request request;
+    request.nodeId = m_nodeId;
+    request.wantsRecords = false;
+    request.crashReports = reports;
+    const auto response = attempt([&] {
+        return exchange(peer, request, deadline);
+    });
+    return response && !response->isBusy;
+}
+
 std::uint64_t sync_client::transferredBytes() const
 {
     return m_bytes;
@@ -69,8 +80,9 @@
     if (!wantsRecords && !target.wantsMembers) {
         return;
     }
+    const pull_request request{m_nodeId, m_store.progress().position, wantsRecords, target.wantsMembers, {}};
     auto response = attempt([&] {
-        return pullOnce(target, wantsRecords);
+        return exchange(target.address, request, steadyNow() + responseWait);
     });
     if (!response) {
         VLOG(1) << "[sync] A pull from " << toText(target.address) << " failed. " << describe(response.failure());
--- a/packages/process/node/sync_client.h
+++ b/packages/process/node/sync_client.h
@@ -40,6 +40,9 @@
     // request queues a pull; it is dropped when the queue is full, because the next heartbeat asks again. Thread safe.
     void request(const pull_target &target);
 
+    // push hands crash reports to a peer and returns whether it acknowledged them until `deadline`. Thread safe.
+    bool push(const endpoint &peer, const std::vector<crash_report> &reports, time_point deadline);
+
     // transferredBytes returns the bytes of all frames so far. Thread safe.
     std::uint64_t transferredBytes() const;
 
@@ -47,7 +50,7 @@
     void run(const std::stop_token &stop);
 
 private:
-    result<pull_response> pullOnce(const pull_target &target, bool wantsRecords);
+    result<pull_response> exchange(const endpoint &peer, const pull_request &request, time_point deadline);
     void handle(const pull_target &target, const std::stop_token &stop);
 
     std::string m_nodeId;
--- a/packages/process/node/sync_server.cc
+++ b/packages/process/node/sync_server.cc
@@ -15,7 +15,7 @@
 constexpr milliseconds acceptWait{200};
 constexpr milliseconds requestWait{1000};
 constexpr seconds responseWait{5};
-constexpr std::size_t maxRequestBytes = 4096;
+constexpr std::size_t maxRequestBytes = 1024 * 1024; // crash reports can name 256 requests each
 
 result<void> respondBusy(const tcp_stream &stream)
 {
--- a/packages/process/spread/sync_messages.h
+++ b/packages/process/spread/sync_messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "process/spread/version_state.h"
+#include "request/quarantine/quarantine.h"
 
 namespace pistachioquay {
 
@@ -23,13 +24,14 @@
     std::uint64_t position = 0;
     bool wantsRecords = true;
     bool wantsMembers = false;
+    std::vector<crash_report> crashReports; // merged by the receiver before it responds
 
-    friend auto operator<=>(const pull_request &, const pull_request &) = default;
+    friend bool operator==(const pull_request &, const pull_request &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(nodeId, position, wantsRecords, wantsMembers);
+        archive(nodeId, position, wantsRecords, wantsMembers, crashReports);
     }
 };
 
--- a/packages/request/proxy/core.cc
+++ b/packages/request/proxy/core.cc
@@ -29,6 +29,7 @@
     , sources(std::move(from))
     , pool(client_options{.maxPerTarget = options.maxConnections, .keepsConnections = tuning.keepsConnections})
     , slots(options.slots, options.nodeId)
+    , crashes({sources.isWorkerGone, sources.spreadReports})
 {
 }
 
--- a/packages/request/proxy/core.h
+++ b/packages/request/proxy/core.h
@@ -9,6 +9,7 @@
 
 #include "connection/http/client.h"
 #include "connection/http/server.h"
+#include "request/proxy/crash_guard.h"
 #include "request/proxy/dispatch.h"
 #include "request/proxy/node_headers.h"
 #include "request/proxy/proxy.h"
@@ -53,6 +54,7 @@
     proxy_sources sources;
     client_pool pool;
     slot_queue slots;
+    crash_guard crashes;
     call_dispatch dispatch;
     counters counts;
     flight_count inFlight;
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -30,6 +30,8 @@
 private:
     std::optional<http_response> checkRequest();
     std::optional<http_response> admitRequest();
+    std::optional<http_response> startRun();
+    std::optional<http_response> checkSuspicion();
     std::optional<http_response> claimKey();
     std::optional<http_response> acquireSlot();
     http_response claimRefusal(once_outcome outcome);
@@ -51,6 +53,7 @@
     bool m_hasResponse = false;
     std::optional<hash128> m_claim; // of a keyed request, once it was won
     bool m_isClaimRunning = false;
+    bool m_isWatched = false; // counted among the requests that run on the worker
     std::string m_body;
     std::unique_ptr<http_call> m_call;
 };
@@ -99,12 +102,46 @@
         return refused;
     }
     auto refused = acquireSlot();
-    if (!m_claim) {
-        return refused;
+    if (!refused) {
+        refused = checkSuspicion();
     }
-    if (refused) {
+    if (refused && m_claim) {
         return withKeyOutcome(std::move(*refused), m_core.sources.claims->abandonRun(*m_claim));
     }
+    return refused ? std::move(refused) : startRun();
+}
+
+// Refuses a request that crashed workers, and one that may have while another such request runs here.
+std::optional<http_response> inbound_request::checkSuspicion()
+{
+    const auto key = findHeader(m_head.headers, idempotencyKeyHeader);
+    const run_verdict verdict =
+        m_core.crashes.begin(m_context.requestId,
+                             fingerprintOf(m_head.method, m_head.target, key.value_or(""), m_body));
+    m_isWatched = verdict == run_verdict::Run;
+    if (m_isWatched) {
+        return std::nullopt;
+    }
+    releaseSlot();
+    if (verdict == run_verdict::NotBeside) {
+        return m_core.refuse(503,
+                             node_outcome::NotRun,
+                             std::string(besideSuspectReason),
+                             "the request ran when a worker died, and another such request runs here",
+                             "send the request to another node of the service, or later");
+    }
+    return m_core.refuse(503,
+                         node_outcome::NotRun,
+                         std::string(quarantinedReason),
+                         "the request crashed two workers and is refused for 10 minutes",
+                         "correct the request, or the service before it is sent again");
+}
+
+std::optional<http_response> inbound_request::startRun()
+{
+    if (!m_claim) {
+        return std::nullopt;
+    }
     m_isClaimRunning = m_core.sources.claims->startRun(*m_claim);
     if (!m_isClaimRunning) {
         releaseSlot();
@@ -282,6 +319,7 @@
                                             "check the worker; look up whether the request took effect"));
     }
     m_hasResponse = true;
+    m_core.crashes.completed(m_context.requestId);
     http_response response;
     response.head = {head->status, forwardedHeaders(head->headers), head->bodyLength};
     setBody(response, m_call->takeWhole(), [this](std::span<char> buffer) {
@@ -306,6 +344,8 @@
     const std::string detail(failureName(m_call->failure()));
     const bool isDeadline = m_call->failure() == call_failure::DeadlinePassed;
     const bool isUnsent = m_call->progress() == call_progress::NoConnection;
+    const bool isCut = m_call->failure() != call_failure::Cancelled && !isDeadline && !isUnsent;
+    const bool isCrash = isCut && m_core.crashes.lostResponse(m_context.requestId);
     releaseSlot();
     if (m_call->failure() == call_failure::Cancelled) {
         return {};
@@ -325,7 +365,7 @@
     }
     return signedResponse(m_core.refuse(isDeadline ? 504 : 502,
                                         node_outcome::Unknown,
-                                        isDeadline ? "deadline" : "response-lost",
+                                        isDeadline ? "deadline" : (isCrash ? "worker-died" : "response-lost"),
                                         "the request was sent to the worker, but there is no response: " + detail,
                                         "look up whether the request took effect before sending it again"));
 }
@@ -336,6 +376,9 @@
         ++m_core.counts.cancelled;
     }
     m_call.reset();
+    if (m_isWatched) {
+        m_core.crashes.abandoned(m_context.requestId);
+    }
     endClaim();
     releaseSlot();
     m_core.inFlight.end();
--- a/packages/request/proxy/node_headers.h
+++ b/packages/request/proxy/node_headers.h
@@ -31,6 +31,10 @@
 inline constexpr std::string_view idempotencyKeyHeader = "Idempotency-Key";
 inline constexpr std::string_view reasonHeader = "X-Pq-Reason"; // kind of the error, between nodes
 
+// Values of X-Pq-Reason that concern the request and not the worker.
+inline constexpr std::string_view quarantinedReason = "quarantined";
+inline constexpr std::string_view besideSuspectReason = "suspect-beside";
+
 inline constexpr std::size_t replayBytes = 64UL * 1024; // bodies up to this size are held for another try
 
 // What the node knows about a request that it responds to itself.
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -16,6 +16,16 @@
     return reason == "draining" || reason == "worker-down" || reason == "not-accepting" || reason == "other-service";
 }
 
+// What a refusal says about the worker. A refusal because of the request itself says nothing: it must not make routing
+// pass over healthy workers.
+call_end endOfRefusal(std::string_view reason)
+{
+    if (reason == quarantinedReason || reason == besideSuspectReason) {
+        return call_end::Cancelled;
+    }
+    return isLasting(reason) ? call_end::Draining : call_end::Refused;
+}
+
 std::optional<load_report> loadOf(const header_list &headers)
 {
     const auto running = parseCount(findHeader(headers, runningHeader).value_or(""));
@@ -82,6 +92,7 @@
     try_history m_history;
     bool m_isBodyGone = false; // body bytes were passed on that cannot be sent again
     bool m_isCallerGone = false;
+    bool m_isQuarantined = false; // refused because it crashes workers: no worker runs it
     bool m_isKeyUnused = false; // a worker's node knows that no request with the key has run
     std::string m_detail; // how the last failed try ended
     call_choice m_choice; // worker of `m_call`
@@ -346,7 +357,8 @@
     } else if (outcome == outcomeName(node_outcome::NotRun)) {
         const std::string_view reason = findHeader(headers, reasonHeader).value_or("");
         m_detail = "the worker's node did not run it: " + std::string(reason);
-        noteEnd(try_progress::NotRun, isLasting(reason) ? call_end::Draining : call_end::Refused);
+        m_isQuarantined = reason == quarantinedReason;
+        noteEnd(try_progress::NotRun, endOfRefusal(reason));
     } else if (outcome) {
         m_detail = "the worker's node does not know whether it ran";
         noteEnd(try_progress::Unknown, call_end::Broken);
@@ -359,7 +371,7 @@
 
 bool outbound_request::isRetryAllowed()
 {
-    if (m_isCallerGone) {
+    if (m_isCallerGone || m_isQuarantined) {
         return false;
     }
     retry_facts facts;
--- a/packages/request/proxy/proxy.cc
+++ b/packages/request/proxy/proxy.cc
@@ -144,6 +144,11 @@
     m_state->peerServer.stop();
 }
 
+void proxy::mergeReports(std::span<const crash_report> reports)
+{
+    m_state->shared.crashes.merge(reports);
+}
+
 proxy_status proxy::status() const
 {
     internal::core &shared = m_state->shared;
--- a/packages/request/proxy/proxy.h
+++ b/packages/request/proxy/proxy.h
@@ -16,13 +16,16 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "process/metrics/metrics.h"
 #include "request/once/once.h"
+#include "request/quarantine/quarantine.h"
 #include "request/routing/worker.h"
 #include "version/tree/compiled_config.h"
 
@@ -59,6 +62,10 @@
     std::function<std::shared_ptr<const worker_view>()> workers; // null: none known
     std::function<bool()> isAccepting; // false: the peer port refuses new work
     std::optional<claim_sources> claims; // empty: keyed requests run without a claim
+    // Optional, for requests that crash the worker. `isWorkerGone` tells whether its port is closed; `spreadReports`
+    // returns when the other nodes of the service have the reports, at most `maxHoldBack` later.
+    std::function<bool()> isWorkerGone;
+    std::function<void(const std::vector<crash_report> &)> spreadReports;
     std::function<void(const request_sample &)> observe; // optional; gets each finished request of the caller port
 };
 
@@ -106,6 +113,9 @@
     // stop cuts what is still in flight and closes the ports. Not thread safe; can be repeated.
     void stop();
 
+    // mergeReports takes over crash reports of other nodes. Thread safe.
+    void mergeReports(std::span<const crash_report> reports);
+
     // status returns the counters. Thread safe.
     proxy_status status() const;
 
