--- a/testing/harness/cluster.cc
+++ b/testing/harness/cluster.cc
@@ -111,7 +111,8 @@
          << "\ncontrol = " << quote(toText(settings.controlAddress))
          << "\ngossip = " << quote(toText(settings.gossipAddress)) << "\nsync = " << quote(toText(settings.syncAddress))
          << "\n[upstream]\naddress = " << quote(toText(settings.upstream)) << "\nslots = " << settings.slots
-         << "\n[platform]\nlog = " << quote(toText(settings.platformLog)) << "\n[seeds]\ngossip = [";
+         << "\n[platform]\nlog = " << quote(toText(settings.platformLog))
+         << "\nretention_ms = " << settings.logRetention.count() << "\n[seeds]\ngossip = [";
     for (const endpoint &seed : settings.seeds) {
         text << quote(toText(seed)) << ", ";
     }
--- a/testing/harness/raw_socket.h
+++ b/testing/harness/raw_socket.h
@@ -59,6 +59,13 @@
         return true;
     }
 
+    // isReadable waits until there are bytes or the stream has ended.
+    bool isReadable(milliseconds wait)
+    {
+        pollfd watched{m_fd.get(), POLLIN, 0};
+        return ::poll(&watched, 1, static_cast<int>(wait.count())) > 0;
+    }
+
     // receiveSome waits for bytes; empty at the end of the stream or after the longest wait.
     std::string receiveSome(milliseconds wait = longestWait)
     {
