Test a restart beside a stale peer only

Cause: the stale peer of the test was not stale: the response to its open long poll waited in its socket and brought it up to date when it was resumed, so the start-up gate was hardly used. Ruled out: a longer pause alone, since the response waits in the socket for as long as the pause lasts. Change: the peer reads the log through a relay that is closed first; the only other node is stopped, the log is down, and the restarted node knows the stale peer alone, for 2.5 s. It must have no configuration in force until it has the version that the peer remembers of it.

--- a/testing/process/version_restart_test.cc
+++ b/testing/process/version_restart_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "connection/log_client/log_client.h"
+#include "testing/process/tcp_relay.h"
 #include "testing/process/version_checks.h"
 
 using namespace pistachioquay;
@@ -179,36 +180,43 @@
 
 TEST_CASE("a node that comes back while the log is down does not route at an older version")
 {
-    mesh running = startMesh({{"be-1", "orders", 3}});
+    mesh running = startMesh({{"be-1", "orders", 2}});
+    testing::tcp_relay relay(running.log.address);
+    addNode(running, {"be-1", "orders"}, "stale", [&](node_settings &settings) {
+        settings.platformLog = relay.address();
+    });
     version_publisher publisher{running};
     const std::uint64_t first = publisher.publish("/one");
-    REQUIRE(waitForVersion(running, first, convergenceBound));
-    worker_node &stale = running.nodes.at(0);
+    REQUIRE(waitForVersion(running, first, startBound));
+    worker_node &witness = running.nodes.at(0);
     worker_node &restarted = running.nodes.at(1);
-    worker_node &witness = running.nodes.at(2);
-    REQUIRE(stale.node.process.send(SIGSTOP));
-    const std::uint64_t second = publisher.publish("/two");
-    const auto hasSecond = [&](const worker_node &each) {
-        return statusNumber(each.node, "version") == static_cast<std::int64_t>(second);
+    worker_node &stale = running.nodes.at(2);
+    const auto reports = [](const worker_node &each, std::uint64_t version) {
+        return statusNumber(each.node, "version") == static_cast<std::int64_t>(version);
     };
-    REQUIRE(waitUntil(
-        [&] {
-            return hasSecond(restarted) && hasSecond(witness);
-        },
-        convergenceBound));
+    // The relay ends the long poll, whose response would otherwise wait in the socket of the stopped node.
+    REQUIRE(stale.node.process.send(SIGSTOP));
+    relay.close();
     const version_watch watch(running);
+    const std::uint64_t second = publisher.publish("/two");
     REQUIRE(waitUntil(
         [&] {
-            return watch.highest(restarted.node.settings.nodeId) == static_cast<std::int64_t>(second);
+            return reports(witness, second)
+                && watch.highest(restarted.node.settings.nodeId) == static_cast<std::int64_t>(second);
         },
         convergenceBound));
+    std::this_thread::sleep_for(milliseconds(1500)); // heartbeats with the version reach the stopped node's socket
     REQUIRE(setLogFaults(running, R"({"outage": true})"));
-    restarted.node.process.kill();
-    // The stale peer, the first seed, answers before the witness does.
     REQUIRE(witness.node.process.send(SIGSTOP));
+    restarted.node.process.kill();
     REQUIRE(stale.node.process.send(SIGCONT));
+    restarted.node.settings.seeds = {stale.node.settings.gossipAddress};
     restartNode(running, restarted);
-    std::this_thread::sleep_for(milliseconds(500)); // the node listens for peers for 1 s after the first response
+    // Longer than a starting node listens for further peers (1 s): only what the stale peer remembers holds it back.
+    std::this_thread::sleep_for(milliseconds(2500));
+    CHECK(reports(stale, first));
+    CHECK(reports(restarted, 0));
+    CHECK(servedVersion(restarted.node, "/one") == 0);
     REQUIRE(witness.node.process.send(SIGCONT));
     CHECK(waitForVersion(running, second, convergenceBound));
     CHECK(servedVersion(restarted.node, "/two") == second);
