Give the test harness's request type a name of its own

Cause: http_call was defined in the harness and in connection/http, and one program now links both, which breaks the one-definition rule. Change: test_call in the harness.

--- a/testing/harness/harness_test.cc
+++ b/testing/harness/harness_test.cc
@@ -32,7 +32,7 @@
         return startUpstream(folder, "worker");
     });
     CHECK(worker.process.send(SIGSTOP));
-    http_call call;
+    test_call call;
     call.address = worker.address;
     call.path = "/health";
     call.timeout = milliseconds(100);
--- a/testing/harness/http.cc
+++ b/testing/harness/http.cc
@@ -47,7 +47,7 @@
     return size;
 }
 
-void setMethod(CURL *handle, const http_call &call)
+void setMethod(CURL *handle, const test_call &call)
 {
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     if (call.method == "HEAD") {
@@ -60,7 +60,7 @@
 
 } // namespace
 
-http_answer httpCall(const http_call &call)
+http_answer httpCall(const test_call &call)
 {
     http_answer answer;
     const std::unique_ptr<CURL, curl_deleter> handle(curl_easy_init());
@@ -93,7 +93,7 @@
 
 http_answer httpGet(const endpoint &address, std::string_view path, const http_headers &headers)
 {
-    http_call call;
+    test_call call;
     call.address = address;
     call.path = path;
     call.headers = headers;
@@ -102,7 +102,7 @@
 
 http_answer httpPost(const endpoint &address, std::string_view path, std::string_view body, const http_headers &headers)
 {
-    http_call call;
+    test_call call;
     call.method = "POST";
     call.address = address;
     call.path = path;
@@ -120,7 +120,7 @@
 bool waitForHttp(const endpoint &address, std::string_view path, long status, milliseconds atMost)
 {
     constexpr milliseconds callTimeout(1000);
-    http_call call;
+    test_call call;
     call.address = address;
     call.path = path;
     call.timeout = std::min(atMost, callTimeout);
--- a/testing/harness/http.h
+++ b/testing/harness/http.h
@@ -16,7 +16,7 @@
 
 using http_headers = std::map<std::string, std::string>;
 
-struct http_call
+struct test_call
 {
     std::string method = "GET";
     endpoint address;
@@ -40,7 +40,7 @@
 };
 
 // httpCall sends one request on a connection of its own and waits for the whole response. Thread safe.
-http_answer httpCall(const http_call &call);
+http_answer httpCall(const test_call &call);
 
 // httpGet sends a GET. Thread safe.
 http_answer httpGet(const endpoint &address, std::string_view path, const http_headers &headers = {});
--- a/testing/process/mesh.cc
+++ b/testing/process/mesh.cc
@@ -81,7 +81,7 @@
 
 std::string statusOf(const node_process &node)
 {
-    http_call call;
+    test_call call;
     call.address = node.settings.controlAddress;
     call.path = "/v1/status";
     call.timeout = milliseconds(1000);
--- a/testing/upstream/upstream_test.cc
+++ b/testing/upstream/upstream_test.cc
@@ -62,9 +62,9 @@
     stand_in m_worker;
 };
 
-http_call callOf(const started_worker &worker, const http_headers &headers, milliseconds timeout = bound)
+test_call callOf(const started_worker &worker, const http_headers &headers, milliseconds timeout = bound)
 {
-    http_call call;
+    test_call call;
     call.method = "POST";
     call.address = worker.address();
     call.path = "/work";
