--- a/testing/load/generator.cc
+++ b/testing/load/generator.cc
@@ -254,6 +254,9 @@
     // libcurl does not serve transfers that wait for a connection in order, so they wait here.
     void enqueue(std::size_t index)
     {
+        if (m_plan.chooseTarget) {
+            m_arrivals[index].target = m_plan.chooseTarget();
+        }
         request_result &result = m_results[index];
         result.id = requestId(m_plan, index);
         result.planned = m_arrivals[index];
--- a/testing/load/load_test.cc
+++ b/testing/load/load_test.cc
@@ -280,3 +280,24 @@
     results[7].outcome = request_outcome::Failed;
     CHECK(goodputBetween(results, milliseconds(500), milliseconds(1000), seconds(1)) == Approx(6));
 }
+
+TEST_CASE("a choice made at the time of each request replaces the drawn target")
+{
+    const temp_folder folder;
+    const stand_in first = requireValue([&] {
+        return startUpstream(folder, "first");
+    });
+    const stand_in second = requireValue([&] {
+        return startUpstream(folder, "second");
+    });
+    load_plan plan = planFor(first, 100, milliseconds(500));
+    plan.targets.push_back(second.address);
+    std::size_t next = 0;
+    plan.chooseTarget = [&] {
+        return next++ == 0 ? std::size_t{0} : std::size_t{1};
+    };
+    const std::vector<request_result> results = runPlan(plan);
+    CHECK(figuresOf(plan, results).whole == results.size());
+    CHECK(readRecordFile(first.recordFile).size() == 1);
+    CHECK(readRecordFile(second.recordFile).size() == results.size() - 1);
+}
--- a/testing/load/plan.h
+++ b/testing/load/plan.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,7 @@
     std::uint64_t seed = 1;
     bool isEvenlySpaced = false; // equal gaps in place of a Poisson process
     std::size_t connectionsPerTarget = 130;
+    std::function<std::size_t()> chooseTarget; // if set, called at the time of each request in place of the random draw
     std::string runName = "load"; // begins each request id, so that ids of several runs differ
 };
 
