--- a/testing/bench/requests.cc
+++ b/testing/bench/requests.cc
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <functional>
 #include <iostream>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -350,6 +351,18 @@
     return percentile(latencies, 0.99);
 }
 
+// Requests of a step that ran on the worker that is slowed.
+std::size_t runsOnFirst(const bench &given, const std::vector<request_result> &results, std::size_t step)
+{
+    std::set<std::string> ran;
+    for (const run_entry &run : readRecordFile(given.running.nodes.front().upstream.recordFile)) {
+        ran.insert(run.request.requestId);
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(results, [&](const request_result &result) {
+        return result.planned.step == step && ran.contains(result.id);
+    }));
+}
+
 void runSlowed(const bench &given)
 {
     constexpr milliseconds healthy{5000};
@@ -371,6 +384,7 @@
         const run_outcome done = runOn(given, choice, plan);
         const double calm = stepP99Ms(done.results, 0);
         const double slow = stepP99Ms(done.results, 1);
+        print(nameOf(choice) + ".runs_on_slowed", static_cast<double>(runsOnFirst(given, done.results, 1)), "requests");
         print(nameOf(choice) + ".p99_healthy", calm, "ms");
         print(nameOf(choice) + ".p99_slowed", slow, "ms");
         print(nameOf(choice) + ".p99_ratio", calm > 0 ? slow / calm : 0, "times");
