--- a/testing/process/once_process_test.cc
+++ b/testing/process/once_process_test.cc
@@ -67,10 +67,12 @@
 TEST_CASE("copies of one order that arrive together run once")
 {
     const mesh running = startOrders();
+    constexpr std::size_t copies = 8;
     std::vector<std::future<http_answer>> open;
-    for (int copy = 0; copy < 8; ++copy) {
+    open.reserve(copies);
+    for (std::size_t copy = 0; copy < copies; ++copy) {
         open.push_back(std::async(std::launch::async, [&, copy] {
-            return order(running.nodes[static_cast<std::size_t>(copy) % 2], "same", "100");
+            return order(running.nodes[copy % 2], "same", "100");
         }));
     }
     const auto answered = std::ranges::count_if(open, [](auto &each) {
