Pass the record that blocks a node on to its peers

Ruled out: a flag in gossip (a plain node would repeat what others say, not what it knows). Change: a blocked node tells peers the position behind the blocking record and hands the record out; peers are blocked by it themselves and stop asking. The start-up gate compares the same figure, so a new node of the old release still opens.

--- a/packages/process/node/config_store.cc
+++ b/packages/process/node/config_store.cc
@@ -25,12 +25,18 @@
     return progressOf(m_state);
 }
 
+fold_progress config_store::seen() const
+{
+    const std::lock_guard guard(m_mutex);
+    return seenProgress(m_state);
+}
+
 absorb_report config_store::absorb(std::span<const timed_record> records, time_point now)
 {
     const std::lock_guard guard(m_mutex);
-    const bool wasBlocked = m_state.isSchemaBlocked;
+    const bool wasBlocked = m_state.blockedBy.has_value();
     const absorb_report report = absorbRecords(m_state, records);
-    if (m_state.isSchemaBlocked && !wasBlocked) {
+    if (m_state.blockedBy && !wasBlocked) {
         LOG(ERROR) << "[fold] Record " << m_state.folded.position << " has a newer schema; version "
                    << m_state.folded.version << " stays in force. Replace this node by a newer release.";
     }
@@ -77,12 +83,13 @@
 {
     pull_response response;
     std::unique_lock guard(m_mutex);
-    response.position = m_state.folded.position;
-    response.version = m_state.folded.version;
-    if (position >= m_state.folded.position) {
+    const fold_progress seen = seenProgress(m_state);
+    response.position = seen.position;
+    response.version = seen.version;
+    if (position >= seen.position) {
         return response;
     }
-    auto records = recordsFrom(m_state.recent, position, m_state.folded.position, maxPulledBytes);
+    auto records = recordsForPeer(m_state, position, maxPulledBytes);
     if (records) {
         for (config_record &each : *records) {
             response.records.push_back({std::move(each), 0});
@@ -100,7 +107,7 @@
 config_store::dueSnapshot(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const
 {
     const std::lock_guard guard(m_mutex);
-    if (m_state.isSchemaBlocked || !isSnapshotDue(m_state.snapshots, rules, rank, nowMs)) {
+    if (m_state.blockedBy || !isSnapshotDue(m_state.snapshots, rules, rank, nowMs)) {
         return std::nullopt;
     }
     return m_state.folded;
@@ -115,7 +122,7 @@
         .versionInForce = config ? config->version : 0,
         .inForceSinceMs = m_inForceSinceMs,
         .isRouting = m_state.gate.wasOpened,
-        .isSchemaBlocked = m_state.isSchemaBlocked,
+        .isSchemaBlocked = m_state.blockedBy.has_value(),
         .rejectedRecords = m_state.rejectedRecords,
         .snapshotPosition = m_state.snapshots.snapshotPosition,
         .logNext = m_state.snapshots.logNext,
@@ -124,7 +131,7 @@
 
 void config_store::publishLocked(time_point now)
 {
-    m_state.gate = advanceGate(m_state.gate, progressOf(m_state), now);
+    m_state.gate = advanceGate(m_state.gate, seenProgress(m_state), now);
     if (!m_state.gate.wasOpened) {
         return;
     }
--- a/packages/process/node/config_store.h
+++ b/packages/process/node/config_store.h
@@ -48,6 +48,9 @@
     // progress returns how far the node has folded.
     fold_progress progress() const;
 
+    // seen returns what the node tells its peers; see `seenProgress`.
+    fold_progress seen() const;
+
     // absorb folds records or takes over a snapshot, and brings a new version into force.
     absorb_report absorb(std::span<const timed_record> records, time_point now);
     absorb_report absorb(fold_state snapshot, time_point now);
--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -249,7 +249,7 @@
 
 void node::parts::announce()
 {
-    const fold_progress progress = store.progress();
+    const fold_progress progress = store.seen();
     const proxy_status load = requests->status();
     const member_state worker = health.isReady() ? member_state::Ready : member_state::Starting;
     gossip->setLocal(progress.version, progress.position, worker, {load.running, load.waiting});
@@ -288,7 +288,7 @@
     if (request.wantsRecords) {
         response = store.respond(request.position);
     } else {
-        const fold_progress progress = store.progress();
+        const fold_progress progress = store.seen();
         response.position = progress.position;
         response.version = progress.version;
     }
@@ -306,12 +306,12 @@
     while (!stop.stop_requested()) {
         auto event = ring.popFor(foldWait, stop);
         const time_point now = steadyNow();
-        const fold_progress before = store.progress();
+        const fold_progress before = store.seen();
         if (event) {
             foldEvent(*std::move(event), now);
         }
         notePeers(now);
-        if (store.progress() != before) {
+        if (store.seen() != before) {
             announce();
         }
     }
--- a/packages/process/node/sync_client.cc
+++ b/packages/process/node/sync_client.cc
@@ -76,7 +76,7 @@
 
 void sync_client::handle(const pull_target &target, const std::stop_token &stop)
 {
-    const bool wantsRecords = target.position > m_store.progress().position;
+    const bool wantsRecords = target.position > m_store.seen().position;
     if (!wantsRecords && !target.wantsMembers) {
         return;
     }
--- a/packages/process/spread/spread_test.cc
+++ b/packages/process/spread/spread_test.cc
@@ -8,6 +8,7 @@
 #include "process/spread/startup_gate.h"
 #include "process/spread/version_state.h"
 #include "version/fold/edit_record.h"
+#include "version/fold/envelope.h"
 
 using namespace pistachioquay;
 
@@ -195,3 +196,21 @@
     CHECK(absorbSnapshot(state, foldedTo(4)) == absorb_report{});
     CHECK(progressOf(state) == fold_progress{6, 5});
 }
+
+TEST_CASE("a peer gets the record that blocks a node, and so learns that it is blocked too")
+{
+    version_state state;
+    absorbRecords(state, editsOf(2));
+    std::string newer = encodeRecord({hash128{3, 1}, 2, "awa", {addPlace({"dc-3", {}})}});
+    newer = sealEnvelope(recordMagic, recordSchema + 1, openEnvelope(recordMagic, recordSchema, newer).body);
+    const std::vector<timed_record> blocking = {{{3, newer}, 1}};
+    absorbRecords(state, blocking);
+    CHECK(progressOf(state) == fold_progress{3, 2});
+    CHECK(seenProgress(state) == fold_progress{4, 2});
+    const auto forPeer = recordsForPeer(state, 3, 1000);
+    REQUIRE(forPeer);
+    REQUIRE(forPeer->size() == 1);
+    CHECK(forPeer->front().data == newer);
+    CHECK(recordsForPeer(state, 1, 100'000)->size() == 3);
+    CHECK(recordsForPeer(state, 4, 1000)->empty());
+}
--- a/packages/process/spread/version_state.cc
+++ b/packages/process/spread/version_state.cc
@@ -30,8 +30,9 @@
 {
     fold_step step = foldRecord(std::move(state.folded), each.record.offset, each.record.data);
     state.folded = std::move(step.state);
-    state.isSchemaBlocked = step.verdict.kind == verdict_kind::UnreadableSchema;
-    if (state.isSchemaBlocked) {
+    state.blockedBy.reset();
+    if (step.verdict.kind == verdict_kind::UnreadableSchema) {
+        state.blockedBy = each;
         return false;
     }
     keepVerdict(state, each.record.offset, std::move(step.verdict));
@@ -47,6 +48,22 @@
     return {state.folded.position, state.folded.version};
 }
 
+fold_progress seenProgress(const version_state &state)
+{
+    return {state.folded.position + (state.blockedBy ? 1 : 0), state.folded.version};
+}
+
+std::optional<std::vector<config_record>>
+recordsForPeer(const version_state &state, std::uint64_t position, std::size_t maxBytes)
+{
+    auto records = recordsFrom(state.recent, position, state.folded.position, maxBytes);
+    const std::uint64_t next = records && !records->empty() ? records->back().offset + 1 : position;
+    if (records && state.blockedBy && next == state.blockedBy->record.offset) {
+        records->push_back(state.blockedBy->record);
+    }
+    return records;
+}
+
 absorb_report absorbRecords(version_state &state, std::span<const timed_record> records)
 {
     const fold_progress before = progressOf(state);
@@ -77,7 +94,7 @@
     }
     state.folded = std::move(snapshot);
     state.recent = record_buffer{};
-    state.isSchemaBlocked = false;
+    state.blockedBy.reset();
     state.snapshots.position = state.folded.position;
     return {.positionChanged = true, .versionChanged = state.folded.version != before.version};
 }
--- a/packages/process/spread/version_state.h
+++ b/packages/process/spread/version_state.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "process/spread/record_buffer.h"
 #include "process/spread/snapshot_duty.h"
@@ -52,7 +53,7 @@
     record_buffer recent;
     startup_gate gate;
     snapshot_facts snapshots;
-    bool isSchemaBlocked = false; // the next record has a schema that this program does not read
+    std::optional<timed_record> blockedBy; // the next record, if its schema is newer than this program reads
     std::deque<record_verdict> verdicts; // newest last
     std::uint64_t rejectedRecords = 0;
 };
@@ -70,6 +71,15 @@
 // progressOf returns how far the state has folded.
 fold_progress progressOf(const version_state &state);
 
+// seenProgress returns what the node tells its peers: its progress, with the position behind a record that blocks it.
+// So peers that have not seen that record pull it, and a peer of the same release does not ask for it again and again.
+fold_progress seenProgress(const version_state &state);
+
+// recordsForPeer returns the records that a peer at `position` lacks, the blocking one among them; empty optional if
+// they are no longer kept.
+std::optional<std::vector<config_record>>
+recordsForPeer(const version_state &state, std::uint64_t position, std::size_t maxBytes);
+
 // absorbRecords folds the records that follow the position, in order; older ones are ignored, and a gap stops it.
 absorb_report absorbRecords(version_state &state, std::span<const timed_record> records);
 
