Bound the wait for unreachable nodes before a publish

Cause: publish asks each address in the settings for its schema; a node that is cut off delayed it by up to 2 s. Change: 1 s for the whole call and 0.5 s for the connection. Conclusion: eight unreachable addresses delay a publish by at most 8 s.

--- a/packages/pistachioquay/access.cc
+++ b/packages/pistachioquay/access.cc
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr milliseconds logTimeout{5000};
-constexpr milliseconds statusTimeout{2000};
+constexpr milliseconds statusTimeout{1000}; // bounds the delay of a publish for each node that is cut off
+constexpr milliseconds connectTimeout{500};
 constexpr std::size_t maxStatusSize = std::size_t{16} * 1024 * 1024;
 
 boost::leaf::error_id unavailable(const endpoint &control, std::string_view what)
@@ -24,7 +25,9 @@
 result<std::string> fetchStatus(client_pool &pool, const endpoint &control)
 {
     constexpr unsigned statusOk = 200;
-    client_request request{.target = control, .deadline = steadyNow() + statusTimeout};
+    client_request request{.target = control,
+                           .deadline = steadyNow() + statusTimeout,
+                           .connectTimeout = connectTimeout};
     request.head = {"GET", "/v1/status", {{"Host", toText(control)}}, 0, false};
     const caller_watch noWatch;
     http_call call(pool, std::move(request), noWatch);
