--- a/packages/request/proxy/core.h
+++ b/packages/request/proxy/core.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <map>
+#include <memory>
 #include <mutex>
 
 #include "connection/http/client.h"
@@ -68,6 +69,27 @@
                          std::string_view remedy);
 };
 
+// makeExchange makes the steps of a request of type `Request`, which lives until the last step has ended. Thread safe.
+template<class Request>
+exchange makeExchange(core &shared, const request_head &head, const caller_watch &watch)
+{
+    const auto request = std::make_shared<Request>(shared, head, watch);
+    exchange steps;
+    steps.onHead = [request] {
+        return request->onHead();
+    };
+    steps.onBody = [request](std::string_view piece) {
+        return request->onBody(piece);
+    };
+    steps.onEnd = [request] {
+        return request->onEnd();
+    };
+    steps.onDone = [request](bool isComplete) {
+        request->onDone(isComplete);
+    };
+    return steps;
+}
+
 // outboundExchange makes the steps of a request on the caller port. `watch` lives until `onDone` returns. Thread safe.
 exchange outboundExchange(core &shared, const request_head &head, const caller_watch &watch);
 
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -475,21 +475,7 @@
 
 exchange outboundExchange(core &shared, const request_head &head, const caller_watch &watch)
 {
-    const auto request = std::make_shared<outbound_request>(shared, head, watch);
-    exchange steps;
-    steps.onHead = [request] {
-        return request->onHead();
-    };
-    steps.onBody = [request](std::string_view piece) {
-        return request->onBody(piece);
-    };
-    steps.onEnd = [request] {
-        return request->onEnd();
-    };
-    steps.onDone = [request](bool isComplete) {
-        request->onDone(isComplete);
-    };
-    return steps;
+    return makeExchange<outbound_request>(shared, head, watch);
 }
 
 } // namespace pistachioquay::internal
