Hold the closed port of proxy tests so that nobody takes it

Cause: three tests freed a port and took it as closed; beside other programs it can be taken again. Ruled out: a fixed port (may be in use). Change: refusing_port, a socket that is bound but does not listen; the checks are unchanged.

--- a/packages/request/proxy/proxy_test.cc
+++ b/packages/request/proxy/proxy_test.cc
@@ -98,13 +98,8 @@
 TEST_CASE("a worker that is down gives not-run, a worker that dies in the call gives unknown", "[proxy]")
 {
     test_mesh mesh;
-    endpoint closedPort;
-    {
-        std::atomic<int> runs = 0;
-        raw_server gone(okWorker(runs));
-        closedPort = gone.address();
-    }
-    const auto down = mesh.addNode("down", closedPort);
+    const refusing_port closed;
+    const auto down = mesh.addNode("down", closed.address());
     const caller_response notRun = mesh.call("POST", "/write");
     CHECK(notRun.status == 503);
     CHECK(notRun.header("X-Pq-Outcome") == "not-run");
@@ -124,14 +119,10 @@
 {
     std::atomic<int> runs = 0;
     raw_server upstream(okWorker(runs));
-    endpoint closedPort;
-    {
-        raw_server gone(okWorker(runs));
-        closedPort = gone.address();
-    }
+    const refusing_port closed;
     test_mesh mesh;
-    const auto down = mesh.addNode("down", closedPort); // responds not-run
-    mesh.addWorker("left", closedPort); // no connection
+    const auto down = mesh.addNode("down", closed.address()); // responds not-run
+    mesh.addWorker("left", closed.address()); // no connection
     const auto up = mesh.addNode("up", upstream.address());
     for (int index = 1; index <= 20; ++index) {
         CHECK(mesh.call("POST", "/write").status == 200);
@@ -335,13 +326,9 @@
         ++runs;
         peer.send(okResponse);
     });
-    endpoint closedPort;
-    {
-        raw_server gone(okWorker(runs));
-        closedPort = gone.address();
-    }
+    const refusing_port closed;
     test_mesh mesh;
-    const auto down = mesh.addNode("down", closedPort);
+    const auto down = mesh.addNode("down", closed.address());
     const auto up = mesh.addNode("up", upstream.address());
     const std::string body = std::string(200000, 'x') + "end";
     for (int index = 1; index <= 20; ++index) {
--- a/testing/harness/raw_socket.h
+++ b/testing/harness/raw_socket.h
@@ -176,4 +176,32 @@
     std::jthread m_acceptor;
 };
 
+// A port that refuses connections as long as the object lives: bound, but not listening, so that no other program can
+// take it meanwhile.
+class refusing_port
+{
+public:
+    refusing_port()
+        : m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        ::bind(m_fd.get(), reinterpret_cast<const sockaddr *>(&address), size);
+        ::getsockname(m_fd.get(), reinterpret_cast<sockaddr *>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+
+    // address returns the address that refuses.
+    endpoint address() const
+    {
+        return {"127.0.0.1", m_port};
+    }
+
+private:
+    unique_fd m_fd;
+    std::uint16_t m_port = 0;
+};
+
 } // namespace pistachioquay::testing
