Give each test program a port range of its own

Cause: pq_version_faults_test failed once because a node found its port in use: two test programs running in parallel had both found it free before their children bound it. pq_request_faults_test then failed once on the old harness because a node did not join; the same cause is likely, not confirmed. Ruled out: ports held until the child binds (two sockets cannot hold one port); running the process tests one by one. Change: a program locks one of 24 ranges of 500 ports until it ends. refusing_port reports a failed bind.

--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -13,6 +13,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <sys/file.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -186,16 +187,39 @@
     return m_path + "/" + std::string(name);
 }
 
+namespace {
+
+constexpr std::uint16_t firstTestPort = 20'000;
+constexpr std::uint16_t portsOfProgram = 500;
+constexpr int portSlots = 24; // up to 32,000; outgoing connections take 32768 and up
+
+// Test programs run in parallel, and a port that one found free can be taken by another before its child binds it. So
+// each program holds a lock on a range of its own until it ends. Without a free range the first one is shared.
+std::uint16_t lowestOwnPort()
+{
+    for (int slot = 0; slot < portSlots; ++slot) {
+        const std::string path = "/tmp/pq-test-ports-" + std::to_string(slot) + ".lock";
+        const int lock = ::open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0666);
+        if (lock >= 0 && ::flock(lock, LOCK_EX | LOCK_NB) == 0) {
+            return static_cast<std::uint16_t>(firstTestPort + slot * portsOfProgram);
+        }
+        ::close(lock);
+    }
+    return firstTestPort;
+}
+
+} // namespace
+
 std::vector<endpoint> freeAddresses(std::size_t count)
 {
-    constexpr std::uint16_t lowest = 20'000;
-    constexpr std::uint16_t highest = 32'000; // outgoing connections take 32768 and up
+    static const std::uint16_t lowest = lowestOwnPort();
+    const auto highest = static_cast<std::uint16_t>(lowest + portsOfProgram - 1);
     static std::mutex mutex;
     static std::set<std::uint16_t> given;
     static random_generator generator = seededFromDevice();
     const std::lock_guard guard(mutex);
     std::vector<endpoint> addresses;
-    while (addresses.size() < count && given.size() < highest - lowest) {
+    while (addresses.size() < count && given.size() < portsOfProgram) {
         const auto port = std::uniform_int_distribution<std::uint16_t>(lowest, highest)(generator);
         if (!given.contains(port) && isBindable(port, SOCK_STREAM) && isBindable(port, SOCK_DGRAM)) {
             given.insert(port);
--- a/testing/harness/raw_socket.h
+++ b/testing/harness/raw_socket.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -188,8 +189,10 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
-        ::bind(m_fd.get(), reinterpret_cast<const sockaddr *>(&address), size);
-        ::getsockname(m_fd.get(), reinterpret_cast<sockaddr *>(&address), &size);
+        const bool isBound = ::bind(m_fd.get(), reinterpret_cast<const sockaddr *>(&address), size) == 0;
+        if (!isBound || ::getsockname(m_fd.get(), reinterpret_cast<sockaddr *>(&address), &size) != 0) {
+            throw std::runtime_error("no port could be bound on loopback");
+        }
         m_port = ntohs(address.sin_port);
     }
 
