--- a/packages/process/node/log_reader.cc
+++ b/packages/process/node/log_reader.cc
@@ -1,8 +1,8 @@
 #include "process/node/log_reader.h"
 
 #include <algorithm>
-#include <condition_variable>
-#include <mutex>
+#include <iterator>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -10,6 +10,7 @@
 
 #include "process/node/pause.h"
 #include "version/fold/snapshot.h"
+#include "version/fold/snapshot_search.h"
 
 namespace pistachioquay {
 
@@ -18,7 +19,7 @@
 constexpr std::string_view configStream = "config";
 constexpr std::string_view snapshotStream = "snapshots";
 constexpr std::uint32_t batchRecords = 200;
-constexpr std::uint32_t snapshotScanRecords = 32; // newest records of `snapshots` searched for a whole snapshot
+constexpr std::uint32_t snapshotWatchRecords = 32; // records of `snapshots` read at a time
 constexpr milliseconds longPoll{2000};
 constexpr milliseconds roleCheckInterval{250};
 constexpr milliseconds fullRingPause{20};
@@ -26,6 +27,21 @@
 constexpr milliseconds backOffBase{100};
 constexpr milliseconds backOffCap{5000};
 
+result<std::vector<std::string>> readSnapshotParts(const log_target &target, std::uint64_t from, std::uint64_t to)
+{
+    std::vector<std::string> parts;
+    while (from < to) {
+        const auto count = static_cast<std::uint32_t>(to - from);
+        BOOST_LEAF_AUTO(batch, readRecords(target, snapshotStream, from, count, milliseconds(0)));
+        if (batch.records.empty()) {
+            break;
+        }
+        std::ranges::transform(batch.records, std::back_inserter(parts), &log_record::data);
+        from = batch.records.back().offset + 1;
+    }
+    return parts;
+}
+
 } // namespace
 
 log_reader::log_reader(log_reader_options options, config_store &store, version_ring &ring, log_reader_sources sources)
@@ -84,40 +100,25 @@
 
 bool log_reader::loadNewestSnapshot(const std::stop_token &stop)
 {
-    const auto last = attempt([&] {
-        return readLastRecord(m_options.target, snapshotStream);
+    const part_reader read = [this](std::uint64_t from, std::uint64_t to) {
+        return readSnapshotParts(m_options.target, from, to);
+    };
+    auto found = attempt([&]() -> result<std::optional<fold_state>> {
+        BOOST_LEAF_AUTO(stream, readLastRecord(m_options.target, snapshotStream));
+        return findSnapshot(stream.first, stream.next, {m_handedOver + 1, UINT64_MAX}, read);
     });
-    if (!last || last->records.empty()) {
+    if (!found) {
         return false;
     }
-    const std::uint64_t lastOffset = last->records.back().offset;
-    const std::uint64_t from = lastOffset > snapshotScanRecords ? lastOffset - snapshotScanRecords : 1;
-    const auto batch = attempt([&] {
-        return readRecords(m_options.target,
-                           snapshotStream,
-                           std::max(from, last->first),
-                           snapshotScanRecords + 1,
-                           milliseconds(0));
-    });
-    if (!batch) {
-        return false;
-    }
-    snapshot_collector collector;
-    std::optional<fold_state> newest;
-    for (const log_record &record : batch->records) {
-        auto whole = addSnapshotPart(collector, record.data);
-        if (whole && (!newest || whole->position > newest->position)) {
-            newest = std::move(whole);
-        }
-    }
-    if (!newest || newest->position <= m_handedOver) {
+    if (!*found) {
         LOG(ERROR)
             << "[log] No snapshot covers the expired records. Waiting for a peer or the command line to write one.";
         return false;
     }
-    LOG(INFO) << "[log] Taking the snapshot at position " << newest->position << ".";
-    m_handedOver = newest->position;
-    push(snapshot_news{*std::move(newest)}, stop);
+    fold_state newest = **std::move(found);
+    LOG(INFO) << "[log] Taking the snapshot at position " << newest.position << ".";
+    m_handedOver = newest.position;
+    push(snapshot_news{std::move(newest)}, stop);
     return true;
 }
 
@@ -127,7 +128,7 @@
     const auto batch = attempt([&] {
         return m_snapshotNext == 0
             ? readLastRecord(m_options.target, snapshotStream)
-            : readRecords(m_options.target, snapshotStream, m_snapshotNext, snapshotScanRecords, milliseconds(0));
+            : readRecords(m_options.target, snapshotStream, m_snapshotNext, snapshotWatchRecords, milliseconds(0));
     });
     if (!batch) {
         return;
