--- a/packages/pistachioquayd/main.cc
+++ b/packages/pistachioquayd/main.cc
@@ -10,6 +10,7 @@
 #include <docopt/docopt.h>
 #include <glog/logging.h>
 
+#include "platform/platform_node.h"
 #include "process/node/node.h"
 #include "process/settings/settings.h"
 
@@ -24,11 +25,13 @@
 
 Usage:
   pistachioquayd --settings FILE [--check]
+  pistachioquayd --platform [--check]
   pistachioquayd (-h | --help)
   pistachioquayd --version
 
 Options:
   --settings FILE  TOML settings of this node.
+  --platform       Run on the platform, with the settings file that its environment names.
   --check          Check the settings and exit.
   -h --help        Show this text.
   --version        Show the version.
@@ -78,6 +81,16 @@
     return 0;
 }
 
+int runOnPlatform(bool onlyChecks)
+{
+    const std::string path = platform::settingsPath();
+    if (path.empty()) {
+        std::cerr << "pistachioquayd: no settings file is named; run it where the platform sets its environment\n";
+        return exitSettings;
+    }
+    return onlyChecks ? platform::checkSettings(path) : platform::runNode(path);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -88,6 +101,9 @@
                                           std::vector<std::string>(argv + 1, argv + argc),
                                           true,
                                           "pistachioquayd " PISTACHIOQUAY_VERSION);
+    if (arguments.at("--platform").asBool()) {
+        return runOnPlatform(arguments.at("--check").asBool());
+    }
     const auto settings = attempt([&] {
         return loadSettings(arguments.at("--settings").asString());
     });
--- /dev/null
+++ b/packages/process/fleet/fleet.cc
@@ -0,0 +1,145 @@
+#include "process/fleet/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <tuple>
+
+namespace pistachioquay {
+
+namespace {
+
+constexpr unsigned silentDraw = 8; // one in this many peers may be a silent one
+constexpr std::uint32_t extraSends = 2; // of a change, beyond the logarithm of the number of nodes
+
+std::uint32_t sendsOf(const fleet_state &fleet)
+{
+    return extraSends + static_cast<std::uint32_t>(std::ceil(std::log2(fleet.nodes.size() + 2)));
+}
+
+bool isServing(const node_record &record)
+{
+    return record.worker == worker_state::Ready && !record.isLeaving;
+}
+
+worker_entry entryOf(const known_node &node)
+{
+    return {node.record.nodeId, node.record.process, node.record.dataCentre, node.record.slots, node.coldUntil};
+}
+
+} // namespace
+
+std::string_view stateName(worker_state state)
+{
+    switch (state) {
+    case worker_state::Absent:
+        return "absent";
+    case worker_state::Ready:
+        return "ready";
+    case worker_state::Draining:
+        return "draining";
+    case worker_state::Down:
+        return "down";
+    }
+    return "unknown";
+}
+
+bool isNewer(const node_record &left, const node_record &right)
+{
+    return std::tuple(left.started, left.revision) > std::tuple(right.started, right.revision);
+}
+
+merge_report mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now)
+{
+    merge_report report;
+    if (record.nodeId == fleet.selfId) {
+        report.isOwnOutdated = record.started > ownStarted;
+        return report;
+    }
+    const auto found = fleet.nodes.find(record.nodeId);
+    if (found == fleet.nodes.end() && fleet.nodes.size() >= maxNodes) {
+        return report;
+    }
+    if (found != fleet.nodes.end() && !isNewer(record, found->second.record)) {
+        return report;
+    }
+    report.isNews = true;
+    report.isNew = found == fleet.nodes.end() || found->second.record.process != record.process;
+    report.hasWorkerChanged = report.isNew || found->second.record.worker != record.worker
+        || found->second.record.isLeaving != record.isLeaving || found->second.record.service != record.service;
+    known_node &node = fleet.nodes[record.nodeId];
+    node.record = record;
+    node.heardAt = now;
+    node.coldUntil = now + milliseconds(record.coldMs);
+    if (report.hasWorkerChanged) {
+        node.sendsLeft = sendsOf(fleet);
+    }
+    return report;
+}
+
+std::vector<node_record> chooseNews(fleet_state &fleet, std::size_t count, random_generator &generator)
+{
+    std::vector<known_node *> changed;
+    std::vector<known_node *> others;
+    for (auto &[id, node] : fleet.nodes) {
+        (node.sendsLeft > 0 ? changed : others).push_back(&node);
+    }
+    std::ranges::shuffle(changed, generator);
+    std::ranges::shuffle(others, generator);
+    changed.insert(changed.end(), others.begin(), others.end());
+    changed.resize(std::min(changed.size(), count));
+    std::vector<node_record> news;
+    for (known_node *node : changed) {
+        node->sendsLeft -= std::min<std::uint32_t>(node->sendsLeft, 1);
+        news.push_back(node->record);
+    }
+    return news;
+}
+
+std::vector<endpoint> choosePeers(const fleet_state &fleet, std::size_t count, time_point now, random_generator &generator)
+{
+    std::vector<endpoint> live;
+    std::vector<endpoint> silent;
+    for (const auto &[id, node] : fleet.nodes) {
+        (isSilent(node, now) ? silent : live).push_back(node.record.gossip);
+    }
+    std::vector<endpoint> peers;
+    std::ranges::sample(live, std::back_inserter(peers), static_cast<std::ptrdiff_t>(count), generator);
+    std::uniform_int_distribution<unsigned> draw(1, silentDraw);
+    if (!silent.empty() && (peers.empty() || draw(generator) == 1)) {
+        std::ranges::sample(silent, std::back_inserter(peers), 1, generator);
+    }
+    return peers;
+}
+
+bool isSilent(const known_node &node, time_point now)
+{
+    return now - node.heardAt > silentAfter;
+}
+
+std::vector<worker_entry> readyWorkers(const fleet_state &fleet, const std::string &service, time_point now)
+{
+    std::vector<worker_entry> heard;
+    std::vector<worker_entry> silent;
+    for (const auto &[id, node] : fleet.nodes) {
+        if (node.record.service == service && isServing(node.record)) {
+            (isSilent(node, now) ? silent : heard).push_back(entryOf(node));
+        }
+    }
+    return heard.empty() ? silent : heard;
+}
+
+std::vector<std::string> forgetSilent(fleet_state &fleet, time_point now)
+{
+    std::vector<std::string> forgotten;
+    std::erase_if(fleet.nodes, [&](const auto &item) {
+        const bool isForgotten = now - item.second.heardAt > forgottenAfter;
+        if (isForgotten) {
+            forgotten.push_back(item.first);
+        }
+        return isForgotten;
+    });
+    return forgotten;
+}
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/process/mesh/context.h
@@ -0,0 +1,78 @@
+// What the parts of a node share. Private to the mesh library.
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/log_line.h"
+#include "base/random.h"
+#include "process/fleet/fleet.h"
+#include "process/mesh/mesh.h"
+#include "process/mesh/messages.h"
+#include "request/placement/placement.h"
+
+namespace pistachioquay::internal {
+
+// Counts of latencies in fixed buckets.
+struct latency_histogram
+{
+    static constexpr std::array<double, 12> boundsMs = {1, 2, 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000};
+    std::array<std::uint64_t, boundsMs.size() + 1> counts{};
+    double sumMs = 0;
+
+    void note(double milliseconds);
+};
+
+// Counters and histograms, by their name in the metrics text.
+struct mesh_metrics
+{
+    std::map<std::string, std::uint64_t> counters;
+    std::map<std::string, latency_histogram> latencies;
+
+    void count(const std::string &name)
+    {
+        ++counters[name];
+    }
+    void note(const std::string &name, double milliseconds)
+    {
+        latencies[name].note(milliseconds);
+    }
+};
+
+// The configuration in force, as text for other nodes and as a table.
+struct config_in_force
+{
+    std::shared_ptr<const route_table> table = std::make_shared<route_table>();
+    config_message packed;
+    time_point appliedAt;
+};
+
+struct mesh_context
+{
+    net::any_io_executor executor;
+    mesh_options options;
+    mesh_platform platform;
+    std::uint64_t process = 0; // random identity of this process
+    random_generator generator;
+    fleet_state fleet;
+    placement_state placement;
+    config_in_force config;
+    worker_life worker;
+    mesh_metrics metrics;
+    bool isStopping = false;
+
+    void log(const log_line &line) const
+    {
+        platform.log(line);
+    }
+};
+
+// msBetween returns the time between two points in milliseconds. Thread safe.
+double msBetween(time_point from, time_point to);
+
+// refreshWorkers makes the placement of a service follow the fleet and the own worker.
+void refreshWorkers(mesh_context &context, const std::string &service, time_point now);
+
+} // namespace pistachioquay::internal
--- /dev/null
+++ b/packages/process/mesh/messages.h
@@ -0,0 +1,141 @@
+// Messages between nodes: frames of a link and datagrams. Private to the mesh library.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "connection/loop/http_server.h"
+#include "connection/wire/codec.h"
+#include "process/fleet/fleet.h"
+#include "version/routes/routes.h"
+
+namespace pistachioquay {
+
+template<class Archive>
+void serialize(Archive &archive, header_field &field)
+{
+    archive(field.name, field.value);
+}
+
+template<class Archive>
+void serialize(Archive &archive, whole_request &request)
+{
+    archive(request.method, request.target, request.headers, request.body);
+}
+
+template<class Archive>
+void serialize(Archive &archive, whole_response &response)
+{
+    archive(response.status, response.headers, response.body);
+}
+
+inline constexpr std::uint16_t meshFormat = 1;
+
+enum class frame_kind : std::uint8_t
+{
+    Call = 1,
+    Reply,
+    Cancel,
+    Void,
+    Voided,
+    Ping,
+    Pong,
+    ConfigRequest,
+    Config,
+};
+
+// A request for the worker of the receiving node.
+struct call_message
+{
+    std::string id;
+    std::uint64_t process = 0; // that the sender expects at the receiver
+    bool isRepeat = false; // sent again to the same node after a lost link
+    std::string service;
+    std::string route;
+    repeat_rule repeat = repeat_rule::AtMostOnce;
+    std::uint32_t priority = 0;
+    std::int64_t targetLeftMs = 0; // until the response is worth less; negative if that has passed
+    std::int64_t timeLeftMs = 0; // until the response is of no use
+    std::string callerService;
+    whole_request request;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, process, isRepeat, service, route, repeat, priority, targetLeftMs, timeLeftMs, callerService, request);
+    }
+};
+
+// How a call ended at the worker's node.
+enum class reply_kind : std::uint8_t
+{
+    Response, // the worker's whole response
+    NotRun, // refused by the node: it has not run and never will
+    RejectedByWorker, // the worker said that it has not run
+    Unknown, // it may have run
+};
+
+// replyName returns the lower-case name of a kind for logs. Thread safe.
+std::string_view replyName(reply_kind kind);
+
+struct call_reply
+{
+    std::string id;
+    reply_kind kind = reply_kind::Unknown;
+    std::string reason;
+    std::int64_t retryAfterMs = 0;
+    std::int64_t waitedMs = 0; // in the line of the node
+    double runMs = 0; // mean run time of the route at the worker; 0 if not known
+    worker_report report;
+    whole_response response;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, kind, reason, retryAfterMs, waitedMs, runMs, report, response);
+    }
+};
+
+struct id_message
+{
+    std::string id;
+    std::uint64_t process = 0;
+    bool isVoid = false; // in the answer to a request to void: it has not run and never will
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, process, isVoid);
+    }
+};
+
+// A configuration version as the operator wrote it, compressed.
+struct config_message
+{
+    std::uint64_t version = 0;
+    std::uint64_t plainBytes = 0;
+    std::string compressed;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, plainBytes, compressed);
+    }
+};
+
+// One datagram.
+struct gossip_message
+{
+    node_record sender;
+    bool wantsReply = false; // the sender is new and asks for the receiver's record
+    bool isStoreWord = false; // the sender has just read the newest configuration from the platform
+    std::vector<node_record> others;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sender, wantsReply, isStoreWord, others);
+    }
+};
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/process/mesh/outbound.cc
@@ -0,0 +1,358 @@
+#include "process/mesh/outbound.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace pistachioquay::internal {
+
+namespace {
+
+constexpr milliseconds replySlack{150}; // beyond the time of a request, for the reply of the worker's node
+constexpr milliseconds defaultTimeLeft{10000}; // of a request that does not tell
+constexpr unsigned maxNodesAsked = 4; // nodes that may refuse one request before its caller is told
+constexpr std::int64_t noWorkerRetryMs = 300; // while no worker of the service is known
+constexpr milliseconds noWorkerPoll{100}; // between looks for a worker
+constexpr double fallbackRunShare = 0.25; // of the target, as run time of a route that did not run yet
+constexpr milliseconds resumePause{50}; // between attempts to reach a node again
+
+std::string retryAfterText(std::int64_t milliseconds)
+{
+    std::array<char, 32> buffer{};
+    std::snprintf(buffer.data(), buffer.size(), "%.3f", static_cast<double>(std::max<std::int64_t>(milliseconds, 1)) / 1000.0);
+    return buffer.data();
+}
+
+send_end sendEndOf(const call_reply &reply)
+{
+    switch (reply.kind) {
+    case reply_kind::Response:
+        return send_end::FailedResponse;
+    case reply_kind::NotRun:
+        return send_end::NotRun;
+    case reply_kind::RejectedByWorker:
+        return send_end::RejectedByWorker;
+    case reply_kind::Unknown:
+        return send_end::Unknown;
+    }
+    return send_end::Unknown;
+}
+
+bool isFinal(const call_reply &reply)
+{
+    return reply.kind == reply_kind::Response && reply.response.status < 500;
+}
+
+} // namespace
+
+outbound_side::outbound_side(mesh_context &context, inbound_side &inbound, peer_links &links)
+    : m_context(context)
+    , m_inbound(inbound)
+    , m_links(links)
+{
+}
+
+resend_limits outbound_side::limits() const
+{
+    resend_limits limits = m_context.options.resends;
+    limits.nodes = static_cast<std::uint32_t>(m_context.fleet.nodes.size()) + 1;
+    return limits;
+}
+
+// Time that the caller has spent on earlier attempts. Callers state the time that they have left, and their first
+// attempts state the most.
+double outbound_side::elapsedBefore(const job &work, std::int64_t timeLeftMs)
+{
+    std::int64_t &longest = m_longestTimeLeft[work.route->name];
+    longest = std::max(longest, timeLeftMs);
+    return static_cast<double>(longest - timeLeftMs);
+}
+
+awaitable<whole_response> outbound_side::serve(const whole_request &request, caller_presence &caller)
+{
+    job work;
+    work.request = &request;
+    work.caller = &caller;
+    work.arrivedAt = steadyNow();
+    work.control = std::make_shared<exchange_control>();
+    ++m_open;
+    m_context.metrics.count("requests_total");
+    if (auto refused = checkRequest(work)) {
+        logEnd(work, *refused, "refused");
+        --m_open;
+        co_return std::move(*refused);
+    }
+    caller.onGone([control = work.control] {
+        control->cancel();
+    });
+    whole_response response = co_await forward(work);
+    caller.onGone(nullptr);
+    m_context.metrics.note("request_ms", msBetween(work.arrivedAt, steadyNow()));
+    --m_open;
+    co_return response;
+}
+
+std::optional<whole_response> outbound_side::checkRequest(job &work)
+{
+    const mesh_headers &names = m_context.options.headers;
+    const header_list &headers = work.request->headers;
+    work.id = std::string(findHeader(headers, names.requestId).value_or(""));
+    work.table = m_context.config.table;
+    if (work.table->version == 0) {
+        return refusal(work, "no-configuration", noWorkerRetryMs);
+    }
+    if (work.id.empty()) {
+        return failure(work, 400, "no-request-id");
+    }
+    work.route = findRoute(*work.table, findHeader(headers, "Host").value_or(""), work.request->target);
+    if (work.route == nullptr) {
+        return failure(work, 404, "no-route");
+    }
+    const routed_path &route = *work.route;
+    const auto stated = findHeader(headers, names.timeLeftMs);
+    const auto parsed = stated ? parseCount(*stated) : std::nullopt;
+    const std::int64_t timeLeftMs = parsed ? static_cast<std::int64_t>(*parsed) : defaultTimeLeft.count();
+    const auto elapsed = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(elapsedBefore(work, timeLeftMs)));
+    work.service = chooseTarget(m_splits, route);
+    work.targetAt = work.arrivedAt + route.targetLatency - elapsed;
+    work.endsBy = work.arrivedAt + std::min<milliseconds>(milliseconds(timeLeftMs), route.timeout);
+    work.placement.route = route.name;
+    work.placement.priority = route.priority;
+    work.placement.bytes = work.request->body.size();
+    work.placement.targetMs = static_cast<double>(route.targetLatency.count());
+    work.placement.fallbackRunMs = work.placement.targetMs * fallbackRunShare;
+    noteRequest(m_budget, work.service, limits(), work.arrivedAt);
+    return std::nullopt;
+}
+
+awaitable<whole_response> outbound_side::forward(job &work)
+{
+    call_reply last;
+    last.kind = reply_kind::NotRun;
+    last.reason = "no-worker";
+    last.retryAfterMs = noWorkerRetryMs;
+    for (unsigned asked = 0; asked < maxNodesAsked + work.route->maxWorkers; ++asked) {
+        const time_point now = steadyNow();
+        refreshWorkers(m_context, work.service, now);
+        const placement_choice choice =
+            chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
+        if (!choice.nodeId) {
+            break;
+        }
+        work.expectedRunMs = choice.expectedRunMs;
+        noteSent(m_context.placement, work.service, *choice.nodeId, now);
+        call_reply reply = co_await sendTo(work, *choice.nodeId);
+        noteEnded(m_context.placement, work.service, *choice.nodeId);
+        learn(work, *choice.nodeId, reply);
+        work.placement.excluded.insert(*choice.nodeId);
+        work.trail += (work.trail.empty() ? "" : ",") + *choice.nodeId + ":" + std::string(replyName(reply.kind));
+        const bool isWorse = last.kind == reply_kind::Response && reply.kind != reply_kind::Response;
+        if (!isWorse) {
+            last = std::move(reply);
+        }
+        if (isFinal(last) || work.caller->isGone() || !mayGoOn(work, last)) {
+            break;
+        }
+    }
+    whole_response response = finalResponse(work, last);
+    logEnd(work, response, work.caller->isGone() ? "caller-left" : replyName(last.kind));
+    co_return response;
+}
+
+bool outbound_side::mayGoOn(job &work, const call_reply &reply)
+{
+    const time_point now = steadyNow();
+    if (reply.kind == reply_kind::NotRun) {
+        ++work.refusals;
+        work.retryAfterMs = work.retryAfterMs == 0 ? reply.retryAfterMs : std::min(work.retryAfterMs, reply.retryAfterMs);
+    } else {
+        ++work.workersTried;
+    }
+    resend_facts facts;
+    facts.end = sendEndOf(reply);
+    facts.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
+    facts.workersTried = work.workersTried;
+    facts.maxWorkers = work.route->maxWorkers;
+    facts.timeLeft = work.endsBy - now;
+    facts.expectedRun = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(work.expectedRunMs));
+    if (!mayResend(facts)) {
+        return false;
+    }
+    if (facts.end == send_end::NotRun && work.workersTried == 0) {
+        return true;
+    }
+    const bool isAllowed = takeResend(m_budget, work.service, limits(), now);
+    m_context.metrics.count(isAllowed ? "resends_total" : "resends_denied_total");
+    return isAllowed;
+}
+
+void outbound_side::learn(const job &work, const std::string &nodeId, const call_reply &reply)
+{
+    const time_point now = steadyNow();
+    if (reply.report != worker_report{}) {
+        noteReport(m_context.placement, work.service, nodeId, reply.report, now);
+    }
+    if (reply.runMs > 0) {
+        noteRunMs(m_context.placement, work.service, nodeId, work.route->name, reply.runMs, now);
+    }
+    if (reply.reason == "unreachable" || reply.reason == "worker-down" || reply.reason == "draining"
+        || reply.reason == "link-lost") {
+        avoid(m_context.placement, work.service, nodeId, now);
+    }
+}
+
+call_message outbound_side::messageFor(const job &work, std::uint64_t process, time_point now) const
+{
+    call_message message;
+    message.id = work.id;
+    message.process = process;
+    message.service = work.service;
+    message.route = work.route->name;
+    message.repeat = work.route->repeat;
+    message.priority = work.route->priority;
+    message.targetLeftMs = millisBetween(now, work.targetAt);
+    message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, work.endsBy));
+    message.callerService = m_context.options.service;
+    message.request = *work.request;
+    return message;
+}
+
+awaitable<call_reply> outbound_side::sendTo(job &work, const std::string &nodeId)
+{
+    if (nodeId == m_context.options.nodeId) {
+        co_return co_await m_inbound.run(messageFor(work, m_context.process, steadyNow()), work.control);
+    }
+    const auto found = m_context.fleet.nodes.find(nodeId);
+    if (found == m_context.fleet.nodes.end()) {
+        call_reply gone;
+        gone.kind = reply_kind::NotRun;
+        gone.reason = "unreachable";
+        co_return gone;
+    }
+    const known_node node = found->second;
+    co_return co_await sendRemote(work, node);
+}
+
+awaitable<call_reply> outbound_side::sendRemote(job &work, const known_node &node)
+{
+    const call_message message = messageFor(work, node.record.process, steadyNow());
+    const endpoint target = node.record.peer;
+    peer_result got = co_await m_links.call(target, message, work.endsBy + replySlack, *work.control);
+    call_reply reply;
+    reply.id = work.id;
+    switch (got.end) {
+    case peer_end::Replied:
+        co_return std::move(got.reply);
+    case peer_end::NotSent:
+        reply.kind = reply_kind::NotRun;
+        reply.reason = "unreachable";
+        co_return reply;
+    case peer_end::LinkLost:
+        if (work.route->repeat == repeat_rule::AtMostOnce) {
+            co_return co_await resume(work, target, message);
+        }
+        reply.reason = "link-lost";
+        co_return reply;
+    case peer_end::TimedOut:
+        reply.reason = "timed-out";
+        co_return reply;
+    case peer_end::Cancelled:
+        reply.reason = "cancelled";
+        co_return reply;
+    }
+    co_return reply;
+}
+
+// Sends a request that may run only once again to the same process of the same node, which knows whether it has it.
+awaitable<call_reply> outbound_side::resume(job &work, const endpoint &target, call_message message)
+{
+    message.isRepeat = true;
+    call_reply reply;
+    reply.id = work.id;
+    reply.reason = "link-lost";
+    while (steadyNow() < work.endsBy && !work.control->isCancelled()) {
+        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), work.endsBy));
+        peer_result got = co_await m_links.call(target, message, work.endsBy + replySlack, *work.control);
+        if (got.end == peer_end::Replied) {
+            co_return std::move(got.reply);
+        }
+        if (got.end == peer_end::TimedOut || got.end == peer_end::Cancelled) {
+            break;
+        }
+        net::steady_timer pause(m_context.executor, resumePause);
+        co_await pause.async_wait(awaitResult);
+    }
+    co_return reply;
+}
+
+whole_response outbound_side::finalResponse(const job &work, const call_reply &reply)
+{
+    switch (reply.kind) {
+    case reply_kind::Response:
+        return reply.response;
+    case reply_kind::NotRun:
+    case reply_kind::RejectedByWorker: {
+        const bool mayHaveRun = work.trail.find(":unknown") != std::string::npos
+            || work.trail.find(":response") != std::string::npos;
+        if (mayHaveRun && work.route->repeat == repeat_rule::AtMostOnce) {
+            return failure(work, 502, reply.reason);
+        }
+        if (mayHaveRun) {
+            return failure(work, 502, reply.reason);
+        }
+        const std::int64_t named = work.retryAfterMs > 0 ? work.retryAfterMs : reply.retryAfterMs;
+        return refusal(work, reply.reason, named > 0 ? named : noWorkerRetryMs);
+    }
+    case reply_kind::Unknown:
+        return failure(work, steadyNow() >= work.endsBy ? 504 : 502, reply.reason);
+    }
+    return failure(work, 502, reply.reason);
+}
+
+whole_response outbound_side::refusal(const job &work, std::string_view reason, std::int64_t retryAfterMs)
+{
+    whole_response response = textReply(503, "not run: " + std::string(reason) + "\n");
+    response.headers.push_back({"Retry-After", retryAfterText(retryAfterMs)});
+    if (!work.id.empty()) {
+        response.headers.push_back({m_context.options.headers.requestId, work.id});
+    }
+    m_context.metrics.count("refused_total{reason=\"" + std::string(reason) + "\"}");
+    return response;
+}
+
+whole_response outbound_side::failure(const job &work, unsigned status, std::string_view reason)
+{
+    whole_response response = textReply(status, std::string(reason) + "\n");
+    if (!work.id.empty()) {
+        response.headers.push_back({m_context.options.headers.requestId, work.id});
+    }
+    m_context.metrics.count("failed_total{reason=\"" + std::string(reason) + "\"}");
+    return response;
+}
+
+void outbound_side::logEnd(const job &work, const whole_response &response, std::string_view outcome)
+{
+    const time_point now = steadyNow();
+    m_context.metrics.count("responses_total{status=\"" + std::to_string(response.status) + "\"}");
+    log_line line("outbound", "ended");
+    line.add("id", work.id)
+        .add("route", work.route != nullptr ? std::string_view(work.route->name) : std::string_view("-"))
+        .add("service", work.service)
+        .add("status", response.status)
+        .add("outcome", outcome)
+        .add("version", work.table ? work.table->version : 0)
+        .add("took_ms", msBetween(work.arrivedAt, now));
+    if (work.route != nullptr) {
+        line.add("target_left_ms", millisBetween(work.arrivedAt, work.targetAt))
+            .add("time_left_ms", millisBetween(work.arrivedAt, work.endsBy))
+            .add("nodes", work.trail);
+    } else {
+        line.add("path", work.request->target).add("host", findHeader(work.request->headers, "Host").value_or(""));
+    }
+    if (response.status >= 500) {
+        line.add("reason", std::string_view(response.body).substr(0, response.body.find('\n')).substr(0, 60));
+    }
+    m_context.log(line);
+}
+
+} // namespace pistachioquay::internal
--- /dev/null
+++ b/packages/process/mesh/outbound.h
@@ -0,0 +1,76 @@
+// Requests of the callers of a VM and of its worker: route, choose a worker, send, and decide what follows a failure.
+// Private to the mesh library.
+//
+//   whole_response response = co_await outbound.serve(request, caller);
+#pragma once
+
+#include <memory>
+
+#include "process/mesh/context.h"
+#include "process/mesh/inbound.h"
+#include "process/mesh/peer_links.h"
+#include "request/resend/resend.h"
+
+namespace pistachioquay::internal {
+
+// Not thread safe: belongs to one loop.
+class outbound_side
+{
+public:
+    outbound_side(mesh_context &context, inbound_side &inbound, peer_links &links);
+
+    // serve answers one request of a caller. Every request gets a final response.
+    awaitable<whole_response> serve(const whole_request &request, caller_presence &caller);
+    // openCount returns the number of requests without a response yet.
+    std::size_t openCount() const
+    {
+        return m_open;
+    }
+
+private:
+    // What is known of a request while it is served.
+    struct job
+    {
+        const whole_request *request = nullptr;
+        caller_presence *caller = nullptr;
+        std::string id;
+        std::shared_ptr<const route_table> table;
+        const routed_path *route = nullptr;
+        std::string service;
+        time_point arrivedAt;
+        time_point targetAt;
+        time_point endsBy;
+        std::shared_ptr<exchange_control> control;
+        placement_request placement;
+        std::uint32_t workersTried = 0; // that the request may have reached
+        std::uint32_t refusals = 0; // by nodes, without having run
+        std::int64_t retryAfterMs = 0; // shortest that a node named
+        double expectedRunMs = 0;
+        std::string trail; // nodes and outcomes, for the log
+    };
+
+    std::optional<whole_response> checkRequest(job &work);
+    awaitable<whole_response> forward(job &work);
+    awaitable<call_reply> sendTo(job &work, const std::string &nodeId);
+    awaitable<call_reply> sendRemote(job &work, const known_node &node);
+    awaitable<call_reply> resume(job &work, const endpoint &target, call_message message);
+    call_message messageFor(const job &work, std::uint64_t process, time_point now) const;
+    bool mayGoOn(job &work, const call_reply &reply);
+    void learn(const job &work, const std::string &nodeId, const call_reply &reply);
+    whole_response finalResponse(const job &work, const call_reply &reply);
+    whole_response refusal(const job &work, std::string_view reason, std::int64_t retryAfterMs);
+    whole_response failure(const job &work, unsigned status, std::string_view reason);
+    void logEnd(const job &work, const whole_response &response, std::string_view outcome);
+    resend_limits limits() const;
+    double elapsedBefore(const job &work, std::int64_t timeLeftMs);
+
+    mesh_context &m_context;
+    inbound_side &m_inbound;
+    peer_links &m_links;
+    split_state m_splits;
+    resend_budget m_budget;
+    std::unordered_map<std::string, std::int64_t> m_longestTimeLeft; // by route: that of a first attempt
+    std::size_t m_open = 0;
+};
+
+} // namespace pistachioquay::internal
--- /dev/null
+++ b/packages/process/mesh/peer_links.cc
@@ -0,0 +1,370 @@
+#include "process/mesh/peer_links.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace pistachioquay::internal {
+
+using tcp = net::ip::tcp;
+
+namespace {
+
+constexpr milliseconds connectTimeout{400};
+constexpr milliseconds pingAfter{300}; // of silence while a reply is due
+constexpr milliseconds silentAfter{1000}; // of silence while a reply is due: the link is dead
+constexpr seconds idleKept{30}; // unused links are closed
+constexpr std::size_t largeBody = 16UL * 1024; // requests with larger bodies use a link of their own
+
+std::uint8_t code(frame_kind kind)
+{
+    return static_cast<std::uint8_t>(kind);
+}
+
+template<class Message>
+std::string encode(const Message &message)
+{
+    return encodeMessage(message, meshFormat);
+}
+
+} // namespace
+
+std::string_view endName(peer_end end)
+{
+    switch (end) {
+    case peer_end::Replied:
+        return "replied";
+    case peer_end::NotSent:
+        return "not-sent";
+    case peer_end::LinkLost:
+        return "link-lost";
+    case peer_end::TimedOut:
+        return "timed-out";
+    case peer_end::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+peer_links::peer_links(mesh_context &context, peer_events events)
+    : m_context(context)
+    , m_events(std::move(events))
+    , m_acceptor(context.executor)
+{
+}
+
+peer_links::~peer_links() = default;
+
+result<void> peer_links::listen()
+{
+    boost::system::error_code failure;
+    const auto address = net::ip::make_address(m_context.options.peers.ip, failure);
+    if (!failure) {
+        m_acceptor.open(tcp::v4(), failure);
+    }
+    if (!failure) {
+        m_acceptor.set_option(net::socket_base::reuse_address(true), failure);
+    }
+    if (!failure) {
+        m_acceptor.bind(tcp::endpoint(address, m_context.options.peers.port), failure);
+    }
+    if (!failure) {
+        m_acceptor.listen(net::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+        return fail(error_kind::Unavailable,
+                    "cannot listen on " + toText(m_context.options.peers) + ": " + failure.message(),
+                    "choose a free address of this VM for the links of other nodes");
+    }
+    net::co_spawn(m_context.executor, acceptLoop(), net::detached);
+    return {};
+}
+
+awaitable<void> peer_links::acceptLoop()
+{
+    for (;;) {
+        auto [failure, socket] = co_await m_acceptor.async_accept(awaitResult);
+        if (failure == net::error::operation_aborted) {
+            co_return;
+        }
+        if (failure) {
+            net::steady_timer pause(m_context.executor, milliseconds(50));
+            co_await pause.async_wait(awaitResult);
+            continue;
+        }
+        link_handlers handlers;
+        handlers.onFrame = [this](frame_link &link, std::uint8_t kind, std::string_view payload) {
+            serveFrame(link, kind, payload);
+        };
+        handlers.onClosed = [this](frame_link &link, std::string_view) {
+            const auto found = m_incoming.find(&link);
+            if (found == m_incoming.end()) {
+                return;
+            }
+            const incoming lost = std::move(found->second);
+            m_incoming.erase(found);
+            for (const auto &[id, call] : lost.calls) {
+                if (call.isRepeatable) {
+                    call.control->cancel();
+                }
+            }
+        };
+        const auto link = frame_link::make(std::move(socket), std::move(handlers));
+        m_incoming[link.get()].link = link;
+    }
+}
+
+void peer_links::serveFrame(frame_link &link, std::uint8_t kind, std::string_view payload)
+{
+    const auto found = m_incoming.find(&link);
+    if (found == m_incoming.end()) {
+        return;
+    }
+    if (kind == code(frame_kind::Call)) {
+        serveCall(link, payload);
+    } else if (kind == code(frame_kind::Ping)) {
+        link.send(code(frame_kind::Pong), {});
+    } else if (kind == code(frame_kind::ConfigRequest)) {
+        link.send(code(frame_kind::Config), encode(m_events.config()));
+    } else if (kind == code(frame_kind::Cancel) || kind == code(frame_kind::Void)) {
+        const auto message = attempt([&] {
+            return decodeMessage<id_message>(payload, meshFormat, m_garbled);
+        });
+        if (!message) {
+            link.close("garbled frame");
+            return;
+        }
+        if (kind == code(frame_kind::Void)) {
+            const bool isSame = message->process == m_context.process;
+            const bool isVoid = isSame && m_events.onVoid(message->id);
+            link.send(code(frame_kind::Voided), encode(id_message{message->id, m_context.process, isVoid}));
+            return;
+        }
+        const auto call = found->second.calls.find(message->id);
+        if (call != found->second.calls.end()) {
+            call->second.control->cancel();
+        }
+    }
+}
+
+void peer_links::serveCall(frame_link &link, std::string_view payload)
+{
+    auto message = attempt([&] {
+        return decodeMessage<call_message>(payload, meshFormat, m_garbled);
+    });
+    if (!message) {
+        m_context.log(log_line("peer", "garbled-call").add("error", message.failure().message));
+        link.close("garbled frame");
+        return;
+    }
+    const auto control = std::make_shared<exchange_control>();
+    m_incoming[&link].calls[message->id] = {control, message->repeat == repeat_rule::Repeatable};
+    net::co_spawn(
+        m_context.executor,
+        [this, control, kept = link.shared_from_this(), call = std::move(*message)]() mutable -> awaitable<void> {
+            const std::string id = call.id;
+            const call_reply reply = co_await m_events.onCall(std::move(call), control);
+            if (kept->isOpen()) {
+                kept->send(code(frame_kind::Reply), encode(reply));
+            }
+            const auto found = m_incoming.find(kept.get());
+            if (found != m_incoming.end()) {
+                found->second.calls.erase(id);
+            }
+        },
+        net::detached);
+}
+
+awaitable<std::shared_ptr<frame_link>> peer_links::linkTo(link_key key)
+{
+    {
+        outgoing &state = m_links[key];
+        state.lastUsed = steadyNow();
+        if (state.link && state.link->isOpen()) {
+            co_return state.link;
+        }
+        if (state.isConnecting) {
+            const auto waiter = std::make_shared<wait_point>(m_context.executor);
+            state.waiters.push_back(waiter);
+            co_await waiter->waitUntil(steadyNow() + connectTimeout);
+            const outgoing &after = m_links[key];
+            co_return after.link && after.link->isOpen() ? after.link : nullptr;
+        }
+        state.isConnecting = true;
+    }
+    link_handlers handlers;
+    handlers.onFrame = [this, key](frame_link &link, std::uint8_t kind, std::string_view payload) {
+        onFrame(key, link, kind, payload);
+    };
+    handlers.onClosed = [this, key](frame_link &, std::string_view reason) {
+        onClosed(key, reason);
+    };
+    auto link = co_await connectLink(m_context.executor, key.first, connectTimeout, std::move(handlers));
+    outgoing &state = m_links[key];
+    state.isConnecting = false;
+    state.link = link;
+    for (const auto &waiter : std::exchange(state.waiters, {})) {
+        waiter->notify();
+    }
+    m_context.log(log_line("peer", link ? "link-opened" : "link-failed").add("peer", toText(key.first)));
+    co_return link;
+}
+
+void peer_links::onFrame(const link_key &key, frame_link &link, std::uint8_t kind, std::string_view payload)
+{
+    if (kind == code(frame_kind::Reply)) {
+        auto reply = attempt([&] {
+            return decodeMessage<call_reply>(payload, meshFormat, m_garbled);
+        });
+        if (!reply) {
+            link.close("garbled frame");
+            return;
+        }
+        outgoing &state = m_links[key];
+        const auto call = state.calls.find(reply->id);
+        if (call != state.calls.end()) {
+            call->second->reply = std::move(*reply);
+            call->second->done.notify();
+        }
+    } else if (kind == code(frame_kind::Voided)) {
+        const auto message = attempt([&] {
+            return decodeMessage<id_message>(payload, meshFormat, m_garbled);
+        });
+        outgoing &state = m_links[key];
+        const auto call = message ? state.calls.find(message->id) : state.calls.end();
+        if (call != state.calls.end()) {
+            call->second->isVoid = message->isVoid;
+            call->second->done.notify();
+        }
+    } else if (kind == code(frame_kind::Config)) {
+        const auto message = attempt([&] {
+            return decodeMessage<config_message>(payload, meshFormat, m_garbled);
+        });
+        if (message) {
+            m_events.onConfig(*message);
+        }
+    }
+}
+
+void peer_links::onClosed(const link_key &key, std::string_view reason)
+{
+    outgoing &state = m_links[key];
+    m_context.log(log_line("peer", "link-lost")
+                      .add("peer", toText(key.first))
+                      .add("reason", reason)
+                      .add("open_calls", state.calls.size()));
+    failAll(state);
+}
+
+void peer_links::failAll(outgoing &state)
+{
+    for (const auto &[id, call] : state.calls) {
+        call->isLost = true;
+        call->done.notify();
+    }
+}
+
+awaitable<peer_result>
+peer_links::call(endpoint target, const call_message &message, time_point deadline, exchange_control &control)
+{
+    peer_result result;
+    const link_key key{target, message.request.body.size() > largeBody};
+    const std::shared_ptr<frame_link> link = co_await linkTo(key);
+    if (!link || control.isCancelled()) {
+        result.end = link ? peer_end::Cancelled : peer_end::NotSent;
+        co_return result;
+    }
+    const auto pending = std::make_shared<pending_call>(m_context.executor);
+    m_links[key].calls[message.id] = pending;
+    link->send(code(frame_kind::Call), encode(message));
+    control.onCancel([pending] {
+        pending->done.notify();
+    });
+    co_await pending->done.waitUntil(deadline);
+    control.onCancel(nullptr);
+    m_links[key].calls.erase(message.id);
+    m_links[key].lastUsed = steadyNow();
+    if (pending->reply) {
+        result.end = peer_end::Replied;
+        result.reply = std::move(*pending->reply);
+        co_return result;
+    }
+    if (pending->isLost) {
+        result.end = peer_end::LinkLost;
+        co_return result;
+    }
+    link->send(code(frame_kind::Cancel), encode(id_message{message.id, m_context.process, false}));
+    result.end = control.isCancelled() ? peer_end::Cancelled : peer_end::TimedOut;
+    co_return result;
+}
+
+awaitable<bool>
+peer_links::askVoid(endpoint target, const std::string &id, std::uint64_t process, time_point deadline)
+{
+    const link_key key{target, false};
+    const std::shared_ptr<frame_link> link = co_await linkTo(key);
+    if (!link) {
+        co_return false;
+    }
+    const auto pending = std::make_shared<pending_call>(m_context.executor);
+    m_links[key].calls[id] = pending;
+    link->send(code(frame_kind::Void), encode(id_message{id, process, false}));
+    co_await pending->done.waitUntil(deadline);
+    m_links[key].calls.erase(id);
+    co_return pending->isVoid.value_or(false);
+}
+
+awaitable<void> peer_links::requestConfig(endpoint target)
+{
+    if (const std::shared_ptr<frame_link> link = co_await linkTo({target, true})) {
+        link->send(code(frame_kind::ConfigRequest), {});
+    }
+}
+
+void peer_links::check(time_point now)
+{
+    std::vector<std::shared_ptr<frame_link>> silent;
+    std::vector<std::shared_ptr<frame_link>> idle;
+    for (auto &[key, state] : m_links) {
+        if (!state.link || !state.link->isOpen()) {
+            continue;
+        }
+        const duration quiet = now - state.link->lastHeard();
+        if (state.calls.empty()) {
+            if (now - state.lastUsed > idleKept) {
+                idle.push_back(state.link);
+            }
+            continue;
+        }
+        // Silence counts only after a ping had the time to be answered.
+        const bool wasPinged = state.lastPing > state.link->lastHeard();
+        if (wasPinged && now - state.lastPing > silentAfter - pingAfter && quiet > silentAfter) {
+            silent.push_back(state.link);
+        } else if (quiet > pingAfter && !wasPinged) {
+            state.lastPing = now;
+            state.link->send(code(frame_kind::Ping), {});
+        }
+    }
+    std::ranges::for_each(silent, [](const auto &link) {
+        link->close("silent");
+    });
+    std::ranges::for_each(idle, [](const auto &link) {
+        link->close("idle");
+    });
+}
+
+void peer_links::stop()
+{
+    boost::system::error_code ignored; // closing ends the port in any case
+    m_acceptor.close(ignored);
+    std::vector<std::shared_ptr<frame_link>> links;
+    for (const auto &[raw, state] : m_incoming) {
+        links.push_back(state.link);
+    }
+    std::ranges::for_each(links, [](const auto &link) {
+        link->closeAfterFlush();
+    });
+}
+
+} // namespace pistachioquay::internal
--- /dev/null
+++ b/packages/process/mesh/spread.h
@@ -0,0 +1,82 @@
+// Spreads what nodes know: records of nodes by datagrams, and the configuration by the platform and by links. Private to
+// the mesh library.
+//
+//   spread_duty spread(context, inbound, links);
+//   co_await spread.run();                        // until the node stops
+#pragma once
+
+#include <boost/asio/ip/udp.hpp>
+
+#include "process/mesh/context.h"
+#include "process/mesh/inbound.h"
+#include "process/mesh/peer_links.h"
+
+namespace pistachioquay::internal {
+
+// Whether a node reads the configuration from the platform itself, and when.
+struct reader_facts
+{
+    std::size_t rank = 0; // of this node among those of its data centre that are heard of; 0 is the reader
+    duration sinceWord{0}; // since the reader of the data centre was last heard to have read it
+    milliseconds bound{2000}; // within which a version has to be in force
+};
+
+// shouldRead decides it. The reader always does; the others step in one after the other when its word is overdue.
+// Thread safe.
+bool shouldRead(const reader_facts &facts);
+
+// readWait returns how long a read may wait at the platform for a new version. Thread safe.
+milliseconds readWait(milliseconds bound);
+
+// Not thread safe: belongs to one loop.
+class spread_duty
+{
+public:
+    spread_duty(mesh_context &context, inbound_side &inbound, peer_links &links);
+
+    // open binds the datagram port.
+    result<void> open();
+    // start runs the duties on the loop.
+    void start();
+    // announce sends the own record to all nodes at once, after a change that they must know of.
+    void announce();
+    // takeConfig takes over a configuration of another node; older ones are ignored.
+    void takeConfig(const config_message &message);
+    // withdraw removes the own address record from the platform.
+    awaitable<void> withdraw();
+    void stop();
+
+private:
+    awaitable<void> receiveLoop();
+    awaitable<void> gossipLoop();
+    awaitable<void> readLoop();
+    awaitable<void> joinLoop();
+    node_record ownRecord(time_point now);
+    void onDatagram(std::string_view bytes, const endpoint &from);
+    void onMerged(const node_record &record, const merge_report &report, time_point now);
+    void noteVersion(const node_record &record);
+    void send(const endpoint &to, bool wantsReply, bool isStoreWord, std::size_t newsCount);
+    void sendStoreWord();
+    void raiseStarted(std::uint64_t above);
+    void applyConfig(std::string bytes, std::string_view source);
+    std::size_t ownRank(time_point now) const;
+
+    mesh_context &m_context;
+    inbound_side &m_inbound;
+    peer_links &m_links;
+    net::ip::udp::socket m_socket;
+    net::steady_timer m_gossipTimer;
+    std::uint64_t m_started = 0;
+    std::uint32_t m_revision = 0;
+    std::uint64_t m_position = 0; // in the platform's log of configurations
+    std::uint64_t m_rejectedHash = 0; // of the last text that could not be decoded
+    time_point m_wordAt; // last word of a reader of the own data centre
+    time_point m_startedAt;
+    time_point m_pulledAt;
+    std::uint64_t m_pulledVersion = 0;
+    bool m_isStoreReached = false;
+    bool m_isJoined = false;
+    decode_counters m_garbled;
+};
+
+} // namespace pistachioquay::internal
--- /dev/null
+++ b/packages/process/worker_life/worker_life.cc
@@ -0,0 +1,98 @@
+#include "process/worker_life/worker_life.h"
+
+#include <utility>
+
+namespace pistachioquay {
+
+namespace {
+
+bool isSameProcess(const worker_life &life, const worker_notice &notice)
+{
+    return life.workerId == notice.workerId && notice.startedMs.value_or(life.startedMs) == life.startedMs;
+}
+
+notice_verdict startProcess(worker_life &life, const worker_notice &notice, time_point now)
+{
+    life = {};
+    life.workerId = notice.workerId;
+    life.startedMs = notice.startedMs.value_or(0);
+    life.sequence = notice.sequence.value_or(0);
+    life.slots = notice.slots;
+    life.isLeaving = notice.kind != notice_kind::Ready;
+    life.leavingSince = now;
+    life.coldUntil = now + notice.coldLeft;
+    life.heardAt = now;
+    return notice_verdict::Changed;
+}
+
+notice_verdict beginLeaving(worker_life &life, time_point now)
+{
+    if (life.isLeaving) {
+        return notice_verdict::Unchanged;
+    }
+    life.isLeaving = true;
+    life.leavingSince = now;
+    return notice_verdict::Changed;
+}
+
+} // namespace
+
+std::string_view verdictName(notice_verdict verdict)
+{
+    switch (verdict) {
+    case notice_verdict::Changed:
+        return "changed";
+    case notice_verdict::Unchanged:
+        return "unchanged";
+    case notice_verdict::Stale:
+        return "stale";
+    }
+    return "unknown";
+}
+
+notice_verdict applyNotice(worker_life &life, const worker_notice &notice, time_point now)
+{
+    if (!isSameProcess(life, notice)) {
+        const bool isOlder = notice.startedMs.value_or(0) < life.startedMs;
+        const bool isFarewellOfOther = notice.kind == notice_kind::Left && life.workerId != notice.workerId;
+        if (!life.workerId.empty() && (isOlder || isFarewellOfOther)) {
+            return notice_verdict::Stale;
+        }
+        return startProcess(life, notice, now);
+    }
+    if (notice.kind == notice_kind::Left) {
+        return beginLeaving(life, now);
+    }
+    if (notice.sequence && *notice.sequence <= life.sequence) {
+        return notice_verdict::Stale;
+    }
+    life.sequence = notice.sequence.value_or(life.sequence);
+    life.heardAt = now;
+    life.coldUntil = now + notice.coldLeft;
+    notice_verdict verdict = notice_verdict::Unchanged;
+    if (life.isUnreachable || life.slots != notice.slots) {
+        life.isUnreachable = false;
+        life.slots = notice.slots;
+        verdict = notice_verdict::Changed;
+    }
+    return notice.kind == notice_kind::Draining && beginLeaving(life, now) == notice_verdict::Changed
+        ? notice_verdict::Changed
+        : verdict;
+}
+
+bool noteUnreachable(worker_life &life)
+{
+    return !std::exchange(life.isUnreachable, true);
+}
+
+bool noteSilence(worker_life &life, milliseconds allowed, time_point now)
+{
+    return !life.workerId.empty() && now - life.heardAt > allowed && noteUnreachable(life);
+}
+
+bool mayTakeWork(const worker_life &life)
+{
+    return !life.workerId.empty() && !life.isLeaving && !life.isUnreachable;
+}
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/process/worker_life/worker_life.h
@@ -0,0 +1,80 @@
+// What a node knows of its worker from the worker's own notices.
+//
+//   const notice_verdict verdict = applyNotice(life, notice, now);
+//   if (mayTakeWork(life, now)) ...
+//
+// Notices may arrive seconds late and after a newer process of the worker has announced itself. The start time of the
+// worker's process orders its processes, and the sequence orders the notices of one process. A process that has said
+// that it leaves takes no work again.
+//
+// All functions work on one state of one loop and are not thread safe.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+
+namespace pistachioquay {
+
+// What a worker says of itself.
+enum class notice_kind : std::uint8_t
+{
+    Ready,
+    Draining,
+    Left,
+};
+
+struct worker_notice
+{
+    notice_kind kind = notice_kind::Ready;
+    std::string workerId;
+    std::optional<std::int64_t> startedMs; // wall clock of the worker's start
+    std::optional<std::uint64_t> sequence; // of this notice; absent in a farewell
+    std::uint32_t slots = 0;
+    milliseconds coldLeft{0}; // how much longer it is slow after its start
+
+    friend bool operator==(const worker_notice &, const worker_notice &) = default;
+};
+
+enum class notice_verdict : std::uint8_t
+{
+    Changed, // the node's belief about the worker changed
+    Unchanged,
+    Stale, // overtaken by newer news
+};
+
+// verdictName returns the lower-case name for logs. Thread safe.
+std::string_view verdictName(notice_verdict verdict);
+
+struct worker_life
+{
+    std::string workerId; // empty: no worker has announced itself
+    std::int64_t startedMs = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t slots = 0;
+    bool isLeaving = false;
+    bool isUnreachable = false; // its port is closed, or it is silent
+    time_point coldUntil;
+    time_point heardAt;
+    time_point leavingSince;
+
+    friend bool operator==(const worker_life &, const worker_life &) = default;
+};
+
+// applyNotice takes over a notice.
+notice_verdict applyNotice(worker_life &life, const worker_notice &notice, time_point now);
+
+// noteUnreachable records that the worker could not be reached; the next notice that is not stale ends that. True if
+// it was reachable before.
+bool noteUnreachable(worker_life &life);
+
+// noteSilence records a worker whose notices have stopped for `allowed`; true if the belief changed.
+bool noteSilence(worker_life &life, milliseconds allowed, time_point now);
+
+// mayTakeWork tells whether the worker gets new requests.
+bool mayTakeWork(const worker_life &life);
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/request/placement/placement.cc
@@ -0,0 +1,222 @@
+#include "request/placement/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <ranges>
+
+namespace pistachioquay {
+
+namespace {
+
+double msBetween(time_point from, time_point to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+placed_worker *findWorker(placement_state &state, const std::string &service, const std::string &nodeId)
+{
+    const auto found = state.services.find(service);
+    if (found == state.services.end()) {
+        return nullptr;
+    }
+    const auto worker = std::ranges::find(found->second.workers, nodeId, [](const placed_worker &placed) -> const auto & {
+        return placed.entry.nodeId;
+    });
+    return worker == found->second.workers.end() ? nullptr : &*worker;
+}
+
+std::optional<double> knownRunMs(const placed_worker &worker, const std::string &route, time_point now)
+{
+    const auto found = worker.runMs.find(route);
+    if (found == worker.runMs.end() || now - found->second.second > runForgotten) {
+        return std::nullopt;
+    }
+    return found->second.first;
+}
+
+// Mean over the workers that have news of the route.
+double typicalRunMs(const service_placement &service, const placement_request &request, time_point now)
+{
+    double sum = 0;
+    double count = 0;
+    for (const placed_worker &worker : service.workers) {
+        if (const auto known = knownRunMs(worker, request.route, now)) {
+            sum += *known;
+            ++count;
+        }
+    }
+    return count > 0 ? sum / count : request.fallbackRunMs;
+}
+
+double waitMs(const placed_worker &worker, std::uint32_t priority, double runMs, time_point now)
+{
+    const std::size_t index = std::min<std::size_t>(priority, reportedPriorities - 1);
+    const double age = msBetween(worker.reportAt, now);
+    const double weight = std::exp2(-age / reportHalfLifeMs);
+    const double slots = std::max<std::uint32_t>(worker.entry.slots, 1);
+    const double occupied = worker.report.running * weight + worker.sentSinceReport;
+    const double ownQueue = std::max(0.0, occupied - slots) * runMs / slots;
+    return worker.report.waitMs.at(index) * weight + ownQueue;
+}
+
+double crowdingMs(const placed_worker &worker, double runMs)
+{
+    const double slots = std::max<std::uint32_t>(worker.entry.slots, 1);
+    const double used = std::min(1.0, (worker.report.running + worker.sentSinceReport) / slots);
+    return runMs * crowdingShare * used * used;
+}
+
+struct scored_worker
+{
+    const placed_worker *worker = nullptr;
+    double score = 0;
+    double wait = 0;
+    double run = 0;
+};
+
+scored_worker scoreOf(const placement_state &state,
+                      const placed_worker &worker,
+                      const placement_request &request,
+                      double typicalMs,
+                      time_point now)
+{
+    const bool isCold = worker.entry.coldUntil > now;
+    scored_worker scored{&worker};
+    scored.run = knownRunMs(worker, request.route, now).value_or(typicalMs * (isCold ? coldFactor : 1.0));
+    const double slowdownWeight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
+    scored.run *= 1.0 + (worker.report.slowdown - 1.0) * slowdownWeight * 0.5;
+    scored.wait = waitMs(worker, request.priority, scored.run, now);
+    scored.score = scored.wait + scored.run + crowdingMs(worker, scored.run);
+    if (worker.entry.dataCentre != state.dataCentre) {
+        scored.score += otherDataCentreMs + otherDataCentreMsPerKb * static_cast<double>(request.bytes) / 1024.0;
+    }
+    scored.score += worker.report.failureShare * failurePenalty * std::max(request.targetMs, scored.run);
+    return scored;
+}
+
+} // namespace
+
+void setWorkers(placement_state &state, const std::string &service, std::vector<worker_entry> workers)
+{
+    std::ranges::sort(workers, {}, &worker_entry::nodeId);
+    service_placement &placement = state.services[service];
+    std::vector<placed_worker> placed;
+    for (worker_entry &entry : workers) {
+        placed_worker *known = findWorker(state, service, entry.nodeId);
+        if (known != nullptr && known->entry.process == entry.process) {
+            known->entry = std::move(entry);
+            placed.push_back(std::move(*known));
+        } else {
+            placed_worker added;
+            added.entry = std::move(entry);
+            placed.push_back(std::move(added));
+        }
+    }
+    placement.workers = std::move(placed);
+}
+
+void noteReport(placement_state &state,
+                const std::string &service,
+                const std::string &nodeId,
+                const worker_report &report,
+                time_point now)
+{
+    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+        worker->report = report;
+        worker->reportAt = now;
+        worker->sentSinceReport = 0;
+        worker->avoidances = 0;
+    }
+}
+
+void noteRunMs(placement_state &state,
+               const std::string &service,
+               const std::string &nodeId,
+               const std::string &route,
+               double milliseconds,
+               time_point now)
+{
+    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+        worker->runMs[route] = {milliseconds, now};
+    }
+}
+
+placement_choice chooseWorker(const placement_state &state,
+                              const std::string &service,
+                              const placement_request &request,
+                              time_point now,
+                              random_generator &generator)
+{
+    const auto found = state.services.find(service);
+    if (found == state.services.end()) {
+        return {};
+    }
+    const double typicalMs = typicalRunMs(found->second, request, now);
+    std::vector<scored_worker> scored;
+    for (const placed_worker &worker : found->second.workers) {
+        if (worker.avoidUntil <= now && !request.excluded.contains(worker.entry.nodeId)) {
+            scored.push_back(scoreOf(state, worker, request, typicalMs, now));
+        }
+    }
+    if (scored.empty()) {
+        return {};
+    }
+    const double best = std::ranges::min(scored, {}, &scored_worker::score).score;
+    std::erase_if(scored, [&](const scored_worker &candidate) {
+        return candidate.score > best * (1.0 + drawShare);
+    });
+    std::uniform_int_distribution<std::size_t> draw(0, scored.size() - 1);
+    const scored_worker &chosen = scored[draw(generator)];
+    return {chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run};
+}
+
+void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, time_point now)
+{
+    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+        ++worker->open;
+        ++worker->sentSinceReport;
+        worker->lastSentAt = now;
+    }
+}
+
+void noteEnded(placement_state &state, const std::string &service, const std::string &nodeId)
+{
+    placed_worker *worker = findWorker(state, service, nodeId);
+    if (worker != nullptr && worker->open > 0) {
+        --worker->open;
+    }
+}
+
+void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now)
+{
+    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+        const auto length = std::min<milliseconds>(avoidFirst * (1U << std::min(worker->avoidances, 8U)), avoidLast);
+        ++worker->avoidances;
+        worker->avoidUntil = now + length;
+    }
+}
+
+void pause(placement_state &state,
+           const std::string &service,
+           const std::string &nodeId,
+           milliseconds length,
+           time_point now)
+{
+    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+        worker->avoidUntil = std::max(worker->avoidUntil, now + length);
+    }
+}
+
+double shortestWaitMs(const placement_state &state, const std::string &service, std::uint32_t priority, time_point now)
+{
+    const auto found = state.services.find(service);
+    if (found == state.services.end() || found->second.workers.empty()) {
+        return 0;
+    }
+    return std::ranges::min(found->second.workers | std::views::transform([&](const placed_worker &worker) {
+                                return waitMs(worker, priority, 100.0, now);
+                            }));
+}
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/request/placement/placement.h
@@ -0,0 +1,165 @@
+// Which worker of a service gets a request: the one where it is expected to end first, as far as this node knows.
+//
+//   const placement_choice choice = chooseWorker(state, "orders", request, now, generator);
+//   if (!choice.nodeId) return refuse(choice.retryAfterMs);
+//   noteSent(state, "orders", *choice.nodeId, request, now);
+//   ...
+//   noteEnded(state, "orders", *choice.nodeId, ended, now);
+//
+// Load pattern: workers of one service differ in speed, slow down for a second because of unseen neighbours, and are
+// filled by many nodes at once that all see reports of different age. So
+// - a worker's expected time is its reported wait plus the run time of the route there;
+// - what this node has sent since the report counts as if it were in the queue, and a report loses its say with age, so
+//   that nodes with the same old report do not all choose the same worker;
+// - workers that are about as good are drawn at random;
+// - another data centre costs `otherDataCentreMs` and a part for the bytes, because traffic between data centres is
+//   paid for: it is chosen when the wait here is longer by that much;
+// - a worker whose requests fail is passed over in proportion, and one that refused or could not be reached for
+//   `avoidFirst` and longer each time.
+//
+// All functions work on one state of one loop and are not thread safe.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/random.h"
+
+namespace pistachioquay {
+
+inline constexpr std::size_t reportedPriorities = 3; // waits are reported for priorities 0, 1 and all others
+inline constexpr double otherDataCentreMs = 12.0; // what another data centre costs, as time
+inline constexpr double otherDataCentreMsPerKb = 2.0; // and for each kilobyte of the request
+inline constexpr double reportHalfLifeMs = 400.0; // after which a reported wait counts half
+inline constexpr double drawShare = 0.06; // workers within this share of the best time are drawn at random
+inline constexpr double failurePenalty = 2.0; // expected times that a certain failure costs
+inline constexpr double coldFactor = 2.0; // run time of a worker that has just started, before it is measured
+inline constexpr milliseconds avoidFirst{300}; // after a failed connection; doubles up to `avoidLast`
+inline constexpr milliseconds avoidLast{3000};
+inline constexpr milliseconds runForgotten{6000}; // a run time that was not renewed for this long no longer counts
+inline constexpr double crowdingShare = 0.25; // a full worker slows each run by this share
+
+// What a node says of its worker.
+struct worker_report
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::array<double, reportedPriorities> waitMs{}; // expected wait by priority
+    double failureShare = 0; // of the worker's recent requests
+    double slowdown = 1.0; // how long work takes there at the moment, 1 as usual
+
+    friend auto operator<=>(const worker_report &, const worker_report &) = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown);
+    }
+};
+
+// One worker as it is known from the fleet.
+struct worker_entry
+{
+    std::string nodeId;
+    std::uint64_t process = 0; // of the node
+    std::string dataCentre;
+    std::uint32_t slots = 1;
+    time_point coldUntil;
+
+    friend auto operator<=>(const worker_entry &, const worker_entry &) = default;
+};
+
+struct placed_worker
+{
+    worker_entry entry;
+    worker_report report;
+    time_point reportAt;
+    std::uint32_t open = 0; // requests of this node that are at the worker
+    std::uint32_t sentSinceReport = 0;
+    std::map<std::string, std::pair<double, time_point>> runMs; // by route, with the time of the last news
+    time_point avoidUntil;
+    unsigned avoidances = 0;
+    time_point lastSentAt;
+};
+
+struct service_placement
+{
+    std::vector<placed_worker> workers; // sorted by node id
+};
+
+struct placement_state
+{
+    std::string dataCentre;
+    std::unordered_map<std::string, service_placement> services;
+};
+
+struct placement_request
+{
+    std::string route;
+    std::uint32_t priority = 0;
+    std::size_t bytes = 0;
+    double fallbackRunMs = 100; // while no run time of the route is known
+    double targetMs = 0; // time within which the response is worth most
+    std::set<std::string> excluded; // nodes that were tried already
+};
+
+struct placement_choice
+{
+    std::optional<std::string> nodeId; // empty: no worker can be chosen
+    double expectedMs = 0; // until the response
+    double expectedWaitMs = 0;
+    double expectedRunMs = 0;
+};
+
+// setWorkers replaces the workers of a service; what is known of those that stay is kept.
+void setWorkers(placement_state &state, const std::string &service, std::vector<worker_entry> workers);
+
+// noteReport takes over a report and, if it is known, the run time of one route.
+void noteReport(placement_state &state,
+                const std::string &service,
+                const std::string &nodeId,
+                const worker_report &report,
+                time_point now);
+
+// noteRunMs takes over the run time of a route at a worker.
+void noteRunMs(placement_state &state,
+               const std::string &service,
+               const std::string &nodeId,
+               const std::string &route,
+               double milliseconds,
+               time_point now);
+
+// chooseWorker returns the best worker for a request.
+placement_choice chooseWorker(const placement_state &state,
+                              const std::string &service,
+                              const placement_request &request,
+                              time_point now,
+                              random_generator &generator);
+
+// noteSent counts a request that goes to the worker now.
+void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
+
+// noteEnded ends the accounting of a sent request.
+void noteEnded(placement_state &state, const std::string &service, const std::string &nodeId);
+
+// avoid passes the worker over for a while after it could not be reached; `noteReport` ends that.
+void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
+
+// pause passes the worker over for `length`.
+void pause(placement_state &state,
+           const std::string &service,
+           const std::string &nodeId,
+           milliseconds length,
+           time_point now);
+
+// shortestWaitMs returns the shortest expected wait at any worker of the service.
+double shortestWaitMs(const placement_state &state, const std::string &service, std::uint32_t priority, time_point now);
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/request/resend/resend.cc
@@ -0,0 +1,67 @@
+#include "request/resend/resend.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace pistachioquay {
+
+namespace {
+
+resend_counts &currentStep(resend_window &window, const resend_limits &limits, time_point now)
+{
+    const duration stepLength = std::max<duration>(limits.window / budgetSteps, milliseconds{1});
+    const std::int64_t step = now.time_since_epoch() / stepLength;
+    const std::int64_t passed = window.lastStep < 0 ? static_cast<std::int64_t>(budgetSteps) : step - window.lastStep;
+    for (std::int64_t offset = 0; offset < std::min<std::int64_t>(passed, budgetSteps); ++offset) {
+        window.steps.at(static_cast<std::size_t>((step - offset) % static_cast<std::int64_t>(budgetSteps))) = {};
+    }
+    window.lastStep = step;
+    return window.steps.at(static_cast<std::size_t>(step % static_cast<std::int64_t>(budgetSteps)));
+}
+
+resend_counts totalOf(const resend_window &window)
+{
+    return std::accumulate(window.steps.begin(), window.steps.end(), resend_counts{}, [](resend_counts sum, const auto &step) {
+        return resend_counts{sum.requests + step.requests, sum.resends + step.resends};
+    });
+}
+
+} // namespace
+
+void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+{
+    ++currentStep(budget.services[service], limits, now).requests;
+}
+
+bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+{
+    resend_window &window = budget.services[service];
+    resend_counts &step = currentStep(window, limits, now);
+    const resend_counts total = totalOf(window);
+    const double extra = static_cast<double>(limits.extra) / std::max<std::uint32_t>(limits.nodes, 1);
+    const double allowed = ownShare * (limits.ratio * total.requests + extra);
+    if (total.resends + 1 > allowed) {
+        return false;
+    }
+    ++step.resends;
+    return true;
+}
+
+bool mayResend(const resend_facts &facts)
+{
+    if (facts.timeLeft <= facts.expectedRun) {
+        return false;
+    }
+    switch (facts.end) {
+    case send_end::NotRun:
+        return true;
+    case send_end::RejectedByWorker:
+        return facts.workersTried < facts.maxWorkers;
+    case send_end::FailedResponse:
+    case send_end::Unknown:
+        return facts.isRepeatable && facts.workersTried < facts.maxWorkers;
+    }
+    return false;
+}
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/request/resend/resend.h
@@ -0,0 +1,86 @@
+// Whether a request that failed at one worker may be sent to another one.
+//
+//   noteRequest(budget, "orders", now);                              // each request of a caller
+//   if (mayResend(facts) && takeResend(budget, "orders", limits, now)) sendElsewhere();
+//
+// Load pattern: when workers fail or shed under load, every repeat adds load to those that still work. All nodes
+// together may therefore repeat only a share of the requests of a service in each window. A node spends what its own
+// requests allow and its part of the fixed extra, so that the sum of all nodes keeps the bound without any word between
+// them.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+
+namespace pistachioquay {
+
+inline constexpr std::size_t budgetSteps = 20; // a window is counted in this many steps
+inline constexpr double ownShare = 0.8; // of the allowance; the rest covers calls that repeated runs make again
+
+// The bound that holds for all nodes together.
+struct resend_limits
+{
+    double ratio = 0.2; // repeats for each request
+    milliseconds window{10000};
+    std::uint32_t extra = 64; // repeats that are allowed besides
+    std::uint32_t nodes = 1; // nodes that share `extra`
+
+    friend auto operator<=>(const resend_limits &, const resend_limits &) = default;
+};
+
+struct resend_counts
+{
+    std::uint32_t requests = 0;
+    std::uint32_t resends = 0;
+
+    friend auto operator<=>(const resend_counts &, const resend_counts &) = default;
+};
+
+// Counts of one service over the last window.
+struct resend_window
+{
+    std::array<resend_counts, budgetSteps> steps{};
+    std::int64_t lastStep = -1;
+};
+
+struct resend_budget
+{
+    std::unordered_map<std::string, resend_window> services;
+};
+
+// noteRequest counts a request of a caller for the service. Not thread safe.
+void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
+
+// takeResend takes one repeat out of the allowance; false if there is none left. Not thread safe.
+bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
+
+// How a send to a worker ended, as far as a repeat depends on it.
+enum class send_end : std::uint8_t
+{
+    NotRun, // the worker's node refused it: it has not run and never will
+    RejectedByWorker, // the worker said that it has not run
+    FailedResponse, // the worker ran it and responded with a failure
+    Unknown, // it may have run
+};
+
+struct resend_facts
+{
+    send_end end = send_end::Unknown;
+    bool isRepeatable = false;
+    std::uint32_t workersTried = 0; // workers that the request has reached
+    std::uint32_t maxWorkers = 1;
+    duration timeLeft{0};
+    duration expectedRun{0};
+
+    friend auto operator<=>(const resend_facts &, const resend_facts &) = default;
+};
+
+// mayResend tells whether another worker may get the request, as far as its kind, its route and its time allow. A
+// request that no worker has seen is not bounded by `maxWorkers`. Thread safe.
+bool mayResend(const resend_facts &facts);
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/request/run_time/run_time.cc
@@ -0,0 +1,27 @@
+#include "request/run_time/run_time.h"
+
+#include <algorithm>
+
+namespace pistachioquay {
+
+void noteRun(run_times &times, const std::string &route, double milliseconds, time_point now)
+{
+    run_times::mean &known = times.routes[route];
+    if (known.samples == 0) {
+        known.milliseconds = milliseconds;
+    } else {
+        const double counted = std::min(milliseconds, known.milliseconds * outlierFactor);
+        const double weight = std::max(runTimeWeight, 1.0 / (known.samples + 1.0));
+        known.milliseconds += weight * (counted - known.milliseconds);
+    }
+    ++known.samples;
+    known.lastAt = now;
+}
+
+double expectedRunMs(const run_times &times, const std::string &route, double fallbackMs)
+{
+    const auto found = times.routes.find(route);
+    return found == times.routes.end() ? fallbackMs : found->second.milliseconds;
+}
+
+} // namespace pistachioquay
--- /dev/null
+++ b/packages/request/waiting/waiting.h
@@ -0,0 +1,135 @@
+// Requests that wait at a node for a slot of its worker: who runs next, who is turned away and when to come back.
+//
+//   const offer_verdict verdict = offer(line, request, now, generator);
+//   if (verdict.kind == offer_kind::Refused) return refuse(verdict.reason, verdict.retryAfter);
+//   ...
+//   finish(line, ticket, now);
+//   for (auto started = startNext(line, now); started; started = startNext(line, now)) wake(*started);
+//   for (const refused_ticket &late : takeHopeless(line, now, generator)) refuse(late);
+//
+// Load pattern: demand swings above what the workers can do for seconds, and every request that ends late earns little
+// or nothing. So
+// - a request that cannot end before its time is up is refused on arrival, and a waiting one as soon as that is known,
+//   while its caller still has time to come back;
+// - requests that can still meet their target run before those that cannot, since a late response is worth the least;
+// - among these the more urgent route goes first, so that less urgent work never displaces it. Calls that workers make
+//   have the most urgent routes: the caller's worker holds a slot while its call waits;
+// - within a route the earliest target goes first.
+//
+// All functions work on one line of one worker and are not thread safe.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/random.h"
+
+namespace pistachioquay {
+
+inline constexpr double runMargin = 1.15; // of the expected run that must fit before the time is up
+inline constexpr std::size_t maxWaiting = 512; // bounds the memory of a line
+inline constexpr double returnSpread = 0.5; // returns are spread over this share of the expected wait
+inline constexpr milliseconds minRetryAfter{20}; // shorter pauses only add round trips
+inline constexpr double overdueShare = 0.25; // an overdue run is expected to take this share of its mean longer
+
+struct waiting_request
+{
+    std::uint64_t ticket = 0;
+    std::uint32_t priority = 0; // of the route: 0 is the most urgent
+    time_point arrivedAt;
+    time_point targetAt; // a response until then earns its full worth
+    time_point endsBy; // the response is of no use later
+    double expectedRunMs = 0;
+
+    friend bool operator==(const waiting_request &, const waiting_request &) = default;
+};
+
+struct running_request
+{
+    std::uint64_t ticket = 0;
+    time_point startedAt;
+    double expectedRunMs = 0;
+
+    friend bool operator==(const running_request &, const running_request &) = default;
+};
+
+enum class wait_refusal : std::uint8_t
+{
+    None,
+    Draining, // the worker leaves, or the node does
+    WorkerDown,
+    NoTime, // it cannot end in time behind what waits already
+    QueueFull,
+};
+
+// refusalName returns the lower-case name of a reason for logs and responses. Thread safe.
+std::string_view refusalName(wait_refusal reason);
+
+enum class offer_kind : std::uint8_t
+{
+    Run,
+    Wait,
+    Refused,
+};
+
+struct offer_verdict
+{
+    offer_kind kind = offer_kind::Refused;
+    wait_refusal reason = wait_refusal::None;
+    milliseconds retryAfter{0};
+    double expectedWaitMs = 0;
+
+    friend bool operator==(const offer_verdict &, const offer_verdict &) = default;
+};
+
+struct refused_ticket
+{
+    std::uint64_t ticket = 0;
+    wait_refusal reason = wait_refusal::NoTime;
+    milliseconds retryAfter{0};
+
+    friend bool operator==(const refused_ticket &, const refused_ticket &) = default;
+};
+
+struct waiting_line
+{
+    std::uint32_t slots = 1;
+    wait_refusal closedFor = wait_refusal::None; // why nothing new is taken
+    std::vector<waiting_request> waiting;
+    std::vector<running_request> running;
+};
+
+// offer decides on a new request. Run: it counts as running. Wait: it is in the line until `startNext` or
+// `takeHopeless` names its ticket.
+offer_verdict offer(waiting_line &line, const waiting_request &request, time_point now, random_generator &generator);
+
+// startNext moves the best waiting request to the running ones if a slot is free.
+std::optional<std::uint64_t> startNext(waiting_line &line, time_point now);
+
+// takeHopeless removes the waiting requests that can no longer end in time.
+std::vector<refused_ticket> takeHopeless(waiting_line &line, time_point now, random_generator &generator);
+
+// takeAll removes all waiting requests for `reason`.
+std::vector<refused_ticket> takeAll(waiting_line &line, wait_refusal reason);
+
+// finish frees the slot of a running request, or removes a waiting one whose caller left.
+void finish(waiting_line &line, std::uint64_t ticket);
+
+// expectedWaitMs returns how long a request with this priority that arrives now is expected to wait.
+double expectedWaitMs(const waiting_line &line, std::uint32_t priority, time_point now);
+
+// nextCheck returns when `takeHopeless` is due; empty if nothing waits.
+std::optional<time_point> nextCheck(const waiting_line &line);
+
+// latestStart returns the last time at which the request can start and still end in time.
+time_point latestStart(const waiting_request &request);
+
+// returnDelay spreads the returns of refused callers over the time in which room is expected, at most a third of the
+// time that they have left.
+milliseconds returnDelay(double expectedWaitMs, duration timeLeft, random_generator &generator);
+
+} // namespace pistachioquay
