Refuse at arrival what would be late, and leave in two phases

Ruled out: loss on the caller's connection, the logs show the requests open. Change: a request that cannot meet its target is refused while others wait; a leaving node serves 2.3 s, then refuses; refused repeats become void and silent links are reset.

--- a/packages/connection/loop/frame_link.cc
+++ b/packages/connection/loop/frame_link.cc
@@ -156,6 +156,10 @@
     }
     m_isOpen = false;
     boost::system::error_code ignored; // the link ends either way
+    if (!m_closesAfterFlush) {
+        // A reset drops the bytes that are still on their way, so that no request arrives after it was given up.
+        m_socket.set_option(net::socket_base::linger(true, 0), ignored);
+    }
     m_socket.close(ignored);
     if (m_handlers.onClosed) {
         m_handlers.onClosed(*this, reason);
--- a/packages/connection/loop/http_server.cc
+++ b/packages/connection/loop/http_server.cc
@@ -123,6 +123,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::size_t m_heldBytes = 0;
+    std::string m_peerIp;
     std::shared_ptr<bool> m_isServing; // set while the handler works; the watch of the connection ends with it
 };
 
@@ -134,6 +135,8 @@
     m_server->sockets.insert(&m_stream.socket());
     beast::error_code ignored; // a socket without this option is slower, not wrong
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    const auto peer = m_stream.socket().remote_endpoint(ignored);
+    m_peerIp = ignored ? std::string() : peer.address().to_string();
 }
 
 server_connection::~server_connection()
@@ -302,6 +305,7 @@
     const bool keepAlive = parser->get().keep_alive();
     const bool isHead = parser->get().method() == http::verb::head;
     auto request = std::make_unique<whole_request>(fromBeast(parser->release()));
+    request->sender = m_peerIp;
     parser.reset();
     whole_response response = co_await handle(*request);
     request.reset();
--- a/packages/connection/loop/http_server.h
+++ b/packages/connection/loop/http_server.h
@@ -29,6 +29,7 @@
     std::string target;
     header_list headers;
     std::string body;
+    std::string sender; // IP number that the request came from; not sent on
 
     friend bool operator==(const whole_request &, const whole_request &) = default;
 };
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -61,7 +61,9 @@
     config_in_force config;
     worker_life worker;
     mesh_metrics metrics;
-    bool isStopping = false;
+    bool isStopping = false; // the node leaves: its worker gets nothing new
+    bool isRefusing = false; // new requests of callers are refused as well
+    bool isStopped = false; // the duties end
 
     void log(const log_line &line) const
     {
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -15,6 +15,8 @@
 constexpr double outcomeWeight = 0.08; // weight of one request in the failure share
 constexpr double slowdownHalfLifeMs = 300.0; // a worker's slowdown changes many times a second
 constexpr unsigned localAttempts = 2; // on the own worker, after a kept connection turned out to be closed
+constexpr milliseconds minCheckPause{5}; // between looks for requests that can no longer meet their target
+constexpr std::uint32_t nestedPriority = 0; // of routes for calls that workers make
 constexpr std::uint32_t defaultSlots = 4; // until the worker has told its slots
 
 // Fields of the load header: running, waiting, slots and, if given, the slowdown in percent.
@@ -89,7 +91,9 @@
     if (const auto known = m_runs.routes.find(message.route); known != m_runs.routes.end()) {
         reply.runMs = known->second.milliseconds;
     }
-    if (reply.kind == reply_kind::NotRun) {
+    if (reply.kind == reply_kind::NotRun && message.isRepeat) {
+        m_ledger.makeVoid(message.id, steadyNow());
+    } else if (reply.kind == reply_kind::NotRun) {
         m_ledger.forget(message.id);
     } else {
         m_ledger.end(message.id, reply, reply.response.body.size() + 512, steadyNow());
@@ -153,6 +157,7 @@
     request.targetAt = now + milliseconds(message.targetLeftMs);
     request.endsBy = now + milliseconds(message.timeLeftMs);
     request.expectedRunMs = expectedRunMs(m_runs, message.route, fallbackMs);
+    request.isNested = message.priority == nestedPriority;
     const auto open = std::make_shared<open_call>(m_context.executor);
     open->id = message.id;
     m_open[message.id] = open;
@@ -206,6 +211,7 @@
                       .add("id", message.id)
                       .add("route", message.route)
                       .add("reason", reply.reason)
+                      .add("priority", message.priority)
                       .add("expected_wait_ms", verdict.expectedWaitMs)
                       .add("expected_run_ms", request.expectedRunMs)
                       .add("time_left_ms", message.timeLeftMs)
@@ -379,7 +385,10 @@
 
 void inbound_side::scheduleCheck()
 {
-    const auto due = nextCheck(m_line);
+    auto due = nextCheck(m_line);
+    if (due) {
+        due = std::max(*due, steadyNow() + minCheckPause);
+    }
     if (!due || (m_checkAt && *m_checkAt <= *due && *m_checkAt > steadyNow())) {
         return;
     }
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -20,10 +20,10 @@
 constexpr std::size_t descriptorReserve = 400; // for links, the worker, the platform and files
 constexpr double silentNotices = 2.5; // missed notices after which a worker counts as gone
 constexpr milliseconds noticeLag{1000}; // by which notices may be late
-constexpr milliseconds leaveQuiet{300}; // without requests before a stopping node exits
-constexpr milliseconds leaveAtLeast{2600}; // callers see two failed readiness checks within this time
-constexpr milliseconds exitMargin{500}; // before the end of the grace time
-constexpr milliseconds withdrawTimeout{300};
+constexpr milliseconds serveWhileLeaving{2300}; // callers see two failed readiness checks within this time
+constexpr milliseconds leavePoll{20};
+constexpr milliseconds leaveQuiet{60}; // without open requests before a stopping node exits
+constexpr milliseconds exitMargin{250}; // before the end of the grace time
 
 } // namespace
 
@@ -126,20 +126,19 @@
     const time_point latest = startedAt + context.options.graceTime - exitMargin;
     net::steady_timer pause(context.executor);
     time_point busyAt = startedAt;
-    std::uint64_t seen = callers.counts().requests;
     while (steadyNow() < latest) {
-        pause.expires_after(milliseconds(50));
+        pause.expires_after(leavePoll);
         co_await pause.async_wait(awaitResult);
         const time_point now = steadyNow();
-        const std::uint64_t requests = callers.counts().requests;
-        if (requests != seen || outbound.openCount() > 0 || inbound.openCount() > 0) {
+        context.isRefusing = now - startedAt > serveWhileLeaving;
+        if (outbound.openCount() > 0 || inbound.openCount() > 0) {
             busyAt = now;
-            seen = requests;
         }
-        if (now - startedAt > leaveAtLeast && now - busyAt > leaveQuiet) {
+        if (context.isRefusing && now - busyAt > leaveQuiet) {
             break;
         }
     }
+    context.isStopped = true;
     context.log(log_line("node", "stopped")
                     .add("open_requests", outbound.openCount())
                     .add("open_calls", inbound.openCount())
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -9,9 +9,11 @@
 
 constexpr milliseconds replySlack{150}; // beyond the time of a request, for the reply of the worker's node
 constexpr milliseconds defaultTimeLeft{10000}; // of a request that does not tell
-constexpr unsigned maxNodesAsked = 4; // nodes that may refuse one request before its caller is told
+constexpr unsigned maxNodesAsked = 6; // for one request
+constexpr unsigned maxLoadRefusals = 2; // nodes that refuse one request for lack of room before its caller is told
 constexpr std::int64_t noWorkerRetryMs = 300; // while no worker of the service is known
-constexpr milliseconds noWorkerPoll{100}; // between looks for a worker
+constexpr std::int64_t stoppingRetryMs = 600; // until a node that is replaced takes requests again
+constexpr std::uint32_t nestedPriority = 0; // of routes for calls that workers make
 constexpr double fallbackRunShare = 0.25; // of the target, as run time of a route that did not run yet
 constexpr milliseconds resumePause{50}; // between attempts to reach a node again
 
@@ -37,6 +39,11 @@
     return send_end::Unknown;
 }
 
+bool isForLoad(const call_reply &reply)
+{
+    return reply.reason == "crowded" || reply.reason == "no-time" || reply.reason == "queue-full";
+}
+
 bool isFinal(const call_reply &reply)
 {
     return reply.kind == reply_kind::Response && reply.response.status < 500;
@@ -60,11 +67,11 @@
 
 // Time that the caller has spent on earlier attempts. Callers state the time that they have left, and their first
 // attempts state the most.
-double outbound_side::elapsedBefore(const job &work, std::int64_t timeLeftMs)
+std::int64_t outbound_side::elapsedBefore(const job &work, std::int64_t timeLeftMs)
 {
     std::int64_t &longest = m_longestTimeLeft[work.route->name];
     longest = std::max(longest, timeLeftMs);
-    return static_cast<double>(longest - timeLeftMs);
+    return longest - timeLeftMs;
 }
 
 awaitable<whole_response> outbound_side::serve(const whole_request &request, caller_presence &caller)
@@ -111,8 +118,9 @@
     const auto stated = findHeader(headers, names.timeLeftMs);
     const auto parsed = stated ? parseCount(*stated) : std::nullopt;
     const std::int64_t timeLeftMs = parsed ? static_cast<std::int64_t>(*parsed) : defaultTimeLeft.count();
-    const auto elapsed = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>(elapsedBefore(work, timeLeftMs)));
+    // A call of a worker has the time that is left to the worker's own request, not that of an earlier attempt.
+    const bool isNested = route.priority == nestedPriority;
+    const milliseconds elapsed(isNested ? 0 : elapsedBefore(work, timeLeftMs));
     work.service = chooseTarget(m_splits, route);
     work.targetAt = work.arrivedAt + route.targetLatency - elapsed;
     work.endsBy = work.arrivedAt + std::min<milliseconds>(milliseconds(timeLeftMs), route.timeout);
@@ -121,6 +129,11 @@
     work.placement.bytes = work.request->body.size();
     work.placement.targetMs = static_cast<double>(route.targetLatency.count());
     work.placement.fallbackRunMs = work.placement.targetMs * fallbackRunShare;
+    if (m_context.isRefusing && route.priority != nestedPriority) {
+        whole_response refused = refusal(work, "stopping", stoppingRetryMs);
+        refused.closesConnection = true;
+        return refused;
+    }
     noteRequest(m_budget, work.service, limits(), work.arrivedAt);
     return std::nullopt;
 }
@@ -131,7 +144,7 @@
     last.kind = reply_kind::NotRun;
     last.reason = "no-worker";
     last.retryAfterMs = noWorkerRetryMs;
-    for (unsigned asked = 0; asked < maxNodesAsked + work.route->maxWorkers; ++asked) {
+    for (unsigned asked = 0; asked < maxNodesAsked; ++asked) {
         const time_point now = steadyNow();
         refreshWorkers(m_context, work.service, now);
         const placement_choice choice =
@@ -163,7 +176,7 @@
 {
     const time_point now = steadyNow();
     if (reply.kind == reply_kind::NotRun) {
-        ++work.refusals;
+        work.refusals += isForLoad(reply) ? 1 : 0;
         work.retryAfterMs = work.retryAfterMs == 0 ? reply.retryAfterMs : std::min(work.retryAfterMs, reply.retryAfterMs);
     } else {
         ++work.workersTried;
@@ -178,6 +191,9 @@
     if (!mayResend(facts)) {
         return false;
     }
+    if (work.refusals >= maxLoadRefusals) {
+        return false;
+    }
     if (facts.end == send_end::NotRun && work.workersTried == 0) {
         return true;
     }
@@ -341,7 +357,8 @@
         .add("status", response.status)
         .add("outcome", outcome)
         .add("version", work.table ? work.table->version : 0)
-        .add("took_ms", msBetween(work.arrivedAt, now));
+        .add("took_ms", msBetween(work.arrivedAt, now))
+        .add("from", work.request->sender);
     if (work.route != nullptr) {
         line.add("target_left_ms", millisBetween(work.arrivedAt, work.targetAt))
             .add("time_left_ms", millisBetween(work.arrivedAt, work.endsBy))
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -43,7 +43,7 @@
         std::shared_ptr<exchange_control> control;
         placement_request placement;
         std::uint32_t workersTried = 0; // that the request may have reached
-        std::uint32_t refusals = 0; // by nodes, without having run
+        std::uint32_t refusals = 0; // by nodes, for lack of room
         std::int64_t retryAfterMs = 0; // shortest that a node named
         double expectedRunMs = 0;
         std::string trail; // nodes and outcomes, for the log
@@ -62,7 +62,7 @@
     whole_response failure(const job &work, unsigned status, std::string_view reason);
     void logEnd(const job &work, const whole_response &response, std::string_view outcome);
     resend_limits limits() const;
-    double elapsedBefore(const job &work, std::int64_t timeLeftMs);
+    std::int64_t elapsedBefore(const job &work, std::int64_t timeLeftMs);
 
     mesh_context &m_context;
     inbound_side &m_inbound;
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -352,7 +352,7 @@
 {
     net::steady_timer pause(m_context.executor);
     const milliseconds wait = readWait(m_context.options.configBound);
-    while (!m_context.isStopping) {
+    while (!m_context.isStopped) {
         const time_point now = steadyNow();
         const bool hasConfig = m_context.config.table->version > 0;
         const reader_facts facts{ownRank(now), now - std::max(m_wordAt, m_startedAt), m_context.options.configBound};
@@ -385,8 +385,8 @@
 {
     net::steady_timer pause(m_context.executor);
     bool isPublished = false;
-    while (!m_context.isStopping) {
-        if (!isPublished) {
+    while (!m_context.isStopped) {
+        if (!isPublished && !m_context.isStopping) {
             node_record own = ownRecord(steadyNow());
             own.runMs.clear();
             isPublished = co_await m_context.platform.publishNode(own.nodeId, encodeMessage(own, meshFormat));
@@ -423,7 +423,7 @@
 
 awaitable<void> spread_duty::gossipLoop()
 {
-    while (!m_context.isStopping) {
+    while (!m_context.isStopped) {
         m_gossipTimer.expires_after(gossipInterval);
         co_await m_gossipTimer.async_wait(awaitResult);
         const time_point now = steadyNow();
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -25,10 +25,11 @@
     return now + fromMs(request.expectedRunMs) <= request.targetAt;
 }
 
-// Smaller runs earlier.
-auto rankOf(const waiting_request &request, time_point now)
+// Smaller runs earlier. A request that was taken although it is late keeps its place by its arrival.
+auto rankOf(const waiting_request &request)
 {
-    return std::tuple(!canMeetTarget(request, now), request.priority, request.targetAt, request.ticket);
+    const time_point due = request.isTakenLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
+    return std::tuple(!request.isNested, request.priority, due, request.ticket);
 }
 
 double remainingMs(const running_request &running, time_point now)
@@ -69,7 +70,24 @@
                       random_generator &generator)
 {
     const double wait = expectedWaitMs(line, request.priority, now);
-    return {request.ticket, reason, returnDelay(wait, request.endsBy - now, generator)};
+    return {request.ticket, reason, returnDelay(request, wait, now, generator)};
+}
+
+// Whether anything waits beside the request that could use its slot better.
+bool isCrowded(const waiting_line &line, const waiting_request &request, time_point now)
+{
+    const double wait = waitBehind(line, now, [&](const waiting_request &other) {
+        return other.ticket != request.ticket;
+    });
+    return wait > lateWaitRuns * request.expectedRunMs;
+}
+
+bool isHopeless(const waiting_line &line, const waiting_request &request, time_point now)
+{
+    if (now > latestStart(request)) {
+        return true;
+    }
+    return !request.isNested && !request.isTakenLate && !canMeetTarget(request, now) && isCrowded(line, request, now);
 }
 
 } // namespace
@@ -85,6 +103,8 @@
         return "worker-down";
     case wait_refusal::NoTime:
         return "no-time";
+    case wait_refusal::Crowded:
+        return "crowded";
     case wait_refusal::QueueFull:
         return "queue-full";
     }
@@ -96,18 +116,21 @@
     return request.endsBy - fromMs(request.expectedRunMs * runMargin);
 }
 
-milliseconds returnDelay(double expectedWaitMs, duration timeLeft, random_generator &generator)
+milliseconds returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator)
 {
-    std::uniform_real_distribution<double> spread(1.0 - returnSpread, 1.0 + returnSpread);
-    const double third = std::chrono::duration<double, std::milli>(timeLeft).count() / 3.0;
-    const double wished = std::max<double>(expectedWaitMs * spread(generator), minRetryAfter.count());
-    return milliseconds(static_cast<std::int64_t>(std::max(0.0, std::min(wished, third))));
+    const double third = msBetween(now, request.endsBy) / 3.0;
+    const double targetLeft = msBetween(now, request.targetAt) - request.expectedRunMs;
+    std::uniform_real_distribution<double> spread(1.0 - returnSpread, 1.0);
+    const double untilRoom = expectedWaitMs - targetLeft;
+    const double wished = targetLeft > 0 ? std::min(untilRoom * (1.0 + returnSpread), targetLeft) : third;
+    const double delay = std::max<double>(wished * spread(generator), minRetryAfter.count());
+    return milliseconds(static_cast<std::int64_t>(std::max(0.0, std::min(delay, third))));
 }
 
 double expectedWaitMs(const waiting_line &line, std::uint32_t priority, time_point now)
 {
     return waitBehind(line, now, [&](const waiting_request &other) {
-        return other.priority <= priority && canMeetTarget(other, now);
+        return other.isNested || other.priority <= priority;
     });
 }
 
@@ -118,25 +141,32 @@
         verdict.reason = line.closedFor;
         return verdict;
     }
-    const auto rank = rankOf(request, now);
+    waiting_request offered = request;
+    offered.isTakenLate = false;
+    const auto rank = rankOf(offered);
     verdict.expectedWaitMs = waitBehind(line, now, [&](const waiting_request &other) {
-        return rankOf(other, now) < rank;
+        return rankOf(other) < rank;
     });
-    if (now + fromMs(verdict.expectedWaitMs) > latestStart(request)) {
+    const time_point startsAt = now + fromMs(verdict.expectedWaitMs);
+    if (startsAt > latestStart(offered)) {
         verdict.reason = wait_refusal::NoTime;
-    } else if (line.waiting.size() >= maxWaiting) {
+    } else if (!offered.isNested && !canMeetTarget(offered, startsAt)) {
+        offered.isTakenLate = true;
+        verdict.reason = isCrowded(line, offered, now) ? wait_refusal::Crowded : wait_refusal::None;
+    }
+    if (verdict.reason == wait_refusal::None && line.waiting.size() >= maxWaiting) {
         verdict.reason = wait_refusal::QueueFull;
     }
     if (verdict.reason != wait_refusal::None) {
-        verdict.retryAfter = refuse(line, request, verdict.reason, now, generator).retryAfter;
+        verdict.retryAfter = refuse(line, offered, verdict.reason, now, generator).retryAfter;
         return verdict;
     }
     if (line.running.size() < line.slots && line.waiting.empty()) {
-        line.running.push_back({request.ticket, now, request.expectedRunMs});
+        line.running.push_back({offered.ticket, now, offered.expectedRunMs});
         verdict.kind = offer_kind::Run;
         return verdict;
     }
-    line.waiting.push_back(request);
+    line.waiting.push_back(offered);
     verdict.kind = offer_kind::Wait;
     return verdict;
 }
@@ -146,9 +176,7 @@
     if (line.waiting.empty() || line.running.size() >= line.slots) {
         return std::nullopt;
     }
-    const auto best = std::ranges::min_element(line.waiting, {}, [&](const waiting_request &request) {
-        return rankOf(request, now);
-    });
+    const auto best = std::ranges::min_element(line.waiting, {}, rankOf);
     const std::uint64_t ticket = best->ticket;
     line.running.push_back({ticket, now, best->expectedRunMs});
     line.waiting.erase(best);
@@ -158,14 +186,16 @@
 std::vector<refused_ticket> takeHopeless(waiting_line &line, time_point now, random_generator &generator)
 {
     std::vector<refused_ticket> refused;
-    const auto isHopeless = [&](const waiting_request &request) {
-        return now > latestStart(request);
-    };
-    const auto kept = std::ranges::stable_partition(line.waiting, std::not_fn(isHopeless));
-    const std::vector<waiting_request> taken(kept.begin(), kept.end());
-    line.waiting.erase(kept.begin(), kept.end());
-    for (const waiting_request &request : taken) {
-        refused.push_back(refuse(line, request, wait_refusal::NoTime, now, generator));
+    for (std::size_t index = 0; index < line.waiting.size();) {
+        const waiting_request request = line.waiting[index];
+        if (!isHopeless(line, request, now)) {
+            ++index;
+            continue;
+        }
+        line.waiting.erase(line.waiting.begin() + static_cast<std::ptrdiff_t>(index));
+        const bool isTooLate = now > latestStart(request);
+        refused.push_back(
+            refuse(line, request, isTooLate ? wait_refusal::NoTime : wait_refusal::Crowded, now, generator));
     }
     return refused;
 }
@@ -195,7 +225,11 @@
     if (line.waiting.empty()) {
         return std::nullopt;
     }
-    return std::ranges::min(line.waiting | std::views::transform(latestStart));
+    return std::ranges::min(line.waiting | std::views::transform([](const waiting_request &request) {
+                                const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs);
+                                const bool isExempt = request.isNested || request.isTakenLate;
+                                return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
+                            }));
 }
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting.h
+++ b/packages/request/waiting/waiting.h
@@ -7,14 +7,15 @@
 //   for (auto started = startNext(line, now); started; started = startNext(line, now)) wake(*started);
 //   for (const refused_ticket &late : takeHopeless(line, now, generator)) refuse(late);
 //
-// Load pattern: demand swings above what the workers can do for seconds, and every request that ends late earns little
-// or nothing. So
-// - a request that cannot end before its time is up is refused on arrival, and a waiting one as soon as that is known,
-//   while its caller still has time to come back;
-// - requests that can still meet their target run before those that cannot, since a late response is worth the least;
-// - among these the more urgent route goes first, so that less urgent work never displaces it. Calls that workers make
-//   have the most urgent routes: the caller's worker holds a slot while its call waits;
-// - within a route the earliest target goes first.
+// Load pattern: demand swings above what the workers can do for seconds, and a response after its target earns little.
+// So
+// - a request that cannot meet its target is refused on arrival while others wait, and a waiting one as soon as that is
+//   known: a slot spent on it would make the next one late as well, and its caller still has time to come back;
+// - it is taken while hardly anything waits, since a late response is worth more than none;
+// - among those that wait the more urgent route goes first, so that less urgent work never displaces it, and within a
+//   route the earliest target;
+// - calls of workers (`isNested`) go first of all and are refused only when they cannot end in time: the caller's worker
+//   holds a slot while its call waits, and all of its work is lost if the call fails.
 //
 // All functions work on one line of one worker and are not thread safe.
 #pragma once
@@ -34,6 +35,7 @@
 inline constexpr std::size_t maxWaiting = 512; // bounds the memory of a line
 inline constexpr double returnSpread = 0.5; // returns are spread over this share of the expected wait
 inline constexpr milliseconds minRetryAfter{20}; // shorter pauses only add round trips
+inline constexpr double lateWaitRuns = 0.5; // wait, in its own runs, up to which a late request is taken
 inline constexpr double overdueShare = 0.25; // an overdue run is expected to take this share of its mean longer
 
 struct waiting_request
@@ -44,6 +46,8 @@
     time_point targetAt; // a response until then earns its full worth
     time_point endsBy; // the response is of no use later
     double expectedRunMs = 0;
+    bool isNested = false; // made by a worker while it runs a request
+    bool isTakenLate = false; // could not meet its target when it was taken
 
     friend bool operator==(const waiting_request &, const waiting_request &) = default;
 };
@@ -63,6 +67,7 @@
     Draining, // the worker leaves, or the node does
     WorkerDown,
     NoTime, // it cannot end in time behind what waits already
+    Crowded, // it would end after its target while others wait
     QueueFull,
 };
 
@@ -128,8 +133,8 @@
 // latestStart returns the last time at which the request can start and still end in time.
 time_point latestStart(const waiting_request &request);
 
-// returnDelay spreads the returns of refused callers over the time in which room is expected, at most a third of the
-// time that they have left.
-milliseconds returnDelay(double expectedWaitMs, duration timeLeft, random_generator &generator);
+// returnDelay tells a refused caller when to come back: when the line is expected to be short enough for its target, or,
+// if that is missed, within the next third of its time. Returns are spread so that they do not come as a wave.
+milliseconds returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator);
 
 } // namespace pistachioquay
