Count the time of bodies on the links in the placement

Cause: on VMs with 7 Mbit/s the fastest worker got all uploads and its link filled up; requests on it waited for seconds and silent links were closed beneath them. Ruled out: waiting in the line (waited_ms 0). Change: a worker's score counts the bytes of the request over the free rate of both links; own worker costs none; other data centres cost a share of the target; a link on which writes make progress is not silent. The platform is read by one node of each data centre after start-up.

--- a/packages/connection/loop/frame_link.cc
+++ b/packages/connection/loop/frame_link.cc
@@ -43,7 +43,7 @@
 frame_link::frame_link(tcp::socket socket, link_handlers handlers)
     : m_socket(std::move(socket))
     , m_handlers(std::move(handlers))
-    , m_lastHeard(steadyNow())
+    , m_lastProgress(steadyNow())
 {
     boost::system::error_code ignored; // a socket without this option is slower, not wrong
     m_socket.set_option(tcp::no_delay(true), ignored);
@@ -90,6 +90,9 @@
     while (m_isOpen && !m_queued.empty()) {
         std::swap(m_queued, m_writing);
         const auto [failure, bytes] = co_await net::async_write(m_socket, net::buffer(m_writing), awaitResult);
+        if (m_writing.size() > readBytes) {
+            m_lastProgress = steadyNow();
+        }
         m_writing.clear();
         releaseIfLarge(m_writing);
         if (failure) {
@@ -134,7 +137,7 @@
             co_return;
         }
         buffer.append(piece.data(), bytes);
-        m_lastHeard = steadyNow();
+        m_lastProgress = steadyNow();
         if (!takeFrames(buffer)) {
             close("the peer sent a frame over the size limit");
         }
--- a/packages/connection/loop/frame_link.h
+++ b/packages/connection/loop/frame_link.h
@@ -48,9 +48,10 @@
     {
         return m_isOpen;
     }
-    time_point lastHeard() const
+    // lastProgress returns when bytes last came, or were last taken by a peer that is slow to read them.
+    time_point lastProgress() const
     {
-        return m_lastHeard;
+        return m_lastProgress;
     }
     std::size_t queuedBytes() const
     {
@@ -70,7 +71,7 @@
     bool m_isOpen = true;
     bool m_isWriting = false;
     bool m_closesAfterFlush = false;
-    time_point m_lastHeard;
+    time_point m_lastProgress;
 };
 
 // connectLink opens a link; null if the peer cannot be reached within `timeout`.
--- a/packages/process/fleet/fleet.cc
+++ b/packages/process/fleet/fleet.cc
@@ -24,7 +24,12 @@
 
 worker_entry entryOf(const known_node &node)
 {
-    return {node.record.nodeId, node.record.process, node.record.dataCentre, node.record.slots, node.coldUntil};
+    return {node.record.nodeId,
+            node.record.process,
+            node.record.dataCentre,
+            node.record.slots,
+            node.coldUntil,
+            static_cast<double>(node.record.linkBytesPerMs)};
 }
 
 } // namespace
--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -56,6 +56,7 @@
     worker_state worker = worker_state::Absent;
     bool isLeaving = false; // the node shuts down
     std::uint32_t slots = 0;
+    std::uint32_t linkBytesPerMs = 0; // rate of the VM's link
     std::uint32_t coldMs = 0; // how much longer the worker is slow after its start
     std::uint64_t configVersion = 0;
     worker_report report;
@@ -67,7 +68,7 @@
     void serialize(Archive &archive)
     {
         archive(nodeId, started, revision, process, dataCentre, service, peer, gossip);
-        archive(worker, isLeaving, slots, coldMs, configVersion, report, runMs);
+        archive(worker, isLeaving, slots, linkBytesPerMs, coldMs, configVersion, report, runMs);
     }
 };
 
--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -1,6 +1,7 @@
 #include "process/mesh/context.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pistachioquay {
 
@@ -21,6 +22,26 @@
 
 namespace internal {
 
+namespace {
+
+constexpr double linkMemoryMs = 500.0; // time constant of the measured rate
+
+} // namespace
+
+void link_meter::note(std::size_t bytesIn, std::size_t bytesOut, time_point now)
+{
+    const double kept = std::exp(-msBetween(m_at, now) / linkMemoryMs);
+    m_inPerMs = m_inPerMs * kept + static_cast<double>(bytesIn) / linkMemoryMs;
+    m_outPerMs = m_outPerMs * kept + static_cast<double>(bytesOut) / linkMemoryMs;
+    m_at = now;
+}
+
+double link_meter::load(double bytesPerMs, time_point now) const
+{
+    const double kept = std::exp(-msBetween(m_at, now) / linkMemoryMs);
+    return bytesPerMs > 0 ? std::max(m_inPerMs, m_outPerMs) * kept / bytesPerMs : 0.0;
+}
+
 void latency_histogram::note(double milliseconds)
 {
     const auto bucket = std::ranges::lower_bound(boundsMs, milliseconds);
@@ -41,7 +62,8 @@
                            context.process,
                            context.options.dataCentre,
                            context.worker.slots,
-                           context.worker.coldUntil});
+                           context.worker.coldUntil,
+                           context.options.linkBytesPerMs});
     }
     setWorkers(context.placement, service, std::move(workers));
 }
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -25,6 +25,19 @@
     void note(double milliseconds);
 };
 
+// Used share of the VM's link, in the busier direction, over the last half second.
+class link_meter
+{
+public:
+    void note(std::size_t bytesIn, std::size_t bytesOut, time_point now);
+    double load(double bytesPerMs, time_point now) const;
+
+private:
+    double m_inPerMs = 0;
+    double m_outPerMs = 0;
+    time_point m_at;
+};
+
 // Counters and histograms, by their name in the metrics text.
 struct mesh_metrics
 {
@@ -60,6 +73,7 @@
     placement_state placement;
     config_in_force config;
     worker_life worker;
+    link_meter link;
     mesh_metrics metrics;
     bool isStopping = false; // the node leaves: its worker gets nothing new
     bool isRefusing = false; // new requests of callers are refused as well
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -354,6 +354,7 @@
     }
     report.failureShare = m_failureShare;
     report.slowdown = 1.0 + (m_slowdown - 1.0) * std::exp2(-msBetween(m_slowdownAt, now) / slowdownHalfLifeMs);
+    report.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
     return report;
 }
 
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -45,6 +45,7 @@
     endpoint gossip; // datagrams of other nodes
     std::size_t memoryBytes = 256UL * 1024 * 1024;
     std::size_t maxDescriptors = 4096;
+    double linkBytesPerMs = 0; // rate of the VM's link; 0: not known
     milliseconds noticeInterval{1500}; // between two notices of a worker
     milliseconds drainTime{2000}; // within which a leaving worker gets no more work
     milliseconds graceTime{6000}; // from the signal to stop until the process is killed
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -11,6 +11,7 @@
 constexpr milliseconds defaultTimeLeft{10000}; // of a request that does not tell
 constexpr unsigned maxNodesAsked = 6; // for one request
 constexpr unsigned maxLoadRefusals = 2; // nodes that refuse one request for lack of room before its caller is told
+constexpr std::size_t requestHeadBytes = 400; // of a request or a response besides its body, about
 constexpr std::int64_t noWorkerRetryMs = 300; // while no worker of the service is known
 constexpr std::int64_t stoppingRetryMs = 600; // until a node that is replaced takes requests again
 constexpr std::uint32_t nestedPriority = 0; // of routes for calls that workers make
@@ -82,6 +83,7 @@
     work.arrivedAt = steadyNow();
     work.control = std::make_shared<exchange_control>();
     ++m_open;
+    m_context.link.note(request.body.size() + requestHeadBytes, 0, work.arrivedAt);
     m_context.metrics.count("requests_total");
     if (auto refused = checkRequest(work)) {
         logEnd(work, *refused, "refused");
@@ -93,6 +95,7 @@
     });
     whole_response response = co_await forward(work);
     caller.onGone(nullptr);
+    m_context.link.note(0, response.body.size() + requestHeadBytes, steadyNow());
     m_context.metrics.note("request_ms", msBetween(work.arrivedAt, steadyNow()));
     --m_open;
     co_return response;
@@ -147,13 +150,14 @@
     for (unsigned asked = 0; asked < maxNodesAsked; ++asked) {
         const time_point now = steadyNow();
         refreshWorkers(m_context, work.service, now);
+        m_context.placement.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
         const placement_choice choice =
             chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
         if (!choice.nodeId) {
             break;
         }
         work.expectedRunMs = choice.expectedRunMs;
-        noteSent(m_context.placement, work.service, *choice.nodeId, now);
+        noteSent(m_context.placement, work.service, *choice.nodeId, work.placement.bytes, now);
         call_reply reply = co_await sendTo(work, *choice.nodeId);
         noteEnded(m_context.placement, work.service, *choice.nodeId);
         learn(work, *choice.nodeId, reply);
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -121,6 +121,7 @@
     if (found == m_incoming.end()) {
         return;
     }
+    m_context.link.note(payload.size(), 0, steadyNow());
     if (kind == code(frame_kind::Call)) {
         serveCall(link, payload);
     } else if (kind == code(frame_kind::Ping)) {
@@ -166,7 +167,9 @@
             const std::string id = call.id;
             const call_reply reply = co_await m_events.onCall(std::move(call), control);
             if (kept->isOpen()) {
-                kept->send(code(frame_kind::Reply), encode(reply));
+                const std::string bytes = encode(reply);
+                m_context.link.note(0, bytes.size(), steadyNow());
+                kept->send(code(frame_kind::Reply), bytes);
             }
             const auto found = m_incoming.find(kept.get());
             if (found != m_incoming.end()) {
@@ -213,6 +216,7 @@
 
 void peer_links::onFrame(const link_key &key, frame_link &link, std::uint8_t kind, std::string_view payload)
 {
+    m_context.link.note(payload.size(), 0, steadyNow());
     if (kind == code(frame_kind::Reply)) {
         auto reply = attempt([&] {
             return decodeMessage<call_reply>(payload, meshFormat, m_garbled);
@@ -277,7 +281,9 @@
     }
     const auto pending = std::make_shared<pending_call>(m_context.executor);
     m_links[key].calls[message.id] = pending;
-    link->send(code(frame_kind::Call), encode(message));
+    const std::string bytes = encode(message);
+    m_context.link.note(0, bytes.size(), steadyNow());
+    link->send(code(frame_kind::Call), bytes);
     control.onCancel([pending] {
         pending->done.notify();
     });
@@ -330,7 +336,7 @@
         if (!state.link || !state.link->isOpen()) {
             continue;
         }
-        const duration quiet = now - state.link->lastHeard();
+        const duration quiet = now - state.link->lastProgress();
         if (state.calls.empty()) {
             if (now - state.lastUsed > idleKept) {
                 idle.push_back(state.link);
@@ -338,7 +344,7 @@
             continue;
         }
         // Silence counts only after a ping had the time to be answered.
-        const bool wasPinged = state.lastPing > state.link->lastHeard();
+        const bool wasPinged = state.lastPing > state.link->lastProgress();
         if (wasPinged && now - state.lastPing > silentAfter - pingAfter && quiet > silentAfter) {
             silent.push_back(state.link);
         } else if (quiet > pingAfter && !wasPinged) {
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t newsPerDatagram = 4; // records of other nodes in a datagram
 constexpr std::size_t maxDatagramBytes = 1400;
 constexpr milliseconds joinRetry{250}; // while the platform is not reached; with jitter
-constexpr seconds directoryInterval{20}; // between reads of the platform's list of nodes
+constexpr seconds directoryInterval{120}; // between reads of the platform's list of nodes
 constexpr milliseconds lonelyInterval{2000}; // the same while this node knows no other
 constexpr milliseconds failedReadPause{150};
 constexpr milliseconds idleCheck{100}; // of a node that leaves the reading to another
@@ -70,7 +70,7 @@
 
 milliseconds readWait(milliseconds bound)
 {
-    return bound * 2 / 5;
+    return bound * 3 / 5;
 }
 
 spread_duty::spread_duty(mesh_context &context, inbound_side &inbound, peer_links &links)
@@ -146,6 +146,7 @@
                                             : worker_state::Ready;
     record.isLeaving = m_context.isStopping;
     record.slots = worker.slots;
+    record.linkBytesPerMs = static_cast<std::uint32_t>(m_context.options.linkBytesPerMs);
     record.coldMs = static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(now, worker.coldUntil)));
     record.configVersion = m_context.config.table->version;
     record.report = m_inbound.report(now);
@@ -352,11 +353,11 @@
 {
     net::steady_timer pause(m_context.executor);
     const milliseconds wait = readWait(m_context.options.configBound);
+    bool hasRead = false; // a node that starts looks once, whoever the reader is
     while (!m_context.isStopped) {
         const time_point now = steadyNow();
-        const bool hasConfig = m_context.config.table->version > 0;
         const reader_facts facts{ownRank(now), now - std::max(m_wordAt, m_startedAt), m_context.options.configBound};
-        if (hasConfig && !shouldRead(facts)) {
+        if (hasRead && !shouldRead(facts)) {
             pause.expires_after(idleCheck);
             co_await pause.async_wait(awaitResult);
             continue;
@@ -371,6 +372,7 @@
             co_await pause.async_wait(awaitResult);
             continue;
         }
+        hasRead = true;
         m_position = read.position;
         m_wordAt = steadyNow();
         if (read.hasValue) {
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -67,6 +67,29 @@
     return runMs * crowdingShare * used * used;
 }
 
+// Time that `bytes` take on a link of which `load` is used.
+double transferMs(double bytes, double bytesPerMs, double load)
+{
+    return bytesPerMs > 0 ? bytes / (bytesPerMs * std::max(leastLinkShare, 1.0 - load)) : 0.0;
+}
+
+double pathMs(const placement_state &state, const placed_worker &worker, const placement_request &request, time_point now)
+{
+    if (worker.entry.nodeId == state.nodeId) {
+        return 0;
+    }
+    const double bytes = static_cast<double>(request.bytes) + headBytes;
+    const double weight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
+    const double queued = worker.bytesSinceReport * weight;
+    double path = transferMs(bytes, state.linkBytesPerMs, state.linkLoad)
+        + transferMs(bytes + queued, worker.entry.linkBytesPerMs, worker.report.linkLoad * weight);
+    if (worker.entry.dataCentre != state.dataCentre) {
+        const double kilobytes = static_cast<double>(request.bytes) / 1024.0;
+        path += request.targetMs * (otherDataCentreShare + otherDataCentreSharePerKb * kilobytes);
+    }
+    return path;
+}
+
 struct scored_worker
 {
     const placed_worker *worker = nullptr;
@@ -88,9 +111,7 @@
     scored.run *= 1.0 + (worker.report.slowdown - 1.0) * slowdownWeight * 0.5;
     scored.wait = waitMs(worker, request.priority, scored.run, now);
     scored.score = scored.wait + scored.run + crowdingMs(worker, scored.run);
-    if (worker.entry.dataCentre != state.dataCentre) {
-        scored.score += otherDataCentreMs + otherDataCentreMsPerKb * static_cast<double>(request.bytes) / 1024.0;
-    }
+    scored.score += pathMs(state, worker, request, now);
     scored.score += worker.report.failureShare * failurePenalty * std::max(request.targetMs, scored.run);
     return scored;
 }
@@ -126,6 +147,7 @@
         worker->report = report;
         worker->reportAt = now;
         worker->sentSinceReport = 0;
+        worker->bytesSinceReport = 0;
         worker->avoidances = 0;
     }
 }
@@ -171,11 +193,16 @@
     return {chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run};
 }
 
-void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, time_point now)
+void noteSent(placement_state &state,
+              const std::string &service,
+              const std::string &nodeId,
+              std::size_t bytes,
+              time_point now)
 {
     if (placed_worker *worker = findWorker(state, service, nodeId)) {
         ++worker->open;
         ++worker->sentSinceReport;
+        worker->bytesSinceReport += static_cast<double>(bytes) + headBytes;
         worker->lastSentAt = now;
     }
 }
@@ -208,15 +235,4 @@
     }
 }
 
-double shortestWaitMs(const placement_state &state, const std::string &service, std::uint32_t priority, time_point now)
-{
-    const auto found = state.services.find(service);
-    if (found == state.services.end() || found->second.workers.empty()) {
-        return 0;
-    }
-    return std::ranges::min(found->second.workers | std::views::transform([&](const placed_worker &worker) {
-                                return waitMs(worker, priority, 100.0, now);
-                            }));
-}
-
 } // namespace pistachioquay
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -12,8 +12,10 @@
 // - what this node has sent since the report counts as if it were in the queue, and a report loses its say with age, so
 //   that nodes with the same old report do not all choose the same worker;
 // - workers that are about as good are drawn at random;
-// - another data centre costs `otherDataCentreMs` and a part for the bytes, because traffic between data centres is
+// - another data centre costs a share of the target that grows with the bytes, because traffic between data centres is
 //   paid for: it is chosen when the wait here is longer by that much;
+// - a body takes its time on the links of both VMs, the longer the busier they are: a fast worker behind a slow link
+//   does not get all uploads;
 // - a worker whose requests fail is passed over in proportion, and one that refused or could not be reached for
 //   `avoidFirst` and longer each time.
 //
@@ -35,8 +37,10 @@
 namespace pistachioquay {
 
 inline constexpr std::size_t reportedPriorities = 3; // waits are reported for priorities 0, 1 and all others
-inline constexpr double otherDataCentreMs = 12.0; // what another data centre costs, as time
-inline constexpr double otherDataCentreMsPerKb = 2.0; // and for each kilobyte of the request
+inline constexpr double otherDataCentreShare = 0.04; // what another data centre costs, as share of the target
+inline constexpr double otherDataCentreSharePerKb = 0.006; // and for each kilobyte of the request
+inline constexpr double headBytes = 800.0; // of a request and a response besides their bodies
+inline constexpr double leastLinkShare = 0.08; // of a link's rate that a transfer gets at least
 inline constexpr double reportHalfLifeMs = 400.0; // after which a reported wait counts half
 inline constexpr double drawShare = 0.06; // workers within this share of the best time are drawn at random
 inline constexpr double failurePenalty = 2.0; // expected times that a certain failure costs
@@ -54,13 +58,14 @@
     std::array<double, reportedPriorities> waitMs{}; // expected wait by priority
     double failureShare = 0; // of the worker's recent requests
     double slowdown = 1.0; // how long work takes there at the moment, 1 as usual
+    double linkLoad = 0; // used share of the rate of the VM's link
 
     friend auto operator<=>(const worker_report &, const worker_report &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown);
+        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad);
     }
 };
 
@@ -72,6 +77,7 @@
     std::string dataCentre;
     std::uint32_t slots = 1;
     time_point coldUntil;
+    double linkBytesPerMs = 0; // rate of the VM's link; 0: not known
 
     friend auto operator<=>(const worker_entry &, const worker_entry &) = default;
 };
@@ -83,6 +89,7 @@
     time_point reportAt;
     std::uint32_t open = 0; // requests of this node that are at the worker
     std::uint32_t sentSinceReport = 0;
+    double bytesSinceReport = 0;
     std::map<std::string, std::pair<double, time_point>> runMs; // by route, with the time of the last news
     time_point avoidUntil;
     unsigned avoidances = 0;
@@ -96,7 +103,10 @@
 
 struct placement_state
 {
+    std::string nodeId; // of the own node
     std::string dataCentre;
+    double linkBytesPerMs = 0; // rate of the own link; 0: not known
+    double linkLoad = 0; // used share of it
     std::unordered_map<std::string, service_placement> services;
 };
 
@@ -144,7 +154,11 @@
                               random_generator &generator);
 
 // noteSent counts a request that goes to the worker now.
-void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
+void noteSent(placement_state &state,
+              const std::string &service,
+              const std::string &nodeId,
+              std::size_t bytes,
+              time_point now);
 
 // noteEnded ends the accounting of a sent request.
 void noteEnded(placement_state &state, const std::string &service, const std::string &nodeId);
@@ -159,7 +173,4 @@
            milliseconds length,
            time_point now);
 
-// shortestWaitMs returns the shortest expected wait at any worker of the service.
-double shortestWaitMs(const placement_state &state, const std::string &service, std::uint32_t priority, time_point now);
-
 } // namespace pistachioquay
