Test the decisions and the connections of the event loop

Found by them: the resend budget threw on a clock that begins at zero (its step index became negative); mended.

--- a/packages/connection/loop/http_server.cc
+++ b/packages/connection/loop/http_server.cc
@@ -176,9 +176,7 @@
     m_stream.expires_after(bounds.headerTimeout);
     auto [headFailure, headBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, awaitResult);
     if (headFailure) {
-        if (headFailure == beast::error::timeout) {
-            co_await rejectRequest(408);
-        } else if (isProtocolError(headFailure)) {
+        if (isProtocolError(headFailure)) {
             co_await rejectRequest(statusOfReadError(headFailure));
         }
         co_return false;
--- a/packages/connection/loop/http_server.h
+++ b/packages/connection/loop/http_server.h
@@ -6,8 +6,8 @@
 //   const auto started = attempt([&] { return server.start(); });
 //
 // While a handler works on a request the connection is watched, so that `caller` tells when its caller left. A response
-// is written whole; nothing of it is sent if the handler throws. A request that breaks the protocol or a bound gets a
-// 4xx response and never reaches the handler.
+// is written whole; nothing of it is sent if the handler throws. A request that breaks the protocol or a bound of size
+// gets a 4xx response and never reaches the handler; one that takes too long to arrive ends its connection.
 #pragma once
 
 #include <functional>
--- /dev/null
+++ b/packages/connection/loop/loop_fixture.h
@@ -0,0 +1,63 @@
+// Event loop of a test, on a thread of its own. For test programs only.
+//
+//   loop_thread loop;
+//   const exchange_result got = loop.await(client.send(request, options, control));
+#pragma once
+
+#include <future>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include "connection/loop/wait_point.h"
+
+namespace pistachioquay::testing {
+
+class loop_thread
+{
+public:
+    loop_thread()
+        : m_guard(m_loop.get_executor())
+        , m_thread([this] {
+            m_loop.run();
+        })
+    {
+    }
+    loop_thread(const loop_thread &) = delete;
+    loop_thread &operator=(const loop_thread &) = delete;
+    ~loop_thread()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+
+    net::any_io_executor executor()
+    {
+        return m_loop.get_executor();
+    }
+
+    // await runs an operation on the loop and waits for its value.
+    template<class T>
+    T await(awaitable<T> operation)
+    {
+        return net::co_spawn(m_loop, std::move(operation), net::use_future).get();
+    }
+
+    // run calls a function on the loop and waits for its value.
+    template<class Function>
+    auto run(Function function)
+    {
+        return net::post(m_loop, net::use_future(std::move(function))).get();
+    }
+
+private:
+    net::io_context m_loop{1};
+    net::executor_work_guard<net::io_context::executor_type> m_guard;
+    std::thread m_thread;
+};
+
+} // namespace pistachioquay::testing
--- /dev/null
+++ b/packages/process/fleet/fleet_test.cc
@@ -0,0 +1,103 @@
+// Guards against old news that replaces newer, nodes that are used after they left, and partitions that never heal.
+#include <catch2/catch.hpp>
+
+#include "process/fleet/fleet.h"
+
+using namespace pistachioquay;
+
+namespace {
+
+const time_point start{}; // a clock that begins at zero
+
+node_record recordOf(std::string nodeId, std::uint64_t started, std::uint32_t revision)
+{
+    node_record record;
+    record.nodeId = std::move(nodeId);
+    record.started = started;
+    record.process = started;
+    record.revision = revision;
+    record.dataCentre = "dc-1";
+    record.service = "orders";
+    record.gossip = {"127.0.0.1", 7000};
+    record.worker = worker_state::Ready;
+    record.slots = 6;
+    return record;
+}
+
+fleet_state fleetWith(const std::vector<node_record> &records)
+{
+    fleet_state fleet;
+    fleet.selfId = "self";
+    for (const node_record &record : records) {
+        mergeRecord(fleet, record, 1, start);
+    }
+    return fleet;
+}
+
+} // namespace
+
+TEST_CASE("news is ordered by process and revision, not by arrival")
+{
+    fleet_state fleet = fleetWith({recordOf("a", 10, 5)});
+    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 10, 4), 1, start).isNews);
+    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 9, 99), 1, start).isNews);
+    const merge_report restarted = mergeRecord(fleet, recordOf("a", 11, 0), 1, start);
+    CHECK(restarted.isNews);
+    CHECK(restarted.isNew);
+    CHECK(restarted.hasWorkerChanged);
+}
+
+TEST_CASE("a node learns that its own id was seen with a later start")
+{
+    fleet_state fleet = fleetWith({});
+    CHECK(mergeRecord(fleet, recordOf("self", 50, 0), 40, start).isOwnOutdated);
+    CHECK_FALSE(mergeRecord(fleet, recordOf("self", 50, 0), 50, start).isOwnOutdated);
+    CHECK(fleet.nodes.empty());
+}
+
+TEST_CASE("leaving nodes and workers that are not ready get nothing")
+{
+    node_record leaving = recordOf("a", 1, 1);
+    leaving.isLeaving = true;
+    node_record draining = recordOf("b", 1, 1);
+    draining.worker = worker_state::Draining;
+    const fleet_state fleet = fleetWith({leaving, draining, recordOf("c", 1, 1)});
+    const auto ready = readyWorkers(fleet, "orders", start);
+    REQUIRE(ready.size() == 1);
+    CHECK(ready.front().nodeId == "c");
+}
+
+TEST_CASE("silent nodes are used only while no other is heard of")
+{
+    fleet_state fleet = fleetWith({recordOf("a", 1, 1), recordOf("b", 1, 1)});
+    const time_point later = start + silentAfter + milliseconds(1);
+    CHECK(readyWorkers(fleet, "orders", later).size() == 2);
+    mergeRecord(fleet, recordOf("b", 1, 2), 1, later);
+    const auto ready = readyWorkers(fleet, "orders", later);
+    REQUIRE(ready.size() == 1);
+    CHECK(ready.front().nodeId == "b");
+}
+
+TEST_CASE("silent nodes are still asked now and then, and dropped in the end")
+{
+    fleet_state fleet = fleetWith({recordOf("a", 1, 1)});
+    random_generator generator(2);
+    CHECK(choosePeers(fleet, 3, start + seconds(10), generator).size() == 1);
+    CHECK(forgetSilent(fleet, start + forgottenAfter).empty());
+    CHECK(forgetSilent(fleet, start + forgottenAfter + milliseconds(1)) == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("changes are passed on first, for a bounded number of times")
+{
+    fleet_state fleet = fleetWith({recordOf("a", 1, 1), recordOf("b", 1, 1), recordOf("c", 1, 1)});
+    random_generator generator(2);
+    for (int round = 0; round < 20; ++round) {
+        chooseNews(fleet, 3, generator);
+    }
+    node_record changed = recordOf("b", 1, 2);
+    changed.worker = worker_state::Down;
+    mergeRecord(fleet, changed, 1, start);
+    const auto news = chooseNews(fleet, 1, generator);
+    REQUIRE(news.size() == 1);
+    CHECK(news.front().nodeId == "b");
+}
--- /dev/null
+++ b/packages/process/worker_life/worker_life_test.cc
@@ -0,0 +1,99 @@
+// Guards against notices that arrive late or crossed, and against a leaving worker that is used again.
+#include <catch2/catch.hpp>
+
+#include "process/worker_life/worker_life.h"
+
+using namespace pistachioquay;
+
+namespace {
+
+const time_point start{}; // a clock that begins at zero
+
+worker_notice noticeOf(std::string id, std::int64_t startedMs, std::uint64_t sequence, notice_kind kind = notice_kind::Ready)
+{
+    worker_notice notice;
+    notice.kind = kind;
+    notice.workerId = std::move(id);
+    notice.startedMs = startedMs;
+    notice.sequence = sequence;
+    notice.slots = 6;
+    return notice;
+}
+
+} // namespace
+
+TEST_CASE("a notice of an older process does not replace a newer one")
+{
+    worker_life life;
+    applyNotice(life, noticeOf("w2", 2000, 0), start);
+    CHECK(applyNotice(life, noticeOf("w1", 1000, 9), start) == notice_verdict::Stale);
+    CHECK(life.workerId == "w2");
+}
+
+TEST_CASE("a worker that starts again under its id begins anew")
+{
+    worker_life life;
+    applyNotice(life, noticeOf("w1", 1000, 7), start);
+    applyNotice(life, noticeOf("w1", 1000, 8, notice_kind::Draining), start);
+    CHECK(applyNotice(life, noticeOf("w1", 5000, 0), start) == notice_verdict::Changed);
+    CHECK(mayTakeWork(life));
+}
+
+TEST_CASE("a draining worker takes no work again, whatever arrives late")
+{
+    worker_life life;
+    applyNotice(life, noticeOf("w1", 1000, 3), start);
+    CHECK(applyNotice(life, noticeOf("w1", 1000, 5, notice_kind::Draining), start) == notice_verdict::Changed);
+    CHECK(applyNotice(life, noticeOf("w1", 1000, 4), start) == notice_verdict::Stale);
+    applyNotice(life, noticeOf("w1", 1000, 6), start);
+    CHECK_FALSE(mayTakeWork(life));
+}
+
+TEST_CASE("a farewell counts without a sequence, and only for its own process")
+{
+    worker_life life;
+    applyNotice(life, noticeOf("w2", 2000, 3), start);
+    worker_notice farewell;
+    farewell.kind = notice_kind::Left;
+    farewell.workerId = "w1";
+    CHECK(applyNotice(life, farewell, start) == notice_verdict::Stale);
+    CHECK(mayTakeWork(life));
+    farewell.workerId = "w2";
+    CHECK(applyNotice(life, farewell, start) == notice_verdict::Changed);
+    CHECK_FALSE(mayTakeWork(life));
+}
+
+TEST_CASE("a farewell of an earlier start under the same id is stale")
+{
+    worker_life life;
+    applyNotice(life, noticeOf("w1", 2000, 0), start);
+    worker_notice farewell;
+    farewell.kind = notice_kind::Left;
+    farewell.workerId = "w1";
+    farewell.startedMs = 1000;
+    CHECK(applyNotice(life, farewell, start) == notice_verdict::Stale);
+    CHECK(mayTakeWork(life));
+}
+
+TEST_CASE("an unreachable worker is back with its next notice")
+{
+    worker_life life;
+    applyNotice(life, noticeOf("w1", 1000, 1), start);
+    CHECK(noteUnreachable(life));
+    CHECK_FALSE(noteUnreachable(life));
+    CHECK_FALSE(mayTakeWork(life));
+    CHECK(applyNotice(life, noticeOf("w1", 1000, 1), start) == notice_verdict::Stale);
+    CHECK_FALSE(mayTakeWork(life));
+    CHECK(applyNotice(life, noticeOf("w1", 1000, 2), start) == notice_verdict::Changed);
+    CHECK(mayTakeWork(life));
+}
+
+TEST_CASE("a worker whose notices stop takes no work")
+{
+    worker_life life;
+    CHECK_FALSE(noteSilence(life, seconds(3), start + seconds(60)));
+    applyNotice(life, noticeOf("w1", 1000, 1), start);
+    CHECK_FALSE(noteSilence(life, seconds(3), start + seconds(3)));
+    CHECK(noteSilence(life, seconds(3), start + seconds(4)));
+    CHECK_FALSE(mayTakeWork(life));
+}
--- /dev/null
+++ b/packages/request/placement/placement_test.cc
@@ -0,0 +1,158 @@
+// Guards against herds on one worker, uploads behind a slow link, new workers without requests, and failing workers that
+// keep getting them.
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "request/placement/placement.h"
+
+using namespace pistachioquay;
+
+namespace {
+
+const time_point start{}; // a clock that begins at zero
+const std::string service = "orders";
+
+worker_entry workerOf(std::string nodeId, std::string dataCentre, double linkBytesPerMs = 0)
+{
+    return {std::move(nodeId), 1, std::move(dataCentre), 6, {}, linkBytesPerMs};
+}
+
+placement_request requestOf(std::size_t bytes = 0)
+{
+    placement_request request;
+    request.route = "sign";
+    request.priority = 1;
+    request.bytes = bytes;
+    request.targetMs = 400;
+    request.fallbackRunMs = 100;
+    return request;
+}
+
+placement_state stateWith(std::vector<worker_entry> workers)
+{
+    placement_state state;
+    state.nodeId = "self";
+    state.dataCentre = "dc-1";
+    setWorkers(state, service, std::move(workers));
+    return state;
+}
+
+// Sends `count` requests, each counted as sent, and returns how many each node got.
+std::map<std::string, unsigned> sendMany(placement_state &state, unsigned count, const placement_request &request)
+{
+    random_generator generator(5);
+    std::map<std::string, unsigned> sent;
+    for (unsigned index = 0; index < count; ++index) {
+        const placement_choice choice = chooseWorker(state, service, request, start, generator);
+        REQUIRE(choice.nodeId);
+        ++sent[*choice.nodeId];
+        noteSent(state, service, *choice.nodeId, request.bytes, start);
+    }
+    return sent;
+}
+
+} // namespace
+
+TEST_CASE("a burst between two reports is spread over the workers")
+{
+    placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1"), workerOf("c", "dc-1")});
+    const auto sent = sendMany(state, 30, requestOf());
+    for (const auto &[node, count] : sent) {
+        CHECK(count >= 7);
+        CHECK(count <= 13);
+    }
+    CHECK(sent.size() == 3);
+}
+
+TEST_CASE("a faster worker gets more until it is full")
+{
+    placement_state state = stateWith({workerOf("fast", "dc-1"), workerOf("slow", "dc-1")});
+    noteRunMs(state, service, "fast", "sign", 60, start);
+    noteRunMs(state, service, "slow", "sign", 120, start);
+    const auto sent = sendMany(state, 18, requestOf());
+    CHECK(sent.at("fast") > sent.at("slow"));
+    CHECK(sent.at("slow") >= 3);
+}
+
+TEST_CASE("the own data centre is used until the wait there costs more")
+{
+    placement_state state = stateWith({workerOf("near", "dc-1"), workerOf("far", "dc-2")});
+    random_generator generator(5);
+    CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId == "near");
+    worker_report full;
+    full.running = 6;
+    full.waitMs = {0, 80, 80};
+    noteReport(state, service, "near", full, start);
+    CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId == "far");
+}
+
+TEST_CASE("an upload stays in the data centre where a small request would leave it")
+{
+    placement_state state = stateWith({workerOf("near", "dc-1"), workerOf("far", "dc-2")});
+    worker_report full;
+    full.running = 6;
+    full.waitMs = {0, 80, 80};
+    noteReport(state, service, "near", full, start);
+    random_generator generator(5);
+    CHECK(chooseWorker(state, service, requestOf(60000), start, generator).nodeId == "near");
+}
+
+TEST_CASE("uploads leave a fast worker behind a filled link")
+{
+    const double slowLink = 875; // 7 Mbit/s
+    placement_state state = stateWith({workerOf("fast", "dc-1", slowLink), workerOf("slow", "dc-1", slowLink)});
+    noteRunMs(state, service, "fast", "sign", 100, start);
+    noteRunMs(state, service, "slow", "sign", 200, start);
+    worker_report filled;
+    filled.linkLoad = 0.9;
+    noteReport(state, service, "fast", filled, start);
+    random_generator generator(5);
+    CHECK(chooseWorker(state, service, requestOf(60000), start, generator).nodeId == "slow");
+    CHECK(chooseWorker(state, service, requestOf(0), start, generator).nodeId == "fast");
+    noteReport(state, service, "fast", worker_report{}, start);
+    const auto sent = sendMany(state, 10, requestOf(60000));
+    CHECK(sent.at("slow") >= 3);
+}
+
+TEST_CASE("a new worker is tried before anything is known of it")
+{
+    placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1")});
+    noteRunMs(state, service, "a", "sign", 100, start);
+    noteRunMs(state, service, "b", "sign", 100, start);
+    setWorkers(state, service, {workerOf("a", "dc-1"), workerOf("b", "dc-1"), workerOf("new", "dc-1")});
+    CHECK(sendMany(state, 18, requestOf()).at("new") >= 3);
+}
+
+TEST_CASE("a worker whose requests fail is passed over")
+{
+    placement_state state = stateWith({workerOf("good", "dc-1"), workerOf("grey", "dc-1")});
+    worker_report failing;
+    failing.failureShare = 0.5;
+    noteReport(state, service, "grey", failing, start);
+    CHECK(sendMany(state, 6, requestOf()).count("grey") == 0);
+}
+
+TEST_CASE("an unreachable worker is avoided for longer each time")
+{
+    placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-2")});
+    random_generator generator(5);
+    time_point now = start;
+    avoid(state, service, "a", now);
+    CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
+    now += avoidFirst;
+    CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "a");
+    avoid(state, service, "a", now);
+    now += avoidFirst;
+    CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
+}
+
+TEST_CASE("there is no choice without workers, or when all were tried")
+{
+    placement_state state = stateWith({workerOf("a", "dc-1")});
+    random_generator generator(5);
+    placement_request request = requestOf();
+    request.excluded.insert("a");
+    CHECK_FALSE(chooseWorker(state, service, request, start, generator).nodeId);
+    CHECK_FALSE(chooseWorker(state, "unknown", requestOf(), start, generator).nodeId);
+}
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -7,16 +7,23 @@
 
 namespace {
 
+// Steps may lie before the zero of the clock.
+std::size_t slotOf(std::int64_t step)
+{
+    constexpr auto count = static_cast<std::int64_t>(budgetSteps);
+    return static_cast<std::size_t>((step % count + count) % count);
+}
+
 resend_counts &currentStep(resend_window &window, const resend_limits &limits, time_point now)
 {
     const duration stepLength = std::max<duration>(limits.window / budgetSteps, milliseconds{1});
     const std::int64_t step = now.time_since_epoch() / stepLength;
     const std::int64_t passed = window.lastStep < 0 ? static_cast<std::int64_t>(budgetSteps) : step - window.lastStep;
     for (std::int64_t offset = 0; offset < std::min<std::int64_t>(passed, budgetSteps); ++offset) {
-        window.steps.at(static_cast<std::size_t>((step - offset) % static_cast<std::int64_t>(budgetSteps))) = {};
+        window.steps.at(slotOf(step - offset)) = {};
     }
     window.lastStep = step;
-    return window.steps.at(static_cast<std::size_t>(step % static_cast<std::int64_t>(budgetSteps)));
+    return window.steps.at(slotOf(step));
 }
 
 resend_counts totalOf(const resend_window &window)
--- /dev/null
+++ b/packages/request/resend/resend_test.cc
@@ -0,0 +1,90 @@
+// Guards against repeats that multiply load, and repeats of requests that may have run.
+#include <catch2/catch.hpp>
+
+#include "request/resend/resend.h"
+
+using namespace pistachioquay;
+
+namespace {
+
+const time_point start{}; // a clock that begins at zero
+
+resend_limits limitsOf(std::uint32_t nodes)
+{
+    return {0.2, milliseconds(10000), 64, nodes};
+}
+
+} // namespace
+
+TEST_CASE("all nodes together stay within the budget in every window")
+{
+    constexpr std::uint32_t nodes = 12;
+    constexpr unsigned requestsPerNode = 200;
+    const resend_limits limits = limitsOf(nodes);
+    unsigned resends = 0;
+    for (std::uint32_t node = 0; node < nodes; ++node) {
+        resend_budget budget;
+        for (unsigned index = 0; index < requestsPerNode; ++index) {
+            const time_point now = start + milliseconds(index * 20);
+            noteRequest(budget, "orders", limits, now);
+            resends += takeResend(budget, "orders", limits, now) ? 1U : 0U;
+        }
+    }
+    CHECK(resends <= 0.2 * nodes * requestsPerNode + 64);
+    CHECK(resends >= 0.1 * nodes * requestsPerNode);
+}
+
+TEST_CASE("a budget fills again when the window has passed")
+{
+    const resend_limits limits = limitsOf(64);
+    resend_budget budget;
+    noteRequest(budget, "orders", limits, start);
+    CHECK_FALSE(takeResend(budget, "orders", limits, start));
+    for (int index = 0; index < 10; ++index) {
+        noteRequest(budget, "orders", limits, start);
+    }
+    CHECK(takeResend(budget, "orders", limits, start));
+    CHECK_FALSE(takeResend(budget, "orders", limits, start + seconds(11)));
+}
+
+TEST_CASE("services do not share their budgets")
+{
+    const resend_limits limits = limitsOf(1);
+    resend_budget budget;
+    while (takeResend(budget, "orders", limits, start)) {
+    }
+    CHECK(takeResend(budget, "designs", limits, start));
+}
+
+TEST_CASE("a request that may run once is repeated only if it has not run")
+{
+    resend_facts facts;
+    facts.maxWorkers = 3;
+    facts.workersTried = 1;
+    facts.timeLeft = seconds(1);
+    facts.end = send_end::Unknown;
+    CHECK_FALSE(mayResend(facts));
+    facts.end = send_end::FailedResponse;
+    CHECK_FALSE(mayResend(facts));
+    facts.end = send_end::RejectedByWorker;
+    CHECK(mayResend(facts));
+    facts.end = send_end::NotRun;
+    CHECK(mayResend(facts));
+}
+
+TEST_CASE("a route's number of workers and the time left bound the repeats")
+{
+    resend_facts facts;
+    facts.isRepeatable = true;
+    facts.end = send_end::Unknown;
+    facts.timeLeft = milliseconds(100);
+    facts.expectedRun = milliseconds(50);
+    facts.workersTried = 1;
+    facts.maxWorkers = 2;
+    CHECK(mayResend(facts));
+    facts.workersTried = 2;
+    CHECK_FALSE(mayResend(facts));
+    facts.workersTried = 1;
+    facts.expectedRun = milliseconds(100);
+    CHECK_FALSE(mayResend(facts));
+}
