Pass configurations on as differences and avoid a cut data centre as a whole

Cause on the grown site: each version of 195 KB went to 20 nodes of a data centre over a 7 Mbit/s link; each sender found out node by node that a data centre was cut, 1 s each; a sender of an at-most-once request tried to reach a dead node until its time was up. Change: nodes keep the last six texts and send what changed; two silent nodes of a data centre that is not heard mark it as cut off; resuming ends after 1.5 s; a leaving node's worker takes short requests for 0.9 s; a restarted node takes the configuration from its peers and does not publish its address again.

--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -54,11 +54,10 @@
     }
 };
 
-// The configuration in force, as text for other nodes and as a table.
+// The configuration in force.
 struct config_in_force
 {
     std::shared_ptr<const route_table> table = std::make_shared<route_table>();
-    config_message packed;
     time_point appliedAt;
 };
 
@@ -75,7 +74,9 @@
     worker_life worker;
     link_meter link;
     mesh_metrics metrics;
-    bool isStopping = false; // the node leaves: its worker gets nothing new
+    bool isStopping = false; // the node leaves
+    time_point servesUntil; // when the node leaves: end of the requests that its worker still gets
+    bool isWorkerClosed = false; // its worker gets nothing new
     bool isRefusing = false; // new requests of callers are refused as well
     bool isStopped = false; // the duties end
 
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -158,6 +158,12 @@
     request.endsBy = now + milliseconds(message.timeLeftMs);
     request.expectedRunMs = expectedRunMs(m_runs, message.route, fallbackMs);
     request.isNested = message.priority == nestedPriority;
+    if (m_context.isStopping) {
+        const auto twice = std::chrono::duration<double, std::milli>(2 * request.expectedRunMs);
+        if (now + std::chrono::duration_cast<duration>(twice) > m_context.servesUntil) {
+            co_return notRun(message.id, "draining");
+        }
+    }
     const auto open = std::make_shared<open_call>(m_context.executor);
     open->id = message.id;
     m_open[message.id] = open;
@@ -407,7 +413,7 @@
 {
     const worker_life &worker = m_context.worker;
     m_line.slots = worker.slots > 0 ? worker.slots : defaultSlots;
-    if (worker.isLeaving || m_context.isStopping) {
+    if (worker.isLeaving || m_context.isWorkerClosed) {
         m_line.closedFor = wait_refusal::Draining;
     } else {
         m_line.closedFor = mayTakeWork(worker) ? wait_refusal::None : wait_refusal::WorkerDown;
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -21,6 +21,7 @@
 constexpr double silentNotices = 2.5; // missed notices after which a worker counts as gone
 constexpr milliseconds noticeLag{1000}; // by which notices may be late
 constexpr milliseconds serveWhileLeaving{2300}; // callers see two failed readiness checks within this time
+constexpr milliseconds workWhileLeaving{900}; // the own worker gets requests that end long before the node does
 constexpr milliseconds leavePoll{20};
 constexpr milliseconds leaveQuiet{60}; // without open requests before a stopping node exits
 constexpr milliseconds exitMargin{250}; // before the end of the grace time
@@ -60,8 +61,15 @@
         events.onConfig = [this](const config_message &message) {
             spread.takeConfig(message);
         };
-        events.config = [this]() -> const config_message & {
-            return context.config.packed;
+        events.config = [this](const config_request &request) {
+            return spread.configFor(request);
+        };
+        events.onSilent = [this](const endpoint &address) {
+            for (const auto &[id, node] : context.fleet.nodes) {
+                if (node.record.peer == address) {
+                    noteSilent(context.placement, node.record.dataCentre, id, steadyNow());
+                }
+            }
         };
         return events;
     }
@@ -133,6 +141,11 @@
         co_await pause.async_wait(awaitResult);
         const time_point now = steadyNow();
         context.isRefusing = now - startedAt > serveWhileLeaving;
+        if (!context.isWorkerClosed && now - startedAt > workWhileLeaving) {
+            context.isWorkerClosed = true;
+            inbound.onWorkerChange(now);
+            spread.announce();
+        }
         if (outbound.openCount() > 0 || inbound.openCount() > 0) {
             busyAt = now;
         }
@@ -220,12 +233,11 @@
         return;
     }
     context.isStopping = true;
+    context.servesUntil = steadyNow() + serveWhileLeaving;
     context.log(log_line("node", "stopping")
                     .add("open_requests", m_parts->outbound.openCount())
                     .add("open_calls", m_parts->inbound.openCount()));
     m_parts->callers.closeAfterResponse();
-    m_parts->inbound.onWorkerChange(steadyNow());
-    m_parts->spread.announce();
     net::co_spawn(
         context.executor,
         [this] {
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -8,6 +8,7 @@
 #include "connection/wire/codec.h"
 #include "process/fleet/fleet.h"
 #include "version/routes/routes.h"
+#include "version/text_delta/text_delta.h"
 
 namespace pistachioquay {
 
@@ -109,17 +110,31 @@
     }
 };
 
-// A configuration version as the operator wrote it, compressed.
+// Asks for the configuration, by a node that has an older version or none.
+struct config_request
+{
+    std::uint64_t haveVersion = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(haveVersion);
+    }
+};
+
+// A configuration as the operator wrote it: the difference to an older version, or all of it, compressed.
 struct config_message
 {
     std::uint64_t version = 0;
+    std::uint64_t baseVersion = 0; // that `delta` applies to; 0: `compressed` holds the whole text
+    text_delta delta;
     std::uint64_t plainBytes = 0;
     std::string compressed;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(version, plainBytes, compressed);
+        archive(version, baseVersion, delta, plainBytes, compressed);
     }
 };
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -16,7 +16,8 @@
 constexpr std::int64_t stoppingRetryMs = 600; // until a node that is replaced takes requests again
 constexpr std::uint32_t nestedPriority = 0; // of routes for calls that workers make
 constexpr double fallbackRunShare = 0.25; // of the target, as run time of a route that did not run yet
-constexpr milliseconds resumePause{50}; // between attempts to reach a node again
+constexpr milliseconds resumePause{100}; // between attempts to reach a node again
+constexpr milliseconds resumeWindow{1500}; // after which the fate of a request stays unknown
 
 std::string retryAfterText(std::int64_t milliseconds)
 {
@@ -290,7 +291,8 @@
     call_reply reply;
     reply.id = work.id;
     reply.reason = "link-lost";
-    while (steadyNow() < work.endsBy && !work.control->isCancelled()) {
+    const time_point until = std::min(work.endsBy, steadyNow() + resumeWindow);
+    while (steadyNow() < until && !work.control->isCancelled()) {
         message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), work.endsBy));
         peer_result got = co_await m_links.call(target, message, work.endsBy + replySlack, *work.control);
         if (got.end == peer_end::Replied) {
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -127,7 +127,12 @@
     } else if (kind == code(frame_kind::Ping)) {
         link.send(code(frame_kind::Pong), {});
     } else if (kind == code(frame_kind::ConfigRequest)) {
-        link.send(code(frame_kind::Config), encode(m_events.config()));
+        const auto request = attempt([&] {
+            return decodeMessage<config_request>(payload, meshFormat, m_garbled);
+        });
+        if (request) {
+            link.send(code(frame_kind::Config), encode(m_events.config(*request)));
+        }
     } else if (kind == code(frame_kind::Cancel) || kind == code(frame_kind::Void)) {
         const auto message = attempt([&] {
             return decodeMessage<id_message>(payload, meshFormat, m_garbled);
@@ -211,6 +216,9 @@
         waiter->notify();
     }
     m_context.log(log_line("peer", link ? "link-opened" : "link-failed").add("peer", toText(key.first)));
+    if (!link) {
+        m_events.onSilent(key.first);
+    }
     co_return link;
 }
 
@@ -321,16 +329,16 @@
     co_return pending->isVoid.value_or(false);
 }
 
-awaitable<void> peer_links::requestConfig(endpoint target)
+awaitable<void> peer_links::requestConfig(endpoint target, std::uint64_t haveVersion)
 {
     if (const std::shared_ptr<frame_link> link = co_await linkTo({target, true})) {
-        link->send(code(frame_kind::ConfigRequest), {});
+        link->send(code(frame_kind::ConfigRequest), encode(config_request{haveVersion}));
     }
 }
 
 void peer_links::check(time_point now)
 {
-    std::vector<std::shared_ptr<frame_link>> silent;
+    std::vector<std::pair<endpoint, std::shared_ptr<frame_link>>> silent;
     std::vector<std::shared_ptr<frame_link>> idle;
     for (auto &[key, state] : m_links) {
         if (!state.link || !state.link->isOpen()) {
@@ -346,15 +354,16 @@
         // Silence counts only after a ping had the time to be answered.
         const bool wasPinged = state.lastPing > state.link->lastProgress();
         if (wasPinged && now - state.lastPing > silentAfter - pingAfter && quiet > silentAfter) {
-            silent.push_back(state.link);
+            silent.emplace_back(key.first, state.link);
         } else if (quiet > pingAfter && !wasPinged) {
             state.lastPing = now;
             state.link->send(code(frame_kind::Ping), {});
         }
     }
-    std::ranges::for_each(silent, [](const auto &link) {
+    for (const auto &[address, link] : silent) {
+        m_events.onSilent(address);
         link->close("silent");
-    });
+    }
     std::ranges::for_each(idle, [](const auto &link) {
         link->close("idle");
     });
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -37,7 +37,8 @@
     std::function<awaitable<call_reply>(call_message, std::shared_ptr<exchange_control>)> onCall;
     std::function<bool(const std::string &id)> onVoid;
     std::function<void(const config_message &)> onConfig;
-    std::function<const config_message &()> config;
+    std::function<config_message(const config_request &)> config;
+    std::function<void(const endpoint &)> onSilent; // a node does not answer in time, or cannot be reached
 };
 
 // Not thread safe: belongs to one loop.
@@ -55,7 +56,7 @@
     // askVoid asks a node to make a call void; true if the call has not run and never will.
     awaitable<bool> askVoid(endpoint target, const std::string &id, std::uint64_t process, time_point deadline);
     // requestConfig asks a node for its configuration; the answer goes to `onConfig`.
-    awaitable<void> requestConfig(endpoint target);
+    awaitable<void> requestConfig(endpoint target, std::uint64_t haveVersion);
     // check pings links on which replies are due and closes silent ones. Call it about every `checkInterval`.
     void check(time_point now);
     // stop closes the port and, after what is queued, the links.
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds joinRetry{250}; // while the platform is not reached; with jitter
 constexpr seconds directoryInterval{120}; // between reads of the platform's list of nodes
 constexpr milliseconds lonelyInterval{2000}; // the same while this node knows no other
+constexpr milliseconds peerConfigWait{150}; // for the configuration of other nodes after the start
+constexpr milliseconds startPoll{10};
 constexpr milliseconds failedReadPause{150};
 constexpr milliseconds idleCheck{100}; // of a node that leaves the reading to another
 constexpr milliseconds rankStagger{80}; // between nodes that step in for a silent reader
@@ -43,6 +45,9 @@
     return packed;
 }
 
+constexpr std::size_t packGain = 8; // about how much smaller a text is compressed
+constexpr std::size_t keptTexts = 6; // versions to which differences are made
+
 std::optional<std::string> unpackBytes(const config_message &message)
 {
     if (message.plainBytes > maxPlainBytes) {
@@ -144,7 +149,7 @@
         : worker.isLeaving                  ? worker_state::Draining
         : worker.isUnreachable              ? worker_state::Down
                                             : worker_state::Ready;
-    record.isLeaving = m_context.isStopping;
+    record.isLeaving = m_context.isWorkerClosed;
     record.slots = worker.slots;
     record.linkBytesPerMs = static_cast<std::uint32_t>(m_context.options.linkBytesPerMs);
     record.coldMs = static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(now, worker.coldUntil)));
@@ -227,6 +232,7 @@
     }
     const time_point now = steadyNow();
     const node_record &sender = message->sender;
+    noteHeard(m_context.placement, sender.dataCentre);
     onMerged(sender, mergeRecord(m_context.fleet, sender, m_started, now), now);
     for (const node_record &record : message->others) {
         onMerged(record, mergeRecord(m_context.fleet, record, m_started, now), now);
@@ -286,21 +292,55 @@
     net::co_spawn(
         m_context.executor,
         [this, target = record.peer]() -> awaitable<void> {
-            co_await m_links.requestConfig(target);
+            co_await m_links.requestConfig(target, m_context.config.table->version);
         },
         net::detached);
 }
 
+std::optional<std::string> spread_duty::textOf(const config_message &message) const
+{
+    if (message.baseVersion == 0) {
+        return unpackBytes(message);
+    }
+    const auto base = std::ranges::find(m_texts, message.baseVersion, &std::pair<std::uint64_t, std::string>::first);
+    return base == m_texts.end() ? std::nullopt : applyDelta(base->second, message.delta);
+}
+
 void spread_duty::takeConfig(const config_message &message)
 {
     if (message.version <= m_context.config.table->version) {
         return;
     }
-    if (auto plain = unpackBytes(message)) {
-        applyConfig(std::move(*plain), "peer");
+    if (auto plain = textOf(message)) {
+        applyConfig(std::move(*plain), message.baseVersion == 0 ? "peer" : "peer-delta");
     } else {
-        m_context.log(log_line("config", "garbled").add("version", message.version).add("source", "peer"));
+        m_context.log(log_line("config", "garbled")
+                          .add("version", message.version)
+                          .add("base", message.baseVersion)
+                          .add("source", "peer"));
+    }
+}
+
+config_message spread_duty::configFor(const config_request &request)
+{
+    config_message message;
+    if (m_texts.empty()) {
+        return message;
+    }
+    const auto &[version, text] = m_texts.back();
+    message.version = version;
+    const auto base = std::ranges::find(m_texts, request.haveVersion, &std::pair<std::uint64_t, std::string>::first);
+    if (base != m_texts.end() && base->first < version) {
+        message.delta = makeDelta(base->second, text);
+        if (encodedBytes(message.delta) < text.size() / packGain) {
+            message.baseVersion = base->first;
+            return message;
+        }
+        message.delta = {};
     }
+    message.plainBytes = text.size();
+    message.compressed = packBytes(text);
+    return message;
 }
 
 void spread_duty::applyConfig(std::string bytes, std::string_view source)
@@ -331,8 +371,11 @@
                       .add("routes", routeCount(*decoded))
                       .add("bytes", bytes.size()));
     m_context.config.table = std::make_shared<const route_table>(*decoded);
-    m_context.config.packed = {decoded->version, bytes.size(), packBytes(bytes)};
     m_context.config.appliedAt = steadyNow();
+    m_texts.emplace_back(decoded->version, std::move(bytes));
+    if (m_texts.size() > keptTexts) {
+        m_texts.pop_front();
+    }
     m_context.metrics.count("config_applied_total");
 }
 
@@ -354,6 +397,12 @@
     net::steady_timer pause(m_context.executor);
     const milliseconds wait = readWait(m_context.options.configBound);
     bool hasRead = false; // a node that starts looks once, whoever the reader is
+    // A node that starts among others gets the configuration from them.
+    for (milliseconds waited{0}; waited < peerConfigWait && m_context.config.table->version == 0; waited += startPoll) {
+        pause.expires_after(startPoll);
+        co_await pause.async_wait(awaitResult);
+    }
+    hasRead = m_context.config.table->version > 0;
     while (!m_context.isStopped) {
         const time_point now = steadyNow();
         const reader_facts facts{ownRank(now), now - std::max(m_wordAt, m_startedAt), m_context.options.configBound};
@@ -382,36 +431,73 @@
     }
 }
 
-// Publishes the own address and asks the published nodes for their records.
+awaitable<std::optional<std::vector<node_record>>> spread_duty::readDirectory()
+{
+    const auto values = co_await m_context.platform.readNodes();
+    if (!values) {
+        co_return std::nullopt;
+    }
+    std::vector<node_record> records;
+    for (const std::string &bytes : *values) {
+        const auto record = attempt([&] {
+            return decodeMessage<node_record>(bytes, meshFormat, m_garbled);
+        });
+        if (record) {
+            records.push_back(*record);
+        } else {
+            m_context.log(log_line("spread", "garbled-address").add("error", record.failure().message));
+        }
+    }
+    co_return records;
+}
+
+// Publishes the own address unless it stands there already, as it does after a restart.
+awaitable<bool> spread_duty::publishIfNeeded(const std::vector<node_record> &published)
+{
+    const auto own = std::ranges::find(published, m_context.options.nodeId, &node_record::nodeId);
+    if (own != published.end() && own->process != m_context.process && own->started >= m_started) {
+        raiseStarted(own->started);
+    }
+    if (own != published.end() && own->peer == m_context.options.peers && own->gossip == m_context.options.gossip) {
+        co_return true;
+    }
+    node_record record = ownRecord(steadyNow());
+    record.runMs.clear();
+    co_return co_await m_context.platform.publishNode(record.nodeId, encodeMessage(record, meshFormat));
+}
+
+// Asks published nodes that are not known for their records.
+void spread_duty::greet(const std::vector<node_record> &published)
+{
+    const time_point now = steadyNow();
+    std::vector<node_record> unknown;
+    std::ranges::copy_if(published, std::back_inserter(unknown), [&](const node_record &record) {
+        const auto known = m_context.fleet.nodes.find(record.nodeId);
+        const bool isHeard = known != m_context.fleet.nodes.end() && !isSilent(known->second, now);
+        return record.nodeId != m_context.options.nodeId && !isHeard;
+    });
+    for (const node_record &record : unknown) {
+        send(record.gossip, true, false, 0);
+    }
+    m_isGreeted = m_isGreeted || !unknown.empty();
+}
+
+// Publishes the own address and finds the other nodes.
 awaitable<void> spread_duty::joinLoop()
 {
     net::steady_timer pause(m_context.executor);
     bool isPublished = false;
     while (!m_context.isStopped) {
-        if (!isPublished && !m_context.isStopping) {
-            node_record own = ownRecord(steadyNow());
-            own.runMs.clear();
-            isPublished = co_await m_context.platform.publishNode(own.nodeId, encodeMessage(own, meshFormat));
-        }
-        const auto records = co_await m_context.platform.readNodes();
-        for (const std::string &bytes : records.value_or(std::vector<std::string>{})) {
-            const auto record = attempt([&] {
-                return decodeMessage<node_record>(bytes, meshFormat, m_garbled);
-            });
-            if (!record) {
-                m_context.log(log_line("spread", "garbled-address").add("error", record.failure().message));
-            } else if (record->nodeId == m_context.options.nodeId) {
-                if (record->process != m_context.process && record->started >= m_started) {
-                    raiseStarted(record->started);
-                }
-            } else if (const auto known = m_context.fleet.nodes.find(record->nodeId);
-                       known == m_context.fleet.nodes.end() || isSilent(known->second, steadyNow())) {
-                send(record->gossip, true, false, 0);
+        const auto published = co_await readDirectory();
+        if (published) {
+            greet(*published);
+            if (!isPublished && !m_context.isStopping) {
+                isPublished = co_await publishIfNeeded(*published);
             }
         }
-        m_isJoined = isPublished && records.has_value();
+        const bool isJoined = isPublished && published;
         const bool isLonely = m_context.fleet.nodes.empty();
-        pause.expires_after(!m_isJoined ? joinRetry + milliseconds(m_context.generator() % 250)
+        pause.expires_after(!isJoined ? joinRetry + milliseconds(m_context.generator() % 250)
                                 : isLonely ? lonelyInterval
                                            : std::chrono::duration_cast<milliseconds>(directoryInterval));
         co_await pause.async_wait(awaitResult);
--- a/packages/process/mesh/spread.h
+++ b/packages/process/mesh/spread.h
@@ -5,6 +5,8 @@
 //   co_await spread.run();                        // until the node stops
 #pragma once
 
+#include <deque>
+
 #include <boost/asio/ip/udp.hpp>
 
 #include "process/mesh/context.h"
@@ -42,6 +44,8 @@
     void announce();
     // takeConfig takes over a configuration of another node; older ones are ignored.
     void takeConfig(const config_message &message);
+    // configFor returns the configuration for a node that asks for it.
+    config_message configFor(const config_request &request);
     // withdraw removes the own address record from the platform.
     awaitable<void> withdraw();
     void stop();
@@ -59,6 +63,10 @@
     void sendStoreWord();
     void raiseStarted(std::uint64_t above);
     void applyConfig(std::string bytes, std::string_view source);
+    std::optional<std::string> textOf(const config_message &message) const;
+    awaitable<bool> publishIfNeeded(const std::vector<node_record> &published);
+    void greet(const std::vector<node_record> &published);
+    awaitable<std::optional<std::vector<node_record>>> readDirectory();
     std::size_t ownRank(time_point now) const;
 
     mesh_context &m_context;
@@ -69,13 +77,14 @@
     std::uint64_t m_started = 0;
     std::uint32_t m_revision = 0;
     std::uint64_t m_position = 0; // in the platform's log of configurations
+    std::deque<std::pair<std::uint64_t, std::string>> m_texts; // newest last, by version
     std::uint64_t m_rejectedHash = 0; // of the last text that could not be decoded
     time_point m_wordAt; // last word of a reader of the own data centre
     time_point m_startedAt;
     time_point m_pulledAt;
     std::uint64_t m_pulledVersion = 0;
     bool m_isStoreReached = false;
-    bool m_isJoined = false;
+    bool m_isGreeted = false; // other nodes were asked for their records
     decode_counters m_garbled;
 };
 
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -164,6 +164,27 @@
     }
 }
 
+void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now)
+{
+    if (dataCentre != state.dataCentre) {
+        data_centre_path &path = state.paths[dataCentre];
+        path.silentNodes.insert(nodeId);
+        path.silentAt = now;
+    }
+}
+
+void noteHeard(placement_state &state, const std::string &dataCentre)
+{
+    state.paths.erase(dataCentre);
+}
+
+bool isCutOff(const placement_state &state, const std::string &dataCentre, time_point now)
+{
+    const auto found = state.paths.find(dataCentre);
+    return found != state.paths.end() && found->second.silentNodes.size() >= silentNodesOfCut
+        && now - found->second.silentAt < cutForgotten;
+}
+
 placement_choice chooseWorker(const placement_state &state,
                               const std::string &service,
                               const placement_request &request,
@@ -177,7 +198,8 @@
     const double typicalMs = typicalRunMs(found->second, request, now);
     std::vector<scored_worker> scored;
     for (const placed_worker &worker : found->second.workers) {
-        if (worker.avoidUntil <= now && !request.excluded.contains(worker.entry.nodeId)) {
+        const bool isOpen = worker.avoidUntil <= now && !isCutOff(state, worker.entry.dataCentre, now);
+        if (isOpen && !request.excluded.contains(worker.entry.nodeId)) {
             scored.push_back(scoreOf(state, worker, request, typicalMs, now));
         }
     }
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -16,6 +16,8 @@
 //   paid for: it is chosen when the wait here is longer by that much;
 // - a body takes its time on the links of both VMs, the longer the busier they are: a fast worker behind a slow link
 //   does not get all uploads;
+// - when several nodes of another data centre fall silent and none of it is heard, the data centre counts as cut off: its
+//   other workers are not tried one by one, each for the time that it takes to notice the silence;
 // - a worker whose requests fail is passed over in proportion, and one that refused or could not be reached for
 //   `avoidFirst` and longer each time.
 //
@@ -48,6 +50,8 @@
 inline constexpr milliseconds avoidFirst{300}; // after a failed connection; doubles up to `avoidLast`
 inline constexpr milliseconds avoidLast{3000};
 inline constexpr milliseconds runForgotten{6000}; // a run time that was not renewed for this long no longer counts
+inline constexpr std::size_t silentNodesOfCut = 2; // silent nodes after which a data centre counts as cut off
+inline constexpr milliseconds cutForgotten{3000}; // without further silence
 inline constexpr double crowdingShare = 0.25; // a full worker slows each run by this share
 
 // What a node says of its worker.
@@ -101,6 +105,13 @@
     std::vector<placed_worker> workers; // sorted by node id
 };
 
+// What is known of the way to another data centre.
+struct data_centre_path
+{
+    std::set<std::string> silentNodes; // since a node of it was last heard
+    time_point silentAt;
+};
+
 struct placement_state
 {
     std::string nodeId; // of the own node
@@ -108,6 +119,7 @@
     double linkBytesPerMs = 0; // rate of the own link; 0: not known
     double linkLoad = 0; // used share of it
     std::unordered_map<std::string, service_placement> services;
+    std::unordered_map<std::string, data_centre_path> paths; // by data centre
 };
 
 struct placement_request
@@ -146,6 +158,13 @@
                double milliseconds,
                time_point now);
 
+// noteSilent records that a node of a data centre did not answer in time; noteHeard that one of it was heard.
+void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now);
+void noteHeard(placement_state &state, const std::string &dataCentre);
+
+// isCutOff tells whether a data centre counts as cut off.
+bool isCutOff(const placement_state &state, const std::string &dataCentre, time_point now);
+
 // chooseWorker returns the best worker for a request.
 placement_choice chooseWorker(const placement_state &state,
                               const std::string &service,
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -147,6 +147,22 @@
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
 }
 
+TEST_CASE("a data centre that falls silent is not tried node by node")
+{
+    placement_state state = stateWith({workerOf("a", "dc-2"), workerOf("b", "dc-2"), workerOf("c", "dc-2"), workerOf("d", "dc-3")});
+    worker_report full;
+    full.running = 6;
+    full.waitMs = {0, 200, 200};
+    noteReport(state, service, "d", full, start);
+    random_generator generator(5);
+    noteSilent(state, "dc-2", "a", start);
+    CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId != "d");
+    noteSilent(state, "dc-2", "b", start);
+    CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId == "d");
+    noteHeard(state, "dc-2");
+    CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId != "d");
+}
+
 TEST_CASE("there is no choice without workers, or when all were tried")
 {
     placement_state state = stateWith({workerOf("a", "dc-1")});
