--- a/packages/connection/loop/http_client_test.cc
+++ b/packages/connection/loop/http_client_test.cc
@@ -32,6 +32,7 @@
             m_client.reset();
             return 0;
         });
+        m_loop.stop();
     }
 
     exchange_result send(const std::string &id, milliseconds wait = milliseconds(2000), std::string body = "")
--- a/packages/connection/loop/http_server_test.cc
+++ b/packages/connection/loop/http_server_test.cc
@@ -40,6 +40,7 @@
             m_server.stop();
             return 0;
         });
+        m_loop.stop();
     }
 
     endpoint address()
--- a/packages/connection/loop/loop_fixture.h
+++ b/packages/connection/loop/loop_fixture.h
@@ -30,9 +30,17 @@
     loop_thread(const loop_thread &) = delete;
     loop_thread &operator=(const loop_thread &) = delete;
     ~loop_thread()
+    {
+        stop();
+    }
+
+    // stop ends the thread; what is suspended on the loop is never resumed.
+    void stop()
     {
         m_loop.stop();
-        m_thread.join();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
     }
 
     net::any_io_executor executor()
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -14,6 +14,7 @@
 constexpr milliseconds connectTimeout{400};
 constexpr milliseconds pingAfter{300}; // of silence while a reply is due
 constexpr milliseconds silentAfter{1000}; // of silence while a reply is due: the link is dead
+constexpr milliseconds configAnswerTime{250}; // within which a node starts to answer a request for its configuration
 constexpr seconds idleKept{30}; // unused links are closed
 constexpr std::size_t largeBody = 16UL * 1024; // requests with larger bodies use a link of their own
 
@@ -332,7 +333,15 @@
 awaitable<void> peer_links::requestConfig(endpoint target, std::uint64_t haveVersion)
 {
     if (const std::shared_ptr<frame_link> link = co_await linkTo({target, true})) {
+        const time_point sentAt = steadyNow();
         link->send(code(frame_kind::ConfigRequest), encode(config_request{haveVersion}));
+        net::steady_timer answerTime(m_context.executor, configAnswerTime);
+        co_await answerTime.async_wait(awaitResult);
+        // A node that lost power leaves its links open and silent; the next request must not use this one.
+        if (link->isOpen() && link->lastProgress() < sentAt) {
+            m_events.onSilent(target);
+            link->close("no answer to a request for the configuration");
+        }
     }
 }
 
--- /dev/null
+++ b/testing/platform/platform_mesh.cc
@@ -0,0 +1,175 @@
+#include "testing/platform/platform_mesh.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <ranges>
+#include <set>
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace pistachioquay::testing {
+
+namespace {
+
+enum address_index : std::size_t
+{
+    Inbound,
+    Outbound,
+    Ready,
+    Control,
+    Worker,
+    Datagrams,
+    AddressCount,
+};
+
+const std::string host = "shop.example";
+
+boost::json::value ruleOf(const route_plan &route)
+{
+    return {{"name", "r" + route.prefix},
+            {"kind", route.kind},
+            {"targetLatencyMs", 1000},
+            {"priority", 1},
+            {"match", {{"pathPrefix", route.prefix}}},
+            {"action",
+             {{"service", route.service}, {"timeoutMs", route.timeoutMs}, {"maxAttempts", route.maxAttempts}}}};
+}
+
+} // namespace
+
+platform_mesh::platform_mesh(const std::vector<node_plan> &nodes)
+{
+    for (const node_plan &plan : nodes) {
+        node_state &node = m_nodes[plan.name];
+        node.plan = plan;
+        node.addresses = freeAddresses(AddressCount);
+    }
+    for (const node_plan &plan : nodes) {
+        startNode(plan.name);
+        startWorker(plan.name, "w-" + plan.name);
+    }
+}
+
+std::vector<std::string> platform_mesh::names() const
+{
+    const auto names = m_nodes | std::views::keys;
+    return {names.begin(), names.end()};
+}
+
+std::string platform_mesh::settingsOf(const node_state &node) const
+{
+    const auto text = [&](address_index index) {
+        return "\"" + toText(node.addresses[index]) + "\"\n";
+    };
+    const std::string port = std::to_string(node.addresses[Datagrams].port);
+    return "[self]\nnodeName = \"" + node.plan.name + "\"\nipAddress = \"127.0.0.1\"\nzone = \"" + node.plan.dataCentre
+        + "\"\nservice = \"" + node.plan.service + "\"\napplicationAddress = " + text(Worker)
+        + "[self.limits]\nmemoryMb = 260\nfileDescriptors = 1000\nlinkBandwidthMbps = 1000.0\n"
+        + "[network]\ninternalPortRange = [" + port + "," + port + "]\n[network.listenAddresses]\ninbound = " + text(Inbound)
+        + "outbound = " + text(Outbound) + "ready = " + text(Ready) + "control = " + text(Control)
+        + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(m_store.address()) + "\"\n"
+        + "[terms.bounds]\ndrainTimeoutMs = 2000\ngracePeriodS = 6\nconfigApplyMs = 2000\nretryBudgetRatio = 0.2\n"
+        + "budgetWindowS = 10\nbudgetExtraRetries = 64\n";
+}
+
+void platform_mesh::startNode(const std::string &node)
+{
+    node_state &state = m_nodes.at(node);
+    const std::string path = m_folder.file(node + ".toml");
+    std::ofstream(path) << settingsOf(state);
+    // The process inherits the variable; nodes are started one at a time.
+    ::setenv("PISTACHIOQUAY_NODE_FILE", path.c_str(), 1);
+    state.process = requireValue([&] {
+        return startProcess({"packages/pistachioquayd/pistachioquayd", {"--platform"}, m_folder.file(node + ".log")});
+    });
+}
+
+void platform_mesh::startWorker(const std::string &node, const std::string &workerId)
+{
+    node_state &state = m_nodes.at(node);
+    state.worker.reset();
+    worker_options options;
+    options.id = workerId;
+    options.service = state.plan.service;
+    options.dataCentre = state.plan.dataCentre;
+    options.address = state.addresses[Worker];
+    options.control = state.addresses[Control];
+    state.worker = std::make_unique<worker_stand_in>(options);
+}
+
+void platform_mesh::stopWorker(const std::string &node)
+{
+    m_nodes.at(node).worker.reset();
+}
+
+void platform_mesh::publish(unsigned version, const std::vector<route_plan> &routes)
+{
+    boost::json::array rules;
+    std::set<std::string> services;
+    for (const route_plan &route : routes) {
+        rules.push_back(ruleOf(route));
+        services.insert(route.service);
+    }
+    boost::json::array clusters;
+    for (const std::string &service : services) {
+        clusters.push_back({{"name", service}, {"healthCheckPath", "/health"}, {"connectionLimit", 100}});
+    }
+    const boost::json::value limits = {
+        {"maxHeaderBytes", 16384}, {"maxBodyBytes", 1048576}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}};
+    boost::json::array listeners;
+    listeners.push_back({{"host", host}, {"rules", rules}});
+    const boost::json::value document = {
+        {"version", version}, {"limits", limits}, {"listeners", listeners}, {"clusters", clusters}};
+    m_store.put("keyed.op", "config", boost::json::serialize(document));
+}
+
+bool platform_mesh::isReady(const std::string &node)
+{
+    whole_request request;
+    request.method = "GET";
+    request.target = "/readiness";
+    request.headers = {{"Host", host}};
+    exchange_control control;
+    loop_client client(m_loop.executor(), {.target = m_nodes.at(node).addresses[Ready]});
+    const exchange_result got = m_loop.await(client.send(request, {.deadline = steadyNow() + seconds(1)}, control));
+    m_loop.run([&] {
+        client.closeAll();
+        return 0;
+    });
+    return got.end == exchange_end::Complete && got.response.status == 200;
+}
+
+bool platform_mesh::waitReady(milliseconds atMost)
+{
+    return waitUntil(
+        [this] {
+            return std::ranges::all_of(names(), [this](const std::string &name) {
+                return !process(name).isRunning() || isReady(name);
+            });
+        },
+        atMost);
+}
+
+caller_result platform_mesh::send(const std::string &node, const caller_request &request)
+{
+    whole_request sent;
+    sent.method = request.method;
+    sent.target = request.target;
+    sent.body = request.body;
+    sent.headers = {{"Host", host},
+                    {"Request-Attempt-Id", request.id},
+                    {"Deadline-Milliseconds", std::to_string(request.timeLeft.count())}};
+    exchange_control control;
+    loop_client client(m_loop.executor(), {.target = m_nodes.at(node).addresses[Outbound]});
+    exchange_result got =
+        m_loop.await(client.send(sent, {.deadline = steadyNow() + request.timeLeft + seconds(1)}, control));
+    m_loop.run([&] {
+        client.closeAll();
+        return 0;
+    });
+    return {got.end, std::move(got.response)};
+}
+
+} // namespace pistachioquay::testing
--- /dev/null
+++ b/testing/platform/platform_mesh.h
@@ -0,0 +1,105 @@
+// Nodes of the mesh as real processes on the stand-ins of the platform.
+//
+//   platform_mesh mesh({{"a1", "orders", "dc-1"}, {"b1", "orders", "dc-2"}});
+//   mesh.publish(1, routesTo("orders"));
+//   REQUIRE(mesh.waitReady(milliseconds(5000)));
+//   const caller_result got = mesh.send("a1", {.id = "r-1", .target = "/orders/7"});
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "testing/harness/process.h"
+#include "testing/platform/store_stand_in.h"
+#include "testing/platform/worker_stand_in.h"
+
+namespace pistachioquay::testing {
+
+struct node_plan
+{
+    std::string name;
+    std::string service;
+    std::string dataCentre;
+};
+
+// One route of a test configuration, under host `shop.example`.
+struct route_plan
+{
+    std::string prefix;
+    std::string service;
+    std::string kind = "safe"; // safe, unsafe or upload
+    unsigned timeoutMs = 3000;
+    unsigned maxAttempts = 3;
+};
+
+struct caller_request
+{
+    std::string id;
+    std::string target;
+    std::string method = "GET";
+    std::string body;
+    milliseconds timeLeft{4000};
+};
+
+struct caller_result
+{
+    exchange_end end = exchange_end::Lost;
+    whole_response response;
+};
+
+class platform_mesh
+{
+public:
+    explicit platform_mesh(const std::vector<node_plan> &nodes);
+
+    store_stand_in &store()
+    {
+        return m_store;
+    }
+    worker_stand_in &worker(const std::string &node)
+    {
+        return *m_nodes.at(node).worker;
+    }
+    child_process &process(const std::string &node)
+    {
+        return m_nodes.at(node).process;
+    }
+    std::vector<std::string> names() const;
+
+    // publish writes a configuration as the operator does.
+    void publish(unsigned version, const std::vector<route_plan> &routes);
+    // startNode starts the process of a node; startWorker and stopWorker do the same for the worker beside it.
+    void startNode(const std::string &node);
+    void startWorker(const std::string &node, const std::string &workerId);
+    void stopWorker(const std::string &node);
+    // isReady asks a node whether it takes callers; waitReady waits for all running ones.
+    bool isReady(const std::string &node);
+    bool waitReady(milliseconds atMost);
+    // send sends one request of a caller to a node, on a connection of its own.
+    caller_result send(const std::string &node, const caller_request &request);
+    // log returns what a node has logged.
+    std::string log(const std::string &node) const
+    {
+        return readFile(m_folder.file(node + ".log"));
+    }
+
+private:
+    struct node_state
+    {
+        node_plan plan;
+        std::vector<endpoint> addresses; // inbound, outbound, ready, control, worker, datagrams
+        child_process process;
+        std::unique_ptr<worker_stand_in> worker;
+    };
+
+    std::string settingsOf(const node_state &node) const;
+
+    temp_folder m_folder;
+    store_stand_in m_store;
+    loop_thread m_loop;
+    std::map<std::string, node_state> m_nodes;
+};
+
+} // namespace pistachioquay::testing
--- /dev/null
+++ b/testing/platform/store_stand_in.h
@@ -0,0 +1,70 @@
+// Stand-in for the platform's store: topics of records over its published protocol, with outages.
+//
+//   store_stand_in store;
+//   store.put("keyed.op", "config", text);
+//   store.setMode(store_mode::Silent);
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "connection/loop/http_server.h"
+#include "connection/loop/loop_fixture.h"
+
+namespace pistachioquay::testing {
+
+enum class store_mode : std::uint8_t
+{
+    Up,
+    Busy, // answers 503: nothing was done
+    Silent, // does not answer
+    LosesAnswers, // does what it is told and closes the connection without an answer
+};
+
+// All functions are thread safe.
+class store_stand_in
+{
+public:
+    store_stand_in();
+    ~store_stand_in();
+    store_stand_in(const store_stand_in &) = delete;
+    store_stand_in &operator=(const store_stand_in &) = delete;
+
+    endpoint address() const;
+    // put appends a record to a keyed topic, as the operator does.
+    void put(const std::string &topic, const std::string &key, const std::string &value);
+    // forget drops the records of a topic but the newest of each key, so that readers at older offsets get 410.
+    void forget(const std::string &topic);
+    void setMode(store_mode mode);
+    // calls returns how many calls arrived.
+    std::uint64_t calls() const;
+
+private:
+    struct topic_log
+    {
+        std::uint64_t first = 0;
+        std::vector<std::string> records; // raw, from offset `first` on
+        std::map<std::string, std::pair<std::string, std::uint64_t>> newest; // value and offset by key
+        std::uint64_t end() const
+        {
+            return first + records.size();
+        }
+    };
+
+    awaitable<whole_response> answer(const whole_request &request);
+    awaitable<whole_response> read(topic_log &topic, std::uint64_t from, milliseconds wait);
+    whole_response append(topic_log &topic, const std::string &body);
+    whole_response newest(const topic_log &topic) const;
+    static void appendRecord(topic_log &topic, std::string record);
+
+    loop_thread m_loop;
+    std::map<std::string, topic_log> m_topics;
+    std::atomic<store_mode> m_mode = store_mode::Up;
+    std::atomic<std::uint64_t> m_calls = 0;
+    std::unique_ptr<loop_server> m_server;
+};
+
+} // namespace pistachioquay::testing
--- /dev/null
+++ b/testing/platform/worker_stand_in.cc
@@ -0,0 +1,183 @@
+#include "testing/platform/worker_stand_in.h"
+
+#include <algorithm>
+#include <numeric>
+#include <stdexcept>
+
+#include <boost/asio/detached.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace pistachioquay::testing {
+
+namespace {
+
+constexpr milliseconds defaultRun{2};
+constexpr milliseconds noticeTimeout{1000};
+
+std::uint64_t numberIn(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return 0;
+    }
+    const std::string rest = target.substr(at + name.size() + 1);
+    return parseCount(rest.substr(0, rest.find('&'))).value_or(0);
+}
+
+} // namespace
+
+worker_stand_in::worker_stand_in(worker_options options)
+    : m_options(std::move(options))
+    , m_startedMs(unixNowMs())
+{
+    m_server = std::make_unique<loop_server>(m_loop.executor(),
+                                             loop_server_options{.address = m_options.address},
+                                             [this](const whole_request &request, caller_presence &caller) {
+                                                 return run(request, caller);
+                                             });
+    m_node = std::make_unique<loop_client>(m_loop.executor(), loop_client_options{.target = m_options.control});
+    const bool isStarted = m_loop.run([this] {
+        net::co_spawn(
+            m_loop.executor(),
+            [this] {
+                return announceLoop();
+            },
+            net::detached);
+        return static_cast<bool>(attempt([this] {
+            return m_server->start();
+        }));
+    });
+    if (!isStarted) {
+        throw std::runtime_error("the stand-in of a worker cannot listen on " + toText(m_options.address));
+    }
+}
+
+worker_stand_in::~worker_stand_in()
+{
+    m_loop.run([this] {
+        m_isStopped = true;
+        m_server->stop();
+        m_node->closeAll();
+        return 0;
+    });
+    m_loop.stop();
+}
+
+awaitable<bool> worker_stand_in::announce(std::string state)
+{
+    const boost::json::value body = {
+        {"address", toText(m_options.address)},
+        {"born", m_startedMs},
+        {"information",
+         {{"service", m_options.service}, {"version", "v1"}, {"zone", m_options.dataCentre}, {"slots", m_options.slots}}},
+        {"status", {{"state", state}, {"sequence", m_sequence++}, {"coldRemainingMs", 0}}}};
+    whole_request request;
+    request.method = "POST";
+    request.target = "/instances/" + m_options.id + "/heartbeat";
+    request.headers = {{"Host", toText(m_options.control)}, {"Content-Type", "application/json"}};
+    request.body = boost::json::serialize(body);
+    exchange_control control;
+    const exchange_result got = co_await m_node->send(request, {.deadline = steadyNow() + noticeTimeout}, control);
+    co_return got.end == exchange_end::Complete && got.response.status == 200;
+}
+
+awaitable<void> worker_stand_in::announceLoop()
+{
+    while (!m_isStopped) {
+        std::string state;
+        {
+            const std::lock_guard guard(m_mutex);
+            state = m_state;
+        }
+        co_await announce(state);
+        net::steady_timer pause(m_loop.executor(), m_options.noticeInterval);
+        co_await pause.async_wait(awaitResult);
+    }
+}
+
+bool worker_stand_in::drain(milliseconds atMost)
+{
+    {
+        const std::lock_guard guard(m_mutex);
+        m_state = "draining";
+    }
+    const time_point until = steadyNow() + atMost;
+    while (steadyNow() < until) {
+        if (m_loop.await(announce("draining"))) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    return false;
+}
+
+awaitable<whole_response> worker_stand_in::run(const whole_request &request, caller_presence &)
+{
+    const std::string id(findHeader(request.headers, "Request-Attempt-Id").value_or(""));
+    const auto expected = findHeader(request.headers, "Expected-Instance");
+    whole_response response = textReply(200, m_options.id + " " + request.target);
+    response.headers.push_back({"Request-Attempt-Id", id});
+    if (expected && *expected != m_options.id) {
+        response.status = 421;
+        co_return response;
+    }
+    if (m_running >= 2 * m_options.slots) {
+        response.status = 503;
+        response.headers.push_back({"Not-Executed", "1"});
+        co_return response;
+    }
+    {
+        const std::lock_guard guard(m_mutex);
+        seen_request &seen = m_seen[id];
+        ++seen.runs;
+        seen.callerService = findHeader(request.headers, "Caller-Service").value_or("");
+        seen.expectedWorker = expected.value_or("");
+        seen.startedAt = m_lastStart = steadyNow();
+    }
+    ++m_running;
+    const std::uint64_t runMs = numberIn(request.target, "run");
+    net::steady_timer work(m_loop.executor(), runMs > 0 ? milliseconds(runMs) : defaultRun);
+    co_await work.async_wait(awaitResult);
+    --m_running;
+    const std::uint64_t failure = numberIn(request.target, "fail");
+    response.status = numberIn(request.target, "lose") > 0 ? 0 : failure > 0 ? static_cast<unsigned>(failure) : 200;
+    response.headers.push_back({"Server-Signature", "stand-in." + m_options.id});
+    response.headers.push_back({"Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots) + ",100"});
+    co_return response;
+}
+
+seen_request worker_stand_in::seen(const std::string &id) const
+{
+    const std::lock_guard guard(m_mutex);
+    const auto found = m_seen.find(id);
+    return found == m_seen.end() ? seen_request{} : found->second;
+}
+
+time_point worker_stand_in::lastStart() const
+{
+    const std::lock_guard guard(m_mutex);
+    return m_lastStart;
+}
+
+unsigned worker_stand_in::totalRuns() const
+{
+    const std::lock_guard guard(m_mutex);
+    return std::accumulate(m_seen.begin(), m_seen.end(), 0U, [](unsigned sum, const auto &item) {
+        return sum + item.second.runs;
+    });
+}
+
+std::vector<std::string> worker_stand_in::doubledRuns() const
+{
+    const std::lock_guard guard(m_mutex);
+    std::vector<std::string> ids;
+    for (const auto &[id, seen] : m_seen) {
+        if (seen.runs > 1) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+} // namespace pistachioquay::testing
--- /dev/null
+++ b/testing/platform/worker_stand_in.h
@@ -0,0 +1,88 @@
+// Stand-in for a worker of the users' platform: it announces itself to the node beside it, runs requests in a number of
+// slots, and counts its runs by request id.
+//
+//   worker_stand_in worker({.id = "w-1", .service = "orders", .address = address, .control = nodeControl});
+//   ...
+//   worker.drain();
+//   CHECK(worker.runs("r-1") == 1);
+//
+// The query of a request sets what happens: `run=MS` how long it runs, `fail=STATUS` a failure, `lose=1` a run whose
+// connection is closed without a response.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "connection/loop/http_client.h"
+#include "connection/loop/http_server.h"
+#include "connection/loop/loop_fixture.h"
+
+namespace pistachioquay::testing {
+
+struct worker_options
+{
+    std::string id;
+    std::string service;
+    std::string dataCentre;
+    endpoint address;
+    endpoint control; // of the node beside it
+    unsigned slots = 4;
+    milliseconds noticeInterval{300};
+};
+
+// What a worker has seen of one request id.
+struct seen_request
+{
+    unsigned runs = 0;
+    std::string callerService;
+    std::string expectedWorker;
+    time_point startedAt;
+
+    friend bool operator==(const seen_request &, const seen_request &) = default;
+};
+
+// All functions are thread safe.
+class worker_stand_in
+{
+public:
+    explicit worker_stand_in(worker_options options);
+    ~worker_stand_in();
+    worker_stand_in(const worker_stand_in &) = delete;
+    worker_stand_in &operator=(const worker_stand_in &) = delete;
+
+    // drain announces that the worker leaves, and returns when the node has acknowledged it; false after `atMost`.
+    bool drain(milliseconds atMost);
+    // seen returns what is known of a request id.
+    seen_request seen(const std::string &id) const;
+    // lastStart returns when the last run began.
+    time_point lastStart() const;
+    // totalRuns returns the number of runs of all ids, and doubledRuns that of the ids that ran more than once.
+    unsigned totalRuns() const;
+    std::vector<std::string> doubledRuns() const;
+    const worker_options &options() const
+    {
+        return m_options;
+    }
+
+private:
+    awaitable<whole_response> run(const whole_request &request, caller_presence &caller);
+    awaitable<void> announceLoop();
+    awaitable<bool> announce(std::string state);
+
+    worker_options m_options;
+    std::int64_t m_startedMs;
+    mutable std::mutex m_mutex; // guards the three below
+    std::map<std::string, seen_request> m_seen;
+    time_point m_lastStart;
+    std::string m_state = "ready";
+    unsigned m_running = 0;
+    std::uint64_t m_sequence = 0;
+    bool m_isStopped = false;
+    loop_thread m_loop;
+    std::unique_ptr<loop_server> m_server;
+    std::unique_ptr<loop_client> m_node;
+};
+
+} // namespace pistachioquay::testing
