Let a node that is behind read the platform itself, and prefer VMs with large links as readers

Change: a node that knows of a newer version for a third of the bound reads it itself; readers are ranked by link rate; a pull waits 600 ms.

--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -14,7 +14,7 @@
 constexpr milliseconds connectTimeout{400};
 constexpr milliseconds pingAfter{300}; // of silence while a reply is due
 constexpr milliseconds silentAfter{1000}; // of silence while a reply is due: the link is dead
-constexpr milliseconds configAnswerTime{250}; // within which a node starts to answer a request for its configuration
+constexpr milliseconds configAnswerTime{600}; // within which a node starts to answer a request for its configuration
 constexpr seconds idleKept{30}; // unused links are closed
 constexpr std::size_t largeBody = 16UL * 1024; // requests with larger bodies use a link of their own
 
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -70,7 +70,7 @@
 bool shouldRead(const reader_facts &facts)
 {
     const milliseconds overdue = readWait(facts.bound) + facts.bound / 8;
-    return facts.rank == 0 || facts.sinceWord > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, 4);
+    return facts.rank == 0 || facts.behindFor > facts.bound / 3 || facts.sinceWord > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, 4);
 }
 
 milliseconds readWait(milliseconds bound)
@@ -280,6 +280,7 @@
         return;
     }
     const time_point now = steadyNow();
+    m_behindSince = m_behindSince.value_or(now);
     const bool isPulling = m_pulledVersion >= record.configVersion && now - m_pulledAt < pullAgain;
     const bool isNear = record.dataCentre == m_context.options.dataCentre;
     // Other data centres read the platform themselves; their copy costs more, so it is a second choice.
@@ -372,6 +373,7 @@
                       .add("bytes", bytes.size()));
     m_context.config.table = std::make_shared<const route_table>(*decoded);
     m_context.config.appliedAt = steadyNow();
+    m_behindSince.reset();
     m_texts.emplace_back(decoded->version, std::move(bytes));
     if (m_texts.size() > keptTexts) {
         m_texts.pop_front();
@@ -379,16 +381,18 @@
     m_context.metrics.count("config_applied_total");
 }
 
+// VMs with the largest links read first, because the others of the data centre take the configuration from the reader.
 std::size_t spread_duty::ownRank(time_point now) const
 {
-    const auto weight = [](const std::string &nodeId) {
-        return hash64(nodeId);
+    const auto rankKey = [](std::uint32_t linkBytesPerMs, const std::string &nodeId) {
+        return std::pair(UINT32_MAX - linkBytesPerMs, hash64(nodeId));
     };
-    const std::uint64_t own = weight(m_context.options.nodeId);
+    const mesh_options &options = m_context.options;
+    const auto own = rankKey(static_cast<std::uint32_t>(options.linkBytesPerMs), options.nodeId);
     return static_cast<std::size_t>(std::ranges::count_if(m_context.fleet.nodes, [&](const auto &item) {
-        const known_node &node = item.second;
-        return node.record.dataCentre == m_context.options.dataCentre && !node.record.isLeaving && !isSilent(node, now)
-            && weight(node.record.nodeId) < own;
+        const node_record &record = item.second.record;
+        return record.dataCentre == options.dataCentre && !record.isLeaving && !isSilent(item.second, now)
+            && rankKey(record.linkBytesPerMs, record.nodeId) < own;
     }));
 }
 
@@ -405,13 +409,19 @@
     hasRead = m_context.config.table->version > 0;
     while (!m_context.isStopped) {
         const time_point now = steadyNow();
-        const reader_facts facts{ownRank(now), now - std::max(m_wordAt, m_startedAt), m_context.options.configBound};
+        reader_facts facts;
+        facts.rank = ownRank(now);
+        facts.behindFor = now - m_behindSince.value_or(now);
+        facts.sinceWord = now - std::max(m_wordAt, m_startedAt);
+        facts.bound = m_context.options.configBound;
         if (hasRead && !shouldRead(facts)) {
             pause.expires_after(idleCheck);
             co_await pause.async_wait(awaitResult);
             continue;
         }
-        config_read read = co_await m_context.platform.readConfig(m_position, wait);
+        // Behind a version that came from a peer the log holds whole older texts: only the newest is of use.
+        const bool isPositionOld = m_context.config.table->version != m_readVersion;
+        config_read read = co_await m_context.platform.readConfig(isPositionOld ? 0 : m_position, wait);
         if (read.isReached != m_isStoreReached) {
             m_isStoreReached = read.isReached;
             m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_position));
@@ -427,6 +437,8 @@
         if (read.hasValue) {
             applyConfig(std::move(read.bytes), "platform");
         }
+        m_readVersion = m_context.config.table->version;
+        m_behindSince.reset();
         sendStoreWord();
     }
 }
--- a/packages/process/mesh/spread.h
+++ b/packages/process/mesh/spread.h
@@ -19,11 +19,13 @@
 struct reader_facts
 {
     std::size_t rank = 0; // of this node among those of its data centre that are heard of; 0 is the reader
+    duration behindFor{0}; // since another node was heard to have a newer version than this one
     duration sinceWord{0}; // since the reader of the data centre was last heard to have read it
     milliseconds bound{2000}; // within which a version has to be in force
 };
 
-// shouldRead decides it. The reader always does; the others step in one after the other when its word is overdue.
+// shouldRead decides it. The reader always does; the others step in one after the other when its word is overdue, and
+// when they know of a newer version and no other node has sent it.
 // Thread safe.
 bool shouldRead(const reader_facts &facts);
 
@@ -81,6 +83,8 @@
     std::uint64_t m_rejectedHash = 0; // of the last text that could not be decoded
     time_point m_wordAt; // last word of a reader of the own data centre
     time_point m_startedAt;
+    std::uint64_t m_readVersion = 0; // in force when this node last read the platform
+    std::optional<time_point> m_behindSince; // a newer version than that in force was heard of
     time_point m_pulledAt;
     std::uint64_t m_pulledVersion = 0;
     bool m_isStoreReached = false;
