Reserve room on the receiver's link before a large body is sent

Ruled out: gossip (10 KB/s) and configuration bytes. Change: a node grants what its link carries in 150 ms and refuses the rest at once.

--- a/packages/base/log_line.cc
+++ b/packages/base/log_line.cc
@@ -17,8 +17,8 @@
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || std::ranges::any_of(value, [](unsigned char letter) {
-        return letter <= ' ' || letter == '"' || letter == '=' || letter == 0x7f;
-    });
+               return letter <= ' ' || letter == '"' || letter == '=' || letter == 0x7f;
+           });
 }
 
 void appendQuoted(std::string &text, std::string_view value)
@@ -97,7 +97,8 @@
 log_line &log_line::add(std::string_view key, double value)
 {
     std::array<char, 32> buffer{};
-    const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value, std::chars_format::fixed, 1).ptr;
+    const auto end =
+        std::to_chars(buffer.data(), buffer.data() + buffer.size(), value, std::chars_format::fixed, 1).ptr;
     return add(key, std::string_view(buffer.data(), static_cast<std::size_t>(end - buffer.data())));
 }
 
--- a/packages/base/log_line_test.cc
+++ b/packages/base/log_line_test.cc
@@ -22,7 +22,8 @@
 
 TEST_CASE("values are quoted where a reader could mistake them")
 {
-    const log_line line = log_line("part", "event").add("plain", "a-1").add("blank", "a b").add("empty", "").add("n", 3);
+    const log_line line =
+        log_line("part", "event").add("plain", "a-1").add("blank", "a b").add("empty", "").add("n", 3);
     CHECK(line.text() == "[part] event plain=a-1 blank=\"a b\" empty=\"\" n=3");
     CHECK(log_line("part", "event").add("text", "a\"\nb").text() == "[part] event text=\"a\\\"?b\"");
 }
--- a/packages/connection/loop/frame_link_test.cc
+++ b/packages/connection/loop/frame_link_test.cc
@@ -55,7 +55,8 @@
 TEST_CASE("frames arrive whole and in order, however the bytes are cut")
 {
     raw_server server([](raw_connection &peer, int) {
-        const std::string bytes = std::string("\0\0\0\3\1abc", 8) + std::string("\0\0\0\0\2", 5) + std::string("\0\0\0\1\3z", 6);
+        const std::string bytes =
+            std::string("\0\0\0\3\1abc", 8) + std::string("\0\0\0\0\2", 5) + std::string("\0\0\0\1\3z", 6);
         for (const char byte : bytes) {
             peer.send({&byte, 1});
         }
--- a/packages/connection/loop/http_client.h
+++ b/packages/connection/loop/http_client.h
@@ -121,7 +121,8 @@
     struct connection;
     std::shared_ptr<connection> takeIdle(milliseconds within);
     awaitable<std::shared_ptr<connection>> open(time_point deadline, exchange_result &result);
-    awaitable<void> exchange(const std::shared_ptr<connection> &used, const whole_request &request, exchange_result &result);
+    awaitable<void>
+    exchange(const std::shared_ptr<connection> &used, const whole_request &request, exchange_result &result);
     void keep(std::shared_ptr<connection> used, const whole_response &response);
 
     net::any_io_executor m_executor;
--- a/packages/connection/loop/http_server.cc
+++ b/packages/connection/loop/http_server.cc
@@ -366,7 +366,8 @@
 result<void> loop_server::start()
 {
     beast::error_code failure;
-    const tcp::endpoint local(net::ip::make_address(m_state->options.address.ip, failure), m_state->options.address.port);
+    const tcp::endpoint local(net::ip::make_address(m_state->options.address.ip, failure),
+                              m_state->options.address.port);
     tcp::acceptor &acceptor = m_state->acceptor;
     if (!failure) {
         acceptor.open(tcp::v4(), failure);
--- a/packages/connection/loop/http_server.h
+++ b/packages/connection/loop/http_server.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 server on an event loop. Requests are read whole, within bounds, before the handler sees them.
 //
-//   loop_server server(executor, options, [&](const whole_request &request, caller_presence &caller) -> awaitable<whole_response> {
+//   loop_server server(executor, options, [&](const whole_request &request, caller_presence &caller) ->
+//   awaitable<whole_response> {
 //       co_return textReply(200, "ready");
 //   });
 //   const auto started = attempt([&] { return server.start(); });
--- a/packages/connection/loop/http_server_test.cc
+++ b/packages/connection/loop/http_server_test.cc
@@ -1,5 +1,5 @@
-// Guards against requests that break the protocol, callers that leave unnoticed, and responses that look complete though
-// they are not.
+// Guards against requests that break the protocol, callers that leave unnoticed, and responses that look complete
+// though they are not.
 #include <catch2/catch.hpp>
 
 #include <atomic>
@@ -20,9 +20,10 @@
     explicit echo_server(server_bounds bounds = {})
         : m_server(m_loop.executor(),
                    {.address = {"127.0.0.1", 0},
-                    .bounds = [bounds] {
-                        return bounds;
-                    }},
+                    .bounds =
+                        [bounds] {
+                            return bounds;
+                        }},
                    [this](const whole_request &request, caller_presence &caller) {
                        return answer(request, caller);
                    })
@@ -31,7 +32,8 @@
             return attempt([this] {
                        return m_server.start();
                    })
-                .operator bool();
+                .
+                operator bool();
         });
     }
     ~echo_server()
@@ -92,10 +94,11 @@
 TEST_CASE("bodies with a length and in chunks arrive whole")
 {
     echo_server server;
-    CHECK(roundTrip(server, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc").ends_with("POST /a abc"));
+    CHECK(roundTrip(server, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc")
+              .ends_with("POST /a abc"));
     CHECK(roundTrip(server,
-                   "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
-                   "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+                    "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                    "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
               .ends_with("POST /a abc"));
 }
 
@@ -112,8 +115,8 @@
 {
     echo_server server;
     const std::string text = roundTrip(server,
-                                      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
-                                      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+                                       "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
     CHECK(text.starts_with("HTTP/1.1 400"));
     CHECK(server.handled() == 0);
 }
@@ -121,7 +124,8 @@
 TEST_CASE("bounds on headers, bodies and time give their status and a close")
 {
     echo_server server({.headerBytes = 512, .bodyBytes = 10, .headerTimeout = milliseconds(200)});
-    CHECK(roundTrip(server, "GET / HTTP/1.1\r\nHost: x\r\nLong: " + std::string(600, 'a') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
+    CHECK(roundTrip(server, "GET / HTTP/1.1\r\nHost: x\r\nLong: " + std::string(600, 'a') + "\r\n\r\n")
+              .starts_with("HTTP/1.1 431"));
     CHECK(roundTrip(server, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n").starts_with("HTTP/1.1 413"));
     CHECK(roundTrip(server, "nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
     CHECK(server.handled() == 0);
@@ -177,7 +181,8 @@
 {
     echo_server server;
     raw_connection caller(server.address());
-    caller.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\nConnection: close\r\n\r\n");
+    caller.send(
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: 100-continue\r\nConnection: close\r\n\r\n");
     CHECK(caller.receiveUntil("\r\n\r\n").starts_with("HTTP/1.1 100"));
     caller.send("ok");
     CHECK(caller.receiveAll().ends_with("POST /a ok"));
--- a/packages/process/fleet/fleet.cc
+++ b/packages/process/fleet/fleet.cc
@@ -101,7 +101,8 @@
     return news;
 }
 
-std::vector<endpoint> choosePeers(const fleet_state &fleet, std::size_t count, time_point now, random_generator &generator)
+std::vector<endpoint>
+choosePeers(const fleet_state &fleet, std::size_t count, time_point now, random_generator &generator)
 {
     std::vector<endpoint> live;
     std::vector<endpoint> silent;
--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -107,7 +107,8 @@
 
 // choosePeers draws up to `count` nodes that are not silent; silent ones are drawn now and then so that both sides of a
 // healed partition find each other again.
-std::vector<endpoint> choosePeers(const fleet_state &fleet, std::size_t count, time_point now, random_generator &generator);
+std::vector<endpoint>
+choosePeers(const fleet_state &fleet, std::size_t count, time_point now, random_generator &generator);
 
 // readyWorkers returns the workers of a service that may get requests. Silent nodes are among them only if no other is.
 std::vector<worker_entry> readyWorkers(const fleet_state &fleet, const std::string &service, time_point now);
--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -24,6 +24,7 @@
 
 namespace {
 
+constexpr milliseconds refreshInterval{250};
 constexpr double linkMemoryMs = 500.0; // time constant of the measured rate
 
 } // namespace
@@ -66,6 +67,15 @@
                            context.options.linkBytesPerMs});
     }
     setWorkers(context.placement, service, std::move(workers));
+    context.refreshedAt[service] = now;
+}
+
+void keepWorkersFresh(mesh_context &context, const std::string &service, time_point now)
+{
+    const auto found = context.refreshedAt.find(service);
+    if (found == context.refreshedAt.end() || now - found->second > refreshInterval) {
+        refreshWorkers(context, service, now);
+    }
 }
 
 } // namespace internal
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -5,12 +5,14 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "base/log_line.h"
 #include "base/random.h"
 #include "process/fleet/fleet.h"
 #include "process/mesh/mesh.h"
 #include "process/mesh/messages.h"
+#include "request/link_room/link_room.h"
 #include "request/placement/placement.h"
 
 namespace pistachioquay::internal {
@@ -70,9 +72,11 @@
     random_generator generator;
     fleet_state fleet;
     placement_state placement;
+    std::unordered_map<std::string, time_point> refreshedAt; // by service
     config_in_force config;
     worker_life worker;
     link_meter link;
+    link_room room; // on the own link
     mesh_metrics metrics;
     bool isStopping = false; // the node leaves
     time_point servesUntil; // when the node leaves: end of the requests that its worker still gets
@@ -92,4 +96,7 @@
 // refreshWorkers makes the placement of a service follow the fleet and the own worker.
 void refreshWorkers(mesh_context &context, const std::string &service, time_point now);
 
+// keepWorkersFresh does so if it was not done for a while: nodes fall silent without an event.
+void keepWorkersFresh(mesh_context &context, const std::string &service, time_point now);
+
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -360,7 +360,8 @@
     }
     report.failureShare = m_failureShare;
     report.slowdown = 1.0 + (m_slowdown - 1.0) * std::exp2(-msBetween(m_slowdownAt, now) / slowdownHalfLifeMs);
-    report.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
+    report.linkLoad =
+        std::max(m_context.link.load(m_context.options.linkBytesPerMs, now), reservedShare(m_context.room));
     return report;
 }
 
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -36,9 +36,11 @@
         , links(context, events())
         , outbound(context, inbound, links)
         , spread(context, inbound, links)
-        , callers(executor, serverOptions(), [this](const whole_request &request, caller_presence &caller) {
-            return outbound.serve(request, caller);
-        })
+        , callers(executor,
+                  serverOptions(),
+                  [this](const whole_request &request, caller_presence &caller) {
+                      return outbound.serve(request, caller);
+                  })
         , upkeepTimer(executor)
     {
         context.generator = seededFromDevice();
@@ -47,6 +49,7 @@
         context.placement.nodeId = context.options.nodeId;
         context.placement.dataCentre = context.options.dataCentre;
         context.placement.linkBytesPerMs = context.options.linkBytesPerMs;
+        context.room.bytesPerMs = context.options.linkBytesPerMs;
     }
 
     internal::peer_events events()
@@ -84,8 +87,7 @@
         made.maxBufferedBytes = context.options.memoryBytes / bodyShare;
         made.bounds = [this] {
             const caller_limits &limits = context.config.table->limits;
-            return server_bounds{
-                limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
+            return server_bounds{limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
         };
         return made;
     }
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -43,6 +43,8 @@
     Pong,
     ConfigRequest,
     Config,
+    Reserve,
+    Reserved,
 };
 
 // A request for the worker of the receiving node.
@@ -63,7 +65,17 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, process, isRepeat, service, route, repeat, priority, targetLeftMs, timeLeftMs, callerService, request);
+        archive(id,
+                process,
+                isRepeat,
+                service,
+                route,
+                repeat,
+                priority,
+                targetLeftMs,
+                timeLeftMs,
+                callerService,
+                request);
     }
 };
 
@@ -110,6 +122,20 @@
     }
 };
 
+// Asks for room on the receiver's link before a large body is sent, and the answer.
+struct reservation_message
+{
+    std::string id;
+    std::uint64_t bytes = 0;
+    bool isGranted = false; // in the answer
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, bytes, isGranted);
+    }
+};
+
 // Asks for the configuration, by a node that has an older version or none.
 struct config_request
 {
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -13,6 +13,7 @@
 constexpr unsigned maxLoadRefusals = 2; // nodes that refuse one request for lack of room before its caller is told
 constexpr std::size_t requestHeadBytes = 400; // of a request or a response besides its body, about
 constexpr std::int64_t noWorkerRetryMs = 300; // while no worker of the service is known
+constexpr std::int64_t linkFullRetryMs = 150; // until a link that is full of uploads has room
 constexpr std::int64_t stoppingRetryMs = 600; // until a node that is replaced takes requests again
 constexpr std::uint32_t nestedPriority = 0; // of routes for calls that workers make
 constexpr double fallbackRunShare = 0.25; // of the target, as run time of a route that did not run yet
@@ -22,7 +23,10 @@
 std::string retryAfterText(std::int64_t milliseconds)
 {
     std::array<char, 32> buffer{};
-    std::snprintf(buffer.data(), buffer.size(), "%.3f", static_cast<double>(std::max<std::int64_t>(milliseconds, 1)) / 1000.0);
+    std::snprintf(buffer.data(),
+                  buffer.size(),
+                  "%.3f",
+                  static_cast<double>(std::max<std::int64_t>(milliseconds, 1)) / 1000.0);
     return buffer.data();
 }
 
@@ -150,7 +154,7 @@
     last.retryAfterMs = noWorkerRetryMs;
     for (unsigned asked = 0; asked < maxNodesAsked; ++asked) {
         const time_point now = steadyNow();
-        refreshWorkers(m_context, work.service, now);
+        keepWorkersFresh(m_context, work.service, now);
         m_context.placement.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
         const placement_choice choice =
             chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
@@ -182,7 +186,8 @@
     const time_point now = steadyNow();
     if (reply.kind == reply_kind::NotRun) {
         work.refusals += isForLoad(reply) ? 1 : 0;
-        work.retryAfterMs = work.retryAfterMs == 0 ? reply.retryAfterMs : std::min(work.retryAfterMs, reply.retryAfterMs);
+        work.retryAfterMs =
+            work.retryAfterMs == 0 ? reply.retryAfterMs : std::min(work.retryAfterMs, reply.retryAfterMs);
     } else {
         ++work.workersTried;
     }
@@ -192,7 +197,8 @@
     facts.workersTried = work.workersTried;
     facts.maxWorkers = work.route->maxWorkers;
     facts.timeLeft = work.endsBy - now;
-    facts.expectedRun = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(work.expectedRunMs));
+    facts.expectedRun =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(work.expectedRunMs));
     if (!mayResend(facts)) {
         return false;
     }
@@ -258,6 +264,18 @@
 {
     const call_message message = messageFor(work, node.record.process, steadyNow());
     const endpoint target = node.record.peer;
+    if (peer_links::isLarge(message.request.body.size())) {
+        const peer_end room =
+            co_await m_links.reserve(target, work.id, message.request.body.size(), *work.control);
+        if (room != peer_end::Replied) {
+            call_reply refused;
+            refused.id = work.id;
+            refused.kind = reply_kind::NotRun;
+            refused.reason = room == peer_end::LinkLost || room == peer_end::TimedOut ? "unreachable" : "link-full";
+            refused.retryAfterMs = linkFullRetryMs;
+            co_return refused;
+        }
+    }
     peer_result got = co_await m_links.call(target, message, work.endsBy + replySlack, *work.control);
     call_reply reply;
     reply.id = work.id;
@@ -314,8 +332,8 @@
         return reply.response;
     case reply_kind::NotRun:
     case reply_kind::RejectedByWorker: {
-        const bool mayHaveRun = work.trail.find(":unknown") != std::string::npos
-            || work.trail.find(":response") != std::string::npos;
+        const bool mayHaveRun =
+            work.trail.find(":unknown") != std::string::npos || work.trail.find(":response") != std::string::npos;
         if (mayHaveRun && work.route->repeat == repeat_rule::AtMostOnce) {
             return failure(work, 502, reply.reason);
         }
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr milliseconds connectTimeout{400};
+constexpr milliseconds connectTimeout{600};
+constexpr milliseconds reserveTimeout{400}; // for room on a link; a node that takes longer has none
 constexpr milliseconds pingAfter{300}; // of silence while a reply is due
 constexpr milliseconds silentAfter{1000}; // of silence while a reply is due: the link is dead
 constexpr milliseconds configAnswerTime{600}; // within which a node starts to answer a request for its configuration
@@ -125,6 +126,14 @@
     m_context.link.note(payload.size(), 0, steadyNow());
     if (kind == code(frame_kind::Call)) {
         serveCall(link, payload);
+    } else if (kind == code(frame_kind::Reserve)) {
+        const auto request = attempt([&] {
+            return decodeMessage<reservation_message>(payload, meshFormat, m_garbled);
+        });
+        if (request) {
+            const bool isGranted = reserveRoom(m_context.room, request->id, request->bytes, steadyNow());
+            link.send(code(frame_kind::Reserved), encode(reservation_message{request->id, request->bytes, isGranted}));
+        }
     } else if (kind == code(frame_kind::Ping)) {
         link.send(code(frame_kind::Pong), {});
     } else if (kind == code(frame_kind::ConfigRequest)) {
@@ -165,6 +174,7 @@
         link.close("garbled frame");
         return;
     }
+    releaseRoom(m_context.room, message->id);
     const auto control = std::make_shared<exchange_control>();
     m_incoming[&link].calls[message->id] = {control, message->repeat == repeat_rule::Repeatable};
     net::co_spawn(
@@ -198,7 +208,7 @@
             state.waiters.push_back(waiter);
             co_await waiter->waitUntil(steadyNow() + connectTimeout);
             const outgoing &after = m_links[key];
-            co_return after.link && after.link->isOpen() ? after.link : nullptr;
+            co_return after.link &&after.link->isOpen() ? after.link : nullptr;
         }
         state.isConnecting = true;
     }
@@ -250,6 +260,16 @@
             call->second->isVoid = message->isVoid;
             call->second->done.notify();
         }
+    } else if (kind == code(frame_kind::Reserved)) {
+        const auto message = attempt([&] {
+            return decodeMessage<reservation_message>(payload, meshFormat, m_garbled);
+        });
+        outgoing &state = m_links[key];
+        const auto call = message ? state.calls.find(message->id) : state.calls.end();
+        if (call != state.calls.end()) {
+            call->second->isGranted = message->isGranted;
+            call->second->done.notify();
+        }
     } else if (kind == code(frame_kind::Config)) {
         const auto message = attempt([&] {
             return decodeMessage<config_message>(payload, meshFormat, m_garbled);
@@ -282,7 +302,7 @@
 peer_links::call(endpoint target, const call_message &message, time_point deadline, exchange_control &control)
 {
     peer_result result;
-    const link_key key{target, message.request.body.size() > largeBody};
+    const link_key key{target, isLarge(message.request.body.size())};
     const std::shared_ptr<frame_link> link = co_await linkTo(key);
     if (!link || control.isCancelled()) {
         result.end = link ? peer_end::Cancelled : peer_end::NotSent;
@@ -314,8 +334,38 @@
     co_return result;
 }
 
-awaitable<bool>
-peer_links::askVoid(endpoint target, const std::string &id, std::uint64_t process, time_point deadline)
+bool peer_links::isLarge(std::size_t bytes)
+{
+    return bytes > largeBody;
+}
+
+awaitable<peer_end>
+peer_links::reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &control)
+{
+    const link_key key{target, false};
+    const std::shared_ptr<frame_link> link = co_await linkTo(key);
+    if (!link || control.isCancelled()) {
+        co_return link ? peer_end::Cancelled : peer_end::TimedOut;
+    }
+    const auto pending = std::make_shared<pending_call>(m_context.executor);
+    m_links[key].calls[id] = pending;
+    link->send(code(frame_kind::Reserve), encode(reservation_message{id, bytes, false}));
+    control.onCancel([pending] {
+        pending->done.notify();
+    });
+    co_await pending->done.waitUntil(steadyNow() + reserveTimeout);
+    control.onCancel(nullptr);
+    m_links[key].calls.erase(id);
+    if (control.isCancelled()) {
+        co_return peer_end::Cancelled;
+    }
+    if (!pending->isGranted) {
+        co_return pending->isLost ? peer_end::LinkLost : peer_end::TimedOut;
+    }
+    co_return *pending->isGranted ? peer_end::Replied : peer_end::NotSent;
+}
+
+awaitable<bool> peer_links::askVoid(endpoint target, const std::string &id, std::uint64_t process, time_point deadline)
 {
     const link_key key{target, false};
     const std::shared_ptr<frame_link> link = co_await linkTo(key);
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -53,6 +53,10 @@
     // call sends a call and waits for its reply.
     awaitable<peer_result>
     call(endpoint target, const call_message &message, time_point deadline, exchange_control &control);
+    // reserve asks a node for room on its link for a large body.
+    awaitable<peer_end> reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &control);
+    // isLarge tells whether a body needs a reservation.
+    static bool isLarge(std::size_t bytes);
     // askVoid asks a node to make a call void; true if the call has not run and never will.
     awaitable<bool> askVoid(endpoint target, const std::string &id, std::uint64_t process, time_point deadline);
     // requestConfig asks a node for its configuration; the answer goes to `onConfig`.
@@ -75,6 +79,7 @@
         bool isLost = false;
         std::optional<call_reply> reply;
         std::optional<bool> isVoid;
+        std::optional<bool> isGranted;
     };
     struct outgoing
     {
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -70,7 +70,8 @@
 bool shouldRead(const reader_facts &facts)
 {
     const milliseconds overdue = readWait(facts.bound) + facts.bound / 8;
-    return facts.rank == 0 || facts.behindFor > facts.bound / 3 || facts.sinceWord > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, 4);
+    return facts.rank == 0 || facts.behindFor > facts.bound / 3
+        || facts.sinceWord > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, 4);
 }
 
 milliseconds readWait(milliseconds bound)
@@ -227,7 +228,8 @@
     });
     if (!message) {
         m_context.metrics.count("datagrams_garbled_total");
-        m_context.log(log_line("spread", "garbled-datagram").add("from", toText(from)).add("error", message.failure().message));
+        m_context.log(
+            log_line("spread", "garbled-datagram").add("from", toText(from)).add("error", message.failure().message));
         return;
     }
     const time_point now = steadyNow();
@@ -509,7 +511,7 @@
         }
         const bool isJoined = isPublished && published;
         const bool isLonely = m_context.fleet.nodes.empty();
-        pause.expires_after(!isJoined ? joinRetry + milliseconds(m_context.generator() % 250)
+        pause.expires_after(!isJoined      ? joinRetry + milliseconds(m_context.generator() % 250)
                                 : isLonely ? lonelyInterval
                                            : std::chrono::duration_cast<milliseconds>(directoryInterval));
         co_await pause.async_wait(awaitResult);
--- a/packages/process/mesh/spread.h
+++ b/packages/process/mesh/spread.h
@@ -1,5 +1,5 @@
-// Spreads what nodes know: records of nodes by datagrams, and the configuration by the platform and by links. Private to
-// the mesh library.
+// Spreads what nodes know: records of nodes by datagrams, and the configuration by the platform and by links. Private
+// to the mesh library.
 //
 //   spread_duty spread(context, inbound, links);
 //   co_await spread.run();                        // until the node stops
--- a/packages/process/worker_life/worker_life_test.cc
+++ b/packages/process/worker_life/worker_life_test.cc
@@ -9,7 +9,8 @@
 
 const time_point start{}; // a clock that begins at zero
 
-worker_notice noticeOf(std::string id, std::int64_t startedMs, std::uint64_t sequence, notice_kind kind = notice_kind::Ready)
+worker_notice
+noticeOf(std::string id, std::int64_t startedMs, std::uint64_t sequence, notice_kind kind = notice_kind::Ready)
 {
     worker_notice notice;
     notice.kind = kind;
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -20,9 +20,10 @@
     if (found == state.services.end()) {
         return nullptr;
     }
-    const auto worker = std::ranges::find(found->second.workers, nodeId, [](const placed_worker &placed) -> const auto & {
-        return placed.entry.nodeId;
-    });
+    const auto worker = std::ranges::find(
+        found->second.workers,
+        nodeId,
+        [](const placed_worker &placed) -> const auto & { return placed.entry.nodeId; });
     return worker == found->second.workers.end() ? nullptr : &*worker;
 }
 
@@ -73,7 +74,8 @@
     return bytesPerMs > 0 ? bytes / (bytesPerMs * std::max(leastLinkShare, 1.0 - load)) : 0.0;
 }
 
-double pathMs(const placement_state &state, const placed_worker &worker, const placement_request &request, time_point now)
+double
+pathMs(const placement_state &state, const placed_worker &worker, const placement_request &request, time_point now)
 {
     if (worker.entry.nodeId == state.nodeId) {
         return 0;
@@ -215,11 +217,8 @@
     return {chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run};
 }
 
-void noteSent(placement_state &state,
-              const std::string &service,
-              const std::string &nodeId,
-              std::size_t bytes,
-              time_point now)
+void noteSent(
+    placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes, time_point now)
 {
     if (placed_worker *worker = findWorker(state, service, nodeId)) {
         ++worker->open;
@@ -246,11 +245,8 @@
     }
 }
 
-void pause(placement_state &state,
-           const std::string &service,
-           const std::string &nodeId,
-           milliseconds length,
-           time_point now)
+void pause(
+    placement_state &state, const std::string &service, const std::string &nodeId, milliseconds length, time_point now)
 {
     if (placed_worker *worker = findWorker(state, service, nodeId)) {
         worker->avoidUntil = std::max(worker->avoidUntil, now + length);
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -16,7 +16,8 @@
 //   paid for: it is chosen when the wait here is longer by that much;
 // - a body takes its time on the links of both VMs, the longer the busier they are: a fast worker behind a slow link
 //   does not get all uploads;
-// - when several nodes of another data centre fall silent and none of it is heard, the data centre counts as cut off: its
+// - when several nodes of another data centre fall silent and none of it is heard, the data centre counts as cut off:
+// its
 //   other workers are not tried one by one, each for the time that it takes to notice the silence;
 // - a worker whose requests fail is passed over in proportion, and one that refused or could not be reached for
 //   `avoidFirst` and longer each time.
@@ -173,11 +174,8 @@
                               random_generator &generator);
 
 // noteSent counts a request that goes to the worker now.
-void noteSent(placement_state &state,
-              const std::string &service,
-              const std::string &nodeId,
-              std::size_t bytes,
-              time_point now);
+void noteSent(
+    placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes, time_point now);
 
 // noteEnded ends the accounting of a sent request.
 void noteEnded(placement_state &state, const std::string &service, const std::string &nodeId);
@@ -186,10 +184,7 @@
 void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
 
 // pause passes the worker over for `length`.
-void pause(placement_state &state,
-           const std::string &service,
-           const std::string &nodeId,
-           milliseconds length,
-           time_point now);
+void pause(
+    placement_state &state, const std::string &service, const std::string &nodeId, milliseconds length, time_point now);
 
 } // namespace pistachioquay
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -1,5 +1,5 @@
-// Guards against herds on one worker, uploads behind a slow link, new workers without requests, and failing workers that
-// keep getting them.
+// Guards against herds on one worker, uploads behind a slow link, new workers without requests, and failing workers
+// that keep getting them.
 #include <catch2/catch.hpp>
 
 #include <map>
@@ -149,7 +149,8 @@
 
 TEST_CASE("a data centre that falls silent is not tried node by node")
 {
-    placement_state state = stateWith({workerOf("a", "dc-2"), workerOf("b", "dc-2"), workerOf("c", "dc-2"), workerOf("d", "dc-3")});
+    placement_state state =
+        stateWith({workerOf("a", "dc-2"), workerOf("b", "dc-2"), workerOf("c", "dc-2"), workerOf("d", "dc-3")});
     worker_report full;
     full.running = 6;
     full.waitMs = {0, 200, 200};
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -28,9 +28,12 @@
 
 resend_counts totalOf(const resend_window &window)
 {
-    return std::accumulate(window.steps.begin(), window.steps.end(), resend_counts{}, [](resend_counts sum, const auto &step) {
-        return resend_counts{sum.requests + step.requests, sum.resends + step.resends};
-    });
+    return std::accumulate(window.steps.begin(),
+                           window.steps.end(),
+                           resend_counts{},
+                           [](resend_counts sum, const auto &step) {
+                               return resend_counts{sum.requests + step.requests, sum.resends + step.resends};
+                           });
 }
 
 } // namespace
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -28,7 +28,8 @@
 // Smaller runs earlier. A request that was taken although it is late keeps its place by its arrival.
 auto rankOf(const waiting_request &request)
 {
-    const time_point due = request.isTakenLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
+    const time_point due =
+        request.isTakenLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
     return std::tuple(!request.isNested, request.priority, due, request.ticket);
 }
 
@@ -116,7 +117,8 @@
     return request.endsBy - fromMs(request.expectedRunMs * runMargin);
 }
 
-milliseconds returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator)
+milliseconds
+returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator)
 {
     const double third = msBetween(now, request.endsBy) / 3.0;
     const double targetLeft = msBetween(now, request.targetAt) - request.expectedRunMs;
--- a/packages/request/waiting/waiting.h
+++ b/packages/request/waiting/waiting.h
@@ -14,7 +14,8 @@
 // - it is taken while hardly anything waits, since a late response is worth more than none;
 // - among those that wait the more urgent route goes first, so that less urgent work never displaces it, and within a
 //   route the earliest target;
-// - calls of workers (`isNested`) go first of all and are refused only when they cannot end in time: the caller's worker
+// - calls of workers (`isNested`) go first of all and are refused only when they cannot end in time: the caller's
+// worker
 //   holds a slot while its call waits, and all of its work is lost if the call fails.
 //
 // All functions work on one line of one worker and are not thread safe.
@@ -133,8 +134,9 @@
 // latestStart returns the last time at which the request can start and still end in time.
 time_point latestStart(const waiting_request &request);
 
-// returnDelay tells a refused caller when to come back: when the line is expected to be short enough for its target, or,
-// if that is missed, within the next third of its time. Returns are spread so that they do not come as a wave.
-milliseconds returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator);
+// returnDelay tells a refused caller when to come back: when the line is expected to be short enough for its target,
+// or, if that is missed, within the next third of its time. Returns are spread so that they do not come as a wave.
+milliseconds
+returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator);
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting_test.cc
+++ b/packages/request/waiting/waiting_test.cc
@@ -63,7 +63,8 @@
         }
         for (const refused_ticket &refused : takeHopeless(line, now, generator)) {
             ++result.refused;
-            result.longestWaitOfRefused = std::max(result.longestWaitOfRefused, now - open.at(refused.ticket).arrivedAt);
+            result.longestWaitOfRefused =
+                std::max(result.longestWaitOfRefused, now - open.at(refused.ticket).arrivedAt);
         }
         for (due += perMs; due >= 1; due -= 1) {
             waiting_request request = requestOf(++ticket, now, swingTargetMs, swingLeftMs, swingRunMs);
--- a/packages/version/routes/routes.cc
+++ b/packages/version/routes/routes.cc
@@ -38,9 +38,12 @@
 
 std::size_t routeCount(const route_table &table)
 {
-    return std::accumulate(table.hosts.begin(), table.hosts.end(), std::size_t{0}, [](std::size_t sum, const auto &host) {
-        return sum + host.second.size();
-    });
+    return std::accumulate(table.hosts.begin(),
+                           table.hosts.end(),
+                           std::size_t{0},
+                           [](std::size_t sum, const auto &host) {
+                               return sum + host.second.size();
+                           });
 }
 
 const std::string &chooseTarget(split_state &state, const routed_path &route)
--- a/packages/version/text_delta/text_delta_test.cc
+++ b/packages/version/text_delta/text_delta_test.cc
@@ -41,8 +41,12 @@
 
 TEST_CASE("any two texts are turned into each other")
 {
-    for (const auto &[older, newer] : std::vector<std::pair<std::string, std::string>>{
-             {"", ""}, {"", "a}b"}, {"a}b", ""}, {"a}a}a}", "a}"}, {"x}y}z", "z}y}x}"}, {"a}b}c}", "a}b}c}a}b}c}d"}}) {
+    for (const auto &[older, newer] : std::vector<std::pair<std::string, std::string>>{{"", ""},
+                                                                                       {"", "a}b"},
+                                                                                       {"a}b", ""},
+                                                                                       {"a}a}a}", "a}"},
+                                                                                       {"x}y}z", "z}y}x}"},
+                                                                                       {"a}b}c}", "a}b}c}a}b}c}d"}}) {
         CHECK(applyDelta(older, makeDelta(older, newer)) == newer);
     }
 }
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -28,13 +28,13 @@
 
 boost::json::value ruleOf(const route_plan &route)
 {
-    return {{"name", "r" + route.prefix},
-            {"kind", route.kind},
-            {"targetLatencyMs", 1000},
-            {"priority", 1},
-            {"match", {{"pathPrefix", route.prefix}}},
-            {"action",
-             {{"service", route.service}, {"timeoutMs", route.timeoutMs}, {"maxAttempts", route.maxAttempts}}}};
+    return {
+        {"name", "r" + route.prefix},
+        {"kind", route.kind},
+        {"targetLatencyMs", 1000},
+        {"priority", 1},
+        {"match", {{"pathPrefix", route.prefix}}},
+        {"action", {{"service", route.service}, {"timeoutMs", route.timeoutMs}, {"maxAttempts", route.maxAttempts}}}};
 }
 
 } // namespace
@@ -67,9 +67,10 @@
     return "[self]\nnodeName = \"" + node.plan.name + "\"\nipAddress = \"127.0.0.1\"\nzone = \"" + node.plan.dataCentre
         + "\"\nservice = \"" + node.plan.service + "\"\napplicationAddress = " + text(Worker)
         + "[self.limits]\nmemoryMb = 260\nfileDescriptors = 1000\nlinkBandwidthMbps = 1000.0\n"
-        + "[network]\ninternalPortRange = [" + port + "," + port + "]\n[network.listenAddresses]\ninbound = " + text(Inbound)
-        + "outbound = " + text(Outbound) + "ready = " + text(Ready) + "control = " + text(Control)
-        + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(m_store.address()) + "\"\n"
+        + "[network]\ninternalPortRange = [" + port + "," + port + "]\n[network.listenAddresses]\ninbound = "
+        + text(Inbound) + "outbound = " + text(Outbound) + "ready = " + text(Ready) + "control = " + text(Control)
+        + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(m_store.address())
+        + "\"\n"
         + "[terms.bounds]\ndrainTimeoutMs = 2000\ngracePeriodS = 6\nconfigApplyMs = 2000\nretryBudgetRatio = 0.2\n"
         + "budgetWindowS = 10\nbudgetExtraRetries = 64\n";
 }
@@ -116,12 +117,16 @@
     for (const std::string &service : services) {
         clusters.push_back({{"name", service}, {"healthCheckPath", "/health"}, {"connectionLimit", 100}});
     }
-    const boost::json::value limits = {
-        {"maxHeaderBytes", 16384}, {"maxBodyBytes", 1048576}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}};
+    const boost::json::value limits = {{"maxHeaderBytes", 16384},
+                                       {"maxBodyBytes", 1048576},
+                                       {"headerTimeoutMs", 3000},
+                                       {"idleTimeoutMs", 15000}};
     boost::json::array listeners;
     listeners.push_back({{"host", host}, {"rules", rules}});
-    const boost::json::value document = {
-        {"version", version}, {"limits", limits}, {"listeners", listeners}, {"clusters", clusters}};
+    const boost::json::value document = {{"version", version},
+                                         {"limits", limits},
+                                         {"listeners", listeners},
+                                         {"clusters", clusters}};
     m_store.put("keyed.op", "config", boost::json::serialize(document));
 }
 
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -1,5 +1,5 @@
-// Guards the promises of the mesh on the platform with real processes: nodes that die, leave or stand still, a store that
-// is away, and requests that may run only once.
+// Guards the promises of the mesh on the platform with real processes: nodes that die, leave or stand still, a store
+// that is away, and requests that may run only once.
 #include <catch2/catch.hpp>
 
 #include <future>
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -70,7 +70,10 @@
         {"address", toText(m_options.address)},
         {"born", m_startedMs},
         {"information",
-         {{"service", m_options.service}, {"version", "v1"}, {"zone", m_options.dataCentre}, {"slots", m_options.slots}}},
+         {{"service", m_options.service},
+          {"version", "v1"},
+          {"zone", m_options.dataCentre},
+          {"slots", m_options.slots}}},
         {"status", {{"state", state}, {"sequence", m_sequence++}, {"coldRemainingMs", 0}}}};
     whole_request request;
     request.method = "POST";
@@ -79,7 +82,7 @@
     request.body = boost::json::serialize(body);
     exchange_control control;
     const exchange_result got = co_await m_node->send(request, {.deadline = steadyNow() + noticeTimeout}, control);
-    co_return got.end == exchange_end::Complete && got.response.status == 200;
+    co_return got.end == exchange_end::Complete &&got.response.status == 200;
 }
 
 awaitable<void> worker_stand_in::announceLoop()
@@ -143,7 +146,8 @@
     const std::uint64_t failure = numberIn(request.target, "fail");
     response.status = numberIn(request.target, "lose") > 0 ? 0 : failure > 0 ? static_cast<unsigned>(failure) : 200;
     response.headers.push_back({"Server-Signature", "stand-in." + m_options.id});
-    response.headers.push_back({"Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots) + ",100"});
+    response.headers.push_back(
+        {"Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots) + ",100"});
     co_return response;
 }
 
