--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -17,7 +17,6 @@
 constexpr unsigned localAttempts = 2; // on the own worker, after a kept connection turned out to be closed
 constexpr milliseconds minCheckPause{5}; // between looks for requests that can no longer meet their target
 constexpr std::uint32_t nestedPriority = 0; // of routes for calls that workers make
-constexpr std::uint32_t slotsPerExtra = 8; // one request more than this many slots waits in the worker itself
 constexpr std::uint32_t defaultSlots = 4; // until the worker has told its slots
 
 // Fields of the load header: running, waiting, slots and, if given, the slowdown in percent.
@@ -414,8 +413,7 @@
 void inbound_side::onWorkerChange(time_point now)
 {
     const worker_life &worker = m_context.worker;
-    const std::uint32_t slots = worker.slots > 0 ? worker.slots : defaultSlots;
-    m_line.slots = slots + std::max(1U, slots / slotsPerExtra);
+    m_line.slots = worker.slots > 0 ? worker.slots : defaultSlots;
     if (worker.isLeaving || m_context.isWorkerClosed) {
         m_line.closedFor = wait_refusal::Draining;
     } else {
