Pass over workers that would refuse a late request

Change: a worker that is expected to refuse comes after all that would take the request; three nodes may refuse one request.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -245,6 +245,7 @@
                                           call_reply &reply)
 {
     const bool isRepeatable = message.repeat == repeat_rule::Repeatable;
+    const time_point begunAt = steadyNow();
     reply.kind = reply_kind::Unknown;
     for (unsigned attempt = 0; attempt < localAttempts; ++attempt) {
         const time_point startedAt = steadyNow();
@@ -275,6 +276,8 @@
                       .add("reason", reply.reason)
                       .add("status", reply.response.status)
                       .add("waited_ms", reply.waitedMs)
+                      .add("took_ms", msBetween(begunAt, steadyNow()))
+                      .add("expected_ms", expectedRunMs(m_runs, message.route, 0))
                       .add("time_left_ms", message.timeLeftMs));
 }
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -10,7 +10,7 @@
 constexpr milliseconds replySlack{150}; // beyond the time of a request, for the reply of the worker's node
 constexpr milliseconds defaultTimeLeft{10000}; // of a request that does not tell
 constexpr unsigned maxNodesAsked = 6; // for one request
-constexpr unsigned maxLoadRefusals = 2; // nodes that refuse one request for lack of room before its caller is told
+constexpr unsigned maxLoadRefusals = 3; // nodes that refuse one request for lack of room before its caller is told
 constexpr std::size_t requestHeadBytes = 400; // of a request or a response besides its body, about
 constexpr std::int64_t noWorkerRetryMs = 300; // while no worker of the service is known
 constexpr std::int64_t linkFullRetryMs = 150; // until a link that is full of uploads has room
@@ -136,6 +136,7 @@
     work.placement.priority = route.priority;
     work.placement.bytes = work.request->body.size();
     work.placement.targetMs = static_cast<double>(route.targetLatency.count());
+    work.placement.isNested = isNested;
     work.placement.fallbackRunMs = work.placement.targetMs * fallbackRunShare;
     if (m_context.isRefusing && route.priority != nestedPriority) {
         whole_response refused = refusal(work, "stopping", stoppingRetryMs);
@@ -156,6 +157,7 @@
         const time_point now = steadyNow();
         keepWorkersFresh(m_context, work.service, now);
         m_context.placement.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
+        work.placement.targetLeftMs = msBetween(now, work.targetAt);
         const placement_choice choice =
             chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
         if (!choice.nodeId) {
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <ranges>
 
@@ -98,6 +99,7 @@
     double score = 0;
     double wait = 0;
     double run = 0;
+    bool isRefusal = false; // the worker's node is expected to refuse the request
 };
 
 scored_worker scoreOf(const placement_state &state,
@@ -114,6 +116,8 @@
     scored.wait = waitMs(worker, request.priority, scored.run, now);
     scored.score = scored.wait + scored.run + crowdingMs(worker, scored.run);
     scored.score += pathMs(state, worker, request, now);
+    const bool isLate = scored.wait + scored.run > request.targetLeftMs;
+    scored.isRefusal = !request.isNested && isLate && scored.wait > lateWaitRuns * scored.run;
     scored.score += worker.report.failureShare * failurePenalty * std::max(request.targetMs, scored.run);
     return scored;
 }
@@ -208,6 +212,10 @@
     if (scored.empty()) {
         return {};
     }
+    const bool isAnyTaking = std::ranges::any_of(scored, std::logical_not<>(), &scored_worker::isRefusal);
+    std::erase_if(scored, [&](const scored_worker &candidate) {
+        return isAnyTaking && candidate.isRefusal;
+    });
     const double best = std::ranges::min(scored, {}, &scored_worker::score).score;
     std::erase_if(scored, [&](const scored_worker &candidate) {
         return candidate.score > best * (1.0 + drawShare);
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -9,6 +9,8 @@
 // Load pattern: workers of one service differ in speed, slow down for a second because of unseen neighbours, and are
 // filled by many nodes at once that all see reports of different age. So
 // - a worker's expected time is its reported wait plus the run time of the route there;
+// - a worker that would refuse the request, because it would end late there while others wait, comes after all that
+//   would take it: in a swing callers come back late, and a slow worker with a free slot still serves them;
 // - what this node has sent since the report counts as if it were in the queue, and a report loses its say with age, so
 //   that nodes with the same old report do not all choose the same worker;
 // - workers that are about as good are drawn at random;
@@ -36,6 +38,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "request/waiting/late_rule.h"
 
 namespace pistachioquay {
 
@@ -130,6 +133,8 @@
     std::size_t bytes = 0;
     double fallbackRunMs = 100; // while no run time of the route is known
     double targetMs = 0; // time within which the response is worth most
+    double targetLeftMs = 0; // what is left of it; negative if it has passed
+    bool isNested = false; // a call of a worker, which is refused only if it cannot end in time
     std::set<std::string> excluded; // nodes that were tried already
 };
 
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -25,6 +25,7 @@
     request.priority = 1;
     request.bytes = bytes;
     request.targetMs = 400;
+    request.targetLeftMs = 400;
     request.fallbackRunMs = 100;
     return request;
 }
@@ -147,6 +148,26 @@
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
 }
 
+TEST_CASE("a late request goes to a slow worker with a free slot, not to fast ones that would refuse it")
+{
+    placement_state state = stateWith({workerOf("fast-1", "dc-1"), workerOf("fast-2", "dc-1"), workerOf("slow", "dc-1")});
+    worker_report full;
+    full.running = 6;
+    full.waitMs = {0, 80, 80};
+    for (const std::string node : {"fast-1", "fast-2"}) {
+        noteReport(state, service, node, full, start);
+        noteRunMs(state, service, node, "sign", 100, start);
+    }
+    noteRunMs(state, service, "slow", "sign", 220, start);
+    random_generator generator(5);
+    placement_request request = requestOf();
+    CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
+    request.targetLeftMs = -50;
+    CHECK(chooseWorker(state, service, request, start, generator).nodeId == "slow");
+    request.isNested = true;
+    CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
+}
+
 TEST_CASE("a data centre that falls silent is not tried node by node")
 {
     placement_state state =
