Refuse a request whose caller cannot come back only when it cannot end in time

Ruled out: priorities, headers and addresses do not tell calls of workers from others. Change: a request that can still meet its target and has too little time to come back (a third of it is shorter than 1.5 runs of the line) is refused only when it cannot end in time; placement foresees the same.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -16,7 +16,6 @@
 constexpr double slowdownHalfLifeMs = 300.0; // a worker's slowdown changes many times a second
 constexpr unsigned localAttempts = 2; // on the own worker, after a kept connection turned out to be closed
 constexpr milliseconds minCheckPause{5}; // between looks for requests that can no longer meet their target
-constexpr std::uint32_t nestedPriority = 0; // of routes for calls that workers make
 constexpr std::uint32_t defaultSlots = 4; // until the worker has told its slots
 
 // Fields of the load header: running, waiting, slots and, if given, the slowdown in percent.
@@ -157,7 +156,6 @@
     request.targetAt = now + milliseconds(message.targetLeftMs);
     request.endsBy = now + milliseconds(message.timeLeftMs);
     request.expectedRunMs = expectedRunMs(m_runs, message.route, fallbackMs);
-    request.isNested = message.priority == nestedPriority;
     if (m_context.isStopping) {
         const auto twice = std::chrono::duration<double, std::milli>(2 * request.expectedRunMs);
         if (now + std::chrono::duration_cast<duration>(twice) > m_context.servesUntil) {
@@ -361,6 +359,7 @@
     for (std::uint32_t priority = 0; priority < reportedPriorities; ++priority) {
         report.waitMs.at(priority) = expectedWaitMs(m_line, priority, now);
     }
+    report.lineRunMs = lineRunMs(m_line);
     report.failureShare = m_failureShare;
     report.slowdown = 1.0 + (m_slowdown - 1.0) * std::exp2(-msBetween(m_slowdownAt, now) / slowdownHalfLifeMs);
     report.linkLoad =
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -15,7 +15,6 @@
 constexpr std::int64_t noWorkerRetryMs = 300; // while no worker of the service is known
 constexpr std::int64_t linkFullRetryMs = 150; // until a link that is full of uploads has room
 constexpr std::int64_t stoppingRetryMs = 600; // until a node that is replaced takes requests again
-constexpr std::uint32_t nestedPriority = 0; // of routes for calls that workers make
 constexpr double fallbackRunShare = 0.25; // of the target, as run time of a route that did not run yet
 constexpr milliseconds resumePause{100}; // between attempts to reach a node again
 constexpr milliseconds resumeWindow{1500}; // after which the fate of a request stays unknown
@@ -126,9 +125,7 @@
     const auto stated = findHeader(headers, names.timeLeftMs);
     const auto parsed = stated ? parseCount(*stated) : std::nullopt;
     const std::int64_t timeLeftMs = parsed ? static_cast<std::int64_t>(*parsed) : defaultTimeLeft.count();
-    // A call of a worker has the time that is left to the worker's own request, not that of an earlier attempt.
-    const bool isNested = route.priority == nestedPriority;
-    const milliseconds elapsed(isNested ? 0 : elapsedBefore(work, timeLeftMs));
+    const milliseconds elapsed(elapsedBefore(work, timeLeftMs));
     work.service = chooseTarget(m_splits, route);
     work.targetAt = work.arrivedAt + route.targetLatency - elapsed;
     work.endsBy = work.arrivedAt + std::min<milliseconds>(milliseconds(timeLeftMs), route.timeout);
@@ -136,9 +133,13 @@
     work.placement.priority = route.priority;
     work.placement.bytes = work.request->body.size();
     work.placement.targetMs = static_cast<double>(route.targetLatency.count());
-    work.placement.isNested = isNested;
     work.placement.fallbackRunMs = work.placement.targetMs * fallbackRunShare;
-    if (m_context.isRefusing && route.priority != nestedPriority) {
+    // While its own worker still runs requests, the calls that these make are served.
+    const bool mayBeWorkers = m_inbound.runningCount() > 0
+        && isLastChance(msBetween(work.arrivedAt, work.targetAt),
+                        msBetween(work.arrivedAt, work.endsBy),
+                        m_inbound.report(work.arrivedAt).lineRunMs);
+    if (m_context.isRefusing && !mayBeWorkers) {
         whole_response refused = refusal(work, "stopping", stoppingRetryMs);
         refused.closesConnection = true;
         return refused;
@@ -158,6 +159,7 @@
         keepWorkersFresh(m_context, work.service, now);
         m_context.placement.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
         work.placement.targetLeftMs = msBetween(now, work.targetAt);
+        work.placement.timeLeftMs = msBetween(now, work.endsBy);
         const placement_choice choice =
             chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
         if (!choice.nodeId) {
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -117,7 +117,8 @@
     scored.score = scored.wait + scored.run + crowdingMs(worker, scored.run);
     scored.score += pathMs(state, worker, request, now);
     const bool isLate = scored.wait + scored.run > request.targetLeftMs;
-    scored.isRefusal = !request.isNested && isLate && scored.wait > lateWaitRuns * scored.run;
+    const bool isLast = isLastChance(request.targetLeftMs, request.timeLeftMs, worker.report.lineRunMs);
+    scored.isRefusal = !isLast && isLate && scored.wait > lateWaitRuns * scored.run;
     scored.score += worker.report.failureShare * failurePenalty * std::max(request.targetMs, scored.run);
     return scored;
 }
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -67,13 +67,14 @@
     double failureShare = 0; // of the worker's recent requests
     double slowdown = 1.0; // how long work takes there at the moment, 1 as usual
     double linkLoad = 0; // used share of the rate of the VM's link
+    double lineRunMs = 0; // mean expected run of what runs there
 
     friend auto operator<=>(const worker_report &, const worker_report &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad);
+        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad, lineRunMs);
     }
 };
 
@@ -134,7 +135,7 @@
     double fallbackRunMs = 100; // while no run time of the route is known
     double targetMs = 0; // time within which the response is worth most
     double targetLeftMs = 0; // what is left of it; negative if it has passed
-    bool isNested = false; // a call of a worker, which is refused only if it cannot end in time
+    double timeLeftMs = 0; // until the response is of no use
     std::set<std::string> excluded; // nodes that were tried already
 };
 
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -26,6 +26,7 @@
     request.bytes = bytes;
     request.targetMs = 400;
     request.targetLeftMs = 400;
+    request.timeLeftMs = 2000;
     request.fallbackRunMs = 100;
     return request;
 }
@@ -164,7 +165,10 @@
     CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
     request.targetLeftMs = -50;
     CHECK(chooseWorker(state, service, request, start, generator).nodeId == "slow");
-    request.isNested = true;
+    request.targetLeftMs = 50;
+    request.timeLeftMs = 250;
+    full.lineRunMs = 100;
+    noteReport(state, service, "fast-1", full, start);
     CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
 }
 
--- a/packages/request/waiting/late_rule.h
+++ b/packages/request/waiting/late_rule.h
@@ -5,5 +5,15 @@
 namespace pistachioquay {
 
 inline constexpr double lateWaitRuns = 0.5; // wait, in its own runs, up to which a late request is taken
+inline constexpr double returnRuns = 1.5; // runs of the line that a return must span to find it shorter
+inline constexpr double returnShare = 1.0 / 3.0; // of its time that a refused caller stays away at most
+
+// isLastChance tells whether a refusal would end a request that can still meet its target: its caller has too little
+// time to come back to a shorter line. Calls of workers are like that: if one fails, all that its caller's worker has
+// done is lost. Thread safe.
+constexpr bool isLastChance(double targetLeftMs, double timeLeftMs, double lineRunMs)
+{
+    return targetLeftMs > 0 && timeLeftMs * returnShare < returnRuns * lineRunMs;
+}
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 #include <queue>
 #include <ranges>
 #include <tuple>
@@ -30,7 +31,7 @@
 {
     const time_point due =
         request.isTakenLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
-    return std::tuple(!request.isNested, request.priority, due, request.ticket);
+    return std::tuple(!request.isLastChance, request.priority, due, request.ticket);
 }
 
 double remainingMs(const running_request &running, time_point now)
@@ -88,7 +89,7 @@
     if (now > latestStart(request)) {
         return true;
     }
-    return !request.isNested && !request.isTakenLate && !canMeetTarget(request, now) && isCrowded(line, request, now);
+    return !request.isLastChance && !request.isTakenLate && !canMeetTarget(request, now) && isCrowded(line, request, now);
 }
 
 } // namespace
@@ -112,6 +113,15 @@
     return "unknown";
 }
 
+double lineRunMs(const waiting_line &line)
+{
+    const double sum =
+        std::accumulate(line.running.begin(), line.running.end(), 0.0, [](double total, const running_request &running) {
+            return total + running.expectedRunMs;
+        });
+    return line.running.empty() ? 0.0 : sum / static_cast<double>(line.running.size());
+}
+
 time_point latestStart(const waiting_request &request)
 {
     return request.endsBy - fromMs(request.expectedRunMs * runMargin);
@@ -132,7 +142,7 @@
 double expectedWaitMs(const waiting_line &line, std::uint32_t priority, time_point now)
 {
     return waitBehind(line, now, [&](const waiting_request &other) {
-        return other.isNested || other.priority <= priority;
+        return other.isLastChance || other.priority <= priority;
     });
 }
 
@@ -145,6 +155,8 @@
     }
     waiting_request offered = request;
     offered.isTakenLate = false;
+    offered.isLastChance =
+        isLastChance(msBetween(now, request.targetAt), msBetween(now, request.endsBy), lineRunMs(line));
     const auto rank = rankOf(offered);
     verdict.expectedWaitMs = waitBehind(line, now, [&](const waiting_request &other) {
         return rankOf(other) < rank;
@@ -152,7 +164,7 @@
     const time_point startsAt = now + fromMs(verdict.expectedWaitMs);
     if (startsAt > latestStart(offered)) {
         verdict.reason = wait_refusal::NoTime;
-    } else if (!offered.isNested && !canMeetTarget(offered, startsAt)) {
+    } else if (!offered.isLastChance && !canMeetTarget(offered, startsAt)) {
         offered.isTakenLate = true;
         verdict.reason = isCrowded(line, offered, now) ? wait_refusal::Crowded : wait_refusal::None;
     }
@@ -229,7 +241,7 @@
     }
     return std::ranges::min(line.waiting | std::views::transform([](const waiting_request &request) {
                                 const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs);
-                                const bool isExempt = request.isNested || request.isTakenLate;
+                                const bool isExempt = request.isLastChance || request.isTakenLate;
                                 return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
                             }));
 }
--- a/packages/request/waiting/waiting.h
+++ b/packages/request/waiting/waiting.h
@@ -14,9 +14,8 @@
 // - it is taken while hardly anything waits, since a late response is worth more than none;
 // - among those that wait the more urgent route goes first, so that less urgent work never displaces it, and within a
 //   route the earliest target;
-// - calls of workers (`isNested`) go first of all and are refused only when they cannot end in time: the caller's
-// worker
-//   holds a slot while its call waits, and all of its work is lost if the call fails.
+// - a request with too little time to come back (`isLastChance`), such as the call of a worker, is refused only when it
+//   cannot end in time: its caller's worker holds a slot while it waits, and all of its work is lost if the call fails.
 //
 // All functions work on one line of one worker and are not thread safe.
 #pragma once
@@ -47,7 +46,7 @@
     time_point targetAt; // a response until then earns its full worth
     time_point endsBy; // the response is of no use later
     double expectedRunMs = 0;
-    bool isNested = false; // made by a worker while it runs a request
+    bool isLastChance = false; // set by `offer`: its caller cannot come back in time
     bool isTakenLate = false; // could not meet its target when it was taken
 
     friend bool operator==(const waiting_request &, const waiting_request &) = default;
@@ -134,6 +133,9 @@
 // latestStart returns the last time at which the request can start and still end in time.
 time_point latestStart(const waiting_request &request);
 
+// lineRunMs returns the mean expected run of what runs now; 0 if nothing runs.
+double lineRunMs(const waiting_line &line);
+
 // returnDelay tells a refused caller when to come back: when the line is expected to be short enough for its target,
 // or, if that is missed, within the next third of its time. Returns are spread so that they do not come as a wave.
 milliseconds
--- a/packages/request/waiting/waiting_test.cc
+++ b/packages/request/waiting/waiting_test.cc
@@ -140,16 +140,22 @@
     line.slots = 1;
     REQUIRE(offer(line, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
     REQUIRE(offer(line, requestOf(2, start, 300, 1000, 100), start, generator).kind == offer_kind::Wait);
-    waiting_request nested = requestOf(3, start, 50, 250, 30);
-    nested.priority = 0;
-    nested.isNested = true;
-    REQUIRE(offer(line, nested, start, generator).kind == offer_kind::Wait);
+    REQUIRE(offer(line, requestOf(3, start, 50, 250, 30), start, generator).kind == offer_kind::Wait);
     CHECK(takeHopeless(line, start + milliseconds(60), generator).empty());
     finish(line, 1);
     CHECK(startNext(line, start + milliseconds(100)) == 3U);
     CHECK_FALSE(startNext(line, start + milliseconds(100)).has_value());
 }
 
+TEST_CASE("a caller that has passed its target gets no last chance")
+{
+    random_generator generator(1);
+    waiting_line line;
+    line.slots = 1;
+    REQUIRE(offer(line, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
+    CHECK(offer(line, requestOf(2, start, -10, 250, 30), start, generator).reason == wait_refusal::Crowded);
+}
+
 TEST_CASE("the more urgent route goes first, and the earliest target within it")
 {
     random_generator generator(1);
