--- a/packages/pistachioquay/program/main.cc
+++ b/packages/pistachioquay/program/main.cc
@@ -74,10 +74,16 @@
 // Paths of the deployment start with `-/`, which docopt would take for options. They are passed through it with a mark.
 constexpr char pathMark = '\x01';
 
+bool isNegativeNumber(const std::string &word)
+{
+    return word.size() > 1 && word[0] == '-' && std::isdigit(static_cast<unsigned char>(word[1])) != 0;
+}
+
+// Paths and negative values begin like options; the mark keeps them from being read as such.
 std::vector<std::string> markPaths(std::vector<std::string> words)
 {
     for (std::string &word : words) {
-        if (word.starts_with("-/")) {
+        if (word.starts_with("-/") || isNegativeNumber(word)) {
             word.insert(0, 1, pathMark);
         }
     }
--- a/testing/platform_log/faults.cc
+++ b/testing/platform_log/faults.cc
@@ -57,8 +57,9 @@
     if (perSecond <= 0) {
         return true;
     }
-    const double waited = std::chrono::duration<double>(now - m_filledAt).count();
-    m_tokens = std::min(std::max(perSecond, 1.0), m_tokens + waited * perSecond);
+    const double full = std::max(perSecond, 1.0);
+    const double waited = m_filledAt ? std::chrono::duration<double>(now - *m_filledAt).count() : 0.0;
+    m_tokens = m_filledAt ? std::min(full, m_tokens + waited * perSecond) : full;
     m_filledAt = now;
     if (m_tokens < 1) {
         return false;
--- a/testing/platform_log/faults.h
+++ b/testing/platform_log/faults.h
@@ -31,7 +31,7 @@
 // fault. Thread safe.
 std::optional<log_faults> applyFaults(const log_faults &current, std::string_view json);
 
-// Token bucket of one second. Not thread safe.
+// Token bucket of one second, full at its first use. Not thread safe.
 class append_rate
 {
 public:
@@ -40,7 +40,7 @@
 
 private:
     double m_tokens = 0;
-    time_point m_filledAt;
+    std::optional<time_point> m_filledAt; // empty before the first use
 };
 
 } // namespace pistachioquay
