--- a/packages/connection/loop/frame_link.cc
+++ b/packages/connection/loop/frame_link.cc
@@ -53,7 +53,7 @@
 
 std::shared_ptr<frame_link> frame_link::make(tcp::socket socket, link_handlers handlers)
 {
-    const std::shared_ptr<frame_link> link(new frame_link(std::move(socket), std::move(handlers)));
+    std::shared_ptr<frame_link> link(new frame_link(std::move(socket), std::move(handlers)));
     net::co_spawn(
         link->m_socket.get_executor(),
         [link]() -> awaitable<void> {
--- a/packages/connection/loop/http_client_test.cc
+++ b/packages/connection/loop/http_client_test.cc
@@ -18,6 +18,14 @@
         + "\r\n" + std::string(more) + "\r\n" + std::string(body);
 }
 
+// A body that does not fit into the buffers of a connection.
+std::string longBody()
+{
+    std::string body;
+    body.resize(20UL * 1024 * 1024, 'a');
+    return body;
+}
+
 class client_of
 {
 public:
@@ -154,7 +162,7 @@
         std::this_thread::sleep_for(milliseconds(300));
     });
     client_of client(server.address());
-    const exchange_result got = client.send("1", milliseconds(3000), std::string(20'000'000, 'a'));
+    const exchange_result got = client.send("1", milliseconds(3000), longBody());
     CHECK(got.end == exchange_end::Complete);
     CHECK(got.response.status == 503);
     client.send("2", milliseconds(100));
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -30,7 +30,7 @@
 
 struct mesh_node::parts
 {
-    parts(net::any_io_executor executor, mesh_options options, mesh_platform platform)
+    parts(const net::any_io_executor &executor, mesh_options options, mesh_platform platform)
         : context{executor, std::move(options), std::move(platform)}
         , inbound(context)
         , links(context, events())
@@ -169,8 +169,8 @@
     done();
 }
 
-mesh_node::mesh_node(net::any_io_executor executor, mesh_options options, mesh_platform platform)
-    : m_parts(std::make_unique<parts>(std::move(executor), std::move(options), std::move(platform)))
+mesh_node::mesh_node(const net::any_io_executor &executor, mesh_options options, mesh_platform platform)
+    : m_parts(std::make_unique<parts>(executor, std::move(options), std::move(platform)))
 {
 }
 
@@ -271,7 +271,9 @@
             const std::string bound = index < histogram.boundsMs.size()
                 ? std::to_string(static_cast<int>(histogram.boundsMs.at(index)))
                 : "+Inf";
-            text += line(name + "_bucket{le=\"" + bound + "\"}", sum);
+            std::string bucket = name;
+            bucket.append("_bucket{le=\"").append(bound).append("\"}");
+            text += line(bucket, sum);
         }
         text += line(name + "_sum", histogram.sumMs) + line(name + "_count", sum);
     }
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -82,7 +82,7 @@
 class mesh_node
 {
 public:
-    mesh_node(net::any_io_executor executor, mesh_options options, mesh_platform platform);
+    mesh_node(const net::any_io_executor &executor, mesh_options options, mesh_platform platform);
     ~mesh_node();
     mesh_node(const mesh_node &) = delete;
     mesh_node &operator=(const mesh_node &) = delete;
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -269,8 +269,7 @@
     const call_message message = messageFor(work, node.record.process, steadyNow());
     const endpoint target = node.record.peer;
     if (peer_links::isLarge(message.request.body.size())) {
-        const peer_end room =
-            co_await m_links.reserve(target, work.id, message.request.body.size(), *work.control);
+        const peer_end room = co_await m_links.reserve(target, work.id, message.request.body.size(), *work.control);
         if (room != peer_end::Replied) {
             call_reply refused;
             refused.id = work.id;
--- a/packages/request/link_room/link_room.cc
+++ b/packages/request/link_room/link_room.cc
@@ -8,10 +8,12 @@
 
 std::uint64_t reservedBytes(const link_room &room)
 {
-    return std::accumulate(
-        room.reservations.begin(), room.reservations.end(), std::uint64_t{0}, [](std::uint64_t sum, const auto &item) {
-            return sum + item.second.bytes;
-        });
+    return std::accumulate(room.reservations.begin(),
+                           room.reservations.end(),
+                           std::uint64_t{0},
+                           [](std::uint64_t sum, const auto &item) {
+                               return sum + item.second.bytes;
+                           });
 }
 
 double capacityOf(const link_room &room)
--- a/packages/request/link_room/link_room.h
+++ b/packages/request/link_room/link_room.h
@@ -4,9 +4,9 @@
 //   ...
 //   releaseRoom(room, id);                                             // when it has arrived
 //
-// Load pattern: many nodes send uploads to the fastest worker at once. Its slots are free, but the link of its VM is not:
-// the bodies queue up on it for seconds, and every other message behind them. So a sender asks first, and a node grants
-// only what its link carries within `roomTime`.
+// Load pattern: many nodes send uploads to the fastest worker at once. Its slots are free, but the link of its VM is
+// not: the bodies queue up on it for seconds, and every other message behind them. So a sender asks first, and a node
+// grants only what its link carries within `roomTime`.
 //
 // All functions work on one state of one loop and are not thread safe.
 #pragma once
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -151,7 +151,8 @@
 
 TEST_CASE("a late request goes to a slow worker with a free slot, not to fast ones that would refuse it")
 {
-    placement_state state = stateWith({workerOf("fast-1", "dc-1"), workerOf("fast-2", "dc-1"), workerOf("slow", "dc-1")});
+    placement_state state =
+        stateWith({workerOf("fast-1", "dc-1"), workerOf("fast-2", "dc-1"), workerOf("slow", "dc-1")});
     worker_report full;
     full.running = 6;
     full.waitMs = {0, 80, 80};
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -4,7 +4,6 @@
 #include <functional>
 #include <numeric>
 #include <queue>
-#include <ranges>
 #include <tuple>
 
 namespace pistachioquay {
@@ -89,7 +88,8 @@
     if (now > latestStart(request)) {
         return true;
     }
-    return !request.isLastChance && !request.isTakenLate && !canMeetTarget(request, now) && isCrowded(line, request, now);
+    return !request.isLastChance && !request.isTakenLate && !canMeetTarget(request, now)
+        && isCrowded(line, request, now);
 }
 
 } // namespace
@@ -115,10 +115,12 @@
 
 double lineRunMs(const waiting_line &line)
 {
-    const double sum =
-        std::accumulate(line.running.begin(), line.running.end(), 0.0, [](double total, const running_request &running) {
-            return total + running.expectedRunMs;
-        });
+    const double sum = std::accumulate(line.running.begin(),
+                                       line.running.end(),
+                                       0.0,
+                                       [](double total, const running_request &running) {
+                                           return total + running.expectedRunMs;
+                                       });
     return line.running.empty() ? 0.0 : sum / static_cast<double>(line.running.size());
 }
 
@@ -239,11 +241,12 @@
     if (line.waiting.empty()) {
         return std::nullopt;
     }
-    return std::ranges::min(line.waiting | std::views::transform([](const waiting_request &request) {
-                                const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs);
-                                const bool isExempt = request.isLastChance || request.isTakenLate;
-                                return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
-                            }));
+    const auto dueAt = [](const waiting_request &request) {
+        const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs);
+        const bool isExempt = request.isLastChance || request.isTakenLate;
+        return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
+    };
+    return dueAt(*std::ranges::min_element(line.waiting, {}, dueAt));
 }
 
 } // namespace pistachioquay
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
-#include <ranges>
+#include <iterator>
 #include <set>
 
 #include <boost/json/serialize.hpp>
@@ -54,8 +54,11 @@
 
 std::vector<std::string> platform_mesh::names() const
 {
-    const auto names = m_nodes | std::views::keys;
-    return {names.begin(), names.end()};
+    std::vector<std::string> names;
+    std::ranges::transform(m_nodes, std::back_inserter(names), [](const auto &item) {
+        return item.first;
+    });
+    return names;
 }
 
 std::string platform_mesh::settingsOf(const node_state &node) const
