Keep a worker leaving whose farewell was the first notice that its node heard

Ruled out: late heartbeats, its sequence was newer. Change: a process of unknown start that started before the farewell came is the one that said farewell. Two tests replay it.

--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -8,6 +8,11 @@
 
 bool isSameProcess(const worker_life &life, const worker_notice &notice)
 {
+    // A farewell may be the first that is heard of a process, and need not tell its start. What started before that
+    // farewell came is the process that sent it.
+    if (life.workerId == notice.workerId && life.startedMs == 0) {
+        return notice.startedMs.value_or(0) <= life.receivedMs;
+    }
     return life.workerId == notice.workerId && notice.startedMs.value_or(life.startedMs) == life.startedMs;
 }
 
@@ -16,6 +21,7 @@
     life = {};
     life.workerId = notice.workerId;
     life.startedMs = notice.startedMs.value_or(0);
+    life.receivedMs = notice.receivedMs;
     life.sequence = notice.sequence.value_or(0);
     life.slots = notice.slots;
     life.isLeaving = notice.kind != notice_kind::Ready;
@@ -60,6 +66,7 @@
         }
         return startProcess(life, notice, now);
     }
+    life.startedMs = notice.startedMs.value_or(life.startedMs);
     if (notice.kind == notice_kind::Left) {
         return beginLeaving(life, now);
     }
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -35,6 +35,7 @@
     std::optional<std::uint64_t> sequence; // of this notice; absent in a farewell
     std::uint32_t slots = 0;
     milliseconds coldLeft{0}; // how much longer it is slow after its start
+    std::int64_t receivedMs = 0; // wall clock of the VM at its arrival
 
     friend bool operator==(const worker_notice &, const worker_notice &) = default;
 };
@@ -52,7 +53,8 @@
 struct worker_life
 {
     std::string workerId; // empty: no worker has announced itself
-    std::int64_t startedMs = 0;
+    std::int64_t startedMs = 0; // 0: not known yet, after a farewell that did not tell it
+    std::int64_t receivedMs = 0; // wall clock of the VM when the process was first heard
     std::uint64_t sequence = 0;
     std::uint32_t slots = 0;
     bool isLeaving = false;
--- a/packages/process/worker_life/worker_life_test.cc
+++ b/packages/process/worker_life/worker_life_test.cc
@@ -76,6 +76,36 @@
     CHECK(mayTakeWork(life));
 }
 
+TEST_CASE("a farewell that is the first notice of a process holds against its later heartbeats")
+{
+    worker_life life;
+    worker_notice farewell;
+    farewell.kind = notice_kind::Left;
+    farewell.workerId = "w1";
+    farewell.receivedMs = 5000;
+    applyNotice(life, farewell, start);
+    worker_notice heartbeat = noticeOf("w1", 1000, 15);
+    heartbeat.receivedMs = 7000;
+    applyNotice(life, heartbeat, start);
+    CHECK_FALSE(mayTakeWork(life));
+    CHECK(life.startedMs == 1000);
+    worker_notice restarted = noticeOf("w1", 8000, 0);
+    applyNotice(life, restarted, start);
+    CHECK(mayTakeWork(life));
+}
+
+TEST_CASE("a worker that starts again after a farewell of unknown start takes work")
+{
+    worker_life life;
+    worker_notice farewell;
+    farewell.kind = notice_kind::Left;
+    farewell.workerId = "w1";
+    farewell.receivedMs = 5000;
+    applyNotice(life, farewell, start);
+    applyNotice(life, noticeOf("w1", 6000, 0), start);
+    CHECK(mayTakeWork(life));
+}
+
 TEST_CASE("an unreachable worker is back with its next notice")
 {
     worker_life life;
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -9,6 +9,8 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include "testing/harness/cluster.h"
+
 namespace pistachioquay::testing {
 
 namespace {
@@ -86,7 +88,8 @@
     // The process inherits the variable; nodes are started one at a time.
     ::setenv("PISTACHIOQUAY_NODE_FILE", path.c_str(), 1);
     state.process = requireValue([&] {
-        return startProcess({"packages/pistachioquayd/pistachioquayd", {"--platform"}, m_folder.file(node + ".log")});
+        return startProcess(
+            {programPath("packages/pistachioquayd/pistachioquayd"), {"--platform"}, m_folder.file(node + ".log")});
     });
 }
 
