--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -115,32 +115,6 @@
     co_return reply;
 }
 
-bool inbound_side::makeVoid(const std::string &id)
-{
-    const time_point now = steadyNow();
-    const auto found = m_open.find(id);
-    if (found != m_open.end()) {
-        if (found->second->isGranted) {
-            return false;
-        }
-        found->second->refusal.reason = wait_refusal::None;
-        found->second->decided.notify();
-        m_ledger.makeVoid(id, now);
-        return true;
-    }
-    switch (m_ledger.begin(id, now)) {
-    case entry_state::New:
-        m_ledger.makeVoid(id, now);
-        return true;
-    case entry_state::Void:
-        return true;
-    case entry_state::Open:
-    case entry_state::Ended:
-        return false;
-    }
-    return false;
-}
-
 awaitable<call_reply> inbound_side::runNew(const call_message &message,
                                            const std::shared_ptr<exchange_control> &control)
 {
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -24,8 +24,6 @@
     // run takes a call and returns how it ended. `control` ends it early: a waiting call is dropped, and a running one
     // that may be repeated is broken off.
     awaitable<call_reply> run(call_message message, std::shared_ptr<exchange_control> control);
-    // makeVoid tells whether the call has not run and will not; if so it never will.
-    bool makeVoid(const std::string &id);
     // onWorkerChange adapts the line to the state of the worker and of the node.
     void onWorkerChange(time_point now);
     // report returns what other nodes are told of the worker.
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -58,9 +58,6 @@
         events.onCall = [this](call_message message, std::shared_ptr<exchange_control> control) {
             return inbound.run(std::move(message), std::move(control));
         };
-        events.onVoid = [this](const std::string &id) {
-            return inbound.makeVoid(id);
-        };
         events.onConfig = [this](const config_message &message) {
             spread.takeConfig(message);
         };
@@ -102,8 +99,6 @@
     internal::spread_duty spread;
     loop_server callers;
     net::steady_timer upkeepTimer;
-    time_point stoppingSince;
-    bool hasDrained = false; // the line was cleared after the worker said that it leaves
 };
 
 awaitable<void> mesh_node::parts::upkeepLoop()
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -37,8 +37,6 @@
     Call = 1,
     Reply,
     Cancel,
-    Void,
-    Voided,
     Ping,
     Pong,
     ConfigRequest,
@@ -109,16 +107,15 @@
     }
 };
 
-struct id_message
+// Ends a call whose caller has left.
+struct cancel_message
 {
     std::string id;
-    std::uint64_t process = 0;
-    bool isVoid = false; // in the answer to a request to void: it has not run and never will
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, process, isVoid);
+        archive(id);
     }
 };
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -166,9 +166,8 @@
             break;
         }
         work.expectedRunMs = choice.expectedRunMs;
-        noteSent(m_context.placement, work.service, *choice.nodeId, work.placement.bytes, now);
+        noteSent(m_context.placement, work.service, *choice.nodeId, work.placement.bytes);
         call_reply reply = co_await sendTo(work, *choice.nodeId);
-        noteEnded(m_context.placement, work.service, *choice.nodeId);
         learn(work, *choice.nodeId, reply);
         work.placement.excluded.insert(*choice.nodeId);
         work.trail += (work.trail.empty() ? "" : ",") + *choice.nodeId + ":" + std::string(replyName(reply.kind));
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -143,20 +143,14 @@
         if (request) {
             link.send(code(frame_kind::Config), encode(m_events.config(*request)));
         }
-    } else if (kind == code(frame_kind::Cancel) || kind == code(frame_kind::Void)) {
+    } else if (kind == code(frame_kind::Cancel)) {
         const auto message = attempt([&] {
-            return decodeMessage<id_message>(payload, meshFormat, m_garbled);
+            return decodeMessage<cancel_message>(payload, meshFormat, m_garbled);
         });
         if (!message) {
             link.close("garbled frame");
             return;
         }
-        if (kind == code(frame_kind::Void)) {
-            const bool isSame = message->process == m_context.process;
-            const bool isVoid = isSame && m_events.onVoid(message->id);
-            link.send(code(frame_kind::Voided), encode(id_message{message->id, m_context.process, isVoid}));
-            return;
-        }
         const auto call = found->second.calls.find(message->id);
         if (call != found->second.calls.end()) {
             call->second.control->cancel();
@@ -250,16 +244,6 @@
             call->second->reply = std::move(*reply);
             call->second->done.notify();
         }
-    } else if (kind == code(frame_kind::Voided)) {
-        const auto message = attempt([&] {
-            return decodeMessage<id_message>(payload, meshFormat, m_garbled);
-        });
-        outgoing &state = m_links[key];
-        const auto call = message ? state.calls.find(message->id) : state.calls.end();
-        if (call != state.calls.end()) {
-            call->second->isVoid = message->isVoid;
-            call->second->done.notify();
-        }
     } else if (kind == code(frame_kind::Reserved)) {
         const auto message = attempt([&] {
             return decodeMessage<reservation_message>(payload, meshFormat, m_garbled);
@@ -329,7 +313,7 @@
         result.end = peer_end::LinkLost;
         co_return result;
     }
-    link->send(code(frame_kind::Cancel), encode(id_message{message.id, m_context.process, false}));
+    link->send(code(frame_kind::Cancel), encode(cancel_message{message.id}));
     result.end = control.isCancelled() ? peer_end::Cancelled : peer_end::TimedOut;
     co_return result;
 }
@@ -365,21 +349,6 @@
     co_return *pending->isGranted ? peer_end::Replied : peer_end::NotSent;
 }
 
-awaitable<bool> peer_links::askVoid(endpoint target, const std::string &id, std::uint64_t process, time_point deadline)
-{
-    const link_key key{target, false};
-    const std::shared_ptr<frame_link> link = co_await linkTo(key);
-    if (!link) {
-        co_return false;
-    }
-    const auto pending = std::make_shared<pending_call>(m_context.executor);
-    m_links[key].calls[id] = pending;
-    link->send(code(frame_kind::Void), encode(id_message{id, process, false}));
-    co_await pending->done.waitUntil(deadline);
-    m_links[key].calls.erase(id);
-    co_return pending->isVoid.value_or(false);
-}
-
 awaitable<void> peer_links::requestConfig(endpoint target, std::uint64_t haveVersion)
 {
     if (const std::shared_ptr<frame_link> link = co_await linkTo({target, true})) {
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -35,7 +35,6 @@
 struct peer_events
 {
     std::function<awaitable<call_reply>(call_message, std::shared_ptr<exchange_control>)> onCall;
-    std::function<bool(const std::string &id)> onVoid;
     std::function<void(const config_message &)> onConfig;
     std::function<config_message(const config_request &)> config;
     std::function<void(const endpoint &)> onSilent; // a node does not answer in time, or cannot be reached
@@ -57,8 +56,6 @@
     awaitable<peer_end> reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &control);
     // isLarge tells whether a body needs a reservation.
     static bool isLarge(std::size_t bytes);
-    // askVoid asks a node to make a call void; true if the call has not run and never will.
-    awaitable<bool> askVoid(endpoint target, const std::string &id, std::uint64_t process, time_point deadline);
     // requestConfig asks a node for its configuration; the answer goes to `onConfig`.
     awaitable<void> requestConfig(endpoint target, std::uint64_t haveVersion);
     // check pings links on which replies are due and closes silent ones. Call it about every `checkInterval`.
@@ -78,7 +75,6 @@
         wait_point done;
         bool isLost = false;
         std::optional<call_reply> reply;
-        std::optional<bool> isVoid;
         std::optional<bool> isGranted;
     };
     struct outgoing
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -493,7 +493,6 @@
     for (const node_record &record : unknown) {
         send(record.gossip, true, false, 0);
     }
-    m_isGreeted = m_isGreeted || !unknown.empty();
 }
 
 // Publishes the own address and finds the other nodes.
--- a/packages/process/mesh/spread.h
+++ b/packages/process/mesh/spread.h
@@ -88,7 +88,6 @@
     time_point m_pulledAt;
     std::uint64_t m_pulledVersion = 0;
     bool m_isStoreReached = false;
-    bool m_isGreeted = false; // other nodes were asked for their records
     decode_counters m_garbled;
 };
 
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -226,22 +226,11 @@
     return {chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run};
 }
 
-void noteSent(
-    placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes, time_point now)
+void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes)
 {
     if (placed_worker *worker = findWorker(state, service, nodeId)) {
-        ++worker->open;
         ++worker->sentSinceReport;
         worker->bytesSinceReport += static_cast<double>(bytes) + headBytes;
-        worker->lastSentAt = now;
-    }
-}
-
-void noteEnded(placement_state &state, const std::string &service, const std::string &nodeId)
-{
-    placed_worker *worker = findWorker(state, service, nodeId);
-    if (worker != nullptr && worker->open > 0) {
-        --worker->open;
     }
 }
 
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -2,9 +2,7 @@
 //
 //   const placement_choice choice = chooseWorker(state, "orders", request, now, generator);
 //   if (!choice.nodeId) return refuse(choice.retryAfterMs);
-//   noteSent(state, "orders", *choice.nodeId, request, now);
-//   ...
-//   noteEnded(state, "orders", *choice.nodeId, ended, now);
+//   noteSent(state, "orders", *choice.nodeId, bytes);
 //
 // Load pattern: workers of one service differ in speed, slow down for a second because of unseen neighbours, and are
 // filled by many nodes at once that all see reports of different age. So
@@ -96,13 +94,11 @@
     worker_entry entry;
     worker_report report;
     time_point reportAt;
-    std::uint32_t open = 0; // requests of this node that are at the worker
     std::uint32_t sentSinceReport = 0;
     double bytesSinceReport = 0;
     std::map<std::string, std::pair<double, time_point>> runMs; // by route, with the time of the last news
     time_point avoidUntil;
     unsigned avoidances = 0;
-    time_point lastSentAt;
 };
 
 struct service_placement
@@ -180,11 +176,7 @@
                               random_generator &generator);
 
 // noteSent counts a request that goes to the worker now.
-void noteSent(
-    placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes, time_point now);
-
-// noteEnded ends the accounting of a sent request.
-void noteEnded(placement_state &state, const std::string &service, const std::string &nodeId);
+void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes);
 
 // avoid passes the worker over for a while after it could not be reached; `noteReport` ends that.
 void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -49,7 +49,7 @@
         const placement_choice choice = chooseWorker(state, service, request, start, generator);
         REQUIRE(choice.nodeId);
         ++sent[*choice.nodeId];
-        noteSent(state, service, *choice.nodeId, request.bytes, start);
+        noteSent(state, service, *choice.nodeId, request.bytes);
     }
     return sent;
 }
