Share the conversions of fractional milliseconds

msBetween stood three times (waiting, placement, mesh) and the way back twice. Both are in base/milliseconds.h now; behaviour is unchanged. Checked: format and lint of the changed files, waiting, placement and platform process tests (28, 110 and 151 assertions).

--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -50,11 +50,6 @@
     sumMs += milliseconds;
 }
 
-double msBetween(time_point from, time_point to)
-{
-    return std::chrono::duration<double, std::milli>(to - from).count();
-}
-
 void refreshWorkers(mesh_context &context, const std::string &service, time_point now)
 {
     std::vector<worker_entry> workers = readyWorkers(context.fleet, service, now);
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "base/log_line.h"
+#include "base/milliseconds.h"
 #include "base/random.h"
 #include "process/fleet/fleet.h"
 #include "process/mesh/mesh.h"
@@ -90,9 +91,6 @@
     }
 };
 
-// msBetween returns the time between two points in milliseconds. Thread safe.
-double msBetween(time_point from, time_point to);
-
 // refreshWorkers makes the placement of a service follow the fleet and the own worker.
 void refreshWorkers(mesh_context &context, const std::string &service, time_point now);
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -200,8 +200,7 @@
     facts.workersTried = work.workersTried;
     facts.maxWorkers = work.route->maxWorkers;
     facts.timeLeft = work.endsBy - now;
-    facts.expectedRun =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(work.expectedRunMs));
+    facts.expectedRun = fromMs(work.expectedRunMs);
     if (!mayResend(facts)) {
         return false;
     }
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -6,15 +6,12 @@
 #include <limits>
 #include <ranges>
 
+#include "base/milliseconds.h"
+
 namespace pistachioquay {
 
 namespace {
 
-double msBetween(time_point from, time_point to)
-{
-    return std::chrono::duration<double, std::milli>(to - from).count();
-}
-
 placed_worker *findWorker(placement_state &state, const std::string &service, const std::string &nodeId)
 {
     const auto found = state.services.find(service);
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -6,20 +6,12 @@
 #include <queue>
 #include <tuple>
 
+#include "base/milliseconds.h"
+
 namespace pistachioquay {
 
 namespace {
 
-duration fromMs(double milliseconds)
-{
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(milliseconds));
-}
-
-double msBetween(time_point from, time_point to)
-{
-    return std::chrono::duration<double, std::milli>(to - from).count();
-}
-
 bool canMeetTarget(const waiting_request &request, time_point now)
 {
     return now + fromMs(request.expectedRunMs) <= request.targetAt;
