Look again at the port of a worker that cut its connections

Cause of the known red test pq_crash_process_test: a dying process may close its connections before its listening socket, so the single look at the port found it open and the crash was not reported; a log of a failed run beside 12 busy processes shows 3 dead workers and 2 reports. Ruled out: late delivery of reports (none missed in that log). The port is now looked at for up to 100 ms.

--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -34,7 +34,7 @@
 constexpr milliseconds announceInterval{200};
 constexpr milliseconds foldWait{250};
 constexpr seconds logTimeout{3};
-constexpr milliseconds workerCheckWait{50};
+constexpr milliseconds workerCheckWait{100}; // for a dying worker to close its port, after it has cut a connection
 // A node that starts beside others would take itself for a reader before it knows them, and a data centre that restarts
 // as a whole would read the log from every node. So it waits for its peers first.
 constexpr milliseconds joinGrace{1500};
@@ -362,10 +362,7 @@
 
 bool node::parts::isWorkerGone() const
 {
-    const auto connected = attempt([&] {
-        return connectTcp(settings.upstream, steadyNow() + workerCheckWait);
-    });
-    return !connected && connected.failure().kind == error_kind::Unavailable;
+    return isPortClosed(settings.upstream, steadyNow() + workerCheckWait);
 }
 
 // Returns when all other nodes of the own service in the data centre have the reports, or after `maxHoldBack`.
--- a/packages/process/node/worker_health.cc
+++ b/packages/process/node/worker_health.cc
@@ -1,10 +1,12 @@
 #include "process/node/worker_health.h"
 
+#include <thread>
 #include <utility>
 
 #include <glog/logging.h>
 #include <ulfius.h>
 
+#include "connection/wire/socket.h"
 #include "process/node/pause.h"
 
 namespace pistachioquay {
@@ -13,6 +15,7 @@
 
 constexpr milliseconds pollInterval{250};
 constexpr long pollTimeoutS = 1;
+constexpr milliseconds portCheckPause{5}; // between two looks at a port that is still open
 constexpr long firstServerError = 500;
 
 bool pollOnce(const std::string &url)
@@ -48,6 +51,22 @@
     return known;
 }
 
+bool isPortClosed(const endpoint &address, time_point until)
+{
+    for (;;) {
+        const auto connected = attempt([&] {
+            return connectTcp(address, until);
+        });
+        if (!connected) {
+            return connected.failure().kind == error_kind::Unavailable;
+        }
+        if (steadyNow() + portCheckPause >= until) {
+            return false;
+        }
+        std::this_thread::sleep_for(portCheckPause);
+    }
+}
+
 worker_health::worker_health(endpoint upstream, std::function<void()> onChange)
     : m_upstream(std::move(upstream))
     , m_onChange(std::move(onChange))
--- a/packages/process/node/worker_health.h
+++ b/packages/process/node/worker_health.h
@@ -29,6 +29,10 @@
 // withPoll returns the readiness after a poll. Thread safe.
 readiness withPoll(readiness known, bool hasAnswered);
 
+// isPortClosed tells whether nothing listens at the address. A process that dies may close its connections some
+// milliseconds before its listening socket, so an open port is looked at again until `until`. Thread safe.
+bool isPortClosed(const endpoint &address, time_point until);
+
 class worker_health
 {
 public:
