Send a copy of a slow lookup to a free worker

Now hedgeDelay decides when a copy goes to a worker with a free slot; the first response wins, the other copy is cancelled; copies use at most half of the budget of repeats. Cancelled runs that were slow count in the run time and the failure share, and an overdue run is expected to go on for a share of its time so far, so that hung slots lengthen the reported wait.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -13,6 +13,7 @@
 constexpr milliseconds onceReuse{500}; // idle time of connections that a request which may not be repeated uses
 constexpr milliseconds repeatableReuse{4000};
 constexpr double outcomeWeight = 0.08; // weight of one request in the failure share
+constexpr double hangingRuns = 3.0; // expected runs after which a cancelled run counts as failed
 constexpr double slowdownHalfLifeMs = 300.0; // a worker's slowdown changes many times a second
 constexpr unsigned localAttempts = 2; // on the own worker, after a kept connection turned out to be closed
 constexpr milliseconds minCheckPause{5}; // between looks for requests that can no longer meet their target
@@ -267,8 +268,12 @@
         return;
     }
     reply.kind = reply_kind::Unknown;
+    if (got.end == exchange_end::Cancelled) {
+        noteCancelled(message, tookMs, now);
+        return;
+    }
     if (got.end != exchange_end::Complete) {
-        noteOutcome(got.end != exchange_end::Cancelled);
+        noteOutcome(true);
         return;
     }
     noteLoad(got.response, now);
@@ -295,6 +300,18 @@
     reply.response.headers = endToEndHeaders(reply.response.headers);
 }
 
+// A run that was cancelled counts once it has taken longer than expected: a worker that hangs completes nothing else.
+void inbound_side::noteCancelled(const call_message &message, double tookMs, time_point now)
+{
+    const double expected = expectedRunMs(m_runs, message.route, tookMs);
+    if (tookMs > expected) {
+        noteRun(m_runs, message.route, tookMs, now);
+    }
+    if (tookMs > hangingRuns * expected) {
+        noteOutcome(true);
+    }
+}
+
 void inbound_side::noteConnectFailure(exchange_end end, const std::string &detail)
 {
     noteOutcome(true);
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -80,6 +80,7 @@
                                 call_reply &reply);
     whole_request workerRequest(const call_message &message, time_point endsBy, time_point now) const;
     void readWorkerResponse(const call_message &message, exchange_result got, double tookMs, call_reply &reply);
+    void noteCancelled(const call_message &message, double tookMs, time_point now);
     void noteLoad(const whole_response &response, time_point now);
     void noteOutcome(bool isFailure);
     void pump(time_point now);
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cstdio>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace pistachioquay::internal {
 
 namespace {
@@ -155,22 +158,13 @@
     last.reason = "no-worker";
     last.retryAfterMs = noWorkerRetryMs;
     for (unsigned asked = 0; asked < maxNodesAsked; ++asked) {
-        const time_point now = steadyNow();
-        keepWorkersFresh(m_context, work.service, now);
-        m_context.placement.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
-        work.placement.targetLeftMs = msBetween(now, work.targetAt);
-        work.placement.timeLeftMs = msBetween(now, work.endsBy);
-        const placement_choice choice =
-            chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
+        const placement_choice choice = choose(work);
         if (!choice.nodeId) {
             break;
         }
-        work.expectedRunMs = choice.expectedRunMs;
-        noteSent(m_context.placement, work.service, *choice.nodeId, work.placement.bytes);
-        call_reply reply = co_await sendTo(work, *choice.nodeId);
-        learn(work, *choice.nodeId, reply);
-        work.placement.excluded.insert(*choice.nodeId);
-        work.trail += (work.trail.empty() ? "" : ",") + *choice.nodeId + ":" + std::string(replyName(reply.kind));
+        const shared_copy copy = co_await sendHedged(work, copyFor(work, choice), choice);
+        noteEnd(work, *copy);
+        call_reply &reply = *copy->reply;
         const bool isWorse = last.kind == reply_kind::Response && reply.kind != reply_kind::Response;
         if (!isWorse) {
             last = std::move(reply);
@@ -184,6 +178,138 @@
     co_return response;
 }
 
+placement_choice outbound_side::choose(job &work)
+{
+    const time_point now = steadyNow();
+    keepWorkersFresh(m_context, work.service, now);
+    m_context.placement.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
+    work.placement.targetLeftMs = msBetween(now, work.targetAt);
+    work.placement.timeLeftMs = msBetween(now, work.endsBy);
+    return chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
+}
+
+outbound_side::shared_copy outbound_side::copyFor(job &work, const placement_choice &choice) const
+{
+    const time_point now = steadyNow();
+    work.expectedRunMs = choice.expectedRunMs;
+    const auto node = m_context.fleet.nodes.find(*choice.nodeId);
+    const bool isOwn = *choice.nodeId == m_context.options.nodeId || node == m_context.fleet.nodes.end();
+    noteSent(m_context.placement, work.service, *choice.nodeId, work.placement.bytes);
+    auto copy = std::make_shared<sent_copy>();
+    copy->nodeId = *choice.nodeId;
+    copy->message = messageFor(work, isOwn ? m_context.process : node->second.record.process, now);
+    copy->sentAt = now;
+    copy->endsBy = work.endsBy;
+    return copy;
+}
+
+awaitable<outbound_side::shared_copy>
+outbound_side::sendHedged(job &work, const shared_copy &first, const placement_choice &choice)
+{
+    hedge_facts facts;
+    facts.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
+    facts.workersTried = work.workersTried + 1;
+    facts.maxWorkers = work.route->maxWorkers;
+    facts.expectedMs = choice.expectedMs;
+    facts.typicalRunMs = choice.typicalRunMs;
+    facts.targetLeftMs = work.placement.targetLeftMs;
+    facts.timeLeftMs = work.placement.timeLeftMs;
+    const auto delay = hedgeDelay(facts);
+    std::vector<shared_copy> copies{first};
+    work.control->onCancel([first] {
+        first->control->cancel();
+    });
+    if (work.control->isCancelled()) {
+        first->control->cancel();
+    }
+    if (!delay) {
+        first->reply = co_await sendTo(*first);
+        work.control->onCancel(nullptr);
+        co_return first;
+    }
+    const auto changed = std::make_shared<wait_point>(m_context.executor);
+    launch(first, changed);
+    co_await changed->waitUntil(first->sentAt + *delay);
+    if (!first->reply && !work.control->isCancelled()) {
+        if (const shared_copy second = hedge(work, first->nodeId)) {
+            copies.push_back(second);
+            launch(second, changed);
+        }
+    }
+    work.control->onCancel([copies] {
+        for (const shared_copy &copy : copies) {
+            copy->control->cancel();
+        }
+    });
+    const auto isEnded = [](const shared_copy &copy) {
+        return copy->reply.has_value();
+    };
+    const auto isWinner = [](const shared_copy &copy) {
+        return copy->reply && isFinal(*copy->reply);
+    };
+    while (std::ranges::none_of(copies, isWinner) && !std::ranges::all_of(copies, isEnded)) {
+        changed->reset();
+        co_await changed->waitUntil(work.endsBy + replySlack * 2);
+    }
+    work.control->onCancel(nullptr);
+    const auto winner = std::ranges::find_if(copies, isWinner);
+    const shared_copy chosen = winner != copies.end() ? *winner : first;
+    for (const shared_copy &copy : copies) {
+        if (copy != chosen) {
+            dropSlower(work, copy);
+        }
+    }
+    co_return chosen;
+}
+
+// Chooses another worker for a copy; null if none has a free slot or the budget is spent.
+outbound_side::shared_copy outbound_side::hedge(job &work, const std::string &firstNode)
+{
+    const std::set<std::string> excluded = work.placement.excluded;
+    work.placement.excluded.insert(firstNode);
+    const placement_choice choice = choose(work);
+    work.placement.excluded = excluded;
+    if (!choice.nodeId || !mayHedge({choice.expectedWaitMs, choice.expectedRunMs, work.placement.timeLeftMs})
+        || !takeHedge(m_budget, work.service, limits(), steadyNow())) {
+        return nullptr;
+    }
+    m_context.metrics.count("hedges_total");
+    return copyFor(work, choice);
+}
+
+void outbound_side::launch(const shared_copy &copy, const std::shared_ptr<wait_point> &changed)
+{
+    net::co_spawn(
+        m_context.executor,
+        [this, copy, changed]() -> awaitable<void> {
+            copy->reply = co_await sendTo(*copy);
+            changed->notify();
+        },
+        net::detached);
+}
+
+// The other copy had the response: ends this one, and counts its time against the worker.
+void outbound_side::dropSlower(job &work, const shared_copy &copy)
+{
+    if (copy->reply) {
+        noteEnd(work, *copy);
+        work.workersTried += copy->reply->kind == reply_kind::NotRun ? 0 : 1;
+        return;
+    }
+    const time_point now = steadyNow();
+    copy->control->cancel();
+    noteSlow(m_context.placement, work.service, copy->nodeId, work.route->name, msBetween(copy->sentAt, now), now);
+    ++work.workersTried;
+    work.trail += (work.trail.empty() ? "" : ",") + copy->nodeId + ":slower";
+}
+
+void outbound_side::noteEnd(job &work, const sent_copy &copy)
+{
+    learn(work, copy.nodeId, *copy.reply);
+    work.placement.excluded.insert(copy.nodeId);
+    work.trail += (work.trail.empty() ? "" : ",") + copy.nodeId + ":" + std::string(replyName(copy.reply->kind));
+}
+
 bool outbound_side::mayGoOn(job &work, const call_reply &reply)
 {
     const time_point now = steadyNow();
@@ -246,12 +372,12 @@
     return message;
 }
 
-awaitable<call_reply> outbound_side::sendTo(job &work, const std::string &nodeId)
+awaitable<call_reply> outbound_side::sendTo(const sent_copy &copy)
 {
-    if (nodeId == m_context.options.nodeId) {
-        co_return co_await m_inbound.run(messageFor(work, m_context.process, steadyNow()), work.control);
+    if (copy.nodeId == m_context.options.nodeId) {
+        co_return co_await m_inbound.run(copy.message, copy.control);
     }
-    const auto found = m_context.fleet.nodes.find(nodeId);
+    const auto found = m_context.fleet.nodes.find(copy.nodeId);
     if (found == m_context.fleet.nodes.end()) {
         call_reply gone;
         gone.kind = reply_kind::NotRun;
@@ -259,27 +385,27 @@
         co_return gone;
     }
     const known_node node = found->second;
-    co_return co_await sendRemote(work, node);
+    co_return co_await sendRemote(copy, node);
 }
 
-awaitable<call_reply> outbound_side::sendRemote(job &work, const known_node &node)
+awaitable<call_reply> outbound_side::sendRemote(const sent_copy &copy, const known_node &node)
 {
-    const call_message message = messageFor(work, node.record.process, steadyNow());
+    const call_message &message = copy.message;
     const endpoint target = node.record.peer;
     if (peer_links::isLarge(message.request.body.size())) {
-        const peer_end room = co_await m_links.reserve(target, work.id, message.request.body.size(), *work.control);
+        const peer_end room = co_await m_links.reserve(target, message.id, message.request.body.size(), *copy.control);
         if (room != peer_end::Replied) {
             call_reply refused;
-            refused.id = work.id;
+            refused.id = message.id;
             refused.kind = reply_kind::NotRun;
             refused.reason = room == peer_end::LinkLost || room == peer_end::TimedOut ? "unreachable" : "link-full";
             refused.retryAfterMs = linkFullRetryMs;
             co_return refused;
         }
     }
-    peer_result got = co_await m_links.call(target, message, work.endsBy + replySlack, *work.control);
+    peer_result got = co_await m_links.call(target, message, copy.endsBy + replySlack, *copy.control);
     call_reply reply;
-    reply.id = work.id;
+    reply.id = message.id;
     switch (got.end) {
     case peer_end::Replied:
         co_return std::move(got.reply);
@@ -288,8 +414,8 @@
         reply.reason = "unreachable";
         co_return reply;
     case peer_end::LinkLost:
-        if (work.route->repeat == repeat_rule::AtMostOnce) {
-            co_return co_await resume(work, target, message);
+        if (message.repeat == repeat_rule::AtMostOnce) {
+            co_return co_await resume(copy, target);
         }
         reply.reason = "link-lost";
         co_return reply;
@@ -304,16 +430,17 @@
 }
 
 // Sends a request that may run only once again to the same process of the same node, which knows whether it has it.
-awaitable<call_reply> outbound_side::resume(job &work, const endpoint &target, call_message message)
+awaitable<call_reply> outbound_side::resume(const sent_copy &copy, const endpoint &target)
 {
+    call_message message = copy.message;
     message.isRepeat = true;
     call_reply reply;
-    reply.id = work.id;
+    reply.id = message.id;
     reply.reason = "link-lost";
-    const time_point until = std::min(work.endsBy, steadyNow() + resumeWindow);
-    while (steadyNow() < until && !work.control->isCancelled()) {
-        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), work.endsBy));
-        peer_result got = co_await m_links.call(target, message, work.endsBy + replySlack, *work.control);
+    const time_point until = std::min(copy.endsBy, steadyNow() + resumeWindow);
+    while (steadyNow() < until && !copy.control->isCancelled()) {
+        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), copy.endsBy));
+        peer_result got = co_await m_links.call(target, message, copy.endsBy + replySlack, *copy.control);
         if (got.end == peer_end::Replied) {
             co_return std::move(got.reply);
         }
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -9,6 +9,7 @@
 #include "process/mesh/context.h"
 #include "process/mesh/inbound.h"
 #include "process/mesh/peer_links.h"
+#include "request/hedge/hedge.h"
 #include "request/resend/resend.h"
 
 namespace pistachioquay::internal {
@@ -49,11 +50,31 @@
         std::string trail; // nodes and outcomes, for the log
     };
 
+    // One send of a request to a node. It may outlive the request, because cancelling takes effect at the node.
+    struct sent_copy
+    {
+        std::string nodeId;
+        call_message message;
+        time_point sentAt;
+        time_point endsBy;
+        std::shared_ptr<exchange_control> control = std::make_shared<exchange_control>();
+        std::optional<call_reply> reply; // once it has ended
+    };
+    using shared_copy = std::shared_ptr<sent_copy>;
+
     std::optional<whole_response> checkRequest(job &work);
     awaitable<whole_response> forward(job &work);
-    awaitable<call_reply> sendTo(job &work, const std::string &nodeId);
-    awaitable<call_reply> sendRemote(job &work, const known_node &node);
-    awaitable<call_reply> resume(job &work, const endpoint &target, call_message message);
+    placement_choice choose(job &work);
+    shared_copy copyFor(job &work, const placement_choice &choice) const;
+    // sendHedged sends the copy and, if that takes long, another one elsewhere; returns the one whose reply counts.
+    awaitable<shared_copy> sendHedged(job &work, const shared_copy &first, const placement_choice &choice);
+    shared_copy hedge(job &work, const std::string &firstNode);
+    void launch(const shared_copy &copy, const std::shared_ptr<wait_point> &changed);
+    void dropSlower(job &work, const shared_copy &copy);
+    void noteEnd(job &work, const sent_copy &copy);
+    awaitable<call_reply> sendTo(const sent_copy &copy);
+    awaitable<call_reply> sendRemote(const sent_copy &copy, const known_node &node);
+    awaitable<call_reply> resume(const sent_copy &copy, const endpoint &target);
     call_message messageFor(const job &work, std::uint64_t process, time_point now) const;
     bool mayGoOn(job &work, const call_reply &reply);
     void learn(const job &work, const std::string &nodeId, const call_reply &reply);
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -168,6 +168,19 @@
     }
 }
 
+void noteSlow(placement_state &state,
+              const std::string &service,
+              const std::string &nodeId,
+              const std::string &route,
+              double milliseconds,
+              time_point now)
+{
+    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+        const double known = knownRunMs(*worker, route, now).value_or(0.0);
+        worker->runMs[route] = {std::max(known, milliseconds), now};
+    }
+}
+
 void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now)
 {
     if (dataCentre != state.dataCentre) {
@@ -220,7 +233,7 @@
     });
     std::uniform_int_distribution<std::size_t> draw(0, scored.size() - 1);
     const scored_worker &chosen = scored[draw(generator)];
-    return {chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run};
+    return {chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run, typicalMs};
 }
 
 void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes)
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -141,6 +141,7 @@
     double expectedMs = 0; // until the response
     double expectedWaitMs = 0;
     double expectedRunMs = 0;
+    double typicalRunMs = 0; // of the route, at all workers of the service
 };
 
 // setWorkers replaces the workers of a service; what is known of those that stay is kept.
@@ -161,6 +162,14 @@
                double milliseconds,
                time_point now);
 
+// noteSlow records that the worker has not responded to a request of the route for `milliseconds`.
+void noteSlow(placement_state &state,
+              const std::string &service,
+              const std::string &nodeId,
+              const std::string &route,
+              double milliseconds,
+              time_point now);
+
 // noteSilent records that a node of a data centre did not answer in time; noteHeard that one of it was heard.
 void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now);
 void noteHeard(placement_state &state, const std::string &dataCentre);
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -36,20 +36,14 @@
                            });
 }
 
-} // namespace
-
-void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
-{
-    ++currentStep(budget.services[service], limits, now).requests;
-}
-
-bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+bool takeShare(
+    resend_budget &budget, const std::string &service, const resend_limits &limits, double share, time_point now)
 {
     resend_window &window = budget.services[service];
     resend_counts &step = currentStep(window, limits, now);
     const resend_counts total = totalOf(window);
     const double extra = static_cast<double>(limits.extra) / std::max<std::uint32_t>(limits.nodes, 1);
-    const double allowed = ownShare * (limits.ratio * total.requests + extra);
+    const double allowed = ownShare * share * (limits.ratio * total.requests + extra);
     if (total.resends + 1 > allowed) {
         return false;
     }
@@ -57,6 +51,23 @@
     return true;
 }
 
+} // namespace
+
+void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+{
+    ++currentStep(budget.services[service], limits, now).requests;
+}
+
+bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+{
+    return takeShare(budget, service, limits, 1.0, now);
+}
+
+bool takeHedge(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+{
+    return takeShare(budget, service, limits, hedgeShare, now);
+}
+
 bool mayResend(const resend_facts &facts)
 {
     if (facts.timeLeft <= facts.expectedRun) {
--- a/packages/request/resend/resend.h
+++ b/packages/request/resend/resend.h
@@ -19,6 +19,7 @@
 namespace pistachioquay {
 
 inline constexpr std::size_t budgetSteps = 20; // a window is counted in this many steps
+inline constexpr double hedgeShare = 0.5; // of the allowance that copies of slow requests may use
 inline constexpr double ownShare = 0.8; // of the allowance; the rest covers calls that repeated runs make again
 
 // The bound that holds for all nodes together.
@@ -58,6 +59,10 @@
 // takeResend takes one repeat out of the allowance; false if there is none left. Not thread safe.
 bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
 
+// takeHedge takes a copy of a slow request out of the allowance; copies get at most `hedgeShare` of it, so that repeats
+// of failed requests always find the rest. Not thread safe.
+bool takeHedge(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
+
 // How a send to a worker ended, as far as a repeat depends on it.
 enum class send_end : std::uint8_t
 {
--- a/packages/request/resend/resend_test.cc
+++ b/packages/request/resend/resend_test.cc
@@ -88,3 +88,23 @@
     facts.expectedRun = milliseconds(100);
     CHECK_FALSE(mayResend(facts));
 }
+
+TEST_CASE("copies of slow requests leave a part of the budget to repeats of failed ones")
+{
+    const resend_limits limits = limitsOf(1);
+    resend_budget budget;
+    for (int index = 0; index < 100; ++index) {
+        noteRequest(budget, "orders", limits, start);
+    }
+    unsigned hedges = 0;
+    while (takeHedge(budget, "orders", limits, start)) {
+        ++hedges;
+    }
+    unsigned resends = 0;
+    while (takeResend(budget, "orders", limits, start)) {
+        ++resends;
+    }
+    CHECK(hedges > 0);
+    CHECK(resends >= hedges - 1);
+    CHECK(hedges + resends <= 0.2 * 100 + 64);
+}
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -27,8 +27,8 @@
 
 double remainingMs(const running_request &running, time_point now)
 {
-    const double left = running.expectedRunMs - msBetween(running.startedAt, now);
-    return std::max(left, running.expectedRunMs * overdueShare);
+    const double elapsed = msBetween(running.startedAt, now);
+    return std::max(running.expectedRunMs - elapsed, std::max(running.expectedRunMs, elapsed) * overdueShare);
 }
 
 // Wait of a request behind the waiting ones for which `isAhead` holds, when each slot takes the next request as soon as
--- a/packages/request/waiting/waiting.h
+++ b/packages/request/waiting/waiting.h
@@ -36,7 +36,7 @@
 inline constexpr std::size_t maxWaiting = 512; // bounds the memory of a line
 inline constexpr double returnSpread = 0.5; // returns are spread over this share of the expected wait
 inline constexpr milliseconds minRetryAfter{20}; // shorter pauses only add round trips
-inline constexpr double overdueShare = 0.25; // an overdue run is expected to take this share of its mean longer
+inline constexpr double overdueShare = 0.25; // an overdue run is expected to take this share of its time so far longer
 
 struct waiting_request
 {
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -231,6 +231,19 @@
     CHECK(served == 10);
 }
 
+TEST_CASE("lookups meet their target while a worker hangs with good health")
+{
+    served_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
+    mesh.worker("b1").hang();
+    constexpr milliseconds targetLatency{1000}; // of the stand-in's routes
+    for (int index = 0; index < 20; ++index) {
+        const time_point sentAt = steadyNow();
+        CHECK(mesh.statusOf("a1", "/orders/1", "hang-" + std::to_string(index)) == 200);
+        CHECK(steadyNow() - sentAt < targetLatency);
+    }
+    CHECK(mesh.worker("b1").totalRuns() > 0);
+}
+
 TEST_CASE("a failed request is found in the logs by its id")
 {
     served_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -130,8 +130,10 @@
         response.headers.push_back({"Not-Executed", "1"});
         co_return response;
     }
+    bool isHanging = false;
     {
         const std::lock_guard guard(m_mutex);
+        isHanging = m_isHanging;
         seen_request &seen = m_seen[id];
         ++seen.runs;
         seen.callerService = findHeader(request.headers, "Caller-Service").value_or("");
@@ -140,7 +142,8 @@
     }
     ++m_running;
     const std::uint64_t runMs = numberIn(request.target, "run");
-    net::steady_timer work(m_loop.executor(), runMs > 0 ? milliseconds(runMs) : defaultRun);
+    const milliseconds usual = runMs > 0 ? milliseconds(runMs) : defaultRun;
+    net::steady_timer work(m_loop.executor(), isHanging ? hangTime : usual);
     co_await work.async_wait(awaitResult);
     --m_running;
     const std::uint64_t failure = numberIn(request.target, "fail");
@@ -151,6 +154,12 @@
     co_return response;
 }
 
+void worker_stand_in::hang()
+{
+    const std::lock_guard guard(m_mutex);
+    m_isHanging = true;
+}
+
 seen_request worker_stand_in::seen(const std::string &id) const
 {
     const std::lock_guard guard(m_mutex);
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -7,7 +7,7 @@
 //   CHECK(worker.runs("r-1") == 1);
 //
 // The query of a request sets what happens: `run=MS` how long it runs, `fail=STATUS` a failure, `lose=1` a run whose
-// connection is closed without a response.
+// connection is closed without a response. A worker that is told to hang runs every request for `hangTime`.
 #pragma once
 
 #include <map>
@@ -21,6 +21,8 @@
 
 namespace pistachioquay::testing {
 
+inline constexpr milliseconds hangTime{2500};
+
 struct worker_options
 {
     std::string id;
@@ -54,6 +56,8 @@
 
     // drain announces that the worker leaves, and returns when the node has acknowledged it; false after `atMost`.
     bool drain(milliseconds atMost);
+    // hang makes all further runs hang.
+    void hang();
     // seen returns what is known of a request id.
     seen_request seen(const std::string &id) const;
     // lastStart returns when the last run began.
@@ -73,10 +77,11 @@
 
     worker_options m_options;
     std::int64_t m_startedMs;
-    mutable std::mutex m_mutex; // guards the three below
+    mutable std::mutex m_mutex; // guards the four below
     std::map<std::string, seen_request> m_seen;
     time_point m_lastStart;
     std::string m_state = "ready";
+    bool m_isHanging = false;
     unsigned m_running = 0;
     std::uint64_t m_sequence = 0;
     bool m_isStopped = false;
