--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -73,15 +73,6 @@
     return limits;
 }
 
-// Time that the caller has spent on earlier attempts. Callers state the time that they have left, and their first
-// attempts state the most.
-std::int64_t outbound_side::elapsedBefore(const job &work, std::int64_t timeLeftMs)
-{
-    std::int64_t &longest = m_longestTimeLeft[work.route->name];
-    longest = std::max(longest, timeLeftMs);
-    return longest - timeLeftMs;
-}
-
 awaitable<whole_response> outbound_side::serve(const whole_request &request, caller_presence &caller)
 {
     job work;
@@ -127,11 +118,10 @@
     const routed_path &route = *work.route;
     const auto stated = findHeader(headers, names.timeLeftMs);
     const auto parsed = stated ? parseCount(*stated) : std::nullopt;
-    const std::int64_t timeLeftMs = parsed ? static_cast<std::int64_t>(*parsed) : defaultTimeLeft.count();
-    const milliseconds elapsed(elapsedBefore(work, timeLeftMs));
+    const milliseconds timeLeft = parsed ? milliseconds(*parsed) : defaultTimeLeft;
     work.service = chooseTarget(m_splits, route);
-    work.targetAt = work.arrivedAt + route.targetLatency - elapsed;
-    work.endsBy = work.arrivedAt + std::min<milliseconds>(milliseconds(timeLeftMs), route.timeout);
+    work.targetAt = work.arrivedAt + route.targetLatency - spentBefore(m_ages, route.name, timeLeft);
+    work.endsBy = work.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
     work.placement.route = route.name;
     work.placement.priority = route.priority;
     work.placement.bytes = work.request->body.size();
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -9,6 +9,7 @@
 #include "process/mesh/context.h"
 #include "process/mesh/inbound.h"
 #include "process/mesh/peer_links.h"
+#include "request/attempt_age/attempt_age.h"
 #include "request/hedge/hedge.h"
 #include "request/resend/resend.h"
 
@@ -83,14 +84,13 @@
     whole_response failure(const job &work, unsigned status, std::string_view reason);
     void logEnd(const job &work, const whole_response &response, std::string_view outcome);
     resend_limits limits() const;
-    std::int64_t elapsedBefore(const job &work, std::int64_t timeLeftMs);
 
     mesh_context &m_context;
     inbound_side &m_inbound;
     peer_links &m_links;
     split_state m_splits;
     resend_budget m_budget;
-    std::unordered_map<std::string, std::int64_t> m_longestTimeLeft; // by route: that of a first attempt
+    attempt_ages m_ages;
     std::size_t m_open = 0;
 };
 
