--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -200,7 +200,8 @@
     facts.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
     facts.workersTried = work.workersTried + 1;
     facts.maxWorkers = work.route->maxWorkers;
-    facts.expectedMs = choice.expectedMs;
+    facts.expectedWaitMs = choice.expectedWaitMs;
+    facts.expectedRunMs = choice.expectedRunMs;
     facts.typicalRunMs = choice.typicalRunMs;
     facts.targetLeftMs = work.placement.targetLeftMs;
     facts.timeLeftMs = work.placement.timeLeftMs;
--- a/packages/request/hedge/hedge.cc
+++ b/packages/request/hedge/hedge.cc
@@ -9,8 +9,10 @@
     if (!facts.isRepeatable || facts.workersTried + 1 > facts.maxWorkers) {
         return std::nullopt;
     }
-    const double patient = facts.expectedMs * hedgeRuns;
-    const double earliest = facts.expectedMs * leastHedgeRuns;
+    // A worker that is known to be slow is given no more time than the others take.
+    const double expectedMs = facts.expectedWaitMs + std::min(facts.expectedRunMs, facts.typicalRunMs);
+    const double earliest = expectedMs * leastHedgeRuns;
+    const double patient = std::max(earliest, std::min(expectedMs * hedgeRuns, facts.timeLeftMs * longestHedgeShare));
     const double lastOnTime = facts.targetLeftMs - facts.typicalRunMs * hedgeFit;
     const double delay = lastOnTime >= earliest ? std::min(patient, lastOnTime) : patient;
     if (delay + facts.typicalRunMs * hedgeFit > facts.timeLeftMs) {
--- a/packages/request/hedge/hedge.h
+++ b/packages/request/hedge/hedge.h
@@ -19,6 +19,7 @@
 
 inline constexpr double hedgeRuns = 2.0; // expected times after which a request counts as slow
 inline constexpr double leastHedgeRuns = 1.4; // the same when the target would be missed otherwise
+inline constexpr double longestHedgeShare = 0.33; // of the time left, after which even a slow worker gets no more
 inline constexpr double hedgeFit = 1.2; // of a copy's expected run that must fit before the target
 inline constexpr double hedgeWaitRuns = 0.1; // expected wait of a copy, in its own runs, up to which it is sent
 
@@ -27,7 +28,8 @@
     bool isRepeatable = false;
     std::uint32_t workersTried = 0; // with the one that has the request now
     std::uint32_t maxWorkers = 1;
-    double expectedMs = 0; // until the response of the first worker
+    double expectedWaitMs = 0; // at the first worker
+    double expectedRunMs = 0;
     double typicalRunMs = 0; // at other workers
     double targetLeftMs = 0; // until the response loses worth; negative if that has passed
     double timeLeftMs = 0; // until it is of no use
--- a/packages/request/hedge/hedge_test.cc
+++ b/packages/request/hedge/hedge_test.cc
@@ -9,7 +9,8 @@
 constexpr hedge_facts lookup{.isRepeatable = true,
                              .workersTried = 1,
                              .maxWorkers = 3,
-                             .expectedMs = 25,
+                             .expectedWaitMs = 0,
+                             .expectedRunMs = 25,
                              .typicalRunMs = 25,
                              .targetLeftMs = 100,
                              .timeLeftMs = 250};
@@ -31,7 +32,7 @@
     const auto delay = hedgeDelay(facts);
     REQUIRE(delay);
     CHECK(*delay < *hedgeDelay(lookup));
-    CHECK(delay->count() >= facts.expectedMs * leastHedgeRuns);
+    CHECK(delay->count() >= facts.expectedRunMs * leastHedgeRuns);
 }
 
 TEST_CASE("a request that missed its target waits patiently, and gets a copy while that can end in time")
@@ -39,11 +40,24 @@
     hedge_facts facts = lookup;
     facts.targetLeftMs = -10;
     REQUIRE(hedgeDelay(facts));
-    CHECK(hedgeDelay(facts)->count() >= facts.expectedMs * hedgeRuns);
+    CHECK(hedgeDelay(facts)->count() >= facts.expectedRunMs * hedgeRuns);
     facts.timeLeftMs = 60;
     CHECK_FALSE(hedgeDelay(facts));
 }
 
+TEST_CASE("a worker that is known to be slow is waited for no longer than others take, or a third of the time")
+{
+    hedge_facts facts = lookup;
+    facts.expectedRunMs = 200;
+    CHECK(hedgeDelay(facts) == hedgeDelay(lookup));
+    facts.typicalRunMs = 900;
+    facts.expectedRunMs = 900;
+    facts.targetLeftMs = 1000;
+    facts.timeLeftMs = 2000;
+    REQUIRE(hedgeDelay(facts));
+    CHECK(hedgeDelay(facts)->count() <= facts.timeLeftMs / 3);
+}
+
 TEST_CASE("requests that may run once, or have used their workers, get no copy")
 {
     hedge_facts once = lookup;
