Hand a call back when another worker is expected to be faster

Cause: views of other nodes are older than a wait lasts (a reply each second from a worker, half-life 400 ms), so in a swing requests waited at one worker while others had free slots; calls of workers waited 50 ms of a target of 100. A choice now names the wait from which the second best is faster, and a node with more hands the call back unrun, at most twice for a request and not with a large body. A send that no worker saw no longer takes from the budget again. The replay in placement_test has a mean wait under 0.7 of that without.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -162,6 +162,14 @@
 {
     const time_point now = steadyNow();
     const offer_verdict verdict = offer(m_line, request, now, m_context.generator);
+    const auto allowedWaitMs = static_cast<double>(message.longestWaitMs);
+    if (verdict.kind == offer_kind::Wait && allowedWaitMs > 0 && verdict.expectedWaitMs > allowedWaitMs) {
+        finish(m_line, request.ticket);
+        reply.kind = reply_kind::NotRun;
+        reply.reason = std::string(handedBackReason);
+        m_context.metrics.count("inbound_handed_back_total");
+        co_return false;
+    }
     if (verdict.kind == offer_kind::Run) {
         open->isGranted = true;
         co_return true;
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -57,6 +57,7 @@
     std::uint32_t priority = 0;
     std::int64_t targetLeftMs = 0; // until the response is worth less; negative if that has passed
     std::int64_t timeLeftMs = 0; // until the response is of no use
+    std::int64_t longestWaitMs = 0; // the node hands the call back if it would wait longer; 0: it waits
     std::string callerService;
     whole_request request;
 
@@ -72,11 +73,15 @@
                 priority,
                 targetLeftMs,
                 timeLeftMs,
+                longestWaitMs,
                 callerService,
                 request);
     }
 };
 
+// Reason of a reply to a call that would have waited longer than its sender allows.
+inline constexpr std::string_view handedBackReason = "handed-back";
+
 // How a call ended at the worker's node.
 enum class reply_kind : std::uint8_t
 {
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -1,6 +1,7 @@
 #include "process/mesh/outbound.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 #include <boost/asio/co_spawn.hpp>
@@ -12,7 +13,8 @@
 
 constexpr milliseconds replySlack{150}; // beyond the time of a request, for the reply of the worker's node
 constexpr milliseconds defaultTimeLeft{10000}; // of a request that does not tell
-constexpr unsigned maxNodesAsked = 6; // for one request
+constexpr unsigned maxNodesAsked = 8; // for one request
+constexpr unsigned maxHandBacks = 2; // of one request, then it waits where it is sent
 constexpr unsigned maxLoadRefusals = 3; // nodes that refuse one request for lack of room before its caller is told
 constexpr std::size_t requestHeadBytes = 400; // of a request or a response besides its body, about
 constexpr std::int64_t noWorkerRetryMs = 300; // while no worker of the service is known
@@ -52,6 +54,11 @@
     return reply.reason == "crowded" || reply.reason == "no-time" || reply.reason == "queue-full";
 }
 
+bool isHandedBack(const call_reply &reply)
+{
+    return reply.kind == reply_kind::NotRun && reply.reason == handedBackReason;
+}
+
 bool isFinal(const call_reply &reply)
 {
     return reply.kind == reply_kind::Response && reply.response.status < 500;
@@ -188,6 +195,10 @@
     auto copy = std::make_shared<sent_copy>();
     copy->nodeId = *choice.nodeId;
     copy->message = messageFor(work, isOwn ? m_context.process : node->second.record.process, now);
+    const bool mayHandBack = work.handBacks < maxHandBacks && !peer_links::isLarge(work.request->body.size());
+    if (choice.longestWaitMs && mayHandBack) {
+        copy->message.longestWaitMs = std::max<std::int64_t>(1, std::llround(*choice.longestWaitMs));
+    }
     copy->sentAt = now;
     copy->endsBy = work.endsBy;
     return copy;
@@ -297,7 +308,11 @@
 void outbound_side::noteEnd(job &work, const sent_copy &copy)
 {
     learn(work, copy.nodeId, *copy.reply);
-    work.placement.excluded.insert(copy.nodeId);
+    if (isHandedBack(*copy.reply)) {
+        ++work.handBacks; // the node stays a choice, with what it has told of its line
+    } else {
+        work.placement.excluded.insert(copy.nodeId);
+    }
     work.trail += (work.trail.empty() ? "" : ",") + copy.nodeId + ":" + std::string(replyName(copy.reply->kind));
 }
 
@@ -324,8 +339,8 @@
     if (work.refusals >= maxLoadRefusals) {
         return false;
     }
-    if (facts.end == send_end::NotRun && work.workersTried == 0) {
-        return true;
+    if (facts.end == send_end::NotRun) {
+        return true; // no worker saw it, so what the budget gave for this send is still there
     }
     const bool isAllowed = takeResend(m_budget, work.service, limits(), now);
     m_context.metrics.count(isAllowed ? "resends_total" : "resends_denied_total");
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -45,6 +45,7 @@
         std::shared_ptr<exchange_control> control;
         placement_request placement;
         std::uint32_t workersTried = 0; // that the request may have reached
+        std::uint32_t handBacks = 0; // by nodes where it would have waited long
         std::uint32_t refusals = 0; // by nodes, for lack of room
         std::int64_t retryAfterMs = 0; // shortest that a node named
         double expectedRunMs = 0;
--- a/packages/request/attempt_age/attempt_age.h
+++ b/packages/request/attempt_age/attempt_age.h
@@ -6,8 +6,8 @@
 //
 // Load pattern: callers of one route differ in how long they wait, by up to `patienceSpread`, and in a swing those that
 // were refused come back with less time left. A request whose stated time lies within the spread is taken for a first
-// attempt: taking it for a late one would turn it away although its whole target lies ahead. Below the spread it must be
-// a repeat, and the mean patience tells its age.
+// attempt: taking it for a late one would turn it away although its whole target lies ahead. Below the spread it must
+// be a repeat, and the mean patience tells its age.
 #pragma once
 
 #include <string>
--- a/packages/request/hedge/hedge.cc
+++ b/packages/request/hedge/hedge.cc
@@ -12,7 +12,7 @@
     // A worker that is known to be slow is given no more time than the others take.
     const double expectedMs = facts.expectedWaitMs + std::min(facts.expectedRunMs, facts.typicalRunMs);
     const double earliest = expectedMs * leastHedgeRuns;
-    const double patient = std::max(earliest, std::min(expectedMs * hedgeRuns, facts.timeLeftMs * longestHedgeShare));
+    const double patient = expectedMs * hedgeRuns;
     const double lastOnTime = facts.targetLeftMs - facts.typicalRunMs * hedgeFit;
     const double delay = lastOnTime >= earliest ? std::min(patient, lastOnTime) : patient;
     if (delay + facts.typicalRunMs * hedgeFit > facts.timeLeftMs) {
--- a/packages/request/hedge/hedge.h
+++ b/packages/request/hedge/hedge.h
@@ -6,8 +6,8 @@
 //
 // Load pattern: some workers slow down for seconds, hang, or fail while their health is good, and nodes learn of it
 // only when requests come back late. A request that may be repeated then goes to a second worker while its target can
-// still be met there; the first response wins and the other copy is cancelled. Copies must not add to a swing: they only
-// go to workers with a free slot, and take their part of the budget of repeats.
+// still be met there; the first response wins and the other copy is cancelled. Copies must not add to a swing: they
+// only go to workers with a free slot, and take their part of the budget of repeats.
 #pragma once
 
 #include <cstdint>
@@ -19,7 +19,6 @@
 
 inline constexpr double hedgeRuns = 2.0; // expected times after which a request counts as slow
 inline constexpr double leastHedgeRuns = 1.4; // the same when the target would be missed otherwise
-inline constexpr double longestHedgeShare = 0.33; // of the time left, after which even a slow worker gets no more
 inline constexpr double hedgeFit = 1.2; // of a copy's expected run that must fit before the target
 inline constexpr double hedgeWaitRuns = 0.1; // expected wait of a copy, in its own runs, up to which it is sent
 
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -120,6 +120,21 @@
     return scored;
 }
 
+std::optional<double> longestWait(const std::vector<scored_worker> &scored, const scored_worker &chosen)
+{
+    std::optional<double> secondScore;
+    for (const scored_worker &candidate : scored) {
+        if (candidate.worker != chosen.worker && (!secondScore || candidate.score < *secondScore)) {
+            secondScore = candidate.score;
+        }
+    }
+    if (!secondScore) {
+        return std::nullopt;
+    }
+    const double worthHandingBack = *secondScore - (chosen.score - chosen.wait) + handBackMs;
+    return std::max(worthHandingBack, chosen.run * leastHandBackRuns);
+}
+
 } // namespace
 
 void setWorkers(placement_state &state, const std::string &service, std::vector<worker_entry> workers)
@@ -228,12 +243,15 @@
         return isAnyTaking && candidate.isRefusal;
     });
     const double best = std::ranges::min(scored, {}, &scored_worker::score).score;
-    std::erase_if(scored, [&](const scored_worker &candidate) {
-        return candidate.score > best * (1.0 + drawShare);
+    std::vector<scored_worker> near;
+    std::ranges::copy_if(scored, std::back_inserter(near), [&](const scored_worker &candidate) {
+        return candidate.score <= best * (1.0 + drawShare);
     });
-    std::uniform_int_distribution<std::size_t> draw(0, scored.size() - 1);
-    const scored_worker &chosen = scored[draw(generator)];
-    return {chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run, typicalMs};
+    std::uniform_int_distribution<std::size_t> draw(0, near.size() - 1);
+    const scored_worker &chosen = near[draw(generator)];
+    placement_choice choice{chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run, typicalMs};
+    choice.longestWaitMs = longestWait(scored, chosen);
+    return choice;
 }
 
 void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes)
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -11,6 +11,8 @@
 //   would take it: in a swing callers come back late, and a slow worker with a free slot still serves them;
 // - what this node has sent since the report counts as if it were in the queue, and a report loses its say with age, so
 //   that nodes with the same old report do not all choose the same worker;
+// - a view of other nodes is older than a wait lasts, so a choice names the wait from which the second best is better
+// (`longestWaitMs`): a node that finds more waiting hands the request back at once;
 // - workers that are about as good are drawn at random;
 // - another data centre costs a share of the target that grows with the bytes, because traffic between data centres is
 //   paid for: it is chosen when the wait here is longer by that much;
@@ -54,6 +56,8 @@
 inline constexpr milliseconds runForgotten{6000}; // a run time that was not renewed for this long no longer counts
 inline constexpr std::size_t silentNodesOfCut = 2; // silent nodes after which a data centre counts as cut off
 inline constexpr milliseconds cutForgotten{3000}; // without further silence
+inline constexpr double handBackMs = 4.0; // a hand-back costs about this: a round trip and the work at both nodes
+inline constexpr double leastHandBackRuns = 0.15; // waits up to this share of a run are never worth a hand-back
 inline constexpr double crowdingShare = 0.25; // a full worker slows each run by this share
 
 // What a node says of its worker.
@@ -142,6 +146,8 @@
     double expectedWaitMs = 0;
     double expectedRunMs = 0;
     double typicalRunMs = 0; // of the route, at all workers of the service
+    // Wait at the chosen worker from which the second best is expected to be faster; empty if there is no second.
+    std::optional<double> longestWaitMs;
 };
 
 // setWorkers replaces the workers of a service; what is known of those that stay is kept.
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -199,3 +199,85 @@
     CHECK_FALSE(chooseWorker(state, service, request, start, generator).nodeId);
     CHECK_FALSE(chooseWorker(state, "unknown", requestOf(), start, generator).nodeId);
 }
+
+TEST_CASE("a choice names the wait from which the second best worker is faster")
+{
+    placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1")});
+    noteRunMs(state, service, "a", "sign", 100, start);
+    noteRunMs(state, service, "b", "sign", 140, start);
+    random_generator generator(5);
+    const placement_choice choice = chooseWorker(state, service, requestOf(), start, generator);
+    REQUIRE(choice.nodeId == "a");
+    REQUIRE(choice.longestWaitMs);
+    CHECK(*choice.longestWaitMs >= 40);
+    CHECK(*choice.longestWaitMs <= 40 + 2 * handBackMs);
+    placement_request last = requestOf();
+    last.excluded.insert("b");
+    CHECK_FALSE(chooseWorker(state, service, last, start, generator).longestWaitMs);
+}
+
+namespace {
+
+// Many nodes with old views fill the same workers. Returns the mean wait in milliseconds, with and without hand-backs.
+double replayOldViews(bool canHandBack)
+{
+    constexpr unsigned workers = 10;
+    constexpr unsigned slots = 6;
+    constexpr double runMs = 80;
+    constexpr int lengthMs = 4000;
+    constexpr double perMs = 0.8 * workers * slots / runMs;
+    random_generator generator(9);
+    std::vector<worker_entry> entries;
+    for (unsigned index = 0; index < workers; ++index) {
+        entries.push_back(workerOf("w" + std::to_string(index), "dc-1"));
+    }
+    std::vector<placement_state> senders(30, stateWith(entries));
+    std::map<std::string, std::vector<double>> freeAt; // by worker: when each slot is free
+    for (const worker_entry &entry : entries) {
+        freeAt[entry.nodeId].assign(slots, 0.0);
+    }
+    std::exponential_distribution<double> run(1.0 / runMs);
+    double due = 0;
+    double waited = 0;
+    unsigned served = 0;
+    for (int ms = 0; ms < lengthMs; ++ms) {
+        const time_point now = start + milliseconds(ms);
+        for (due += perMs; due >= 1; due -= 1) {
+            placement_state &sender = senders.at(generator() % senders.size());
+            const double nowMs = ms;
+            for (unsigned handBacks = 0;; ++handBacks) {
+                const placement_choice choice = chooseWorker(sender, service, requestOf(), now, generator);
+                std::vector<double> &ends = freeAt.at(*choice.nodeId);
+                const auto first = std::ranges::min_element(ends);
+                const double wait = std::max(0.0, *first - nowMs);
+                worker_report report;
+                report.running = static_cast<std::uint32_t>(std::ranges::count_if(ends, [&](double end) {
+                    return end > nowMs;
+                }));
+                report.waitMs.fill(wait);
+                noteSent(sender, service, *choice.nodeId, 0);
+                const bool isHandedBack =
+                    canHandBack && handBacks < 2 && choice.longestWaitMs && wait > *choice.longestWaitMs;
+                noteReport(sender, service, *choice.nodeId, report, now);
+                if (isHandedBack) {
+                    continue;
+                }
+                *first = std::max(*first, nowMs) + run(generator);
+                waited += wait;
+                ++served;
+                break;
+            }
+        }
+    }
+    return waited / served;
+}
+
+} // namespace
+
+TEST_CASE("nodes whose views are old wait less when a full worker's node hands requests back")
+{
+    const double simple = replayOldViews(false);
+    const double withHandBacks = replayOldViews(true);
+    INFO("mean wait " << simple << " ms without, " << withHandBacks << " ms with hand-backs");
+    CHECK(withHandBacks < 0.7 * simple);
+}
