Back off failed reads of the store by rank, and send nothing new to a node that misses a ping

The decision is now a library of its own, process/store_reading: nodes step in one after the other and pause longer with each failure and rank. (2) A node behind a cut was found after 1 s; until then requests that may run once were sent into the cut and ended 502. A missed ping now pauses it after 200 ms.

--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr milliseconds upkeepInterval{200};
+constexpr milliseconds suspectPause{400}; // for a node that has not answered a ping yet
 constexpr std::size_t bodyShare = 4; // a quarter of the memory may hold bodies of requests
 constexpr std::size_t descriptorReserve = 400; // for links, the worker, the platform and files
 constexpr double silentNotices = 2.5; // missed notices after which a worker counts as gone
@@ -64,16 +65,28 @@
         events.config = [this](const config_request &request) {
             return spread.configFor(request);
         };
+        events.onSuspect = [this](const endpoint &address) {
+            passOver(address, suspectPause);
+        };
         events.onSilent = [this](const endpoint &address) {
-            for (const auto &[id, node] : context.fleet.nodes) {
-                if (node.record.peer == address) {
-                    noteSilent(context.placement, node.record.dataCentre, id, steadyNow());
-                }
-            }
+            passOver(address, milliseconds{0});
         };
         return events;
     }
 
+    // Takes a node that does not answer as a sign of a cut, and sends it nothing for `length`.
+    void passOver(const endpoint &address, milliseconds length)
+    {
+        const time_point now = steadyNow();
+        for (const auto &[id, node] : context.fleet.nodes) {
+            if (node.record.peer == address) {
+                noteSilent(context.placement, node.record.dataCentre, id, now);
+                pause(context.placement, node.record.service, id, length, now);
+                context.metrics.count("nodes_passed_over_total");
+            }
+        }
+    }
+
     loop_server_options serverOptions()
     {
         loop_server_options made;
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -13,7 +13,8 @@
 
 constexpr milliseconds connectTimeout{600};
 constexpr milliseconds reserveTimeout{400}; // for room on a link; a node that takes longer has none
-constexpr milliseconds pingAfter{300}; // of silence while a reply is due
+constexpr milliseconds pingAfter{200}; // of silence while a reply is due
+constexpr milliseconds suspectAfter{200}; // of silence after a ping: the node gets nothing new
 constexpr milliseconds silentAfter{1000}; // of silence while a reply is due: the link is dead
 constexpr milliseconds configAnswerTime{600}; // within which a node starts to answer a request for its configuration
 constexpr seconds idleKept{30}; // unused links are closed
@@ -368,6 +369,7 @@
 {
     std::vector<std::pair<endpoint, std::shared_ptr<frame_link>>> silent;
     std::vector<std::shared_ptr<frame_link>> idle;
+    std::vector<endpoint> suspects;
     for (auto &[key, state] : m_links) {
         if (!state.link || !state.link->isOpen()) {
             continue;
@@ -383,11 +385,14 @@
         const bool wasPinged = state.lastPing > state.link->lastProgress();
         if (wasPinged && now - state.lastPing > silentAfter - pingAfter && quiet > silentAfter) {
             silent.emplace_back(key.first, state.link);
+        } else if (wasPinged && now - state.lastPing > suspectAfter) {
+            suspects.push_back(key.first);
         } else if (quiet > pingAfter && !wasPinged) {
             state.lastPing = now;
             state.link->send(code(frame_kind::Ping), {});
         }
     }
+    std::ranges::for_each(suspects, m_events.onSuspect);
     for (const auto &[address, link] : silent) {
         m_events.onSilent(address);
         link->close("silent");
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -37,6 +37,7 @@
     std::function<awaitable<call_reply>(call_message, std::shared_ptr<exchange_control>)> onCall;
     std::function<void(const config_message &)> onConfig;
     std::function<config_message(const config_request &)> config;
+    std::function<void(const endpoint &)> onSuspect; // a node has not answered a ping yet
     std::function<void(const endpoint &)> onSilent; // a node does not answer in time, or cannot be reached
 };
 
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -22,9 +22,8 @@
 constexpr milliseconds lonelyInterval{2000}; // the same while this node knows no other
 constexpr milliseconds peerConfigWait{150}; // for the configuration of other nodes after the start
 constexpr milliseconds startPoll{10};
-constexpr milliseconds failedReadPause{150};
+constexpr unsigned readJitterMs = 100; // spreads the tries of several nodes
 constexpr milliseconds idleCheck{100}; // of a node that leaves the reading to another
-constexpr milliseconds rankStagger{80}; // between nodes that step in for a silent reader
 constexpr milliseconds pullAgain{300}; // after which a pull of the same version is repeated elsewhere
 constexpr int packLevel = 6; // zlib's default balance of time and size
 constexpr std::uint64_t maxPlainBytes = 64UL * 1024 * 1024;
@@ -67,18 +66,6 @@
 
 } // namespace
 
-bool shouldRead(const reader_facts &facts)
-{
-    const milliseconds overdue = readWait(facts.bound) + facts.bound / 8;
-    return facts.rank == 0 || facts.behindFor > facts.bound / 3
-        || facts.sinceWord > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, 4);
-}
-
-milliseconds readWait(milliseconds bound)
-{
-    return bound * 3 / 5;
-}
-
 spread_duty::spread_duty(mesh_context &context, inbound_side &inbound, peer_links &links)
     : m_context(context)
     , m_inbound(inbound)
@@ -402,6 +389,7 @@
 {
     net::steady_timer pause(m_context.executor);
     const milliseconds wait = readWait(m_context.options.configBound);
+    unsigned failures = 0; // reads in a row without an answer
     bool hasRead = false; // a node that starts looks once, whoever the reader is
     // A node that starts among others gets the configuration from them.
     for (milliseconds waited{0}; waited < peerConfigWait && m_context.config.table->version == 0; waited += startPoll) {
@@ -429,11 +417,13 @@
             m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_position));
         }
         if (!read.isReached) {
-            pause.expires_after(failedReadPause + milliseconds(m_context.generator() % 100));
+            const milliseconds again = readPause(++failures, facts.rank);
+            pause.expires_after(again + milliseconds(m_context.generator() % readJitterMs));
             co_await pause.async_wait(awaitResult);
             continue;
         }
         hasRead = true;
+        failures = 0;
         m_position = read.position;
         m_wordAt = steadyNow();
         if (read.hasValue) {
--- a/packages/process/mesh/spread.h
+++ b/packages/process/mesh/spread.h
@@ -12,26 +12,10 @@
 #include "process/mesh/context.h"
 #include "process/mesh/inbound.h"
 #include "process/mesh/peer_links.h"
+#include "process/store_reading/store_reading.h"
 
 namespace pistachioquay::internal {
 
-// Whether a node reads the configuration from the platform itself, and when.
-struct reader_facts
-{
-    std::size_t rank = 0; // of this node among those of its data centre that are heard of; 0 is the reader
-    duration behindFor{0}; // since another node was heard to have a newer version than this one
-    duration sinceWord{0}; // since the reader of the data centre was last heard to have read it
-    milliseconds bound{2000}; // within which a version has to be in force
-};
-
-// shouldRead decides it. The reader always does; the others step in one after the other when its word is overdue, and
-// when they know of a newer version and no other node has sent it.
-// Thread safe.
-bool shouldRead(const reader_facts &facts);
-
-// readWait returns how long a read may wait at the platform for a new version. Thread safe.
-milliseconds readWait(milliseconds bound);
-
 // Not thread safe: belongs to one loop.
 class spread_duty
 {
--- /dev/null
+++ b/packages/process/store_reading/store_reading.cc
@@ -0,0 +1,33 @@
+#include "process/store_reading/store_reading.h"
+
+#include <algorithm>
+
+namespace pistachioquay {
+
+namespace {
+
+constexpr unsigned maxDoublings = 10; // beyond it every pause is the longest
+
+} // namespace
+
+bool shouldRead(const reader_facts &facts)
+{
+    const milliseconds overdue = readWait(facts.bound) + facts.bound / 8;
+    return facts.rank == 0 || facts.behindFor > facts.bound / 3
+        || facts.sinceWord > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, lastStagger);
+}
+
+milliseconds readWait(milliseconds bound)
+{
+    return bound * 3 / 5;
+}
+
+milliseconds readPause(unsigned failures, std::size_t rank)
+{
+    const unsigned doublings = std::min(failures > 0 ? failures - 1 : 0U, maxDoublings);
+    const milliseconds longest =
+        longestReadPause + readPausePerRank * static_cast<std::int64_t>(std::min(rank, lastPauseRank));
+    return std::min(firstReadPause * (1U << doublings), longest);
+}
+
+} // namespace pistachioquay
