Soak real nodes under random faults

Found on the way: processes of the harness inherited the sockets of the test, so a replaced worker could not listen again. The copies' decision is renamed because request/retry/hedge.h holds a type of the same name.

--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -207,7 +207,7 @@
 awaitable<outbound_side::shared_copy>
 outbound_side::sendHedged(job &work, const shared_copy &first, const placement_choice &choice)
 {
-    hedge_facts facts;
+    slow_request facts;
     facts.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
     facts.workersTried = work.workersTried + 1;
     facts.maxWorkers = work.route->maxWorkers;
@@ -271,7 +271,7 @@
     work.placement.excluded.insert(firstNode);
     const placement_choice choice = choose(work);
     work.placement.excluded = excluded;
-    if (!choice.nodeId || !mayHedge({choice.expectedWaitMs, choice.expectedRunMs, work.placement.timeLeftMs})
+    if (!choice.nodeId || !maySendCopy({choice.expectedWaitMs, choice.expectedRunMs, work.placement.timeLeftMs})
         || !takeHedge(m_budget, work.service, limits(), steadyNow())) {
         return nullptr;
     }
--- a/packages/request/hedge/hedge.cc
+++ b/packages/request/hedge/hedge.cc
@@ -4,24 +4,24 @@
 
 namespace pistachioquay {
 
-std::optional<milliseconds> hedgeDelay(const hedge_facts &facts)
+std::optional<milliseconds> hedgeDelay(const slow_request &request)
 {
-    if (!facts.isRepeatable || facts.workersTried + 1 > facts.maxWorkers) {
+    if (!request.isRepeatable || request.workersTried + 1 > request.maxWorkers) {
         return std::nullopt;
     }
     // A worker that is known to be slow is given no more time than the others take.
-    const double expectedMs = facts.expectedWaitMs + std::min(facts.expectedRunMs, facts.typicalRunMs);
+    const double expectedMs = request.expectedWaitMs + std::min(request.expectedRunMs, request.typicalRunMs);
     const double earliest = expectedMs * leastHedgeRuns;
     const double patient = expectedMs * hedgeRuns;
-    const double lastOnTime = facts.targetLeftMs - facts.typicalRunMs * hedgeFit;
+    const double lastOnTime = request.targetLeftMs - request.typicalRunMs * hedgeFit;
     const double delay = lastOnTime >= earliest ? std::min(patient, lastOnTime) : patient;
-    if (delay + facts.typicalRunMs * hedgeFit > facts.timeLeftMs) {
+    if (delay + request.typicalRunMs * hedgeFit > request.timeLeftMs) {
         return std::nullopt;
     }
     return milliseconds(static_cast<std::int64_t>(delay) + 1);
 }
 
-bool mayHedge(const hedge_target &target)
+bool maySendCopy(const copy_target &target)
 {
     return target.expectedWaitMs <= target.expectedRunMs * hedgeWaitRuns
         && target.expectedWaitMs + target.expectedRunMs * hedgeFit <= target.timeLeftMs;
--- a/packages/request/hedge/hedge.h
+++ b/packages/request/hedge/hedge.h
@@ -1,7 +1,8 @@
-// When a second copy of a slow request goes to another worker.
+// When a second copy of a slow request goes to another worker of the mesh. (`request/retry/hedge.h` decides by the
+// operator's policy, for the request path of `--settings`.)
 //
-//   if (const auto delay = hedgeDelay(facts)) {
-//       if (!co_await replied(now + *delay) && mayHedge(spare)) sendCopy();
+//   if (const auto delay = hedgeDelay(request)) {
+//       if (!co_await replied(now + *delay) && maySendCopy(spare)) sendCopy();
 //   }
 //
 // Load pattern: some workers slow down for seconds, hang, or fail while their health is good, and nodes learn of it
@@ -22,7 +23,8 @@
 inline constexpr double hedgeFit = 1.2; // of a copy's expected run that must fit before the target
 inline constexpr double hedgeWaitRuns = 0.1; // expected wait of a copy, in its own runs, up to which it is sent
 
-struct hedge_facts
+// A request that a worker has, and what is known of it.
+struct slow_request
 {
     bool isRepeatable = false;
     std::uint32_t workersTried = 0; // with the one that has the request now
@@ -33,24 +35,24 @@
     double targetLeftMs = 0; // until the response loses worth; negative if that has passed
     double timeLeftMs = 0; // until it is of no use
 
-    friend auto operator<=>(const hedge_facts &, const hedge_facts &) = default;
+    friend auto operator<=>(const slow_request &, const slow_request &) = default;
 };
 
 // hedgeDelay returns how long to wait for the first worker before a copy is sent; empty if none may be sent. Thread
 // safe.
-std::optional<milliseconds> hedgeDelay(const hedge_facts &facts);
+std::optional<milliseconds> hedgeDelay(const slow_request &request);
 
 // The worker that would get the copy.
-struct hedge_target
+struct copy_target
 {
     double expectedWaitMs = 0;
     double expectedRunMs = 0;
     double timeLeftMs = 0;
 
-    friend auto operator<=>(const hedge_target &, const hedge_target &) = default;
+    friend auto operator<=>(const copy_target &, const copy_target &) = default;
 };
 
-// mayHedge tells whether the copy may go there. Thread safe.
-bool mayHedge(const hedge_target &target);
+// maySendCopy tells whether the copy may go there. Thread safe.
+bool maySendCopy(const copy_target &target);
 
 } // namespace pistachioquay
--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -38,6 +38,8 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(logHandle, STDOUT_FILENO);
     dup2(logHandle, STDERR_FILENO);
+    // Sockets of the test itself, such as those of stand-ins, must close when the test closes them.
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     execv(arguments[0], arguments);
     _exit(execFailed);
 }
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -41,12 +41,16 @@
 
 } // namespace
 
-platform_mesh::platform_mesh(const std::vector<node_plan> &nodes)
+platform_mesh::platform_mesh(const std::vector<node_plan> &nodes, wiring links)
 {
     for (const node_plan &plan : nodes) {
         node_state &node = m_nodes[plan.name];
         node.plan = plan;
         node.addresses = freeAddresses(AddressCount);
+        if (links == wiring::Relayed) {
+            node.storeRelay = std::make_unique<fault_relay>(m_store.address());
+            node.workerRelay = std::make_unique<fault_relay>(node.addresses[Worker]);
+        }
     }
     for (const node_plan &plan : nodes) {
         startNode(plan.name);
@@ -63,19 +67,25 @@
     return names;
 }
 
+endpoint platform_mesh::callerAddress(const std::string &node) const
+{
+    return m_nodes.at(node).addresses[Outbound];
+}
+
 std::string platform_mesh::settingsOf(const node_state &node) const
 {
     const auto text = [&](address_index index) {
         return "\"" + toText(node.addresses[index]) + "\"\n";
     };
+    const std::string worker = node.workerRelay ? "\"" + toText(node.workerRelay->address()) + "\"\n" : text(Worker);
+    const endpoint store = node.storeRelay ? node.storeRelay->address() : m_store.address();
     const std::string port = std::to_string(node.addresses[Datagrams].port);
     return "[self]\nnodeName = \"" + node.plan.name + "\"\nipAddress = \"127.0.0.1\"\nzone = \"" + node.plan.dataCentre
-        + "\"\nservice = \"" + node.plan.service + "\"\napplicationAddress = " + text(Worker)
+        + "\"\nservice = \"" + node.plan.service + "\"\napplicationAddress = " + worker
         + "[self.limits]\nmemoryMb = 260\nfileDescriptors = 1000\nlinkBandwidthMbps = 1000.0\n"
         + "[network]\ninternalPortRange = [" + port + "," + port + "]\n[network.listenAddresses]\ninbound = "
         + text(Inbound) + "outbound = " + text(Outbound) + "ready = " + text(Ready) + "control = " + text(Control)
-        + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(m_store.address())
-        + "\"\n"
+        + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(store) + "\"\n"
         + "[terms.bounds]\ndrainTimeoutMs = 2000\ngracePeriodS = 6\nconfigApplyMs = 2000\nretryBudgetRatio = 0.2\n"
         + "budgetWindowS = 10\nbudgetExtraRetries = 64\n";
 }
@@ -103,6 +113,7 @@
     options.dataCentre = state.plan.dataCentre;
     options.address = state.addresses[Worker];
     options.control = state.addresses[Control];
+    options.announced = state.workerRelay ? state.workerRelay->address() : endpoint{};
     state.worker = std::make_unique<worker_stand_in>(options);
 }
 
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -14,6 +14,7 @@
 #include "testing/harness/process.h"
 #include "testing/platform/store_stand_in.h"
 #include "testing/platform/worker_stand_in.h"
+#include "testing/soak/fault_relay.h"
 
 namespace pistachioquay::testing {
 
@@ -49,10 +50,17 @@
     whole_response response;
 };
 
+// How nodes reach their workers and the store.
+enum class wiring : std::uint8_t
+{
+    Direct,
+    Relayed, // by relays that can harm the connections
+};
+
 class platform_mesh
 {
 public:
-    explicit platform_mesh(const std::vector<node_plan> &nodes);
+    explicit platform_mesh(const std::vector<node_plan> &nodes, wiring links = wiring::Direct);
 
     store_stand_in &store()
     {
@@ -67,6 +75,17 @@
         return m_nodes.at(node).process;
     }
     std::vector<std::string> names() const;
+    // callerAddress is where the callers of a node send their requests.
+    endpoint callerAddress(const std::string &node) const;
+    // Relays of a node; only with `wiring::Relayed`.
+    fault_relay &storeRelay(const std::string &node)
+    {
+        return *m_nodes.at(node).storeRelay;
+    }
+    fault_relay &workerRelay(const std::string &node)
+    {
+        return *m_nodes.at(node).workerRelay;
+    }
 
     // publish writes a configuration as the operator does.
     void publish(unsigned version, const std::vector<route_plan> &routes);
@@ -91,6 +110,8 @@
         node_plan plan;
         std::vector<endpoint> addresses; // inbound, outbound, ready, control, worker, datagrams
         child_process process;
+        std::unique_ptr<fault_relay> storeRelay;
+        std::unique_ptr<fault_relay> workerRelay;
         std::unique_ptr<worker_stand_in> worker;
     };
 
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -67,7 +67,7 @@
 awaitable<bool> worker_stand_in::announce(std::string state)
 {
     const boost::json::value body = {
-        {"address", toText(m_options.address)},
+        {"address", toText(m_options.announced.port > 0 ? m_options.announced : m_options.address)},
         {"born", m_startedMs},
         {"information",
          {{"service", m_options.service},
@@ -154,10 +154,20 @@
     co_return response;
 }
 
-void worker_stand_in::hang()
+void worker_stand_in::hang(bool isHanging)
 {
     const std::lock_guard guard(m_mutex);
-    m_isHanging = true;
+    m_isHanging = isHanging;
+}
+
+std::map<std::string, unsigned> worker_stand_in::runsById() const
+{
+    const std::lock_guard guard(m_mutex);
+    std::map<std::string, unsigned> runs;
+    for (const auto &[id, seen] : m_seen) {
+        runs[id] = seen.runs;
+    }
+    return runs;
 }
 
 seen_request worker_stand_in::seen(const std::string &id) const
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -30,6 +30,7 @@
     std::string dataCentre;
     endpoint address;
     endpoint control; // of the node beside it
+    endpoint announced; // where the node reaches it; the address itself if it has no port
     unsigned slots = 4;
     milliseconds noticeInterval{300};
 };
@@ -56,12 +57,14 @@
 
     // drain announces that the worker leaves, and returns when the node has acknowledged it; false after `atMost`.
     bool drain(milliseconds atMost);
-    // hang makes all further runs hang.
-    void hang();
+    // hang makes all further runs hang; `isHanging` false ends that.
+    void hang(bool isHanging = true);
     // seen returns what is known of a request id.
     seen_request seen(const std::string &id) const;
     // lastStart returns when the last run began.
     time_point lastStart() const;
+    // runsById returns how often each id ran.
+    std::map<std::string, unsigned> runsById() const;
     // totalRuns returns the number of runs of all ids, and doubledRuns that of the ids that ran more than once.
     unsigned totalRuns() const;
     std::vector<std::string> doubledRuns() const;
