--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -159,7 +159,9 @@
     for (const std::string service : {"orders", "shop"}) {
         for (const std::string dataCentre : {"dc-1", "dc-2"}) {
             for (unsigned index = 0; index < plan.workersPerService; ++index) {
-                nodes.push_back({service + "-" + dataCentre + "-" + std::to_string(index), service, dataCentre});
+                std::string name = service;
+                name.append("-").append(dataCentre).append("-").append(std::to_string(index));
+                nodes.push_back({std::move(name), service, dataCentre});
             }
         }
     }
