--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -168,6 +168,13 @@
         reply.kind = reply_kind::NotRun;
         reply.reason = std::string(handedBackReason);
         m_context.metrics.count("inbound_handed_back_total");
+        m_context.log(log_line("inbound", "handed-back")
+                          .add("id", message.id)
+                          .add("route", message.route)
+                          .add("expected_wait_ms", verdict.expectedWaitMs)
+                          .add("allowed_wait_ms", message.longestWaitMs)
+                          .add("running", m_line.running.size())
+                          .add("waiting", m_line.waiting.size()));
         co_return false;
     }
     if (verdict.kind == offer_kind::Run) {
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -30,7 +30,7 @@
     archive(response.status, response.headers, response.body);
 }
 
-inline constexpr std::uint16_t meshFormat = 1;
+inline constexpr std::uint16_t meshFormat = 2;
 
 enum class frame_kind : std::uint8_t
 {
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -207,17 +207,16 @@
 awaitable<outbound_side::shared_copy>
 outbound_side::sendHedged(job &work, const shared_copy &first, const placement_choice &choice)
 {
-    slow_request facts;
-    facts.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
-    facts.workersTried = work.workersTried + 1;
-    facts.maxWorkers = work.route->maxWorkers;
-    facts.expectedWaitMs = choice.expectedWaitMs;
-    facts.expectedRunMs = choice.expectedRunMs;
-    facts.typicalRunMs = choice.typicalRunMs;
-    facts.targetLeftMs = work.placement.targetLeftMs;
-    facts.timeLeftMs = work.placement.timeLeftMs;
-    const auto delay = hedgeDelay(facts);
-    std::vector<shared_copy> copies{first};
+    slow_request request;
+    request.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
+    request.workersTried = work.workersTried + 1;
+    request.maxWorkers = work.route->maxWorkers;
+    request.expectedWaitMs = choice.expectedWaitMs;
+    request.expectedRunMs = choice.expectedRunMs;
+    request.typicalRunMs = choice.typicalRunMs;
+    request.targetLeftMs = work.placement.targetLeftMs;
+    request.timeLeftMs = work.placement.timeLeftMs;
+    const auto delay = hedgeDelay(request);
     work.control->onCancel([first] {
         first->control->cancel();
     });
@@ -232,11 +231,23 @@
     const auto changed = std::make_shared<wait_point>(m_context.executor);
     launch(first, changed);
     co_await changed->waitUntil(first->sentAt + *delay);
-    if (!first->reply && !work.control->isCancelled()) {
-        if (const shared_copy second = hedge(work, first->nodeId)) {
-            copies.push_back(second);
-            launch(second, changed);
-        }
+    const bool isSlow = !first->reply && !work.control->isCancelled();
+    const shared_copy second = isSlow ? hedge(work, *first) : nullptr;
+    if (second) {
+        launch(second, changed);
+    }
+    co_return co_await race(work, first, second, changed);
+}
+
+// Waits for the first reply that can be passed on, or for the end of both copies. `second` may be null.
+awaitable<outbound_side::shared_copy> outbound_side::race(job &work,
+                                                          const shared_copy &first,
+                                                          const shared_copy &second,
+                                                          const std::shared_ptr<wait_point> &changed)
+{
+    std::vector<shared_copy> copies{first};
+    if (second) {
+        copies.push_back(second);
     }
     work.control->onCancel([copies] {
         for (const shared_copy &copy : copies) {
@@ -265,10 +276,10 @@
 }
 
 // Chooses another worker for a copy; null if none has a free slot or the budget is spent.
-outbound_side::shared_copy outbound_side::hedge(job &work, const std::string &firstNode)
+outbound_side::shared_copy outbound_side::hedge(job &work, const sent_copy &first)
 {
     const std::set<std::string> excluded = work.placement.excluded;
-    work.placement.excluded.insert(firstNode);
+    work.placement.excluded.insert(first.nodeId);
     const placement_choice choice = choose(work);
     work.placement.excluded = excluded;
     if (!choice.nodeId || !maySendCopy({choice.expectedWaitMs, choice.expectedRunMs, work.placement.timeLeftMs})
@@ -276,6 +287,14 @@
         return nullptr;
     }
     m_context.metrics.count("hedges_total");
+    m_context.log(log_line("outbound", "copy-sent")
+                      .add("id", work.id)
+                      .add("route", work.route->name)
+                      .add("first", first.nodeId)
+                      .add("second", *choice.nodeId)
+                      .add("after_ms", msBetween(first.sentAt, steadyNow()))
+                      .add("expected_wait_ms", choice.expectedWaitMs)
+                      .add("expected_run_ms", choice.expectedRunMs));
     return copyFor(work, choice);
 }
 
@@ -308,12 +327,14 @@
 void outbound_side::noteEnd(job &work, const sent_copy &copy)
 {
     learn(work, copy.nodeId, *copy.reply);
-    if (isHandedBack(*copy.reply)) {
+    const bool wasHandedBack = isHandedBack(*copy.reply);
+    if (wasHandedBack) {
         ++work.handBacks; // the node stays a choice, with what it has told of its line
     } else {
         work.placement.excluded.insert(copy.nodeId);
     }
-    work.trail += (work.trail.empty() ? "" : ",") + copy.nodeId + ":" + std::string(replyName(copy.reply->kind));
+    const std::string_view outcome = wasHandedBack ? handedBackReason : replyName(copy.reply->kind);
+    work.trail += (work.trail.empty() ? "" : ",") + copy.nodeId + ":" + std::string(outcome);
 }
 
 bool outbound_side::mayGoOn(job &work, const call_reply &reply)
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -70,7 +70,9 @@
     shared_copy copyFor(job &work, const placement_choice &choice) const;
     // sendHedged sends the copy and, if that takes long, another one elsewhere; returns the one whose reply counts.
     awaitable<shared_copy> sendHedged(job &work, const shared_copy &first, const placement_choice &choice);
-    shared_copy hedge(job &work, const std::string &firstNode);
+    awaitable<shared_copy>
+    race(job &work, const shared_copy &first, const shared_copy &second, const std::shared_ptr<wait_point> &changed);
+    shared_copy hedge(job &work, const sent_copy &first);
     void launch(const shared_copy &copy, const std::shared_ptr<wait_point> &changed);
     void dropSlower(job &work, const shared_copy &copy);
     void noteEnd(job &work, const sent_copy &copy);
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <numeric>
 #include <stdexcept>
+#include <thread>
 
 #include <boost/asio/detached.hpp>
 #include <boost/json/serialize.hpp>
@@ -14,6 +15,7 @@
 
 constexpr milliseconds defaultRun{2};
 constexpr milliseconds noticeTimeout{1000};
+constexpr milliseconds listenRetry{2000};
 
 std::uint64_t numberIn(const std::string &target, const std::string &name)
 {
@@ -31,23 +33,14 @@
     : m_options(std::move(options))
     , m_startedMs(unixNowMs())
 {
-    m_server = std::make_unique<loop_server>(m_loop.executor(),
-                                             loop_server_options{.address = m_options.address},
-                                             [this](const whole_request &request, caller_presence &caller) {
-                                                 return run(request, caller);
-                                             });
     m_node = std::make_unique<loop_client>(m_loop.executor(), loop_client_options{.target = m_options.control});
-    const bool isStarted = m_loop.run([this] {
-        net::co_spawn(
-            m_loop.executor(),
-            [this] {
-                return announceLoop();
-            },
-            net::detached);
-        return static_cast<bool>(attempt([this] {
-            return m_server->start();
-        }));
-    });
+    // A child process between fork and exec may still hold the socket of the worker that had the address before.
+    const time_point until = steadyNow() + listenRetry;
+    bool isStarted = listen();
+    while (!isStarted && steadyNow() < until) {
+        std::this_thread::sleep_for(milliseconds(20));
+        isStarted = listen();
+    }
     if (!isStarted) {
         throw std::runtime_error("the stand-in of a worker cannot listen on " + toText(m_options.address));
     }
@@ -59,11 +52,56 @@
         m_isStopped = true;
         m_server->stop();
         m_node->closeAll();
+        std::ranges::for_each(m_pauses, [](net::steady_timer *timer) {
+            timer->cancel();
+        });
         return 0;
     });
+    // What is suspended uses the client and the server, so it ends before they do.
+    const auto isIdle = [this] {
+        return m_loop.run([this] {
+            return m_active == 0;
+        });
+    };
+    const time_point until = steadyNow() + 2 * noticeTimeout;
+    while (!isIdle() && steadyNow() < until) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
     m_loop.stop();
 }
 
+bool worker_stand_in::listen()
+{
+    m_server = std::make_unique<loop_server>(m_loop.executor(),
+                                             loop_server_options{.address = m_options.address},
+                                             [this](const whole_request &request, caller_presence &caller) {
+                                                 return run(request, caller);
+                                             });
+    return m_loop.run([this] {
+        const bool isListening = static_cast<bool>(attempt([this] {
+            return m_server->start();
+        }));
+        if (isListening) {
+            net::co_spawn(
+                m_loop.executor(),
+                [this] {
+                    return announceLoop();
+                },
+                net::detached);
+        }
+        return isListening;
+    });
+}
+
+// Waits for the length, or until the stand-in is stopped.
+awaitable<void> worker_stand_in::pause(milliseconds length)
+{
+    net::steady_timer timer(m_loop.executor(), m_isStopped ? milliseconds(0) : length);
+    m_pauses.insert(&timer);
+    co_await timer.async_wait(awaitResult);
+    m_pauses.erase(&timer);
+}
+
 awaitable<bool> worker_stand_in::announce(std::string state)
 {
     const boost::json::value body = {
@@ -87,6 +125,7 @@
 
 awaitable<void> worker_stand_in::announceLoop()
 {
+    ++m_active;
     while (!m_isStopped) {
         std::string state;
         {
@@ -94,9 +133,9 @@
             state = m_state;
         }
         co_await announce(state);
-        net::steady_timer pause(m_loop.executor(), m_options.noticeInterval);
-        co_await pause.async_wait(awaitResult);
+        co_await pause(m_options.noticeInterval);
     }
+    --m_active;
 }
 
 bool worker_stand_in::drain(milliseconds atMost)
@@ -143,8 +182,9 @@
     ++m_running;
     const std::uint64_t runMs = numberIn(request.target, "run");
     const milliseconds usual = runMs > 0 ? milliseconds(runMs) : defaultRun;
-    net::steady_timer work(m_loop.executor(), isHanging ? hangTime : usual);
-    co_await work.async_wait(awaitResult);
+    ++m_active;
+    co_await pause(isHanging ? hangTime : usual);
+    --m_active;
     --m_running;
     const std::uint64_t failure = numberIn(request.target, "fail");
     response.status = numberIn(request.target, "lose") > 0 ? 0 : failure > 0 ? static_cast<unsigned>(failure) : 200;
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 
 #include "connection/loop/http_client.h"
@@ -74,7 +75,9 @@
     }
 
 private:
+    bool listen();
     awaitable<whole_response> run(const whole_request &request, caller_presence &caller);
+    awaitable<void> pause(milliseconds length);
     awaitable<void> announceLoop();
     awaitable<bool> announce(std::string state);
 
@@ -88,6 +91,8 @@
     unsigned m_running = 0;
     std::uint64_t m_sequence = 0;
     bool m_isStopped = false;
+    std::set<net::steady_timer *> m_pauses; // of runs and notices; belongs to the loop
+    unsigned m_active = 0; // runs, and the loop of notices; belongs to the loop
     loop_thread m_loop;
     std::unique_ptr<loop_server> m_server;
     std::unique_ptr<loop_client> m_node;
