Remove a branch that repeats the next one

finalResponse answered 502 for a request that may have run in two branches with the same result, the first one only for requests that may run once.

--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -489,9 +489,6 @@
     case reply_kind::RejectedByWorker: {
         const bool mayHaveRun =
             work.trail.find(":unknown") != std::string::npos || work.trail.find(":response") != std::string::npos;
-        if (mayHaveRun && work.route->repeat == repeat_rule::AtMostOnce) {
-            return failure(work, 502, reply.reason);
-        }
         if (mayHaveRun) {
             return failure(work, 502, reply.reason);
         }
