Keep the connections of the long-body test open

The test's worker closed its connection after each response without saying so. If the close comes late, the proxy sends the next request on the kept connection and gets a reset: its fate is unknown, and 502 is the true answer. Ruled out: a taken port (refusing_port holds it); the refusal of the first worker (it never accepts). The checks are unchanged.

--- a/packages/request/proxy/proxy_test.cc
+++ b/packages/request/proxy/proxy_test.cc
@@ -321,10 +321,13 @@
 TEST_CASE("a long body goes to another worker if the first one refuses it before its first byte", "[proxy]")
 {
     std::atomic<int> runs = 0;
+    // Keeps its connections open. One that it closed after a response could still carry the next request, whose fate
+    // would be unknown.
     raw_server upstream([&](raw_connection &peer, int) {
-        peer.receiveUntil("end");
-        ++runs;
-        peer.send(okResponse);
+        while (!peer.receiveUntil("end").empty()) {
+            ++runs;
+            peer.send(okResponse);
+        }
     });
     const refusing_port closed;
     test_mesh mesh;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -21,6 +21,8 @@
 constexpr milliseconds answerSlack{1500}; // beyond the time left, until a request counts as unanswered
 constexpr milliseconds graceTime{6000}; // gracePeriodS of the users' sites
 constexpr milliseconds drainTime{2000}; // drainTimeoutMs of the users' sites
+constexpr milliseconds programStart{500}; // a signal before the program runs ends a process that would ignore it
+constexpr milliseconds restartPause{200}; // until a process that ended is started again, as the platform does
 constexpr int leastPauseMs = 40; // between two faults
 constexpr int longestPauseMs = 400;
 constexpr int leastFaultMs = 150;
@@ -99,6 +101,7 @@
     struct node_life
     {
         bool isDown = false; // stopped or standing still by a fault
+        time_point started; // last start by the soak
         std::uint64_t boots = 0; // started by the soak
         unsigned stops = 0; // times that it went down
     };
@@ -119,6 +122,8 @@
     void strikeStore(fault_kind kind, milliseconds length);
     void strikeWorker(fault_kind kind, const std::string &node, milliseconds length);
     void terminate(const std::string &node);
+    void restartEnded(time_point now);
+    void markDown(const std::string &node);
     void restart(const std::string &node);
     void replaceWorker(const std::string &node);
     void publishNext();
@@ -285,13 +290,11 @@
 
 void soak_run::strikeNode(fault_kind kind, const std::string &node, milliseconds length)
 {
-    {
-        const std::lock_guard guard(m_mutex);
-        if (m_lives[node].isDown) {
-            return;
-        }
-        m_lives[node].isDown = kind != fault_kind::Hangup;
-        m_lives[node].stops += kind != fault_kind::Hangup ? 1 : 0;
+    if (lifeOf(node).isDown) {
+        return;
+    }
+    if (kind != fault_kind::Hangup) {
+        markDown(node);
     }
     const auto setUp = [this, node] {
         const std::lock_guard guard(m_mutex);
@@ -327,11 +330,40 @@
     });
 }
 
+// Starts processes again that ended although no fault stopped them. Only a SIGHUP before the program ignores it may end
+// one; any other end is a violation.
+void soak_run::restartEnded(time_point now)
+{
+    for (const std::string &node : m_nodes) {
+        const node_life life = lifeOf(node);
+        if (life.isDown || m_mesh.process(node).isRunning()) {
+            continue;
+        }
+        const exit_status end = m_mesh.process(node).waitForExit(milliseconds(0)).value_or(exit_status{});
+        if (end != exit_status{0, SIGHUP} || now > life.started + programStart) {
+            violated(node + ": ended by itself, exit code " + std::to_string(end.code) + ", signal "
+                     + std::to_string(end.signal));
+        }
+        markDown(node);
+        later(restartPause, [this, node] {
+            restart(node);
+        });
+    }
+}
+
+void soak_run::markDown(const std::string &node)
+{
+    const std::lock_guard guard(m_mutex);
+    m_lives[node].isDown = true;
+    ++m_lives[node].stops;
+}
+
 void soak_run::restart(const std::string &node)
 {
     m_mesh.startNode(node);
     const std::lock_guard guard(m_mutex);
     ++m_lives[node].boots;
+    m_lives[node].started = steadyNow();
     m_lives[node].isDown = false;
 }
 
@@ -491,10 +523,12 @@
         strike();
         std::this_thread::sleep_for(milliseconds(pick(leastPauseMs, longestPauseMs)));
         endFaults(steadyNow());
+        restartEnded(steadyNow());
     }
     while (!m_undos.empty()) {
         std::this_thread::sleep_for(milliseconds(leastPauseMs));
         endFaults(steadyNow());
+        restartEnded(steadyNow());
     }
     checkRecovery();
     m_isCalling = false;
