Draw two of the workers that are about as good; compare run times beyond chance

Run times are means of about eight runs and differ by a quarter by chance; all nodes know the same means, choose the same lucky worker, and fill it. Ruled out: too few slots (two thirds used at the crest); old occupation alone (with equal run times the replay met a full worker in 3% of the requests). Change: a run time counts as typical (median of the service) within a band; two of the near-equal are drawn and the better one is taken; those of the own data centre go first.

--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -34,18 +34,21 @@
     return found->second.first;
 }
 
-// Mean over the workers that have news of the route.
+// Median over the workers that have news of the route, so that a few slow ones do not make slowness typical.
 double typicalRunMs(const service_placement &service, const placement_request &request, time_point now)
 {
-    double sum = 0;
-    double count = 0;
+    std::vector<double> known;
     for (const placed_worker &worker : service.workers) {
-        if (const auto known = knownRunMs(worker, request.route, now)) {
-            sum += *known;
-            ++count;
+        if (const auto runMs = knownRunMs(worker, request.route, now)) {
+            known.push_back(*runMs);
         }
     }
-    return count > 0 ? sum / count : request.fallbackRunMs;
+    if (known.empty()) {
+        return request.fallbackRunMs;
+    }
+    const auto middle = known.begin() + static_cast<std::ptrdiff_t>((known.size() - 1) / 2);
+    std::ranges::nth_element(known, middle);
+    return *middle;
 }
 
 double waitMs(const placed_worker &worker, std::uint32_t priority, double runMs, time_point now)
@@ -90,6 +93,13 @@
     return path;
 }
 
+// The run time by which a worker is compared with others: `typicalMs` unless it differs by more than chance.
+double comparedRunMs(double runMs, double typicalMs)
+{
+    const bool isChance = runMs > typicalMs * (1.0 - fastRunChance) && runMs < typicalMs * (1.0 + slowRunChance);
+    return isChance ? typicalMs : runMs;
+}
+
 struct scored_worker
 {
     const placed_worker *worker = nullptr;
@@ -111,7 +121,7 @@
     const double slowdownWeight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
     scored.run *= 1.0 + (worker.report.slowdown - 1.0) * slowdownWeight * 0.5;
     scored.wait = waitMs(worker, request.priority, scored.run, now);
-    scored.score = scored.wait + scored.run + crowdingMs(worker, scored.run);
+    scored.score = scored.wait + comparedRunMs(scored.run, typicalMs) + crowdingMs(worker, scored.run);
     scored.score += pathMs(state, worker, request, now);
     const bool isLate = scored.wait + scored.run > request.targetLeftMs;
     const bool isLast = isLastChance(request.targetLeftMs, request.timeLeftMs, worker.report.lineRunMs);
@@ -120,6 +130,29 @@
     return scored;
 }
 
+// Draws two of the workers that are about as good as the best and takes the better one. Those of the own data centre go
+// first.
+scored_worker
+drawNear(const placement_state &state, const std::vector<scored_worker> &scored, random_generator &generator)
+{
+    const double best = std::ranges::min(scored, {}, &scored_worker::score).score;
+    const auto isNear = [&](const scored_worker &candidate) {
+        return candidate.score <= best * (1.0 + drawShare);
+    };
+    const auto isNearAndOwn = [&](const scored_worker &candidate) {
+        return isNear(candidate) && candidate.worker->entry.dataCentre == state.dataCentre;
+    };
+    std::vector<scored_worker> near;
+    std::ranges::copy_if(scored, std::back_inserter(near), isNearAndOwn);
+    if (near.empty()) {
+        std::ranges::copy_if(scored, std::back_inserter(near), isNear);
+    }
+    std::uniform_int_distribution<std::size_t> draw(0, near.size() - 1);
+    const scored_worker &first = near[draw(generator)];
+    const scored_worker &second = near[draw(generator)];
+    return second.score < first.score ? second : first;
+}
+
 std::optional<double> longestWait(const std::vector<scored_worker> &scored, const scored_worker &chosen)
 {
     std::optional<double> secondScore;
@@ -242,13 +275,7 @@
     std::erase_if(scored, [&](const scored_worker &candidate) {
         return isAnyTaking && candidate.isRefusal;
     });
-    const double best = std::ranges::min(scored, {}, &scored_worker::score).score;
-    std::vector<scored_worker> near;
-    std::ranges::copy_if(scored, std::back_inserter(near), [&](const scored_worker &candidate) {
-        return candidate.score <= best * (1.0 + drawShare);
-    });
-    std::uniform_int_distribution<std::size_t> draw(0, near.size() - 1);
-    const scored_worker &chosen = near[draw(generator)];
+    const scored_worker chosen = drawNear(state, scored, generator);
     placement_choice choice{chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run, typicalMs};
     choice.longestWaitMs = longestWait(scored, chosen);
     return choice;
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -13,7 +13,9 @@
 //   that nodes with the same old report do not all choose the same worker;
 // - a view of other nodes is older than a wait lasts, so a choice names the wait from which the second best is better
 // (`longestWaitMs`): a node that finds more waiting hands the request back at once;
-// - workers that are about as good are drawn at random;
+// - measured run times are means of a few runs and views are old, so the worker that seems best is the same for all
+//   nodes and not the best: two of those that are about as good are drawn, and the better one is taken;
+// - among workers that are about as good, those of the own data centre go first;
 // - another data centre costs a share of the target that grows with the bytes, because traffic between data centres is
 //   paid for: it is chosen when the wait here is longer by that much;
 // - a body takes its time on the links of both VMs, the longer the busier they are: a fast worker behind a slow link
@@ -48,7 +50,10 @@
 inline constexpr double headBytes = 800.0; // of a request and a response besides their bodies
 inline constexpr double leastLinkShare = 0.08; // of a link's rate that a transfer gets at least
 inline constexpr double reportHalfLifeMs = 400.0; // after which a reported wait counts half
-inline constexpr double drawShare = 0.06; // workers within this share of the best time are drawn at random
+inline constexpr double drawShare = 0.1; // workers within this share of the best expected time count as equal
+inline constexpr double slowRunChance =
+    0.35; // means of a few runs exceed the typical run by this share without a reason
+inline constexpr double fastRunChance = 0.6; // and stay below it; more, since the lowest of many means is seen by all
 inline constexpr double failurePenalty = 2.0; // expected times that a certain failure costs
 inline constexpr double coldFactor = 2.0; // run time of a worker that has just started, before it is measured
 inline constexpr milliseconds avoidFirst{300}; // after a failed connection; doubles up to `avoidLast`
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -2,8 +2,11 @@
 // that keep getting them.
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <map>
 
+#include "base/milliseconds.h"
 #include "request/placement/placement.h"
 
 using namespace pistachioquay;
@@ -281,3 +284,112 @@
     INFO("mean wait " << simple << " ms without, " << withHandBacks << " ms with hand-backs");
     CHECK(withHandBacks < 0.7 * simple);
 }
+
+namespace {
+
+enum class placement_rule : std::uint8_t
+{
+    Random,
+    Chosen,
+};
+
+struct herd_report
+{
+    double metFull = 0; // share of requests that found no free slot
+    double leftDataCentre = 0; // share of requests
+};
+
+// Two thirds of the slots are used; run times vary widely, and nodes know them and the occupation of workers from their
+// own responses and from a few datagrams a second.
+herd_report replayNoisyRuns(placement_rule rule)
+{
+    constexpr unsigned workersPerDataCentre = 8;
+    constexpr unsigned sendersPerDataCentre = 20;
+    constexpr unsigned slots = 18;
+    constexpr double runMs = 300;
+    constexpr int lengthMs = 5000;
+    constexpr int newsMs = 30; // between two reports that a sender hears of
+    constexpr double learnWeight = 0.1;
+    const std::vector<std::string> dataCentres = {"dc-1", "dc-2", "dc-3"};
+    const double perMs = 0.65 * static_cast<double>(workersPerDataCentre * dataCentres.size() * slots) / runMs;
+    random_generator generator(11);
+    std::vector<worker_entry> entries;
+    for (const std::string &dataCentre : dataCentres) {
+        for (unsigned index = 0; index < workersPerDataCentre; ++index) {
+            worker_entry entry = workerOf(dataCentre + "-" + std::to_string(index), dataCentre);
+            entry.slots = slots;
+            entries.push_back(entry);
+        }
+    }
+    struct simulated_worker
+    {
+        std::vector<double> freeAt = std::vector<double>(slots, 0.0);
+        double meanMs = runMs;
+    };
+    std::map<std::string, simulated_worker> workers;
+    std::vector<placement_state> senders;
+    for (const std::string &dataCentre : dataCentres) {
+        for (unsigned index = 0; index < sendersPerDataCentre; ++index) {
+            senders.push_back(stateWith(entries));
+            senders.back().dataCentre = dataCentre;
+        }
+    }
+    placement_request request = requestOf();
+    request.targetMs = 1000;
+    request.targetLeftMs = 1000;
+    request.timeLeftMs = 4000;
+    request.fallbackRunMs = runMs;
+    const auto report = [&](placement_state &sender, const std::string &nodeId, time_point now) {
+        const simulated_worker &worker = workers[nodeId];
+        const double nowMs = msBetween(start, now);
+        worker_report told;
+        told.running = static_cast<std::uint32_t>(std::ranges::count_if(worker.freeAt, [&](double end) {
+            return end > nowMs;
+        }));
+        told.waitMs.fill(std::max(0.0, std::ranges::min(worker.freeAt) - nowMs));
+        noteReport(sender, service, nodeId, told, now);
+        noteRunMs(sender, service, nodeId, "sign", worker.meanMs, now);
+    };
+    std::lognormal_distribution<double> run(std::log(runMs) - 0.32, 0.8);
+    double due = 0;
+    unsigned sent = 0;
+    unsigned full = 0;
+    unsigned left = 0;
+    for (int ms = 0; ms < lengthMs; ++ms) {
+        const time_point now = start + milliseconds(ms);
+        if (ms % newsMs == 0) {
+            for (placement_state &sender : senders) {
+                report(sender, entries.at(generator() % entries.size()).nodeId, now);
+            }
+        }
+        for (due += perMs; due >= 1; due -= 1) {
+            placement_state &sender = senders.at(generator() % senders.size());
+            const std::string nodeId = rule == placement_rule::Random
+                ? entries.at(generator() % entries.size()).nodeId
+                : chooseWorker(sender, service, request, now, generator).nodeId.value();
+            simulated_worker &worker = workers[nodeId];
+            const auto slot = std::ranges::min_element(worker.freeAt);
+            full += *slot > ms ? 1 : 0;
+            left += nodeId.starts_with(sender.dataCentre) ? 0 : 1;
+            ++sent;
+            const double took = run(generator);
+            *slot = std::max<double>(*slot, ms) + took;
+            worker.meanMs += learnWeight * (took - worker.meanMs);
+            noteSent(sender, service, nodeId, 0);
+            report(sender, nodeId, now);
+        }
+    }
+    return {static_cast<double>(full) / sent, static_cast<double>(left) / sent};
+}
+
+} // namespace
+
+TEST_CASE("chance in measured run times makes no herd on one worker and sends nothing to other data centres")
+{
+    const herd_report random = replayNoisyRuns(placement_rule::Random);
+    const herd_report chosen = replayNoisyRuns(placement_rule::Chosen);
+    INFO("met a full worker: " << chosen.metFull << ", at random " << random.metFull
+                               << "; left the data centre: " << chosen.leftDataCentre);
+    CHECK(chosen.metFull < random.metFull);
+    CHECK(chosen.leftDataCentre < 0.1);
+}
