--- a/testing/harness/harness_test.cc
+++ b/testing/harness/harness_test.cc
@@ -95,6 +95,16 @@
     }
 }
 
+TEST_CASE("a program that gives its ports back does not run out of them")
+{
+    constexpr std::size_t count = 200;
+    for (std::size_t round = 0; round < 6; ++round) {
+        const address_lease lease(count);
+        CHECK(lease[count - 1].port != 0);
+    }
+    CHECK_THROWS_AS(freeAddresses(10'000), std::runtime_error);
+}
+
 TEST_CASE("node settings survive the way to TOML and back")
 {
     node_settings settings = makeNodeSettings("be-1", "orders", 18, freeAddress(), freeAddress());
--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -210,27 +210,59 @@
     return firstTestPort;
 }
 
+struct own_ports
+{
+    const std::uint16_t lowest = lowestOwnPort();
+    std::mutex mutex; // guards what follows
+    std::set<std::uint16_t> given;
+    random_generator generator = seededFromDevice();
+};
+
+own_ports &ownPorts()
+{
+    static own_ports ports;
+    return ports;
+}
+
 } // namespace
 
 std::vector<endpoint> freeAddresses(std::size_t count)
 {
-    static const std::uint16_t lowest = lowestOwnPort();
+    const std::uint16_t lowest = ownPorts().lowest;
     const auto highest = static_cast<std::uint16_t>(lowest + portsOfProgram - 1);
-    static std::mutex mutex;
-    static std::set<std::uint16_t> given;
-    static random_generator generator = seededFromDevice();
-    const std::lock_guard guard(mutex);
+    const std::lock_guard guard(ownPorts().mutex);
+    std::set<std::uint16_t> &given = ownPorts().given;
     std::vector<endpoint> addresses;
     while (addresses.size() < count && given.size() < portsOfProgram) {
-        const auto port = std::uniform_int_distribution<std::uint16_t>(lowest, highest)(generator);
+        const auto port = std::uniform_int_distribution<std::uint16_t>(lowest, highest)(ownPorts().generator);
         if (!given.contains(port) && isBindable(port, SOCK_STREAM) && isBindable(port, SOCK_DGRAM)) {
             given.insert(port);
             addresses.push_back({loopback, port});
         }
     }
+    if (addresses.size() < count) {
+        std::ranges::for_each(addresses, [&](const endpoint &address) {
+            given.erase(address.port);
+        });
+        throw std::runtime_error("this test program has used all " + std::to_string(portsOfProgram)
+                                 + " ports of its range; hold them with address_lease, which gives them back");
+    }
     return addresses;
 }
 
+address_lease::address_lease(std::size_t count)
+    : m_addresses(freeAddresses(count))
+{
+}
+
+address_lease::~address_lease()
+{
+    const std::lock_guard guard(ownPorts().mutex);
+    for (const endpoint &address : m_addresses) {
+        ownPorts().given.erase(address.port);
+    }
+}
+
 endpoint freeAddress()
 {
     return freeAddresses(1).front();
--- a/testing/harness/process.h
+++ b/testing/harness/process.h
@@ -98,13 +98,34 @@
 };
 
 // freeAddresses returns addresses on loopback whose ports are free for TCP and UDP. Thread safe. No port is returned
-// twice by one process, and ports lie below the range that the kernel takes for outgoing connections, so that a process
-// that a test restarts finds its port still free.
+// twice by one process unless an address_lease has given it back, and ports lie below the range that the kernel takes
+// for outgoing connections, so that a process that a test restarts finds its port still free. Throws when the program
+// has used up its range.
 std::vector<endpoint> freeAddresses(std::size_t count);
 
 // freeAddress returns one such address. Thread safe.
 endpoint freeAddress();
 
+// Free addresses that may be given to others once the object is destroyed. Declare it before what listens on them.
+class address_lease
+{
+public:
+    explicit address_lease(std::size_t count);
+    address_lease(const address_lease &) = delete;
+    address_lease(address_lease &&) noexcept = default;
+    address_lease &operator=(const address_lease &) = delete;
+    address_lease &operator=(address_lease &&) = delete;
+    ~address_lease();
+
+    const endpoint &operator[](std::size_t index) const
+    {
+        return m_addresses[index];
+    }
+
+private:
+    std::vector<endpoint> m_addresses;
+};
+
 // waitUntil asks `isTrue` every few milliseconds; false if it does not hold within `atMost`. Thread safe.
 bool waitUntil(const std::function<bool()> &isTrue, milliseconds atMost);
 
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -23,7 +23,6 @@
     Control,
     Worker,
     Datagrams,
-    AddressCount,
 };
 
 const std::string host = "shop.example";
@@ -46,7 +45,6 @@
     for (const node_plan &plan : nodes) {
         node_state &node = m_nodes[plan.name];
         node.plan = plan;
-        node.addresses = freeAddresses(AddressCount);
         if (links == wiring::Relayed) {
             node.storeRelay = std::make_unique<fault_relay>(m_store.address());
             node.workerRelay = std::make_unique<fault_relay>(node.addresses[Worker]);
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -105,10 +105,12 @@
     }
 
 private:
+    static constexpr std::size_t addressCount = 6; // inbound, outbound, ready, control, worker, datagrams
+
     struct node_state
     {
         node_plan plan;
-        std::vector<endpoint> addresses; // inbound, outbound, ready, control, worker, datagrams
+        address_lease addresses{addressCount};
         child_process process;
         std::unique_ptr<fault_relay> storeRelay;
         std::unique_ptr<fault_relay> workerRelay;
