--- a/packages/pistachioquay/commands.h
+++ b/packages/pistachioquay/commands.h
@@ -55,6 +55,9 @@
 changePlaces(cli_access &access, edit_kind kind, std::span<const std::string> places, const publish_options &options);
 // republishVersion publishes the tree of an earlier version as a new version.
 result<command_report> republishVersion(cli_access &access, std::uint64_t version, const publish_options &options);
+// explainFromLogs finds the lines of a request in logs of nodes, given by node and text, and says how it ended and why.
+// Rejected if no log has a line of it. It needs neither the log of the platform nor nodes. Thread safe.
+command_report explainFromLogs(std::string_view id, std::span<const std::pair<std::string, std::string>> logs);
 // showHistory lists the last records with their verdicts, newest first.
 result<command_report> showHistory(cli_access &access, std::uint64_t limit);
 // showStatus lists the nodes with their versions.
--- a/packages/pistachioquay/program/main.cc
+++ b/packages/pistachioquay/program/main.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <charconv>
 #include <csignal>
+#include <filesystem>
 #include <iostream>
 #include <map>
 
@@ -34,6 +35,7 @@
   pistachioquay [options] follow VERSION
   pistachioquay [options] report
   pistachioquay [options] snapshot [--force]
+  pistachioquay [options] explain ID FILE...
   pistachioquay --help
   pistachioquay --version
 
@@ -49,6 +51,7 @@
 
 A PLACE is DATA_CENTRE or DATA_CENTRE/SERVICE; without one it is the deployment. A PATH is
 DATA_CENTRE/SERVICE/KIND/NAME/KEY with `-` for an absent level. A FILE named - is standard input or output.
+For explain, a FILE is the log of the node that it is named after.
 
 Examples:
   pistachioquay show be-1/orders                      values in force there, and where each is set
@@ -58,6 +61,7 @@
   pistachioquay publish tree.toml                     prints the new version
   pistachioquay follow 12                             waits until all nodes have version 12
   pistachioquay report                                error budgets: how fast each service burns its own
+  pistachioquay explain a23a.33e1 logs/*.log          how a request ended and why, from logs of nodes
   pistachioquay republish 11                          the tree of version 11 as a new version
 
 Exit codes:
@@ -231,8 +235,21 @@
     return isSet(given, "diff") ? diffFile(access, text, options) : publishFile(access, text, options);
 }
 
+result<command_report> runExplain(const arguments &given)
+{
+    std::vector<std::pair<std::string, std::string>> logs;
+    for (const std::string &file : wordsOf(given, "FILE")) {
+        BOOST_LEAF_AUTO(text, readWholeFile(file));
+        logs.emplace_back(std::filesystem::path(file).stem().string(), std::move(text));
+    }
+    return explainFromLogs(given.at("ID").asString(), logs);
+}
+
 result<command_report> run(const arguments &given)
 {
+    if (isSet(given, "explain")) {
+        return runExplain(given);
+    }
     if (isSet(given, "validate")) {
         BOOST_LEAF_AUTO(text, readWholeFile(firstOf(given, "FILE")));
         return validateFile(text);
