Callers of requests that workers reject come back within their target

The budget repeats a fifth; 24% of the requests were answered 503 with Retry-After 0.3 s, so that the caller's next try began when most of its 400 ms were gone (7% came back late). Ruled out: overload (8,482 of 9,000 turned away by workers with free slots); more repeats (the budget binds). Change: after a rejection by a worker a caller may come back after a quarter to half of a run, spread.

--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -494,6 +494,11 @@
         if (mayHaveRun) {
             return failure(work, 502, reply.reason);
         }
+        if (reply.kind == reply_kind::RejectedByWorker) {
+            std::uniform_real_distribution<double> draw(0, 1);
+            const milliseconds wait = returnAfterRejection(work.expectedRunMs, draw(m_context.generator));
+            return refusal(work, reply.reason, wait.count());
+        }
         const std::int64_t named = work.retryAfterMs > 0 ? work.retryAfterMs : reply.retryAfterMs;
         return refusal(work, reply.reason, named > 0 ? named : noWorkerRetryMs);
     }
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -85,4 +85,10 @@
     return false;
 }
 
+milliseconds returnAfterRejection(double expectedRunMs, double draw)
+{
+    const double wait = expectedRunMs * (rejectedReturnRuns + rejectedSpreadRuns * draw);
+    return std::max(leastRejectedReturn, milliseconds(static_cast<std::int64_t>(wait)));
+}
+
 } // namespace pistachioquay
--- a/packages/request/resend/resend.h
+++ b/packages/request/resend/resend.h
@@ -22,6 +22,10 @@
 inline constexpr double hedgeShare = 0.5; // of the allowance that copies of slow requests may use
 inline constexpr double ownShare = 0.8; // of the allowance; the rest covers calls that repeated runs make again
 
+inline constexpr double rejectedReturnRuns = 0.25; // expected runs until a rejected caller may come back, at least
+inline constexpr double rejectedSpreadRuns = 0.25; // added at most, so that returns are spread
+inline constexpr milliseconds leastRejectedReturn{5};
+
 // The bound that holds for all nodes together.
 struct resend_limits
 {
@@ -88,4 +92,10 @@
 // request that no worker has seen is not bounded by `maxWorkers`. Thread safe.
 bool mayResend(const resend_facts &facts);
 
+// returnAfterRejection returns when a caller may come back after a worker has rejected its request and no repeat is
+// left. Load pattern: the workers of a service reject at random although they have room, more requests than the budget
+// can repeat. The next try is as good as a later one, so callers come back within their target, and not all at once:
+// `draw` is random from 0 to 1. Thread safe.
+milliseconds returnAfterRejection(double expectedRunMs, double draw);
+
 } // namespace pistachioquay
--- a/packages/request/resend/resend_test.cc
+++ b/packages/request/resend/resend_test.cc
@@ -1,6 +1,10 @@
 // Guards against repeats that multiply load, and repeats of requests that may have run.
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <random>
+
+#include "base/random.h"
 #include "request/resend/resend.h"
 
 using namespace pistachioquay;
@@ -108,3 +112,46 @@
     CHECK(resends >= hedges - 1);
     CHECK(hedges + resends <= 0.2 * 100 + 64);
 }
+
+namespace {
+
+// Callers whose target is 400 ms come back twice after a rejection; every worker rejects 55% of what it gets and runs
+// the rest for 80 ms. Returns the share that ends on time.
+double replayRejections(const std::function<milliseconds(double)> &returnAfter)
+{
+    constexpr unsigned callers = 10'000;
+    constexpr unsigned tries = 3;
+    constexpr double targetMs = 400;
+    constexpr double runMs = 80;
+    random_generator generator(3);
+    std::bernoulli_distribution isRejected(0.55);
+    std::uniform_real_distribution<double> draw(0, 1);
+    unsigned onTime = 0;
+    for (unsigned caller = 0; caller < callers; ++caller) {
+        double atMs = 0;
+        bool isServed = false;
+        for (unsigned attempt = 0; attempt < tries && !isServed; ++attempt) {
+            isServed = !isRejected(generator);
+            atMs += isServed ? runMs : static_cast<double>(returnAfter(draw(generator)).count());
+        }
+        onTime += isServed && atMs <= targetMs ? 1 : 0;
+    }
+    return static_cast<double>(onTime) / callers;
+}
+
+} // namespace
+
+TEST_CASE("callers come back within their target when workers reject at random")
+{
+    const double fixed = replayRejections([](double) {
+        return milliseconds(300);
+    });
+    const double soon = replayRejections([](double draw) {
+        return returnAfterRejection(80, draw);
+    });
+    INFO("on time " << soon << ", after a fixed 300 ms " << fixed);
+    CHECK(soon > 0.8);
+    CHECK(soon > fixed);
+    CHECK(returnAfterRejection(0, 0) == leastRejectedReturn);
+    CHECK(returnAfterRejection(80, 0) != returnAfterRejection(80, 1));
+}
