Process tests: a process group for each child

When the shell that started the tests in the background ends, their process group has no parent left in the session, and the kernel sends SIGHUP to all of a group in which a process is stopped. Change: each child gets a group of its own. A test checks the group.

--- a/testing/harness/harness_test.cc
+++ b/testing/harness/harness_test.cc
@@ -2,6 +2,8 @@
 // free, and settings that the daemon would refuse.
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 #include <set>
 
 #include "testing/harness/cluster.h"
@@ -95,6 +97,19 @@
     }
 }
 
+TEST_CASE("a child has a process group of its own, so that the end of the tests' shell does not end it when paused")
+{
+    const temp_folder folder;
+    auto child = requireValue([&] {
+        return startProcess({"/bin/sleep", {"30"}, folder.file("log")});
+    });
+    CHECK(waitUntil(
+        [&] {
+            return getpgid(child.pid()) == child.pid();
+        },
+        milliseconds(5000)));
+}
+
 TEST_CASE("a program that gives its ports back does not run out of them")
 {
     constexpr std::size_t count = 200;
--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -36,6 +36,8 @@
     sigemptyset(&none);
     sigprocmask(SIG_SETMASK, &none, nullptr);
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // When the shell that started the tests ends, the kernel sends SIGHUP to its process group if a member is stopped.
+    setpgid(0, 0);
     dup2(logHandle, STDOUT_FILENO);
     dup2(logHandle, STDERR_FILENO);
     // Sockets of the test itself, such as those of stand-ins, must close when the test closes them.
