One piece for what programs do as they start; shorter explain, news and port code

Cause: the whole change read once more. Change: base/program_start; noteSlow calls noteRunMs; a projection sorts news; giveBack for ports; isRunOf, isFailedCallOf and hasNoRoute in explain, where a value that is no number is now unknown, not 0; farewellOf in the tests of worker_life.

--- a/packages/base/base_test.cc
+++ b/packages/base/base_test.cc
@@ -5,6 +5,7 @@
 
 #include "base/error.h"
 #include "base/hash.h"
+#include "base/program_start.h"
 #include "base/random.h"
 #include "base/ring.h"
 
@@ -69,3 +70,14 @@
     });
     receiver.request_stop();
 }
+
+TEST_CASE("a settings file that cannot be read is refused with its path and a remedy")
+{
+    const auto tried = attempt([] {
+        return readSettingsFile("/nowhere/node.toml");
+    });
+    REQUIRE_FALSE(tried);
+    CHECK(tried.failure().kind == error_kind::InvalidSettings);
+    CHECK(tried.failure().message.find("/nowhere/node.toml") != std::string::npos);
+    CHECK_FALSE(tried.failure().remedy.empty());
+}
--- a/packages/pistachioquay/explain/explain.cc
+++ b/packages/pistachioquay/explain/explain.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr double leastErrorStatus = 400;
+
 // Node of a line whose text before the time ends with a name, as in collected logs.
 std::string nodeBefore(std::string_view head, std::string_view fallback)
 {
@@ -54,12 +56,12 @@
     }
 }
 
-double numberOf(const node_line &line, std::string_view key)
+std::optional<double> numberOf(const node_line &line, std::string_view key)
 {
     const std::string_view text = valueOf(line, key);
     double number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number); // a value that is no number counts as 0
-    return number;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return failure == std::errc{} ? std::optional(number) : std::nullopt;
 }
 
 std::string textOf(const node_line &line, std::string_view key)
@@ -83,6 +85,11 @@
     return valueOf(line, "id") == id;
 }
 
+bool hasNoRoute(const node_line &ended)
+{
+    return valueOf(ended, "status") == "404" && valueOf(ended, "route") == "-";
+}
+
 // Name of the last node of a trail like `be-1:handed-back,be-2:unknown`.
 std::string lastNode(const node_line &ended)
 {
@@ -104,7 +111,7 @@
     reason.erase(0, reason.starts_with(marker) ? marker.size() : 0);
     std::string cause = "It was refused and has not run: " + reason + ".\n";
     for (const node_line &line : lines) {
-        if (isEvent(line, "inbound", "refused") && valueOf(line, "id") == valueOf(ended, "id")) {
+        if (isEvent(line, "inbound", "refused") && isOfRequest(line, valueOf(ended, "id"))) {
             cause += "Node " + line.node + " refused it (" + textOf(line, "reason") + "): " + textOf(line, "running")
                 + " running, " + textOf(line, "waiting") + " waiting, expected wait " + textOf(line, "expected_wait_ms")
                 + " ms and run " + textOf(line, "expected_run_ms") + " ms, " + textOf(line, "time_left_ms")
@@ -122,34 +129,43 @@
         + (valueOf(ran, "status") == "0" ? textOf(ran, "reason") : "status " + textOf(ran, "status")) + ".\n";
 }
 
+bool isRunOf(const node_line &line, const node_line &ended)
+{
+    return isEvent(line, "inbound", "ran") && isOfRequest(line, valueOf(ended, "id"));
+}
+
+// A call that the request's worker made and that failed.
+bool isFailedCallOf(const node_line &line, const node_line &ended)
+{
+    return isEvent(line, "outbound", "ended") && !isOfRequest(line, valueOf(ended, "id"))
+        && numberOf(line, "status") >= leastErrorStatus;
+}
+
 std::string explainUnknown(const node_line &ended, const std::vector<node_line> &lines)
 {
     const bool isTimeout = valueOf(ended, "status") == "504";
-    std::string cause = isTimeout ? "No response came in its time of " + textOf(ended, "time_left_ms") + " ms"
-                                  : "It was sent, and its response was lost";
-    cause += " (" + textOf(ended, "reason") + "), last at node " + lastNode(ended) + ".\n";
-    bool wasRun = false;
+    const std::string start = isTimeout ? "No response came in its time of " + textOf(ended, "time_left_ms") + " ms"
+                                        : "It was sent, and its response was lost";
+    std::string runs;
     for (const node_line &line : lines) {
-        if (isEvent(line, "inbound", "ran") && valueOf(line, "id") == valueOf(ended, "id")) {
-            cause += explainRun(line);
-            wasRun = true;
-        }
+        runs += isRunOf(line, ended) ? explainRun(line) : "";
     }
-    return wasRun ? cause : cause + "No node has logged a run of it: it may have run at a node that died.\n";
+    return start + " (" + textOf(ended, "reason") + "), last at node " + lastNode(ended) + ".\n"
+        + (runs.empty() ? "No node has logged a run of it: it may have run at a node that died.\n" : runs);
 }
 
 std::string explainResponse(const node_line &ended, const std::vector<node_line> &lines)
 {
-    const double targetMs = numberOf(ended, "target_left_ms");
-    const bool isLate = numberOf(ended, "took_ms") > targetMs;
+    const auto took = numberOf(ended, "took_ms");
+    const auto target = numberOf(ended, "target_left_ms");
+    const bool isLate = took && target && *took > *target;
     std::string cause = "The worker responded with status " + textOf(ended, "status") + " after "
         + textOf(ended, "took_ms") + " ms"
         + (isLate ? ", later than its target of " + textOf(ended, "target_left_ms") + " ms" : "") + ".\n";
     for (const node_line &line : lines) {
-        if (isEvent(line, "inbound", "ran") && valueOf(line, "id") == valueOf(ended, "id")) {
+        if (isRunOf(line, ended)) {
             cause += explainRun(line);
-        } else if (isEvent(line, "outbound", "ended") && valueOf(line, "id") != valueOf(ended, "id")
-                   && numberOf(line, "status") >= 400) {
+        } else if (isFailedCallOf(line, ended)) {
             cause += "Its worker's call " + textOf(line, "id") + " to " + textOf(line, "service")
                 + " ended with status " + textOf(line, "status") + ": explain that id for its cause.\n";
         }
@@ -159,7 +175,7 @@
 
 std::string causeOf(const node_line &ended, const std::vector<node_line> &lines)
 {
-    if (valueOf(ended, "status") == "404" && valueOf(ended, "route") == "-") {
+    if (hasNoRoute(ended)) {
         return explainNoRoute(ended);
     }
     if (valueOf(ended, "outcome") == "caller-left") {
@@ -173,7 +189,7 @@
 
 std::string nextOf(const node_line &ended)
 {
-    if (valueOf(ended, "status") == "404" && valueOf(ended, "route") == "-") {
+    if (hasNoRoute(ended)) {
         return "Compare `[config] in-force` of " + ended.node + " with other nodes at that time.\n";
     }
     if (valueOf(ended, "outcome") == "unknown") {
--- a/packages/pistachioquayd/main.cc
+++ b/packages/pistachioquayd/main.cc
@@ -6,6 +6,7 @@
 
 #include <docopt/docopt.h>
 
+#include "base/program_start.h"
 #include "pistachioquayd/settings_node.h"
 #include "platform/platform_node.h"
 
--- a/packages/pistachioquayd/no_settings_node.cc
+++ b/packages/pistachioquayd/no_settings_node.cc
@@ -3,6 +3,8 @@
 
 #include <iostream>
 
+#include "base/program_start.h"
+
 namespace pistachioquay {
 
 int runSettingsNode(const std::string & /*settingsPath*/, bool /*onlyChecks*/)
--- a/packages/pistachioquayd/settings_node.cc
+++ b/packages/pistachioquayd/settings_node.cc
@@ -1,12 +1,11 @@
 #include "pistachioquayd/settings_node.h"
 
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 #include <glog/logging.h>
 
+#include "base/program_start.h"
 #include "process/node/node.h"
 #include "process/settings/settings.h"
 
@@ -16,28 +15,13 @@
 
 result<node_settings> loadSettings(const std::string &path)
 {
-    std::ifstream file(path);
-    if (!file) {
-        return fail(error_kind::InvalidSettings, "cannot read `" + path + "`", "check the path and its permissions");
-    }
-    const std::string text(std::istreambuf_iterator<char>(file), {});
+    BOOST_LEAF_AUTO(text, readSettingsFile(path));
     return readNodeSettings(text);
 }
 
-sigset_t blockShutdownSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
 int runNode(const node_settings &settings)
 {
-    const sigset_t signals = blockShutdownSignals();
+    const sigset_t ends = blockEndSignals();
     node running(settings);
     const auto started = attempt([&] {
         return running.start();
@@ -47,7 +31,7 @@
         return exitFailure;
     }
     int received = 0;
-    sigwait(&signals, &received);
+    sigwait(&ends, &received);
     running.shutDown();
     return 0;
 }
--- a/packages/process/fleet/fleet.cc
+++ b/packages/process/fleet/fleet.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <iterator>
 #include <tuple>
 
@@ -94,9 +95,7 @@
     std::ranges::shuffle(others, generator);
     // What was heard last is news for most others; old records mostly are not.
     const auto fresh = others.begin() + static_cast<std::ptrdiff_t>(std::min(others.size(), count * freshDraws));
-    std::sort(others.begin(), fresh, [](const known_node *left, const known_node *right) {
-        return left->heardAt > right->heardAt;
-    });
+    std::ranges::sort(others.begin(), fresh, std::ranges::greater(), &known_node::heardAt);
     changed.insert(changed.end(), others.begin(), others.end());
     changed.resize(std::min(changed.size(), count));
     std::vector<node_record> news;
--- a/packages/process/worker_life/worker_life_test.cc
+++ b/packages/process/worker_life/worker_life_test.cc
@@ -21,6 +21,14 @@
     return notice;
 }
 
+worker_notice farewellOf(std::string workerId)
+{
+    worker_notice farewell;
+    farewell.kind = notice_kind::Left;
+    farewell.workerId = std::move(workerId);
+    return farewell;
+}
+
 } // namespace
 
 TEST_CASE("a notice of an older process does not replace a newer one")
@@ -54,9 +62,7 @@
 {
     worker_life life;
     applyNotice(life, noticeOf("w2", 2000, 3), start);
-    worker_notice farewell;
-    farewell.kind = notice_kind::Left;
-    farewell.workerId = "w1";
+    worker_notice farewell = farewellOf("w1");
     CHECK(applyNotice(life, farewell, start) == notice_verdict::Stale);
     CHECK(mayTakeWork(life));
     farewell.workerId = "w2";
@@ -68,9 +74,7 @@
 {
     worker_life life;
     applyNotice(life, noticeOf("w1", 2000, 0), start);
-    worker_notice farewell;
-    farewell.kind = notice_kind::Left;
-    farewell.workerId = "w1";
+    worker_notice farewell = farewellOf("w1");
     farewell.startedMs = 1000;
     CHECK(applyNotice(life, farewell, start) == notice_verdict::Stale);
     CHECK(mayTakeWork(life));
@@ -79,9 +83,7 @@
 TEST_CASE("a farewell that is the first notice of a process holds against its later heartbeats")
 {
     worker_life life;
-    worker_notice farewell;
-    farewell.kind = notice_kind::Left;
-    farewell.workerId = "w1";
+    worker_notice farewell = farewellOf("w1");
     farewell.receivedMs = 5000;
     applyNotice(life, farewell, start);
     worker_notice heartbeat = noticeOf("w1", 1000, 15);
@@ -97,9 +99,7 @@
 TEST_CASE("a worker that starts again after a farewell of unknown start takes work")
 {
     worker_life life;
-    worker_notice farewell;
-    farewell.kind = notice_kind::Left;
-    farewell.workerId = "w1";
+    worker_notice farewell = farewellOf("w1");
     farewell.receivedMs = 5000;
     applyNotice(life, farewell, start);
     applyNotice(life, noticeOf("w1", 6000, 0), start);
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -223,9 +223,9 @@
               double milliseconds,
               time_point now)
 {
-    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+    if (const placed_worker *worker = findWorker(state, service, nodeId)) {
         const double known = knownRunMs(*worker, route, now).value_or(0.0);
-        worker->runMs[route] = {std::max(known, milliseconds), now};
+        noteRunMs(state, service, nodeId, route, std::max(known, milliseconds), now);
     }
 }
 
--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -226,26 +226,31 @@
     return ports;
 }
 
+// The caller holds the mutex.
+void giveBack(own_ports &ports, const std::vector<endpoint> &addresses)
+{
+    for (const endpoint &address : addresses) {
+        ports.given.erase(address.port);
+    }
+}
+
 } // namespace
 
 std::vector<endpoint> freeAddresses(std::size_t count)
 {
-    const std::uint16_t lowest = ownPorts().lowest;
-    const auto highest = static_cast<std::uint16_t>(lowest + portsOfProgram - 1);
-    const std::lock_guard guard(ownPorts().mutex);
-    std::set<std::uint16_t> &given = ownPorts().given;
+    own_ports &ports = ownPorts();
+    const auto highest = static_cast<std::uint16_t>(ports.lowest + portsOfProgram - 1);
+    const std::lock_guard guard(ports.mutex);
     std::vector<endpoint> addresses;
-    while (addresses.size() < count && given.size() < portsOfProgram) {
-        const auto port = std::uniform_int_distribution<std::uint16_t>(lowest, highest)(ownPorts().generator);
-        if (!given.contains(port) && isBindable(port, SOCK_STREAM) && isBindable(port, SOCK_DGRAM)) {
-            given.insert(port);
+    while (addresses.size() < count && ports.given.size() < portsOfProgram) {
+        const auto port = std::uniform_int_distribution<std::uint16_t>(ports.lowest, highest)(ports.generator);
+        if (!ports.given.contains(port) && isBindable(port, SOCK_STREAM) && isBindable(port, SOCK_DGRAM)) {
+            ports.given.insert(port);
             addresses.push_back({loopback, port});
         }
     }
     if (addresses.size() < count) {
-        std::ranges::for_each(addresses, [&](const endpoint &address) {
-            given.erase(address.port);
-        });
+        giveBack(ports, addresses);
         throw std::runtime_error("this test program has used all " + std::to_string(portsOfProgram)
                                  + " ports of its range; hold them with address_lease, which gives them back");
     }
@@ -259,10 +264,9 @@
 
 address_lease::~address_lease()
 {
-    const std::lock_guard guard(ownPorts().mutex);
-    for (const endpoint &address : m_addresses) {
-        ownPorts().given.erase(address.port);
-    }
+    own_ports &ports = ownPorts();
+    const std::lock_guard guard(ports.mutex);
+    giveBack(ports, m_addresses);
 }
 
 endpoint freeAddress()
--- a/testing/platform_log/program/main.cc
+++ b/testing/platform_log/program/main.cc
@@ -5,6 +5,7 @@
 
 #include <docopt/docopt.h>
 
+#include "base/program_start.h"
 #include "testing/platform_log/server.h"
 
 using namespace pistachioquay;
@@ -23,18 +24,6 @@
   --retention-ms=N   Drop records older than this; 0 keeps all [default: 0].
 )";
 
-// The signals that end the program, blocked in all threads so that only the main thread takes them.
-sigset_t blockEndSignals()
-{
-    sigset_t ends;
-    sigemptyset(&ends);
-    sigaddset(&ends, SIGTERM);
-    sigaddset(&ends, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return ends;
-}
-
 int run(const log_server_options &options)
 {
     constexpr timespec tickInterval{0, 10'000'000};
--- a/testing/upstream/program/main.cc
+++ b/testing/upstream/program/main.cc
@@ -4,6 +4,7 @@
 
 #include <docopt/docopt.h>
 
+#include "base/program_start.h"
 #include "testing/upstream/server.h"
 
 using namespace pistachioquay;
@@ -64,12 +65,7 @@
 
 int serve(const worker_options &options, milliseconds drainTime)
 {
-    sigset_t ends;
-    sigemptyset(&ends);
-    sigaddset(&ends, SIGTERM);
-    sigaddset(&ends, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &ends, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    const sigset_t ends = blockEndSignals();
     worker_server server(options);
     if (!server.start()) {
         std::cerr << "cannot listen on " << toText(options.address) << " or open the record; check both\n";
