Plain wording in request admission

Comments spoke of room, swings, tickets that are named and a 'comment above'; several names were vague or private.

Test titles say what they check.

--- a/packages/request/admission/admission.cc
+++ b/packages/request/admission/admission.cc
@@ -22,7 +22,7 @@
     "concurrency-limit",
 };
 
-std::size_t slot(work_class workClass)
+std::size_t classIndex(work_class workClass)
 {
     return static_cast<std::size_t>(workClass);
 }
@@ -44,47 +44,53 @@
 
 std::vector<queued_ticket> &queueOf(admission_state &state, work_class workClass)
 {
-    return state.queues.at(slot(workClass));
+    return state.queues.at(classIndex(workClass));
 }
 
-std::uint32_t shortRunning(const admission_state &state)
+std::uint32_t runningShortRequests(const admission_state &state)
 {
-    return state.runningByClass.at(slot(work_class::Lookup)) + state.runningByClass.at(slot(work_class::Interactive));
+    return state.runningByClass.at(classIndex(work_class::Lookup))
+        + state.runningByClass.at(classIndex(work_class::Interactive));
 }
 
-std::size_t shortWaiting(const admission_state &state)
+std::size_t waitingShortRequests(const admission_state &state)
 {
-    return state.queues.at(slot(work_class::Lookup)).size() + state.queues.at(slot(work_class::Interactive)).size();
+    return state.queues.at(classIndex(work_class::Lookup)).size()
+        + state.queues.at(classIndex(work_class::Interactive)).size();
 }
 
-std::uint32_t heavyRunning(const admission_state &state)
+std::uint32_t runningHeavyRequests(const admission_state &state)
 {
-    return state.runningByClass.at(slot(work_class::Upload)) + state.runningByClass.at(slot(work_class::Background));
+    return state.runningByClass.at(classIndex(work_class::Upload))
+        + state.runningByClass.at(classIndex(work_class::Background));
 }
 
-// Time that is kept for the run of a request, so that a request that starts usually ends before its deadline. At most
-// half of the request's whole time, so that a class with long requests is still served.
-duration reserveFor(const admission_state &state, work_class workClass, duration wholeTime)
+// Time before the deadline of a request that is reserved for its run, so that a request that starts usually finishes in
+// time. It is at most half of `timeBudget`, because requests of a class with long service times would never start
+// otherwise.
+duration reservedRunTime(const admission_state &state, work_class workClass, duration timeBudget)
 {
-    const internal::service_time &known = state.serviceTime.at(slot(workClass));
-    const duration wanted = fromMs(known.meanMs + deviationsNeeded * known.deviationMs);
-    return std::min(wanted, wholeTime / 2);
+    const internal::service_time_estimate &estimate = state.serviceTimes.at(classIndex(workClass));
+    const duration wanted = fromMs(estimate.meanMs + reservedDeviations * estimate.deviationMs);
+    return std::min(wanted, timeBudget / 2);
 }
 
-// Free slots that heavy work may still take, after the room that short work needs of late. Uploads keep one slot.
-std::uint32_t heavyAllowance(const admission_state &state)
+// Number of further heavy requests that may start. One slot, and the recent demand for short requests with headroom,
+// are left to short requests; one heavy request may run in any case, so that uploads progress.
+std::uint32_t freeHeavySlots(const admission_state &state)
 {
     constexpr double demandHeadroom = 1.5;
-    const double room = state.slots - 1 - demandHeadroom * state.shortDemand;
-    const double allowed = std::clamp<double>(std::floor(room), 1, heavySlots(state.slots));
-    const auto count = static_cast<std::uint32_t>(allowed);
-    const std::uint32_t held = heavyRunning(state);
-    return count > held ? count - held : 0;
+    const double spare = state.slots - 1 - demandHeadroom * state.shortDemand;
+    const double allowed = std::clamp<double>(std::floor(spare), 1, heavySlots(state.slots));
+    const auto limit = static_cast<std::uint32_t>(allowed);
+    const std::uint32_t used = runningHeavyRequests(state);
+    return limit > used ? limit - used : 0;
 }
 
-bool isUnderPressure(const admission_state &state)
+// Whether short requests wait, or recently needed more than all slots.
+bool isOverloaded(const admission_state &state)
 {
-    return shortWaiting(state) > 0 || state.shortDemand > state.slots;
+    return waitingShortRequests(state) > 0 || state.shortDemand > state.slots;
 }
 
 bool canStart(const admission_state &state, work_class workClass)
@@ -96,24 +102,27 @@
     if (!isHeavy(workClass)) {
         return true;
     }
-    if (workClass == work_class::Background && isUnderPressure(state)) {
+    if (workClass == work_class::Background && isOverloaded(state)) {
         return false;
     }
-    return heavyAllowance(state) > 0;
+    return freeHeavySlots(state) > 0;
 }
 
-void noteDemand(admission_state &state, time_point now)
+// Exponential moving average with `demandTimeConstant`.
+void updateShortDemand(admission_state &state, time_point now)
 {
-    const double elapsed = std::max(0.0, std::chrono::duration<double>(now - state.demandAt) / demandMemory);
-    const double current = static_cast<double>(shortRunning(state)) + static_cast<double>(shortWaiting(state));
+    const double elapsed =
+        std::max(0.0, std::chrono::duration<double>(now - state.demandUpdatedAt) / demandTimeConstant);
+    const double current =
+        static_cast<double>(runningShortRequests(state)) + static_cast<double>(waitingShortRequests(state));
     state.shortDemand += (current - state.shortDemand) * (1 - std::exp(-elapsed));
-    state.demandAt = std::max(state.demandAt, now);
+    state.demandUpdatedAt = std::max(state.demandUpdatedAt, now);
 }
 
-void start(admission_state &state, const queued_ticket &queued, work_class workClass, time_point now)
+void startTicket(admission_state &state, const queued_ticket &queued, work_class workClass, time_point now)
 {
     state.running.push_back({queued.ticket, now, workClass, queued.limitIndex});
-    ++state.runningByClass.at(slot(workClass));
+    ++state.runningByClass.at(classIndex(workClass));
 }
 
 void refuse(admission_state &state, const queued_ticket &queued, refusal_reason reason, admission_events &events)
@@ -122,11 +131,11 @@
     events.push_back({queued.ticket, reason});
 }
 
-// Removes the waiting tickets of a class that could not end before their deadline.
-void expire(admission_state &state, work_class workClass, time_point now, admission_events &events)
+// Refuses the queued tickets of a class that are not expected to finish before their deadline.
+void removeUnservable(admission_state &state, work_class workClass, time_point now, admission_events &events)
 {
     std::erase_if(queueOf(state, workClass), [&](const queued_ticket &queued) {
-        const duration reserve = reserveFor(state, workClass, queued.deadline - queued.queuedAt);
+        const duration reserve = reservedRunTime(state, workClass, queued.deadline - queued.queuedAt);
         if (queued.deadline - reserve > now) {
             return false;
         }
@@ -135,7 +144,7 @@
     });
 }
 
-void refuseAll(admission_state &state, work_class workClass, refusal_reason reason, admission_events &events)
+void refuseQueued(admission_state &state, work_class workClass, refusal_reason reason, admission_events &events)
 {
     for (const queued_ticket &queued : queueOf(state, workClass)) {
         refuse(state, queued, reason, events);
@@ -143,10 +152,11 @@
     queueOf(state, workClass).clear();
 }
 
+// Whether the first queued upload has waited for half of the time to its deadline and no upload runs.
 bool isUploadOverdue(const admission_state &state, time_point now)
 {
-    const auto &queue = state.queues.at(slot(work_class::Upload));
-    if (queue.empty() || state.slots < 3 || state.runningByClass.at(slot(work_class::Upload)) > 0) {
+    const auto &queue = state.queues.at(classIndex(work_class::Upload));
+    if (queue.empty() || state.slots < 3 || state.runningByClass.at(classIndex(work_class::Upload)) > 0) {
         return false;
     }
     const queued_ticket &first = queue.front();
@@ -167,30 +177,31 @@
     return std::nullopt;
 }
 
-void startWaiting(admission_state &state, time_point now, admission_events &events)
+void startQueued(admission_state &state, time_point now, admission_events &events)
 {
     if (state.mode != serving_mode::Serving) {
         return;
     }
     while (const auto workClass = nextClass(state, now)) {
         auto &queue = queueOf(state, *workClass);
-        start(state, queue.front(), *workClass, now);
+        startTicket(state, queue.front(), *workClass, now);
         events.push_back({queue.front().ticket, refusal_reason::None});
         queue.erase(queue.begin());
     }
 }
 
-// Expected time until a request that joins the queue of its class starts.
+// Expected time until a request that is queued now starts: the mean service times of the queued requests that are
+// served before it from the same slots, plus one of its own class, divided by the number of these slots.
 duration expectedWait(const admission_state &state, work_class workClass)
 {
     const std::uint32_t slots = isHeavy(workClass) ? heavySlots(state.slots) : state.slots;
     double workMs = 0;
-    for (std::size_t index = 0; index <= slot(workClass); ++index) {
-        const bool isSameShare = isHeavy(workClass) == isHeavy(static_cast<work_class>(index));
+    for (std::size_t index = 0; index <= classIndex(workClass); ++index) {
+        const bool sharesSlots = isHeavy(workClass) == isHeavy(static_cast<work_class>(index));
         const auto waiting = static_cast<double>(state.queues.at(index).size());
-        workMs += isSameShare ? waiting * state.serviceTime.at(index).meanMs : 0;
+        workMs += sharesSlots ? waiting * state.serviceTimes.at(index).meanMs : 0;
     }
-    return fromMs((workMs + state.serviceTime.at(slot(workClass)).meanMs) / slots);
+    return fromMs((workMs + state.serviceTimes.at(classIndex(workClass)).meanMs) / slots);
 }
 
 refusal_reason refusalAtArrival(const admission_state &state, const admission_request &request, time_point now)
@@ -199,53 +210,55 @@
         return state.mode == serving_mode::Draining ? refusal_reason::Draining : refusal_reason::WorkerDown;
     }
     const duration left = request.deadline - now;
-    const duration reserve = reserveFor(state, request.workClass, left);
+    const duration reserve = reservedRunTime(state, request.workClass, left);
     if (left <= duration::zero()) {
         return refusal_reason::DeadlineTooClose;
     }
-    const auto &queue = state.queues.at(slot(request.workClass));
+    const auto &queue = state.queues.at(classIndex(request.workClass));
     if (queue.empty() && canStart(state, request.workClass)) {
         return refusal_reason::None;
     }
-    if (request.workClass == work_class::Background && isUnderPressure(state)) {
+    if (request.workClass == work_class::Background && isOverloaded(state)) {
         return refusal_reason::Shed;
     }
-    if (queue.size() >= static_cast<std::size_t>(queuePerSlot.at(slot(request.workClass))) * state.slots) {
+    if (queue.size() >= static_cast<std::size_t>(maxQueuedPerSlot.at(classIndex(request.workClass))) * state.slots) {
         return refusal_reason::QueueFull;
     }
     return expectedWait(state, request.workClass) + reserve > left ? refusal_reason::DeadlineTooClose
                                                                    : refusal_reason::None;
 }
 
+// Refuses all queued background requests while more short requests wait than there are slots.
 void shedBackground(admission_state &state, admission_events &events)
 {
-    if (shortWaiting(state) > state.slots) {
-        refuseAll(state, work_class::Background, refusal_reason::Shed, events);
+    if (waitingShortRequests(state) > state.slots) {
+        refuseQueued(state, work_class::Background, refusal_reason::Shed, events);
     }
 }
 
-void noteServiceTime(admission_state &state, const running_ticket &ended, time_point now)
+void recordServiceTime(admission_state &state, const running_ticket &ended, time_point now)
 {
-    internal::service_time &known = state.serviceTime.at(slot(ended.workClass));
-    const double seen = toMs(now - ended.startedAt);
-    if (known.meanMs <= 0) {
-        known = {seen, seen / 2};
+    internal::service_time_estimate &estimate = state.serviceTimes.at(classIndex(ended.workClass));
+    const double sampleMs = toMs(now - ended.startedAt);
+    if (estimate.meanMs <= 0) {
+        estimate = {sampleMs, sampleMs / 2};
         return;
     }
-    known.deviationMs += estimateWeight * (std::abs(seen - known.meanMs) - known.deviationMs);
-    known.meanMs += estimateWeight * (seen - known.meanMs);
+    estimate.deviationMs += serviceTimeWeight * (std::abs(sampleMs - estimate.meanMs) - estimate.deviationMs);
+    estimate.meanMs += serviceTimeWeight * (sampleMs - estimate.meanMs);
 }
 
-bool endRunning(admission_state &state, std::uint64_t ticket, bool isSample, time_point now)
+// Removes a running ticket; returns false if the ticket does not run.
+bool endRunning(admission_state &state, std::uint64_t ticket, bool isServiceTimeSample, time_point now)
 {
     const auto found = std::ranges::find(state.running, ticket, &running_ticket::ticket);
     if (found == state.running.end()) {
         return false;
     }
-    if (isSample) {
-        noteServiceTime(state, *found, now);
+    if (isServiceTimeSample) {
+        recordServiceTime(state, *found, now);
     }
-    --state.runningByClass.at(slot(found->workClass));
+    --state.runningByClass.at(classIndex(found->workClass));
     releaseLimit(state.limits, found->limitIndex);
     *found = state.running.back();
     state.running.pop_back();
@@ -268,7 +281,7 @@
 {
     admission_state state;
     state.slots = std::max<std::uint32_t>(1, slots);
-    state.demandAt = now;
+    state.demandUpdatedAt = now;
     state.running.reserve(state.slots);
     state.limits = makeLimits(selfId, now);
     return state;
@@ -276,37 +289,39 @@
 
 admission_result admit(admission_state &state, const admission_request &request, time_point now)
 {
-    noteDemand(state, now);
+    updateShortDemand(state, now);
     const refusal_reason reason = refusalAtArrival(state, request, now);
     if (reason != refusal_reason::None) {
         return {admission_kind::Refused, 0, reason};
     }
     queued_ticket queued{0, now, request.deadline, noLimit};
-    const limit_verdict verdict = takeLimit(state.limits, request.limitName, request.bound, now, queued.limitIndex);
+    const limit_verdict verdict =
+        tryAcquireLimit(state.limits, request.limitName, request.bound, now, queued.limitIndex);
     if (verdict != limit_verdict::Pass) {
         const bool isRate = verdict == limit_verdict::OverRate;
         return {admission_kind::Refused, 0, isRate ? refusal_reason::RateLimit : refusal_reason::ConcurrencyLimit};
     }
     queued.ticket = ++state.lastTicket;
     if (queueOf(state, request.workClass).empty() && canStart(state, request.workClass)) {
-        start(state, queued, request.workClass, now);
+        startTicket(state, queued, request.workClass, now);
         return {admission_kind::Granted, queued.ticket, refusal_reason::None};
     }
     queueOf(state, request.workClass).push_back(queued);
     return {admission_kind::Queued, queued.ticket, refusal_reason::None};
 }
 
-void release(admission_state &state, std::uint64_t ticket, bool isSample, time_point now, admission_events &events)
+void release(
+    admission_state &state, std::uint64_t ticket, bool isServiceTimeSample, time_point now, admission_events &events)
 {
-    noteDemand(state, now);
-    if (endRunning(state, ticket, isSample, now)) {
+    updateShortDemand(state, now);
+    if (endRunning(state, ticket, isServiceTimeSample, now)) {
         advance(state, now, events);
     }
 }
 
 void cancel(admission_state &state, std::uint64_t ticket, time_point now, admission_events &events)
 {
-    noteDemand(state, now);
+    updateShortDemand(state, now);
     for (auto &queue : state.queues) {
         const auto found = std::ranges::find(queue, ticket, &queued_ticket::ticket);
         if (found != queue.end()) {
@@ -320,12 +335,12 @@
 
 void advance(admission_state &state, time_point now, admission_events &events)
 {
-    noteDemand(state, now);
+    updateShortDemand(state, now);
     for (std::size_t index = 0; index < state.queues.size(); ++index) {
-        expire(state, static_cast<work_class>(index), now, events);
+        removeUnservable(state, static_cast<work_class>(index), now, events);
     }
     shedBackground(state, events);
-    startWaiting(state, now, events);
+    startQueued(state, now, events);
 }
 
 void setMode(admission_state &state, serving_mode mode, time_point now, admission_events &events)
@@ -335,7 +350,7 @@
         const bool isDraining = mode == serving_mode::Draining;
         for (std::size_t index = 0; index < state.queues.size(); ++index) {
             const auto reason = isDraining ? refusal_reason::Draining : refusal_reason::WorkerDown;
-            refuseAll(state, static_cast<work_class>(index), reason, events);
+            refuseQueued(state, static_cast<work_class>(index), reason, events);
         }
     }
     advance(state, now, events);
@@ -347,17 +362,18 @@
     for (std::size_t index = 0; index < state.queues.size(); ++index) {
         const auto workClass = static_cast<work_class>(index);
         for (const queued_ticket &queued : state.queues.at(index)) {
-            const time_point due = queued.deadline - reserveFor(state, workClass, queued.deadline - queued.queuedAt);
-            next = next ? std::min(*next, due) : due;
+            const time_point unservableAt =
+                queued.deadline - reservedRunTime(state, workClass, queued.deadline - queued.queuedAt);
+            next = next ? std::min(*next, unservableAt) : unservableAt;
         }
     }
     const bool hasFreeSlot = state.running.size() < state.slots;
-    return next && hasFreeSlot ? std::min(*next, state.demandAt + recheckInterval) : next;
+    return next && hasFreeSlot ? std::min(*next, state.demandUpdatedAt + heavyRecheckInterval) : next;
 }
 
 std::uint32_t waitingShortCount(const admission_state &state)
 {
-    return static_cast<std::uint32_t>(shortWaiting(state));
+    return static_cast<std::uint32_t>(waitingShortRequests(state));
 }
 
 std::uint32_t waitingCount(const admission_state &state)
--- a/packages/request/admission/admission_test.cc
+++ b/packages/request/admission/admission_test.cc
@@ -1,5 +1,5 @@
-// Guards slots, shares, queues and tickets of a worker: exceeded slots overload it, a lost ticket hangs its caller, a
-// ticket granted twice runs a request twice.
+// Guards against more running requests than slots, which overload the worker; a lost ticket, whose caller waits without
+// end; and a ticket granted twice, which runs its request twice.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -24,12 +24,12 @@
     return workClass == work_class::Upload || workClass == work_class::Background;
 }
 
-// Follows every ticket from its request to its end, and checks each step against the rules of the header.
+// Tracks every ticket from admission to release and checks the rules of admission.h after each step.
 class ticket_model
 {
 public:
     explicit ticket_model(std::uint32_t slots)
-        : m_state(makeAdmission(slots, "n1", start - newNodeWait))
+        : m_state(makeAdmission(slots, "n1", start - newNodeShareDelay))
     {
     }
 
@@ -59,17 +59,17 @@
             advance(m_state, m_now, m_events);
             break;
         }
-        settle();
-        checkShares();
+        applyEvents();
+        checkInvariants();
     }
 
     void drain()
     {
         setMode(m_state, serving_mode::Draining, m_now, m_events);
-        settle();
+        applyEvents();
         RC_ASSERT(m_queued.empty());
         RC_ASSERT(waitingCount(m_state) == 0U);
-        checkShares();
+        checkInvariants();
     }
 
 private:
@@ -83,27 +83,28 @@
         }
         RC_ASSERT(m_queued.count(result.ticket) + m_granted.count(result.ticket) == 0U);
         RC_ASSERT(left > milliseconds(0));
-        auto &place = result.kind == admission_kind::Granted ? m_granted : m_queued;
-        place[result.ticket] = {workClass, m_now + left};
+        auto &tickets = result.kind == admission_kind::Granted ? m_granted : m_queued;
+        tickets[result.ticket] = {workClass, m_now + left};
     }
 
-    template<class Ends>
-    void end(std::uint32_t choice, Ends &&ends)
+    // Ends a ticket that `choice` selects: cancels it if it is queued, calls `endGranted` otherwise.
+    template<class EndGranted>
+    void end(std::uint32_t choice, EndGranted &&endGranted)
     {
-        auto &place = choice % 4U == 0 && !m_queued.empty() ? m_queued : m_granted;
-        if (place.empty()) {
+        auto &tickets = choice % 4U == 0 && !m_queued.empty() ? m_queued : m_granted;
+        if (tickets.empty()) {
             return;
         }
-        const auto chosen = std::next(place.begin(), choice / 4U % place.size());
-        if (&place == &m_queued) {
+        const auto chosen = std::next(tickets.begin(), choice / 4U % tickets.size());
+        if (&tickets == &m_queued) {
             cancel(m_state, chosen->first, m_now, m_events);
         } else {
-            ends(chosen->first);
+            endGranted(chosen->first);
         }
-        place.erase(chosen);
+        tickets.erase(chosen);
     }
 
-    void settle()
+    void applyEvents()
     {
         for (const admission_event &event : m_events) {
             const auto found = m_queued.find(event.ticket);
@@ -117,7 +118,7 @@
         m_events.clear();
     }
 
-    void checkShares() const
+    void checkInvariants() const
     {
         const auto heavy = static_cast<std::uint32_t>(std::ranges::count_if(m_granted, [](const auto &each) {
             return isHeavy(each.second.workClass);
@@ -127,12 +128,12 @@
         RC_ASSERT(waitingCount(m_state) == m_queued.size());
         RC_ASSERT(heavy <= heavySlots(m_state.slots));
         const auto &limits = m_state.limits.entries;
-        const std::size_t limited = limits.empty() ? 0 : limits.front().active;
-        RC_ASSERT(limited == m_granted.size() + m_queued.size());
+        const std::size_t inUse = limits.empty() ? 0 : limits.front().inUse;
+        RC_ASSERT(inUse == m_granted.size() + m_queued.size());
         RC_ASSERT(m_state.slots == 1U || heavy < m_state.slots);
     }
 
-    struct held
+    struct tracked_ticket
     {
         work_class workClass;
         time_point deadline;
@@ -140,11 +141,11 @@
     admission_state m_state;
     time_point m_now = start;
     admission_events m_events;
-    std::map<std::uint64_t, held> m_queued;
-    std::map<std::uint64_t, held> m_granted;
+    std::map<std::uint64_t, tracked_ticket> m_queued;
+    std::map<std::uint64_t, tracked_ticket> m_granted;
 };
 
-// A worker with one slot, which is taken by ticket 1.
+// Returns the state of a worker with one slot, which ticket 1 holds.
 admission_state makeBusy()
 {
     admission_state state = makeAdmission(1, "n1", start);
@@ -155,9 +156,10 @@
 
 } // namespace
 
-TEST_CASE("slots and shares hold, and no ticket is lost or granted twice or late")
+TEST_CASE(
+    "slots and class shares are never exceeded, and no ticket is lost, granted twice or granted after its deadline")
 {
-    CHECK(holds("tickets", 4000, [](std::uint8_t slots, const std::vector<std::uint32_t> &words) {
+    CHECK(holds("admission tickets", 4000, [](std::uint8_t slots, const std::vector<std::uint32_t> &words) {
         ticket_model model(1U + slots % 8U);
         for (const std::uint32_t word : words) {
             model.step(word);
@@ -166,7 +168,7 @@
     }));
 }
 
-TEST_CASE("a free slot goes to the classes in their order, not in order of arrival")
+TEST_CASE("a free slot goes to the class of highest priority, not to the earliest arrival")
 {
     admission_state state = makeBusy();
     admission_events events;
@@ -182,7 +184,7 @@
     CHECK(events == expected);
 }
 
-TEST_CASE("uploads and background leave room for short work")
+TEST_CASE("uploads and background requests leave slots for short requests")
 {
     admission_state state = makeAdmission(6, "n1", start);
     for (int each = 0; each < 6; ++each) {
@@ -193,7 +195,7 @@
     CHECK(admit(state, requestOf(work_class::Lookup, start + seconds(1)), start).kind == admission_kind::Granted);
 }
 
-TEST_CASE("an upload is not stalled by a long swing of interactive work")
+TEST_CASE("an upload that has waited for half of the time to its deadline goes before interactive requests")
 {
     admission_state state = makeAdmission(6, "n1", start);
     admission_events events;
@@ -212,7 +214,7 @@
     CHECK(events == admission_events{{upload.ticket, refusal_reason::None}});
 }
 
-TEST_CASE("long work does not wait for an unrelated release once the demand of short work has fallen")
+TEST_CASE("a queued upload starts at a wakeup, without a release, once the demand for short requests has decayed")
 {
     admission_state state = makeAdmission(6, "n1", start);
     admission_events events;
@@ -234,7 +236,7 @@
     CHECK(events == admission_events{{second.ticket, refusal_reason::None}});
 }
 
-TEST_CASE("a request that cannot end before its deadline is refused at once")
+TEST_CASE("a request that cannot finish before its deadline is refused on arrival")
 {
     admission_state state = makeBusy();
     admission_events events;
@@ -245,7 +247,7 @@
     CHECK(result == admission_result{admission_kind::Refused, 0, refusal_reason::DeadlineTooClose});
 }
 
-TEST_CASE("a ticket whose deadline passes in the queue is removed at the wakeup")
+TEST_CASE("a queued ticket whose deadline passes is refused at the next wakeup")
 {
     admission_state state = makeBusy();
     admission_events events;
@@ -257,7 +259,7 @@
     CHECK_FALSE(nextWakeup(state));
 }
 
-TEST_CASE("background is shed while short work waits, and queued background with it")
+TEST_CASE("new and queued background requests are shed while short requests wait")
 {
     admission_state state = makeBusy();
     admission_events events;
@@ -270,7 +272,7 @@
     CHECK(events == admission_events{{background.ticket, refusal_reason::Shed}});
 }
 
-TEST_CASE("a draining worker refuses new and queued requests and lets the running one end")
+TEST_CASE("a draining worker refuses new and queued requests and keeps the running one")
 {
     admission_state state = makeBusy();
     admission_events events;
@@ -281,7 +283,7 @@
     CHECK(runningCount(state) == 1);
 }
 
-TEST_CASE("a queue is bounded")
+TEST_CASE("the queue of a class is bounded")
 {
     admission_state state = makeBusy();
     unsigned queued = 0;
@@ -289,5 +291,5 @@
         ++queued;
         REQUIRE(queued < 100);
     }
-    CHECK(queued == queuePerSlot.at(2));
+    CHECK(queued == maxQueuedPerSlot.at(2));
 }
--- a/packages/request/admission/limits_test.cc
+++ b/packages/request/admission/limits_test.cc
@@ -1,5 +1,6 @@
-// Guards the overshoot bound of limits: an operator sets a limit to protect something behind the service, and the nodes
-// together must keep it although each decides alone and on a stale view.
+// Guards the upper bound that limits.h states for all nodes together. An operator sets a limit to protect a dependency
+// of the service; the nodes would exceed it if their shares, which each computes alone from a possibly stale view,
+// summed to more than the bound.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -15,100 +16,103 @@
 
 const time_point start{seconds(1000)};
 
-std::vector<std::string> namesOf(std::size_t count)
+std::vector<std::string> makeNodeIds(std::size_t count)
 {
-    std::vector<std::string> names;
+    std::vector<std::string> ids;
     for (std::size_t each = 0; each < count; ++each) {
-        names.push_back("node-" + std::to_string(each));
+        ids.push_back("node-" + std::to_string(each));
     }
-    return names;
+    return ids;
 }
 
 struct fleet
 {
     std::vector<limit_state> nodes;
-    std::vector<std::deque<std::uint32_t>> held;
-    std::vector<time_point> passed;
+    std::vector<std::deque<std::uint32_t>> acquired; // limit indexes of requests in flight, by node
+    std::vector<time_point> passedAt; // times at which requests passed, on any node
 
-    std::size_t active() const
+    std::size_t inFlight() const
     {
-        return std::accumulate(held.begin(), held.end(), std::size_t(0), [](std::size_t sum, const auto &each) {
+        return std::accumulate(acquired.begin(), acquired.end(), std::size_t(0), [](std::size_t sum, const auto &each) {
             return sum + each.size();
         });
     }
 };
 
-// `live` nodes that know each other and `stale` ones that have left; the last `unknown` live nodes are missing from the
-// views of all others.
+// Makes `live` nodes that know each other. `stale` further nodes have left but are still in the views that `staleMask`
+// selects. The last `unknown` live nodes are missing from the views of all others.
 fleet makeFleet(std::size_t live, std::size_t stale, std::size_t unknown, std::uint32_t staleMask)
 {
-    const std::vector<std::string> names = namesOf(live + stale);
+    const std::vector<std::string> ids = makeNodeIds(live + stale);
     fleet made;
-    made.held.resize(live);
+    made.acquired.resize(live);
     for (std::size_t self = 0; self < live; ++self) {
         std::vector<std::string_view> view;
-        for (std::size_t other = 0; other < names.size(); ++other) {
+        for (std::size_t other = 0; other < ids.size(); ++other) {
             const bool isKnown = other < live - unknown || other == self;
             const bool isStale = other >= live && ((staleMask >> ((self + other) % 32U)) & 1U) != 0;
             if (isKnown || isStale) {
-                view.emplace_back(names.at(other));
+                view.emplace_back(ids.at(other));
             }
         }
-        made.nodes.push_back(makeLimits(names.at(self), start));
-        observeWorkers(made.nodes.back(), view, start + newNodeWait);
+        made.nodes.push_back(makeLimits(ids.at(self), start));
+        observeWorkers(made.nodes.back(), view, start + newNodeShareDelay);
     }
     return made;
 }
 
-void run(fleet &nodes, const limit_bound &bound, const std::vector<std::uint32_t> &words, std::size_t mostActive)
+// Decodes each word into a request or the end of a request on one node, and checks the requests in flight after each.
+void runSteps(fleet &nodes, const limit_bound &bound, const std::vector<std::uint32_t> &words, std::size_t maxInFlight)
 {
-    time_point now = start + newNodeWait;
+    time_point now = start + newNodeShareDelay;
     for (const std::uint32_t word : words) {
         const std::size_t node = word % nodes.nodes.size();
         now += milliseconds((word >> 4U) % 100U);
         std::uint32_t index = noLimit;
-        if ((word >> 12U) % 4U == 0 && !nodes.held.at(node).empty()) {
-            releaseLimit(nodes.nodes.at(node), nodes.held.at(node).front());
-            nodes.held.at(node).pop_front();
-        } else if (takeLimit(nodes.nodes.at(node), "orders", bound, now, index) == limit_verdict::Pass) {
-            nodes.held.at(node).push_back(index);
-            nodes.passed.push_back(now);
+        if ((word >> 12U) % 4U == 0 && !nodes.acquired.at(node).empty()) {
+            releaseLimit(nodes.nodes.at(node), nodes.acquired.at(node).front());
+            nodes.acquired.at(node).pop_front();
+        } else if (tryAcquireLimit(nodes.nodes.at(node), "orders", bound, now, index) == limit_verdict::Pass) {
+            nodes.acquired.at(node).push_back(index);
+            nodes.passedAt.push_back(now);
         }
-        RC_ASSERT(nodes.active() <= mostActive);
+        RC_ASSERT(nodes.inFlight() <= maxInFlight);
     }
 }
 
-// Largest excess over `perSecond` in any window of time.
-double worstExcess(const std::vector<time_point> &passed, double perSecond)
+// Largest number of requests beyond `perSecond` in any interval.
+double worstExcess(const std::vector<time_point> &passedAt, double perSecond)
 {
     double worst = 0;
-    for (std::size_t first = 0; first < passed.size(); ++first) {
-        for (std::size_t last = first; last < passed.size(); ++last) {
-            const double elapsed = std::chrono::duration<double>(passed[last] - passed[first]).count();
+    for (std::size_t first = 0; first < passedAt.size(); ++first) {
+        for (std::size_t last = first; last < passedAt.size(); ++last) {
+            const double elapsed = std::chrono::duration<double>(passedAt[last] - passedAt[first]).count();
             worst = std::max(worst, static_cast<double>(last - first + 1) - perSecond * elapsed);
         }
     }
     return worst;
 }
 
-constexpr std::uint32_t ample = 1'000'000;
+constexpr std::uint32_t unreachedConcurrency = 1'000'000;
 
 } // namespace
 
-TEST_CASE("concurrency of all nodes stays under the limit, with stale views and less than one per node")
+TEST_CASE(
+    "concurrency of all nodes together stays within the limit, with stale views and limits below the number of nodes")
 {
-    CHECK(
-        holds("concurrency", 3000, [](std::uint8_t sizes, std::uint32_t mask, const std::vector<std::uint32_t> &words) {
-            const std::size_t live = 1U + sizes % 8U;
-            const std::uint32_t value = 1U + mask % 20U;
-            fleet nodes = makeFleet(live, sizes / 8U % 4U, 0, mask);
-            run(nodes, {0, value}, words, value);
-        }));
+    CHECK(holds("concurrency within limit",
+                3000,
+                [](std::uint8_t sizes, std::uint32_t mask, const std::vector<std::uint32_t> &words) {
+                    const std::size_t live = 1U + sizes % 8U;
+                    const std::uint32_t value = 1U + mask % 20U;
+                    fleet nodes = makeFleet(live, sizes / 8U % 4U, 0, mask);
+                    runSteps(nodes, {0, value}, words, value);
+                }));
 }
 
-TEST_CASE("nodes that others do not know add at most their own share")
+TEST_CASE("live nodes that others do not know add at most their own shares to the concurrency")
 {
-    CHECK(holds("unknown nodes",
+    CHECK(holds("concurrency with unknown nodes",
                 3000,
                 [](std::uint8_t sizes, std::uint32_t mask, const std::vector<std::uint32_t> &words) {
                     const std::size_t live = 2U + sizes % 7U;
@@ -116,23 +120,25 @@
                     const std::uint32_t value = 1U + mask % 20U;
                     fleet nodes = makeFleet(live, 0, unknown, mask);
                     const std::size_t share = (value + live - unknown) / (live - unknown + 1);
-                    run(nodes, {0, value}, words, value + unknown * share);
+                    runSteps(nodes, {0, value}, words, value + unknown * share);
                 }));
 }
 
-TEST_CASE("requests per second of all nodes stay under the limit plus the stated burst")
+TEST_CASE("requests per second of all nodes together stay within the limit plus the documented burst")
 {
-    CHECK(holds("rate", 2000, [](std::uint8_t sizes, std::uint32_t mask, const std::vector<std::uint32_t> &words) {
-        const std::size_t live = 1U + sizes % 8U;
-        const std::uint32_t value = 1U + mask % 60U;
-        fleet nodes = makeFleet(live, sizes / 8U % 4U, 0, mask);
-        run(nodes, {value, ample}, words, words.size());
-        const double burst = value * std::chrono::duration<double>(burstWindow).count();
-        RC_ASSERT(worstExcess(nodes.passed, value) <= burst + static_cast<double>(live) + 1e-6);
-    }));
+    CHECK(holds("rate within limit and burst",
+                2000,
+                [](std::uint8_t sizes, std::uint32_t mask, const std::vector<std::uint32_t> &words) {
+                    const std::size_t live = 1U + sizes % 8U;
+                    const std::uint32_t value = 1U + mask % 60U;
+                    fleet nodes = makeFleet(live, sizes / 8U % 4U, 0, mask);
+                    runSteps(nodes, {value, unreachedConcurrency}, words, words.size());
+                    const double burst = value * std::chrono::duration<double>(burstWindow).count();
+                    RC_ASSERT(worstExcess(nodes.passedAt, value) <= burst + static_cast<double>(live) + 1e-6);
+                }));
 }
 
-TEST_CASE("the shares of all nodes use the whole limit when the views agree")
+TEST_CASE("the concurrency shares of all nodes sum to the limit when their views agree")
 {
     for (std::uint32_t value = 1; value < 30; ++value) {
         std::uint32_t sum = 0;
@@ -143,33 +149,33 @@
     }
 }
 
-TEST_CASE("a new node takes no share before the others can know it")
+TEST_CASE("a node has no share of a limit for the first 3 s after its start")
 {
     limit_state node = makeLimits("a", start);
     std::uint32_t index = noLimit;
-    CHECK(takeLimit(node, "orders", {0, 9}, start + seconds(2), index) == limit_verdict::OverConcurrency);
-    CHECK(takeLimit(node, "orders", {0, 9}, start + seconds(3), index) == limit_verdict::Pass);
+    CHECK(tryAcquireLimit(node, "orders", {0, 9}, start + seconds(2), index) == limit_verdict::OverConcurrency);
+    CHECK(tryAcquireLimit(node, "orders", {0, 9}, start + seconds(3), index) == limit_verdict::Pass);
 }
 
-TEST_CASE("a worker that left counts for 30 s more")
+TEST_CASE("a worker that is no longer reported counts for 30 s")
 {
     limit_state node = makeLimits("a", start);
     const std::vector<std::string_view> both = {"a", "b"};
     const std::vector<std::string_view> alone = {"a"};
     observeWorkers(node, both, start);
     observeWorkers(node, alone, start + seconds(30));
-    CHECK(node.seen.size() == 2);
+    CHECK(node.seenWorkers.size() == 2);
     observeWorkers(node, alone, start + seconds(31));
-    CHECK(node.seen.size() == 1);
+    CHECK(node.seenWorkers.size() == 1);
 }
 
-TEST_CASE("the state of limits that are no longer used is reused")
+TEST_CASE("new limits replace idle ones when maxLimits are tracked")
 {
     limit_state node = makeLimits("a", start);
     for (int each = 0; each < 1000; ++each) {
         std::uint32_t index = noLimit;
         const time_point now = start + seconds(10 + each);
-        REQUIRE(takeLimit(node, "limit-" + std::to_string(each), {0, 5}, now, index) == limit_verdict::Pass);
+        REQUIRE(tryAcquireLimit(node, "limit-" + std::to_string(each), {0, 5}, now, index) == limit_verdict::Pass);
         releaseLimit(node, index);
     }
     CHECK(node.entries.size() == maxLimits);
