Plain wording in request routing

Names and comments spoke of pauses, crowding, avoided and forgotten workers, and of what a node believes. The code now uses the terms of load balancing: power of two choices, outlier detection, ejection, backoff, spillover, warm-up. Every number and reason stays.

Test titles say what they check.

--- a/packages/request/routing/routing_test.cc
+++ b/packages/request/routing/routing_test.cc
@@ -1,5 +1,5 @@
-// Guards the choice of workers: calls to workers that left or were tried, a slowed worker that keeps its share,
-// ejection that takes out so many workers that the rest collapses, and state that grows with churn.
+// Guards against calls to workers that left or were already tried, a slow worker that keeps its share of the calls,
+// ejection of so many workers that the others are overloaded, and state that grows as workers come and go.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -14,7 +14,7 @@
 
 const time_point start{seconds(1000)};
 
-worker workerOf(std::size_t index, std::uint64_t incarnation = 1, std::string_view dataCentre = "be-1")
+worker makeWorker(std::size_t index, std::uint64_t incarnation = 1, std::string_view dataCentre = "be-1")
 {
     return {"node-" + std::to_string(index),
             incarnation,
@@ -25,11 +25,11 @@
             start - seconds(60)};
 }
 
-service_workers workersOf(std::size_t count)
+service_workers makeWorkers(std::size_t count)
 {
     service_workers workers;
     for (std::size_t each = 0; each < count; ++each) {
-        workers.local.push_back(workerOf(each));
+        workers.local.push_back(makeWorker(each));
     }
     return workers;
 }
@@ -39,7 +39,8 @@
     return {call_end::Completed, latency, std::nullopt};
 }
 
-// Runs calls one at a time, 10 ms apart; `latencyOf` tells how long a worker takes. Returns the calls per node.
+// Runs calls one after the other, which start 10 ms apart; `latencyOf` returns the latency of a node. Returns the
+// number of calls by node.
 template<class LatencyOf>
 std::map<std::string, int> runCalls(routing_state &state, int count, time_point &now, LatencyOf &&latencyOf)
 {
@@ -56,6 +57,8 @@
     return calls;
 }
 
+// Changes the view, begins and ends calls in random order, and checks choices and state against the view after each
+// step.
 class routing_model
 {
 public:
@@ -86,10 +89,10 @@
         m_view = {};
         for (std::size_t each = 0; each < 7; ++each) {
             if ((choice >> each & 1U) != 0) {
-                m_view.local.push_back(workerOf(each, 1 + (choice >> 8U) % 2U));
+                m_view.local.push_back(makeWorker(each, 1 + (choice >> 8U) % 2U));
             }
         }
-        m_view.remote.push_back(workerOf(20, 1, "be-2"));
+        m_view.remote.push_back(makeWorker(20, 1, "be-2"));
         m_view.remoteSpareSlots["be-2"] = (choice >> 9U) % 4U;
         updateWorkers(m_state, m_view, m_now);
     }
@@ -131,9 +134,9 @@
 
 } // namespace
 
-TEST_CASE("choices follow the view, and at most a third of the workers is ejected")
+TEST_CASE("only untried workers of the view are chosen, and at most a third of the local workers is ejected")
 {
-    CHECK(holds("routing", 3000, [](std::uint32_t seed, const std::vector<std::uint32_t> &words) {
+    CHECK(holds("routing choices", 3000, [](std::uint32_t seed, const std::vector<std::uint32_t> &words) {
         routing_model model;
         random_generator generator(seed);
         for (const std::uint32_t word : words) {
@@ -142,53 +145,53 @@
     }));
 }
 
-TEST_CASE("a slowed worker gets hardly any calls")
+TEST_CASE("a worker that becomes slow gets at most 1 % of the calls")
 {
     routing_state state;
     time_point now = start;
-    updateWorkers(state, workersOf(4), now);
+    updateWorkers(state, makeWorkers(4), now);
     runCalls(state, 100, now, [](const std::string &) {
         return milliseconds(10);
     });
     const auto slowed = runCalls(state, 600, now, [](const std::string &node) {
         return milliseconds(node == "node-2" ? 100 : 10);
     });
-    CHECK(slowed.at("node-2") <= 6); // in 6 s; its share of 600 calls would be 150
+    CHECK(slowed.at("node-2") <= 6); // an equal share of the 600 calls in 6 s would be 150
 }
 
-TEST_CASE("a worker is out after three slow calls, is probed by single calls and comes back")
+TEST_CASE("a worker is ejected after three slow calls, probed by single calls and readmitted when it recovers")
 {
     routing_state state;
     time_point now = start;
-    updateWorkers(state, workersOf(4), now);
+    updateWorkers(state, makeWorkers(4), now);
     runCalls(state, 100, now, [](const std::string &) {
         return milliseconds(10);
     });
     random_generator generator(1);
     const std::vector<std::string> others = {"node-0", "node-1", "node-3"};
     for (int each = 0; each < 3; ++each) {
-        CHECK_FALSE(isSlow(state, "node-2"));
+        CHECK_FALSE(isWorkerEjected(state, "node-2"));
         const call_choice call = beginCall(state, {work_class::Interactive, others}, now, generator);
         REQUIRE(call.target->nodeId == "node-2");
         endCall(state, call, completed(milliseconds(100)), now);
     }
-    CHECK(isSlow(state, "node-2"));
+    CHECK(isWorkerEjected(state, "node-2"));
     const auto probes = runCalls(state, 500, now, [](const std::string &node) {
         return milliseconds(node == "node-2" ? 100 : 10);
     });
-    CHECK(probes.at("node-2") <= 2); // 5 s: at 1.5 and 4 s
-    CHECK(isSlow(state, "node-2"));
+    CHECK(probes.at("node-2") <= 2); // in 5 s: about 1.5 s and 4 s after the ejection
+    CHECK(isWorkerEjected(state, "node-2"));
     runCalls(state, 500, now, [](const std::string &) {
         return milliseconds(10);
     });
-    CHECK_FALSE(isSlow(state, "node-2"));
+    CHECK_FALSE(isWorkerEjected(state, "node-2"));
 }
 
-TEST_CASE("open calls that are overdue eject a worker before its first slow response")
+TEST_CASE("a worker is ejected for overdue open calls before its first slow response")
 {
     routing_state state;
     time_point now = start;
-    updateWorkers(state, workersOf(4), now);
+    updateWorkers(state, makeWorkers(4), now);
     runCalls(state, 100, now, [](const std::string &) {
         return milliseconds(10);
     });
@@ -203,14 +206,14 @@
         }
         now += milliseconds(2);
     }
-    CHECK(hanging <= 12); // 800 ms; those sent before the first one was overdue, and one probe
+    CHECK(hanging <= 12); // in 800 ms: those begun before the first one was overdue, and one probe
 }
 
-TEST_CASE("a worker that happens to serve long uploads is not taken for slow")
+TEST_CASE("a worker that serves long uploads is not ejected")
 {
     routing_state state;
     time_point now = start;
-    updateWorkers(state, workersOf(4), now);
+    updateWorkers(state, makeWorkers(4), now);
     random_generator generator(5);
     for (int each = 0; each < 400; ++each) {
         const call_choice call = beginCall(state, {}, now, generator);
@@ -226,9 +229,9 @@
     CHECK(state.ejected == 0);
 }
 
-TEST_CASE("a worker that has just become ready gets a small share at first")
+TEST_CASE("a worker that has just become ready gets a small share of the calls during warm-up")
 {
-    service_workers workers = workersOf(4);
+    service_workers workers = makeWorkers(4);
     workers.local[3].readySince = start;
     routing_state state;
     time_point now = start;
@@ -240,10 +243,11 @@
     CHECK(share <= 15);
 }
 
-TEST_CASE("work spills to another data centre only when no local slot is spare, and only as far as told")
+TEST_CASE(
+    "calls spill over to another data centre only if no local slot is free, and only to a quarter of its spare slots")
 {
-    service_workers workers = workersOf(2);
-    workers.remote.push_back(workerOf(9, 1, "be-2"));
+    service_workers workers = makeWorkers(2);
+    workers.remote.push_back(makeWorker(9, 1, "be-2"));
     workers.remoteSpareSlots["be-2"] = 8;
     routing_state state;
     updateWorkers(state, workers, start);
@@ -257,11 +261,11 @@
     CHECK(isSaturated(state, start));
 }
 
-TEST_CASE("a worker without connection is left alone, and a higher incarnation starts afresh")
+TEST_CASE("a worker without connection is in backoff, and a higher incarnation starts with fresh state")
 {
     routing_state state;
     time_point now = start;
-    updateWorkers(state, workersOf(2), now);
+    updateWorkers(state, makeWorkers(2), now);
     random_generator generator(2);
     call_choice call;
     do {
@@ -271,10 +275,10 @@
     CHECK_FALSE(runCalls(state, 5, now, [](const std::string &) {
                     return milliseconds(1);
                 }).contains("node-0"));
-    service_workers workers = workersOf(2);
+    service_workers workers = makeWorkers(2);
     workers.local[0].incarnation = 2;
     updateWorkers(state, workers, now);
-    CHECK(state.local[0].pausedUntil == time_point());
-    endCall(state, call, completed(milliseconds(1)), now); // of the earlier incarnation: ignored
+    CHECK(state.local[0].backoffUntil == time_point());
+    endCall(state, call, completed(milliseconds(1)), now); // of the previous incarnation: ignored
     CHECK(state.local[0].latency.at(1).count == 0);
 }
--- a/packages/request/routing/worker.h
+++ b/packages/request/routing/worker.h
@@ -1,4 +1,4 @@
-// Workers that a node knows of, as membership publishes them to the request path: one immutable view that is replaced
+// Ready workers known to a node, as membership publishes them to the request path: one immutable view that is replaced
 // as a whole.
 //
 //   std::shared_ptr<const worker_view> view = ...;
@@ -25,13 +25,13 @@
     std::string service;
     endpoint peerAddress;
     std::uint32_t slots = 0;
-    time_point readySince; // local time at which this node first saw the worker ready
+    time_point readySince; // when this node first saw the worker ready, by its own clock
 
     friend auto operator<=>(const worker &, const worker &) = default;
 };
 
-// Ready workers of a service: those of the own data centre, and for each other data centre the few that its summary
-// names.
+// Ready workers of a service: all of the same data centre, and for each other data centre the few that its summary
+// contains.
 struct service_workers
 {
     std::vector<worker> local;
