Rename refuseUnservable in request admission

The function was called removeUnservable, which becomes a shared name of another library; it refuses the tickets, too.

--- a/packages/request/admission/admission.cc
+++ b/packages/request/admission/admission.cc
@@ -132,7 +132,7 @@
 }
 
 // Refuses the queued tickets of a class that are not expected to finish before their deadline.
-void removeUnservable(admission_state &state, work_class workClass, time_point now, admission_events &events)
+void refuseUnservable(admission_state &state, work_class workClass, time_point now, admission_events &events)
 {
     std::erase_if(queueOf(state, workClass), [&](const queued_ticket &queued) {
         const duration reserve = reservedRunTime(state, workClass, queued.deadline - queued.queuedAt);
@@ -337,7 +337,7 @@
 {
     updateShortDemand(state, now);
     for (std::size_t index = 0; index < state.queues.size(); ++index) {
-        removeUnservable(state, static_cast<work_class>(index), now, events);
+        refuseUnservable(state, static_cast<work_class>(index), now, events);
     }
     shedBackground(state, events);
     startQueued(state, now, events);
