--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-placed_worker *findWorker(placement_state &state, const std::string &service, const std::string &nodeId)
+candidate_worker *findWorker(placement_state &state, const std::string &service, const std::string &nodeId)
 {
     const auto found = state.services.find(service);
     if (found == state.services.end()) {
@@ -21,11 +21,11 @@
     const auto worker = std::ranges::find(
         found->second.workers,
         nodeId,
-        [](const placed_worker &placed) -> const auto & { return placed.entry.nodeId; });
+        [](const candidate_worker &candidate) -> const auto & { return candidate.entry.nodeId; });
     return worker == found->second.workers.end() ? nullptr : &*worker;
 }
 
-std::optional<double> knownRunMs(const placed_worker &worker, const std::string &route, time_point now)
+std::optional<double> freshRunMs(const candidate_worker &worker, const std::string &route, time_point now)
 {
     const auto found = worker.runMs.find(route);
     if (found == worker.runMs.end() || now - found->second.second > runForgotten) {
@@ -34,12 +34,12 @@
     return found->second.first;
 }
 
-// Median over the workers that have news of the route, so that a few slow ones do not make slowness typical.
+// Returns the median over the workers with a recent run time of the route, so that a few slow workers do not raise it.
 double typicalRunMs(const service_placement &service, const placement_request &request, time_point now)
 {
     std::vector<double> known;
-    for (const placed_worker &worker : service.workers) {
-        if (const auto runMs = knownRunMs(worker, request.route, now)) {
+    for (const candidate_worker &worker : service.workers) {
+        if (const auto runMs = freshRunMs(worker, request.route, now)) {
             known.push_back(*runMs);
         }
     }
@@ -51,7 +51,7 @@
     return *middle;
 }
 
-double waitMs(const placed_worker &worker, std::uint32_t priority, double runMs, time_point now)
+double waitMs(const candidate_worker &worker, std::uint32_t priority, double runMs, time_point now)
 {
     const std::size_t index = std::min<std::size_t>(priority, reportedPriorities - 1);
     const double age = msBetween(worker.reportAt, now);
@@ -62,26 +62,28 @@
     return worker.report.waitMs.at(index) * weight + ownQueue;
 }
 
-double crowdingMs(const placed_worker &worker, double runMs)
+double contentionMs(const candidate_worker &worker, double runMs)
 {
     const double slots = std::max<std::uint32_t>(worker.entry.slots, 1);
     const double used = std::min(1.0, (worker.report.running + worker.sentSinceReport) / slots);
-    return runMs * crowdingShare * used * used;
+    return runMs * contentionShare * used * used;
 }
 
-// Time that `bytes` take on a link of which `load` is used.
+// Returns the transfer time of `bytes` on a link of which the share `load` is in use.
 double transferMs(double bytes, double bytesPerMs, double load)
 {
-    return bytesPerMs > 0 ? bytes / (bytesPerMs * std::max(leastLinkShare, 1.0 - load)) : 0.0;
+    return bytesPerMs > 0 ? bytes / (bytesPerMs * std::max(minLinkShare, 1.0 - load)) : 0.0;
 }
 
-double
-pathMs(const placement_state &state, const placed_worker &worker, const placement_request &request, time_point now)
+double networkCostMs(const placement_state &state,
+                     const candidate_worker &worker,
+                     const placement_request &request,
+                     time_point now)
 {
     if (worker.entry.nodeId == state.nodeId) {
         return 0;
     }
-    const double bytes = static_cast<double>(request.bytes) + headBytes;
+    const double bytes = static_cast<double>(request.bytes) + headerBytes;
     const double weight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
     const double queued = worker.bytesSinceReport * weight;
     double path = transferMs(bytes, state.linkBytesPerMs, state.linkLoad)
@@ -93,67 +95,67 @@
     return path;
 }
 
-// The run time by which a worker is compared with others: `typicalMs` unless it differs by more than chance.
-double comparedRunMs(double runMs, double typicalMs)
+// Returns the run time for comparing a worker with others: `typicalMs` unless the difference is larger than noise.
+double noiseFilteredRunMs(double runMs, double typicalMs)
 {
-    const bool isChance = runMs > typicalMs * (1.0 - fastRunChance) && runMs < typicalMs * (1.0 + slowRunChance);
-    return isChance ? typicalMs : runMs;
+    const bool isNoise = runMs > typicalMs * (1.0 - fastNoiseShare) && runMs < typicalMs * (1.0 + slowNoiseShare);
+    return isNoise ? typicalMs : runMs;
 }
 
 struct scored_worker
 {
-    const placed_worker *worker = nullptr;
+    const candidate_worker *worker = nullptr;
     double score = 0;
     double wait = 0;
     double run = 0;
-    bool isRefusal = false; // the worker's node is expected to refuse the request
+    bool isRefusalExpected = false; // the worker's node would probably refuse the request
 };
 
 scored_worker scoreOf(const placement_state &state,
-                      const placed_worker &worker,
+                      const candidate_worker &worker,
                       const placement_request &request,
                       double typicalMs,
                       time_point now)
 {
-    const bool isCold = worker.entry.coldUntil > now;
+    const bool isWarmingUp = worker.entry.coldUntil > now;
     scored_worker scored{&worker};
-    scored.run = knownRunMs(worker, request.route, now).value_or(typicalMs * (isCold ? coldFactor : 1.0));
+    scored.run = freshRunMs(worker, request.route, now).value_or(typicalMs * (isWarmingUp ? warmUpRunFactor : 1.0));
     const double slowdownWeight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
     scored.run *= 1.0 + (worker.report.slowdown - 1.0) * slowdownWeight * 0.5;
     scored.wait = waitMs(worker, request.priority, scored.run, now);
-    scored.score = scored.wait + comparedRunMs(scored.run, typicalMs) + crowdingMs(worker, scored.run);
-    scored.score += pathMs(state, worker, request, now);
+    scored.score = scored.wait + noiseFilteredRunMs(scored.run, typicalMs) + contentionMs(worker, scored.run);
+    scored.score += networkCostMs(state, worker, request, now);
     const bool isLate = scored.wait + scored.run > request.targetLeftMs;
-    const bool isLast = isLastChance(request.targetLeftMs, request.timeLeftMs, worker.report.lineRunMs);
-    scored.isRefusal = !isLast && isLate && scored.wait > lateWaitRuns * scored.run;
+    const bool isFinal = isLastChance(request.targetLeftMs, request.timeLeftMs, worker.report.lineRunMs);
+    scored.isRefusalExpected = !isFinal && isLate && scored.wait > maxLateWaitRuns * scored.run;
     scored.score += worker.report.failureShare * failurePenalty * std::max(request.targetMs, scored.run);
     return scored;
 }
 
-// Draws two of the workers that are about as good as the best and takes the better one. Those of the own data centre go
-// first.
+// Draws two workers at random among those whose score is close to the best, and returns the better one. Workers of the
+// own data centre are preferred.
 scored_worker
-drawNear(const placement_state &state, const std::vector<scored_worker> &scored, random_generator &generator)
+pickFromBest(const placement_state &state, const std::vector<scored_worker> &scored, random_generator &generator)
 {
     const double best = std::ranges::min(scored, {}, &scored_worker::score).score;
-    const auto isNear = [&](const scored_worker &candidate) {
-        return candidate.score <= best * (1.0 + drawShare);
+    const auto isTied = [&](const scored_worker &candidate) {
+        return candidate.score <= best * (1.0 + tieShare);
     };
-    const auto isNearAndOwn = [&](const scored_worker &candidate) {
-        return isNear(candidate) && candidate.worker->entry.dataCentre == state.dataCentre;
+    const auto isTiedAndLocal = [&](const scored_worker &candidate) {
+        return isTied(candidate) && candidate.worker->entry.dataCentre == state.dataCentre;
     };
-    std::vector<scored_worker> near;
-    std::ranges::copy_if(scored, std::back_inserter(near), isNearAndOwn);
-    if (near.empty()) {
-        std::ranges::copy_if(scored, std::back_inserter(near), isNear);
+    std::vector<scored_worker> tied;
+    std::ranges::copy_if(scored, std::back_inserter(tied), isTiedAndLocal);
+    if (tied.empty()) {
+        std::ranges::copy_if(scored, std::back_inserter(tied), isTied);
     }
-    std::uniform_int_distribution<std::size_t> draw(0, near.size() - 1);
-    const scored_worker &first = near[draw(generator)];
-    const scored_worker &second = near[draw(generator)];
+    std::uniform_int_distribution<std::size_t> draw(0, tied.size() - 1);
+    const scored_worker &first = tied[draw(generator)];
+    const scored_worker &second = tied[draw(generator)];
     return second.score < first.score ? second : first;
 }
 
-std::optional<double> longestWait(const std::vector<scored_worker> &scored, const scored_worker &chosen)
+std::optional<double> handBackThresholdMs(const std::vector<scored_worker> &scored, const scored_worker &chosen)
 {
     std::optional<double> secondScore;
     for (const scored_worker &candidate : scored) {
@@ -164,8 +166,8 @@
     if (!secondScore) {
         return std::nullopt;
     }
-    const double worthHandingBack = *secondScore - (chosen.score - chosen.wait) + handBackMs;
-    return std::max(worthHandingBack, chosen.run * leastHandBackRuns);
+    const double breakEvenWait = *secondScore - (chosen.score - chosen.wait) + handBackCostMs;
+    return std::max(breakEvenWait, chosen.run * minHandBackRuns);
 }
 
 } // namespace
@@ -174,19 +176,19 @@
 {
     std::ranges::sort(workers, {}, &worker_entry::nodeId);
     service_placement &placement = state.services[service];
-    std::vector<placed_worker> placed;
+    std::vector<candidate_worker> updated;
     for (worker_entry &entry : workers) {
-        placed_worker *known = findWorker(state, service, entry.nodeId);
+        candidate_worker *known = findWorker(state, service, entry.nodeId);
         if (known != nullptr && known->entry.process == entry.process) {
             known->entry = std::move(entry);
-            placed.push_back(std::move(*known));
+            updated.push_back(std::move(*known));
         } else {
-            placed_worker added;
+            candidate_worker added;
             added.entry = std::move(entry);
-            placed.push_back(std::move(added));
+            updated.push_back(std::move(added));
         }
     }
-    placement.workers = std::move(placed);
+    placement.workers = std::move(updated);
 }
 
 void noteReport(placement_state &state,
@@ -195,12 +197,12 @@
                 const worker_report &report,
                 time_point now)
 {
-    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+    if (candidate_worker *worker = findWorker(state, service, nodeId)) {
         worker->report = report;
         worker->reportAt = now;
         worker->sentSinceReport = 0;
         worker->bytesSinceReport = 0;
-        worker->avoidances = 0;
+        worker->backoffCount = 0;
     }
 }
 
@@ -211,7 +213,7 @@
                double milliseconds,
                time_point now)
 {
-    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+    if (candidate_worker *worker = findWorker(state, service, nodeId)) {
         worker->runMs[route] = {milliseconds, now};
     }
 }
@@ -223,8 +225,8 @@
               double milliseconds,
               time_point now)
 {
-    if (const placed_worker *worker = findWorker(state, service, nodeId)) {
-        const double known = knownRunMs(*worker, route, now).value_or(0.0);
+    if (const candidate_worker *worker = findWorker(state, service, nodeId)) {
+        const double known = freshRunMs(*worker, route, now).value_or(0.0);
         noteRunMs(state, service, nodeId, route, std::max(known, milliseconds), now);
     }
 }
@@ -232,22 +234,22 @@
 void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now)
 {
     if (dataCentre != state.dataCentre) {
-        data_centre_path &path = state.paths[dataCentre];
+        data_centre_status &path = state.dataCentreStatus[dataCentre];
         path.silentNodes.insert(nodeId);
-        path.silentAt = now;
+        path.lastSilentAt = now;
     }
 }
 
 void noteHeard(placement_state &state, const std::string &dataCentre)
 {
-    state.paths.erase(dataCentre);
+    state.dataCentreStatus.erase(dataCentre);
 }
 
-bool isCutOff(const placement_state &state, const std::string &dataCentre, time_point now)
+bool isDataCentreUnreachable(const placement_state &state, const std::string &dataCentre, time_point now)
 {
-    const auto found = state.paths.find(dataCentre);
-    return found != state.paths.end() && found->second.silentNodes.size() >= silentNodesOfCut
-        && now - found->second.silentAt < cutForgotten;
+    const auto found = state.dataCentreStatus.find(dataCentre);
+    return found != state.dataCentreStatus.end() && found->second.silentNodes.size() >= silentNodesUntilUnreachable
+        && now - found->second.lastSilentAt < unreachableDuration;
 }
 
 placement_choice chooseWorker(const placement_state &state,
@@ -262,47 +264,49 @@
     }
     const double typicalMs = typicalRunMs(found->second, request, now);
     std::vector<scored_worker> scored;
-    for (const placed_worker &worker : found->second.workers) {
-        const bool isOpen = worker.avoidUntil <= now && !isCutOff(state, worker.entry.dataCentre, now);
-        if (isOpen && !request.excluded.contains(worker.entry.nodeId)) {
+    for (const candidate_worker &worker : found->second.workers) {
+        const bool isAvailable =
+            worker.backoffUntil <= now && !isDataCentreUnreachable(state, worker.entry.dataCentre, now);
+        if (isAvailable && !request.excluded.contains(worker.entry.nodeId)) {
             scored.push_back(scoreOf(state, worker, request, typicalMs, now));
         }
     }
     if (scored.empty()) {
         return {};
     }
-    const bool isAnyTaking = std::ranges::any_of(scored, std::logical_not<>(), &scored_worker::isRefusal);
+    const bool isAnyAccepting = std::ranges::any_of(scored, std::logical_not<>(), &scored_worker::isRefusalExpected);
     std::erase_if(scored, [&](const scored_worker &candidate) {
-        return isAnyTaking && candidate.isRefusal;
+        return isAnyAccepting && candidate.isRefusalExpected;
     });
-    const scored_worker chosen = drawNear(state, scored, generator);
+    const scored_worker chosen = pickFromBest(state, scored, generator);
     placement_choice choice{chosen.worker->entry.nodeId, chosen.score, chosen.wait, chosen.run, typicalMs};
-    choice.longestWaitMs = longestWait(scored, chosen);
+    choice.longestWaitMs = handBackThresholdMs(scored, chosen);
     return choice;
 }
 
 void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes)
 {
-    if (placed_worker *worker = findWorker(state, service, nodeId)) {
+    if (candidate_worker *worker = findWorker(state, service, nodeId)) {
         ++worker->sentSinceReport;
-        worker->bytesSinceReport += static_cast<double>(bytes) + headBytes;
+        worker->bytesSinceReport += static_cast<double>(bytes) + headerBytes;
     }
 }
 
 void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now)
 {
-    if (placed_worker *worker = findWorker(state, service, nodeId)) {
-        const auto length = std::min<milliseconds>(avoidFirst * (1U << std::min(worker->avoidances, 8U)), avoidLast);
-        ++worker->avoidances;
-        worker->avoidUntil = now + length;
+    if (candidate_worker *worker = findWorker(state, service, nodeId)) {
+        const auto length =
+            std::min<milliseconds>(initialBackoff * (1U << std::min(worker->backoffCount, 8U)), maxBackoff);
+        ++worker->backoffCount;
+        worker->backoffUntil = now + length;
     }
 }
 
 void pause(
     placement_state &state, const std::string &service, const std::string &nodeId, milliseconds length, time_point now)
 {
-    if (placed_worker *worker = findWorker(state, service, nodeId)) {
-        worker->avoidUntil = std::max(worker->avoidUntil, now + length);
+    if (candidate_worker *worker = findWorker(state, service, nodeId)) {
+        worker->backoffUntil = std::max(worker->backoffUntil, now + length);
     }
 }
 
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -1,32 +1,32 @@
-// Which worker of a service gets a request: the one where it is expected to end first, as far as this node knows.
+// Chooses the worker of a service for each request: the one that is expected to finish it first, as far as this node
+// knows.
 //
 //   const placement_choice choice = chooseWorker(state, "orders", request, now, generator);
-//   if (!choice.nodeId) return refuse(choice.retryAfterMs);
+//   if (!choice.nodeId) return refuse();
 //   noteSent(state, "orders", *choice.nodeId, bytes);
 //
-// Load pattern: workers of one service differ in speed, slow down for a second because of unseen neighbours, and are
-// filled by many nodes at once that all see reports of different age. So
-// - a worker's expected time is its reported wait plus the run time of the route there;
-// - a worker that would refuse the request, because it would end late there while others wait, comes after all that
-//   would take it: in a swing callers come back late, and a slow worker with a free slot still serves them;
-// - what this node has sent since the report counts as if it were in the queue, and a report loses its say with age, so
-//   that nodes with the same old report do not all choose the same worker;
-// - a view of other nodes is older than a wait lasts, so a choice names the wait from which the second best is better
-// (`longestWaitMs`): a node that finds more waiting hands the request back at once;
-// - measured run times are means of a few runs and views are old, so the worker that seems best is the same for all
-//   nodes and not the best: two of those that are about as good are drawn, and the better one is taken;
-// - among workers that are about as good, those of the own data centre go first;
-// - another data centre costs a share of the target that grows with the bytes, because traffic between data centres is
-//   paid for: it is chosen when the wait here is longer by that much;
-// - a body takes its time on the links of both VMs, the longer the busier they are: a fast worker behind a slow link
-//   does not get all uploads;
-// - when several nodes of another data centre fall silent and none of it is heard, the data centre counts as cut off:
-// its
-//   other workers are not tried one by one, each for the time that it takes to notice the silence;
-// - a worker whose requests fail is passed over in proportion, and one that refused or could not be reached for
-//   `avoidFirst` and longer each time.
+// Load pattern: the workers of a service differ in speed, slow down for a second because of noisy neighbours, and
+// receive requests from many nodes at once, each of which has load reports of a different age. Therefore
+// - the expected time at a worker is its reported wait plus the run time of the route there;
+// - a worker that is expected to refuse the request, because it would finish late there behind others, is only used if
+//   all workers would: under overload callers retry late, and a slow worker with a free slot can still serve them;
+// - requests that this node has sent since the last report count as queued at the worker, and a report loses weight as
+//   it ages, so that nodes with the same old report do not all choose the same worker;
+// - load reports are older than a typical wait, so a choice includes the wait above which the second best worker is
+//   better (`longestWaitMs`): a node whose queue is longer hands the request back at once;
+// - measured run times are means of a few runs and reports are old, so the worker that looks best looks best to all
+//   nodes, and need not be: two workers with nearly the best score are drawn at random and the better one is chosen;
+// - among workers with nearly the best score, those of the own data centre are preferred;
+// - another data centre costs a share of the target latency that grows with the size of the request, since traffic
+//   between data centres is paid for: it is chosen when the wait here is longer by that much;
+// - the transfer time of a body on the links of both VMs counts, and grows with their load: a fast worker behind a slow
+//   link does not get all uploads;
+// - when several nodes of another data centre are silent and none of its nodes has been heard from since, the data
+//   centre counts as unreachable: its workers are not tried one by one, each until its timeout;
+// - a worker whose requests fail gets a penalty in proportion to its failure rate, and a worker that was draining or
+//   could not be reached is skipped for a backoff time that grows from `initialBackoff`.
 //
-// All functions work on one state of one loop and are not thread safe.
+// All functions operate on the state of one event loop and are not thread safe.
 #pragma once
 
 #include <array>
@@ -44,38 +44,38 @@
 
 namespace pistachioquay {
 
-inline constexpr std::size_t reportedPriorities = 3; // waits are reported for priorities 0, 1 and all others
-inline constexpr double otherDataCentreShare = 0.04; // what another data centre costs, as share of the target
-inline constexpr double otherDataCentreSharePerKb = 0.006; // and for each kilobyte of the request
-inline constexpr double headBytes = 800.0; // of a request and a response besides their bodies
-inline constexpr double leastLinkShare = 0.08; // of a link's rate that a transfer gets at least
-inline constexpr double reportHalfLifeMs = 400.0; // after which a reported wait counts half
-inline constexpr double drawShare = 0.1; // workers within this share of the best expected time count as equal
-// Means of about eight runs differ from the typical run by these shares without a reason. The lower bound is wider: all
-// nodes see the lowest mean of a service, and would send there.
-inline constexpr double slowRunChance = 0.35;
-inline constexpr double fastRunChance = 0.6;
-inline constexpr double failurePenalty = 2.0; // expected times that a certain failure costs
-inline constexpr double coldFactor = 2.0; // run time of a worker that has just started, before it is measured
-inline constexpr milliseconds avoidFirst{300}; // after a failed connection; doubles up to `avoidLast`
-inline constexpr milliseconds avoidLast{3000};
-inline constexpr milliseconds runForgotten{6000}; // a run time that was not renewed for this long no longer counts
-inline constexpr std::size_t silentNodesOfCut = 2; // silent nodes after which a data centre counts as cut off
-inline constexpr milliseconds cutForgotten{3000}; // without further silence
-inline constexpr double handBackMs = 4.0; // a hand-back costs about this: a round trip and the work at both nodes
-inline constexpr double leastHandBackRuns = 0.15; // waits up to this share of a run are never worth a hand-back
-inline constexpr double crowdingShare = 0.25; // a full worker slows each run by this share
-
-// What a node says of its worker.
+inline constexpr std::size_t reportedPriorities = 3; // waits are reported for priorities 0, 1, and all others together
+inline constexpr double otherDataCentreShare = 0.04; // cost of another data centre, as share of the target
+inline constexpr double otherDataCentreSharePerKb = 0.006; // added for each KiB of the request
+inline constexpr double headerBytes = 800.0; // of a request and its response, without their bodies
+inline constexpr double minLinkShare = 0.08; // of a link's rate that a transfer gets at any load
+inline constexpr double reportHalfLifeMs = 400.0; // time after which a report has half its weight
+inline constexpr double tieShare = 0.1; // scores within this share of the best count as equal
+// Means of about eight runs differ from the typical run time by these shares through noise alone. The lower bound is
+// wider, because all nodes see the worker with the lowest mean and would otherwise all send to it.
+inline constexpr double slowNoiseShare = 0.35;
+inline constexpr double fastNoiseShare = 0.6;
+inline constexpr double failurePenalty = 2.0; // cost of a certain failure, in targets or run times, whichever is longer
+inline constexpr double warmUpRunFactor = 2.0; // run time factor during warm-up, until the worker is measured
+inline constexpr milliseconds initialBackoff{300}; // after a failed connection; doubles up to `maxBackoff`
+inline constexpr milliseconds maxBackoff{3000};
+inline constexpr milliseconds runForgotten{6000}; // run times that were not updated for this long are ignored
+inline constexpr std::size_t silentNodesUntilUnreachable = 2; // silent nodes that make a data centre unreachable
+inline constexpr milliseconds unreachableDuration{3000}; // reachable again if no further node falls silent
+inline constexpr double handBackCostMs = 4.0; // round trip and processing at both nodes
+inline constexpr double minHandBackRuns = 0.15; // waits up to this share of a run are accepted
+inline constexpr double contentionShare = 0.25; // slowdown of each run on a worker with all slots in use
+
+// Load report of a node about its worker.
 struct worker_report
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::array<double, reportedPriorities> waitMs{}; // expected wait by priority
     double failureShare = 0; // of the worker's recent requests
-    double slowdown = 1.0; // how long work takes there at the moment, 1 as usual
-    double linkLoad = 0; // used share of the rate of the VM's link
-    double lineRunMs = 0; // mean expected run of what runs there
+    double slowdown = 1.0; // current run times relative to the usual ones
+    double linkLoad = 0; // used share of the VM's link rate
+    double lineRunMs = 0; // mean expected run time of the running requests
 
     friend auto operator<=>(const worker_report &, const worker_report &) = default;
 
@@ -86,51 +86,52 @@
     }
 };
 
-// One worker as it is known from the fleet.
+// A worker as the fleet view describes it.
 struct worker_entry
 {
     std::string nodeId;
-    std::uint64_t process = 0; // of the node
+    std::uint64_t process = 0; // identifies the process of the node; changes when it restarts
     std::string dataCentre;
     std::uint32_t slots = 1;
     time_point coldUntil;
-    double linkBytesPerMs = 0; // rate of the VM's link; 0: not known
+    double linkBytesPerMs = 0; // rate of the VM's link; 0 if unknown
 
     friend auto operator<=>(const worker_entry &, const worker_entry &) = default;
 };
 
-struct placed_worker
+// What this node knows about a worker: its last report, the requests sent since then, run times and backoff.
+struct candidate_worker
 {
     worker_entry entry;
     worker_report report;
     time_point reportAt;
     std::uint32_t sentSinceReport = 0;
     double bytesSinceReport = 0;
-    std::map<std::string, std::pair<double, time_point>> runMs; // by route, with the time of the last news
-    time_point avoidUntil;
-    unsigned avoidances = 0;
+    std::map<std::string, std::pair<double, time_point>> runMs; // by route, with the time of the last update
+    time_point backoffUntil;
+    unsigned backoffCount = 0;
 };
 
 struct service_placement
 {
-    std::vector<placed_worker> workers; // sorted by node id
+    std::vector<candidate_worker> workers; // sorted by node id
 };
 
-// What is known of the way to another data centre.
-struct data_centre_path
+// Reachability of another data centre.
+struct data_centre_status
 {
-    std::set<std::string> silentNodes; // since a node of it was last heard
-    time_point silentAt;
+    std::set<std::string> silentNodes; // since one of its nodes was last heard from
+    time_point lastSilentAt;
 };
 
 struct placement_state
 {
     std::string nodeId; // of the own node
     std::string dataCentre;
-    double linkBytesPerMs = 0; // rate of the own link; 0: not known
-    double linkLoad = 0; // used share of it
+    double linkBytesPerMs = 0; // rate of the own link; 0 if unknown
+    double linkLoad = 0; // used share of the own link rate
     std::unordered_map<std::string, service_placement> services;
-    std::unordered_map<std::string, data_centre_path> paths; // by data centre
+    std::unordered_map<std::string, data_centre_status> dataCentreStatus; // by data centre
 };
 
 struct placement_request
@@ -138,35 +139,35 @@
     std::string route;
     std::uint32_t priority = 0;
     std::size_t bytes = 0;
-    double fallbackRunMs = 100; // while no run time of the route is known
-    double targetMs = 0; // time within which the response is worth most
-    double targetLeftMs = 0; // what is left of it; negative if it has passed
-    double timeLeftMs = 0; // until the response is of no use
-    std::set<std::string> excluded; // nodes that were tried already
+    double fallbackRunMs = 100; // run time to assume while none is known for the route
+    double targetMs = 0; // target latency of the route
+    double targetLeftMs = 0; // time left until the target; negative if it has passed
+    double timeLeftMs = 0; // time left until the deadline
+    std::set<std::string> excluded; // nodes that were already tried
 };
 
 struct placement_choice
 {
-    std::optional<std::string> nodeId; // empty: no worker can be chosen
-    double expectedMs = 0; // until the response
+    std::optional<std::string> nodeId; // empty if no worker is available
+    double expectedMs = 0; // score of the worker: expected time until the response, with costs and penalties
     double expectedWaitMs = 0;
     double expectedRunMs = 0;
-    double typicalRunMs = 0; // of the route, at all workers of the service
-    // Wait at the chosen worker from which the second best is expected to be faster; empty if there is no second.
+    double typicalRunMs = 0; // median over the workers of the service
+    // Wait at the chosen worker above which the second best worker is expected to be faster; empty if there is none.
     std::optional<double> longestWaitMs;
 };
 
-// setWorkers replaces the workers of a service; what is known of those that stay is kept.
+// setWorkers replaces the workers of a service. Reports and run times of workers that stay are kept.
 void setWorkers(placement_state &state, const std::string &service, std::vector<worker_entry> workers);
 
-// noteReport takes over a report and, if it is known, the run time of one route.
+// noteReport stores a load report, and resets the counts of requests sent since the last one and of backoffs.
 void noteReport(placement_state &state,
                 const std::string &service,
                 const std::string &nodeId,
                 const worker_report &report,
                 time_point now);
 
-// noteRunMs takes over the run time of a route at a worker.
+// noteRunMs stores the run time of a route at a worker.
 void noteRunMs(placement_state &state,
                const std::string &service,
                const std::string &nodeId,
@@ -174,7 +175,7 @@
                double milliseconds,
                time_point now);
 
-// noteSlow records that the worker has not responded to a request of the route for `milliseconds`.
+// noteSlow raises the run time of a route to at least `milliseconds`, because a request has been running for that long.
 void noteSlow(placement_state &state,
               const std::string &service,
               const std::string &nodeId,
@@ -182,12 +183,13 @@
               double milliseconds,
               time_point now);
 
-// noteSilent records that a node of a data centre did not answer in time; noteHeard that one of it was heard.
+// noteSilent records that a node of another data centre did not answer in time. noteHeard records that a node of the
+// data centre was heard from.
 void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now);
 void noteHeard(placement_state &state, const std::string &dataCentre);
 
-// isCutOff tells whether a data centre counts as cut off.
-bool isCutOff(const placement_state &state, const std::string &dataCentre, time_point now);
+// isDataCentreUnreachable returns whether a data centre counts as unreachable.
+bool isDataCentreUnreachable(const placement_state &state, const std::string &dataCentre, time_point now);
 
 // chooseWorker returns the best worker for a request.
 placement_choice chooseWorker(const placement_state &state,
@@ -196,13 +198,14 @@
                               time_point now,
                               random_generator &generator);
 
-// noteSent counts a request that goes to the worker now.
+// noteSent counts a request that is sent to the worker now.
 void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes);
 
-// avoid passes the worker over for a while after it could not be reached; `noteReport` ends that.
+// avoid skips the worker for a backoff time after it was unreachable or unavailable. Each call without a report in
+// between doubles the time, up to `maxBackoff`.
 void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
 
-// pause passes the worker over for `length`.
+// pause skips the worker for at least `length`.
 void pause(
     placement_state &state, const std::string &service, const std::string &nodeId, milliseconds length, time_point now);
 
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -1,5 +1,5 @@
-// Guards against herds on one worker, uploads behind a slow link, new workers without requests, and failing workers
-// that keep getting them.
+// Guards against herding (many nodes choose the same worker at once), uploads that queue behind a slow link, new
+// workers that get no requests, and failing workers that keep getting them.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -13,7 +13,7 @@
 
 namespace {
 
-const time_point start{}; // a clock that begins at zero
+const time_point start{}; // the epoch of the clock
 const std::string service = "orders";
 
 worker_entry workerOf(std::string nodeId, std::string dataCentre, double linkBytesPerMs = 0)
@@ -43,7 +43,7 @@
     return state;
 }
 
-// Sends `count` requests, each counted as sent, and returns how many each node got.
+// Places `count` requests, records each as sent, and returns the number per node.
 std::map<std::string, unsigned> sendMany(placement_state &state, unsigned count, const placement_request &request)
 {
     random_generator generator(5);
@@ -59,7 +59,7 @@
 
 } // namespace
 
-TEST_CASE("a burst between two reports is spread over the workers")
+TEST_CASE("a burst between two load reports is distributed over the workers")
 {
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1"), workerOf("c", "dc-1")});
     const auto sent = sendMany(state, 30, requestOf());
@@ -70,7 +70,7 @@
     CHECK(sent.size() == 3);
 }
 
-TEST_CASE("a faster worker gets more until it is full")
+TEST_CASE("a faster worker gets more requests until its slots are in use")
 {
     placement_state state = stateWith({workerOf("fast", "dc-1"), workerOf("slow", "dc-1")});
     noteRunMs(state, service, "fast", "sign", 60, start);
@@ -80,7 +80,7 @@
     CHECK(sent.at("slow") >= 3);
 }
 
-TEST_CASE("the own data centre is used until the wait there costs more")
+TEST_CASE("the own data centre is used until its wait exceeds the cost of another one")
 {
     placement_state state = stateWith({workerOf("near", "dc-1"), workerOf("far", "dc-2")});
     random_generator generator(5);
@@ -92,7 +92,7 @@
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId == "far");
 }
 
-TEST_CASE("an upload stays in the data centre where a small request would leave it")
+TEST_CASE("an upload stays in the own data centre at a wait that sends a small request to another one")
 {
     placement_state state = stateWith({workerOf("near", "dc-1"), workerOf("far", "dc-2")});
     worker_report full;
@@ -103,7 +103,7 @@
     CHECK(chooseWorker(state, service, requestOf(60000), start, generator).nodeId == "near");
 }
 
-TEST_CASE("uploads leave a fast worker behind a filled link")
+TEST_CASE("uploads go to a slower worker if the link of the fast one is loaded")
 {
     const double slowLink = 875; // 7 Mbit/s
     placement_state state = stateWith({workerOf("fast", "dc-1", slowLink), workerOf("slow", "dc-1", slowLink)});
@@ -120,7 +120,7 @@
     CHECK(sent.at("slow") >= 3);
 }
 
-TEST_CASE("a new worker is tried before anything is known of it")
+TEST_CASE("a new worker gets requests before its run times are known")
 {
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1")});
     noteRunMs(state, service, "a", "sign", 100, start);
@@ -129,7 +129,7 @@
     CHECK(sendMany(state, 18, requestOf()).at("new") >= 3);
 }
 
-TEST_CASE("a worker whose requests fail is passed over")
+TEST_CASE("a worker with a high failure rate gets no requests while another is healthy")
 {
     placement_state state = stateWith({workerOf("good", "dc-1"), workerOf("grey", "dc-1")});
     worker_report failing;
@@ -138,17 +138,17 @@
     CHECK(sendMany(state, 6, requestOf()).count("grey") == 0);
 }
 
-TEST_CASE("an unreachable worker is avoided for longer each time")
+TEST_CASE("the backoff time of an unreachable worker grows with each failure")
 {
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-2")});
     random_generator generator(5);
     time_point now = start;
     avoid(state, service, "a", now);
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
-    now += avoidFirst;
+    now += initialBackoff;
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "a");
     avoid(state, service, "a", now);
-    now += avoidFirst;
+    now += initialBackoff;
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
 }
 
@@ -176,7 +176,7 @@
     CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
 }
 
-TEST_CASE("a data centre that falls silent is not tried node by node")
+TEST_CASE("a data centre with several silent nodes counts as unreachable until one is heard from")
 {
     placement_state state =
         stateWith({workerOf("a", "dc-2"), workerOf("b", "dc-2"), workerOf("c", "dc-2"), workerOf("d", "dc-3")});
@@ -193,7 +193,7 @@
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId != "d");
 }
 
-TEST_CASE("there is no choice without workers, or when all were tried")
+TEST_CASE("no worker is chosen if the service has none or all were tried")
 {
     placement_state state = stateWith({workerOf("a", "dc-1")});
     random_generator generator(5);
@@ -203,7 +203,7 @@
     CHECK_FALSE(chooseWorker(state, "unknown", requestOf(), start, generator).nodeId);
 }
 
-TEST_CASE("a choice names the wait from which the second best worker is faster")
+TEST_CASE("a choice includes the wait above which the second best worker is faster")
 {
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1")});
     noteRunMs(state, service, "a", "sign", 100, start);
@@ -213,7 +213,7 @@
     REQUIRE(choice.nodeId == "a");
     REQUIRE(choice.longestWaitMs);
     CHECK(*choice.longestWaitMs >= 40);
-    CHECK(*choice.longestWaitMs <= 40 + 2 * handBackMs);
+    CHECK(*choice.longestWaitMs <= 40 + 2 * handBackCostMs);
     placement_request last = requestOf();
     last.excluded.insert("b");
     CHECK_FALSE(chooseWorker(state, service, last, start, generator).longestWaitMs);
@@ -221,31 +221,31 @@
 
 namespace {
 
-// Many nodes with old views fill the same workers. Returns the mean wait in milliseconds, with and without hand-backs.
-double replayOldViews(bool canHandBack)
+// Simulates many senders with outdated load reports that share the same workers. Returns the mean wait in milliseconds.
+double simulateStaleViews(bool canHandBack)
 {
     constexpr unsigned workers = 10;
     constexpr unsigned slots = 6;
     constexpr double runMs = 80;
-    constexpr int lengthMs = 4000;
-    constexpr double perMs = 0.8 * workers * slots / runMs;
+    constexpr int durationMs = 4000;
+    constexpr double arrivalsPerMs = 0.8 * workers * slots / runMs;
     random_generator generator(9);
     std::vector<worker_entry> entries;
     for (unsigned index = 0; index < workers; ++index) {
         entries.push_back(workerOf("w" + std::to_string(index), "dc-1"));
     }
     std::vector<placement_state> senders(30, stateWith(entries));
-    std::map<std::string, std::vector<double>> freeAt; // by worker: when each slot is free
+    std::map<std::string, std::vector<double>> freeAt; // by worker: time at which each slot becomes free
     for (const worker_entry &entry : entries) {
         freeAt[entry.nodeId].assign(slots, 0.0);
     }
     std::exponential_distribution<double> run(1.0 / runMs);
-    double due = 0;
-    double waited = 0;
+    double arrivalsDue = 0;
+    double totalWaitMs = 0;
     unsigned served = 0;
-    for (int ms = 0; ms < lengthMs; ++ms) {
+    for (int ms = 0; ms < durationMs; ++ms) {
         const time_point now = start + milliseconds(ms);
-        for (due += perMs; due >= 1; due -= 1) {
+        for (arrivalsDue += arrivalsPerMs; arrivalsDue >= 1; arrivalsDue -= 1) {
             placement_state &sender = senders.at(generator() % senders.size());
             const double nowMs = ms;
             for (unsigned handBacks = 0;; ++handBacks) {
@@ -266,52 +266,52 @@
                     continue;
                 }
                 *first = std::max(*first, nowMs) + run(generator);
-                waited += wait;
+                totalWaitMs += wait;
                 ++served;
                 break;
             }
         }
     }
-    return waited / served;
+    return totalWaitMs / served;
 }
 
 } // namespace
 
-TEST_CASE("nodes whose views are old wait less when a full worker's node hands requests back")
+TEST_CASE("hand-backs from full workers reduce the mean wait when senders have outdated reports")
 {
-    const double simple = replayOldViews(false);
-    const double withHandBacks = replayOldViews(true);
-    INFO("mean wait " << simple << " ms without, " << withHandBacks << " ms with hand-backs");
-    CHECK(withHandBacks < 0.7 * simple);
+    const double withoutHandBacks = simulateStaleViews(false);
+    const double withHandBacks = simulateStaleViews(true);
+    INFO("mean wait " << withoutHandBacks << " ms without, " << withHandBacks << " ms with hand-backs");
+    CHECK(withHandBacks < 0.7 * withoutHandBacks);
 }
 
 namespace {
 
-enum class placement_rule : std::uint8_t
+enum class selection_rule : std::uint8_t
 {
     Random,
-    Chosen,
+    Scored,
 };
 
-struct herd_report
+struct simulation_result
 {
-    double metFull = 0; // share of requests that found no free slot
-    double leftDataCentre = 0; // share of requests
+    double foundWorkerFull = 0; // share of requests that found no free slot
+    double sentToOtherDataCentre = 0; // share of requests
 };
 
-// Two thirds of the slots are used; run times vary widely, and nodes know them and the occupation of workers from their
-// own responses and from a few datagrams a second.
-herd_report replayNoisyRuns(placement_rule rule)
+// Simulates a load of about two thirds of the slots with widely varying run times. Senders learn run times and load
+// from the responses to their own requests and from a report about a random worker every `reportIntervalMs`.
+simulation_result simulateNoisyRunTimes(selection_rule rule)
 {
     constexpr unsigned workersPerDataCentre = 8;
     constexpr unsigned sendersPerDataCentre = 20;
     constexpr unsigned slots = 18;
     constexpr double runMs = 300;
-    constexpr int lengthMs = 5000;
-    constexpr int newsMs = 30; // between two reports that a sender hears of
-    constexpr double learnWeight = 0.1;
+    constexpr int durationMs = 5000;
+    constexpr int reportIntervalMs = 30; // between two reports that a sender receives
+    constexpr double meanWeight = 0.1;
     const std::vector<std::string> dataCentres = {"dc-1", "dc-2", "dc-3"};
-    const double perMs = 0.65 * static_cast<double>(workersPerDataCentre * dataCentres.size() * slots) / runMs;
+    const double arrivalsPerMs = 0.65 * static_cast<double>(workersPerDataCentre * dataCentres.size() * slots) / runMs;
     random_generator generator(11);
     std::vector<worker_entry> entries;
     for (const std::string &dataCentre : dataCentres) {
@@ -342,54 +342,54 @@
     const auto report = [&](placement_state &sender, const std::string &nodeId, time_point now) {
         const simulated_worker &worker = workers[nodeId];
         const double nowMs = msBetween(start, now);
-        worker_report told;
-        told.running = static_cast<std::uint32_t>(std::ranges::count_if(worker.freeAt, [&](double end) {
+        worker_report workerReport;
+        workerReport.running = static_cast<std::uint32_t>(std::ranges::count_if(worker.freeAt, [&](double end) {
             return end > nowMs;
         }));
-        told.waitMs.fill(std::max(0.0, std::ranges::min(worker.freeAt) - nowMs));
-        noteReport(sender, service, nodeId, told, now);
+        workerReport.waitMs.fill(std::max(0.0, std::ranges::min(worker.freeAt) - nowMs));
+        noteReport(sender, service, nodeId, workerReport, now);
         noteRunMs(sender, service, nodeId, "sign", worker.meanMs, now);
     };
     std::lognormal_distribution<double> run(std::log(runMs) - 0.32, 0.8);
-    double due = 0;
+    double arrivalsDue = 0;
     unsigned sent = 0;
     unsigned full = 0;
-    unsigned left = 0;
-    for (int ms = 0; ms < lengthMs; ++ms) {
+    unsigned sentElsewhere = 0;
+    for (int ms = 0; ms < durationMs; ++ms) {
         const time_point now = start + milliseconds(ms);
-        if (ms % newsMs == 0) {
+        if (ms % reportIntervalMs == 0) {
             for (placement_state &sender : senders) {
                 report(sender, entries.at(generator() % entries.size()).nodeId, now);
             }
         }
-        for (due += perMs; due >= 1; due -= 1) {
+        for (arrivalsDue += arrivalsPerMs; arrivalsDue >= 1; arrivalsDue -= 1) {
             placement_state &sender = senders.at(generator() % senders.size());
-            const std::string nodeId = rule == placement_rule::Random
+            const std::string nodeId = rule == selection_rule::Random
                 ? entries.at(generator() % entries.size()).nodeId
                 : chooseWorker(sender, service, request, now, generator).nodeId.value();
             simulated_worker &worker = workers[nodeId];
             const auto slot = std::ranges::min_element(worker.freeAt);
             full += *slot > ms ? 1 : 0;
-            left += nodeId.starts_with(sender.dataCentre) ? 0 : 1;
+            sentElsewhere += nodeId.starts_with(sender.dataCentre) ? 0 : 1;
             ++sent;
-            const double took = run(generator);
-            *slot = std::max<double>(*slot, ms) + took;
-            worker.meanMs += learnWeight * (took - worker.meanMs);
+            const double sampledRunMs = run(generator);
+            *slot = std::max<double>(*slot, ms) + sampledRunMs;
+            worker.meanMs += meanWeight * (sampledRunMs - worker.meanMs);
             noteSent(sender, service, nodeId, 0);
             report(sender, nodeId, now);
         }
     }
-    return {static_cast<double>(full) / sent, static_cast<double>(left) / sent};
+    return {static_cast<double>(full) / sent, static_cast<double>(sentElsewhere) / sent};
 }
 
 } // namespace
 
-TEST_CASE("chance in measured run times makes no herd on one worker and sends nothing to other data centres")
+TEST_CASE("noisy run times neither herd requests onto one worker nor send many to other data centres")
 {
-    const herd_report random = replayNoisyRuns(placement_rule::Random);
-    const herd_report chosen = replayNoisyRuns(placement_rule::Chosen);
-    INFO("met a full worker: " << chosen.metFull << ", at random " << random.metFull
-                               << "; left the data centre: " << chosen.leftDataCentre);
-    CHECK(chosen.metFull < random.metFull);
-    CHECK(chosen.leftDataCentre < 0.1);
+    const simulation_result random = simulateNoisyRunTimes(selection_rule::Random);
+    const simulation_result chosen = simulateNoisyRunTimes(selection_rule::Scored);
+    INFO("found a full worker: " << chosen.foundWorkerFull << ", at random " << random.foundWorkerFull
+                                 << "; sent to another data centre: " << chosen.sentToOtherDataCentre);
+    CHECK(chosen.foundWorkerFull < random.foundWorkerFull);
+    CHECK(chosen.sentToOtherDataCentre < 0.1);
 }
--- a/packages/request/waiting/late_rule.h
+++ b/packages/request/waiting/late_rule.h
@@ -1,19 +1,19 @@
-// When a request that cannot meet its target is still taken. The line of a worker decides by it, and the placement
-// foresees its decision.
+// Rules for admitting a request that can no longer meet its target latency. The request queue of a worker applies them,
+// and placement uses them to predict whether a worker would refuse a request.
 #pragma once
 
 namespace pistachioquay {
 
-inline constexpr double lateWaitRuns = 0.5; // wait, in its own runs, up to which a late request is taken
-inline constexpr double returnRuns = 1.5; // runs of the line that a return must span to find it shorter
-inline constexpr double returnShare = 1.0 / 3.0; // of its time that a refused caller stays away at most
+inline constexpr double maxLateWaitRuns = 0.5; // longest wait of a late request, in its run times
+inline constexpr double minRetryRuns = 1.5; // run times after which a retry finds a shorter queue
+inline constexpr double maxRetryAfterShare = 1.0 / 3.0; // of the time left; upper bound of Retry-After
 
-// isLastChance tells whether a refusal would end a request that can still meet its target: its caller has too little
-// time to come back to a shorter line. Calls of workers are like that: if one fails, all that its caller's worker has
-// done is lost. Thread safe.
+// isFinalAttempt returns whether the request can still meet its target, but its caller would have too little time to
+// retry after a refusal: the queue would be no shorter by then. Calls made by workers are usually of this kind; if one
+// fails, the work that the calling worker has done is lost. Thread safe.
 constexpr bool isLastChance(double targetLeftMs, double timeLeftMs, double lineRunMs)
 {
-    return targetLeftMs > 0 && timeLeftMs * returnShare < returnRuns * lineRunMs;
+    return targetLeftMs > 0 && timeLeftMs * maxRetryAfterShare < minRetryRuns * lineRunMs;
 }
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -17,71 +17,73 @@
     return now + fromMs(request.expectedRunMs) <= request.targetAt;
 }
 
-// Smaller runs earlier. A request that was taken although it is late keeps its place by its arrival.
-auto rankOf(const waiting_request &request)
+// Sort key: the smallest runs first. A request that was admitted late is ordered by its arrival time instead of its
+// target.
+auto dispatchOrder(const waiting_request &request)
 {
     const time_point due =
-        request.isTakenLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
+        request.isAdmittedLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
     return std::tuple(!request.isLastChance, request.priority, due, request.ticket);
 }
 
 double remainingMs(const running_request &running, time_point now)
 {
     const double elapsed = msBetween(running.startedAt, now);
-    return std::max(running.expectedRunMs - elapsed, std::max(running.expectedRunMs, elapsed) * overdueShare);
+    return std::max(running.expectedRunMs - elapsed, std::max(running.expectedRunMs, elapsed) * overdueRemainingShare);
 }
 
-// Wait of a request behind the waiting ones for which `isAhead` holds, when each slot takes the next request as soon as
-// it is free.
+// Returns the wait of a request behind the queued ones for which `isAhead` holds, if each slot takes the next request
+// as soon as it is free.
 template<class IsAhead>
-double waitBehind(const waiting_line &line, time_point now, IsAhead isAhead)
+double waitBehindMs(const waiting_line &queue, time_point now, IsAhead isAhead)
 {
-    if (line.running.size() < line.slots) {
+    if (queue.running.size() < queue.slots) {
         return 0;
     }
-    std::priority_queue<double, std::vector<double>, std::greater<>> freeAt;
-    for (const running_request &running : line.running) {
-        freeAt.push(remainingMs(running, now));
+    std::priority_queue<double, std::vector<double>, std::greater<>> slotFreeAt;
+    for (const running_request &running : queue.running) {
+        slotFreeAt.push(remainingMs(running, now));
     }
-    for (std::size_t over = line.running.size(); over > line.slots; --over) {
-        freeAt.pop();
+    for (std::size_t excess = queue.running.size(); excess > queue.slots; --excess) {
+        slotFreeAt.pop();
     }
-    for (const waiting_request &other : line.waiting) {
+    for (const waiting_request &other : queue.waiting) {
         if (isAhead(other)) {
-            const double start = freeAt.top();
-            freeAt.pop();
-            freeAt.push(start + other.expectedRunMs);
+            const double start = slotFreeAt.top();
+            slotFreeAt.pop();
+            slotFreeAt.push(start + other.expectedRunMs);
         }
     }
-    return freeAt.top();
+    return slotFreeAt.top();
 }
 
-refused_ticket refuse(const waiting_line &line,
-                      const waiting_request &request,
-                      wait_refusal reason,
-                      time_point now,
-                      random_generator &generator)
+refused_ticket refusalOf(const waiting_line &queue,
+                         const waiting_request &request,
+                         wait_refusal reason,
+                         time_point now,
+                         random_generator &generator)
 {
-    const double wait = expectedWaitMs(line, request.priority, now);
-    return {request.ticket, reason, returnDelay(request, wait, now, generator)};
+    const double wait = expectedWaitMs(queue, request.priority, now);
+    return {request.ticket, reason, retryAfterDelay(request, wait, now, generator)};
 }
 
-// Whether anything waits beside the request that could use its slot better.
-bool isCrowded(const waiting_line &line, const waiting_request &request, time_point now)
+// Returns whether a late request would wait longer than `maxLateWaitRuns` behind the running and all other queued
+// requests, which then make better use of the slot.
+bool hasCompetingWork(const waiting_line &queue, const waiting_request &request, time_point now)
 {
-    const double wait = waitBehind(line, now, [&](const waiting_request &other) {
+    const double wait = waitBehindMs(queue, now, [&](const waiting_request &other) {
         return other.ticket != request.ticket;
     });
-    return wait > lateWaitRuns * request.expectedRunMs;
+    return wait > maxLateWaitRuns * request.expectedRunMs;
 }
 
-bool isHopeless(const waiting_line &line, const waiting_request &request, time_point now)
+bool isUnservable(const waiting_line &queue, const waiting_request &request, time_point now)
 {
     if (now > latestStart(request)) {
         return true;
     }
-    return !request.isLastChance && !request.isTakenLate && !canMeetTarget(request, now)
-        && isCrowded(line, request, now);
+    return !request.isLastChance && !request.isAdmittedLate && !canMeetTarget(request, now)
+        && hasCompetingWork(queue, request, now);
 }
 
 } // namespace
@@ -97,7 +99,7 @@
         return "worker-down";
     case wait_refusal::NoTime:
         return "no-time";
-    case wait_refusal::Crowded:
+    case wait_refusal::WouldMissTarget:
         return "crowded";
     case wait_refusal::QueueFull:
         return "queue-full";
@@ -105,140 +107,143 @@
     return "unknown";
 }
 
-double lineRunMs(const waiting_line &line)
+double lineRunMs(const waiting_line &queue)
 {
-    const double sum = std::accumulate(line.running.begin(),
-                                       line.running.end(),
+    const double sum = std::accumulate(queue.running.begin(),
+                                       queue.running.end(),
                                        0.0,
                                        [](double total, const running_request &running) {
                                            return total + running.expectedRunMs;
                                        });
-    return line.running.empty() ? 0.0 : sum / static_cast<double>(line.running.size());
+    return queue.running.empty() ? 0.0 : sum / static_cast<double>(queue.running.size());
 }
 
 time_point latestStart(const waiting_request &request)
 {
-    return request.endsBy - fromMs(request.expectedRunMs * runMargin);
+    return request.endsBy - fromMs(request.expectedRunMs * runTimeMargin);
 }
 
 milliseconds
-returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator)
+retryAfterDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator)
 {
-    const double third = msBetween(now, request.endsBy) / 3.0;
+    const double maxDelay = msBetween(now, request.endsBy) / 3.0;
     const double targetLeft = msBetween(now, request.targetAt) - request.expectedRunMs;
-    std::uniform_real_distribution<double> spread(1.0 - returnSpread, 1.0);
-    const double untilRoom = expectedWaitMs - targetLeft;
-    const double wished = targetLeft > 0 ? std::min(untilRoom * (1.0 + returnSpread), targetLeft) : third;
-    const double delay = std::max<double>(wished * spread(generator), minRetryAfter.count());
-    return milliseconds(static_cast<std::int64_t>(std::max(0.0, std::min(delay, third))));
+    std::uniform_real_distribution<double> jitter(1.0 - retryAfterJitter, 1.0);
+    const double untilOnTime = expectedWaitMs - targetLeft;
+    const double wanted = targetLeft > 0 ? std::min(untilOnTime * (1.0 + retryAfterJitter), targetLeft) : maxDelay;
+    const double delay = std::max<double>(wanted * jitter(generator), minRetryAfter.count());
+    return milliseconds(static_cast<std::int64_t>(std::max(0.0, std::min(delay, maxDelay))));
 }
 
-double expectedWaitMs(const waiting_line &line, std::uint32_t priority, time_point now)
+double expectedWaitMs(const waiting_line &queue, std::uint32_t priority, time_point now)
 {
-    return waitBehind(line, now, [&](const waiting_request &other) {
+    return waitBehindMs(queue, now, [&](const waiting_request &other) {
         return other.isLastChance || other.priority <= priority;
     });
 }
 
-offer_verdict offer(waiting_line &line, const waiting_request &request, time_point now, random_generator &generator)
+offer_verdict offer(waiting_line &queue, const waiting_request &request, time_point now, random_generator &generator)
 {
-    offer_verdict verdict;
-    if (line.closedFor != wait_refusal::None) {
-        verdict.reason = line.closedFor;
-        return verdict;
+    offer_verdict result;
+    if (queue.closedFor != wait_refusal::None) {
+        result.reason = queue.closedFor;
+        return result;
     }
-    waiting_request offered = request;
-    offered.isTakenLate = false;
-    offered.isLastChance =
-        isLastChance(msBetween(now, request.targetAt), msBetween(now, request.endsBy), lineRunMs(line));
-    const auto rank = rankOf(offered);
-    verdict.expectedWaitMs = waitBehind(line, now, [&](const waiting_request &other) {
-        return rankOf(other) < rank;
+    waiting_request candidate = request;
+    candidate.isAdmittedLate = false;
+    candidate.isLastChance =
+        isLastChance(msBetween(now, request.targetAt), msBetween(now, request.endsBy), lineRunMs(queue));
+    const auto rank = dispatchOrder(candidate);
+    result.expectedWaitMs = waitBehindMs(queue, now, [&](const waiting_request &other) {
+        return dispatchOrder(other) < rank;
     });
-    const time_point startsAt = now + fromMs(verdict.expectedWaitMs);
-    if (startsAt > latestStart(offered)) {
-        verdict.reason = wait_refusal::NoTime;
-    } else if (!offered.isLastChance && !canMeetTarget(offered, startsAt)) {
-        offered.isTakenLate = true;
-        verdict.reason = isCrowded(line, offered, now) ? wait_refusal::Crowded : wait_refusal::None;
+    const time_point startsAt = now + fromMs(result.expectedWaitMs);
+    if (startsAt > latestStart(candidate)) {
+        result.reason = wait_refusal::NoTime;
+    } else if (!candidate.isLastChance && !canMeetTarget(candidate, startsAt)) {
+        candidate.isAdmittedLate = true;
+        result.reason = hasCompetingWork(queue, candidate, now) ? wait_refusal::WouldMissTarget : wait_refusal::None;
     }
-    if (verdict.reason == wait_refusal::None && line.waiting.size() >= maxWaiting) {
-        verdict.reason = wait_refusal::QueueFull;
+    if (result.reason == wait_refusal::None && queue.waiting.size() >= maxQueued) {
+        result.reason = wait_refusal::QueueFull;
     }
-    if (verdict.reason != wait_refusal::None) {
-        verdict.retryAfter = refuse(line, offered, verdict.reason, now, generator).retryAfter;
-        return verdict;
+    if (result.reason != wait_refusal::None) {
+        result.retryAfter = refusalOf(queue, candidate, result.reason, now, generator).retryAfter;
+        return result;
     }
-    if (line.running.size() < line.slots && line.waiting.empty()) {
-        line.running.push_back({offered.ticket, now, offered.expectedRunMs});
-        verdict.kind = offer_kind::Run;
-        return verdict;
+    if (queue.running.size() < queue.slots && queue.waiting.empty()) {
+        queue.running.push_back({candidate.ticket, now, candidate.expectedRunMs});
+        result.kind = offer_kind::Run;
+        return result;
     }
-    line.waiting.push_back(offered);
-    verdict.kind = offer_kind::Wait;
-    return verdict;
+    queue.waiting.push_back(candidate);
+    result.kind = offer_kind::Wait;
+    return result;
 }
 
-std::optional<std::uint64_t> startNext(waiting_line &line, time_point now)
+std::optional<std::uint64_t> startNext(waiting_line &queue, time_point now)
 {
-    if (line.waiting.empty() || line.running.size() >= line.slots) {
+    if (queue.waiting.empty() || queue.running.size() >= queue.slots) {
         return std::nullopt;
     }
-    const auto best = std::ranges::min_element(line.waiting, {}, rankOf);
+    const auto best = std::ranges::min_element(queue.waiting, {}, dispatchOrder);
     const std::uint64_t ticket = best->ticket;
-    line.running.push_back({ticket, now, best->expectedRunMs});
-    line.waiting.erase(best);
+    queue.running.push_back({ticket, now, best->expectedRunMs});
+    queue.waiting.erase(best);
     return ticket;
 }
 
-std::vector<refused_ticket> takeHopeless(waiting_line &line, time_point now, random_generator &generator)
+std::vector<refused_ticket> takeHopeless(waiting_line &queue, time_point now, random_generator &generator)
 {
     std::vector<refused_ticket> refused;
-    for (std::size_t index = 0; index < line.waiting.size();) {
-        const waiting_request request = line.waiting[index];
-        if (!isHopeless(line, request, now)) {
+    for (std::size_t index = 0; index < queue.waiting.size();) {
+        const waiting_request request = queue.waiting[index];
+        if (!isUnservable(queue, request, now)) {
             ++index;
             continue;
         }
-        line.waiting.erase(line.waiting.begin() + static_cast<std::ptrdiff_t>(index));
-        const bool isTooLate = now > latestStart(request);
-        refused.push_back(
-            refuse(line, request, isTooLate ? wait_refusal::NoTime : wait_refusal::Crowded, now, generator));
+        queue.waiting.erase(queue.waiting.begin() + static_cast<std::ptrdiff_t>(index));
+        const bool isPastLatestStart = now > latestStart(request);
+        refused.push_back(refusalOf(queue,
+                                    request,
+                                    isPastLatestStart ? wait_refusal::NoTime : wait_refusal::WouldMissTarget,
+                                    now,
+                                    generator));
     }
     return refused;
 }
 
-std::vector<refused_ticket> takeAll(waiting_line &line, wait_refusal reason)
+std::vector<refused_ticket> takeAll(waiting_line &queue, wait_refusal reason)
 {
     std::vector<refused_ticket> refused;
-    std::ranges::transform(line.waiting, std::back_inserter(refused), [&](const waiting_request &request) {
+    std::ranges::transform(queue.waiting, std::back_inserter(refused), [&](const waiting_request &request) {
         return refused_ticket{request.ticket, reason, milliseconds{0}};
     });
-    line.waiting.clear();
+    queue.waiting.clear();
     return refused;
 }
 
-void finish(waiting_line &line, std::uint64_t ticket)
+void finish(waiting_line &queue, std::uint64_t ticket)
 {
-    std::erase_if(line.running, [&](const running_request &running) {
+    std::erase_if(queue.running, [&](const running_request &running) {
         return running.ticket == ticket;
     });
-    std::erase_if(line.waiting, [&](const waiting_request &waiting) {
+    std::erase_if(queue.waiting, [&](const waiting_request &waiting) {
         return waiting.ticket == ticket;
     });
 }
 
-std::optional<time_point> nextCheck(const waiting_line &line)
+std::optional<time_point> nextCheck(const waiting_line &queue)
 {
-    if (line.waiting.empty()) {
+    if (queue.waiting.empty()) {
         return std::nullopt;
     }
     const auto dueAt = [](const waiting_request &request) {
         const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs);
-        const bool isExempt = request.isLastChance || request.isTakenLate;
+        const bool isExempt = request.isLastChance || request.isAdmittedLate;
         return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
     };
-    return dueAt(*std::ranges::min_element(line.waiting, {}, dueAt));
+    return dueAt(*std::ranges::min_element(queue.waiting, {}, dueAt));
 }
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting.h
+++ b/packages/request/waiting/waiting.h
@@ -1,23 +1,25 @@
-// Requests that wait at a node for a slot of its worker: who runs next, who is turned away and when to come back.
+// Queue of the requests that wait at a node for a slot of its worker: which request runs next, which ones are refused,
+// and after what delay a refused caller should retry.
 //
-//   const offer_verdict verdict = offer(line, request, now, generator);
-//   if (verdict.kind == offer_kind::Refused) return refuse(verdict.reason, verdict.retryAfter);
+//   const offer_verdict result = offer(queue, request, now, generator);
+//   if (result.kind == offer_kind::Refused) return refuse(result.reason, result.retryAfter);
 //   ...
-//   finish(line, ticket, now);
-//   for (auto started = startNext(line, now); started; started = startNext(line, now)) wake(*started);
-//   for (const refused_ticket &late : takeHopeless(line, now, generator)) refuse(late);
+//   finish(queue, ticket);
+//   for (auto started = startNext(queue, now); started; started = startNext(queue, now)) wake(*started);
+//   for (const refused_ticket &late : takeHopeless(queue, now, generator)) refuse(late);
 //
-// Load pattern: demand swings above what the workers can do for seconds, and a response after its target earns little.
-// So
-// - a request that cannot meet its target is refused on arrival while others wait, and a waiting one as soon as that is
-//   known: a slot spent on it would make the next one late as well, and its caller still has time to come back;
-// - it is taken while hardly anything waits, since a late response is worth more than none;
-// - among those that wait the more urgent route goes first, so that less urgent work never displaces it, and within a
-//   route the earliest target;
-// - a request with too little time to come back (`isLastChance`), such as the call of a worker, is refused only when it
-//   cannot end in time: its caller's worker holds a slot while it waits, and all of its work is lost if the call fails.
+// Load pattern: demand exceeds the capacity of the workers for seconds at a time, and a response after its target
+// latency has little value. Therefore
+// - a request that cannot meet its target is refused if it would wait behind others, either on arrival or as soon as
+//   this becomes clear: running it would make the next request late as well, and its caller still has time to retry;
+// - it is admitted if it can start almost at once, since a late response has more value than none;
+// - requests of the more urgent route run first, so that less urgent work never displaces them, and within a route
+//   those with the earliest target;
+// - a request whose caller has no time left for a retry (`isLastChance`), such as a call made by a worker, is refused
+//   only if it cannot finish before its deadline: the calling worker holds a slot while it waits, and its work is lost
+//   if the call fails.
 //
-// All functions work on one line of one worker and are not thread safe.
+// All functions operate on the queue of one worker and are not thread safe.
 #pragma once
 
 #include <cstdint>
@@ -32,22 +34,22 @@
 
 namespace pistachioquay {
 
-inline constexpr double runMargin = 1.15; // of the expected run that must fit before the time is up
-inline constexpr std::size_t maxWaiting = 512; // bounds the memory of a line
-inline constexpr double returnSpread = 0.5; // returns are spread over this share of the expected wait
-inline constexpr milliseconds minRetryAfter{20}; // shorter pauses only add round trips
-inline constexpr double overdueShare = 0.25; // an overdue run is expected to take this share of its time so far longer
+inline constexpr double runTimeMargin = 1.15; // multiple of the expected run time that must fit before the deadline
+inline constexpr std::size_t maxQueued = 512; // bounds the memory of a queue
+inline constexpr double retryAfterJitter = 0.5; // share by which Retry-After delays vary at random
+inline constexpr milliseconds minRetryAfter{20}; // shorter delays only add round trips
+inline constexpr double overdueRemainingShare = 0.25; // expected rest of an overdue run, as share of its time so far
 
 struct waiting_request
 {
     std::uint64_t ticket = 0;
-    std::uint32_t priority = 0; // of the route: 0 is the most urgent
+    std::uint32_t priority = 0; // of the route; 0 is the most urgent
     time_point arrivedAt;
-    time_point targetAt; // a response until then earns its full worth
-    time_point endsBy; // the response is of no use later
+    time_point targetAt; // a response by then has its full value
+    time_point endsBy; // deadline: a later response is of no use
     double expectedRunMs = 0;
-    bool isLastChance = false; // set by `offer`: its caller cannot come back in time
-    bool isTakenLate = false; // could not meet its target when it was taken
+    bool isLastChance = false; // set by `offer`: its caller has no time left for a retry
+    bool isAdmittedLate = false; // could not meet its target when it was admitted
 
     friend bool operator==(const waiting_request &, const waiting_request &) = default;
 };
@@ -64,14 +66,14 @@
 enum class wait_refusal : std::uint8_t
 {
     None,
-    Draining, // the worker leaves, or the node does
+    Draining, // the worker or the node is shutting down
     WorkerDown,
-    NoTime, // it cannot end in time behind what waits already
-    Crowded, // it would end after its target while others wait
+    NoTime, // it cannot finish before its deadline behind the requests already queued
+    WouldMissTarget, // it would finish after its target and wait behind others
     QueueFull,
 };
 
-// refusalName returns the lower-case name of a reason for logs and responses. Thread safe.
+// refusalName returns the lower-case name of a reason, as used in logs and responses. Thread safe.
 std::string_view refusalName(wait_refusal reason);
 
 enum class offer_kind : std::uint8_t
@@ -103,42 +105,44 @@
 struct waiting_line
 {
     std::uint32_t slots = 1;
-    wait_refusal closedFor = wait_refusal::None; // why nothing new is taken
+    wait_refusal closedFor = wait_refusal::None; // unless None, all new requests are refused for this reason
     std::vector<waiting_request> waiting;
     std::vector<running_request> running;
 };
 
-// offer decides on a new request. Run: it counts as running. Wait: it is in the line until `startNext` or
-// `takeHopeless` names its ticket.
-offer_verdict offer(waiting_line &line, const waiting_request &request, time_point now, random_generator &generator);
+// offer runs, queues or refuses a new request. Run: it has a slot now. Wait: it stays queued until `startNext` or
+// `takeHopeless` returns its ticket.
+offer_verdict offer(waiting_line &queue, const waiting_request &request, time_point now, random_generator &generator);
 
-// startNext moves the best waiting request to the running ones if a slot is free.
-std::optional<std::uint64_t> startNext(waiting_line &line, time_point now);
+// startNext moves the next queued request to the running ones if a slot is free, and returns its ticket.
+std::optional<std::uint64_t> startNext(waiting_line &queue, time_point now);
 
-// takeHopeless removes the waiting requests that can no longer end in time.
-std::vector<refused_ticket> takeHopeless(waiting_line &line, time_point now, random_generator &generator);
+// takeHopeless removes the queued requests that can no longer finish before their deadline, or can no longer meet their
+// target and would wait behind others.
+std::vector<refused_ticket> takeHopeless(waiting_line &queue, time_point now, random_generator &generator);
 
-// takeAll removes all waiting requests for `reason`.
-std::vector<refused_ticket> takeAll(waiting_line &line, wait_refusal reason);
+// takeAll removes all queued requests and refuses them for `reason`.
+std::vector<refused_ticket> takeAll(waiting_line &queue, wait_refusal reason);
 
-// finish frees the slot of a running request, or removes a waiting one whose caller left.
-void finish(waiting_line &line, std::uint64_t ticket);
+// finish frees the slot of a running request, or removes a queued one whose caller is gone.
+void finish(waiting_line &queue, std::uint64_t ticket);
 
-// expectedWaitMs returns how long a request with this priority that arrives now is expected to wait.
-double expectedWaitMs(const waiting_line &line, std::uint32_t priority, time_point now);
+// expectedWaitMs returns the expected wait of a request with this priority that arrives now.
+double expectedWaitMs(const waiting_line &queue, std::uint32_t priority, time_point now);
 
-// nextCheck returns when `takeHopeless` is due; empty if nothing waits.
-std::optional<time_point> nextCheck(const waiting_line &line);
+// nextCheck returns when `takeHopeless` should run next; empty if no request is queued.
+std::optional<time_point> nextCheck(const waiting_line &queue);
 
-// latestStart returns the last time at which the request can start and still end in time.
+// latestStart returns the last time at which the request can start and still finish before its deadline.
 time_point latestStart(const waiting_request &request);
 
-// lineRunMs returns the mean expected run of what runs now; 0 if nothing runs.
-double lineRunMs(const waiting_line &line);
+// lineRunMs returns the mean expected run time of the running requests; 0 if none runs.
+double lineRunMs(const waiting_line &queue);
 
-// returnDelay tells a refused caller when to come back: when the line is expected to be short enough for its target,
-// or, if that is missed, within the next third of its time. Returns are spread so that they do not come as a wave.
+// retryAfterDelay returns the delay after which a refused caller should retry: when the queue is expected to be short
+// enough for its target or, if the target is already missed, within the next third of the time left until its deadline.
+// Delays vary at random so that retries do not arrive in a burst.
 milliseconds
-returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator);
+retryAfterDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator);
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting_test.cc
+++ b/packages/request/waiting/waiting_test.cc
@@ -1,4 +1,5 @@
-// Guards against requests that wait in vain, late ones that make the next ones late, and calls that fail their callers.
+// Guards against three failures under overload: requests that wait and are refused anyway, late requests that make the
+// following ones late, and calls of workers that are refused although their callers cannot retry.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -10,22 +11,22 @@
 
 namespace {
 
-const time_point start{}; // a clock that begins at zero
+const time_point start{}; // the epoch of the clock
 
-waiting_request requestOf(std::uint64_t ticket, time_point now, int targetMs, int leftMs, double runMs)
+waiting_request requestOf(std::uint64_t ticket, time_point now, int targetMs, int timeLeftMs, double runMs)
 {
     waiting_request request;
     request.ticket = ticket;
     request.priority = 1;
     request.arrivedAt = now;
     request.targetAt = now + milliseconds(targetMs);
-    request.endsBy = now + milliseconds(leftMs);
+    request.endsBy = now + milliseconds(timeLeftMs);
     request.expectedRunMs = runMs;
     return request;
 }
 
-// Replays a swing of demand on one worker and counts the requests that end within their target.
-struct swing_result
+// Requests that finished within their target, finished later, and were refused.
+struct simulation_result
 {
     unsigned onTime = 0;
     unsigned late = 0;
@@ -33,22 +34,23 @@
     duration longestWaitOfRefused{0};
 };
 
-constexpr double swingRunMs = 100;
-constexpr int swingTargetMs = 300;
-constexpr int swingLeftMs = 2000;
+constexpr double simulatedRunMs = 100;
+constexpr int simulatedTargetMs = 300;
+constexpr int simulatedTimeLeftMs = 2000;
 
-// `refusesLate` off is the simpler rule: whatever can end before its time is up waits, first come first served.
-swing_result replaySwing(double overload, bool refusesLate)
+// Simulates 8 seconds of load on a worker with 6 slots; a `loadFactor` of 1 is its capacity. Without `usesTargets` a
+// request is only refused when it cannot finish before its deadline, and requests run in the order of arrival.
+simulation_result simulateOverload(double loadFactor, bool usesTargets)
 {
     random_generator generator(7);
-    waiting_line line;
-    line.slots = 6;
-    swing_result result;
-    std::map<std::uint64_t, waiting_request> open;
+    waiting_line queue;
+    queue.slots = 6;
+    simulation_result result;
+    std::map<std::uint64_t, waiting_request> requests;
     std::map<std::uint64_t, time_point> ends;
     std::uint64_t ticket = 0;
-    const double perMs = overload * line.slots / swingRunMs;
-    double due = 0;
+    const double arrivalsPerMs = loadFactor * queue.slots / simulatedRunMs;
+    double arrivalsDue = 0;
     for (int ms = 0; ms < 8000; ++ms) {
         const time_point now = start + milliseconds(ms);
         for (auto end = ends.begin(); end != ends.end();) {
@@ -56,30 +58,30 @@
                 ++end;
                 continue;
             }
-            const bool isOnTime = now <= open.at(end->first).arrivedAt + milliseconds(swingTargetMs);
+            const bool isOnTime = now <= requests.at(end->first).arrivedAt + milliseconds(simulatedTargetMs);
             ++(isOnTime ? result.onTime : result.late);
-            finish(line, end->first);
+            finish(queue, end->first);
             end = ends.erase(end);
         }
-        for (const refused_ticket &refused : takeHopeless(line, now, generator)) {
+        for (const refused_ticket &refused : takeHopeless(queue, now, generator)) {
             ++result.refused;
             result.longestWaitOfRefused =
-                std::max(result.longestWaitOfRefused, now - open.at(refused.ticket).arrivedAt);
+                std::max(result.longestWaitOfRefused, now - requests.at(refused.ticket).arrivedAt);
         }
-        for (due += perMs; due >= 1; due -= 1) {
-            waiting_request request = requestOf(++ticket, now, swingTargetMs, swingLeftMs, swingRunMs);
-            if (!refusesLate) {
+        for (arrivalsDue += arrivalsPerMs; arrivalsDue >= 1; arrivalsDue -= 1) {
+            waiting_request request = requestOf(++ticket, now, simulatedTargetMs, simulatedTimeLeftMs, simulatedRunMs);
+            if (!usesTargets) {
                 request.targetAt = request.endsBy;
             }
-            open[ticket] = request;
-            const offer_verdict verdict = offer(line, request, now, generator);
-            if (verdict.kind == offer_kind::Refused) {
+            requests[ticket] = request;
+            const offer_verdict decision = offer(queue, request, now, generator);
+            if (decision.kind == offer_kind::Refused) {
                 ++result.refused;
-            } else if (verdict.kind == offer_kind::Run) {
+            } else if (decision.kind == offer_kind::Run) {
                 ends[ticket] = now + milliseconds(100);
             }
         }
-        for (auto started = startNext(line, now); started; started = startNext(line, now)) {
+        for (auto started = startNext(queue, now); started; started = startNext(queue, now)) {
             ends[*started] = now + milliseconds(100);
         }
     }
@@ -88,89 +90,89 @@
 
 } // namespace
 
-TEST_CASE("a swing above what the worker can do keeps most responses on time")
+TEST_CASE("under overload most of a worker's capacity serves requests within their target")
 {
-    const swing_result chosen = replaySwing(1.5, true);
-    const swing_result simple = replaySwing(1.5, false);
-    const unsigned possible = 8000 / 100 * 6;
-    CHECK(chosen.onTime >= possible * 9 / 10);
-    CHECK(simple.onTime < possible / 2);
-    CHECK(chosen.late <= possible / 20);
+    const simulation_result withTargets = simulateOverload(1.5, true);
+    const simulation_result withDeadlinesOnly = simulateOverload(1.5, false);
+    const unsigned capacity = 8000 / 100 * 6;
+    CHECK(withTargets.onTime >= capacity * 9 / 10);
+    CHECK(withDeadlinesOnly.onTime < capacity / 2);
+    CHECK(withTargets.late <= capacity / 20);
 }
 
-TEST_CASE("a request that is refused in a swing has not waited for long")
+TEST_CASE("a request refused under overload has waited no longer than the target latency")
 {
-    const swing_result chosen = replaySwing(1.5, true);
-    CHECK(chosen.refused > 0);
-    CHECK(chosen.longestWaitOfRefused <= milliseconds(swingTargetMs));
+    const simulation_result withTargets = simulateOverload(1.5, true);
+    CHECK(withTargets.refused > 0);
+    CHECK(withTargets.longestWaitOfRefused <= milliseconds(simulatedTargetMs));
 }
 
-TEST_CASE("below what the worker can do nothing is refused")
+TEST_CASE("no request is refused while the load is below capacity")
 {
-    CHECK(replaySwing(0.9, true).refused == 0);
+    CHECK(simulateOverload(0.9, true).refused == 0);
 }
 
-TEST_CASE("a request that cannot end in time is refused on arrival")
+TEST_CASE("a request that cannot finish before its deadline is refused on arrival")
 {
     random_generator generator(1);
-    waiting_line line;
-    line.slots = 1;
-    CHECK(offer(line, requestOf(1, start, 300, 400, 500), start, generator).kind == offer_kind::Refused);
-    REQUIRE(offer(line, requestOf(2, start, 900, 1000, 500), start, generator).kind == offer_kind::Run);
-    const offer_verdict late = offer(line, requestOf(3, start, 900, 900, 500), start, generator);
+    waiting_line queue;
+    queue.slots = 1;
+    CHECK(offer(queue, requestOf(1, start, 300, 400, 500), start, generator).kind == offer_kind::Refused);
+    REQUIRE(offer(queue, requestOf(2, start, 900, 1000, 500), start, generator).kind == offer_kind::Run);
+    const offer_verdict late = offer(queue, requestOf(3, start, 900, 900, 500), start, generator);
     CHECK(late.kind == offer_kind::Refused);
     CHECK(late.reason == wait_refusal::NoTime);
     CHECK(late.retryAfter <= milliseconds(300));
 }
 
-TEST_CASE("a late request is taken while hardly anything waits")
+TEST_CASE("a late request is admitted only if it can start almost at once")
 {
     random_generator generator(1);
-    waiting_line line;
-    line.slots = 1;
+    waiting_line queue;
+    queue.slots = 1;
     const waiting_request late = requestOf(1, start, -100, 1000, 100);
-    CHECK(offer(line, late, start, generator).kind == offer_kind::Run);
-    CHECK(offer(line, requestOf(2, start, -100, 1000, 100), start, generator).reason == wait_refusal::Crowded);
+    CHECK(offer(queue, late, start, generator).kind == offer_kind::Run);
+    CHECK(offer(queue, requestOf(2, start, -100, 1000, 100), start, generator).reason == wait_refusal::WouldMissTarget);
 }
 
-TEST_CASE("a call of a worker goes first and is refused only when it cannot end in time")
+TEST_CASE("a final attempt runs first and is not refused while it can finish before its deadline")
 {
     random_generator generator(1);
-    waiting_line line;
-    line.slots = 1;
-    REQUIRE(offer(line, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
-    REQUIRE(offer(line, requestOf(2, start, 300, 1000, 100), start, generator).kind == offer_kind::Wait);
-    REQUIRE(offer(line, requestOf(3, start, 50, 250, 30), start, generator).kind == offer_kind::Wait);
-    CHECK(takeHopeless(line, start + milliseconds(60), generator).empty());
-    finish(line, 1);
-    CHECK(startNext(line, start + milliseconds(100)) == 3U);
-    CHECK_FALSE(startNext(line, start + milliseconds(100)).has_value());
+    waiting_line queue;
+    queue.slots = 1;
+    REQUIRE(offer(queue, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
+    REQUIRE(offer(queue, requestOf(2, start, 300, 1000, 100), start, generator).kind == offer_kind::Wait);
+    REQUIRE(offer(queue, requestOf(3, start, 50, 250, 30), start, generator).kind == offer_kind::Wait);
+    CHECK(takeHopeless(queue, start + milliseconds(60), generator).empty());
+    finish(queue, 1);
+    CHECK(startNext(queue, start + milliseconds(100)) == 3U);
+    CHECK_FALSE(startNext(queue, start + milliseconds(100)).has_value());
 }
 
-TEST_CASE("a caller that has passed its target gets no last chance")
+TEST_CASE("a request past its target does not count as a final attempt")
 {
     random_generator generator(1);
-    waiting_line line;
-    line.slots = 1;
-    REQUIRE(offer(line, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
-    CHECK(offer(line, requestOf(2, start, -10, 250, 30), start, generator).reason == wait_refusal::Crowded);
+    waiting_line queue;
+    queue.slots = 1;
+    REQUIRE(offer(queue, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
+    CHECK(offer(queue, requestOf(2, start, -10, 250, 30), start, generator).reason == wait_refusal::WouldMissTarget);
 }
 
-TEST_CASE("the more urgent route goes first, and the earliest target within it")
+TEST_CASE("requests run by the priority of their route, then by the earliest target")
 {
     random_generator generator(1);
-    waiting_line line;
-    line.slots = 1;
-    REQUIRE(offer(line, requestOf(1, start, 300, 1000, 10), start, generator).kind == offer_kind::Run);
+    waiting_line queue;
+    queue.slots = 1;
+    REQUIRE(offer(queue, requestOf(1, start, 300, 1000, 10), start, generator).kind == offer_kind::Run);
     waiting_request lessUrgent = requestOf(2, start, 200, 1000, 10);
     lessUrgent.priority = 2;
-    offer(line, lessUrgent, start, generator);
-    offer(line, requestOf(3, start, 290, 1000, 10), start, generator);
-    offer(line, requestOf(4, start, 250, 1000, 10), start, generator);
+    offer(queue, lessUrgent, start, generator);
+    offer(queue, requestOf(3, start, 290, 1000, 10), start, generator);
+    offer(queue, requestOf(4, start, 250, 1000, 10), start, generator);
     std::vector<std::uint64_t> order;
     for (std::uint64_t running = 1; running != 0;) {
-        finish(line, running);
-        const auto next = startNext(line, start);
+        finish(queue, running);
+        const auto next = startNext(queue, start);
         running = next.value_or(0);
         if (next) {
             order.push_back(*next);
@@ -179,29 +181,29 @@
     CHECK(order == std::vector<std::uint64_t>{4, 3, 2});
 }
 
-TEST_CASE("returns of refused callers are spread and within a third of their time")
+TEST_CASE("Retry-After delays vary and stay within a third of the time left")
 {
     random_generator generator(3);
     const waiting_request request = requestOf(1, start, -10, 900, 100);
     std::vector<milliseconds> delays(200);
     std::ranges::generate(delays, [&] {
-        return returnDelay(request, 800, start, generator);
+        return retryAfterDelay(request, 800, start, generator);
     });
     const auto [least, most] = std::ranges::minmax(delays);
     CHECK(most <= milliseconds(300));
     CHECK(most - least >= milliseconds(100));
 }
 
-TEST_CASE("a closed line refuses with its reason and gives back what waits")
+TEST_CASE("a closed queue refuses with its reason and removes all queued requests")
 {
     random_generator generator(1);
-    waiting_line line;
-    line.slots = 1;
-    offer(line, requestOf(1, start, 300, 1000, 10), start, generator);
-    offer(line, requestOf(2, start, 300, 1000, 10), start, generator);
-    line.closedFor = wait_refusal::Draining;
-    CHECK(offer(line, requestOf(3, start, 300, 1000, 10), start, generator).reason == wait_refusal::Draining);
-    const auto refused = takeAll(line, wait_refusal::Draining);
+    waiting_line queue;
+    queue.slots = 1;
+    offer(queue, requestOf(1, start, 300, 1000, 10), start, generator);
+    offer(queue, requestOf(2, start, 300, 1000, 10), start, generator);
+    queue.closedFor = wait_refusal::Draining;
+    CHECK(offer(queue, requestOf(3, start, 300, 1000, 10), start, generator).reason == wait_refusal::Draining);
+    const auto refused = takeAll(queue, wait_refusal::Draining);
     REQUIRE(refused.size() == 1);
     CHECK(refused.front().ticket == 2);
 }
