Plain wording in request/hedge

Comments called a hedge a copy and spoke of swings and patience. Renamed: hedge_target, minHedgeRuns, hedgeRunMargin, maxHedgeWaitRuns and locals.

--- a/packages/request/hedge/hedge.cc
+++ b/packages/request/hedge/hedge.cc
@@ -9,22 +9,22 @@
     if (!request.isRepeatable || request.workersTried + 1 > request.maxWorkers) {
         return std::nullopt;
     }
-    // A worker that is known to be slow is given no more time than the others take.
+    // A worker that is known to be slow gets no more time than the others usually take.
     const double expectedMs = request.expectedWaitMs + std::min(request.expectedRunMs, request.typicalRunMs);
-    const double earliest = expectedMs * leastHedgeRuns;
-    const double patient = expectedMs * hedgeRuns;
-    const double lastOnTime = request.targetLeftMs - request.typicalRunMs * hedgeFit;
-    const double delay = lastOnTime >= earliest ? std::min(patient, lastOnTime) : patient;
-    if (delay + request.typicalRunMs * hedgeFit > request.timeLeftMs) {
+    const double minDelay = expectedMs * minHedgeRuns;
+    const double usualDelay = expectedMs * hedgeRuns;
+    const double latestOnTime = request.targetLeftMs - request.typicalRunMs * hedgeRunMargin;
+    const double delay = latestOnTime >= minDelay ? std::min(usualDelay, latestOnTime) : usualDelay;
+    if (delay + request.typicalRunMs * hedgeRunMargin > request.timeLeftMs) {
         return std::nullopt;
     }
     return milliseconds(static_cast<std::int64_t>(delay) + 1);
 }
 
-bool maySendCopy(const copy_target &target)
+bool maySendCopy(const hedge_target &target)
 {
-    return target.expectedWaitMs <= target.expectedRunMs * hedgeWaitRuns
-        && target.expectedWaitMs + target.expectedRunMs * hedgeFit <= target.timeLeftMs;
+    return target.expectedWaitMs <= target.expectedRunMs * maxHedgeWaitRuns
+        && target.expectedWaitMs + target.expectedRunMs * hedgeRunMargin <= target.timeLeftMs;
 }
 
 } // namespace pistachioquay
--- a/packages/request/hedge/hedge_test.cc
+++ b/packages/request/hedge/hedge_test.cc
@@ -1,3 +1,5 @@
+// Guards against hedges that come too late for the target, add load to busy workers, or run a request twice that may
+// only run once.
 #include <catch2/catch.hpp>
 
 #include "request/hedge/hedge.h"
@@ -17,7 +19,7 @@
 
 } // namespace
 
-TEST_CASE("a lookup at a worker that hangs gets a copy early enough for its target")
+TEST_CASE("the hedge of a request at a hanging worker can still meet the target")
 {
     const auto delay = hedgeDelay(lookup);
     REQUIRE(delay);
@@ -25,44 +27,44 @@
     CHECK(delay->count() + lookup.typicalRunMs <= lookup.targetLeftMs);
 }
 
-TEST_CASE("a target that is close brings the copy forward, but not before the first worker had its time")
+TEST_CASE("a close target makes the hedge earlier, but not earlier than the minimum delay")
 {
-    slow_request facts = lookup;
-    facts.targetLeftMs = 68;
-    const auto delay = hedgeDelay(facts);
+    slow_request request = lookup;
+    request.targetLeftMs = 68;
+    const auto delay = hedgeDelay(request);
     REQUIRE(delay);
     CHECK(*delay < *hedgeDelay(lookup));
-    CHECK(delay->count() >= facts.expectedRunMs * leastHedgeRuns);
+    CHECK(delay->count() >= request.expectedRunMs * minHedgeRuns);
 }
 
-TEST_CASE("a request that missed its target waits patiently, and gets a copy while that can end in time")
+TEST_CASE("a request past its target is hedged after the usual delay, if the hedge can finish before the deadline")
 {
-    slow_request facts = lookup;
-    facts.targetLeftMs = -10;
-    REQUIRE(hedgeDelay(facts));
-    CHECK(hedgeDelay(facts)->count() >= facts.expectedRunMs * hedgeRuns);
-    facts.timeLeftMs = 60;
-    CHECK_FALSE(hedgeDelay(facts));
+    slow_request request = lookup;
+    request.targetLeftMs = -10;
+    REQUIRE(hedgeDelay(request));
+    CHECK(hedgeDelay(request)->count() >= request.expectedRunMs * hedgeRuns);
+    request.timeLeftMs = 60;
+    CHECK_FALSE(hedgeDelay(request));
 }
 
-TEST_CASE("a worker that is known to be slow is waited for no longer than others take")
+TEST_CASE("a worker that is known to be slow does not delay the hedge")
 {
-    slow_request facts = lookup;
-    facts.expectedRunMs = 200;
-    CHECK(hedgeDelay(facts) == hedgeDelay(lookup));
+    slow_request request = lookup;
+    request.expectedRunMs = 200;
+    CHECK(hedgeDelay(request) == hedgeDelay(lookup));
 }
 
-TEST_CASE("requests that may run once, or have used their workers, get no copy")
+TEST_CASE("requests that are not retryable or have reached their maximum number of workers are not hedged")
 {
-    slow_request once = lookup;
-    once.isRepeatable = false;
-    CHECK_FALSE(hedgeDelay(once));
-    slow_request used = lookup;
-    used.workersTried = used.maxWorkers;
-    CHECK_FALSE(hedgeDelay(used));
+    slow_request atMostOnce = lookup;
+    atMostOnce.isRepeatable = false;
+    CHECK_FALSE(hedgeDelay(atMostOnce));
+    slow_request exhausted = lookup;
+    exhausted.workersTried = exhausted.maxWorkers;
+    CHECK_FALSE(hedgeDelay(exhausted));
 }
 
-TEST_CASE("in a swing that fills all slots no copy is sent")
+TEST_CASE("a hedge is sent only to a worker that has almost no wait and can finish in time")
 {
     CHECK(maySendCopy({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 100}));
     CHECK_FALSE(maySendCopy({.expectedWaitMs = 12, .expectedRunMs = 25, .timeLeftMs = 100}));
