Plain wording in request/resend

Comments spoke of repeats, steps and callers that come back. They now say retry, bucket and Retry-After; the use at the top has the parameters of the functions. Renamed: retry_counts, retry_window, windowBuckets, directRetryShare and the constants of rejectionRetryAfter, and locals.

--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -7,47 +7,48 @@
 
 namespace {
 
-// Steps may lie before the zero of the clock.
-std::size_t slotOf(std::int64_t step)
+// Returns the index of a bucket in the ring. Bucket numbers are negative for times before the epoch of the clock.
+std::size_t indexInRing(std::int64_t number)
 {
-    constexpr auto count = static_cast<std::int64_t>(budgetSteps);
-    return static_cast<std::size_t>((step % count + count) % count);
+    constexpr auto count = static_cast<std::int64_t>(windowBuckets);
+    return static_cast<std::size_t>((number % count + count) % count);
 }
 
-resend_counts &currentStep(resend_window &window, const resend_limits &limits, time_point now)
+retry_counts &currentBucket(retry_window &window, const resend_limits &limits, time_point now)
 {
-    const duration stepLength = std::max<duration>(limits.window / budgetSteps, milliseconds{1});
-    const std::int64_t step = now.time_since_epoch() / stepLength;
-    const std::int64_t passed = window.lastStep < 0 ? static_cast<std::int64_t>(budgetSteps) : step - window.lastStep;
-    for (std::int64_t offset = 0; offset < std::min<std::int64_t>(passed, budgetSteps); ++offset) {
-        window.steps.at(slotOf(step - offset)) = {};
+    const duration bucketLength = std::max<duration>(limits.window / windowBuckets, milliseconds{1});
+    const std::int64_t number = now.time_since_epoch() / bucketLength;
+    const std::int64_t elapsedBuckets =
+        window.lastBucket < 0 ? static_cast<std::int64_t>(windowBuckets) : number - window.lastBucket;
+    for (std::int64_t offset = 0; offset < std::min<std::int64_t>(elapsedBuckets, windowBuckets); ++offset) {
+        window.buckets.at(indexInRing(number - offset)) = {};
     }
-    window.lastStep = step;
-    return window.steps.at(slotOf(step));
+    window.lastBucket = number;
+    return window.buckets.at(indexInRing(number));
 }
 
-resend_counts totalOf(const resend_window &window)
+retry_counts totalOf(const retry_window &window)
 {
-    return std::accumulate(window.steps.begin(),
-                           window.steps.end(),
-                           resend_counts{},
-                           [](resend_counts sum, const auto &step) {
-                               return resend_counts{sum.requests + step.requests, sum.resends + step.resends};
+    return std::accumulate(window.buckets.begin(),
+                           window.buckets.end(),
+                           retry_counts{},
+                           [](retry_counts sum, const auto &bucket) {
+                               return retry_counts{sum.requests + bucket.requests, sum.retries + bucket.retries};
                            });
 }
 
-bool takeShare(
+bool tryAcquireShare(
     resend_budget &budget, const std::string &service, const resend_limits &limits, double share, time_point now)
 {
-    resend_window &window = budget.services[service];
-    resend_counts &step = currentStep(window, limits, now);
-    const resend_counts total = totalOf(window);
-    const double extra = static_cast<double>(limits.extra) / std::max<std::uint32_t>(limits.nodes, 1);
-    const double allowed = ownShare * share * (limits.ratio * total.requests + extra);
-    if (total.resends + 1 > allowed) {
+    retry_window &window = budget.services[service];
+    retry_counts &bucket = currentBucket(window, limits, now);
+    const retry_counts total = totalOf(window);
+    const double ownFixedRetries = static_cast<double>(limits.extra) / std::max<std::uint32_t>(limits.nodes, 1);
+    const double allowed = directRetryShare * share * (limits.ratio * total.requests + ownFixedRetries);
+    if (total.retries + 1 > allowed) {
         return false;
     }
-    ++step.resends;
+    ++bucket.retries;
     return true;
 }
 
@@ -55,40 +56,40 @@
 
 void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
 {
-    ++currentStep(budget.services[service], limits, now).requests;
+    ++currentBucket(budget.services[service], limits, now).requests;
 }
 
 bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
 {
-    return takeShare(budget, service, limits, 1.0, now);
+    return tryAcquireShare(budget, service, limits, 1.0, now);
 }
 
 bool takeHedge(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
 {
-    return takeShare(budget, service, limits, hedgeShare, now);
+    return tryAcquireShare(budget, service, limits, hedgeShare, now);
 }
 
-bool mayResend(const resend_facts &facts)
+bool mayResend(const resend_facts &attempt)
 {
-    if (facts.timeLeft <= facts.expectedRun) {
+    if (attempt.timeLeft <= attempt.expectedRun) {
         return false;
     }
-    switch (facts.end) {
+    switch (attempt.end) {
     case send_end::NotRun:
         return true;
     case send_end::RejectedByWorker:
-        return facts.workersTried < facts.maxWorkers;
+        return attempt.workersTried < attempt.maxWorkers;
     case send_end::FailedResponse:
     case send_end::Unknown:
-        return facts.isRepeatable && facts.workersTried < facts.maxWorkers;
+        return attempt.isRepeatable && attempt.workersTried < attempt.maxWorkers;
     }
     return false;
 }
 
 milliseconds returnAfterRejection(double expectedRunMs, double draw)
 {
-    const double wait = expectedRunMs * (rejectedReturnRuns + rejectedSpreadRuns * draw);
-    return std::max(leastRejectedReturn, milliseconds(static_cast<std::int64_t>(wait)));
+    const double wait = expectedRunMs * (rejectionRetryRuns + rejectionJitterRuns * draw);
+    return std::max(minRejectionRetryAfter, milliseconds(static_cast<std::int64_t>(wait)));
 }
 
 } // namespace pistachioquay
--- a/packages/request/resend/resend.h
+++ b/packages/request/resend/resend.h
@@ -1,12 +1,12 @@
-// Whether a request that failed at one worker may be sent to another one.
+// Decides whether a request that failed at one worker may be retried on another one, and limits these retries by a
+// budget for each service.
 //
-//   noteRequest(budget, "orders", now);                              // each request of a caller
-//   if (mayResend(facts) && takeResend(budget, "orders", limits, now)) sendElsewhere();
+//   noteRequest(budget, "orders", limits, now);                      // for each request of a caller
+//   if (mayResend(attempt) && takeResend(budget, "orders", limits, now)) sendToOtherWorker();
 //
-// Load pattern: when workers fail or shed under load, every repeat adds load to those that still work. All nodes
-// together may therefore repeat only a share of the requests of a service in each window. A node spends what its own
-// requests allow and its part of the fixed extra, so that the sum of all nodes keeps the bound without any word between
-// them.
+// Load pattern: when workers fail or shed load, every retry adds load to those that still work. All nodes together may
+// therefore retry only a share of the requests of a service in each window. A node uses the allowance of its own
+// requests and its part of a fixed number, so that the sum over all nodes stays within the limit without coordination.
 #pragma once
 
 #include <array>
@@ -18,61 +18,61 @@
 
 namespace pistachioquay {
 
-inline constexpr std::size_t budgetSteps = 20; // a window is counted in this many steps
-inline constexpr double hedgeShare = 0.5; // of the allowance that copies of slow requests may use
-inline constexpr double ownShare = 0.8; // of the allowance; the rest covers calls that repeated runs make again
+inline constexpr std::size_t windowBuckets = 20; // counters of one window, each for an equal part of it
+inline constexpr double hedgeShare = 0.5; // of the allowance; hedges are not sent above this use
+inline constexpr double directRetryShare = 0.8; // of the allowance; the rest covers calls that retries cause
 
-inline constexpr double rejectedReturnRuns = 0.25; // expected runs until a rejected caller may come back, at least
-inline constexpr double rejectedSpreadRuns = 0.25; // added at most, so that returns are spread
-inline constexpr milliseconds leastRejectedReturn{5};
+inline constexpr double rejectionRetryRuns = 0.25; // lower bound of Retry-After, in expected run times
+inline constexpr double rejectionJitterRuns = 0.25; // random part on top, in expected run times
+inline constexpr milliseconds minRejectionRetryAfter{5};
 
-// The bound that holds for all nodes together.
+// Retry limits of a service that hold for all nodes together.
 struct resend_limits
 {
-    double ratio = 0.2; // repeats for each request
+    double ratio = 0.2; // retries for each request
     milliseconds window{10000};
-    std::uint32_t extra = 64; // repeats that are allowed besides
-    std::uint32_t nodes = 1; // nodes that share `extra`
+    std::uint32_t extra = 64; // retries that are allowed in addition, in each window
+    std::uint32_t nodes = 1; // nodes that share the additional retries
 
     friend auto operator<=>(const resend_limits &, const resend_limits &) = default;
 };
 
-struct resend_counts
+struct retry_counts
 {
     std::uint32_t requests = 0;
-    std::uint32_t resends = 0;
+    std::uint32_t retries = 0;
 
-    friend auto operator<=>(const resend_counts &, const resend_counts &) = default;
+    friend auto operator<=>(const retry_counts &, const retry_counts &) = default;
 };
 
-// Counts of one service over the last window.
-struct resend_window
+// Counts of one service in the last window, as a ring of buckets.
+struct retry_window
 {
-    std::array<resend_counts, budgetSteps> steps{};
-    std::int64_t lastStep = -1;
+    std::array<retry_counts, windowBuckets> buckets{};
+    std::int64_t lastBucket = -1;
 };
 
 struct resend_budget
 {
-    std::unordered_map<std::string, resend_window> services;
+    std::unordered_map<std::string, retry_window> services;
 };
 
-// noteRequest counts a request of a caller for the service. Not thread safe.
+// noteRequest counts a request of a caller to the service. Not thread safe.
 void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
 
-// takeResend takes one repeat out of the allowance; false if there is none left. Not thread safe.
+// takeResend consumes one retry of the allowance; false if none is left. Not thread safe.
 bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
 
-// takeHedge takes a copy of a slow request out of the allowance; copies get at most `hedgeShare` of it, so that repeats
-// of failed requests always find the rest. Not thread safe.
+// takeHedge consumes one retry of the allowance for a hedge; false once `hedgeShare` of the allowance is used, so that
+// the rest stays available for retries of failed requests. Not thread safe.
 bool takeHedge(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
 
-// How a send to a worker ended, as far as a repeat depends on it.
+// Outcome of an attempt, as far as the decision about a retry depends on it.
 enum class send_end : std::uint8_t
 {
-    NotRun, // the worker's node refused it: it has not run and never will
-    RejectedByWorker, // the worker said that it has not run
-    FailedResponse, // the worker ran it and responded with a failure
+    NotRun, // refused by the worker's node: it has not run and never will
+    RejectedByWorker, // the worker responded that it did not run the request
+    FailedResponse, // the worker ran the request and responded with a failure
     Unknown, // it may have run
 };
 
@@ -80,7 +80,7 @@
 {
     send_end end = send_end::Unknown;
     bool isRepeatable = false;
-    std::uint32_t workersTried = 0; // workers that the request has reached
+    std::uint32_t workersTried = 0; // number of workers that the request has reached
     std::uint32_t maxWorkers = 1;
     duration timeLeft{0};
     duration expectedRun{0};
@@ -88,14 +88,15 @@
     friend auto operator<=>(const resend_facts &, const resend_facts &) = default;
 };
 
-// mayResend tells whether another worker may get the request, as far as its kind, its route and its time allow. A
-// request that no worker has seen is not bounded by `maxWorkers`. Thread safe.
-bool mayResend(const resend_facts &facts);
+// mayResend returns whether the request may be retried on another worker, given its outcome, its route and the time
+// left. Requests that have not reached a worker are not limited by `maxWorkers`. Thread safe.
+bool mayResend(const resend_facts &attempt);
 
-// returnAfterRejection returns when a caller may come back after a worker has rejected its request and no repeat is
-// left. Load pattern: the workers of a service reject at random although they have room, more requests than the budget
-// can repeat. The next try is as good as a later one, so callers come back within their target, and not all at once:
-// `draw` is random from 0 to 1. Thread safe.
+// returnAfterRejection returns the delay after which a caller should retry when a worker rejected its request and the
+// node may not retry it. Load pattern: the workers of a service reject requests at random although they have capacity,
+// and more than the budget can retry. An early retry is as likely to succeed as a late one, so the delay is short
+// enough for the target, and random so that callers do not retry all at once: `draw` is a random number from 0 to 1.
+// Thread safe.
 milliseconds returnAfterRejection(double expectedRunMs, double draw);
 
 } // namespace pistachioquay
--- a/packages/request/resend/resend_test.cc
+++ b/packages/request/resend/resend_test.cc
@@ -1,4 +1,5 @@
-// Guards against repeats that multiply load, and repeats of requests that may have run.
+// Guards against retries that multiply the load of an overloaded service, and retries of requests that may have run and
+// must not run twice.
 #include <catch2/catch.hpp>
 
 #include <functional>
@@ -11,7 +12,7 @@
 
 namespace {
 
-const time_point start{}; // a clock that begins at zero
+const time_point start{}; // the epoch of the clock
 
 resend_limits limitsOf(std::uint32_t nodes)
 {
@@ -20,25 +21,25 @@
 
 } // namespace
 
-TEST_CASE("all nodes together stay within the budget in every window")
+TEST_CASE("the retries of all nodes together stay within the limit of the service")
 {
     constexpr std::uint32_t nodes = 12;
     constexpr unsigned requestsPerNode = 200;
     const resend_limits limits = limitsOf(nodes);
-    unsigned resends = 0;
+    unsigned retries = 0;
     for (std::uint32_t node = 0; node < nodes; ++node) {
         resend_budget budget;
         for (unsigned index = 0; index < requestsPerNode; ++index) {
             const time_point now = start + milliseconds(index * 20);
             noteRequest(budget, "orders", limits, now);
-            resends += takeResend(budget, "orders", limits, now) ? 1U : 0U;
+            retries += takeResend(budget, "orders", limits, now) ? 1U : 0U;
         }
     }
-    CHECK(resends <= 0.2 * nodes * requestsPerNode + 64);
-    CHECK(resends >= 0.1 * nodes * requestsPerNode);
+    CHECK(retries <= 0.2 * nodes * requestsPerNode + 64);
+    CHECK(retries >= 0.1 * nodes * requestsPerNode);
 }
 
-TEST_CASE("a budget fills again when the window has passed")
+TEST_CASE("the budget counts only the requests of the last window")
 {
     const resend_limits limits = limitsOf(64);
     resend_budget budget;
@@ -51,7 +52,7 @@
     CHECK_FALSE(takeResend(budget, "orders", limits, start + seconds(11)));
 }
 
-TEST_CASE("services do not share their budgets")
+TEST_CASE("each service has its own retry budget")
 {
     const resend_limits limits = limitsOf(1);
     resend_budget budget;
@@ -60,40 +61,40 @@
     CHECK(takeResend(budget, "designs", limits, start));
 }
 
-TEST_CASE("a request that may run once is repeated only if it has not run")
+TEST_CASE("a request that is not retryable is retried only if it has not run")
 {
-    resend_facts facts;
-    facts.maxWorkers = 3;
-    facts.workersTried = 1;
-    facts.timeLeft = seconds(1);
-    facts.end = send_end::Unknown;
-    CHECK_FALSE(mayResend(facts));
-    facts.end = send_end::FailedResponse;
-    CHECK_FALSE(mayResend(facts));
-    facts.end = send_end::RejectedByWorker;
-    CHECK(mayResend(facts));
-    facts.end = send_end::NotRun;
-    CHECK(mayResend(facts));
+    resend_facts attempt;
+    attempt.maxWorkers = 3;
+    attempt.workersTried = 1;
+    attempt.timeLeft = seconds(1);
+    attempt.end = send_end::Unknown;
+    CHECK_FALSE(mayResend(attempt));
+    attempt.end = send_end::FailedResponse;
+    CHECK_FALSE(mayResend(attempt));
+    attempt.end = send_end::RejectedByWorker;
+    CHECK(mayResend(attempt));
+    attempt.end = send_end::NotRun;
+    CHECK(mayResend(attempt));
 }
 
-TEST_CASE("a route's number of workers and the time left bound the repeats")
+TEST_CASE("retries are limited by the maximum number of workers of the route and by the time left")
 {
-    resend_facts facts;
-    facts.isRepeatable = true;
-    facts.end = send_end::Unknown;
-    facts.timeLeft = milliseconds(100);
-    facts.expectedRun = milliseconds(50);
-    facts.workersTried = 1;
-    facts.maxWorkers = 2;
-    CHECK(mayResend(facts));
-    facts.workersTried = 2;
-    CHECK_FALSE(mayResend(facts));
-    facts.workersTried = 1;
-    facts.expectedRun = milliseconds(100);
-    CHECK_FALSE(mayResend(facts));
+    resend_facts attempt;
+    attempt.isRepeatable = true;
+    attempt.end = send_end::Unknown;
+    attempt.timeLeft = milliseconds(100);
+    attempt.expectedRun = milliseconds(50);
+    attempt.workersTried = 1;
+    attempt.maxWorkers = 2;
+    CHECK(mayResend(attempt));
+    attempt.workersTried = 2;
+    CHECK_FALSE(mayResend(attempt));
+    attempt.workersTried = 1;
+    attempt.expectedRun = milliseconds(100);
+    CHECK_FALSE(mayResend(attempt));
 }
 
-TEST_CASE("copies of slow requests leave a part of the budget to repeats of failed ones")
+TEST_CASE("hedges leave a part of the budget for retries of failed requests")
 {
     const resend_limits limits = limitsOf(1);
     resend_budget budget;
@@ -104,23 +105,23 @@
     while (takeHedge(budget, "orders", limits, start)) {
         ++hedges;
     }
-    unsigned resends = 0;
+    unsigned retries = 0;
     while (takeResend(budget, "orders", limits, start)) {
-        ++resends;
+        ++retries;
     }
     CHECK(hedges > 0);
-    CHECK(resends >= hedges - 1);
-    CHECK(hedges + resends <= 0.2 * 100 + 64);
+    CHECK(retries >= hedges - 1);
+    CHECK(hedges + retries <= 0.2 * 100 + 64);
 }
 
 namespace {
 
-// Callers whose target is 400 ms come back twice after a rejection; every worker rejects 55% of what it gets and runs
-// the rest for 80 ms. Returns the share that ends on time.
-double replayRejections(const std::function<milliseconds(double)> &returnAfter)
+// Simulates callers with a target of 400 ms that retry up to twice after a rejection. Every worker rejects 55% of the
+// requests and runs the others for 80 ms. Returns the share of callers that are served within their target.
+double simulateRejections(const std::function<milliseconds(double)> &retryAfter)
 {
     constexpr unsigned callers = 10'000;
-    constexpr unsigned tries = 3;
+    constexpr unsigned maxAttempts = 3;
     constexpr double targetMs = 400;
     constexpr double runMs = 80;
     random_generator generator(3);
@@ -130,9 +131,9 @@
     for (unsigned caller = 0; caller < callers; ++caller) {
         double atMs = 0;
         bool isServed = false;
-        for (unsigned attempt = 0; attempt < tries && !isServed; ++attempt) {
+        for (unsigned attempt = 0; attempt < maxAttempts && !isServed; ++attempt) {
             isServed = !isRejected(generator);
-            atMs += isServed ? runMs : static_cast<double>(returnAfter(draw(generator)).count());
+            atMs += isServed ? runMs : static_cast<double>(retryAfter(draw(generator)).count());
         }
         onTime += isServed && atMs <= targetMs ? 1 : 0;
     }
@@ -141,17 +142,17 @@
 
 } // namespace
 
-TEST_CASE("callers come back within their target when workers reject at random")
+TEST_CASE("Retry-After lets callers succeed within their target when workers reject at random")
 {
-    const double fixed = replayRejections([](double) {
+    const double withFixedDelay = simulateRejections([](double) {
         return milliseconds(300);
     });
-    const double soon = replayRejections([](double draw) {
+    const double withShortDelay = simulateRejections([](double draw) {
         return returnAfterRejection(80, draw);
     });
-    INFO("on time " << soon << ", after a fixed 300 ms " << fixed);
-    CHECK(soon > 0.8);
-    CHECK(soon > fixed);
-    CHECK(returnAfterRejection(0, 0) == leastRejectedReturn);
+    INFO("served on time: " << withShortDelay << ", with a fixed delay of 300 ms: " << withFixedDelay);
+    CHECK(withShortDelay > 0.8);
+    CHECK(withShortDelay > withFixedDelay);
+    CHECK(returnAfterRejection(0, 0) == minRejectionRetryAfter);
     CHECK(returnAfterRejection(80, 0) != returnAfterRejection(80, 1));
 }
