Plain wording in request/attempt_age

Comments spoke of the patience of callers. They now say timeout. Renamed: timeoutSpread, longestByRoute, statedTimeLeft and locals.

--- a/packages/request/attempt_age/attempt_age.cc
+++ b/packages/request/attempt_age/attempt_age.cc
@@ -4,17 +4,17 @@
 
 namespace pistachioquay {
 
-milliseconds spentBefore(attempt_ages &ages, const std::string &route, milliseconds statedLeft)
+milliseconds spentBefore(attempt_ages &timeouts, const std::string &route, milliseconds statedTimeLeft)
 {
-    milliseconds &longest = ages.longestWait[route];
-    longest = std::max(longest, statedLeft);
-    const auto least = static_cast<double>(longest.count()) * (1.0 - patienceSpread);
-    const auto stated = static_cast<double>(statedLeft.count());
-    if (stated >= least) {
+    milliseconds &longest = timeouts.longestByRoute[route];
+    longest = std::max(longest, statedTimeLeft);
+    const auto minFirstAttempt = static_cast<double>(longest.count()) * (1.0 - timeoutSpread);
+    const auto statedMs = static_cast<double>(statedTimeLeft.count());
+    if (statedMs >= minFirstAttempt) {
         return milliseconds{0};
     }
-    const double mean = static_cast<double>(longest.count()) * (1.0 - patienceSpread / 2.0);
-    return milliseconds(static_cast<std::int64_t>(mean - stated));
+    const double meanTimeout = static_cast<double>(longest.count()) * (1.0 - timeoutSpread / 2.0);
+    return milliseconds(static_cast<std::int64_t>(meanTimeout - statedMs));
 }
 
 } // namespace pistachioquay
--- a/packages/request/attempt_age/attempt_age.h
+++ b/packages/request/attempt_age/attempt_age.h
@@ -1,13 +1,13 @@
-// How long ago the caller of a request sent its first attempt. Targets count from that attempt, but requests only state
-// how long their caller still waits.
+// Estimates how long ago the caller of a request sent its first attempt. The target latency counts from that attempt,
+// but a request only states how much time its caller has left.
 //
-//   const milliseconds spent = spentBefore(ages, route, statedLeft);
-//   const time_point targetAt = arrivedAt + targetLatency - spent;
+//   const milliseconds elapsed = spentBefore(timeouts, route, statedTimeLeft);
+//   const time_point targetAt = arrivedAt + targetLatency - elapsed;
 //
-// Load pattern: callers of one route differ in how long they wait, by up to `patienceSpread`, and in a swing those that
-// were refused come back with less time left. A request whose stated time lies within the spread is taken for a first
-// attempt: taking it for a late one would turn it away although its whole target lies ahead. Below the spread it must
-// be a repeat, and the mean patience tells its age.
+// Load pattern: the timeouts of the callers of one route differ by up to `timeoutSpread`, and under overload callers
+// that were refused retry with less time left. A request whose stated time lies within the spread counts as a first
+// attempt: treating it as a retry would refuse it although its whole target lies ahead. Below the spread it must be a
+// retry, and its age is the difference to the mean timeout.
 #pragma once
 
 #include <string>
@@ -17,16 +17,18 @@
 
 namespace pistachioquay {
 
-// Share by which callers of one route differ in their patience. On both users' sites the stated times of first attempts
-// lie between 0.85 and 1 of the longest.
-inline constexpr double patienceSpread = 0.16;
+// Share by which the timeouts of the callers of one route differ. In both known deployments the stated times of first
+// attempts lie between 0.85 and 1 of the longest.
+inline constexpr double timeoutSpread = 0.16;
 
+// The longest time left that requests of each route have stated, as an estimate of the timeout of their callers.
 struct attempt_ages
 {
-    std::unordered_map<std::string, milliseconds> longestWait; // stated on each route
+    std::unordered_map<std::string, milliseconds> longestByRoute;
 };
 
-// spentBefore returns the time since the caller's first attempt, and learns from `statedLeft`. Not thread safe.
-milliseconds spentBefore(attempt_ages &ages, const std::string &route, milliseconds statedLeft);
+// spentBefore returns the estimated time since the caller's first attempt, and updates the timeout of the route with
+// `statedTimeLeft`. Not thread safe.
+milliseconds spentBefore(attempt_ages &timeouts, const std::string &route, milliseconds statedTimeLeft);
 
 } // namespace pistachioquay
--- a/packages/request/attempt_age/attempt_age_test.cc
+++ b/packages/request/attempt_age/attempt_age_test.cc
@@ -1,4 +1,4 @@
-// Guards first attempts of callers with little patience against being taken for late ones.
+// Guards against first attempts that count as retries, and are refused, because their callers have short timeouts.
 #include <catch2/catch.hpp>
 
 #include <random>
@@ -15,35 +15,35 @@
 
 } // namespace
 
-TEST_CASE("first attempts have their whole target, whatever the patience of their callers")
+TEST_CASE("a first attempt is recognized whatever the timeout of its caller")
 {
-    attempt_ages ages;
+    attempt_ages timeouts;
     random_generator generator(11);
-    std::uniform_real_distribution<double> patience(0.85, 1.0);
-    spentBefore(ages, "lookup", longest);
+    std::uniform_real_distribution<double> timeoutShare(0.85, 1.0);
+    spentBefore(timeouts, "lookup", longest);
     for (int index = 0; index < 1000; ++index) {
-        const milliseconds stated(static_cast<std::int64_t>(longest.count() * patience(generator)));
-        CHECK(spentBefore(ages, "lookup", stated) == milliseconds{0});
+        const milliseconds stated(static_cast<std::int64_t>(longest.count() * timeoutShare(generator)));
+        CHECK(spentBefore(timeouts, "lookup", stated) == milliseconds{0});
     }
 }
 
-TEST_CASE("a caller that comes back well after its target is known as late")
+TEST_CASE("a retry sent well after the target is recognized as late")
 {
-    attempt_ages ages;
+    attempt_ages timeouts;
     random_generator generator(12);
-    std::uniform_real_distribution<double> patience(0.85, 1.0);
-    spentBefore(ages, "lookup", longest);
-    constexpr milliseconds away{900};
+    std::uniform_real_distribution<double> timeoutShare(0.85, 1.0);
+    spentBefore(timeouts, "lookup", longest);
+    constexpr milliseconds sinceFirstAttempt{900};
     for (int index = 0; index < 1000; ++index) {
         const milliseconds stated =
-            milliseconds(static_cast<std::int64_t>(longest.count() * patience(generator))) - away;
-        CHECK(spentBefore(ages, "lookup", stated) > targetLatency);
+            milliseconds(static_cast<std::int64_t>(longest.count() * timeoutShare(generator))) - sinceFirstAttempt;
+        CHECK(spentBefore(timeouts, "lookup", stated) > targetLatency);
     }
 }
 
-TEST_CASE("routes are told apart")
+TEST_CASE("each route has its own estimate")
 {
-    attempt_ages ages;
-    spentBefore(ages, "lookup", longest);
-    CHECK(spentBefore(ages, "audit", milliseconds(300)) == milliseconds{0});
+    attempt_ages timeouts;
+    spentBefore(timeouts, "lookup", longest);
+    CHECK(spentBefore(timeouts, "audit", milliseconds(300)) == milliseconds{0});
 }
