Plain wording in request/run_time

Comments now say moving average, outlier and overload. The header said that a run in progress counts once it is overdue; only a cancelled one does, and it says so now.

--- a/packages/request/run_time/run_time.cc
+++ b/packages/request/run_time/run_time.cc
@@ -26,7 +26,7 @@
 
 double unmeasuredRunMs(double typicalMs, double targetLeftMs)
 {
-    return typicalMs > 0 ? typicalMs : std::max(leastUnmeasuredMs, targetLeftMs * unmeasuredShare);
+    return typicalMs > 0 ? typicalMs : std::max(minUnmeasuredMs, targetLeftMs * unmeasuredShare);
 }
 
 } // namespace pistachioquay
--- a/packages/request/run_time/run_time.h
+++ b/packages/request/run_time/run_time.h
@@ -1,12 +1,13 @@
-// Running estimates of how long requests of each route take on one worker.
+// Moving averages of the run time of each route on one worker.
 //
 //   run_times times;
 //   noteRun(times, "orders", 84.0, now);
 //   const double expected = expectedRunMs(times, "orders", fallbackMs);
 //
-// Load pattern: most runs of a route are alike, a few take many times longer, and a worker slows down and recovers
-// within a second. The mean therefore follows recent runs, a single run counts for at most `outlierFactor` times the
-// mean, and a run that is still going counts as soon as it is overdue.
+// Load pattern: most runs of a route take a similar time, a few take many times longer, and a worker can slow down and
+// recover within a second. The mean therefore follows recent runs, and a single run counts as at most `outlierFactor`
+// times the mean. A run that was cancelled after more than its expected time counts as well, since a worker that hangs
+// completes no run.
 #pragma once
 
 #include <string>
@@ -17,11 +18,11 @@
 
 namespace pistachioquay {
 
-inline constexpr double runTimeWeight = 0.12; // weight of a new run: about eight runs of memory
-inline constexpr double outlierFactor = 4.0; // longer runs count as this many means
+inline constexpr double runTimeWeight = 0.12; // weight of a new run; averages over about eight runs
+inline constexpr double outlierFactor = 4.0; // longest counted run time, as multiple of the mean
 
-inline constexpr double unmeasuredShare = 0.25; // of the time until the target, while no worker's run time is known
-inline constexpr double leastUnmeasuredMs = 5.0;
+inline constexpr double unmeasuredShare = 0.25; // of the time left until the target, while no run time is known
+inline constexpr double minUnmeasuredMs = 5.0;
 
 struct run_times
 {
@@ -34,16 +35,18 @@
     std::unordered_map<std::string, mean> routes;
 };
 
-// noteRun records the run time of a request that the worker completed. Not thread safe.
+// noteRun records the run time of a request that the worker completed, or the time so far of a cancelled run that is
+// overdue. Not thread safe.
 void noteRun(run_times &times, const std::string &route, double milliseconds, time_point now);
 
-// expectedRunMs returns the mean of the route, or `fallbackMs` if none of its requests ran yet. Thread safe for reads.
+// expectedRunMs returns the mean run time of the route, or `fallbackMs` if none of its requests has completed. Thread
+// safe for reads.
 double expectedRunMs(const run_times &times, const std::string &route, double fallbackMs);
 
-// unmeasuredRunMs returns what to expect of a route that the worker has not run yet. Load pattern: after many nodes
-// restart in a swing, requests reach them late; a guess from what is left of the target would make a long line look
-// short, and all nodes would send there. So the run time at the other workers goes first (`typicalMs`, 0 if not known).
-// Thread safe.
+// unmeasuredRunMs returns the run time to assume for a route that the worker has not run yet: the run time at the other
+// workers (`typicalMs`, 0 if unknown) or else a share of the time left until the target. Load pattern: when many nodes
+// restart under overload, requests reach them late; an estimate from the time left would make a long queue look short,
+// and all nodes would send to it. Thread safe.
 double unmeasuredRunMs(double typicalMs, double targetLeftMs);
 
 } // namespace pistachioquay
--- a/packages/request/run_time/run_time_test.cc
+++ b/packages/request/run_time/run_time_test.cc
@@ -1,4 +1,4 @@
-// Guards against estimates that a single long run spoils, or that follow a slowed worker too late.
+// Guards against run time estimates that a single long run distorts, or that follow a slowdown too late.
 #include <catch2/catch.hpp>
 
 #include "request/run_time/run_time.h"
@@ -7,9 +7,9 @@
 
 namespace {
 
-const time_point start{}; // a clock that begins at zero
+const time_point start{}; // the epoch of the clock
 
-void noteMany(run_times &times, int count, double milliseconds)
+void recordMany(run_times &times, int count, double milliseconds)
 {
     for (int index = 0; index < count; ++index) {
         noteRun(times, "sign", milliseconds, start);
@@ -18,28 +18,28 @@
 
 } // namespace
 
-TEST_CASE("a route without runs has the fallback")
+TEST_CASE("the fallback is returned for a route without runs")
 {
     CHECK(expectedRunMs({}, "sign", 42) == 42);
 }
 
-TEST_CASE("one run that is many times longer hardly moves the estimate")
+TEST_CASE("a single outlier hardly changes the estimate")
 {
     run_times times;
-    noteMany(times, 50, 100);
+    recordMany(times, 50, 100);
     noteRun(times, "sign", 5000, start);
     CHECK(expectedRunMs(times, "sign", 0) < 150);
 }
 
-TEST_CASE("a worker that turned five times slower is known within ten runs")
+TEST_CASE("the estimate follows a fivefold slowdown within ten runs")
 {
     run_times times;
-    noteMany(times, 50, 100);
-    noteMany(times, 10, 500);
+    recordMany(times, 50, 100);
+    recordMany(times, 10, 500);
     CHECK(expectedRunMs(times, "sign", 0) > 300);
 }
 
-TEST_CASE("routes are estimated apart")
+TEST_CASE("each route has its own estimate")
 {
     run_times times;
     noteRun(times, "sign", 100, start);
@@ -48,10 +48,10 @@
     CHECK(expectedRunMs(times, "look-up", 0) == 10);
 }
 
-TEST_CASE("a late request at a worker that has not run its route is expected to run as long as elsewhere")
+TEST_CASE("an unmeasured route is expected to run as long as at other workers, even for a late request")
 {
     CHECK(unmeasuredRunMs(400, -10) == 400);
     CHECK(unmeasuredRunMs(400, 1000) == 400);
     CHECK(unmeasuredRunMs(0, 1000) == 250);
-    CHECK(unmeasuredRunMs(0, -10) == leastUnmeasuredMs);
+    CHECK(unmeasuredRunMs(0, -10) == minUnmeasuredMs);
 }
