Plain wording in request/link_room

Comments spoke of room on a link. They now say reserved bandwidth. Renamed: reservableTime, reservationTimeout and locals.

--- a/packages/request/link_room/link_room.cc
+++ b/packages/request/link_room/link_room.cc
@@ -6,44 +6,44 @@
 
 namespace {
 
-std::uint64_t reservedBytes(const link_room &room)
+std::uint64_t reservedBytes(const link_room &link)
 {
-    return std::accumulate(room.reservations.begin(),
-                           room.reservations.end(),
+    return std::accumulate(link.reservations.begin(),
+                           link.reservations.end(),
                            std::uint64_t{0},
                            [](std::uint64_t sum, const auto &item) {
                                return sum + item.second.bytes;
                            });
 }
 
-double capacityOf(const link_room &room)
+double capacityBytes(const link_room &link)
 {
-    return room.bytesPerMs * static_cast<double>(roomTime.count());
+    return link.bytesPerMs * static_cast<double>(reservableTime.count());
 }
 
 } // namespace
 
-bool reserveRoom(link_room &room, const std::string &id, std::uint64_t bytes, time_point now)
+bool reserveRoom(link_room &link, const std::string &id, std::uint64_t bytes, time_point now)
 {
-    std::erase_if(room.reservations, [&](const auto &item) {
+    std::erase_if(link.reservations, [&](const auto &item) {
         return item.second.until <= now;
     });
-    const auto wanted = static_cast<double>(reservedBytes(room) + bytes);
-    const bool isGranted = room.bytesPerMs <= 0 || room.reservations.empty() || wanted <= capacityOf(room);
+    const auto totalBytes = static_cast<double>(reservedBytes(link) + bytes);
+    const bool isGranted = link.bytesPerMs <= 0 || link.reservations.empty() || totalBytes <= capacityBytes(link);
     if (isGranted) {
-        room.reservations[id] = {bytes, now + reservationKept};
+        link.reservations[id] = {bytes, now + reservationTimeout};
     }
     return isGranted;
 }
 
-void releaseRoom(link_room &room, const std::string &id)
+void releaseRoom(link_room &link, const std::string &id)
 {
-    room.reservations.erase(id);
+    link.reservations.erase(id);
 }
 
-double reservedShare(const link_room &room)
+double reservedShare(const link_room &link)
 {
-    return room.bytesPerMs > 0 ? static_cast<double>(reservedBytes(room)) / capacityOf(room) : 0.0;
+    return link.bytesPerMs > 0 ? static_cast<double>(reservedBytes(link)) / capacityBytes(link) : 0.0;
 }
 
 } // namespace pistachioquay
--- a/packages/request/link_room/link_room.h
+++ b/packages/request/link_room/link_room.h
@@ -1,14 +1,14 @@
-// Room on the link of a VM for large bodies on their way to it.
+// Reservations of bandwidth on the link of a VM for large request bodies that are sent to it.
 //
-//   if (!reserveRoom(room, id, bytes, now)) return refuse();           // before the body is sent
+//   if (!reserveRoom(link, id, bytes, now)) return refuse();           // before the body is sent
 //   ...
-//   releaseRoom(room, id);                                             // when it has arrived
+//   releaseRoom(link, id);                                             // once it has arrived
 //
 // Load pattern: many nodes send uploads to the fastest worker at once. Its slots are free, but the link of its VM is
-// not: the bodies queue up on it for seconds, and every other message behind them. So a sender asks first, and a node
-// grants only what its link carries within `roomTime`.
+// saturated: the bodies queue on it for seconds, and all other messages behind them. A sender therefore asks first, and
+// the receiving node grants only as much as its link can transfer within `reservableTime`.
 //
-// All functions work on one state of one loop and are not thread safe.
+// All functions operate on the state of one event loop and are not thread safe.
 #pragma once
 
 #include <cstdint>
@@ -19,8 +19,8 @@
 
 namespace pistachioquay {
 
-inline constexpr milliseconds roomTime{150}; // of the link's rate that may be reserved at a time
-inline constexpr milliseconds reservationKept{1500}; // a body that has not arrived by then is not waited for
+inline constexpr milliseconds reservableTime{150}; // total reservations, as transfer time of the link
+inline constexpr milliseconds reservationTimeout{1500}; // a body that has not arrived by then loses its reservation
 
 struct link_room
 {
@@ -29,17 +29,18 @@
         std::uint64_t bytes = 0;
         time_point until;
     };
-    double bytesPerMs = 0; // rate of the link; 0: not known, everything is granted
+    double bytesPerMs = 0; // rate of the link; 0 if unknown: everything is granted
     std::map<std::string, reservation> reservations; // by request id
 };
 
-// reserveRoom grants or refuses room for a body. A link without other reservations takes a body of any size.
-bool reserveRoom(link_room &room, const std::string &id, std::uint64_t bytes, time_point now);
+// reserveRoom returns whether a body may be sent, and reserves bandwidth for it if so. A link without other
+// reservations accepts a body of any size.
+bool reserveRoom(link_room &link, const std::string &id, std::uint64_t bytes, time_point now);
 
 // releaseRoom ends a reservation.
-void releaseRoom(link_room &room, const std::string &id);
+void releaseRoom(link_room &link, const std::string &id);
 
-// reservedShare returns which share of the room is reserved.
-double reservedShare(const link_room &room);
+// reservedShare returns the reserved share of the link; may exceed 1 for a single large body.
+double reservedShare(const link_room &link);
 
 } // namespace pistachioquay
--- a/packages/request/link_room/link_room_test.cc
+++ b/packages/request/link_room/link_room_test.cc
@@ -1,4 +1,4 @@
-// Guards against a link that fills up with uploads while the worker behind it has free slots.
+// Guards against a link that is saturated by uploads while the worker behind it has free slots.
 #include <catch2/catch.hpp>
 
 #include "request/link_room/link_room.h"
@@ -7,43 +7,43 @@
 
 namespace {
 
-const time_point start{}; // a clock that begins at zero
+const time_point start{}; // the epoch of the clock
 constexpr double slowLink = 875; // 7 Mbit/s
 
 } // namespace
 
-TEST_CASE("no more is granted than the link carries within its time")
+TEST_CASE("reservations do not exceed what the link transfers within the limit")
 {
-    link_room room{slowLink, {}};
+    link_room link{slowLink, {}};
     std::uint64_t granted = 0;
     for (int index = 0; index < 50; ++index) {
-        granted += reserveRoom(room, std::to_string(index), 60000, start) ? 60000U : 0U;
+        granted += reserveRoom(link, std::to_string(index), 60000, start) ? 60000U : 0U;
     }
     CHECK(granted >= 60000);
-    CHECK(static_cast<double>(granted) <= slowLink * static_cast<double>(roomTime.count()));
+    CHECK(static_cast<double>(granted) <= slowLink * static_cast<double>(reservableTime.count()));
 }
 
-TEST_CASE("room is free again when a body has arrived, or was not sent")
+TEST_CASE("bandwidth is available again when a reservation is released or times out")
 {
-    link_room room{slowLink, {}};
-    REQUIRE(reserveRoom(room, "a", 130000, start));
-    CHECK_FALSE(reserveRoom(room, "b", 60000, start));
-    releaseRoom(room, "a");
-    CHECK(reserveRoom(room, "b", 60000, start));
-    CHECK_FALSE(reserveRoom(room, "c", 130000, start));
-    CHECK(reserveRoom(room, "c", 130000, start + reservationKept));
+    link_room link{slowLink, {}};
+    REQUIRE(reserveRoom(link, "a", 130000, start));
+    CHECK_FALSE(reserveRoom(link, "b", 60000, start));
+    releaseRoom(link, "a");
+    CHECK(reserveRoom(link, "b", 60000, start));
+    CHECK_FALSE(reserveRoom(link, "c", 130000, start));
+    CHECK(reserveRoom(link, "c", 130000, start + reservationTimeout));
 }
 
-TEST_CASE("a body of any size gets through an idle link")
+TEST_CASE("a body of any size is granted on an idle link")
 {
-    link_room room{slowLink, {}};
-    CHECK(reserveRoom(room, "large", 60'000'000, start));
+    link_room link{slowLink, {}};
+    CHECK(reserveRoom(link, "large", 60'000'000, start));
 }
 
-TEST_CASE("an unknown rate grants everything")
+TEST_CASE("everything is granted while the rate of the link is unknown")
 {
-    link_room room;
-    CHECK(reserveRoom(room, "a", 60'000'000, start));
-    CHECK(reserveRoom(room, "b", 60'000'000, start));
-    CHECK(reservedShare(room) == 0);
+    link_room link;
+    CHECK(reserveRoom(link, "a", 60'000'000, start));
+    CHECK(reserveRoom(link, "b", 60'000'000, start));
+    CHECK(reservedShare(link) == 0);
 }
