Plain wording in request/ledger

Comments now call it a deduplication table, and the use at the top shows the member function instead of one that does not exist. Renamed: responseRetention, idRetention, maxRetainedBytes and locals.

--- a/packages/request/ledger/ledger.h
+++ b/packages/request/ledger/ledger.h
@@ -1,15 +1,15 @@
-// The requests that a node has taken for its worker, by id, so that none runs twice when a sender repeats it after it
-// lost its connection.
+// Deduplication table of the requests that a node has received for its worker, by id. It prevents that a request runs
+// twice when its sender sends it again after losing the connection.
 //
-//   switch (beginEntry(ledger, id, now)) {
-//   case entry_state::New: ...          // this send is the first one
-//   case entry_state::Open: ...         // it waits or runs: the sender gets the response when it ends
-//   case entry_state::Ended: ...        // its response is kept for `responseKept`
-//   case entry_state::Void: ...         // the sender was told that it has not run; it never will
+//   switch (table.begin(id, now)) {
+//   case entry_state::New: ...          // the id was not received before
+//   case entry_state::Open: ...         // the request is queued or running: respond when it ends
+//   case entry_state::Ended: ...        // it has completed; its response is kept for `responseRetention`
+//   case entry_state::Void: ...         // the sender was told that it has not run, so it must never run
 //   }
 //
-// Load pattern: connections between nodes break while requests are on them, and bytes of the old connection may arrive
-// after the repeat on the new one.
+// Load pattern: connections between nodes break while requests are in transit, and data of the old connection may
+// arrive after the request was sent again on the new one.
 #pragma once
 
 #include <cstdint>
@@ -22,9 +22,9 @@
 
 namespace pistachioquay {
 
-inline constexpr seconds responseKept{3}; // a sender that lost its connection is back within this time
-inline constexpr seconds idKept{20}; // longer than any request lives
-inline constexpr std::size_t maxKeptBytes = 8UL * 1024 * 1024; // of kept responses; the oldest go first
+inline constexpr seconds responseRetention{3}; // a sender that lost its connection reconnects within this time
+inline constexpr seconds idRetention{20}; // longer than the lifetime of any request
+inline constexpr std::size_t maxRetainedBytes = 8UL * 1024 * 1024; // of kept responses; the oldest are dropped first
 
 enum class entry_state : std::uint8_t
 {
@@ -38,7 +38,7 @@
 class request_ledger
 {
 public:
-    // begin enters a request and returns what was known of it before.
+    // begin adds a request if its id is new, and returns its state before the call.
     entry_state begin(const std::string &id, time_point now)
     {
         expire(now);
@@ -50,7 +50,7 @@
         return found->second.state;
     }
 
-    // end keeps the response of an open request.
+    // end marks a request as completed and keeps its response.
     void end(const std::string &id, Response response, std::size_t bytes, time_point now)
     {
         const auto found = m_entries.find(id);
@@ -58,12 +58,12 @@
             return;
         }
         found->second = {entry_state::Ended, std::move(response), bytes};
-        m_keptBytes += bytes;
-        m_responses.push_back({id, now + responseKept});
-        m_ids.push_back({id, now + idKept});
+        m_retainedBytes += bytes;
+        m_responses.push_back({id, now + responseRetention});
+        m_ids.push_back({id, now + idRetention});
     }
 
-    // forget drops an open request that was refused, so that the same id may be sent again.
+    // forget removes a request that was refused, so that its id may be sent again.
     void forget(const std::string &id)
     {
         m_entries.erase(id);
@@ -73,10 +73,10 @@
     void makeVoid(const std::string &id, time_point now)
     {
         m_entries[id] = {entry_state::Void, std::nullopt, 0};
-        m_ids.push_back({id, now + idKept});
+        m_ids.push_back({id, now + idRetention});
     }
 
-    // response returns the kept response; null if it is no longer kept.
+    // response returns the kept response of a request; null if there is none.
     const Response *response(const std::string &id) const
     {
         const auto found = m_entries.find(id);
@@ -105,14 +105,14 @@
     {
         const auto found = m_entries.find(id);
         if (found != m_entries.end() && found->second.response) {
-            m_keptBytes -= found->second.bytes;
+            m_retainedBytes -= found->second.bytes;
             found->second.response.reset();
         }
     }
 
     void expire(time_point now)
     {
-        while (!m_responses.empty() && (m_responses.front().at <= now || m_keptBytes > maxKeptBytes)) {
+        while (!m_responses.empty() && (m_responses.front().at <= now || m_retainedBytes > maxRetainedBytes)) {
             dropResponse(m_responses.front().id);
             m_responses.pop_front();
         }
@@ -125,7 +125,7 @@
     std::unordered_map<std::string, entry> m_entries;
     std::deque<expiry> m_responses; // oldest first
     std::deque<expiry> m_ids; // oldest first
-    std::size_t m_keptBytes = 0;
+    std::size_t m_retainedBytes = 0;
 };
 
 } // namespace pistachioquay
--- a/packages/request/ledger/ledger_test.cc
+++ b/packages/request/ledger/ledger_test.cc
@@ -1,5 +1,5 @@
-// Guards against a request that runs twice because its sender repeats it, or runs after its sender was told that it has
-// not.
+// Guards against a request that runs twice because its sender sent it again, or that runs after its sender was told
+// that it has not run.
 #include <catch2/catch.hpp>
 
 #include "request/ledger/ledger.h"
@@ -8,58 +8,58 @@
 
 namespace {
 
-const time_point start{}; // a clock that begins at zero
+const time_point start{}; // the epoch of the clock
 
 } // namespace
 
-TEST_CASE("a repeat finds the open request, then its response")
+TEST_CASE("a duplicate finds the request in progress, then its response")
 {
-    request_ledger<std::string> ledger;
-    CHECK(ledger.begin("r1", start) == entry_state::New);
-    CHECK(ledger.begin("r1", start) == entry_state::Open);
-    ledger.end("r1", "done", 4, start);
-    CHECK(ledger.begin("r1", start) == entry_state::Ended);
-    REQUIRE(ledger.response("r1") != nullptr);
-    CHECK(*ledger.response("r1") == "done");
+    request_ledger<std::string> table;
+    CHECK(table.begin("r1", start) == entry_state::New);
+    CHECK(table.begin("r1", start) == entry_state::Open);
+    table.end("r1", "done", 4, start);
+    CHECK(table.begin("r1", start) == entry_state::Ended);
+    REQUIRE(table.response("r1") != nullptr);
+    CHECK(*table.response("r1") == "done");
 }
 
-TEST_CASE("an id is known for longer than its response is kept")
+TEST_CASE("an id is kept for longer than its response")
 {
-    request_ledger<std::string> ledger;
-    ledger.begin("r1", start);
-    ledger.end("r1", "done", 4, start);
-    CHECK(ledger.begin("r1", start + responseKept) == entry_state::Ended);
-    CHECK(ledger.response("r1") == nullptr);
-    CHECK(ledger.begin("r1", start + idKept) == entry_state::New);
+    request_ledger<std::string> table;
+    table.begin("r1", start);
+    table.end("r1", "done", 4, start);
+    CHECK(table.begin("r1", start + responseRetention) == entry_state::Ended);
+    CHECK(table.response("r1") == nullptr);
+    CHECK(table.begin("r1", start + idRetention) == entry_state::New);
 }
 
-TEST_CASE("bytes of an old connection that arrive after a refused repeat do not run")
+TEST_CASE("a request from an old connection does not run after its duplicate was refused")
 {
-    request_ledger<std::string> ledger;
-    REQUIRE(ledger.begin("r1", start) == entry_state::New);
-    ledger.makeVoid("r1", start);
-    CHECK(ledger.begin("r1", start + seconds(1)) == entry_state::Void);
+    request_ledger<std::string> table;
+    REQUIRE(table.begin("r1", start) == entry_state::New);
+    table.makeVoid("r1", start);
+    CHECK(table.begin("r1", start + seconds(1)) == entry_state::Void);
 }
 
-TEST_CASE("a refused first send may come again")
+TEST_CASE("a request that was refused at first may be sent again")
 {
-    request_ledger<std::string> ledger;
-    ledger.begin("r1", start);
-    ledger.forget("r1");
-    CHECK(ledger.begin("r1", start) == entry_state::New);
+    request_ledger<std::string> table;
+    table.begin("r1", start);
+    table.forget("r1");
+    CHECK(table.begin("r1", start) == entry_state::New);
 }
 
-TEST_CASE("kept responses are bounded by bytes, and ids stay known")
+TEST_CASE("kept responses are limited by their total size, and their ids stay in the table")
 {
-    request_ledger<std::string> ledger;
+    request_ledger<std::string> table;
     for (int index = 0; index < 20; ++index) {
         const std::string id = std::to_string(index);
-        ledger.begin(id, start);
-        ledger.end(id, "response", maxKeptBytes / 8, start);
+        table.begin(id, start);
+        table.end(id, "response", maxRetainedBytes / 8, start);
     }
-    ledger.begin("next", start);
-    CHECK(ledger.response("0") == nullptr);
-    CHECK(ledger.response("19") != nullptr);
-    CHECK(ledger.begin("0", start) == entry_state::Ended);
-    CHECK(ledger.size() == 21);
+    table.begin("next", start);
+    CHECK(table.response("0") == nullptr);
+    CHECK(table.response("19") != nullptr);
+    CHECK(table.begin("0", start) == entry_state::Ended);
+    CHECK(table.size() == 21);
 }
