--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -201,8 +201,8 @@
 // noteSent counts a request that is sent to the worker now.
 void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes);
 
-// avoid skips the worker for a backoff time after it was unreachable or unavailable. Each call without a report in
-// between doubles the time, up to `maxBackoff`.
+// startBackoff skips the worker for a backoff time after it was unreachable or unavailable. Each call without a report
+// in between doubles the time, up to `maxBackoff`.
 void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
 
 // pause skips the worker for at least `length`.
