--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -86,13 +86,13 @@
     const double bytes = static_cast<double>(request.bytes) + headerBytes;
     const double weight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
     const double queued = worker.bytesSinceReport * weight;
-    double path = transferMs(bytes, state.linkBytesPerMs, state.linkLoad)
+    double cost = transferMs(bytes, state.linkBytesPerMs, state.linkLoad)
         + transferMs(bytes + queued, worker.entry.linkBytesPerMs, worker.report.linkLoad * weight);
     if (worker.entry.dataCentre != state.dataCentre) {
         const double kilobytes = static_cast<double>(request.bytes) / 1024.0;
-        path += request.targetMs * (otherDataCentreShare + otherDataCentreSharePerKb * kilobytes);
+        cost += request.targetMs * (otherDataCentreShare + otherDataCentreSharePerKb * kilobytes);
     }
-    return path;
+    return cost;
 }
 
 // Returns the run time for comparing a worker with others: `typicalMs` unless the difference is larger than noise.
@@ -234,9 +234,9 @@
 void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now)
 {
     if (dataCentre != state.dataCentre) {
-        data_centre_status &path = state.dataCentreStatus[dataCentre];
-        path.silentNodes.insert(nodeId);
-        path.lastSilentAt = now;
+        data_centre_status &status = state.dataCentreStatus[dataCentre];
+        status.silentNodes.insert(nodeId);
+        status.lastSilentAt = now;
     }
 }
 
