Plain wording in request/retry

What read badly: try, repeat, copy and race were used for attempt, retry, hedge and hedged request; the budget was taken from by takeRetry; limits were called unrun tries and least time; facts named the inputs of a decision; some test titles did not say what they check. Change: comments and test titles in the terms of retries, hedges and deadlines. Each number and reason stays. Renamed: takeRetry -> tryAcquireRetry, tries -> attempts (try_history) and failedAttempts (hedge), hedge_facts -> hedge_context, hedge_race -> hedged_request, race_copy -> hedged_attempt (First, Second -> Original, Hedge), race_action -> hedge_action, startSecond -> recordHedgeSent, copyResponded -> recordAttemptResponse, copyFailed -> recordAttemptFailure, leastTimeForRetry -> minTimeForRetry, leastTimeLeft -> minTimeForHop, maxUnrunTries -> maxUnexecutedAttempts, and the reasons IsResponse, BodyGone, RetriedAbove -> WorkerResponded, BodyDiscarded, RetriedByEarlierNode. The written names of the reasons stay.

--- a/packages/request/retry/deadline.cc
+++ b/packages/request/retry/deadline.cc
@@ -25,7 +25,7 @@
     if (depth > maxDepth) {
         return hop_refusal::TooDeep;
     }
-    return timeLeft(deadline, now) < leastTimeLeft ? hop_refusal::TooLittleTime : hop_refusal::None;
+    return timeLeft(deadline, now) < minTimeForHop ? hop_refusal::TooLittleTime : hop_refusal::None;
 }
 
 } // namespace pistachioquay
--- a/packages/request/retry/hedge.cc
+++ b/packages/request/retry/hedge.cc
@@ -6,59 +6,60 @@
 
 namespace {
 
-bool &openFlag(hedge_race &race, race_copy copy)
+bool &openFlag(hedged_request &request, hedged_attempt attempt)
 {
-    return copy == race_copy::First ? race.isFirstOpen : race.isSecondOpen;
+    return attempt == hedged_attempt::Original ? request.isOriginalOpen : request.isHedgeOpen;
 }
 
-race_copy otherOf(race_copy copy)
+hedged_attempt otherAttempt(hedged_attempt attempt)
 {
-    return copy == race_copy::First ? race_copy::Second : race_copy::First;
+    return attempt == hedged_attempt::Original ? hedged_attempt::Hedge : hedged_attempt::Original;
 }
 
 } // namespace
 
-std::optional<time_point> hedgeAt(const hedge_facts &facts, time_point startedAt)
+std::optional<time_point> hedgeAt(const hedge_context &context, time_point startedAt)
 {
-    const bool isAsked = facts.hedgeAfter > milliseconds(0);
-    const bool isSafe = facts.isIdempotent && facts.isBodyReplayable && !facts.isSuspect;
-    const bool isFirst = facts.inheritedAttempts == 0 && facts.tries == 0;
-    const time_point at = startedAt + facts.hedgeAfter;
-    if (!isAsked || !isSafe || !isFirst || facts.deadline - at < leastTimeForRetry) {
+    const bool isEnabled = context.hedgeAfter > milliseconds(0);
+    const bool isSafe = context.isIdempotent && context.isBodyReplayable && !context.isSuspect;
+    const bool isFirstAttempt = context.inheritedAttempts == 0 && context.failedAttempts == 0;
+    const time_point at = startedAt + context.hedgeAfter;
+    if (!isEnabled || !isSafe || !isFirstAttempt || context.deadline - at < minTimeForRetry) {
         return std::nullopt;
     }
     return at;
 }
 
-bool mayHedge(const hedge_facts &facts, retry_budget &budget, time_point now)
+bool mayHedge(const hedge_context &context, retry_budget &budget, time_point now)
 {
-    return !facts.isSaturated && hedgeAt(facts, now - facts.hedgeAfter).has_value() && takeRetry(budget, now);
+    return !context.isSaturated && hedgeAt(context, now - context.hedgeAfter).has_value()
+        && tryAcquireRetry(budget, now);
 }
 
-void startSecond(hedge_race &race)
+void recordHedgeSent(hedged_request &request)
 {
-    race.isSecondOpen = !race.winner.has_value();
+    request.isHedgeOpen = !request.winner.has_value();
 }
 
-race_action copyResponded(hedge_race &race, race_copy copy)
+hedge_action recordAttemptResponse(hedged_request &request, hedged_attempt attempt)
 {
-    if (race.winner || !openFlag(race, copy)) {
+    if (request.winner || !openFlag(request, attempt)) {
         return {};
     }
-    race.winner = copy;
-    bool &otherOpen = openFlag(race, otherOf(copy));
+    request.winner = attempt;
+    bool &otherOpen = openFlag(request, otherAttempt(attempt));
     const bool wasOpen = otherOpen;
     otherOpen = false;
-    return {true, wasOpen ? std::optional(otherOf(copy)) : std::nullopt, false};
+    return {true, wasOpen ? std::optional(otherAttempt(attempt)) : std::nullopt, false};
 }
 
-race_action copyFailed(hedge_race &race, race_copy copy)
+hedge_action recordAttemptFailure(hedged_request &request, hedged_attempt attempt)
 {
-    if (race.winner || !openFlag(race, copy)) {
+    if (request.winner || !openFlag(request, attempt)) {
         return {};
     }
-    openFlag(race, copy) = false;
-    return {false, std::nullopt, !openFlag(race, otherOf(copy))};
+    openFlag(request, attempt) = false;
+    return {false, std::nullopt, !openFlag(request, otherAttempt(attempt))};
 }
 
 } // namespace pistachioquay
--- a/packages/request/retry/hedge.h
+++ b/packages/request/retry/hedge.h
@@ -1,8 +1,11 @@
-// Decides whether a second copy of a slow request is sent to another worker, and which copy is cancelled.
+// Decides whether a slow request is hedged, which means sent to a second worker as well, and which of the two attempts
+// is cancelled.
 //
-//   const auto at = hedgeAt(facts, startedAt);                            // when to wake if no response has arrived
-//   if (at && mayHedge(facts, budget, now)) startSecondTry();
-//   const race_action action = copyResponded(race, race_copy::Second);    // pass on one copy, cancel the other
+//   const auto at = hedgeAt(context, startedAt);                          // when to hedge if no response has arrived
+//   if (at && mayHedge(context, budget, now)) sendHedge();
+//   const hedge_action action = recordAttemptResponse(request, hedged_attempt::Hedge);
+//   if (action.forwardResponse) forwardToCaller(response);
+//   if (action.cancel) cancelAttempt(*action.cancel);
 #pragma once
 
 #include <cstdint>
@@ -13,56 +16,58 @@
 
 namespace pistachioquay {
 
-struct hedge_facts
+struct hedge_context
 {
-    milliseconds hedgeAfter{0}; // of the policy; 0: no hedging
+    milliseconds hedgeAfter{0}; // delay before a hedge, from the policy; 0: no hedging
     bool isIdempotent = false;
     bool isBodyReplayable = true;
-    bool isSuspect = false; // a request that may crash workers is never doubled
-    bool isSaturated = false;
-    std::uint32_t inheritedAttempts = 0;
-    std::uint32_t tries = 0; // tries that have failed; a retried request is not hedged as well
+    bool isSuspect = false; // the request may crash workers, so it is never hedged
+    bool isSaturated = false; // see isSaturated() in routing.h
+    std::uint32_t inheritedAttempts = 0; // `X-Pq-Attempt` of the request as it arrived
+    std::uint32_t failedAttempts = 0; // a retried request is not hedged
     time_point deadline;
 };
 
-// hedgeAt returns when a hedge is due for a try started at `startedAt`; empty if the request is never hedged.
-// Thread safe.
-std::optional<time_point> hedgeAt(const hedge_facts &facts, time_point startedAt);
+// hedgeAt returns when to hedge an attempt that started at `startedAt`; empty if the request must not be hedged. Thread
+// safe.
+std::optional<time_point> hedgeAt(const hedge_context &context, time_point startedAt);
 
-// mayHedge decides at that time and takes from the retry budget. Not thread safe.
-bool mayHedge(const hedge_facts &facts, retry_budget &budget, time_point now);
+// mayHedge returns whether the hedge may be sent now, and if so takes it out of the retry budget. Call it at the time
+// that hedgeAt returned. Not thread safe.
+bool mayHedge(const hedge_context &context, retry_budget &budget, time_point now);
 
-enum class race_copy : std::uint8_t
+enum class hedged_attempt : std::uint8_t
 {
-    First,
-    Second,
+    Original,
+    Hedge,
 };
 
-// Two copies of one request. A copy that fails leaves the race to the other one.
-struct hedge_race
+// State of the two attempts of a hedged request. The first attempt to respond wins.
+struct hedged_request
 {
-    bool isFirstOpen = true;
-    bool isSecondOpen = false;
-    std::optional<race_copy> winner;
+    bool isOriginalOpen = true; // the original has neither failed nor been cancelled
+    bool isHedgeOpen = false; // the hedge was sent, and has neither failed nor been cancelled
+    std::optional<hedged_attempt> winner;
 
-    friend bool operator==(const hedge_race &, const hedge_race &) = default;
+    friend bool operator==(const hedged_request &, const hedged_request &) = default;
 };
 
-struct race_action
+struct hedge_action
 {
-    bool passOn = false; // pass this copy's response to the caller
-    std::optional<race_copy> cancel; // cancel this copy
-    bool hasFailed = false; // no copy is left: decide about a retry
+    bool forwardResponse = false; // forward this attempt's response to the caller
+    std::optional<hedged_attempt> cancel; // attempt to cancel
+    bool hasNoAttemptLeft = false; // every attempt sent has failed: decide about a retry
 };
 
-// startSecond notes that the second copy was sent. Thread safe for different races.
-void startSecond(hedge_race &race);
+// recordHedgeSent records that the hedge was sent. Thread safe for different requests.
+void recordHedgeSent(hedged_request &request);
 
-// copyResponded notes that the head of a response of `copy` has arrived. The first one wins, the other copy is
-// cancelled; a response of a copy that has lost is not passed on. Thread safe for different races.
-race_action copyResponded(hedge_race &race, race_copy copy);
+// recordAttemptResponse records that the response headers of `attempt` have arrived. The first attempt that responds
+// wins and the other one is cancelled; a response of a cancelled attempt is not forwarded. Thread safe for different
+// requests.
+hedge_action recordAttemptResponse(hedged_request &request, hedged_attempt attempt);
 
-// copyFailed notes that `copy` failed before its response began. Thread safe for different races.
-race_action copyFailed(hedge_race &race, race_copy copy);
+// recordAttemptFailure records that `attempt` failed before its response began. Thread safe for different requests.
+hedge_action recordAttemptFailure(hedged_request &request, hedged_attempt attempt);
 
 } // namespace pistachioquay
--- a/packages/request/retry/retry.cc
+++ b/packages/request/retry/retry.cc
@@ -21,7 +21,7 @@
     "no-budget",
 };
 
-bool wasNotRun(try_progress progress)
+bool wasNotExecuted(try_progress progress)
 {
     return progress == try_progress::NoConnection || progress == try_progress::NotRun;
 }
@@ -41,31 +41,31 @@
     return bucket;
 }
 
-// Reasons that hold whatever the budget says.
-give_up_reason ruledOut(const retry_facts &facts, const try_history &history, time_point now)
+// Returns the reason not to retry that applies to every failed attempt, whether or not it used the budget.
+give_up_reason reasonNotToRetry(const retry_facts &context, const try_history &history, time_point now)
 {
     if (history.last == try_progress::WorkerStatus) {
-        return give_up_reason::IsResponse;
+        return give_up_reason::WorkerResponded;
     }
-    if (facts.isResponseStarted) {
+    if (context.isResponseStarted) {
         return give_up_reason::ResponseStarted;
     }
-    if (!facts.isBodyReplayable) {
-        return give_up_reason::BodyGone;
+    if (!context.isBodyReplayable) {
+        return give_up_reason::BodyDiscarded;
     }
-    if (history.mayHaveRun && !facts.isIdempotent) {
+    if (history.mayHaveRun && !context.isIdempotent) {
         return give_up_reason::NotIdempotent;
     }
-    return timeLeft(facts.deadline, now) < leastTimeForRetry ? give_up_reason::TooLittleTime : give_up_reason::None;
+    return timeLeft(context.deadline, now) < minTimeForRetry ? give_up_reason::TooLittleTime : give_up_reason::None;
 }
 
-// Reasons for a try whose last failure may have cost a worker some work.
-give_up_reason ruledOutAfterRun(const retry_facts &facts, const try_history &history)
+// Returns the reason not to retry after an attempt that a worker may have executed.
+give_up_reason reasonNotToRetryExecuted(const retry_facts &context, const try_history &history)
 {
-    if (facts.inheritedAttempts > 0) {
-        return give_up_reason::RetriedAbove;
+    if (context.inheritedAttempts > 0) {
+        return give_up_reason::RetriedByEarlierNode;
     }
-    return history.budgeted >= facts.retries ? give_up_reason::RetriesUsed : give_up_reason::None;
+    return history.budgeted >= context.retries ? give_up_reason::RetriesUsed : give_up_reason::None;
 }
 
 retry_decision giveUp(give_up_reason reason)
@@ -74,11 +74,11 @@
 }
 
 milliseconds
-retryDelay(const retry_facts &facts, const try_history &history, time_point now, random_generator &generator)
+retryDelay(const retry_facts &context, const try_history &history, time_point now, random_generator &generator)
 {
-    constexpr int shareOfTimeLeft = 4;
-    const milliseconds cap = std::min(retryDelayCap, timeLeft(facts.deadline, now) / shareOfTimeLeft);
-    return fullJitter(retryDelayBase, cap, history.tries - 1, generator);
+    constexpr int timeLeftDivisor = 4; // a delay takes at most a quarter of the time left
+    const milliseconds maxDelay = std::min(retryDelayCap, timeLeft(context.deadline, now) / timeLeftDivisor);
+    return fullJitter(retryDelayBase, maxDelay, history.attempts - 1, generator);
 }
 
 } // namespace
@@ -93,7 +93,7 @@
     ++currentBucket(budget, now).calls;
 }
 
-bool takeRetry(retry_budget &budget, time_point now)
+bool tryAcquireRetry(retry_budget &budget, time_point now)
 {
     retry_budget::bucket &current = currentBucket(budget, now);
     const std::int64_t oldest = current.second - static_cast<std::int64_t>(budgetBuckets) + 1;
@@ -114,42 +114,42 @@
 
 void noteTry(try_history &history, try_progress progress)
 {
-    ++history.tries;
+    ++history.attempts;
     history.last = progress;
-    history.mayHaveRun = history.mayHaveRun || !wasNotRun(progress);
+    history.mayHaveRun = history.mayHaveRun || !wasNotExecuted(progress);
 }
 
-std::uint32_t attemptHeader(const retry_facts &facts, const try_history &history)
+std::uint32_t attemptHeader(const retry_facts &context, const try_history &history)
 {
-    return facts.inheritedAttempts + history.budgeted;
+    return context.inheritedAttempts + history.budgeted;
 }
 
 retry_decision decideRetry(
-    const retry_facts &facts, try_history &history, retry_budget &budget, time_point now, random_generator &generator)
+    const retry_facts &context, try_history &history, retry_budget &budget, time_point now, random_generator &generator)
 {
-    const give_up_reason always = ruledOut(facts, history, now);
-    if (always != give_up_reason::None) {
-        return giveUp(always);
+    const give_up_reason reason = reasonNotToRetry(context, history, now);
+    if (reason != give_up_reason::None) {
+        return giveUp(reason);
     }
-    if (wasNotRun(history.last)) {
-        const std::uint32_t allowed = facts.isSaturated ? maxUnrunTriesSaturated : maxUnrunTries;
-        const bool isFirst = history.tries == 1;
-        if (history.tries >= allowed) {
+    if (wasNotExecuted(history.last)) {
+        const std::uint32_t maxAttempts = context.isSaturated ? maxUnexecutedAttemptsSaturated : maxUnexecutedAttempts;
+        const bool isFirstRetry = history.attempts == 1;
+        if (history.attempts >= maxAttempts) {
             return giveUp(give_up_reason::RetriesUsed);
         }
         return {retry_verdict::Retry,
                 give_up_reason::None,
-                isFirst ? milliseconds(0) : retryDelay(facts, history, now, generator)};
+                isFirstRetry ? milliseconds(0) : retryDelay(context, history, now, generator)};
     }
-    const give_up_reason afterRun = ruledOutAfterRun(facts, history);
-    if (afterRun != give_up_reason::None) {
-        return giveUp(afterRun);
+    const give_up_reason executedReason = reasonNotToRetryExecuted(context, history);
+    if (executedReason != give_up_reason::None) {
+        return giveUp(executedReason);
     }
-    if (!takeRetry(budget, now)) {
+    if (!tryAcquireRetry(budget, now)) {
         return giveUp(give_up_reason::NoBudget);
     }
     ++history.budgeted;
-    return {retry_verdict::Retry, give_up_reason::None, retryDelay(facts, history, now, generator)};
+    return {retry_verdict::Retry, give_up_reason::None, retryDelay(context, history, now, generator)};
 }
 
 } // namespace pistachioquay
--- a/packages/request/retry/retry.h
+++ b/packages/request/retry/retry.h
@@ -1,14 +1,14 @@
-// Decides whether a failed try is repeated, and what the caller is told if it is not.
+// Decides whether a failed attempt is retried, and which outcome the caller gets if it is not.
 //
 //   noteCall(budget, now);                                                // once for each request of the service
-//   noteTry(history, progress);                                           // after each failed try
-//   const retry_decision decision = decideRetry(facts, history, budget, now, generator);
-//   if (decision.verdict == retry_verdict::Retry) waitAndTryOtherWorker(decision.delay);
+//   noteTry(history, progress);                                           // after each failed attempt
+//   const retry_decision decision = decideRetry(context, history, budget, now, generator);
+//   if (decision.verdict == retry_verdict::Retry) waitAndSendToOtherWorker(decision.delay);
 //   else if (history.mayHaveRun) respondUnknown(); else respondNotRun();
 //
-// A non-idempotent request is repeated only if no byte of it can have reached a worker's node, or if that node said
-// `not-run`. Repeats after NoConnection and NotRun do not use the retry budget, since no work was done; their number is
-// bounded by `maxUnrunTries`. All others use the budget.
+// A non-idempotent request is retried only if no byte of any attempt can have reached a worker's node, or if that node
+// reported `not-run`. Retries after NoConnection and NotRun do not use the retry budget, since no worker executed the
+// request; `maxUnexecutedAttempts` limits their number. All other retries use the budget.
 #pragma once
 
 #include <array>
@@ -20,25 +20,25 @@
 
 namespace pistachioquay {
 
-inline constexpr std::size_t budgetBuckets = 10; // one a second
-inline constexpr std::uint32_t budgetPercent = 10; // of the calls in the last 10 s
-inline constexpr std::uint32_t budgetFloor = 5; // retries in 10 s that are always allowed
-inline constexpr std::uint32_t maxUnrunTries = 4; // tries in all when none of them was run
-inline constexpr std::uint32_t maxUnrunTriesSaturated = 2; // the same while no worker is believed to have a spare slot
+inline constexpr std::size_t budgetBuckets = 10; // one per second
+inline constexpr std::uint32_t budgetPercent = 10; // retries per 100 requests of the last 10 s
+inline constexpr std::uint32_t budgetFloor = 5; // retries allowed in 10 s in addition to that share
+inline constexpr std::uint32_t maxUnexecutedAttempts = 4; // of a request that no worker has executed
+inline constexpr std::uint32_t maxUnexecutedAttemptsSaturated = 2; // while no worker is known to have a free slot
 inline constexpr milliseconds retryDelayBase{5};
 inline constexpr milliseconds retryDelayCap{100};
-inline constexpr milliseconds leastTimeForRetry{10};
+inline constexpr milliseconds minTimeForRetry{10};
 
-// How far a failed try came.
+// How far an attempt got before it failed.
 enum class try_progress : std::uint8_t
 {
     NoConnection, // no byte reached the node
-    NotRun, // the node said that the request was not run
+    NotRun, // the node reported that the request was not run
     SentNoResponse, // bytes were sent, no response arrived
-    PartialResponse, // the response ended before its end
-    Unknown, // the node said that it does not know
+    PartialResponse, // the response was truncated
+    Unknown, // the node reported that it does not know whether the request was run
     WorkerUnavailable, // the worker itself responded 503
-    WorkerStatus, // any other response of the worker: it is passed on
+    WorkerStatus, // any other response of the worker; it is forwarded to the caller
 };
 
 enum class retry_verdict : std::uint8_t
@@ -50,38 +50,38 @@
 enum class give_up_reason : std::uint8_t
 {
     None,
-    IsResponse, // the worker's response is passed on
-    ResponseStarted, // part of the response has been passed to the caller
-    BodyGone, // the body is no longer held, so it cannot be sent again
+    WorkerResponded, // the worker responded, and its response is forwarded
+    ResponseStarted, // part of a response has been sent to the caller
+    BodyDiscarded, // the request body is no longer buffered, so it cannot be sent again
     NotIdempotent,
     RetriesUsed,
-    RetriedAbove, // a node above has retried this request
+    RetriedByEarlierNode, // a node earlier on the request's path has retried it
     TooLittleTime,
     NoBudget,
 };
 
-// giveUpName returns the stable lower-case name of a reason for logs and metrics. Thread safe.
+// giveUpName returns the stable lower-case name of `reason` for logs and metrics. Thread safe.
 std::string_view giveUpName(give_up_reason reason);
 
-// What the decision depends on, besides the history.
+// Inputs of the retry decision, besides the attempts made so far.
 struct retry_facts
 {
     bool isIdempotent = false;
-    std::uint32_t retries = 0; // of the policy
+    std::uint32_t retries = 0; // limit from the policy
     std::uint32_t inheritedAttempts = 0; // `X-Pq-Attempt` of the request as it arrived
     bool isBodyReplayable = true;
-    bool isResponseStarted = false; // a byte of a response has been passed to the caller
+    bool isResponseStarted = false; // at least one byte of a response has been sent to the caller
     bool isSaturated = false; // see isSaturated() in routing.h
     time_point deadline;
 };
 
-// The tries made for one request.
+// The failed attempts of one request.
 struct try_history
 {
-    std::uint32_t tries = 0;
-    std::uint32_t budgeted = 0; // retries taken from the budget
+    std::uint32_t attempts = 0;
+    std::uint32_t budgeted = 0; // retries that used the budget
     try_progress last = try_progress::NoConnection;
-    bool mayHaveRun = false; // some try may have reached the worker: the outcome is not `not-run`
+    bool mayHaveRun = false; // an attempt may have reached a worker, so the outcome cannot be `not-run`
 
     friend auto operator<=>(const try_history &, const try_history &) = default;
 };
@@ -93,8 +93,8 @@
     milliseconds delay{0};
 };
 
-// Retries and hedges of one service. Whenever one is taken, those of the last 9 s are at most 10% of the calls of the
-// last 10 s plus `budgetFloor`.
+// Budget for retries and hedges of one service. Whenever one is taken, the number taken in the last 9 s is at most 10%
+// of the requests in the last 10 s, plus `budgetFloor`.
 struct retry_budget
 {
     struct bucket
@@ -106,21 +106,25 @@
     std::array<bucket, budgetBuckets> buckets{};
 };
 
-// noteCall counts a request of the service. Not thread safe.
+// noteCall counts a request to the service. Not thread safe.
 void noteCall(retry_budget &budget, time_point now);
 
-// takeRetry takes one retry or hedge out of the budget; false if it is used up. Not thread safe.
-bool takeRetry(retry_budget &budget, time_point now);
+// tryAcquireRetry takes one retry or hedge out of the budget, or returns false if the budget is exhausted. Not thread
+// safe.
+bool tryAcquireRetry(retry_budget &budget, time_point now);
 
-// noteTry adds a failed try to the history. Thread safe for different histories.
+// noteTry adds a failed attempt to `history`. Thread safe for different histories.
 void noteTry(try_history &history, try_progress progress);
 
-// attemptHeader returns the value of `X-Pq-Attempt` for the next try. Thread safe.
-std::uint32_t attemptHeader(const retry_facts &facts, const try_history &history);
+// attemptHeader returns the value of the `X-Pq-Attempt` header for the next attempt. Thread safe.
+std::uint32_t attemptHeader(const retry_facts &context, const try_history &history);
 
-// decideRetry decides after a failed try that was noted in `history`, and takes from the budget if needed. Not thread
-// safe. `history.budgeted` is raised when the budget was used.
-retry_decision decideRetry(
-    const retry_facts &facts, try_history &history, retry_budget &budget, time_point now, random_generator &generator);
+// decideRetry decides whether to retry after a failed attempt that noteTry has added to `history`. If the retry needs
+// the budget, decideRetry takes it from there and increments `history.budgeted`. Not thread safe.
+retry_decision decideRetry(const retry_facts &context,
+                           try_history &history,
+                           retry_budget &budget,
+                           time_point now,
+                           random_generator &generator);
 
 } // namespace pistachioquay
--- a/packages/request/retry/retry_test.cc
+++ b/packages/request/retry/retry_test.cc
@@ -1,4 +1,5 @@
-// Guards against doubled runs of non-idempotent requests, false `not-run`, and retries that multiply load.
+// Guards against non-idempotent requests that are executed twice, requests reported as `not-run` although they may have
+// run, and retries that multiply load.
 #include <catch2/catch.hpp>
 
 #include <vector>
@@ -16,12 +17,12 @@
 
 constexpr std::uint32_t progressCount = 7;
 
-bool mayReachWorker(try_progress progress)
+bool mayHaveReachedWorker(try_progress progress)
 {
     return progress != try_progress::NoConnection && progress != try_progress::NotRun;
 }
 
-retry_facts factsOf(std::uint32_t word)
+retry_facts decodeContext(std::uint32_t word)
 {
     return {(word & 1U) != 0,
             word / 2U % 5U,
@@ -32,56 +33,57 @@
             start + milliseconds(word / 4096U % 2000U)};
 }
 
-retry_facts easyFacts()
+retry_facts retryableContext()
 {
     return {true, 2, 0, true, false, false, start + seconds(1)};
 }
 
-retry_verdict verdictAfter(const retry_facts &facts, const std::vector<try_progress> &tries)
+retry_verdict verdictAfterAttempts(const retry_facts &context, const std::vector<try_progress> &attempts)
 {
     retry_budget budget;
     try_history history;
     random_generator generator(1);
     retry_decision decision;
-    for (const try_progress each : tries) {
-        noteTry(history, each);
-        decision = decideRetry(facts, history, budget, start, generator);
+    for (const try_progress progress : attempts) {
+        noteTry(history, progress);
+        decision = decideRetry(context, history, budget, start, generator);
     }
     return decision.verdict;
 }
 
 } // namespace
 
-TEST_CASE("no request is sent again in a way that may double, multiply or falsely deny a run")
+TEST_CASE(
+    "retries never execute a non-idempotent request twice, exceed their limits or hide that a request may have run")
 {
     CHECK(holds("retries", 5000, [](std::uint32_t word, const std::vector<std::uint32_t> &words) {
-        const retry_facts facts = factsOf(word);
+        const retry_facts context = decodeContext(word);
         retry_budget budget;
         try_history history;
         random_generator generator(word);
         bool mayHaveRun = false;
         for (const std::uint32_t each : words) {
             const auto progress = static_cast<try_progress>(each % progressCount);
-            mayHaveRun = mayHaveRun || mayReachWorker(progress);
+            mayHaveRun = mayHaveRun || mayHaveReachedWorker(progress);
             noteTry(history, progress);
-            const retry_decision decision = decideRetry(facts, history, budget, start, generator);
+            const retry_decision decision = decideRetry(context, history, budget, start, generator);
             RC_ASSERT(history.mayHaveRun == mayHaveRun);
             RC_ASSERT((decision.verdict == retry_verdict::Retry) == (decision.reason == give_up_reason::None));
             if (decision.verdict == retry_verdict::GiveUp) {
                 break;
             }
-            RC_ASSERT(facts.isIdempotent || !mayHaveRun);
-            RC_ASSERT(!facts.isResponseStarted);
-            RC_ASSERT(facts.isBodyReplayable);
-            RC_ASSERT(facts.inheritedAttempts == 0U || !mayReachWorker(progress));
-            RC_ASSERT(history.budgeted <= facts.retries);
-            RC_ASSERT(history.tries < maxUnrunTries + facts.retries + 1);
-            RC_ASSERT(decision.delay < timeLeft(facts.deadline, start));
+            RC_ASSERT(context.isIdempotent || !mayHaveRun);
+            RC_ASSERT(!context.isResponseStarted);
+            RC_ASSERT(context.isBodyReplayable);
+            RC_ASSERT(context.inheritedAttempts == 0U || !mayHaveReachedWorker(progress));
+            RC_ASSERT(history.budgeted <= context.retries);
+            RC_ASSERT(history.attempts < maxUnexecutedAttempts + context.retries + 1);
+            RC_ASSERT(decision.delay < timeLeft(context.deadline, start));
         }
     }));
 }
 
-TEST_CASE("retries and hedges of a service stay within a tenth of its recent calls plus the floor")
+TEST_CASE("retries and hedges of a service stay within 10% of its recent requests plus the floor")
 {
     CHECK(holds("budget", 3000, [](const std::vector<std::uint32_t> &words) {
         retry_budget budget;
@@ -99,38 +101,41 @@
                     return each > now - window;
                 });
             };
-            while (takeRetry(budget, now)) {
+            while (tryAcquireRetry(budget, now)) {
                 retries.push_back(now);
-                // Buckets are whole seconds: they hold at least the last 9 s of retries and at most 10 s of calls.
+                // A bucket covers a whole second, so the 10 buckets cover between 9 s and 10 s: at least the retries of
+                // the last 9 s and at most the requests of the last 10 s.
                 RC_ASSERT(recent(retries, seconds(9)) <= recent(calls, seconds(10)) / 10 + budgetFloor);
             }
         }
     }));
 }
 
-TEST_CASE("a refusal that is known to be not run is tried elsewhere, whatever the policy")
+TEST_CASE("a request that no worker has run is retried even if the policy allows no retries and it is not idempotent")
 {
-    retry_facts facts = easyFacts();
-    facts.isIdempotent = false;
-    facts.retries = 0;
-    facts.inheritedAttempts = 1;
-    CHECK(verdictAfter(facts, {try_progress::NotRun}) == retry_verdict::Retry);
-    CHECK(verdictAfter(facts, {try_progress::NoConnection}) == retry_verdict::Retry);
-    CHECK(verdictAfter(facts, {try_progress::SentNoResponse}) == retry_verdict::GiveUp);
-    CHECK(verdictAfter(facts, {try_progress::Unknown, try_progress::NotRun}) == retry_verdict::GiveUp);
+    retry_facts context = retryableContext();
+    context.isIdempotent = false;
+    context.retries = 0;
+    context.inheritedAttempts = 1;
+    CHECK(verdictAfterAttempts(context, {try_progress::NotRun}) == retry_verdict::Retry);
+    CHECK(verdictAfterAttempts(context, {try_progress::NoConnection}) == retry_verdict::Retry);
+    CHECK(verdictAfterAttempts(context, {try_progress::SentNoResponse}) == retry_verdict::GiveUp);
+    CHECK(verdictAfterAttempts(context, {try_progress::Unknown, try_progress::NotRun}) == retry_verdict::GiveUp);
 }
 
-TEST_CASE("an idempotent request is retried as often as the policy says")
+TEST_CASE("an idempotent request is retried up to the policy's number of retries, unless a worker responds")
 {
-    CHECK(verdictAfter(easyFacts(), {try_progress::SentNoResponse}) == retry_verdict::Retry);
-    CHECK(verdictAfter(easyFacts(), {try_progress::Unknown, try_progress::Unknown}) == retry_verdict::Retry);
-    CHECK(verdictAfter(easyFacts(), {try_progress::Unknown, try_progress::Unknown, try_progress::Unknown})
-          == retry_verdict::GiveUp);
-    CHECK(verdictAfter(easyFacts(), {try_progress::WorkerUnavailable}) == retry_verdict::Retry);
-    CHECK(verdictAfter(easyFacts(), {try_progress::WorkerStatus}) == retry_verdict::GiveUp);
+    CHECK(verdictAfterAttempts(retryableContext(), {try_progress::SentNoResponse}) == retry_verdict::Retry);
+    CHECK(verdictAfterAttempts(retryableContext(), {try_progress::Unknown, try_progress::Unknown})
+          == retry_verdict::Retry);
+    CHECK(
+        verdictAfterAttempts(retryableContext(), {try_progress::Unknown, try_progress::Unknown, try_progress::Unknown})
+        == retry_verdict::GiveUp);
+    CHECK(verdictAfterAttempts(retryableContext(), {try_progress::WorkerUnavailable}) == retry_verdict::Retry);
+    CHECK(verdictAfterAttempts(retryableContext(), {try_progress::WorkerStatus}) == retry_verdict::GiveUp);
 }
 
-TEST_CASE("time left shrinks at each hop, and depth is bounded")
+TEST_CASE("each hop gets less time than the one before, and a request too deep or too late is not forwarded")
 {
     const time_point deadline = deadlineAfter(start, milliseconds(100), milliseconds(800));
     CHECK(timeLeft(deadline, start) == milliseconds(100));
@@ -143,56 +148,58 @@
     CHECK(checkHop(deadline, 1, start + milliseconds(96)) == hop_refusal::TooLittleTime);
 }
 
-TEST_CASE("a hedge needs a policy, an idempotent request, a budget and spare slots")
+TEST_CASE(
+    "a request is hedged only with a policy, budget and free slots, if it is idempotent, not retried and not suspect")
 {
-    const hedge_facts good{milliseconds(50), true, true, false, false, 0, 0, start + seconds(1)};
-    CHECK(hedgeAt(good, start) == start + milliseconds(50));
-    const auto without = [&](auto change) {
-        hedge_facts facts = good;
-        change(facts);
+    const hedge_context hedgeable{milliseconds(50), true, true, false, false, 0, 0, start + seconds(1)};
+    CHECK(hedgeAt(hedgeable, start) == start + milliseconds(50));
+    const auto mayHedgeAfter = [&](auto change) {
+        hedge_context context = hedgeable;
+        change(context);
         retry_budget budget;
-        return mayHedge(facts, budget, start + milliseconds(50));
+        return mayHedge(context, budget, start + milliseconds(50));
     };
-    CHECK(without([](hedge_facts &) {}));
-    CHECK_FALSE(without([](hedge_facts &facts) {
-        facts.hedgeAfter = milliseconds(0);
+    CHECK(mayHedgeAfter([](hedge_context &) {}));
+    CHECK_FALSE(mayHedgeAfter([](hedge_context &context) {
+        context.hedgeAfter = milliseconds(0);
     }));
-    CHECK_FALSE(without([](hedge_facts &facts) {
-        facts.isIdempotent = false;
+    CHECK_FALSE(mayHedgeAfter([](hedge_context &context) {
+        context.isIdempotent = false;
     }));
-    CHECK_FALSE(without([](hedge_facts &facts) {
-        facts.isSuspect = true;
+    CHECK_FALSE(mayHedgeAfter([](hedge_context &context) {
+        context.isSuspect = true;
     }));
-    CHECK_FALSE(without([](hedge_facts &facts) {
-        facts.isSaturated = true;
+    CHECK_FALSE(mayHedgeAfter([](hedge_context &context) {
+        context.isSaturated = true;
     }));
-    CHECK_FALSE(without([](hedge_facts &facts) {
-        facts.inheritedAttempts = 1;
+    CHECK_FALSE(mayHedgeAfter([](hedge_context &context) {
+        context.inheritedAttempts = 1;
     }));
-    retry_budget spent;
-    while (takeRetry(spent, start)) {
+    retry_budget exhausted;
+    while (tryAcquireRetry(exhausted, start)) {
     }
-    CHECK_FALSE(mayHedge(good, spent, start));
+    CHECK_FALSE(mayHedge(hedgeable, exhausted, start));
 }
 
-TEST_CASE("exactly one copy of a hedged request is passed on, and the other is cancelled")
+TEST_CASE("at most one response of a hedged request is forwarded, and the other attempt is cancelled")
 {
-    CHECK(holds("race", 2000, [](const std::vector<std::uint8_t> &words) {
-        hedge_race race;
-        startSecond(race);
-        unsigned passedOn = 0;
+    CHECK(holds("hedged request", 2000, [](const std::vector<std::uint8_t> &words) {
+        hedged_request request;
+        recordHedgeSent(request);
+        unsigned forwarded = 0;
         unsigned cancelled = 0;
         unsigned failed = 0;
         for (const std::uint8_t word : words) {
-            const auto copy = (word & 1U) != 0 ? race_copy::First : race_copy::Second;
-            const race_action action = (word & 2U) != 0 ? copyResponded(race, copy) : copyFailed(race, copy);
-            RC_ASSERT(action.cancel != copy);
-            passedOn += action.passOn ? 1U : 0U;
+            const auto attempt = (word & 1U) != 0 ? hedged_attempt::Original : hedged_attempt::Hedge;
+            const hedge_action action =
+                (word & 2U) != 0 ? recordAttemptResponse(request, attempt) : recordAttemptFailure(request, attempt);
+            RC_ASSERT(action.cancel != attempt);
+            forwarded += action.forwardResponse ? 1U : 0U;
             cancelled += action.cancel ? 1U : 0U;
-            failed += action.hasFailed ? 1U : 0U;
+            failed += action.hasNoAttemptLeft ? 1U : 0U;
         }
-        RC_ASSERT(passedOn + failed <= 1U);
-        RC_ASSERT(cancelled <= passedOn);
-        RC_ASSERT(race.isFirstOpen || race.isSecondOpen || passedOn + failed == 1U);
+        RC_ASSERT(forwarded + failed <= 1U);
+        RC_ASSERT(cancelled <= forwarded);
+        RC_ASSERT(request.isOriginalOpen || request.isHedgeOpen || forwarded + failed == 1U);
     }));
 }
