Plainer wording in platform and worker_life

Headers said "as settings of the product", "behind the functions that the product asks of it" or "takes over a notice"; a farewell, a belief and a worker that "takes no work" stood for a leave notice, the recorded state and a worker that gets no requests. Comments, test titles and heads of tests now use the usual terms. The examples in json_value.h and worker_life.h called functions with arguments that they do not have; they match the code now.

Renamed, all without a use outside these folders: coldLeft -> warmUpRemaining, worker_life::receivedMs -> firstReceivedMs, parameter life -> worker, isFarewellOfOther -> isLeaveOfOther, readFarewell -> readLeaveNotice, workersPath -> workerNoticesPath, newest_page -> newest_records (end -> nextPosition), answerTimeout -> responseMargin, quickTimeout -> callTimeout, numberBytes -> offsetBytes, readNumber -> decodeNumber, lengthPrefix -> encodeLength, positiveAt -> nonNegativeAt (it accepts 0), unitMs -> msPerUnit, bytesPerMsOfMbps -> bytesPerMsPerMbps, functions -> platformFunctions, answerReady -> handleReadiness, answerControl -> handleNotice, m_ready and m_control -> m_readinessServer and m_controlServer.

--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -6,38 +6,38 @@
 
 namespace {
 
-bool isSameProcess(const worker_life &life, const worker_notice &notice)
+bool isSameProcess(const worker_life &worker, const worker_notice &notice)
 {
-    // A farewell may be the first that is heard of a process, and need not tell its start. What started before that
-    // farewell came is the process that sent it.
-    if (life.workerId == notice.workerId && life.startedMs == 0) {
-        return notice.startedMs.value_or(0) <= life.receivedMs;
+    // A leave notice can be the first notice of a process and may lack its start time. A process that started before
+    // the leave notice arrived is then the one that sent it.
+    if (worker.workerId == notice.workerId && worker.startedMs == 0) {
+        return notice.startedMs.value_or(0) <= worker.firstReceivedMs;
     }
-    return life.workerId == notice.workerId && notice.startedMs.value_or(life.startedMs) == life.startedMs;
+    return worker.workerId == notice.workerId && notice.startedMs.value_or(worker.startedMs) == worker.startedMs;
 }
 
-notice_verdict startProcess(worker_life &life, const worker_notice &notice, time_point now)
+notice_verdict startProcess(worker_life &worker, const worker_notice &notice, time_point now)
 {
-    life = {};
-    life.workerId = notice.workerId;
-    life.startedMs = notice.startedMs.value_or(0);
-    life.receivedMs = notice.receivedMs;
-    life.sequence = notice.sequence.value_or(0);
-    life.slots = notice.slots;
-    life.isLeaving = notice.kind != notice_kind::Ready;
-    life.leavingSince = now;
-    life.coldUntil = now + notice.coldLeft;
-    life.heardAt = now;
+    worker = {};
+    worker.workerId = notice.workerId;
+    worker.startedMs = notice.startedMs.value_or(0);
+    worker.firstReceivedMs = notice.receivedMs;
+    worker.sequence = notice.sequence.value_or(0);
+    worker.slots = notice.slots;
+    worker.isLeaving = notice.kind != notice_kind::Ready;
+    worker.leavingSince = now;
+    worker.coldUntil = now + notice.warmUpRemaining;
+    worker.heardAt = now;
     return notice_verdict::Changed;
 }
 
-notice_verdict beginLeaving(worker_life &life, time_point now)
+notice_verdict beginLeaving(worker_life &worker, time_point now)
 {
-    if (life.isLeaving) {
+    if (worker.isLeaving) {
         return notice_verdict::Unchanged;
     }
-    life.isLeaving = true;
-    life.leavingSince = now;
+    worker.isLeaving = true;
+    worker.leavingSince = now;
     return notice_verdict::Changed;
 }
 
@@ -56,50 +56,50 @@
     return "unknown";
 }
 
-notice_verdict applyNotice(worker_life &life, const worker_notice &notice, time_point now)
+notice_verdict applyNotice(worker_life &worker, const worker_notice &notice, time_point now)
 {
-    if (!isSameProcess(life, notice)) {
-        const bool isOlder = notice.startedMs.value_or(0) < life.startedMs;
-        const bool isFarewellOfOther = notice.kind == notice_kind::Left && life.workerId != notice.workerId;
-        if (!life.workerId.empty() && (isOlder || isFarewellOfOther)) {
+    if (!isSameProcess(worker, notice)) {
+        const bool isOlder = notice.startedMs.value_or(0) < worker.startedMs;
+        const bool isLeaveOfOther = notice.kind == notice_kind::Left && worker.workerId != notice.workerId;
+        if (!worker.workerId.empty() && (isOlder || isLeaveOfOther)) {
             return notice_verdict::Stale;
         }
-        return startProcess(life, notice, now);
+        return startProcess(worker, notice, now);
     }
-    life.startedMs = notice.startedMs.value_or(life.startedMs);
+    worker.startedMs = notice.startedMs.value_or(worker.startedMs);
     if (notice.kind == notice_kind::Left) {
-        return beginLeaving(life, now);
+        return beginLeaving(worker, now);
     }
-    if (notice.sequence && *notice.sequence <= life.sequence) {
+    if (notice.sequence && *notice.sequence <= worker.sequence) {
         return notice_verdict::Stale;
     }
-    life.sequence = notice.sequence.value_or(life.sequence);
-    life.heardAt = now;
-    life.coldUntil = now + notice.coldLeft;
+    worker.sequence = notice.sequence.value_or(worker.sequence);
+    worker.heardAt = now;
+    worker.coldUntil = now + notice.warmUpRemaining;
     notice_verdict verdict = notice_verdict::Unchanged;
-    if (life.isUnreachable || life.slots != notice.slots) {
-        life.isUnreachable = false;
-        life.slots = notice.slots;
+    if (worker.isUnreachable || worker.slots != notice.slots) {
+        worker.isUnreachable = false;
+        worker.slots = notice.slots;
         verdict = notice_verdict::Changed;
     }
-    return notice.kind == notice_kind::Draining && beginLeaving(life, now) == notice_verdict::Changed
+    return notice.kind == notice_kind::Draining && beginLeaving(worker, now) == notice_verdict::Changed
         ? notice_verdict::Changed
         : verdict;
 }
 
-bool noteUnreachable(worker_life &life)
+bool noteUnreachable(worker_life &worker)
 {
-    return !std::exchange(life.isUnreachable, true);
+    return !std::exchange(worker.isUnreachable, true);
 }
 
-bool noteSilence(worker_life &life, milliseconds allowed, time_point now)
+bool noteSilence(worker_life &worker, milliseconds allowed, time_point now)
 {
-    return !life.workerId.empty() && now - life.heardAt > allowed && noteUnreachable(life);
+    return !worker.workerId.empty() && now - worker.heardAt > allowed && noteUnreachable(worker);
 }
 
-bool mayTakeWork(const worker_life &life)
+bool mayTakeWork(const worker_life &worker)
 {
-    return !life.workerId.empty() && !life.isLeaving && !life.isUnreachable;
+    return !worker.workerId.empty() && !worker.isLeaving && !worker.isUnreachable;
 }
 
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -1,13 +1,13 @@
-// What a node knows of its worker from the worker's own notices.
+// Liveness of the worker on a node's VM, as the worker reports it in its notices: heartbeats and leave notices.
 //
-//   const notice_verdict verdict = applyNotice(life, notice, now);
-//   if (mayTakeWork(life, now)) ...
+//   const notice_verdict verdict = applyNotice(worker, notice, now);
+//   if (mayTakeWork(worker)) ...
 //
-// Notices may arrive seconds late and after a newer process of the worker has announced itself. The start time of the
-// worker's process orders its processes, and the sequence orders the notices of one process. A process that has said
-// that it leaves takes no work again.
+// Notices can arrive seconds late, even after a newer process of the worker has announced itself. Processes are ordered
+// by their start time, and the notices of one process by their sequence number. A process that has announced that it
+// leaves never gets requests again.
 //
-// All functions work on one state of one loop and are not thread safe.
+// Not thread safe unless noted: the functions work on a state that belongs to one event loop.
 #pragma once
 
 #include <cstdint>
@@ -19,46 +19,47 @@
 
 namespace pistachioquay {
 
-// What a worker says of itself.
+// What a notice announces.
 enum class notice_kind : std::uint8_t
 {
-    Ready,
-    Draining,
-    Left,
+    Ready, // heartbeat of a worker that accepts requests
+    Draining, // heartbeat of a worker that shuts down
+    Left, // leave notice
 };
 
 struct worker_notice
 {
     notice_kind kind = notice_kind::Ready;
     std::string workerId;
-    std::optional<std::int64_t> startedMs; // wall clock of the worker's start
-    std::optional<std::uint64_t> sequence; // of this notice; absent in a farewell
+    std::optional<std::int64_t> startedMs; // start of the worker's process by the wall clock of the VM
+    std::optional<std::uint64_t> sequence; // of this notice; absent in a leave notice
     std::uint32_t slots = 0;
-    milliseconds coldLeft{0}; // how much longer it is slow after its start
-    std::int64_t receivedMs = 0; // wall clock of the VM at its arrival
+    milliseconds warmUpRemaining{0}; // remaining time for which the worker is slow after its start
+    std::int64_t receivedMs = 0; // arrival of the notice by the wall clock of the VM
 
     friend bool operator==(const worker_notice &, const worker_notice &) = default;
 };
 
 enum class notice_verdict : std::uint8_t
 {
-    Changed, // the node's belief about the worker changed
+    Changed, // the recorded state of the worker changed
     Unchanged,
-    Stale, // overtaken by newer news
+    Stale, // ignored: older than the recorded state, or a leave notice of another worker
 };
 
-// verdictName returns the lower-case name for logs. Thread safe.
+// verdictName returns the lower-case name of a verdict for logs. Thread safe.
 std::string_view verdictName(notice_verdict verdict);
 
+// The recorded state of the worker. Default values: no worker has announced itself.
 struct worker_life
 {
     std::string workerId; // empty: no worker has announced itself
-    std::int64_t startedMs = 0; // 0: not known yet, after a farewell that did not tell it
-    std::int64_t receivedMs = 0; // wall clock of the VM when the process was first heard
+    std::int64_t startedMs = 0; // 0: unknown, after a leave notice without a start time
+    std::int64_t firstReceivedMs = 0; // arrival of the first notice of the process by the wall clock of the VM
     std::uint64_t sequence = 0;
     std::uint32_t slots = 0;
     bool isLeaving = false;
-    bool isUnreachable = false; // its port is closed, or it is silent
+    bool isUnreachable = false; // connections to it fail, or it is silent
     time_point coldUntil;
     time_point heardAt;
     time_point leavingSince;
@@ -66,17 +67,19 @@
     friend bool operator==(const worker_life &, const worker_life &) = default;
 };
 
-// applyNotice takes over a notice.
-notice_verdict applyNotice(worker_life &life, const worker_notice &notice, time_point now);
+// applyNotice records what a notice announces, unless the notice is stale.
+notice_verdict applyNotice(worker_life &worker, const worker_notice &notice, time_point now);
 
-// noteUnreachable records that the worker could not be reached; the next notice that is not stale ends that. True if
-// it was reachable before.
-bool noteUnreachable(worker_life &life);
+// noteUnreachable records that the worker could not be reached; the next heartbeat that is not stale resets this.
+// Returns true if the worker was reachable before.
+bool noteUnreachable(worker_life &worker);
 
-// noteSilence records a worker whose notices have stopped for `allowed`; true if the belief changed.
-bool noteSilence(worker_life &life, milliseconds allowed, time_point now);
+// noteSilence records the worker as unreachable if it has sent no heartbeat for longer than `allowed`. Returns true if
+// it was reachable before.
+bool noteSilence(worker_life &worker, milliseconds allowed, time_point now);
 
-// mayTakeWork tells whether the worker gets new requests.
-bool mayTakeWork(const worker_life &life);
+// mayTakeWork returns whether the worker may get new requests: it has announced itself, is not leaving and is
+// reachable.
+bool mayTakeWork(const worker_life &worker);
 
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life_test.cc
+++ b/packages/process/worker_life/worker_life_test.cc
@@ -1,4 +1,5 @@
-// Guards against notices that arrive late or crossed, and against a leaving worker that is used again.
+// Guards against late or reordered notices that replace a newer state, and against requests to a worker that has
+// announced that it leaves.
 #include <catch2/catch.hpp>
 
 #include "process/worker_life/worker_life.h"
@@ -21,110 +22,110 @@
     return notice;
 }
 
-worker_notice farewellOf(std::string workerId)
+worker_notice leaveNoticeOf(std::string workerId)
 {
-    worker_notice farewell;
-    farewell.kind = notice_kind::Left;
-    farewell.workerId = std::move(workerId);
-    return farewell;
+    worker_notice leaveNotice;
+    leaveNotice.kind = notice_kind::Left;
+    leaveNotice.workerId = std::move(workerId);
+    return leaveNotice;
 }
 
 } // namespace
 
-TEST_CASE("a notice of an older process does not replace a newer one")
+TEST_CASE("a notice of an older process does not replace the state of a newer one")
 {
-    worker_life life;
-    applyNotice(life, noticeOf("w2", 2000, 0), start);
-    CHECK(applyNotice(life, noticeOf("w1", 1000, 9), start) == notice_verdict::Stale);
-    CHECK(life.workerId == "w2");
+    worker_life worker;
+    applyNotice(worker, noticeOf("w2", 2000, 0), start);
+    CHECK(applyNotice(worker, noticeOf("w1", 1000, 9), start) == notice_verdict::Stale);
+    CHECK(worker.workerId == "w2");
 }
 
-TEST_CASE("a worker that starts again under its id begins anew")
+TEST_CASE("a worker that restarts under the same id gets requests again")
 {
-    worker_life life;
-    applyNotice(life, noticeOf("w1", 1000, 7), start);
-    applyNotice(life, noticeOf("w1", 1000, 8, notice_kind::Draining), start);
-    CHECK(applyNotice(life, noticeOf("w1", 5000, 0), start) == notice_verdict::Changed);
-    CHECK(mayTakeWork(life));
+    worker_life worker;
+    applyNotice(worker, noticeOf("w1", 1000, 7), start);
+    applyNotice(worker, noticeOf("w1", 1000, 8, notice_kind::Draining), start);
+    CHECK(applyNotice(worker, noticeOf("w1", 5000, 0), start) == notice_verdict::Changed);
+    CHECK(mayTakeWork(worker));
 }
 
-TEST_CASE("a draining worker takes no work again, whatever arrives late")
+TEST_CASE("a draining worker never gets requests again, whichever notices arrive late")
 {
-    worker_life life;
-    applyNotice(life, noticeOf("w1", 1000, 3), start);
-    CHECK(applyNotice(life, noticeOf("w1", 1000, 5, notice_kind::Draining), start) == notice_verdict::Changed);
-    CHECK(applyNotice(life, noticeOf("w1", 1000, 4), start) == notice_verdict::Stale);
-    applyNotice(life, noticeOf("w1", 1000, 6), start);
-    CHECK_FALSE(mayTakeWork(life));
+    worker_life worker;
+    applyNotice(worker, noticeOf("w1", 1000, 3), start);
+    CHECK(applyNotice(worker, noticeOf("w1", 1000, 5, notice_kind::Draining), start) == notice_verdict::Changed);
+    CHECK(applyNotice(worker, noticeOf("w1", 1000, 4), start) == notice_verdict::Stale);
+    applyNotice(worker, noticeOf("w1", 1000, 6), start);
+    CHECK_FALSE(mayTakeWork(worker));
 }
 
-TEST_CASE("a farewell counts without a sequence, and only for its own process")
+TEST_CASE("a leave notice applies without a sequence number, and only to its own process")
 {
-    worker_life life;
-    applyNotice(life, noticeOf("w2", 2000, 3), start);
-    worker_notice farewell = farewellOf("w1");
-    CHECK(applyNotice(life, farewell, start) == notice_verdict::Stale);
-    CHECK(mayTakeWork(life));
-    farewell.workerId = "w2";
-    CHECK(applyNotice(life, farewell, start) == notice_verdict::Changed);
-    CHECK_FALSE(mayTakeWork(life));
+    worker_life worker;
+    applyNotice(worker, noticeOf("w2", 2000, 3), start);
+    worker_notice leaveNotice = leaveNoticeOf("w1");
+    CHECK(applyNotice(worker, leaveNotice, start) == notice_verdict::Stale);
+    CHECK(mayTakeWork(worker));
+    leaveNotice.workerId = "w2";
+    CHECK(applyNotice(worker, leaveNotice, start) == notice_verdict::Changed);
+    CHECK_FALSE(mayTakeWork(worker));
 }
 
-TEST_CASE("a farewell of an earlier start under the same id is stale")
+TEST_CASE("a leave notice of an earlier process with the same id is stale")
 {
-    worker_life life;
-    applyNotice(life, noticeOf("w1", 2000, 0), start);
-    worker_notice farewell = farewellOf("w1");
-    farewell.startedMs = 1000;
-    CHECK(applyNotice(life, farewell, start) == notice_verdict::Stale);
-    CHECK(mayTakeWork(life));
+    worker_life worker;
+    applyNotice(worker, noticeOf("w1", 2000, 0), start);
+    worker_notice leaveNotice = leaveNoticeOf("w1");
+    leaveNotice.startedMs = 1000;
+    CHECK(applyNotice(worker, leaveNotice, start) == notice_verdict::Stale);
+    CHECK(mayTakeWork(worker));
 }
 
-TEST_CASE("a farewell that is the first notice of a process holds against its later heartbeats")
+TEST_CASE("a leave notice that arrives as the first notice of a process is not undone by heartbeats of that process")
 {
-    worker_life life;
-    worker_notice farewell = farewellOf("w1");
-    farewell.receivedMs = 5000;
-    applyNotice(life, farewell, start);
+    worker_life worker;
+    worker_notice leaveNotice = leaveNoticeOf("w1");
+    leaveNotice.receivedMs = 5000;
+    applyNotice(worker, leaveNotice, start);
     worker_notice heartbeat = noticeOf("w1", 1000, 15);
     heartbeat.receivedMs = 7000;
-    applyNotice(life, heartbeat, start);
-    CHECK_FALSE(mayTakeWork(life));
-    CHECK(life.startedMs == 1000);
+    applyNotice(worker, heartbeat, start);
+    CHECK_FALSE(mayTakeWork(worker));
+    CHECK(worker.startedMs == 1000);
     worker_notice restarted = noticeOf("w1", 8000, 0);
-    applyNotice(life, restarted, start);
-    CHECK(mayTakeWork(life));
+    applyNotice(worker, restarted, start);
+    CHECK(mayTakeWork(worker));
 }
 
-TEST_CASE("a worker that starts again after a farewell of unknown start takes work")
+TEST_CASE("a worker that restarts after a leave notice without a start time gets requests")
 {
-    worker_life life;
-    worker_notice farewell = farewellOf("w1");
-    farewell.receivedMs = 5000;
-    applyNotice(life, farewell, start);
-    applyNotice(life, noticeOf("w1", 6000, 0), start);
-    CHECK(mayTakeWork(life));
+    worker_life worker;
+    worker_notice leaveNotice = leaveNoticeOf("w1");
+    leaveNotice.receivedMs = 5000;
+    applyNotice(worker, leaveNotice, start);
+    applyNotice(worker, noticeOf("w1", 6000, 0), start);
+    CHECK(mayTakeWork(worker));
 }
 
-TEST_CASE("an unreachable worker is back with its next notice")
+TEST_CASE("an unreachable worker gets requests again after its next heartbeat")
 {
-    worker_life life;
-    applyNotice(life, noticeOf("w1", 1000, 1), start);
-    CHECK(noteUnreachable(life));
-    CHECK_FALSE(noteUnreachable(life));
-    CHECK_FALSE(mayTakeWork(life));
-    CHECK(applyNotice(life, noticeOf("w1", 1000, 1), start) == notice_verdict::Stale);
-    CHECK_FALSE(mayTakeWork(life));
-    CHECK(applyNotice(life, noticeOf("w1", 1000, 2), start) == notice_verdict::Changed);
-    CHECK(mayTakeWork(life));
+    worker_life worker;
+    applyNotice(worker, noticeOf("w1", 1000, 1), start);
+    CHECK(noteUnreachable(worker));
+    CHECK_FALSE(noteUnreachable(worker));
+    CHECK_FALSE(mayTakeWork(worker));
+    CHECK(applyNotice(worker, noticeOf("w1", 1000, 1), start) == notice_verdict::Stale);
+    CHECK_FALSE(mayTakeWork(worker));
+    CHECK(applyNotice(worker, noticeOf("w1", 1000, 2), start) == notice_verdict::Changed);
+    CHECK(mayTakeWork(worker));
 }
 
-TEST_CASE("a worker whose notices stop takes no work")
+TEST_CASE("a worker whose heartbeats stop gets no requests")
 {
-    worker_life life;
-    CHECK_FALSE(noteSilence(life, seconds(3), start + seconds(60)));
-    applyNotice(life, noticeOf("w1", 1000, 1), start);
-    CHECK_FALSE(noteSilence(life, seconds(3), start + seconds(3)));
-    CHECK(noteSilence(life, seconds(3), start + seconds(4)));
-    CHECK_FALSE(mayTakeWork(life));
+    worker_life worker;
+    CHECK_FALSE(noteSilence(worker, seconds(3), start + seconds(60)));
+    applyNotice(worker, noticeOf("w1", 1000, 1), start);
+    CHECK_FALSE(noteSilence(worker, seconds(3), start + seconds(3)));
+    CHECK(noteSilence(worker, seconds(3), start + seconds(4)));
+    CHECK_FALSE(mayTakeWork(worker));
 }
