Plainer wording in store_reading

"Its word is fresh", "step in" and "pause" stood for the announcement of the reader, taking over and backoff; the header did not say what a reader is. Renamed, without a use outside the folder: lastStagger -> maxStaggers, firstReadPause -> initialReadBackoff, longestReadPause -> maxReadBackoff, readPausePerRank -> maxReadBackoffPerRank, lastPauseRank -> maxBackoffRank, parameter facts -> status.

--- a/packages/process/store_reading/store_reading.cc
+++ b/packages/process/store_reading/store_reading.cc
@@ -6,15 +6,15 @@
 
 namespace {
 
-constexpr unsigned maxDoublings = 10; // beyond it every pause is the longest
+constexpr unsigned maxDoublings = 10; // prevents an overflow; each backoff reaches its maximum before
 
 } // namespace
 
-bool shouldRead(const reader_facts &facts)
+bool shouldRead(const reader_facts &status)
 {
-    const milliseconds overdue = readWait(facts.bound) + facts.bound / 8;
-    return facts.rank == 0 || facts.behindFor > facts.bound / 3
-        || facts.sinceWord > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, lastStagger);
+    const milliseconds overdueAfter = readWait(status.bound) + status.bound / 8;
+    return status.rank == 0 || status.behindFor > status.bound / 3
+        || status.sinceWord > overdueAfter + rankStagger * std::min<std::size_t>(status.rank - 1, maxStaggers);
 }
 
 milliseconds readWait(milliseconds bound)
@@ -25,9 +25,9 @@
 milliseconds readPause(unsigned failures, std::size_t rank)
 {
     const unsigned doublings = std::min(failures > 0 ? failures - 1 : 0U, maxDoublings);
-    const milliseconds longest =
-        longestReadPause + readPausePerRank * static_cast<std::int64_t>(std::min(rank, lastPauseRank));
-    return std::min(firstReadPause * (1U << doublings), longest);
+    const milliseconds longestBackoff =
+        maxReadBackoff + maxReadBackoffPerRank * static_cast<std::int64_t>(std::min(rank, maxBackoffRank));
+    return std::min(initialReadBackoff * (1U << doublings), longestBackoff);
 }
 
 } // namespace pistachioquay
--- a/packages/process/store_reading/store_reading.h
+++ b/packages/process/store_reading/store_reading.h
@@ -1,13 +1,16 @@
-// Which node of a data centre reads the platform's store, and how often it tries again.
+// Decides which nodes of a data centre read the platform's store, and how long they back off after a failed read.
 //
-//   if (shouldRead(facts)) read(readWait(facts.bound));
-//   ...                                        // the store did not answer, or refused
-//   pauseFor(readPause(failures, facts.rank));
+//   if (shouldRead(status)) read(readWait(status.bound));
+//   ...                                        // if the store did not respond or refused the read:
+//   sleepFor(readPause(failures, status.rank));
 //
-// Load pattern: while the store is away or refuses some of the nodes, every node of a data centre steps in for the
-// reader. They do so one after the other, and each one that fails tries less often, so that an outage costs a few calls
-// a second and its end brings no wave; the nodes of the first ranks try often enough to notice the end within the
-// bound.
+// The nodes of a data centre are ranked. The node of rank 0, the reader, long-polls the store; the others get a new
+// version from other nodes.
+//
+// Load pattern: while the store is unavailable or refuses some of the nodes, every node of a data centre takes over for
+// the reader. They do so one after the other, and each node that fails retries less and less often. An outage then
+// costs the store a few calls per second, and its end causes no burst of calls. The nodes of the lowest ranks still
+// retry often enough to notice the end within the bound.
 #pragma once
 
 #include <cstddef>
@@ -16,31 +19,33 @@
 
 namespace pistachioquay {
 
-inline constexpr milliseconds rankStagger{80}; // between nodes that step in for a silent reader
-inline constexpr std::size_t lastStagger = 12; // ranks beyond step in together
-inline constexpr milliseconds firstReadPause{150}; // after the first failed read; doubles with each further one
-inline constexpr milliseconds longestReadPause{800}; // of the reader
-inline constexpr milliseconds readPausePerRank{150}; // added to the longest pause for each rank behind the reader
-inline constexpr std::size_t lastPauseRank = 20; // ranks beyond pause alike
+inline constexpr milliseconds rankStagger{80}; // between ranks that take over for a silent reader
+inline constexpr std::size_t maxStaggers = 12; // higher ranks take over together
+inline constexpr milliseconds initialReadBackoff{150}; // after the first failed read; doubles with each further one
+inline constexpr milliseconds maxReadBackoff{800}; // of the reader
+inline constexpr milliseconds maxReadBackoffPerRank{150}; // added to `maxReadBackoff` for each rank
+inline constexpr std::size_t maxBackoffRank = 20; // higher ranks back off like this one
 
+// What a node knows when it decides whether to read.
 struct reader_facts
 {
-    std::size_t rank = 0; // of this node among those of its data centre that are heard of; 0 is the reader
-    duration behindFor{0}; // since another node was heard to have a newer version than this one
-    duration sinceWord{0}; // since the reader of the data centre was last heard to have read it
-    milliseconds bound{2000}; // within which a version has to be in force
+    std::size_t rank = 0; // of this node among the nodes of its data centre that are not silent; 0: the reader
+    duration behindFor{0}; // since this node has known that another has a newer version
+    duration sinceWord{0}; // since the last announcement that the data centre's reader has read the store
+    milliseconds bound{2000}; // within which a new version has to be in force
 
     friend auto operator<=>(const reader_facts &, const reader_facts &) = default;
 };
 
-// shouldRead decides it. The reader always does; the others step in one after the other when its word is overdue, and
-// when they know of a newer version and no other node has sent it. Thread safe.
-bool shouldRead(const reader_facts &facts);
+// shouldRead returns whether a node reads the store. The reader always does. Another node does if the reader's
+// announcement is overdue, the later the higher its rank, or if it has known for a third of the bound of a newer
+// version that no other node has sent to it. Thread safe.
+bool shouldRead(const reader_facts &status);
 
-// readWait returns how long a read may wait at the platform for a new version. Thread safe.
+// readWait returns how long a read may wait in the store for a new version. Thread safe.
 milliseconds readWait(milliseconds bound);
 
-// readPause returns the time until the next try after `failures` failed reads in a row. Thread safe.
+// readPause returns the time until the next read after `failures` failed reads in a row. Thread safe.
 milliseconds readPause(unsigned failures, std::size_t rank);
 
 } // namespace pistachioquay
--- a/packages/process/store_reading/store_reading_test.cc
+++ b/packages/process/store_reading/store_reading_test.cc
@@ -1,4 +1,5 @@
-// Guards the store against a wave of reads in an outage, and the nodes against a reader that stays silent.
+// Guards against a burst of reads during an outage of the store, and against nodes that wait forever for a silent
+// reader.
 #include <catch2/catch.hpp>
 
 #include "process/store_reading/store_reading.h"
@@ -9,7 +10,7 @@
 
 constexpr milliseconds bound{2500};
 
-// Calls in an outage of the store by the nodes of one data centre that refuse at once.
+// Simulates an outage in which the store refuses each call at once. Returns the number of calls from one data centre.
 unsigned callsInOutage(std::size_t nodes, milliseconds outage)
 {
     unsigned calls = 0;
@@ -29,7 +30,7 @@
 
 } // namespace
 
-TEST_CASE("the reader reads, and the others leave it to it while its word is fresh")
+TEST_CASE("other nodes than the reader read only if its announcement is overdue or they lack a newer version")
 {
     CHECK(shouldRead({.rank = 0, .bound = bound}));
     CHECK_FALSE(shouldRead({.rank = 1, .sinceWord = readWait(bound), .bound = bound}));
@@ -37,21 +38,21 @@
     CHECK(shouldRead({.rank = 9, .behindFor = bound / 2, .bound = bound}));
 }
 
-TEST_CASE("nodes step in one after the other")
+TEST_CASE("nodes take over for a silent reader one after the other")
 {
-    const duration second = readWait(bound) + bound / 8 + rankStagger;
-    CHECK(shouldRead({.rank = 1, .sinceWord = second, .bound = bound}));
-    CHECK_FALSE(shouldRead({.rank = 3, .sinceWord = second, .bound = bound}));
+    const duration rankTwoDue = readWait(bound) + bound / 8 + rankStagger;
+    CHECK(shouldRead({.rank = 1, .sinceWord = rankTwoDue, .bound = bound}));
+    CHECK_FALSE(shouldRead({.rank = 3, .sinceWord = rankTwoDue, .bound = bound}));
 }
 
-TEST_CASE("an outage costs few calls, and its end is noticed within the bound")
+TEST_CASE("an outage costs few calls, and the reader retries often enough to notice its end within the bound")
 {
     constexpr std::size_t nodes = 26;
     constexpr milliseconds outage{10000};
-    constexpr unsigned simpleRule = 10000 / 200 * nodes; // every node again after 200 ms
-    CHECK(callsInOutage(nodes, outage) < simpleRule / 5);
+    constexpr unsigned fixedIntervalCalls = 10000 / 200 * nodes; // if each node retried every 200 ms
+    CHECK(callsInOutage(nodes, outage) < fixedIntervalCalls / 5);
     for (unsigned failures = 1; failures < 40; ++failures) {
         CHECK(readPause(failures, 0) <= bound / 2);
-        CHECK(readPause(failures, 0) >= firstReadPause);
+        CHECK(readPause(failures, 0) >= initialReadBackoff);
     }
 }
