Plainer wording in metrics

The head of metrics.h said that copies of many nodes can be merged; only the burn counts can, and it says so now. Renamed, without a use outside the folder: addRequest -> addBurnSample, smallestAllowedShare -> minAllowedShare, shareP50 and so on -> probabilityP50, trackedShares -> trackedProbabilities.

--- a/packages/process/metrics/burn.cc
+++ b/packages/process/metrics/burn.cc
@@ -19,7 +19,7 @@
 
 } // namespace
 
-void addRequest(burn_window &window, bool isGood, time_point now)
+void addBurnSample(burn_window &window, bool isGood, time_point now)
 {
     const std::int64_t index = bucketIndex(now);
     burn_bucket &bucket = window.buckets.at(static_cast<std::size_t>(index) % burnBuckets);
@@ -61,11 +61,11 @@
 
 double burnRate(std::uint64_t total, std::uint64_t bad, double targetPercent)
 {
-    constexpr double smallestAllowedShare = 1e-6;
+    constexpr double minAllowedShare = 1e-6;
     if (total == 0) {
         return 0;
     }
-    const double allowedShare = std::max(1.0 - targetPercent / 100.0, smallestAllowedShare);
+    const double allowedShare = std::max(1.0 - targetPercent / 100.0, minAllowedShare);
     return static_cast<double>(bad) / static_cast<double>(total) / allowedShare;
 }
 
--- a/packages/process/metrics/metrics.cc
+++ b/packages/process/metrics/metrics.cc
@@ -16,15 +16,16 @@
 
 namespace acc = boost::accumulators;
 
-constexpr double shareP50 = 0.5;
-constexpr double shareP99 = 0.99;
-constexpr double shareP999 = 0.999;
+constexpr double probabilityP50 = 0.5;
+constexpr double probabilityP99 = 0.99;
+constexpr double probabilityP999 = 0.999;
 
-// The outer probabilities bracket the wanted ones, as the estimator interpolates between its markers.
-const std::vector<double> &trackedShares()
+// The estimator interpolates between its markers, so further probabilities surround the reported ones.
+const std::vector<double> &trackedProbabilities()
 {
-    static const std::vector<double> shares = {0.25, shareP50, 0.9, shareP99, shareP999, 0.9995};
-    return shares;
+    static const std::vector<double> probabilities =
+        {0.25, probabilityP50, 0.9, probabilityP99, probabilityP999, 0.9995};
+    return probabilities;
 }
 
 using latency_statistics = acc::accumulator_set<
@@ -33,7 +34,7 @@
 
 latency_statistics makeStatistics()
 {
-    return latency_statistics(acc::extended_p_square_probabilities = trackedShares());
+    return latency_statistics(acc::extended_p_square_probabilities = trackedProbabilities());
 }
 
 latency_summary summarize(const latency_statistics &statistics)
@@ -45,12 +46,12 @@
     }
     summary.mean = acc::mean(statistics);
     summary.max = acc::max(statistics);
-    const auto quantile = [&](double share) {
-        return std::min(acc::quantile(statistics, acc::quantile_probability = share), summary.max);
+    const auto quantile = [&](double probability) {
+        return std::min(acc::quantile(statistics, acc::quantile_probability = probability), summary.max);
     };
-    summary.p50 = quantile(shareP50);
-    summary.p99 = quantile(shareP99);
-    summary.p999 = quantile(shareP999);
+    summary.p50 = quantile(probabilityP50);
+    summary.p99 = quantile(probabilityP99);
+    summary.p999 = quantile(probabilityP999);
     return summary;
 }
 
@@ -88,34 +89,35 @@
     const std::lock_guard guard(m_mutex);
     service_entry &entry = entryFor(sample.service);
     entry.latencies.at(static_cast<std::size_t>(sample.workClass))(latencyMs);
-    for (const named_objective &wanted : objectives) {
-        auto found = entry.objectives.find(wanted.name);
+    for (const named_objective &objective : objectives) {
+        auto found = entry.objectives.find(objective.name);
         if (found == entry.objectives.end()) {
-            found = entry.objectives.emplace(std::string(wanted.name), objective_entry{}).first;
+            found = entry.objectives.emplace(std::string(objective.name), objective_entry{}).first;
         }
-        const bool isInTime = wanted.latency.count() == 0 || sample.latency <= wanted.latency;
-        found->second.targetPercent = wanted.targetPercent;
-        addRequest(found->second.window, sample.status < firstServerError && isInTime, now);
+        const bool isInTime = objective.latency.count() == 0 || sample.latency <= objective.latency;
+        found->second.targetPercent = objective.targetPercent;
+        addBurnSample(found->second.window, sample.status < firstServerError && isInTime, now);
     }
 }
 
 metrics_snapshot metrics::snapshot(time_point now) const
 {
-    metrics_snapshot copy;
+    metrics_snapshot snapshot;
     const std::lock_guard guard(m_mutex);
     for (const auto &[name, entry] : m_services) {
-        service_figures &figures = copy.services[name];
+        service_figures &serviceMetrics = snapshot.services[name];
         for (std::size_t index = 0; index < workClassNames.size(); ++index) {
             const latency_summary summary = summarize(entry->latencies.at(index));
             if (summary.count > 0) {
-                figures.latencyByClass.emplace(workClassNames.at(index), summary);
+                serviceMetrics.latencyByClass.emplace(workClassNames.at(index), summary);
             }
         }
-        for (const auto &[objective, kept] : entry->objectives) {
-            figures.burnByObjective.emplace(objective, countsAt(kept.window, now, kept.targetPercent));
+        for (const auto &[objective, objectiveEntry] : entry->objectives) {
+            serviceMetrics.burnByObjective.emplace(objective,
+                                                   countsAt(objectiveEntry.window, now, objectiveEntry.targetPercent));
         }
     }
-    return copy;
+    return snapshot;
 }
 
 } // namespace pistachioquay
--- a/packages/process/metrics/metrics.h
+++ b/packages/process/metrics/metrics.h
@@ -1,10 +1,10 @@
-// Latency and service-level figures of one node. Each finished request is recorded once; reports read an immutable
-// copy, and copies of many nodes can be merged without a store.
+// Latency and service-level metrics of one node. Each finished request is recorded once. Reports are made from a
+// snapshot; the burn counts in snapshots of several nodes can be summed without a shared store.
 //
-//   metrics figures;
-//   figures.record({.service = "orders", .workClass = work_class::Interactive, .status = 200, .latency = took},
-//                  objectivesOf(config, "orders"), steadyNow());
-//   const metrics_snapshot copy = figures.snapshot(steadyNow());
+//   metrics nodeMetrics;
+//   nodeMetrics.record({.service = "orders", .workClass = work_class::Interactive, .status = 200, .latency = latency},
+//                      objectivesOf(config, "orders"), steadyNow());
+//   const metrics_snapshot snapshot = nodeMetrics.snapshot(steadyNow());
 #pragma once
 
 #include <array>
@@ -23,16 +23,16 @@
 
 namespace pistachioquay {
 
-// One finished request as the node that took it from its caller saw it.
+// A finished request, as measured by the node that received it from the caller.
 struct request_sample
 {
     std::string_view service;
     work_class workClass = work_class::Interactive;
-    int status = 0;
+    int status = 0; // HTTP status
     duration latency{0};
 };
 
-// Latency of one service and class since the node started, in milliseconds.
+// Latency of the requests of one service and work class since the node started, in milliseconds.
 struct latency_summary
 {
     std::uint64_t count = 0;
@@ -45,7 +45,7 @@
     friend auto operator<=>(const latency_summary &, const latency_summary &) = default;
 };
 
-// Everything that a node reports about the requests of one service.
+// Metrics of the requests of one service, by the names of work classes and of objectives.
 struct service_figures
 {
     std::map<std::string, latency_summary> latencyByClass;
@@ -54,22 +54,23 @@
     friend bool operator==(const service_figures &, const service_figures &) = default;
 };
 
+// Metrics of a node at one point in time.
 struct metrics_snapshot
 {
-    std::map<std::string, service_figures, std::less<>> services;
+    std::map<std::string, service_figures, std::less<>> services; // by service name
 
     friend bool operator==(const metrics_snapshot &, const metrics_snapshot &) = default;
 };
 
-// A named service-level objective as the tree sets it.
+// A service-level objective of the configuration tree.
 struct named_objective
 {
     std::string_view name;
     double targetPercent = 0;
-    milliseconds latency{0}; // 0: any latency is good
+    milliseconds latency{0}; // within which a request must end; 0: any latency is good
 };
 
-// All functions are thread safe.
+// Collects the metrics of one node. All functions are thread safe.
 class metrics
 {
 public:
@@ -78,11 +79,11 @@
     metrics(const metrics &) = delete;
     metrics &operator=(const metrics &) = delete;
 
-    // record adds a finished request. A request is good for an objective if its status is below 500 and its latency is
-    // within the objective's.
+    // record adds a finished request. It is good for an objective if its status is below 500 and its latency is not
+    // above that of the objective.
     void record(const request_sample &sample, std::span<const named_objective> objectives, time_point now);
 
-    // snapshot copies all figures; burn windows end at `now`.
+    // snapshot returns a copy of all metrics; the burn windows end at `now`.
     metrics_snapshot snapshot(time_point now) const;
 
 private:
--- a/packages/process/metrics/metrics_test.cc
+++ b/packages/process/metrics/metrics_test.cc
@@ -1,4 +1,5 @@
-// Guards the service-level report against wrong windows, wrong merging and unbounded growth.
+// Guards against burn counts over the wrong time window, wrong sums over several nodes, and buckets that keep the
+// counts of an hour before.
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -14,7 +15,7 @@
 TEST_CASE("old requests leave the short window first, then the long one")
 {
     burn_window window;
-    addRequest(window, false, start);
+    addBurnSample(window, false, start);
     CHECK(countsAt(window, start, 99).shortBad == 1);
     CHECK(countsAt(window, start + seconds(299), 99).shortBad == 1);
     CHECK(countsAt(window, start + seconds(311), 99).shortBad == 0);
@@ -25,8 +26,8 @@
 TEST_CASE("a bucket that is reused after an hour does not keep its old counts")
 {
     burn_window window;
-    addRequest(window, false, start);
-    addRequest(window, true, start + longBurnWindow);
+    addBurnSample(window, false, start);
+    addBurnSample(window, true, start + longBurnWindow);
     CHECK(countsAt(window, start + longBurnWindow, 99) == burn_counts{99, 1, 0, 1, 0});
 }
 
@@ -37,7 +38,7 @@
     CHECK(burnRate(10, 10, 100) == Approx(1e6));
 }
 
-TEST_CASE("counts of several nodes add up and a node without requests does not hide the target")
+TEST_CASE("counts of several nodes are summed, and a node without requests does not replace the target")
 {
     const burn_counts idle;
     const burn_counts busy{99.9, 5, 1, 50, 2};
@@ -47,13 +48,13 @@
 
 TEST_CASE("a request is bad when it fails or when it is slower than the objective")
 {
-    metrics figures;
-    const std::array<named_objective, 1> wanted = {{{"fast", 99, milliseconds(100)}}};
-    figures.record({"orders", work_class::Interactive, 200, milliseconds(50)}, wanted, start);
-    figures.record({"orders", work_class::Interactive, 200, milliseconds(150)}, wanted, start);
-    figures.record({"orders", work_class::Interactive, 503, milliseconds(1)}, wanted, start);
-    const metrics_snapshot copy = figures.snapshot(start);
-    const service_figures &orders = copy.services.at("orders");
+    metrics recorder;
+    const std::array<named_objective, 1> objectives = {{{"fast", 99, milliseconds(100)}}};
+    recorder.record({"orders", work_class::Interactive, 200, milliseconds(50)}, objectives, start);
+    recorder.record({"orders", work_class::Interactive, 200, milliseconds(150)}, objectives, start);
+    recorder.record({"orders", work_class::Interactive, 503, milliseconds(1)}, objectives, start);
+    const metrics_snapshot snapshot = recorder.snapshot(start);
+    const service_figures &orders = snapshot.services.at("orders");
     CHECK(orders.burnByObjective.at("fast") == burn_counts{99, 3, 2, 3, 2});
     CHECK(orders.latencyByClass.at("interactive").count == 3);
     CHECK(orders.latencyByClass.at("interactive").max == Approx(150));
@@ -61,14 +62,14 @@
 
 TEST_CASE("latency quantiles lie near those of the recorded values")
 {
-    metrics figures;
+    metrics recorder;
     for (int value = 1; value <= 10'000; ++value) {
-        figures.record({"orders", work_class::Lookup, 200, std::chrono::microseconds(value * 7919 % 10'007)},
-                       {},
-                       start);
+        recorder.record({"orders", work_class::Lookup, 200, std::chrono::microseconds(value * 7919 % 10'007)},
+                        {},
+                        start);
     }
-    const metrics_snapshot copy = figures.snapshot(start);
-    const latency_summary summary = copy.services.at("orders").latencyByClass.at("lookup");
+    const metrics_snapshot snapshot = recorder.snapshot(start);
+    const latency_summary summary = snapshot.services.at("orders").latencyByClass.at("lookup");
     CHECK(summary.p50 == Approx(5.0).epsilon(0.05));
     CHECK(summary.p99 == Approx(9.9).epsilon(0.05));
 }
