--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -24,26 +24,26 @@
 
 namespace {
 
-constexpr milliseconds refreshInterval{250};
-constexpr double linkMemoryMs = 500.0; // time constant of the measured rate
+constexpr milliseconds workerRefreshInterval{250};
+constexpr double rateTimeConstantMs = 500.0; // of the exponential decay of the byte rates
 
 } // namespace
 
-void link_meter::note(std::size_t bytesIn, std::size_t bytesOut, time_point now)
+void link_meter::recordBytes(std::size_t bytesIn, std::size_t bytesOut, time_point now)
 {
-    const double kept = std::exp(-msBetween(m_at, now) / linkMemoryMs);
-    m_inPerMs = m_inPerMs * kept + static_cast<double>(bytesIn) / linkMemoryMs;
-    m_outPerMs = m_outPerMs * kept + static_cast<double>(bytesOut) / linkMemoryMs;
-    m_at = now;
+    const double decay = std::exp(-msBetween(m_updatedAt, now) / rateTimeConstantMs);
+    m_inBytesPerMs = m_inBytesPerMs * decay + static_cast<double>(bytesIn) / rateTimeConstantMs;
+    m_outBytesPerMs = m_outBytesPerMs * decay + static_cast<double>(bytesOut) / rateTimeConstantMs;
+    m_updatedAt = now;
 }
 
 double link_meter::load(double bytesPerMs, time_point now) const
 {
-    const double kept = std::exp(-msBetween(m_at, now) / linkMemoryMs);
-    return bytesPerMs > 0 ? std::max(m_inPerMs, m_outPerMs) * kept / bytesPerMs : 0.0;
+    const double decay = std::exp(-msBetween(m_updatedAt, now) / rateTimeConstantMs);
+    return bytesPerMs > 0 ? std::max(m_inBytesPerMs, m_outBytesPerMs) * decay / bytesPerMs : 0.0;
 }
 
-void latency_histogram::note(double milliseconds)
+void latency_histogram::observe(double milliseconds)
 {
     const auto bucket = std::ranges::lower_bound(boundsMs, milliseconds);
     ++counts.at(static_cast<std::size_t>(bucket - boundsMs.begin()));
@@ -55,20 +55,20 @@
     std::vector<worker_entry> workers = readyWorkers(context.fleet, service, now);
     if (service == context.options.service && mayTakeWork(context.worker)) {
         workers.push_back({context.options.nodeId,
-                           context.process,
+                           context.processId,
                            context.options.dataCentre,
                            context.worker.slots,
                            context.worker.coldUntil,
                            context.options.linkBytesPerMs});
     }
     setWorkers(context.placement, service, std::move(workers));
-    context.refreshedAt[service] = now;
+    context.workersRefreshedAt[service] = now;
 }
 
-void keepWorkersFresh(mesh_context &context, const std::string &service, time_point now)
+void refreshStaleWorkers(mesh_context &context, const std::string &service, time_point now)
 {
-    const auto found = context.refreshedAt.find(service);
-    if (found == context.refreshedAt.end() || now - found->second > refreshInterval) {
+    const auto found = context.workersRefreshedAt.find(service);
+    if (found == context.workersRefreshedAt.end() || now - found->second > workerRefreshInterval) {
         refreshWorkers(context, service, now);
     }
 }
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -1,4 +1,4 @@
-// What the parts of a node share. Private to the mesh library.
+// State and metrics that the components of a node share. Private to the mesh library.
 #pragma once
 
 #include <array>
@@ -18,30 +18,32 @@
 
 namespace pistachioquay::internal {
 
-// Counts of latencies in fixed buckets.
+// A histogram of latencies with fixed buckets.
 struct latency_histogram
 {
     static constexpr std::array<double, 12> boundsMs = {1, 2, 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000};
     std::array<std::uint64_t, boundsMs.size() + 1> counts{};
     double sumMs = 0;
 
-    void note(double milliseconds);
+    void observe(double milliseconds);
 };
 
-// Used share of the VM's link, in the busier direction, over the last half second.
+// Estimates the utilization of the VM's network link from exponentially decaying byte rates; each direction is counted
+// for about the last half second.
 class link_meter
 {
 public:
-    void note(std::size_t bytesIn, std::size_t bytesOut, time_point now);
+    void recordBytes(std::size_t bytesIn, std::size_t bytesOut, time_point now);
+    // load returns the used share of a link with the given rate, in its busier direction; 0 if the rate is not known.
     double load(double bytesPerMs, time_point now) const;
 
 private:
-    double m_inPerMs = 0;
-    double m_outPerMs = 0;
-    time_point m_at;
+    double m_inBytesPerMs = 0;
+    double m_outBytesPerMs = 0;
+    time_point m_updatedAt;
 };
 
-// Counters and histograms, by their name in the metrics text.
+// Counters and histograms by metric name.
 struct mesh_metrics
 {
     std::map<std::string, std::uint64_t> counters;
@@ -51,39 +53,41 @@
     {
         ++counters[name];
     }
-    void note(const std::string &name, double milliseconds)
+    void observe(const std::string &name, double milliseconds)
     {
-        latencies[name].note(milliseconds);
+        latencies[name].observe(milliseconds);
     }
 };
 
-// The configuration in force.
-struct config_in_force
+// The configuration that the node applies, and when it was applied.
+struct active_config
 {
     std::shared_ptr<const route_table> table = std::make_shared<route_table>();
     time_point appliedAt;
 };
 
+// State of one node that its components read and change. Not thread safe: belongs to one loop.
 struct mesh_context
 {
     net::any_io_executor executor;
     mesh_options options;
     mesh_platform platform;
-    std::uint64_t process = 0; // random identity of this process
+    std::uint64_t processId = 0; // random; tells apart the processes that ran under the node id
     random_generator generator;
     fleet_state fleet;
     placement_state placement;
-    std::unordered_map<std::string, time_point> refreshedAt; // by service
-    config_in_force config;
+    std::unordered_map<std::string, time_point> workersRefreshedAt; // by service
+    active_config config;
     worker_life worker;
-    link_meter link;
-    link_room room; // on the own link
+    link_meter linkMeter;
+    link_room linkReservations; // bandwidth of the own link that large bodies have reserved
     mesh_metrics metrics;
-    bool isStopping = false; // the node leaves
-    time_point servesUntil; // when the node leaves: end of the requests that its worker still gets
-    bool isWorkerClosed = false; // its worker gets nothing new
-    bool isRefusing = false; // new requests of callers are refused as well
-    bool isStopped = false; // the duties end
+    bool isStopping = false; // the shutdown has begun
+    // During the shutdown, a call for the own worker is accepted only if it is expected to end well before this time.
+    time_point drainDeadline;
+    bool isInboundClosed = false; // the own worker gets no new calls
+    bool isRejectingCallers = false; // new requests of callers are rejected as well
+    bool isStopped = false; // background tasks end
 
     void log(const log_line &line) const
     {
@@ -91,10 +95,11 @@
     }
 };
 
-// refreshWorkers makes the placement of a service follow the fleet and the own worker.
+// refreshWorkers updates the placement of a service to the workers that are ready now, including the own one.
 void refreshWorkers(mesh_context &context, const std::string &service, time_point now);
 
-// keepWorkersFresh does so if it was not done for a while: nodes fall silent without an event.
-void keepWorkersFresh(mesh_context &context, const std::string &service, time_point now);
+// refreshStaleWorkers does the same if the last refresh is too long ago. Changes of the fleet refresh the workers at
+// once, but a node that becomes silent causes no event.
+void refreshStaleWorkers(mesh_context &context, const std::string &service, time_point now);
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -9,18 +9,21 @@
 
 namespace {
 
-constexpr milliseconds responseSlack{80}; // beyond the time of a request, for the worker's own response at its end
-constexpr milliseconds onceReuse{500}; // idle time of connections that a request which may not be repeated uses
-constexpr milliseconds repeatableReuse{4000};
-constexpr double outcomeWeight = 0.08; // weight of one request in the failure share
-constexpr double hangingRuns = 3.0; // expected runs after which a cancelled run counts as failed
-constexpr double slowdownHalfLifeMs = 300.0; // a worker's slowdown changes many times a second
-constexpr unsigned localAttempts = 2; // on the own worker, after a kept connection turned out to be closed
-constexpr milliseconds minCheckPause{5}; // between looks for requests that can no longer meet their target
-constexpr std::uint32_t defaultSlots = 4; // until the worker has told its slots
+constexpr milliseconds responseSlack{80}; // after the deadline, for a response that the worker sends at the deadline
+// Idle time up to which a connection to the worker is reused. A worker may close an idle connection without notice, and
+// a request that is lost with it may have run; requests that must not be repeated therefore have a lower limit.
+constexpr milliseconds atMostOnceMaxIdle{500};
+constexpr milliseconds repeatableMaxIdle{4000};
+constexpr double outcomeWeight = 0.08; // of one request in the moving average of failures
+constexpr double hungRunFactor = 3.0; // a run that is cancelled after this many expected run times counts as failed
+constexpr double slowdownHalfLifeMs = 300.0; // of a reported slowdown: it changes many times a second
+constexpr unsigned maxWorkerAttempts = 2; // a second one if the reused connection turned out to be closed
+constexpr milliseconds minQueueCheckInterval{5}; // between checks for queued requests that can no longer be served
+constexpr std::uint32_t defaultSlots = 4; // until the worker has reported its slots
 
-// Fields of the load header: running, waiting, slots and, if given, the slowdown in percent.
-std::vector<double> numbersOf(std::string_view text)
+// Returns the fields of the load header (running, waiting, slots and, if given, the slowdown in percent); empty if one
+// is not a number.
+std::vector<double> parseNumbers(std::string_view text)
 {
     std::vector<double> numbers;
     while (!text.empty()) {
@@ -43,16 +46,17 @@
 
 } // namespace
 
-inbound_side::inbound_side(mesh_context &context)
+inbound_handler::inbound_handler(mesh_context &context)
     : m_context(context)
-    , m_worker(context.executor, {.target = context.options.worker, .echoHeader = context.options.headers.requestId})
-    , m_check(context.executor)
+    , m_workerClient(context.executor,
+                     {.target = context.options.worker, .echoHeader = context.options.headers.requestId})
+    , m_queueTimer(context.executor)
 {
-    m_line.slots = defaultSlots;
-    m_line.closedFor = wait_refusal::WorkerDown;
+    m_queue.slots = defaultSlots;
+    m_queue.closedFor = wait_refusal::WorkerDown;
 }
 
-call_reply inbound_side::notRun(const std::string &id, std::string_view reason) const
+call_reply inbound_handler::makeNotRunReply(const std::string &id, std::string_view reason) const
 {
     call_reply reply;
     reply.id = id;
@@ -61,50 +65,50 @@
     return reply;
 }
 
-awaitable<call_reply> inbound_side::run(call_message message, std::shared_ptr<exchange_control> control)
+awaitable<call_reply> inbound_handler::handleCall(call_message message, std::shared_ptr<exchange_control> control)
 {
     const time_point now = steadyNow();
     call_reply reply;
-    if (message.isRepeat && message.process != m_context.process) {
+    if (message.isRetransmission && message.expectedProcessId != m_context.processId) {
         reply.id = message.id;
         reply.reason = "node-restarted";
         co_return reply;
     }
-    switch (m_ledger.begin(message.id, now)) {
+    switch (m_deduplication.begin(message.id, now)) {
     case entry_state::New:
         break;
     case entry_state::Open:
-        co_return co_await joinOpen(message.id, now + milliseconds(message.timeLeftMs) + responseSlack);
+        co_return co_await joinOpenCall(message.id, now + milliseconds(message.timeLeftMs) + responseSlack);
     case entry_state::Ended:
-        if (const call_reply *kept = m_ledger.response(message.id)) {
+        if (const call_reply *kept = m_deduplication.response(message.id)) {
             co_return *kept;
         }
         reply.id = message.id;
         reply.reason = "response-not-kept";
         co_return reply;
     case entry_state::Void:
-        co_return notRun(message.id, "void");
+        co_return makeNotRunReply(message.id, "void");
     }
-    reply = co_await runNew(message, control);
+    reply = co_await runNewCall(message, control);
     reply.id = message.id;
     reply.report = report(steadyNow());
-    if (const auto known = m_runs.routes.find(message.route); known != m_runs.routes.end()) {
+    if (const auto known = m_runTimes.routes.find(message.route); known != m_runTimes.routes.end()) {
         reply.runMs = known->second.milliseconds;
     }
-    if (reply.kind == reply_kind::NotRun && message.isRepeat) {
-        m_ledger.makeVoid(message.id, steadyNow());
+    if (reply.kind == reply_kind::NotRun && message.isRetransmission) {
+        m_deduplication.makeVoid(message.id, steadyNow());
     } else if (reply.kind == reply_kind::NotRun) {
-        m_ledger.forget(message.id);
+        m_deduplication.forget(message.id);
     } else {
-        m_ledger.end(message.id, reply, reply.response.body.size() + 512, steadyNow());
+        m_deduplication.end(message.id, reply, reply.response.body.size() + 512, steadyNow());
     }
     co_return reply;
 }
 
-awaitable<call_reply> inbound_side::joinOpen(const std::string &id, time_point until)
+awaitable<call_reply> inbound_handler::joinOpenCall(const std::string &id, time_point until)
 {
-    const auto found = m_open.find(id);
-    if (found != m_open.end()) {
+    const auto found = m_openCalls.find(id);
+    if (found != m_openCalls.end()) {
         const std::shared_ptr<open_call> open = found->second;
         if (co_await open->ended.waitUntil(until)) {
             co_return open->reply;
@@ -116,12 +120,12 @@
     co_return reply;
 }
 
-awaitable<call_reply> inbound_side::runNew(const call_message &message,
-                                           const std::shared_ptr<exchange_control> &control)
+awaitable<call_reply> inbound_handler::runNewCall(const call_message &message,
+                                                  const std::shared_ptr<exchange_control> &control)
 {
     const time_point now = steadyNow();
     if (message.service != m_context.options.service) {
-        co_return notRun(message.id, "other-service");
+        co_return makeNotRunReply(message.id, "other-service");
     }
     const double fallbackMs =
         unmeasuredRunMs(static_cast<double>(message.typicalRunMs), static_cast<double>(message.targetLeftMs));
@@ -131,41 +135,41 @@
     request.arrivedAt = now;
     request.targetAt = now + milliseconds(message.targetLeftMs);
     request.endsBy = now + milliseconds(message.timeLeftMs);
-    request.expectedRunMs = expectedRunMs(m_runs, message.route, fallbackMs);
+    request.expectedRunMs = expectedRunMs(m_runTimes, message.route, fallbackMs);
     if (m_context.isStopping) {
-        const auto twice = std::chrono::duration<double, std::milli>(2 * request.expectedRunMs);
-        if (now + std::chrono::duration_cast<duration>(twice) > m_context.servesUntil) {
-            co_return notRun(message.id, "draining");
+        const auto doubledRun = std::chrono::duration<double, std::milli>(2 * request.expectedRunMs);
+        if (now + std::chrono::duration_cast<duration>(doubledRun) > m_context.drainDeadline) {
+            co_return makeNotRunReply(message.id, "draining");
         }
     }
     const auto open = std::make_shared<open_call>(m_context.executor);
     open->id = message.id;
-    m_open[message.id] = open;
+    m_openCalls[message.id] = open;
     call_reply reply;
     reply.id = message.id;
     if (co_await awaitSlot(message, request, open, control, reply)) {
         reply.waitedMs = millisBetween(now, steadyNow());
         co_await runOnWorker(message, request.endsBy, control, reply);
     }
-    finish(m_line, request.ticket);
-    pump(steadyNow());
-    m_open.erase(message.id);
+    finish(m_queue, request.ticket);
+    dispatchQueued(steadyNow());
+    m_openCalls.erase(message.id);
     open->reply = reply;
     open->ended.notify();
     co_return reply;
 }
 
-awaitable<bool> inbound_side::awaitSlot(const call_message &message,
-                                        const waiting_request &request,
-                                        const std::shared_ptr<open_call> &open,
-                                        const std::shared_ptr<exchange_control> &control,
-                                        call_reply &reply)
+awaitable<bool> inbound_handler::awaitSlot(const call_message &message,
+                                           const waiting_request &request,
+                                           const std::shared_ptr<open_call> &open,
+                                           const std::shared_ptr<exchange_control> &control,
+                                           call_reply &reply)
 {
     const time_point now = steadyNow();
-    const offer_verdict verdict = offer(m_line, request, now, m_context.generator);
+    const offer_verdict verdict = offer(m_queue, request, now, m_context.generator);
     const auto allowedWaitMs = static_cast<double>(message.longestWaitMs);
     if (verdict.kind == offer_kind::Wait && allowedWaitMs > 0 && verdict.expectedWaitMs > allowedWaitMs) {
-        finish(m_line, request.ticket);
+        finish(m_queue, request.ticket);
         reply.kind = reply_kind::NotRun;
         reply.reason = std::string(handedBackReason);
         m_context.metrics.count("inbound_handed_back_total");
@@ -174,8 +178,8 @@
                           .add("route", message.route)
                           .add("expected_wait_ms", verdict.expectedWaitMs)
                           .add("allowed_wait_ms", message.longestWaitMs)
-                          .add("running", m_line.running.size())
-                          .add("waiting", m_line.waiting.size()));
+                          .add("running", m_queue.running.size())
+                          .add("waiting", m_queue.waiting.size()));
         co_return false;
     }
     if (verdict.kind == offer_kind::Run) {
@@ -186,14 +190,14 @@
     wait_refusal reason = verdict.reason;
     reply.retryAfterMs = verdict.retryAfter.count();
     if (verdict.kind == offer_kind::Wait) {
-        m_waiting[request.ticket] = open;
+        m_waitingCalls[request.ticket] = open;
         control->onCancel([open] {
             open->decided.notify();
         });
-        scheduleCheck();
+        scheduleQueueCheck();
         co_await open->decided.waitUntil(request.endsBy);
         control->onCancel(nullptr);
-        m_waiting.erase(request.ticket);
+        m_waitingCalls.erase(request.ticket);
         if (open->isGranted) {
             co_return true;
         }
@@ -210,14 +214,14 @@
                       .add("expected_wait_ms", verdict.expectedWaitMs)
                       .add("expected_run_ms", request.expectedRunMs)
                       .add("time_left_ms", message.timeLeftMs)
-                      .add("running", m_line.running.size())
-                      .add("waiting", m_line.waiting.size())
+                      .add("running", m_queue.running.size())
+                      .add("waiting", m_queue.waiting.size())
                       .add("waited_ms", millisBetween(now, steadyNow()))
                       .add("retry_after_ms", reply.retryAfterMs));
     co_return false;
 }
 
-whole_request inbound_side::workerRequest(const call_message &message, time_point endsBy, time_point now) const
+whole_request inbound_handler::makeWorkerRequest(const call_message &message, time_point endsBy, time_point now) const
 {
     const mesh_headers &names = m_context.options.headers;
     whole_request request = message.request;
@@ -228,32 +232,32 @@
     return request;
 }
 
-awaitable<void> inbound_side::runOnWorker(const call_message &message,
-                                          time_point endsBy,
-                                          const std::shared_ptr<exchange_control> &control,
-                                          call_reply &reply)
+awaitable<void> inbound_handler::runOnWorker(const call_message &message,
+                                             time_point endsBy,
+                                             const std::shared_ptr<exchange_control> &control,
+                                             call_reply &reply)
 {
     const bool isRepeatable = message.repeat == repeat_rule::Repeatable;
-    const time_point begunAt = steadyNow();
+    const time_point firstStartedAt = steadyNow();
     reply.kind = reply_kind::Unknown;
-    for (unsigned attempt = 0; attempt < localAttempts; ++attempt) {
+    for (unsigned attempt = 0; attempt < maxWorkerAttempts; ++attempt) {
         const time_point startedAt = steadyNow();
-        const whole_request request = workerRequest(message, endsBy, startedAt);
+        const whole_request request = makeWorkerRequest(message, endsBy, startedAt);
         exchange_options options;
         options.deadline = endsBy + responseSlack;
-        options.reuseWithin = attempt > 0 ? milliseconds{0} : isRepeatable ? repeatableReuse : onceReuse;
-        const auto own = std::make_shared<exchange_control>();
-        control->onCancel([own, isRepeatable] {
+        options.reuseWithin = attempt > 0 ? milliseconds{0} : isRepeatable ? repeatableMaxIdle : atMostOnceMaxIdle;
+        const auto exchangeControl = std::make_shared<exchange_control>();
+        control->onCancel([exchangeControl, isRepeatable] {
             if (isRepeatable) {
-                own->cancel();
+                exchangeControl->cancel();
             }
         });
-        exchange_result got = co_await m_worker.send(request, options, *own);
+        exchange_result result = co_await m_workerClient.send(request, options, *exchangeControl);
         control->onCancel(nullptr);
         const double tookMs = msBetween(startedAt, steadyNow());
-        const bool mayTryAgain = isRepeatable && got.end == exchange_end::Lost && got.wasReused;
-        readWorkerResponse(message, std::move(got), tookMs, reply);
-        if (!mayTryAgain || attempt + 1 == localAttempts) {
+        const bool mayRetry = isRepeatable && result.end == exchange_end::Lost && result.wasReused;
+        evaluateWorkerResponse(message, std::move(result), tookMs, reply);
+        if (!mayRetry || attempt + 1 == maxWorkerAttempts) {
             break;
         }
     }
@@ -265,72 +269,73 @@
                       .add("reason", reply.reason)
                       .add("status", reply.response.status)
                       .add("waited_ms", reply.waitedMs)
-                      .add("took_ms", msBetween(begunAt, steadyNow()))
-                      .add("expected_ms", expectedRunMs(m_runs, message.route, 0))
+                      .add("took_ms", msBetween(firstStartedAt, steadyNow()))
+                      .add("expected_ms", expectedRunMs(m_runTimes, message.route, 0))
                       .add("time_left_ms", message.timeLeftMs));
 }
 
-void inbound_side::readWorkerResponse(const call_message &message,
-                                      exchange_result got,
-                                      double tookMs,
-                                      call_reply &reply)
+void inbound_handler::evaluateWorkerResponse(const call_message &message,
+                                             exchange_result result,
+                                             double tookMs,
+                                             call_reply &reply)
 {
     const time_point now = steadyNow();
     const mesh_headers &names = m_context.options.headers;
-    reply.reason = std::string(endName(got.end));
-    if (got.end == exchange_end::NotSent || got.end == exchange_end::Refused) {
+    reply.reason = std::string(endName(result.end));
+    if (result.end == exchange_end::NotSent || result.end == exchange_end::Refused) {
         reply.kind = reply_kind::NotRun;
-        noteConnectFailure(got.end, got.detail);
+        recordConnectFailure(result.end, result.detail);
         return;
     }
     reply.kind = reply_kind::Unknown;
-    if (got.end == exchange_end::Cancelled) {
-        noteCancelled(message, tookMs, now);
+    if (result.end == exchange_end::Cancelled) {
+        recordCancelledRun(message, tookMs, now);
         return;
     }
-    if (got.end != exchange_end::Complete) {
-        noteOutcome(true);
+    if (result.end != exchange_end::Complete) {
+        recordOutcome(true);
         return;
     }
-    noteLoad(got.response, now);
-    const bool isSigned = findHeader(got.response.headers, names.signature).has_value();
-    const bool isOtherWorker = got.response.status == 421;
-    if (findHeader(got.response.headers, names.notRun) || isOtherWorker) {
+    recordWorkerLoad(result.response, now);
+    const bool isSigned = findHeader(result.response.headers, names.signature).has_value();
+    const bool isOtherWorker = result.response.status == 421;
+    if (findHeader(result.response.headers, names.notRun) || isOtherWorker) {
         reply.kind = reply_kind::RejectedByWorker;
         reply.reason = isOtherWorker ? "other-worker" : "worker-rejected";
-        noteOutcome(true);
+        recordOutcome(true);
         return;
     }
     if (!isSigned) {
         reply.reason = "unsigned-response";
-        noteOutcome(true);
+        recordOutcome(true);
         return;
     }
     reply.kind = reply_kind::Response;
-    noteOutcome(got.response.status >= 500);
-    if (isSuccess(got.response.status)) {
-        noteRun(m_runs, message.route, tookMs, now);
-        m_context.metrics.note("worker_run_ms", tookMs);
+    recordOutcome(result.response.status >= 500);
+    if (isSuccess(result.response.status)) {
+        noteRun(m_runTimes, message.route, tookMs, now);
+        m_context.metrics.observe("worker_run_ms", tookMs);
     }
-    reply.response = std::move(got.response);
+    reply.response = std::move(result.response);
     reply.response.headers = endToEndHeaders(reply.response.headers);
 }
 
-// A run that was cancelled counts once it has taken longer than expected: a worker that hangs completes nothing else.
-void inbound_side::noteCancelled(const call_message &message, double tookMs, time_point now)
+// Records a cancelled run that has taken longer than expected. Without it a worker that hangs would keep its old run
+// times, because it completes no requests.
+void inbound_handler::recordCancelledRun(const call_message &message, double tookMs, time_point now)
 {
-    const double expected = expectedRunMs(m_runs, message.route, tookMs);
+    const double expected = expectedRunMs(m_runTimes, message.route, tookMs);
     if (tookMs > expected) {
-        noteRun(m_runs, message.route, tookMs, now);
+        noteRun(m_runTimes, message.route, tookMs, now);
     }
-    if (tookMs > hangingRuns * expected) {
-        noteOutcome(true);
+    if (tookMs > hungRunFactor * expected) {
+        recordOutcome(true);
     }
 }
 
-void inbound_side::noteConnectFailure(exchange_end end, const std::string &detail)
+void inbound_handler::recordConnectFailure(exchange_end end, const std::string &detail)
 {
-    noteOutcome(true);
+    recordOutcome(true);
     if (noteUnreachable(m_context.worker)) {
         m_context.log(log_line("inbound", "worker-lost")
                           .add("worker", m_context.worker.workerId)
@@ -340,103 +345,103 @@
     }
 }
 
-void inbound_side::noteLoad(const whole_response &response, time_point now)
+void inbound_handler::recordWorkerLoad(const whole_response &response, time_point now)
 {
     const auto header = findHeader(response.headers, m_context.options.headers.load);
     if (!header) {
         return;
     }
-    const std::vector<double> numbers = numbersOf(*header);
+    const std::vector<double> numbers = parseNumbers(*header);
     if (numbers.size() >= 4 && numbers[3] > 0) {
         m_slowdown = numbers[3] / 100.0;
         m_slowdownAt = now;
     }
 }
 
-void inbound_side::noteOutcome(bool isFailure)
+void inbound_handler::recordOutcome(bool isFailure)
 {
     m_failureShare += outcomeWeight * ((isFailure ? 1.0 : 0.0) - m_failureShare);
 }
 
-worker_report inbound_side::report(time_point now) const
+worker_report inbound_handler::report(time_point now) const
 {
     worker_report report;
-    report.running = static_cast<std::uint32_t>(m_line.running.size());
-    report.waiting = static_cast<std::uint32_t>(m_line.waiting.size());
+    report.running = static_cast<std::uint32_t>(m_queue.running.size());
+    report.waiting = static_cast<std::uint32_t>(m_queue.waiting.size());
     for (std::uint32_t priority = 0; priority < reportedPriorities; ++priority) {
-        report.waitMs.at(priority) = expectedWaitMs(m_line, priority, now);
+        report.waitMs.at(priority) = expectedWaitMs(m_queue, priority, now);
     }
-    report.lineRunMs = lineRunMs(m_line);
+    report.lineRunMs = lineRunMs(m_queue);
     report.failureShare = m_failureShare;
     report.slowdown = 1.0 + (m_slowdown - 1.0) * std::exp2(-msBetween(m_slowdownAt, now) / slowdownHalfLifeMs);
-    report.linkLoad =
-        std::max(m_context.link.load(m_context.options.linkBytesPerMs, now), reservedShare(m_context.room));
+    report.linkLoad = std::max(m_context.linkMeter.load(m_context.options.linkBytesPerMs, now),
+                               reservedShare(m_context.linkReservations));
     return report;
 }
 
-void inbound_side::pump(time_point now)
+void inbound_handler::dispatchQueued(time_point now)
 {
-    refuseTickets(takeHopeless(m_line, now, m_context.generator));
-    for (auto ticket = startNext(m_line, now); ticket; ticket = startNext(m_line, now)) {
-        const auto found = m_waiting.find(*ticket);
-        if (found == m_waiting.end()) {
-            finish(m_line, *ticket);
+    rejectTickets(takeHopeless(m_queue, now, m_context.generator));
+    for (auto ticket = startNext(m_queue, now); ticket; ticket = startNext(m_queue, now)) {
+        const auto found = m_waitingCalls.find(*ticket);
+        if (found == m_waitingCalls.end()) {
+            finish(m_queue, *ticket);
             continue;
         }
         found->second->isGranted = true;
         found->second->decided.notify();
     }
-    scheduleCheck();
+    scheduleQueueCheck();
 }
 
-void inbound_side::refuseTickets(const std::vector<refused_ticket> &refused)
+void inbound_handler::rejectTickets(const std::vector<refused_ticket> &refused)
 {
     for (const refused_ticket &ticket : refused) {
-        const auto found = m_waiting.find(ticket.ticket);
-        if (found != m_waiting.end()) {
+        const auto found = m_waitingCalls.find(ticket.ticket);
+        if (found != m_waitingCalls.end()) {
             found->second->refusal = ticket;
             found->second->decided.notify();
         }
     }
 }
 
-void inbound_side::scheduleCheck()
+void inbound_handler::scheduleQueueCheck()
 {
-    auto due = nextCheck(m_line);
+    auto due = nextCheck(m_queue);
     if (due) {
-        due = std::max(*due, steadyNow() + minCheckPause);
+        due = std::max(*due, steadyNow() + minQueueCheckInterval);
     }
-    if (!due || (m_checkAt && *m_checkAt <= *due && *m_checkAt > steadyNow())) {
+    if (!due || (m_queueCheckAt && *m_queueCheckAt <= *due && *m_queueCheckAt > steadyNow())) {
         return;
     }
-    m_checkAt = *due + milliseconds(1);
-    m_check.expires_at(*m_checkAt);
-    m_check.async_wait([this](const boost::system::error_code &failure) {
+    m_queueCheckAt = *due + milliseconds(1);
+    m_queueTimer.expires_at(*m_queueCheckAt);
+    m_queueTimer.async_wait([this](const boost::system::error_code &failure) {
         if (!failure) {
-            m_checkAt.reset();
-            pump(steadyNow());
+            m_queueCheckAt.reset();
+            dispatchQueued(steadyNow());
         }
     });
 }
 
-void inbound_side::onWorkerChange(time_point now)
+void inbound_handler::onWorkerChange(time_point now)
 {
     const worker_life &worker = m_context.worker;
-    m_line.slots = worker.slots > 0 ? worker.slots : defaultSlots;
-    if (worker.isLeaving || m_context.isWorkerClosed) {
-        m_line.closedFor = wait_refusal::Draining;
+    m_queue.slots = worker.slots > 0 ? worker.slots : defaultSlots;
+    if (worker.isLeaving || m_context.isInboundClosed) {
+        m_queue.closedFor = wait_refusal::Draining;
     } else {
-        m_line.closedFor = mayTakeWork(worker) ? wait_refusal::None : wait_refusal::WorkerDown;
+        m_queue.closedFor = mayTakeWork(worker) ? wait_refusal::None : wait_refusal::WorkerDown;
     }
     if (worker.isUnreachable) {
-        refuseTickets(takeAll(m_line, wait_refusal::WorkerDown));
-        m_worker.closeAll();
+        rejectTickets(takeAll(m_queue, wait_refusal::WorkerDown));
+        m_workerClient.closeAll();
     }
     if (worker.isLeaving && now - worker.leavingSince > m_context.options.drainTime / 2) {
-        refuseTickets(takeAll(m_line, wait_refusal::Draining));
+        rejectTickets(takeAll(m_queue, wait_refusal::Draining));
     }
     refreshWorkers(m_context, m_context.options.service, now);
-    pump(now);
+    dispatchQueued(now);
 }
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -1,7 +1,8 @@
-// Calls for the own worker: they wait in the line, run on the worker, and leave an entry in the ledger. Private to the
+// Runs the calls for the node's own worker. A call waits in the request queue for a free slot of the worker, runs
+// there, and leaves an entry in the deduplication table, so that a retransmission does not run it again. Private to the
 // mesh library.
 //
-//   const call_reply reply = co_await inbound.run(message, control);
+//   const call_reply reply = co_await inbound.handleCall(message, control);
 #pragma once
 
 #include <memory>
@@ -16,42 +17,43 @@
 namespace pistachioquay::internal {
 
 // Not thread safe: belongs to one loop.
-class inbound_side
+class inbound_handler
 {
 public:
-    explicit inbound_side(mesh_context &context);
+    explicit inbound_handler(mesh_context &context);
 
-    // run takes a call and returns how it ended. `control` ends it early: a waiting call is dropped, and a running one
-    // that may be repeated is broken off.
-    awaitable<call_reply> run(call_message message, std::shared_ptr<exchange_control> control);
-    // onWorkerChange adapts the line to the state of the worker and of the node.
+    // handleCall queues and runs a call and returns its outcome. `control` cancels it: a queued call is removed, and a
+    // running one is aborted if it is repeatable.
+    awaitable<call_reply> handleCall(call_message message, std::shared_ptr<exchange_control> control);
+    // onWorkerChange adapts the request queue and the placement to the state of the worker and of the node.
     void onWorkerChange(time_point now);
-    // report returns what other nodes are told of the worker.
+    // report returns the load report of the worker that other nodes receive.
     worker_report report(time_point now) const;
-    // runMs returns the run times by route that other nodes are told.
-    const run_times &runs() const
+    // runTimes returns the measured run times by route, which other nodes receive.
+    const run_times &runTimes() const
     {
-        return m_runs;
+        return m_runTimes;
     }
-    // openCount returns the number of calls that wait or run.
+    // openCount returns the number of queued and running calls.
     std::size_t openCount() const
     {
-        return m_line.waiting.size() + m_line.running.size();
+        return m_queue.waiting.size() + m_queue.running.size();
     }
     std::size_t waitingCount() const
     {
-        return m_line.waiting.size();
+        return m_queue.waiting.size();
     }
     std::size_t runningCount() const
     {
-        return m_line.running.size();
+        return m_queue.running.size();
     }
     const client_counts &connectionCounts() const
     {
-        return m_worker.counts();
+        return m_workerClient.counts();
     }
 
 private:
+    // A call that is queued or running.
     struct open_call
     {
         explicit open_call(const net::any_io_executor &executor)
@@ -59,16 +61,16 @@
             , ended(executor)
         {
         }
-        wait_point decided; // granted or refused by the line
-        wait_point ended; // for repeats that wait for the response of this call
+        wait_point decided; // the queue has granted a slot or rejected the call, or the call was cancelled
+        wait_point ended; // retransmissions wait for it to return the same reply
         bool isGranted = false;
         refused_ticket refusal;
         call_reply reply;
         std::string id;
     };
 
-    awaitable<call_reply> joinOpen(const std::string &id, time_point until);
-    awaitable<call_reply> runNew(const call_message &message, const std::shared_ptr<exchange_control> &control);
+    awaitable<call_reply> joinOpenCall(const std::string &id, time_point until);
+    awaitable<call_reply> runNewCall(const call_message &message, const std::shared_ptr<exchange_control> &control);
     awaitable<bool> awaitSlot(const call_message &message,
                               const waiting_request &request,
                               const std::shared_ptr<open_call> &open,
@@ -78,30 +80,30 @@
                                 time_point endsBy,
                                 const std::shared_ptr<exchange_control> &control,
                                 call_reply &reply);
-    whole_request workerRequest(const call_message &message, time_point endsBy, time_point now) const;
-    void readWorkerResponse(const call_message &message, exchange_result got, double tookMs, call_reply &reply);
-    void noteCancelled(const call_message &message, double tookMs, time_point now);
-    void noteLoad(const whole_response &response, time_point now);
-    void noteOutcome(bool isFailure);
-    void pump(time_point now);
-    void refuseTickets(const std::vector<refused_ticket> &refused);
-    void scheduleCheck();
-    call_reply notRun(const std::string &id, std::string_view reason) const;
-    void noteConnectFailure(exchange_end end, const std::string &detail);
+    whole_request makeWorkerRequest(const call_message &message, time_point endsBy, time_point now) const;
+    void evaluateWorkerResponse(const call_message &message, exchange_result result, double tookMs, call_reply &reply);
+    void recordCancelledRun(const call_message &message, double tookMs, time_point now);
+    void recordWorkerLoad(const whole_response &response, time_point now);
+    void recordOutcome(bool isFailure);
+    void dispatchQueued(time_point now);
+    void rejectTickets(const std::vector<refused_ticket> &refused);
+    void scheduleQueueCheck();
+    call_reply makeNotRunReply(const std::string &id, std::string_view reason) const;
+    void recordConnectFailure(exchange_end end, const std::string &detail);
 
     mesh_context &m_context;
-    loop_client m_worker;
-    waiting_line m_line;
-    run_times m_runs;
-    request_ledger<call_reply> m_ledger;
-    std::unordered_map<std::uint64_t, std::shared_ptr<open_call>> m_waiting; // by ticket
-    std::unordered_map<std::string, std::shared_ptr<open_call>> m_open; // by id
+    loop_client m_workerClient;
+    waiting_line m_queue;
+    run_times m_runTimes;
+    request_ledger<call_reply> m_deduplication;
+    std::unordered_map<std::uint64_t, std::shared_ptr<open_call>> m_waitingCalls; // by ticket
+    std::unordered_map<std::string, std::shared_ptr<open_call>> m_openCalls; // by id
     std::uint64_t m_lastTicket = 0;
     double m_failureShare = 0;
-    double m_slowdown = 1.0;
+    double m_slowdown = 1.0; // as the worker last reported it
     time_point m_slowdownAt;
-    net::steady_timer m_check;
-    std::optional<time_point> m_checkAt;
+    net::steady_timer m_queueTimer;
+    std::optional<time_point> m_queueCheckAt;
 };
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -15,68 +15,72 @@
 
 namespace {
 
-constexpr milliseconds upkeepInterval{200};
-constexpr milliseconds suspectPause{400}; // for a node that has not answered a ping yet
-constexpr std::size_t bodyShare = 4; // a quarter of the memory may hold bodies of requests
-constexpr std::size_t descriptorReserve = 400; // for links, the worker, the platform and files
-constexpr double silentNotices = 2.5; // missed notices after which a worker counts as gone
-constexpr milliseconds noticeLag{1000}; // by which notices may be late
-constexpr milliseconds serveWhileLeaving{2300}; // callers see two failed readiness checks within this time
-constexpr milliseconds workWhileLeaving{900}; // the own worker gets requests that end long before the node does
-constexpr milliseconds leavePoll{20};
-constexpr milliseconds leaveQuiet{60}; // without open requests before a stopping node exits
-constexpr milliseconds exitMargin{250}; // before the end of the grace time
+constexpr milliseconds maintenanceInterval{200};
+constexpr milliseconds suspectBackoff{400}; // of a node that has not answered a ping yet
+constexpr std::size_t bodyMemoryDivisor = 4; // request bodies may use a quarter of the memory
+constexpr std::size_t descriptorReserve = 400; // for links, connections to the worker and the platform, and files
+constexpr double maxMissedNotices = 2.5; // notice intervals after which a worker counts as silent
+constexpr milliseconds maxNoticeDelay{1000}; // added to these intervals: notices may arrive late
+// During a shutdown, requests of callers are accepted for this long, within which callers see two failed readiness
+// checks.
+constexpr milliseconds callerAcceptTime{2300};
+// Calls for the own worker are accepted for a shorter time, so that they end well before the process does.
+constexpr milliseconds inboundAcceptTime{900};
+constexpr milliseconds shutdownPollInterval{20};
+constexpr milliseconds shutdownIdleTime{60}; // without open requests, after which a stopping node exits
+constexpr milliseconds exitMargin{250}; // left of the grace time when a node exits with requests still open
 
 } // namespace
 
-struct mesh_node::parts
+struct mesh_node::impl
 {
-    parts(const net::any_io_executor &executor, mesh_options options, mesh_platform platform)
+    impl(const net::any_io_executor &executor, mesh_options options, mesh_platform platform)
         : context{executor, std::move(options), std::move(platform)}
         , inbound(context)
         , links(context, events())
         , outbound(context, inbound, links)
-        , spread(context, inbound, links)
+        , dissemination(context, inbound, links)
         , callers(executor,
                   serverOptions(),
                   [this](const whole_request &request, caller_presence &caller) {
                       return outbound.serve(request, caller);
                   })
-        , upkeepTimer(executor)
+        , maintenanceTimer(executor)
     {
         context.generator = seededFromDevice();
-        context.process = context.generator();
+        context.processId = context.generator();
         context.fleet.selfId = context.options.nodeId;
         context.fleet.selfDataCentre = context.options.dataCentre;
         context.placement.nodeId = context.options.nodeId;
         context.placement.dataCentre = context.options.dataCentre;
         context.placement.linkBytesPerMs = context.options.linkBytesPerMs;
-        context.room.bytesPerMs = context.options.linkBytesPerMs;
+        context.linkReservations.bytesPerMs = context.options.linkBytesPerMs;
     }
 
     internal::peer_events events()
     {
         internal::peer_events events;
         events.onCall = [this](call_message message, std::shared_ptr<exchange_control> control) {
-            return inbound.run(std::move(message), std::move(control));
+            return inbound.handleCall(std::move(message), std::move(control));
         };
         events.onConfig = [this](const config_message &message) {
-            spread.takeConfig(message);
+            dissemination.applyPeerConfig(message);
         };
-        events.config = [this](const config_request &request) {
-            return spread.configFor(request);
+        events.onConfigRequest = [this](const config_request &request) {
+            return dissemination.configFor(request);
         };
         events.onSuspect = [this](const endpoint &address) {
-            passOver(address, suspectPause);
+            markUnresponsive(address, suspectBackoff);
         };
         events.onSilent = [this](const endpoint &address) {
-            passOver(address, milliseconds{0});
+            markUnresponsive(address, milliseconds{0});
         };
         return events;
     }
 
-    // Takes a node that does not answer as a sign of a cut, and sends it nothing for `length`.
-    void passOver(const endpoint &address, milliseconds length)
+    // Records a node that does not answer, from which the placement detects a data centre that is cut off, and excludes
+    // the node from placement for `length`.
+    void markUnresponsive(const endpoint &address, milliseconds length)
     {
         const time_point now = steadyNow();
         for (const auto &[id, node] : context.fleet.nodes) {
@@ -90,49 +94,49 @@
 
     loop_server_options serverOptions()
     {
-        loop_server_options made;
-        made.address = context.options.callers;
-        made.maxConnections = context.options.maxDescriptors > 2 * descriptorReserve
+        loop_server_options options;
+        options.address = context.options.callers;
+        options.maxConnections = context.options.maxDescriptors > 2 * descriptorReserve
             ? context.options.maxDescriptors - descriptorReserve
             : descriptorReserve;
-        made.maxBufferedBytes = context.options.memoryBytes / bodyShare;
-        made.bounds = [this] {
+        options.maxBufferedBytes = context.options.memoryBytes / bodyMemoryDivisor;
+        options.bounds = [this] {
             const caller_limits &limits = context.config.table->limits;
             return server_bounds{limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
         };
-        return made;
+        return options;
     }
 
-    awaitable<void> upkeepLoop();
-    awaitable<void> leave(std::function<void()> done);
+    awaitable<void> maintenanceLoop();
+    awaitable<void> drainAndStop(std::function<void()> done);
 
     internal::mesh_context context;
-    internal::inbound_side inbound;
+    internal::inbound_handler inbound;
     internal::peer_links links;
-    internal::outbound_side outbound;
-    internal::spread_duty spread;
+    internal::outbound_handler outbound;
+    internal::dissemination_tasks dissemination;
     loop_server callers;
-    net::steady_timer upkeepTimer;
+    net::steady_timer maintenanceTimer;
 };
 
-awaitable<void> mesh_node::parts::upkeepLoop()
+awaitable<void> mesh_node::impl::maintenanceLoop()
 {
     const auto allowedSilence =
-        std::chrono::duration_cast<milliseconds>(context.options.noticeInterval * silentNotices) + noticeLag;
+        std::chrono::duration_cast<milliseconds>(context.options.noticeInterval * maxMissedNotices) + maxNoticeDelay;
     for (;;) {
-        upkeepTimer.expires_after(upkeepInterval);
-        const auto [failure] = co_await upkeepTimer.async_wait(awaitResult);
+        maintenanceTimer.expires_after(maintenanceInterval);
+        const auto [failure] = co_await maintenanceTimer.async_wait(awaitResult);
         if (failure) {
             co_return;
         }
         const time_point now = steadyNow();
-        links.check(now);
+        links.checkLiveness(now);
         if (noteSilence(context.worker, allowedSilence, now)) {
             context.log(log_line("worker", "silent")
                             .add("worker", context.worker.workerId)
                             .add("silent_ms", millisBetween(context.worker.heardAt, now)));
             inbound.onWorkerChange(now);
-            spread.announce();
+            dissemination.announce();
         }
         const bool isDrainDue = context.worker.isLeaving && inbound.waitingCount() > 0;
         if (isDrainDue) {
@@ -141,26 +145,26 @@
     }
 }
 
-awaitable<void> mesh_node::parts::leave(std::function<void()> done)
+awaitable<void> mesh_node::impl::drainAndStop(std::function<void()> done)
 {
     const time_point startedAt = steadyNow();
-    const time_point latest = startedAt + context.options.graceTime - exitMargin;
+    const time_point exitDeadline = startedAt + context.options.graceTime - exitMargin;
     net::steady_timer pause(context.executor);
-    time_point busyAt = startedAt;
-    while (steadyNow() < latest) {
-        pause.expires_after(leavePoll);
+    time_point lastBusyAt = startedAt;
+    while (steadyNow() < exitDeadline) {
+        pause.expires_after(shutdownPollInterval);
         co_await pause.async_wait(awaitResult);
         const time_point now = steadyNow();
-        context.isRefusing = now - startedAt > serveWhileLeaving;
-        if (!context.isWorkerClosed && now - startedAt > workWhileLeaving) {
-            context.isWorkerClosed = true;
+        context.isRejectingCallers = now - startedAt > callerAcceptTime;
+        if (!context.isInboundClosed && now - startedAt > inboundAcceptTime) {
+            context.isInboundClosed = true;
             inbound.onWorkerChange(now);
-            spread.announce();
+            dissemination.announce();
         }
         if (outbound.openCount() > 0 || inbound.openCount() > 0) {
-            busyAt = now;
+            lastBusyAt = now;
         }
-        if (context.isRefusing && now - busyAt > leaveQuiet) {
+        if (context.isRejectingCallers && now - lastBusyAt > shutdownIdleTime) {
             break;
         }
     }
@@ -171,15 +175,15 @@
                     .add("took_ms", millisBetween(startedAt, steadyNow())));
     callers.stop();
     links.stop();
-    spread.stop();
-    upkeepTimer.cancel();
+    dissemination.stop();
+    maintenanceTimer.cancel();
     pause.expires_after(milliseconds(20));
     co_await pause.async_wait(awaitResult);
     done();
 }
 
 mesh_node::mesh_node(const net::any_io_executor &executor, mesh_options options, mesh_platform platform)
-    : m_parts(std::make_unique<parts>(executor, std::move(options), std::move(platform)))
+    : m_impl(std::make_unique<impl>(executor, std::move(options), std::move(platform)))
 {
 }
 
@@ -187,36 +191,36 @@
 
 result<void> mesh_node::start()
 {
-    BOOST_LEAF_CHECK(m_parts->spread.open());
-    BOOST_LEAF_CHECK(m_parts->links.listen());
-    BOOST_LEAF_CHECK(m_parts->callers.start());
-    m_parts->spread.start();
+    BOOST_LEAF_CHECK(m_impl->dissemination.open());
+    BOOST_LEAF_CHECK(m_impl->links.listen());
+    BOOST_LEAF_CHECK(m_impl->callers.start());
+    m_impl->dissemination.start();
     net::co_spawn(
-        m_parts->context.executor,
+        m_impl->context.executor,
         [this] {
-            return m_parts->upkeepLoop();
+            return m_impl->maintenanceLoop();
         },
         net::detached);
-    const mesh_options &options = m_parts->context.options;
-    m_parts->context.log(log_line("node", "started")
-                             .add("node", options.nodeId)
-                             .add("data_centre", options.dataCentre)
-                             .add("service", options.service)
-                             .add("worker", toText(options.worker))
-                             .add("callers", toText(options.callers))
-                             .add("peers", toText(options.peers))
-                             .add("process", m_parts->context.process));
+    const mesh_options &options = m_impl->context.options;
+    m_impl->context.log(log_line("node", "started")
+                            .add("node", options.nodeId)
+                            .add("data_centre", options.dataCentre)
+                            .add("service", options.service)
+                            .add("worker", toText(options.worker))
+                            .add("callers", toText(options.callers))
+                            .add("peers", toText(options.peers))
+                            .add("process", m_impl->context.processId));
     return {};
 }
 
 notice_verdict mesh_node::onNotice(const worker_notice &notice)
 {
     const time_point now = steadyNow();
-    internal::mesh_context &context = m_parts->context;
+    internal::mesh_context &context = m_impl->context;
     const notice_verdict verdict = applyNotice(context.worker, notice, now);
     if (verdict == notice_verdict::Changed) {
-        m_parts->inbound.onWorkerChange(now);
-        m_parts->spread.announce();
+        m_impl->inbound.onWorkerChange(now);
+        m_impl->dissemination.announce();
     }
     if (verdict != notice_verdict::Unchanged) {
         context.log(log_line("worker", "notice")
@@ -234,38 +238,38 @@
 
 bool mesh_node::isReady() const
 {
-    return !m_parts->context.isStopping && m_parts->context.config.table->version > 0;
+    return !m_impl->context.isStopping && m_impl->context.config.table->version > 0;
 }
 
 void mesh_node::shutDown(std::function<void()> done)
 {
-    internal::mesh_context &context = m_parts->context;
+    internal::mesh_context &context = m_impl->context;
     if (context.isStopping) {
         return;
     }
     context.isStopping = true;
-    context.servesUntil = steadyNow() + serveWhileLeaving;
+    context.drainDeadline = steadyNow() + callerAcceptTime;
     context.log(log_line("node", "stopping")
-                    .add("open_requests", m_parts->outbound.openCount())
-                    .add("open_calls", m_parts->inbound.openCount()));
-    m_parts->callers.closeAfterResponse();
+                    .add("open_requests", m_impl->outbound.openCount())
+                    .add("open_calls", m_impl->inbound.openCount()));
+    m_impl->callers.closeAfterResponse();
     net::co_spawn(
         context.executor,
         [this] {
-            return m_parts->spread.withdraw();
+            return m_impl->dissemination.unpublishRecord();
         },
         net::detached);
     net::co_spawn(
         context.executor,
         [this, done = std::move(done)] {
-            return m_parts->leave(done);
+            return m_impl->drainAndStop(done);
         },
         net::detached);
 }
 
 std::string mesh_node::metricsText() const
 {
-    const internal::mesh_context &context = m_parts->context;
+    const internal::mesh_context &context = m_impl->context;
     const auto line = [](const std::string &name, auto value) {
         return "pistachioquay_" + name + " " + std::to_string(value) + "\n";
     };
@@ -289,13 +293,13 @@
     text += line("config_version", context.config.table->version);
     text += line("config_age_ms", millisBetween(context.config.appliedAt, steadyNow()));
     text += line("nodes_known", context.fleet.nodes.size());
-    text += line("worker_running", m_parts->inbound.runningCount());
-    text += line("worker_waiting", m_parts->inbound.waitingCount());
+    text += line("worker_running", m_impl->inbound.runningCount());
+    text += line("worker_waiting", m_impl->inbound.waitingCount());
     text += line("worker_reachable", context.worker.isUnreachable ? 0 : 1);
     text += line("worker_heard_age_ms", millisBetween(context.worker.heardAt, steadyNow()));
-    text += line("worker_connections_opened_total", m_parts->inbound.connectionCounts().opened);
-    text += line("requests_open", m_parts->outbound.openCount());
-    text += line("caller_connections_open", m_parts->callers.counts().open);
+    text += line("worker_connections_opened_total", m_impl->inbound.connectionCounts().opened);
+    text += line("requests_open", m_impl->outbound.openCount());
+    text += line("caller_connections_open", m_impl->callers.counts().open);
     return text;
 }
 
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -1,12 +1,13 @@
-// A node of the mesh on one event loop: it takes the requests of callers on its VM, chooses a worker for each, and runs
-// those that other nodes send for its own worker.
+// A node of the mesh on one event loop. It accepts requests from the callers on its VM, selects a worker for each, and
+// runs the requests that other nodes send to its own worker.
 //
 //   mesh_node node(executor, options, platform);
 //   const auto started = attempt([&] { return node.start(); });
-//   node.onNotice(notice);                              // from the worker beside the node
+//   node.onNotice(notice);                              // from the worker on the node's VM
 //   node.shutDown([&] { loop.stop(); });
 //
-// What the platform offers is given as functions, so that this library knows none of its names.
+// The platform is accessed through the functions of `mesh_platform` and the header names of `mesh_headers`, so that
+// this library does not depend on the platform's protocol.
 #pragma once
 
 #include <functional>
@@ -22,59 +23,62 @@
 
 namespace pistachioquay {
 
-// Names of the headers that callers and workers use.
+// Names of the HTTP headers that callers and workers use.
 struct mesh_headers
 {
     std::string requestId; // sent by callers, echoed by workers
-    std::string timeLeftMs; // how long the sender waits
-    std::string expectedWorker; // the only worker that may run the request
-    std::string callerService; // service beside which the request began
+    std::string timeLeftMs; // time until the sender gives up
+    std::string expectedWorker; // id of the only worker that may run the request
+    std::string callerService; // service on the VM where the request entered the mesh
     std::string notRun; // set by a worker that has not run the request
-    std::string load; // running, waiting, slots and slowdown in percent of a worker
-    std::string signature; // proves that a response is a worker's
+    std::string load; // a worker's running and waiting requests, slots, and slowdown in percent
+    std::string signature; // proves that a response comes from a worker
 };
 
+// Settings of a node.
 struct mesh_options
 {
     std::string nodeId;
     std::string dataCentre;
-    std::string service; // of the worker beside the node
-    endpoint worker;
-    endpoint callers; // requests of the VM's callers and of the worker
-    endpoint peers; // calls of other nodes
-    endpoint gossip; // datagrams of other nodes
+    std::string service; // of the node's own worker
+    endpoint worker; // address of the own worker
+    endpoint callers; // listens for requests of the VM's callers and of the worker
+    endpoint peers; // listens for links of other nodes
+    endpoint gossip; // receives datagrams of other nodes
     std::size_t memoryBytes = 256UL * 1024 * 1024;
     std::size_t maxDescriptors = 4096;
-    double linkBytesPerMs = 0; // rate of the VM's link; 0: not known
-    milliseconds noticeInterval{1500}; // between two notices of a worker
-    milliseconds drainTime{2000}; // within which a leaving worker gets no more work
-    milliseconds graceTime{6000}; // from the signal to stop until the process is killed
-    milliseconds configBound{2000}; // within which a version is in force
-    resend_limits resends; // `nodes` is set from the fleet
+    double linkBytesPerMs = 0; // bandwidth of the VM's network link; 0: not known
+    milliseconds noticeInterval{1500}; // time between two heartbeat notices of the worker
+    milliseconds drainTime{2000}; // after a worker announces that it leaves, until it must get no more work
+    milliseconds graceTime{6000}; // from the stop signal until the process is killed
+    milliseconds configBound{2000}; // within which a published version must be applied
+    resend_limits resends; // `nodes` is set from the number of known nodes
     mesh_headers headers;
 };
 
-// A configuration as it was read from the platform.
+// Result of one read of the configuration from the platform.
 struct config_read
 {
     bool isReached = false; // the platform answered
-    bool hasValue = false; // there is a configuration newer than the position
-    std::string bytes; // as the operator wrote it
-    std::uint64_t position = 0; // to read on from
+    bool hasValue = false; // the platform has a configuration after the position
+    std::string bytes; // text of the configuration, as the operator wrote it
+    std::uint64_t position = 0; // where the next read continues
 };
 
-// What the mesh needs of the platform. All functions belong to the loop.
+// The platform functions that a node needs. All are called on the loop.
 struct mesh_platform
 {
-    // Reads the newest configuration after `position`, or waits for it. Position 0 reads the newest one at once.
+    // Reads the newest configuration after `position`; waits up to `wait` for one. Position 0 returns the newest one at
+    // once.
     std::function<awaitable<config_read>(std::uint64_t position, milliseconds wait)> readConfig;
-    // Decodes what an operator wrote. Fails with Corrupt.
+    // Decodes the text of a configuration. Fails with Corrupt.
     std::function<result<route_table>(std::string_view bytes)> decodeConfig;
-    // Publishes the address record of this node for nodes that start; empty removes it. False: not reached.
+    // Publishes the address record of this node, by which starting nodes find it; an empty value removes it. Returns
+    // false if the platform was not reached.
     std::function<awaitable<bool>(std::string key, std::string value)> publishNode;
-    // Reads the records that nodes have published; empty optional: not reached.
+    // Reads the address records that nodes have published; empty optional: the platform was not reached.
     std::function<awaitable<std::optional<std::vector<std::string>>>()> readNodes;
-    // Takes a log line.
+    // Writes a log line.
     std::function<void(const class log_line &)> log;
 };
 
@@ -89,18 +93,19 @@
 
     // start opens the ports and joins the mesh. Fails with Unavailable if an address is in use.
     result<void> start();
-    // onNotice takes over what the worker says of itself.
+    // onNotice applies a heartbeat or a leave notice of the worker.
     notice_verdict onNotice(const worker_notice &notice);
-    // isReady tells whether callers of this VM may send requests.
+    // isReady returns whether callers on this VM may send requests: a configuration is applied and no shutdown has
+    // begun.
     bool isReady() const;
-    // shutDown takes the node out of the mesh, lets its requests end, and calls `done`.
+    // shutDown removes the node from the mesh, waits for its open requests within the grace time, and calls `done`.
     void shutDown(std::function<void()> done);
     // metricsText returns the counters and histograms in the Prometheus text format.
     std::string metricsText() const;
 
 private:
-    struct parts;
-    std::unique_ptr<parts> m_parts;
+    struct impl;
+    std::unique_ptr<impl> m_impl;
 };
 
 } // namespace pistachioquay
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -1,4 +1,6 @@
-// Messages between nodes: frames of a link and datagrams. Private to the mesh library.
+// Messages between nodes: the payloads of frames on links, and of datagrams. Private to the mesh library.
+//
+//   link.send(static_cast<std::uint8_t>(frame_kind::Call), encodeMessage(message, meshFormatVersion));
 #pragma once
 
 #include <string>
@@ -30,8 +32,9 @@
     archive(response.status, response.headers, response.body);
 }
 
-inline constexpr std::uint16_t meshFormat = 3;
+inline constexpr std::uint16_t meshFormatVersion = 3; // of all messages between nodes
 
+// Type of a frame on a link between two nodes.
 enum class frame_kind : std::uint8_t
 {
     Call = 1,
@@ -49,16 +52,17 @@
 struct call_message
 {
     std::string id;
-    std::uint64_t process = 0; // that the sender expects at the receiver
-    bool isRepeat = false; // sent again to the same node after a lost link
+    std::uint64_t expectedProcessId = 0; // process of the node that the sender expects to reach
+    bool isRetransmission = false; // resent to the same node after the link was lost
     std::string service;
     std::string route;
     repeat_rule repeat = repeat_rule::AtMostOnce;
     std::uint32_t priority = 0;
-    std::int64_t targetLeftMs = 0; // until the response is worth less; negative if that has passed
-    std::int64_t timeLeftMs = 0; // until the response is of no use
-    std::int64_t typicalRunMs = 0; // of the route at other workers, for a worker that has not run it yet
-    std::int64_t longestWaitMs = 0; // the node hands the call back if it would wait longer; 0: it waits
+    // Time until the latency target, after which the response is worth less; negative if it has passed.
+    std::int64_t targetLeftMs = 0;
+    std::int64_t timeLeftMs = 0; // until the deadline
+    std::int64_t typicalRunMs = 0; // mean of the route at other workers, for a worker without a measurement
+    std::int64_t longestWaitMs = 0; // the node hands the call back if it would queue for longer; 0: no limit
     std::string callerService;
     whole_request request;
 
@@ -66,8 +70,8 @@
     void serialize(Archive &archive)
     {
         archive(id,
-                process,
-                isRepeat,
+                expectedProcessId,
+                isRetransmission,
                 service,
                 route,
                 repeat,
@@ -81,28 +85,29 @@
     }
 };
 
-// Reason of a reply to a call that would have waited longer than its sender allows.
+// Reason of the reply to a call that was handed back: it would have queued for longer than `longestWaitMs`.
 inline constexpr std::string_view handedBackReason = "handed-back";
 
 // How a call ended at the worker's node.
 enum class reply_kind : std::uint8_t
 {
-    Response, // the worker's whole response
-    NotRun, // refused by the node: it has not run and never will
-    RejectedByWorker, // the worker said that it has not run
-    Unknown, // it may have run
+    Response, // the worker responded
+    NotRun, // the node rejected the call: it has not run and never will
+    RejectedByWorker, // the worker reported that it has not run the request
+    Unknown, // the call may have run
 };
 
 // replyName returns the lower-case name of a kind for logs. Thread safe.
 std::string_view replyName(reply_kind kind);
 
+// The outcome of a call, with the current state of the worker.
 struct call_reply
 {
     std::string id;
     reply_kind kind = reply_kind::Unknown;
     std::string reason;
     std::int64_t retryAfterMs = 0;
-    std::int64_t waitedMs = 0; // in the line of the node
+    std::int64_t waitedMs = 0; // in the request queue of the node
     double runMs = 0; // mean run time of the route at the worker; 0 if not known
     worker_report report;
     whole_response response;
@@ -114,7 +119,7 @@
     }
 };
 
-// Ends a call whose caller has left.
+// Cancels a call: its caller has left, its time is up, or another attempt was faster.
 struct cancel_message
 {
     std::string id;
@@ -126,12 +131,12 @@
     }
 };
 
-// Asks for room on the receiver's link before a large body is sent, and the answer.
+// Requests a bandwidth reservation on the receiver's link before a large body is sent; also the answer.
 struct reservation_message
 {
     std::string id;
     std::uint64_t bytes = 0;
-    bool isGranted = false; // in the answer
+    bool isGranted = false; // set in the answer
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -140,10 +145,10 @@
     }
 };
 
-// Asks for the configuration, by a node that has an older version or none.
+// Requests the configuration for a node that has an older version or none.
 struct config_request
 {
-    std::uint64_t haveVersion = 0;
+    std::uint64_t haveVersion = 0; // version of the sender; 0: none
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -152,34 +157,34 @@
     }
 };
 
-// A configuration as the operator wrote it: the difference to an older version, or all of it, compressed.
+// The text of a configuration, as the operator wrote it: a delta to an older version, or the whole text compressed.
 struct config_message
 {
     std::uint64_t version = 0;
-    std::uint64_t baseVersion = 0; // that `delta` applies to; 0: `compressed` holds the whole text
+    std::uint64_t baseVersion = 0; // version that `delta` applies to; 0: `compressed` holds the whole text
     text_delta delta;
-    std::uint64_t plainBytes = 0;
+    std::uint64_t uncompressedBytes = 0; // size of the text in `compressed`
     std::string compressed;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(version, baseVersion, delta, plainBytes, compressed);
+        archive(version, baseVersion, delta, uncompressedBytes, compressed);
     }
 };
 
-// One datagram.
+// The payload of a gossip datagram.
 struct gossip_message
 {
     node_record sender;
-    bool wantsReply = false; // the sender is new and asks for the receiver's record
-    bool isStoreWord = false; // the sender has just read the newest configuration from the platform
-    std::vector<node_record> others;
+    bool wantsReply = false; // asks for the receiver's record, which the sender lacks or has not heard of lately
+    bool isReaderAnnouncement = false; // the sender has just read the platform for its data centre
+    std::vector<node_record> others; // records of other nodes that are passed on
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sender, wantsReply, isStoreWord, others);
+        archive(sender, wantsReply, isReaderAnnouncement, others);
     }
 };
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -11,18 +11,18 @@
 
 namespace {
 
-constexpr milliseconds replySlack{150}; // beyond the time of a request, for the reply of the worker's node
-constexpr milliseconds defaultTimeLeft{10000}; // of a request that does not tell
-constexpr unsigned maxNodesAsked = 8; // for one request
-constexpr unsigned maxHandBacks = 2; // of one request, then it waits where it is sent
-constexpr unsigned maxLoadRefusals = 3; // nodes that refuse one request for lack of room before its caller is told
-constexpr std::size_t requestHeadBytes = 400; // of a request or a response besides its body, about
-constexpr std::int64_t noWorkerRetryMs = 300; // while no worker of the service is known
-constexpr std::int64_t linkFullRetryMs = 150; // until a link that is full of uploads has room
-constexpr std::int64_t stoppingRetryMs = 600; // until a node that is replaced takes requests again
-constexpr double fallbackRunShare = 0.25; // of the target, as run time of a route that did not run yet
-constexpr milliseconds resumePause{100}; // between attempts to reach a node again
-constexpr milliseconds resumeWindow{1500}; // after which the fate of a request stays unknown
+constexpr milliseconds replySlack{150}; // after the deadline, for the reply of the worker's node
+constexpr milliseconds defaultTimeLeft{10000}; // of a request without the header that states it
+constexpr unsigned maxNodesTried = 8; // for one request
+constexpr unsigned maxHandBacks = 2; // of one request; later attempts set no wait limit
+constexpr unsigned maxOverloadRejections = 3; // of one request by nodes; then its caller gets the rejection
+constexpr std::size_t requestHeadBytes = 400; // approximate size of a request or a response without its body
+constexpr std::int64_t noWorkerRetryMs = 300; // Retry-After while no worker of the service or no configuration is known
+constexpr std::int64_t linkFullRetryMs = 150; // Retry-After while the receiver's link is reserved by other uploads
+constexpr std::int64_t stoppingRetryMs = 600; // Retry-After of a stopping node, until its replacement accepts requests
+constexpr double fallbackRunShare = 0.25; // of the latency target: assumed run time of a route without measurements
+constexpr milliseconds retransmitInterval{100}; // between attempts to reach the node again
+constexpr milliseconds retransmitWindow{1500}; // after which the outcome of a request is reported as unknown
 
 std::string retryAfterText(std::int64_t milliseconds)
 {
@@ -49,7 +49,7 @@
     return send_end::Unknown;
 }
 
-bool isForLoad(const call_reply &reply)
+bool isOverloadRejection(const call_reply &reply)
 {
     return reply.reason == "crowded" || reply.reason == "no-time" || reply.reason == "queue-full";
 }
@@ -66,347 +66,356 @@
 
 } // namespace
 
-outbound_side::outbound_side(mesh_context &context, inbound_side &inbound, peer_links &links)
+outbound_handler::outbound_handler(mesh_context &context, inbound_handler &inbound, peer_links &links)
     : m_context(context)
     , m_inbound(inbound)
     , m_links(links)
 {
 }
 
-resend_limits outbound_side::limits() const
+resend_limits outbound_handler::retryLimits() const
 {
     resend_limits limits = m_context.options.resends;
     limits.nodes = static_cast<std::uint32_t>(m_context.fleet.nodes.size()) + 1;
     return limits;
 }
 
-awaitable<whole_response> outbound_side::serve(const whole_request &request, caller_presence &caller)
+awaitable<whole_response> outbound_handler::serve(const whole_request &received, caller_presence &caller)
 {
-    job work;
-    work.request = &request;
-    work.caller = &caller;
-    work.arrivedAt = steadyNow();
-    work.control = std::make_shared<exchange_control>();
-    ++m_open;
-    m_context.link.note(request.body.size() + requestHeadBytes, 0, work.arrivedAt);
+    request_context request;
+    request.received = &received;
+    request.caller = &caller;
+    request.arrivedAt = steadyNow();
+    request.control = std::make_shared<exchange_control>();
+    ++m_openRequests;
+    m_context.linkMeter.recordBytes(received.body.size() + requestHeadBytes, 0, request.arrivedAt);
     m_context.metrics.count("requests_total");
-    if (auto refused = checkRequest(work)) {
-        logEnd(work, *refused, "refused");
-        --m_open;
+    if (auto refused = admit(request)) {
+        logRequestEnd(request, *refused, "refused");
+        --m_openRequests;
         co_return std::move(*refused);
     }
-    caller.onGone([control = work.control] {
+    caller.onGone([control = request.control] {
         control->cancel();
     });
-    whole_response response = co_await forward(work);
+    whole_response response = co_await forward(request);
     caller.onGone(nullptr);
-    m_context.link.note(0, response.body.size() + requestHeadBytes, steadyNow());
-    m_context.metrics.note("request_ms", msBetween(work.arrivedAt, steadyNow()));
-    --m_open;
+    m_context.linkMeter.recordBytes(0, response.body.size() + requestHeadBytes, steadyNow());
+    m_context.metrics.observe("request_ms", msBetween(request.arrivedAt, steadyNow()));
+    --m_openRequests;
     co_return response;
 }
 
-std::optional<whole_response> outbound_side::checkRequest(job &work)
+std::optional<whole_response> outbound_handler::admit(request_context &request)
 {
     const mesh_headers &names = m_context.options.headers;
-    const header_list &headers = work.request->headers;
-    work.id = std::string(findHeader(headers, names.requestId).value_or(""));
-    work.table = m_context.config.table;
-    if (work.table->version == 0) {
-        return refusal(work, "no-configuration", noWorkerRetryMs);
+    const header_list &headers = request.received->headers;
+    request.id = std::string(findHeader(headers, names.requestId).value_or(""));
+    request.table = m_context.config.table;
+    if (request.table->version == 0) {
+        return makeRejection(request, "no-configuration", noWorkerRetryMs);
     }
-    if (work.id.empty()) {
-        return failure(work, 400, "no-request-id");
+    if (request.id.empty()) {
+        return makeFailure(request, 400, "no-request-id");
     }
-    work.route = findRoute(*work.table, findHeader(headers, "Host").value_or(""), work.request->target);
-    if (work.route == nullptr) {
-        return failure(work, 404, "no-route");
+    request.route = findRoute(*request.table, findHeader(headers, "Host").value_or(""), request.received->target);
+    if (request.route == nullptr) {
+        return makeFailure(request, 404, "no-route");
     }
-    const routed_path &route = *work.route;
+    const routed_path &route = *request.route;
     const auto stated = findHeader(headers, names.timeLeftMs);
     const auto parsed = stated ? parseCount(*stated) : std::nullopt;
     const milliseconds timeLeft = parsed ? milliseconds(*parsed) : defaultTimeLeft;
-    work.service = chooseTarget(m_splits, route);
-    work.targetAt = work.arrivedAt + route.targetLatency - spentBefore(m_ages, route.name, timeLeft);
-    work.endsBy = work.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
-    work.placement.route = route.name;
-    work.placement.priority = route.priority;
-    work.placement.bytes = work.request->body.size();
-    work.placement.targetMs = static_cast<double>(route.targetLatency.count());
-    work.placement.fallbackRunMs = work.placement.targetMs * fallbackRunShare;
-    // While its own worker still runs requests, the calls that these make are served.
-    const bool mayBeWorkers = m_inbound.runningCount() > 0
-        && isLastChance(msBetween(work.arrivedAt, work.targetAt),
-                        msBetween(work.arrivedAt, work.endsBy),
-                        m_inbound.report(work.arrivedAt).lineRunMs);
-    if (m_context.isRefusing && !mayBeWorkers) {
-        whole_response refused = refusal(work, "stopping", stoppingRetryMs);
+    request.service = chooseTarget(m_splits, route);
+    request.targetAt = request.arrivedAt + route.targetLatency - spentBefore(m_attemptAges, route.name, timeLeft);
+    request.endsBy = request.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
+    request.placement.route = route.name;
+    request.placement.priority = route.priority;
+    request.placement.bytes = request.received->body.size();
+    request.placement.targetMs = static_cast<double>(route.targetLatency.count());
+    request.placement.fallbackRunMs = request.placement.targetMs * fallbackRunShare;
+    // Calls that the own worker makes while it runs a request are still served during a shutdown: rejecting one would
+    // fail that request. A request that has too little time left to be retried is taken for such a call.
+    const bool mayBeFromWorker = m_inbound.runningCount() > 0
+        && isLastChance(msBetween(request.arrivedAt, request.targetAt),
+                        msBetween(request.arrivedAt, request.endsBy),
+                        m_inbound.report(request.arrivedAt).lineRunMs);
+    if (m_context.isRejectingCallers && !mayBeFromWorker) {
+        whole_response refused = makeRejection(request, "stopping", stoppingRetryMs);
         refused.closesConnection = true;
         return refused;
     }
-    noteRequest(m_budget, work.service, limits(), work.arrivedAt);
+    noteRequest(m_retryBudget, request.service, retryLimits(), request.arrivedAt);
     return std::nullopt;
 }
 
-awaitable<whole_response> outbound_side::forward(job &work)
+awaitable<whole_response> outbound_handler::forward(request_context &request)
 {
     call_reply last;
     last.kind = reply_kind::NotRun;
     last.reason = "no-worker";
     last.retryAfterMs = noWorkerRetryMs;
-    for (unsigned asked = 0; asked < maxNodesAsked; ++asked) {
-        const placement_choice choice = choose(work);
+    for (unsigned tried = 0; tried < maxNodesTried; ++tried) {
+        const placement_choice choice = choosePlacement(request);
         if (!choice.nodeId) {
             break;
         }
-        const shared_copy copy = co_await sendHedged(work, copyFor(work, choice), choice);
-        noteEnd(work, *copy);
-        call_reply &reply = *copy->reply;
+        const shared_attempt attempt = co_await sendHedged(request, makeAttempt(request, choice), choice);
+        recordAttemptEnd(request, *attempt);
+        call_reply &reply = *attempt->reply;
         const bool isWorse = last.kind == reply_kind::Response && reply.kind != reply_kind::Response;
         if (!isWorse) {
             last = std::move(reply);
         }
-        if (isFinal(last) || work.caller->isGone() || !mayGoOn(work, last)) {
+        if (isFinal(last) || request.caller->isGone() || !mayRetry(request, last)) {
             break;
         }
     }
-    whole_response response = finalResponse(work, last);
-    logEnd(work, response, work.caller->isGone() ? "caller-left" : replyName(last.kind));
+    whole_response response = finalResponse(request, last);
+    logRequestEnd(request, response, request.caller->isGone() ? "caller-left" : replyName(last.kind));
     co_return response;
 }
 
-placement_choice outbound_side::choose(job &work)
+placement_choice outbound_handler::choosePlacement(request_context &request)
 {
     const time_point now = steadyNow();
-    keepWorkersFresh(m_context, work.service, now);
-    m_context.placement.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
-    work.placement.targetLeftMs = msBetween(now, work.targetAt);
-    work.placement.timeLeftMs = msBetween(now, work.endsBy);
-    return chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
+    refreshStaleWorkers(m_context, request.service, now);
+    m_context.placement.linkLoad = m_context.linkMeter.load(m_context.options.linkBytesPerMs, now);
+    request.placement.targetLeftMs = msBetween(now, request.targetAt);
+    request.placement.timeLeftMs = msBetween(now, request.endsBy);
+    return chooseWorker(m_context.placement, request.service, request.placement, now, m_context.generator);
 }
 
-outbound_side::shared_copy outbound_side::copyFor(job &work, const placement_choice &choice) const
+outbound_handler::shared_attempt outbound_handler::makeAttempt(request_context &request,
+                                                               const placement_choice &choice) const
 {
     const time_point now = steadyNow();
-    work.expectedRunMs = choice.expectedRunMs;
+    request.expectedRunMs = choice.expectedRunMs;
     const auto node = m_context.fleet.nodes.find(*choice.nodeId);
     const bool isOwn = *choice.nodeId == m_context.options.nodeId || node == m_context.fleet.nodes.end();
-    noteSent(m_context.placement, work.service, *choice.nodeId, work.placement.bytes);
-    auto copy = std::make_shared<sent_copy>();
-    copy->nodeId = *choice.nodeId;
-    copy->message = messageFor(work, isOwn ? m_context.process : node->second.record.process, now);
-    copy->message.typicalRunMs = std::llround(choice.typicalRunMs);
-    const bool mayHandBack = work.handBacks < maxHandBacks && !peer_links::isLarge(work.request->body.size());
+    noteSent(m_context.placement, request.service, *choice.nodeId, request.placement.bytes);
+    auto attempt = std::make_shared<request_attempt>();
+    attempt->nodeId = *choice.nodeId;
+    attempt->message = makeCallMessage(request, isOwn ? m_context.processId : node->second.record.process, now);
+    attempt->message.typicalRunMs = std::llround(choice.typicalRunMs);
+    const bool mayHandBack = request.handBacks < maxHandBacks && !peer_links::isLarge(request.received->body.size());
     if (choice.longestWaitMs && mayHandBack) {
-        copy->message.longestWaitMs = std::max<std::int64_t>(1, std::llround(*choice.longestWaitMs));
+        attempt->message.longestWaitMs = std::max<std::int64_t>(1, std::llround(*choice.longestWaitMs));
     }
-    copy->sentAt = now;
-    copy->endsBy = work.endsBy;
-    return copy;
+    attempt->sentAt = now;
+    attempt->endsBy = request.endsBy;
+    return attempt;
 }
 
-awaitable<outbound_side::shared_copy>
-outbound_side::sendHedged(job &work, const shared_copy &first, const placement_choice &choice)
+awaitable<outbound_handler::shared_attempt>
+outbound_handler::sendHedged(request_context &request, const shared_attempt &first, const placement_choice &choice)
 {
-    slow_request request;
-    request.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
-    request.workersTried = work.workersTried + 1;
-    request.maxWorkers = work.route->maxWorkers;
-    request.expectedWaitMs = choice.expectedWaitMs;
-    request.expectedRunMs = choice.expectedRunMs;
-    request.typicalRunMs = choice.typicalRunMs;
-    request.targetLeftMs = work.placement.targetLeftMs;
-    request.timeLeftMs = work.placement.timeLeftMs;
-    const auto delay = hedgeDelay(request);
-    work.control->onCancel([first] {
+    slow_request slow;
+    slow.isRepeatable = request.route->repeat == repeat_rule::Repeatable;
+    slow.workersTried = request.workersTried + 1;
+    slow.maxWorkers = request.route->maxWorkers;
+    slow.expectedWaitMs = choice.expectedWaitMs;
+    slow.expectedRunMs = choice.expectedRunMs;
+    slow.typicalRunMs = choice.typicalRunMs;
+    slow.targetLeftMs = request.placement.targetLeftMs;
+    slow.timeLeftMs = request.placement.timeLeftMs;
+    const auto delay = hedgeDelay(slow);
+    request.control->onCancel([first] {
         first->control->cancel();
     });
-    if (work.control->isCancelled()) {
+    if (request.control->isCancelled()) {
         first->control->cancel();
     }
     if (!delay) {
-        first->reply = co_await sendTo(*first);
-        work.control->onCancel(nullptr);
+        first->reply = co_await sendAttempt(*first);
+        request.control->onCancel(nullptr);
         co_return first;
     }
     const auto changed = std::make_shared<wait_point>(m_context.executor);
-    launch(first, changed);
+    startAttempt(first, changed);
     co_await changed->waitUntil(first->sentAt + *delay);
-    const bool isSlow = !first->reply && !work.control->isCancelled();
-    const shared_copy second = isSlow ? hedge(work, *first) : nullptr;
+    const bool isSlow = !first->reply && !request.control->isCancelled();
+    const shared_attempt second = isSlow ? makeHedge(request, *first) : nullptr;
     if (second) {
-        launch(second, changed);
+        startAttempt(second, changed);
     }
-    co_return co_await race(work, first, second, changed);
+    co_return co_await waitForFirstFinalReply(request, first, second, changed);
 }
 
-// Waits for the first reply that can be passed on, or for the end of both copies. `second` may be null.
-awaitable<outbound_side::shared_copy> outbound_side::race(job &work,
-                                                          const shared_copy &first,
-                                                          const shared_copy &second,
-                                                          const std::shared_ptr<wait_point> &changed)
+// Waits for the first reply that can be returned to the caller, or for the end of both attempts. `second` may be null.
+awaitable<outbound_handler::shared_attempt>
+outbound_handler::waitForFirstFinalReply(request_context &request,
+                                         const shared_attempt &first,
+                                         const shared_attempt &second,
+                                         const std::shared_ptr<wait_point> &changed)
 {
-    std::vector<shared_copy> copies{first};
+    std::vector<shared_attempt> attempts{first};
     if (second) {
-        copies.push_back(second);
+        attempts.push_back(second);
     }
-    work.control->onCancel([copies] {
-        for (const shared_copy &copy : copies) {
-            copy->control->cancel();
+    request.control->onCancel([attempts] {
+        for (const shared_attempt &attempt : attempts) {
+            attempt->control->cancel();
         }
     });
-    const auto isEnded = [](const shared_copy &copy) {
-        return copy->reply.has_value();
+    const auto isEnded = [](const shared_attempt &attempt) {
+        return attempt->reply.has_value();
     };
-    const auto isWinner = [](const shared_copy &copy) {
-        return copy->reply && isFinal(*copy->reply);
+    const auto isWinner = [](const shared_attempt &attempt) {
+        return attempt->reply && isFinal(*attempt->reply);
     };
-    while (std::ranges::none_of(copies, isWinner) && !std::ranges::all_of(copies, isEnded)) {
+    while (std::ranges::none_of(attempts, isWinner) && !std::ranges::all_of(attempts, isEnded)) {
         changed->reset();
-        co_await changed->waitUntil(work.endsBy + replySlack * 2);
-    }
-    work.control->onCancel(nullptr);
-    const auto winner = std::ranges::find_if(copies, isWinner);
-    const shared_copy chosen = winner != copies.end() ? *winner : first;
-    for (const shared_copy &copy : copies) {
-        if (copy != chosen) {
-            dropSlower(work, copy);
+        co_await changed->waitUntil(request.endsBy + replySlack * 2);
+    }
+    request.control->onCancel(nullptr);
+    const auto winner = std::ranges::find_if(attempts, isWinner);
+    const shared_attempt chosen = winner != attempts.end() ? *winner : first;
+    for (const shared_attempt &attempt : attempts) {
+        if (attempt != chosen) {
+            cancelSlower(request, attempt);
         }
     }
     co_return chosen;
 }
 
-// Chooses another worker for a copy; null if none has a free slot or the budget is spent.
-outbound_side::shared_copy outbound_side::hedge(job &work, const sent_copy &first)
+// Creates a second attempt at another worker; null if none has a free slot or the retry budget is used up.
+outbound_handler::shared_attempt outbound_handler::makeHedge(request_context &request, const request_attempt &first)
 {
-    const std::set<std::string> excluded = work.placement.excluded;
-    work.placement.excluded.insert(first.nodeId);
-    const placement_choice choice = choose(work);
-    work.placement.excluded = excluded;
-    if (!choice.nodeId || !maySendCopy({choice.expectedWaitMs, choice.expectedRunMs, work.placement.timeLeftMs})
-        || !takeHedge(m_budget, work.service, limits(), steadyNow())) {
+    const std::set<std::string> excluded = request.placement.excluded;
+    request.placement.excluded.insert(first.nodeId);
+    const placement_choice choice = choosePlacement(request);
+    request.placement.excluded = excluded;
+    if (!choice.nodeId || !maySendCopy({choice.expectedWaitMs, choice.expectedRunMs, request.placement.timeLeftMs})
+        || !takeHedge(m_retryBudget, request.service, retryLimits(), steadyNow())) {
         return nullptr;
     }
     m_context.metrics.count("hedges_total");
     m_context.log(log_line("outbound", "copy-sent")
-                      .add("id", work.id)
-                      .add("route", work.route->name)
+                      .add("id", request.id)
+                      .add("route", request.route->name)
                       .add("first", first.nodeId)
                       .add("second", *choice.nodeId)
                       .add("after_ms", msBetween(first.sentAt, steadyNow()))
                       .add("expected_wait_ms", choice.expectedWaitMs)
                       .add("expected_run_ms", choice.expectedRunMs));
-    return copyFor(work, choice);
+    return makeAttempt(request, choice);
 }
 
-void outbound_side::launch(const shared_copy &copy, const std::shared_ptr<wait_point> &changed)
+void outbound_handler::startAttempt(const shared_attempt &attempt, const std::shared_ptr<wait_point> &changed)
 {
     net::co_spawn(
         m_context.executor,
-        [this, copy, changed]() -> awaitable<void> {
-            copy->reply = co_await sendTo(*copy);
+        [this, attempt, changed]() -> awaitable<void> {
+            attempt->reply = co_await sendAttempt(*attempt);
             changed->notify();
         },
         net::detached);
 }
 
-// The other copy had the response: ends this one, and counts its time against the worker.
-void outbound_side::dropSlower(job &work, const shared_copy &copy)
+// Cancels an attempt after another one got the final reply, and records how slow its worker was.
+void outbound_handler::cancelSlower(request_context &request, const shared_attempt &attempt)
 {
-    if (copy->reply) {
-        noteEnd(work, *copy);
-        work.workersTried += copy->reply->kind == reply_kind::NotRun ? 0 : 1;
+    if (attempt->reply) {
+        recordAttemptEnd(request, *attempt);
+        request.workersTried += attempt->reply->kind == reply_kind::NotRun ? 0 : 1;
         return;
     }
     const time_point now = steadyNow();
-    copy->control->cancel();
-    noteSlow(m_context.placement, work.service, copy->nodeId, work.route->name, msBetween(copy->sentAt, now), now);
-    ++work.workersTried;
-    work.trail += (work.trail.empty() ? "" : ",") + copy->nodeId + ":slower";
+    attempt->control->cancel();
+    noteSlow(m_context.placement,
+             request.service,
+             attempt->nodeId,
+             request.route->name,
+             msBetween(attempt->sentAt, now),
+             now);
+    ++request.workersTried;
+    request.attemptHistory += (request.attemptHistory.empty() ? "" : ",") + attempt->nodeId + ":slower";
 }
 
-void outbound_side::noteEnd(job &work, const sent_copy &copy)
+void outbound_handler::recordAttemptEnd(request_context &request, const request_attempt &attempt)
 {
-    learn(work, copy.nodeId, *copy.reply);
-    const bool wasHandedBack = isHandedBack(*copy.reply);
+    recordReply(request, attempt.nodeId, *attempt.reply);
+    const bool wasHandedBack = isHandedBack(*attempt.reply);
     if (wasHandedBack) {
-        ++work.handBacks; // the node stays a choice, with what it has told of its line
+        ++request.handBacks; // the node is not excluded: its report now shows the longer queue
     } else {
-        work.placement.excluded.insert(copy.nodeId);
+        request.placement.excluded.insert(attempt.nodeId);
     }
-    const std::string_view outcome = wasHandedBack ? handedBackReason : replyName(copy.reply->kind);
-    work.trail += (work.trail.empty() ? "" : ",") + copy.nodeId + ":" + std::string(outcome);
+    const std::string_view outcome = wasHandedBack ? handedBackReason : replyName(attempt.reply->kind);
+    request.attemptHistory += (request.attemptHistory.empty() ? "" : ",") + attempt.nodeId + ":" + std::string(outcome);
 }
 
-bool outbound_side::mayGoOn(job &work, const call_reply &reply)
+bool outbound_handler::mayRetry(request_context &request, const call_reply &reply)
 {
     const time_point now = steadyNow();
     if (reply.kind == reply_kind::NotRun) {
-        work.refusals += isForLoad(reply) ? 1 : 0;
-        work.retryAfterMs =
-            work.retryAfterMs == 0 ? reply.retryAfterMs : std::min(work.retryAfterMs, reply.retryAfterMs);
+        request.overloadRejections += isOverloadRejection(reply) ? 1 : 0;
+        request.retryAfterMs =
+            request.retryAfterMs == 0 ? reply.retryAfterMs : std::min(request.retryAfterMs, reply.retryAfterMs);
     } else {
-        ++work.workersTried;
+        ++request.workersTried;
     }
     resend_facts facts;
     facts.end = sendEndOf(reply);
-    facts.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
-    facts.workersTried = work.workersTried;
-    facts.maxWorkers = work.route->maxWorkers;
-    facts.timeLeft = work.endsBy - now;
-    facts.expectedRun = fromMs(work.expectedRunMs);
+    facts.isRepeatable = request.route->repeat == repeat_rule::Repeatable;
+    facts.workersTried = request.workersTried;
+    facts.maxWorkers = request.route->maxWorkers;
+    facts.timeLeft = request.endsBy - now;
+    facts.expectedRun = fromMs(request.expectedRunMs);
     if (!mayResend(facts)) {
         return false;
     }
-    if (work.refusals >= maxLoadRefusals) {
+    if (request.overloadRejections >= maxOverloadRejections) {
         return false;
     }
     if (facts.end == send_end::NotRun) {
-        return true; // no worker saw it, so what the budget gave for this send is still there
+        return true; // no worker has received it, so the attempt does not use the retry budget
     }
-    const bool isAllowed = takeResend(m_budget, work.service, limits(), now);
+    const bool isAllowed = takeResend(m_retryBudget, request.service, retryLimits(), now);
     m_context.metrics.count(isAllowed ? "resends_total" : "resends_denied_total");
     return isAllowed;
 }
 
-void outbound_side::learn(const job &work, const std::string &nodeId, const call_reply &reply)
+void outbound_handler::recordReply(const request_context &request, const std::string &nodeId, const call_reply &reply)
 {
     const time_point now = steadyNow();
     if (reply.report != worker_report{}) {
         noteAlive(m_context.fleet, nodeId, now);
-        noteReport(m_context.placement, work.service, nodeId, reply.report, now);
+        noteReport(m_context.placement, request.service, nodeId, reply.report, now);
     }
     if (reply.runMs > 0) {
-        noteRunMs(m_context.placement, work.service, nodeId, work.route->name, reply.runMs, now);
+        noteRunMs(m_context.placement, request.service, nodeId, request.route->name, reply.runMs, now);
     }
     if (reply.reason == "unreachable" || reply.reason == "worker-down" || reply.reason == "draining"
         || reply.reason == "link-lost") {
-        avoid(m_context.placement, work.service, nodeId, now);
+        avoid(m_context.placement, request.service, nodeId, now);
     }
 }
 
-call_message outbound_side::messageFor(const job &work, std::uint64_t process, time_point now) const
+call_message
+outbound_handler::makeCallMessage(const request_context &request, std::uint64_t expectedProcessId, time_point now) const
 {
     call_message message;
-    message.id = work.id;
-    message.process = process;
-    message.service = work.service;
-    message.route = work.route->name;
-    message.repeat = work.route->repeat;
-    message.priority = work.route->priority;
-    message.targetLeftMs = millisBetween(now, work.targetAt);
-    message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, work.endsBy));
+    message.id = request.id;
+    message.expectedProcessId = expectedProcessId;
+    message.service = request.service;
+    message.route = request.route->name;
+    message.repeat = request.route->repeat;
+    message.priority = request.route->priority;
+    message.targetLeftMs = millisBetween(now, request.targetAt);
+    message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, request.endsBy));
     message.callerService = m_context.options.service;
-    message.request = *work.request;
+    message.request = *request.received;
     return message;
 }
 
-awaitable<call_reply> outbound_side::sendTo(const sent_copy &copy)
+awaitable<call_reply> outbound_handler::sendAttempt(const request_attempt &attempt)
 {
-    if (copy.nodeId == m_context.options.nodeId) {
-        co_return co_await m_inbound.run(copy.message, copy.control);
+    if (attempt.nodeId == m_context.options.nodeId) {
+        co_return co_await m_inbound.handleCall(attempt.message, attempt.control);
     }
-    const auto found = m_context.fleet.nodes.find(copy.nodeId);
+    const auto found = m_context.fleet.nodes.find(attempt.nodeId);
     if (found == m_context.fleet.nodes.end()) {
         call_reply gone;
         gone.kind = reply_kind::NotRun;
@@ -414,37 +423,39 @@
         co_return gone;
     }
     const known_node node = found->second;
-    co_return co_await sendRemote(copy, node);
+    co_return co_await sendRemote(attempt, node);
 }
 
-awaitable<call_reply> outbound_side::sendRemote(const sent_copy &copy, const known_node &node)
+awaitable<call_reply> outbound_handler::sendRemote(const request_attempt &attempt, const known_node &node)
 {
-    const call_message &message = copy.message;
+    const call_message &message = attempt.message;
     const endpoint target = node.record.peer;
     if (peer_links::isLarge(message.request.body.size())) {
-        const peer_end room = co_await m_links.reserve(target, message.id, message.request.body.size(), *copy.control);
-        if (room != peer_end::Replied) {
+        const peer_end reservation =
+            co_await m_links.reserve(target, message.id, message.request.body.size(), *attempt.control);
+        if (reservation != peer_end::Replied) {
             call_reply refused;
             refused.id = message.id;
             refused.kind = reply_kind::NotRun;
-            refused.reason = room == peer_end::LinkLost || room == peer_end::TimedOut ? "unreachable" : "link-full";
+            refused.reason =
+                reservation == peer_end::LinkLost || reservation == peer_end::TimedOut ? "unreachable" : "link-full";
             refused.retryAfterMs = linkFullRetryMs;
             co_return refused;
         }
     }
-    peer_result got = co_await m_links.call(target, message, copy.endsBy + replySlack, *copy.control);
+    peer_result result = co_await m_links.call(target, message, attempt.endsBy + replySlack, *attempt.control);
     call_reply reply;
     reply.id = message.id;
-    switch (got.end) {
+    switch (result.end) {
     case peer_end::Replied:
-        co_return std::move(got.reply);
+        co_return std::move(result.reply);
     case peer_end::NotSent:
         reply.kind = reply_kind::NotRun;
         reply.reason = "unreachable";
         co_return reply;
     case peer_end::LinkLost:
         if (message.repeat == repeat_rule::AtMostOnce) {
-            co_return co_await resume(copy, target);
+            co_return co_await retransmit(attempt, target);
         }
         reply.reason = "link-lost";
         co_return reply;
@@ -458,96 +469,101 @@
     co_return reply;
 }
 
-// Sends a request that may run only once again to the same process of the same node, which knows whether it has it.
-awaitable<call_reply> outbound_side::resume(const sent_copy &copy, const endpoint &target)
+// Resends a request that must run at most once to the same process of the same node, which detects whether it has
+// already received it.
+awaitable<call_reply> outbound_handler::retransmit(const request_attempt &attempt, const endpoint &target)
 {
-    call_message message = copy.message;
-    message.isRepeat = true;
+    call_message message = attempt.message;
+    message.isRetransmission = true;
     call_reply reply;
     reply.id = message.id;
     reply.reason = "link-lost";
-    const time_point until = std::min(copy.endsBy, steadyNow() + resumeWindow);
-    while (steadyNow() < until && !copy.control->isCancelled()) {
-        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), copy.endsBy));
-        peer_result got = co_await m_links.call(target, message, copy.endsBy + replySlack, *copy.control);
-        if (got.end == peer_end::Replied) {
-            co_return std::move(got.reply);
+    const time_point until = std::min(attempt.endsBy, steadyNow() + retransmitWindow);
+    while (steadyNow() < until && !attempt.control->isCancelled()) {
+        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), attempt.endsBy));
+        peer_result result = co_await m_links.call(target, message, attempt.endsBy + replySlack, *attempt.control);
+        if (result.end == peer_end::Replied) {
+            co_return std::move(result.reply);
         }
-        if (got.end == peer_end::TimedOut || got.end == peer_end::Cancelled) {
+        if (result.end == peer_end::TimedOut || result.end == peer_end::Cancelled) {
             break;
         }
-        net::steady_timer pause(m_context.executor, resumePause);
+        net::steady_timer pause(m_context.executor, retransmitInterval);
         co_await pause.async_wait(awaitResult);
     }
     co_return reply;
 }
 
-whole_response outbound_side::finalResponse(const job &work, const call_reply &reply)
+whole_response outbound_handler::finalResponse(const request_context &request, const call_reply &reply)
 {
     switch (reply.kind) {
     case reply_kind::Response:
         return reply.response;
     case reply_kind::NotRun:
     case reply_kind::RejectedByWorker: {
-        const bool mayHaveRun =
-            work.trail.find(":unknown") != std::string::npos || work.trail.find(":response") != std::string::npos;
+        const bool mayHaveRun = request.attemptHistory.find(":unknown") != std::string::npos
+            || request.attemptHistory.find(":response") != std::string::npos;
         if (mayHaveRun) {
-            return failure(work, 502, reply.reason);
+            return makeFailure(request, 502, reply.reason);
         }
         if (reply.kind == reply_kind::RejectedByWorker) {
             std::uniform_real_distribution<double> draw(0, 1);
-            const milliseconds wait = returnAfterRejection(work.expectedRunMs, draw(m_context.generator));
-            return refusal(work, reply.reason, wait.count());
+            const milliseconds wait = returnAfterRejection(request.expectedRunMs, draw(m_context.generator));
+            return makeRejection(request, reply.reason, wait.count());
         }
-        const std::int64_t named = work.retryAfterMs > 0 ? work.retryAfterMs : reply.retryAfterMs;
-        return refusal(work, reply.reason, named > 0 ? named : noWorkerRetryMs);
+        const std::int64_t retryAfterMs = request.retryAfterMs > 0 ? request.retryAfterMs : reply.retryAfterMs;
+        return makeRejection(request, reply.reason, retryAfterMs > 0 ? retryAfterMs : noWorkerRetryMs);
     }
     case reply_kind::Unknown:
-        return failure(work, steadyNow() >= work.endsBy ? 504 : 502, reply.reason);
+        return makeFailure(request, steadyNow() >= request.endsBy ? 504 : 502, reply.reason);
     }
-    return failure(work, 502, reply.reason);
+    return makeFailure(request, 502, reply.reason);
 }
 
-whole_response outbound_side::refusal(const job &work, std::string_view reason, std::int64_t retryAfterMs)
+whole_response
+outbound_handler::makeRejection(const request_context &request, std::string_view reason, std::int64_t retryAfterMs)
 {
     whole_response response = textReply(503, "not run: " + std::string(reason) + "\n");
     response.headers.push_back({"Retry-After", retryAfterText(retryAfterMs)});
-    if (!work.id.empty()) {
-        response.headers.push_back({m_context.options.headers.requestId, work.id});
+    if (!request.id.empty()) {
+        response.headers.push_back({m_context.options.headers.requestId, request.id});
     }
     m_context.metrics.count("refused_total{reason=\"" + std::string(reason) + "\"}");
     return response;
 }
 
-whole_response outbound_side::failure(const job &work, unsigned status, std::string_view reason)
+whole_response outbound_handler::makeFailure(const request_context &request, unsigned status, std::string_view reason)
 {
     whole_response response = textReply(status, std::string(reason) + "\n");
-    if (!work.id.empty()) {
-        response.headers.push_back({m_context.options.headers.requestId, work.id});
+    if (!request.id.empty()) {
+        response.headers.push_back({m_context.options.headers.requestId, request.id});
     }
     m_context.metrics.count("failed_total{reason=\"" + std::string(reason) + "\"}");
     return response;
 }
 
-void outbound_side::logEnd(const job &work, const whole_response &response, std::string_view outcome)
+void outbound_handler::logRequestEnd(const request_context &request,
+                                     const whole_response &response,
+                                     std::string_view outcome)
 {
     const time_point now = steadyNow();
     m_context.metrics.count("responses_total{status=\"" + std::to_string(response.status) + "\"}");
     log_line line("outbound", "ended");
-    line.add("id", work.id)
-        .add("route", work.route != nullptr ? std::string_view(work.route->name) : std::string_view("-"))
-        .add("service", work.service)
+    line.add("id", request.id)
+        .add("route", request.route != nullptr ? std::string_view(request.route->name) : std::string_view("-"))
+        .add("service", request.service)
         .add("status", response.status)
         .add("outcome", outcome)
-        .add("version", work.table ? work.table->version : 0)
-        .add("took_ms", msBetween(work.arrivedAt, now))
-        .add("from", work.request->sender);
-    if (work.route != nullptr) {
-        line.add("target_left_ms", millisBetween(work.arrivedAt, work.targetAt))
-            .add("time_left_ms", millisBetween(work.arrivedAt, work.endsBy))
-            .add("nodes", work.trail);
+        .add("version", request.table ? request.table->version : 0)
+        .add("took_ms", msBetween(request.arrivedAt, now))
+        .add("from", request.received->sender);
+    if (request.route != nullptr) {
+        line.add("target_left_ms", millisBetween(request.arrivedAt, request.targetAt))
+            .add("time_left_ms", millisBetween(request.arrivedAt, request.endsBy))
+            .add("nodes", request.attemptHistory);
     } else {
-        line.add("path", work.request->target).add("host", findHeader(work.request->headers, "Host").value_or(""));
+        line.add("path", request.received->target)
+            .add("host", findHeader(request.received->headers, "Host").value_or(""));
     }
     if (response.status >= 500) {
         line.add("reason", std::string_view(response.body).substr(0, response.body.find('\n')).substr(0, 60));
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -1,5 +1,5 @@
-// Requests of the callers of a VM and of its worker: route, choose a worker, send, and decide what follows a failure.
-// Private to the mesh library.
+// Serves the requests of the callers on the VM and of its worker: finds the route, selects a worker, sends the request,
+// and hedges or retries it. Private to the mesh library.
 //
 //   whole_response response = co_await outbound.serve(request, caller);
 #pragma once
@@ -16,85 +16,90 @@
 namespace pistachioquay::internal {
 
 // Not thread safe: belongs to one loop.
-class outbound_side
+class outbound_handler
 {
 public:
-    outbound_side(mesh_context &context, inbound_side &inbound, peer_links &links);
+    outbound_handler(mesh_context &context, inbound_handler &inbound, peer_links &links);
 
-    // serve answers one request of a caller. Every request gets a final response.
-    awaitable<whole_response> serve(const whole_request &request, caller_presence &caller);
+    // serve returns the response to one request of a caller. Every request gets a response, also after a failure.
+    awaitable<whole_response> serve(const whole_request &received, caller_presence &caller);
     // openCount returns the number of requests without a response yet.
     std::size_t openCount() const
     {
-        return m_open;
+        return m_openRequests;
     }
 
 private:
-    // What is known of a request while it is served.
-    struct job
+    // State of a request while it is served.
+    struct request_context
     {
-        const whole_request *request = nullptr;
+        const whole_request *received = nullptr; // as the caller sent it
         caller_presence *caller = nullptr;
         std::string id;
         std::shared_ptr<const route_table> table;
         const routed_path *route = nullptr;
         std::string service;
         time_point arrivedAt;
-        time_point targetAt;
-        time_point endsBy;
-        std::shared_ptr<exchange_control> control;
+        time_point targetAt; // latency target of the route, counted from the caller's first attempt
+        time_point endsBy; // deadline
+        std::shared_ptr<exchange_control> control; // cancels all attempts
         placement_request placement;
-        std::uint32_t workersTried = 0; // that the request may have reached
-        std::uint32_t handBacks = 0; // by nodes where it would have waited long
-        std::uint32_t refusals = 0; // by nodes, for lack of room
-        std::int64_t retryAfterMs = 0; // shortest that a node named
+        std::uint32_t workersTried = 0; // workers that the request may have reached
+        std::uint32_t handBacks = 0; // how often a node has handed the request back
+        std::uint32_t overloadRejections = 0; // how often a node has rejected the request for lack of capacity
+        std::int64_t retryAfterMs = 0; // shortest delay that a rejecting node has returned
         double expectedRunMs = 0;
-        std::string trail; // nodes and outcomes, for the log
+        std::string attemptHistory; // `node:outcome` of each attempt, comma-separated; logged as `nodes`
     };
 
-    // One send of a request to a node. It may outlive the request, because cancelling takes effect at the node.
-    struct sent_copy
+    // One attempt to run a request at a node. It may outlive the request, because cancelling it takes effect at the
+    // node.
+    struct request_attempt
     {
         std::string nodeId;
         call_message message;
         time_point sentAt;
         time_point endsBy;
         std::shared_ptr<exchange_control> control = std::make_shared<exchange_control>();
-        std::optional<call_reply> reply; // once it has ended
+        std::optional<call_reply> reply; // set when the attempt has ended
     };
-    using shared_copy = std::shared_ptr<sent_copy>;
+    using shared_attempt = std::shared_ptr<request_attempt>;
 
-    std::optional<whole_response> checkRequest(job &work);
-    awaitable<whole_response> forward(job &work);
-    placement_choice choose(job &work);
-    shared_copy copyFor(job &work, const placement_choice &choice) const;
-    // sendHedged sends the copy and, if that takes long, another one elsewhere; returns the one whose reply counts.
-    awaitable<shared_copy> sendHedged(job &work, const shared_copy &first, const placement_choice &choice);
-    awaitable<shared_copy>
-    race(job &work, const shared_copy &first, const shared_copy &second, const std::shared_ptr<wait_point> &changed);
-    shared_copy hedge(job &work, const sent_copy &first);
-    void launch(const shared_copy &copy, const std::shared_ptr<wait_point> &changed);
-    void dropSlower(job &work, const shared_copy &copy);
-    void noteEnd(job &work, const sent_copy &copy);
-    awaitable<call_reply> sendTo(const sent_copy &copy);
-    awaitable<call_reply> sendRemote(const sent_copy &copy, const known_node &node);
-    awaitable<call_reply> resume(const sent_copy &copy, const endpoint &target);
-    call_message messageFor(const job &work, std::uint64_t process, time_point now) const;
-    bool mayGoOn(job &work, const call_reply &reply);
-    void learn(const job &work, const std::string &nodeId, const call_reply &reply);
-    whole_response finalResponse(const job &work, const call_reply &reply);
-    whole_response refusal(const job &work, std::string_view reason, std::int64_t retryAfterMs);
-    whole_response failure(const job &work, unsigned status, std::string_view reason);
-    void logEnd(const job &work, const whole_response &response, std::string_view outcome);
-    resend_limits limits() const;
+    std::optional<whole_response> admit(request_context &request);
+    awaitable<whole_response> forward(request_context &request);
+    placement_choice choosePlacement(request_context &request);
+    shared_attempt makeAttempt(request_context &request, const placement_choice &choice) const;
+    // sendHedged sends the attempt and, if its reply is slow, a hedge to another node; returns the attempt whose reply
+    // counts.
+    awaitable<shared_attempt>
+    sendHedged(request_context &request, const shared_attempt &first, const placement_choice &choice);
+    awaitable<shared_attempt> waitForFirstFinalReply(request_context &request,
+                                                     const shared_attempt &first,
+                                                     const shared_attempt &second,
+                                                     const std::shared_ptr<wait_point> &changed);
+    shared_attempt makeHedge(request_context &request, const request_attempt &first);
+    void startAttempt(const shared_attempt &attempt, const std::shared_ptr<wait_point> &changed);
+    void cancelSlower(request_context &request, const shared_attempt &attempt);
+    void recordAttemptEnd(request_context &request, const request_attempt &attempt);
+    awaitable<call_reply> sendAttempt(const request_attempt &attempt);
+    awaitable<call_reply> sendRemote(const request_attempt &attempt, const known_node &node);
+    awaitable<call_reply> retransmit(const request_attempt &attempt, const endpoint &target);
+    call_message makeCallMessage(const request_context &request, std::uint64_t expectedProcessId, time_point now) const;
+    bool mayRetry(request_context &request, const call_reply &reply);
+    void recordReply(const request_context &request, const std::string &nodeId, const call_reply &reply);
+    whole_response finalResponse(const request_context &request, const call_reply &reply);
+    whole_response makeRejection(const request_context &request, std::string_view reason, std::int64_t retryAfterMs);
+    whole_response makeFailure(const request_context &request, unsigned status, std::string_view reason);
+    void logRequestEnd(const request_context &request, const whole_response &response, std::string_view outcome);
+    resend_limits retryLimits() const;
 
     mesh_context &m_context;
-    inbound_side &m_inbound;
+    inbound_handler &m_inbound;
     peer_links &m_links;
     split_state m_splits;
-    resend_budget m_budget;
-    attempt_ages m_ages;
-    std::size_t m_open = 0;
+    resend_budget m_retryBudget;
+    attempt_ages m_attemptAges;
+    std::size_t m_openRequests = 0;
 };
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -12,15 +12,16 @@
 namespace {
 
 constexpr milliseconds connectTimeout{600};
-constexpr milliseconds reserveTimeout{400}; // for room on a link; a node that takes longer has none
-constexpr milliseconds pingAfter{200}; // of silence while a reply is due
-constexpr milliseconds suspectAfter{200}; // of silence after a ping: the node gets nothing new
-constexpr milliseconds silentAfter{1000}; // of silence while a reply is due: the link is dead
-constexpr milliseconds configAnswerTime{600}; // within which a node starts to answer a request for its configuration
-constexpr seconds idleKept{30}; // unused links are closed
-constexpr std::size_t largeBody = 16UL * 1024; // requests with larger bodies use a link of their own
+constexpr milliseconds reserveTimeout{400}; // for the answer to a reservation request
+constexpr milliseconds pingAfter{200}; // without received bytes while a reply is due
+constexpr milliseconds suspectAfter{200}; // without an answer to a ping: the node gets no new calls
+constexpr milliseconds silentAfter{1000}; // without received bytes while a reply is due: the link is closed
+constexpr milliseconds configReplyTimeout{600}; // for the first bytes of the answer to a configuration request
+constexpr seconds maxLinkIdle{30}; // after which an unused link is closed
+// Larger bodies use a separate link, so that they do not delay the frames of other requests.
+constexpr std::size_t largeBodyBytes = 16UL * 1024;
 
-std::uint8_t code(frame_kind kind)
+std::uint8_t frameCode(frame_kind kind)
 {
     return static_cast<std::uint8_t>(kind);
 }
@@ -28,7 +29,7 @@
 template<class Message>
 std::string encode(const Message &message)
 {
-    return encodeMessage(message, meshFormat);
+    return encodeMessage(message, meshFormatVersion);
 }
 
 } // namespace
@@ -105,7 +106,7 @@
             if (found == m_incoming.end()) {
                 return;
             }
-            const incoming lost = std::move(found->second);
+            const incoming_link lost = std::move(found->second);
             m_incoming.erase(found);
             for (const auto &[id, call] : lost.calls) {
                 if (call.isRepeatable) {
@@ -124,32 +125,33 @@
     if (found == m_incoming.end()) {
         return;
     }
-    m_context.link.note(payload.size(), 0, steadyNow());
-    if (kind == code(frame_kind::Call)) {
+    m_context.linkMeter.recordBytes(payload.size(), 0, steadyNow());
+    if (kind == frameCode(frame_kind::Call)) {
         serveCall(link, payload);
-    } else if (kind == code(frame_kind::Reserve)) {
+    } else if (kind == frameCode(frame_kind::Reserve)) {
         const auto request = attempt([&] {
-            return decodeMessage<reservation_message>(payload, meshFormat, m_garbled);
+            return decodeMessage<reservation_message>(payload, meshFormatVersion, m_decodeCounters);
         });
         if (request) {
-            const bool isGranted = reserveRoom(m_context.room, request->id, request->bytes, steadyNow());
-            link.send(code(frame_kind::Reserved), encode(reservation_message{request->id, request->bytes, isGranted}));
+            const bool isGranted = reserveRoom(m_context.linkReservations, request->id, request->bytes, steadyNow());
+            link.send(frameCode(frame_kind::Reserved),
+                      encode(reservation_message{request->id, request->bytes, isGranted}));
         }
-    } else if (kind == code(frame_kind::Ping)) {
-        link.send(code(frame_kind::Pong), {});
-    } else if (kind == code(frame_kind::ConfigRequest)) {
+    } else if (kind == frameCode(frame_kind::Ping)) {
+        link.send(frameCode(frame_kind::Pong), {});
+    } else if (kind == frameCode(frame_kind::ConfigRequest)) {
         const auto request = attempt([&] {
-            return decodeMessage<config_request>(payload, meshFormat, m_garbled);
+            return decodeMessage<config_request>(payload, meshFormatVersion, m_decodeCounters);
         });
         if (request) {
-            link.send(code(frame_kind::Config), encode(m_events.config(*request)));
+            link.send(frameCode(frame_kind::Config), encode(m_events.onConfigRequest(*request)));
         }
-    } else if (kind == code(frame_kind::Cancel)) {
+    } else if (kind == frameCode(frame_kind::Cancel)) {
         const auto message = attempt([&] {
-            return decodeMessage<cancel_message>(payload, meshFormat, m_garbled);
+            return decodeMessage<cancel_message>(payload, meshFormatVersion, m_decodeCounters);
         });
         if (!message) {
-            link.close("garbled frame");
+            link.close("malformed frame");
             return;
         }
         const auto call = found->second.calls.find(message->id);
@@ -162,27 +164,27 @@
 void peer_links::serveCall(frame_link &link, std::string_view payload)
 {
     auto message = attempt([&] {
-        return decodeMessage<call_message>(payload, meshFormat, m_garbled);
+        return decodeMessage<call_message>(payload, meshFormatVersion, m_decodeCounters);
     });
     if (!message) {
         m_context.log(log_line("peer", "garbled-call").add("error", message.failure().message));
-        link.close("garbled frame");
+        link.close("malformed frame");
         return;
     }
-    releaseRoom(m_context.room, message->id);
+    releaseRoom(m_context.linkReservations, message->id);
     const auto control = std::make_shared<exchange_control>();
     m_incoming[&link].calls[message->id] = {control, message->repeat == repeat_rule::Repeatable};
     net::co_spawn(
         m_context.executor,
-        [this, control, kept = link.shared_from_this(), call = std::move(*message)]() mutable -> awaitable<void> {
+        [this, control, incoming = link.shared_from_this(), call = std::move(*message)]() mutable -> awaitable<void> {
             const std::string id = call.id;
             const call_reply reply = co_await m_events.onCall(std::move(call), control);
-            if (kept->isOpen()) {
+            if (incoming->isOpen()) {
                 const std::string bytes = encode(reply);
-                m_context.link.note(0, bytes.size(), steadyNow());
-                kept->send(code(frame_kind::Reply), bytes);
+                m_context.linkMeter.recordBytes(0, bytes.size(), steadyNow());
+                incoming->send(frameCode(frame_kind::Reply), bytes);
             }
-            const auto found = m_incoming.find(kept.get());
+            const auto found = m_incoming.find(incoming.get());
             if (found != m_incoming.end()) {
                 found->second.calls.erase(id);
             }
@@ -193,7 +195,7 @@
 awaitable<std::shared_ptr<frame_link>> peer_links::linkTo(link_key key)
 {
     {
-        outgoing &state = m_links[key];
+        outgoing_link &state = m_outgoing[key];
         state.lastUsed = steadyNow();
         if (state.link && state.link->isOpen()) {
             co_return state.link;
@@ -202,7 +204,7 @@
             const auto waiter = std::make_shared<wait_point>(m_context.executor);
             state.waiters.push_back(waiter);
             co_await waiter->waitUntil(steadyNow() + connectTimeout);
-            const outgoing &after = m_links[key];
+            const outgoing_link &after = m_outgoing[key];
             co_return after.link &&after.link->isOpen() ? after.link : nullptr;
         }
         state.isConnecting = true;
@@ -215,7 +217,7 @@
         onClosed(key, reason);
     };
     auto link = co_await connectLink(m_context.executor, key.first, connectTimeout, std::move(handlers));
-    outgoing &state = m_links[key];
+    outgoing_link &state = m_outgoing[key];
     state.isConnecting = false;
     state.link = link;
     for (const auto &waiter : std::exchange(state.waiters, {})) {
@@ -230,34 +232,34 @@
 
 void peer_links::onFrame(const link_key &key, frame_link &link, std::uint8_t kind, std::string_view payload)
 {
-    m_context.link.note(payload.size(), 0, steadyNow());
-    if (kind == code(frame_kind::Reply)) {
+    m_context.linkMeter.recordBytes(payload.size(), 0, steadyNow());
+    if (kind == frameCode(frame_kind::Reply)) {
         auto reply = attempt([&] {
-            return decodeMessage<call_reply>(payload, meshFormat, m_garbled);
+            return decodeMessage<call_reply>(payload, meshFormatVersion, m_decodeCounters);
         });
         if (!reply) {
-            link.close("garbled frame");
+            link.close("malformed frame");
             return;
         }
-        outgoing &state = m_links[key];
+        outgoing_link &state = m_outgoing[key];
         const auto call = state.calls.find(reply->id);
         if (call != state.calls.end()) {
             call->second->reply = std::move(*reply);
             call->second->done.notify();
         }
-    } else if (kind == code(frame_kind::Reserved)) {
+    } else if (kind == frameCode(frame_kind::Reserved)) {
         const auto message = attempt([&] {
-            return decodeMessage<reservation_message>(payload, meshFormat, m_garbled);
+            return decodeMessage<reservation_message>(payload, meshFormatVersion, m_decodeCounters);
         });
-        outgoing &state = m_links[key];
+        outgoing_link &state = m_outgoing[key];
         const auto call = message ? state.calls.find(message->id) : state.calls.end();
         if (call != state.calls.end()) {
             call->second->isGranted = message->isGranted;
             call->second->done.notify();
         }
-    } else if (kind == code(frame_kind::Config)) {
+    } else if (kind == frameCode(frame_kind::Config)) {
         const auto message = attempt([&] {
-            return decodeMessage<config_message>(payload, meshFormat, m_garbled);
+            return decodeMessage<config_message>(payload, meshFormatVersion, m_decodeCounters);
         });
         if (message) {
             m_events.onConfig(*message);
@@ -267,15 +269,15 @@
 
 void peer_links::onClosed(const link_key &key, std::string_view reason)
 {
-    outgoing &state = m_links[key];
+    outgoing_link &state = m_outgoing[key];
     m_context.log(log_line("peer", "link-lost")
                       .add("peer", toText(key.first))
                       .add("reason", reason)
                       .add("open_calls", state.calls.size()));
-    failAll(state);
+    failPendingCalls(state);
 }
 
-void peer_links::failAll(outgoing &state)
+void peer_links::failPendingCalls(outgoing_link &state)
 {
     for (const auto &[id, call] : state.calls) {
         call->isLost = true;
@@ -294,17 +296,17 @@
         co_return result;
     }
     const auto pending = std::make_shared<pending_call>(m_context.executor);
-    m_links[key].calls[message.id] = pending;
+    m_outgoing[key].calls[message.id] = pending;
     const std::string bytes = encode(message);
-    m_context.link.note(0, bytes.size(), steadyNow());
-    link->send(code(frame_kind::Call), bytes);
+    m_context.linkMeter.recordBytes(0, bytes.size(), steadyNow());
+    link->send(frameCode(frame_kind::Call), bytes);
     control.onCancel([pending] {
         pending->done.notify();
     });
     co_await pending->done.waitUntil(deadline);
     control.onCancel(nullptr);
-    m_links[key].calls.erase(message.id);
-    m_links[key].lastUsed = steadyNow();
+    m_outgoing[key].calls.erase(message.id);
+    m_outgoing[key].lastUsed = steadyNow();
     if (pending->reply) {
         result.end = peer_end::Replied;
         result.reply = std::move(*pending->reply);
@@ -314,14 +316,14 @@
         result.end = peer_end::LinkLost;
         co_return result;
     }
-    link->send(code(frame_kind::Cancel), encode(cancel_message{message.id}));
+    link->send(frameCode(frame_kind::Cancel), encode(cancel_message{message.id}));
     result.end = control.isCancelled() ? peer_end::Cancelled : peer_end::TimedOut;
     co_return result;
 }
 
 bool peer_links::isLarge(std::size_t bytes)
 {
-    return bytes > largeBody;
+    return bytes > largeBodyBytes;
 }
 
 awaitable<peer_end>
@@ -333,14 +335,14 @@
         co_return link ? peer_end::Cancelled : peer_end::TimedOut;
     }
     const auto pending = std::make_shared<pending_call>(m_context.executor);
-    m_links[key].calls[id] = pending;
-    link->send(code(frame_kind::Reserve), encode(reservation_message{id, bytes, false}));
+    m_outgoing[key].calls[id] = pending;
+    link->send(frameCode(frame_kind::Reserve), encode(reservation_message{id, bytes, false}));
     control.onCancel([pending] {
         pending->done.notify();
     });
     co_await pending->done.waitUntil(steadyNow() + reserveTimeout);
     control.onCancel(nullptr);
-    m_links[key].calls.erase(id);
+    m_outgoing[key].calls.erase(id);
     if (control.isCancelled()) {
         co_return peer_end::Cancelled;
     }
@@ -354,42 +356,42 @@
 {
     if (const std::shared_ptr<frame_link> link = co_await linkTo({target, true})) {
         const time_point sentAt = steadyNow();
-        link->send(code(frame_kind::ConfigRequest), encode(config_request{haveVersion}));
-        net::steady_timer answerTime(m_context.executor, configAnswerTime);
-        co_await answerTime.async_wait(awaitResult);
-        // A node that lost power leaves its links open and silent; the next request must not use this one.
+        link->send(frameCode(frame_kind::ConfigRequest), encode(config_request{haveVersion}));
+        net::steady_timer replyTimer(m_context.executor, configReplyTimeout);
+        co_await replyTimer.async_wait(awaitResult);
+        // The links of a node that lost power stay open without an error; the next request must not use this one.
         if (link->isOpen() && link->lastProgress() < sentAt) {
             m_events.onSilent(target);
-            link->close("no answer to a request for the configuration");
+            link->close("no answer to a configuration request");
         }
     }
 }
 
-void peer_links::check(time_point now)
+void peer_links::checkLiveness(time_point now)
 {
     std::vector<std::pair<endpoint, std::shared_ptr<frame_link>>> silent;
     std::vector<std::shared_ptr<frame_link>> idle;
     std::vector<endpoint> suspects;
-    for (auto &[key, state] : m_links) {
+    for (auto &[key, state] : m_outgoing) {
         if (!state.link || !state.link->isOpen()) {
             continue;
         }
-        const duration quiet = now - state.link->lastProgress();
+        const duration silentFor = now - state.link->lastProgress();
         if (state.calls.empty()) {
-            if (now - state.lastUsed > idleKept) {
+            if (now - state.lastUsed > maxLinkIdle) {
                 idle.push_back(state.link);
             }
             continue;
         }
-        // Silence counts only after a ping had the time to be answered.
+        // A link counts as silent only after the node had time to answer a ping.
         const bool wasPinged = state.lastPing > state.link->lastProgress();
-        if (wasPinged && now - state.lastPing > silentAfter - pingAfter && quiet > silentAfter) {
+        if (wasPinged && now - state.lastPing > silentAfter - pingAfter && silentFor > silentAfter) {
             silent.emplace_back(key.first, state.link);
         } else if (wasPinged && now - state.lastPing > suspectAfter) {
             suspects.push_back(key.first);
-        } else if (quiet > pingAfter && !wasPinged) {
+        } else if (silentFor > pingAfter && !wasPinged) {
             state.lastPing = now;
-            state.link->send(code(frame_kind::Ping), {});
+            state.link->send(frameCode(frame_kind::Ping), {});
         }
     }
     std::ranges::for_each(suspects, m_events.onSuspect);
@@ -404,7 +406,7 @@
 
 void peer_links::stop()
 {
-    boost::system::error_code ignored; // closing ends the port in any case
+    boost::system::error_code ignored; // the acceptor is closed even if this reports an error
     m_acceptor.close(ignored);
     std::vector<std::shared_ptr<frame_link>> links;
     for (const auto &[raw, state] : m_incoming) {
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -1,4 +1,5 @@
-// Links to other nodes, and the calls and pulls on them. Private to the mesh library.
+// Links to other nodes: sends calls, reservations and configuration requests, and serves those of other nodes. Private
+// to the mesh library.
 //
 //   const peer_result got = co_await links.call(target, message, deadline, *control);
 #pragma once
@@ -13,30 +14,31 @@
 
 namespace pistachioquay::internal {
 
-// How a call at another node ended for the caller's node.
+// How a call to another node ended, from the sender's view.
 enum class peer_end : std::uint8_t
 {
     Replied,
-    NotSent, // no link could be made
-    LinkLost, // the call was sent and the link ended before the reply
+    NotSent, // no link could be opened
+    LinkLost, // the link was lost between the call and its reply
     TimedOut,
     Cancelled,
 };
 
+// endName returns the lower-case name of an end for logs. Thread safe.
 std::string_view endName(peer_end end);
 
 struct peer_result
 {
     peer_end end = peer_end::NotSent;
-    call_reply reply;
+    call_reply reply; // if Replied
 };
 
-// Calls and messages that arrive on links.
+// Callbacks for messages that arrive on links and for nodes that do not answer.
 struct peer_events
 {
     std::function<awaitable<call_reply>(call_message, std::shared_ptr<exchange_control>)> onCall;
     std::function<void(const config_message &)> onConfig;
-    std::function<config_message(const config_request &)> config;
+    std::function<config_message(const config_request &)> onConfigRequest; // returns the answer
     std::function<void(const endpoint &)> onSuspect; // a node has not answered a ping yet
     std::function<void(const endpoint &)> onSilent; // a node does not answer in time, or cannot be reached
 };
@@ -50,44 +52,48 @@
 
     // listen opens the port for the links of other nodes.
     result<void> listen();
-    // call sends a call and waits for its reply.
+    // call sends a call and waits for its reply until `deadline`.
     awaitable<peer_result>
     call(endpoint target, const call_message &message, time_point deadline, exchange_control &control);
-    // reserve asks a node for room on its link for a large body.
+    // reserve requests a bandwidth reservation for a large body on the link of a node's VM. Replied: it is granted;
+    // NotSent: it is denied.
     awaitable<peer_end> reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &control);
-    // isLarge tells whether a body needs a reservation.
+    // isLarge returns whether a body of this size needs a reservation and uses the separate link for large bodies.
     static bool isLarge(std::size_t bytes);
-    // requestConfig asks a node for its configuration; the answer goes to `onConfig`.
+    // requestConfig requests the configuration of a node; the answer goes to `onConfig`.
     awaitable<void> requestConfig(endpoint target, std::uint64_t haveVersion);
-    // check pings links on which replies are due and closes silent ones. Call it about every `checkInterval`.
-    void check(time_point now);
-    // stop closes the port and, after what is queued, the links.
+    // checkLiveness pings links that wait for replies, and closes silent and idle ones. Call it about every
+    // `checkInterval`.
+    void checkLiveness(time_point now);
+    // stop closes the port, and the links of other nodes once their queued frames are written.
     void stop();
 
     static constexpr milliseconds checkInterval{200};
 
 private:
+    // A call or a reservation that waits for its answer.
     struct pending_call
     {
         explicit pending_call(const net::any_io_executor &executor)
             : done(executor)
         {
         }
-        wait_point done;
+        wait_point done; // answered, lost or cancelled
         bool isLost = false;
         std::optional<call_reply> reply;
         std::optional<bool> isGranted;
     };
-    struct outgoing
+    // A link to another node.
+    struct outgoing_link
     {
         std::shared_ptr<frame_link> link;
-        std::vector<std::shared_ptr<wait_point>> waiters; // while it connects
+        std::vector<std::shared_ptr<wait_point>> waiters; // coroutines that wait for the connection
         bool isConnecting = false;
         std::unordered_map<std::string, std::shared_ptr<pending_call>> calls; // by id
         time_point lastUsed;
         time_point lastPing;
     };
-    using link_key = std::pair<endpoint, bool>; // address, and whether the link carries large bodies
+    using link_key = std::pair<endpoint, bool>; // address, and whether it is the separate link for large bodies
 
     awaitable<std::shared_ptr<frame_link>> linkTo(link_key key);
     awaitable<void> acceptLoop();
@@ -95,24 +101,26 @@
     void onClosed(const link_key &key, std::string_view reason);
     void serveFrame(frame_link &link, std::uint8_t kind, std::string_view payload);
     void serveCall(frame_link &link, std::string_view payload);
-    void failAll(outgoing &state);
+    void failPendingCalls(outgoing_link &state);
 
     mesh_context &m_context;
     peer_events m_events;
     net::ip::tcp::acceptor m_acceptor;
-    std::map<link_key, outgoing> m_links;
+    std::map<link_key, outgoing_link> m_outgoing;
+    // A call of another node that runs here.
     struct served_call
     {
         std::shared_ptr<exchange_control> control;
         bool isRepeatable = false;
     };
-    struct incoming
+    // A link that another node has opened.
+    struct incoming_link
     {
         std::shared_ptr<frame_link> link;
         std::unordered_map<std::string, served_call> calls;
     };
-    std::map<frame_link *, incoming> m_incoming;
-    decode_counters m_garbled;
+    std::map<frame_link *, incoming_link> m_incoming;
+    decode_counters m_decodeCounters;
 };
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -14,45 +14,46 @@
 namespace {
 
 constexpr milliseconds gossipInterval{400};
-constexpr std::size_t gossipPeers = 3; // nodes that get a datagram each interval
-constexpr std::size_t newsPerDatagram = 4; // records of other nodes in a datagram
+constexpr std::size_t gossipFanout = 3; // nodes that receive a datagram in each interval
+constexpr std::size_t recordsPerDatagram = 4; // records of other nodes in a datagram
 constexpr std::size_t maxDatagramBytes = 1400;
-constexpr milliseconds joinRetry{250}; // while the platform is not reached; with jitter
-constexpr seconds directoryInterval{120}; // between reads of the platform's list of nodes
-constexpr milliseconds lonelyInterval{2000}; // the same while this node knows no other
-constexpr milliseconds peerConfigWait{150}; // for the configuration of other nodes after the start
-constexpr milliseconds startPoll{10};
-constexpr unsigned readJitterMs = 100; // spreads the tries of several nodes
-constexpr milliseconds idleCheck{100}; // of a node that leaves the reading to another
-constexpr milliseconds pullAgain{300}; // after which a pull of the same version is repeated elsewhere
-constexpr int packLevel = 6; // zlib's default balance of time and size
-constexpr std::uint64_t maxPlainBytes = 64UL * 1024 * 1024;
-
-std::string packBytes(const std::string &plain)
+constexpr milliseconds joinRetryInterval{250}; // while the platform is not reached; jitter is added
+constexpr seconds directoryInterval{120}; // between reads of the published node records
+constexpr milliseconds isolatedInterval{2000}; // the same while this node knows no other node
+constexpr milliseconds peerConfigWait{150}; // for a configuration from other nodes before the first platform read
+constexpr milliseconds startPollInterval{10};
+constexpr unsigned readJitterMs = 100; // keeps several nodes from retrying at the same time
+constexpr milliseconds standbyInterval{100}; // between checks whether this node must read the platform itself
+constexpr milliseconds pullTimeout{300}; // after which the same version is requested from another node
+constexpr int compressionLevel = 6; // zlib's default trade-off between time and size
+constexpr std::uint64_t maxUncompressedBytes = 64UL * 1024 * 1024; // of a received configuration
+
+std::string compressText(const std::string &plain)
 {
     uLongf size = compressBound(plain.size());
-    std::string packed(size, '\0');
-    if (compress2(reinterpret_cast<Bytef *>(packed.data()),
+    std::string compressed(size, '\0');
+    if (compress2(reinterpret_cast<Bytef *>(compressed.data()),
                   &size,
                   reinterpret_cast<const Bytef *>(plain.data()),
                   plain.size(),
-                  packLevel)
+                  compressionLevel)
         != Z_OK) {
         return {};
     }
-    packed.resize(size);
-    return packed;
+    compressed.resize(size);
+    return compressed;
 }
 
-constexpr std::size_t packGain = 8; // about how much smaller a text is compressed
-constexpr std::size_t keptTexts = 6; // versions to which differences are made
+constexpr std::size_t assumedCompressionRatio =
+    8; // a delta is sent only if it is smaller than the compressed text by this estimate
+constexpr std::size_t maxRecentConfigs = 6; // versions that a delta can be based on
 
-std::optional<std::string> unpackBytes(const config_message &message)
+std::optional<std::string> decompressText(const config_message &message)
 {
-    if (message.plainBytes > maxPlainBytes) {
+    if (message.uncompressedBytes > maxUncompressedBytes) {
         return std::nullopt;
     }
-    std::string plain(message.plainBytes, '\0');
+    std::string plain(message.uncompressedBytes, '\0');
     uLongf size = plain.size();
     const int status = uncompress(reinterpret_cast<Bytef *>(plain.data()),
                                   &size,
@@ -66,18 +67,18 @@
 
 } // namespace
 
-spread_duty::spread_duty(mesh_context &context, inbound_side &inbound, peer_links &links)
+dissemination_tasks::dissemination_tasks(mesh_context &context, inbound_handler &inbound, peer_links &links)
     : m_context(context)
     , m_inbound(inbound)
     , m_links(links)
     , m_socket(context.executor)
     , m_gossipTimer(context.executor)
-    , m_started(static_cast<std::uint64_t>(unixNowMs()))
+    , m_startOrder(static_cast<std::uint64_t>(unixNowMs()))
     , m_startedAt(steadyNow())
 {
 }
 
-result<void> spread_duty::open()
+result<void> dissemination_tasks::open()
 {
     boost::system::error_code failure;
     const auto address = net::ip::make_address(m_context.options.gossip.ip, failure);
@@ -95,10 +96,10 @@
     return {};
 }
 
-void spread_duty::start()
+void dissemination_tasks::start()
 {
-    const auto spawn = [this](auto duty) {
-        net::co_spawn(m_context.executor, duty, net::detached);
+    const auto spawn = [this](auto task) {
+        net::co_spawn(m_context.executor, task, net::detached);
     };
     spawn([this] {
         return receiveLoop();
@@ -114,21 +115,21 @@
     });
 }
 
-void spread_duty::stop()
+void dissemination_tasks::stop()
 {
-    boost::system::error_code ignored; // closing ends the port in any case
+    boost::system::error_code ignored; // the socket is closed even if this reports an error
     m_socket.close(ignored);
     m_gossipTimer.cancel();
 }
 
-node_record spread_duty::ownRecord(time_point now)
+node_record dissemination_tasks::ownRecord(time_point now)
 {
     const worker_life &worker = m_context.worker;
     node_record record;
     record.nodeId = m_context.options.nodeId;
-    record.started = m_started;
+    record.started = m_startOrder;
     record.revision = ++m_revision;
-    record.process = m_context.process;
+    record.process = m_context.processId;
     record.dataCentre = m_context.options.dataCentre;
     record.service = m_context.options.service;
     record.peer = m_context.options.peers;
@@ -137,13 +138,13 @@
         : worker.isLeaving                  ? worker_state::Draining
         : worker.isUnreachable              ? worker_state::Down
                                             : worker_state::Ready;
-    record.isLeaving = m_context.isWorkerClosed;
+    record.isLeaving = m_context.isInboundClosed;
     record.slots = worker.slots;
     record.linkBytesPerMs = static_cast<std::uint32_t>(m_context.options.linkBytesPerMs);
     record.coldMs = static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(now, worker.coldUntil)));
     record.configVersion = m_context.config.table->version;
     record.report = m_inbound.report(now);
-    for (const auto &[route, mean] : m_inbound.runs().routes) {
+    for (const auto &[route, mean] : m_inbound.runTimes().routes) {
         if (now - mean.lastAt < runForgotten) {
             record.runMs[route] = mean.milliseconds;
         }
@@ -151,33 +152,33 @@
     return record;
 }
 
-void spread_duty::send(const endpoint &to, bool wantsReply, bool isStoreWord, std::size_t newsCount)
+void dissemination_tasks::send(const endpoint &to, bool wantsReply, bool isReaderAnnouncement, std::size_t recordCount)
 {
     gossip_message message;
     message.sender = ownRecord(steadyNow());
     message.wantsReply = wantsReply;
-    message.isStoreWord = isStoreWord;
-    message.others = chooseNews(m_context.fleet, newsCount, m_context.generator);
-    std::string bytes = encodeMessage(message, meshFormat);
+    message.isReaderAnnouncement = isReaderAnnouncement;
+    message.others = chooseNews(m_context.fleet, recordCount, m_context.generator);
+    std::string bytes = encodeMessage(message, meshFormatVersion);
     while (bytes.size() > maxDatagramBytes && !message.others.empty()) {
         message.others.pop_back();
-        bytes = encodeMessage(message, meshFormat);
+        bytes = encodeMessage(message, meshFormatVersion);
     }
     boost::system::error_code failure;
     const auto address = net::ip::make_address(to.ip, failure);
-    // A datagram that cannot be sent now is like a lost one: the next round repeats its news.
+    // A datagram that cannot be sent now is treated as lost: the next gossip round sends the changes again.
     m_socket.send_to(net::buffer(bytes), udp::endpoint(address, to.port), MSG_DONTWAIT, failure);
     m_context.metrics.count(failure ? "datagrams_failed_total" : "datagrams_sent_total");
 }
 
-void spread_duty::announce()
+void dissemination_tasks::announce()
 {
     for (const auto &[id, node] : m_context.fleet.nodes) {
         send(node.record.gossip, false, false, 0);
     }
 }
 
-void spread_duty::sendStoreWord()
+void dissemination_tasks::announceStoreRead()
 {
     for (const auto &[id, node] : m_context.fleet.nodes) {
         if (node.record.dataCentre == m_context.options.dataCentre) {
@@ -186,14 +187,14 @@
     }
 }
 
-void spread_duty::raiseStarted(std::uint64_t above)
+void dissemination_tasks::raiseStartOrder(std::uint64_t above)
 {
-    m_started = above + 1;
-    m_context.log(log_line("spread", "restart-order-raised").add("started", m_started));
+    m_startOrder = above + 1;
+    m_context.log(log_line("spread", "restart-order-raised").add("started", m_startOrder));
     announce();
 }
 
-awaitable<void> spread_duty::receiveLoop()
+awaitable<void> dissemination_tasks::receiveLoop()
 {
     std::array<char, 65536> buffer{};
     while (m_socket.is_open()) {
@@ -208,10 +209,10 @@
     }
 }
 
-void spread_duty::onDatagram(std::string_view bytes, const endpoint &from)
+void dissemination_tasks::onDatagram(std::string_view bytes, const endpoint &from)
 {
     const auto message = attempt([&] {
-        return decodeMessage<gossip_message>(bytes, meshFormat, m_garbled);
+        return decodeMessage<gossip_message>(bytes, meshFormatVersion, m_decodeCounters);
     });
     if (!message) {
         m_context.metrics.count("datagrams_garbled_total");
@@ -222,23 +223,23 @@
     const time_point now = steadyNow();
     const node_record &sender = message->sender;
     noteHeard(m_context.placement, sender.dataCentre);
-    onMerged(sender, mergeRecord(m_context.fleet, sender, m_started, now), now);
+    applyMergeReport(sender, mergeRecord(m_context.fleet, sender, m_startOrder, now), now);
     for (const node_record &record : message->others) {
-        onMerged(record, mergeRecord(m_context.fleet, record, m_started, now), now);
+        applyMergeReport(record, mergeRecord(m_context.fleet, record, m_startOrder, now), now);
     }
-    if (message->isStoreWord && sender.dataCentre == m_context.options.dataCentre) {
-        m_wordAt = now;
+    if (message->isReaderAnnouncement && sender.dataCentre == m_context.options.dataCentre) {
+        m_storeReadAt = now;
     }
-    noteVersion(sender);
+    pullIfNewer(sender);
     if (message->wantsReply) {
-        send(sender.gossip, false, false, newsPerDatagram);
+        send(sender.gossip, false, false, recordsPerDatagram);
     }
 }
 
-void spread_duty::onMerged(const node_record &record, const merge_report &report, time_point now)
+void dissemination_tasks::applyMergeReport(const node_record &record, const merge_report &report, time_point now)
 {
     if (report.isOwnOutdated) {
-        raiseStarted(record.started);
+        raiseStartOrder(record.started);
     }
     if (!report.isNews) {
         return;
@@ -262,19 +263,20 @@
     }
 }
 
-// Pulls a newer configuration from the node that has it.
-void spread_duty::noteVersion(const node_record &record)
+// Requests the configuration from the node of the record if its version is newer than the applied one.
+void dissemination_tasks::pullIfNewer(const node_record &record)
 {
     if (record.configVersion <= m_context.config.table->version) {
         return;
     }
     const time_point now = steadyNow();
     m_behindSince = m_behindSince.value_or(now);
-    const bool isPulling = m_pulledVersion >= record.configVersion && now - m_pulledAt < pullAgain;
-    const bool isNear = record.dataCentre == m_context.options.dataCentre;
-    // Other data centres read the platform themselves; their copy costs more, so it is a second choice.
-    const bool isCutOff = now - m_wordAt > m_context.options.configBound / 2;
-    if (isPulling || (!isNear && !isCutOff)) {
+    const bool isPulling = m_pulledVersion >= record.configVersion && now - m_pulledAt < pullTimeout;
+    const bool isSameDataCentre = record.dataCentre == m_context.options.dataCentre;
+    // A transfer from another data centre costs more, so its nodes are asked only if the reader of this data centre has
+    // not announced a read for too long.
+    const bool isReaderOverdue = now - m_storeReadAt > m_context.options.configBound / 2;
+    if (isPulling || (!isSameDataCentre && !isReaderOverdue)) {
         return;
     }
     m_pulledVersion = record.configVersion;
@@ -287,21 +289,22 @@
         net::detached);
 }
 
-std::optional<std::string> spread_duty::textOf(const config_message &message) const
+std::optional<std::string> dissemination_tasks::configText(const config_message &message) const
 {
     if (message.baseVersion == 0) {
-        return unpackBytes(message);
+        return decompressText(message);
     }
-    const auto base = std::ranges::find(m_texts, message.baseVersion, &std::pair<std::uint64_t, std::string>::first);
-    return base == m_texts.end() ? std::nullopt : applyDelta(base->second, message.delta);
+    const auto base =
+        std::ranges::find(m_recentConfigs, message.baseVersion, &std::pair<std::uint64_t, std::string>::first);
+    return base == m_recentConfigs.end() ? std::nullopt : applyDelta(base->second, message.delta);
 }
 
-void spread_duty::takeConfig(const config_message &message)
+void dissemination_tasks::applyPeerConfig(const config_message &message)
 {
     if (message.version <= m_context.config.table->version) {
         return;
     }
-    if (auto plain = textOf(message)) {
+    if (auto plain = configText(message)) {
         applyConfig(std::move(*plain), message.baseVersion == 0 ? "peer" : "peer-delta");
     } else {
         m_context.log(log_line("config", "garbled")
@@ -311,29 +314,30 @@
     }
 }
 
-config_message spread_duty::configFor(const config_request &request)
+config_message dissemination_tasks::configFor(const config_request &request)
 {
     config_message message;
-    if (m_texts.empty()) {
+    if (m_recentConfigs.empty()) {
         return message;
     }
-    const auto &[version, text] = m_texts.back();
+    const auto &[version, text] = m_recentConfigs.back();
     message.version = version;
-    const auto base = std::ranges::find(m_texts, request.haveVersion, &std::pair<std::uint64_t, std::string>::first);
-    if (base != m_texts.end() && base->first < version) {
+    const auto base =
+        std::ranges::find(m_recentConfigs, request.haveVersion, &std::pair<std::uint64_t, std::string>::first);
+    if (base != m_recentConfigs.end() && base->first < version) {
         message.delta = makeDelta(base->second, text);
-        if (encodedBytes(message.delta) < text.size() / packGain) {
+        if (encodedBytes(message.delta) < text.size() / assumedCompressionRatio) {
             message.baseVersion = base->first;
             return message;
         }
         message.delta = {};
     }
-    message.plainBytes = text.size();
-    message.compressed = packBytes(text);
+    message.uncompressedBytes = text.size();
+    message.compressed = compressText(text);
     return message;
 }
 
-void spread_duty::applyConfig(std::string bytes, std::string_view source)
+void dissemination_tasks::applyConfig(std::string bytes, std::string_view source)
 {
     const std::uint64_t hash = hash64(bytes);
     if (hash == m_rejectedHash) {
@@ -363,15 +367,16 @@
     m_context.config.table = std::make_shared<const route_table>(*decoded);
     m_context.config.appliedAt = steadyNow();
     m_behindSince.reset();
-    m_texts.emplace_back(decoded->version, std::move(bytes));
-    if (m_texts.size() > keptTexts) {
-        m_texts.pop_front();
+    m_recentConfigs.emplace_back(decoded->version, std::move(bytes));
+    if (m_recentConfigs.size() > maxRecentConfigs) {
+        m_recentConfigs.pop_front();
     }
     m_context.metrics.count("config_applied_total");
 }
 
-// VMs with the largest links read first, because the others of the data centre take the configuration from the reader.
-std::size_t spread_duty::ownRank(time_point now) const
+// Returns how many nodes of the data centre come before this one as the reader of the platform. VMs with the fastest
+// links come first, because the other nodes of the data centre fetch the configuration from the reader.
+std::size_t dissemination_tasks::readerRank(time_point now) const
 {
     const auto rankKey = [](std::uint32_t linkBytesPerMs, const std::string &nodeId) {
         return std::pair(UINT32_MAX - linkBytesPerMs, hash64(nodeId));
@@ -385,57 +390,59 @@
     }));
 }
 
-awaitable<void> spread_duty::readLoop()
+awaitable<void> dissemination_tasks::readLoop()
 {
     net::steady_timer pause(m_context.executor);
     const milliseconds wait = readWait(m_context.options.configBound);
-    unsigned failures = 0; // reads in a row without an answer
-    bool hasRead = false; // a node that starts looks once, whoever the reader is
-    // A node that starts among others gets the configuration from them.
-    for (milliseconds waited{0}; waited < peerConfigWait && m_context.config.table->version == 0; waited += startPoll) {
-        pause.expires_after(startPoll);
+    unsigned failures = 0; // consecutive reads without an answer
+    bool hasRead = false; // a starting node reads once, even if another node is the reader
+    // A node that joins a running mesh usually gets the configuration from other nodes first.
+    for (milliseconds waited{0}; waited < peerConfigWait && m_context.config.table->version == 0;
+         waited += startPollInterval) {
+        pause.expires_after(startPollInterval);
         co_await pause.async_wait(awaitResult);
     }
     hasRead = m_context.config.table->version > 0;
     while (!m_context.isStopped) {
         const time_point now = steadyNow();
         reader_facts facts;
-        facts.rank = ownRank(now);
+        facts.rank = readerRank(now);
         facts.behindFor = now - m_behindSince.value_or(now);
-        facts.sinceWord = now - std::max(m_wordAt, m_startedAt);
+        facts.sinceWord = now - std::max(m_storeReadAt, m_startedAt);
         facts.bound = m_context.options.configBound;
         if (hasRead && !shouldRead(facts)) {
-            pause.expires_after(idleCheck);
+            pause.expires_after(standbyInterval);
             co_await pause.async_wait(awaitResult);
             continue;
         }
-        // Behind a version that came from a peer the log holds whole older texts: only the newest is of use.
-        const bool isPositionOld = m_context.config.table->version != m_readVersion;
-        config_read read = co_await m_context.platform.readConfig(isPositionOld ? 0 : m_position, wait);
+        // If the applied version came from another node, the log still holds older versions after the last position.
+        // Only the newest is needed, which position 0 returns.
+        const bool isPositionOld = m_context.config.table->version != m_versionAtLastRead;
+        config_read read = co_await m_context.platform.readConfig(isPositionOld ? 0 : m_logPosition, wait);
         if (read.isReached != m_isStoreReached) {
             m_isStoreReached = read.isReached;
-            m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_position));
+            m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_logPosition));
         }
         if (!read.isReached) {
-            const milliseconds again = readPause(++failures, facts.rank);
-            pause.expires_after(again + milliseconds(m_context.generator() % readJitterMs));
+            const milliseconds retryPause = readPause(++failures, facts.rank);
+            pause.expires_after(retryPause + milliseconds(m_context.generator() % readJitterMs));
             co_await pause.async_wait(awaitResult);
             continue;
         }
         hasRead = true;
         failures = 0;
-        m_position = read.position;
-        m_wordAt = steadyNow();
+        m_logPosition = read.position;
+        m_storeReadAt = steadyNow();
         if (read.hasValue) {
             applyConfig(std::move(read.bytes), "platform");
         }
-        m_readVersion = m_context.config.table->version;
+        m_versionAtLastRead = m_context.config.table->version;
         m_behindSince.reset();
-        sendStoreWord();
+        announceStoreRead();
     }
 }
 
-awaitable<std::optional<std::vector<node_record>>> spread_duty::readDirectory()
+awaitable<std::optional<std::vector<node_record>>> dissemination_tasks::readDirectory()
 {
     const auto values = co_await m_context.platform.readNodes();
     if (!values) {
@@ -444,7 +451,7 @@
     std::vector<node_record> records;
     for (const std::string &bytes : *values) {
         const auto record = attempt([&] {
-            return decodeMessage<node_record>(bytes, meshFormat, m_garbled);
+            return decodeMessage<node_record>(bytes, meshFormatVersion, m_decodeCounters);
         });
         if (record) {
             records.push_back(*record);
@@ -455,23 +462,23 @@
     co_return records;
 }
 
-// Publishes the own address unless it stands there already, as it does after a restart.
-awaitable<bool> spread_duty::publishIfNeeded(const std::vector<node_record> &published)
+// Publishes the own address record unless the published one already has these addresses, as after a restart.
+awaitable<bool> dissemination_tasks::publishIfNeeded(const std::vector<node_record> &published)
 {
     const auto own = std::ranges::find(published, m_context.options.nodeId, &node_record::nodeId);
-    if (own != published.end() && own->process != m_context.process && own->started >= m_started) {
-        raiseStarted(own->started);
+    if (own != published.end() && own->process != m_context.processId && own->started >= m_startOrder) {
+        raiseStartOrder(own->started);
     }
     if (own != published.end() && own->peer == m_context.options.peers && own->gossip == m_context.options.gossip) {
         co_return true;
     }
     node_record record = ownRecord(steadyNow());
     record.runMs.clear();
-    co_return co_await m_context.platform.publishNode(record.nodeId, encodeMessage(record, meshFormat));
+    co_return co_await m_context.platform.publishNode(record.nodeId, encodeMessage(record, meshFormatVersion));
 }
 
-// Asks published nodes that are not known for their records.
-void spread_duty::greet(const std::vector<node_record> &published)
+// Contacts the published nodes that are unknown or silent, to exchange records.
+void dissemination_tasks::contactNodes(const std::vector<node_record> &published)
 {
     const time_point now = steadyNow();
     std::vector<node_record> unknown;
@@ -485,41 +492,41 @@
     }
 }
 
-// Publishes the own address and finds the other nodes.
-awaitable<void> spread_duty::joinLoop()
+// Publishes the own address record and contacts the other published nodes, at intervals.
+awaitable<void> dissemination_tasks::joinLoop()
 {
     net::steady_timer pause(m_context.executor);
     bool isPublished = false;
     while (!m_context.isStopped) {
         const auto published = co_await readDirectory();
         if (published) {
-            greet(*published);
+            contactNodes(*published);
             if (!isPublished && !m_context.isStopping) {
                 isPublished = co_await publishIfNeeded(*published);
             }
         }
         const bool isJoined = isPublished && published;
-        const bool isLonely = m_context.fleet.nodes.empty();
-        pause.expires_after(!isJoined      ? joinRetry + milliseconds(m_context.generator() % 250)
-                                : isLonely ? lonelyInterval
-                                           : std::chrono::duration_cast<milliseconds>(directoryInterval));
+        const bool isIsolated = m_context.fleet.nodes.empty();
+        pause.expires_after(!isJoined        ? joinRetryInterval + milliseconds(m_context.generator() % 250)
+                                : isIsolated ? isolatedInterval
+                                             : std::chrono::duration_cast<milliseconds>(directoryInterval));
         co_await pause.async_wait(awaitResult);
     }
 }
 
-awaitable<void> spread_duty::withdraw()
+awaitable<void> dissemination_tasks::unpublishRecord()
 {
     co_await m_context.platform.publishNode(m_context.options.nodeId, {});
 }
 
-awaitable<void> spread_duty::gossipLoop()
+awaitable<void> dissemination_tasks::gossipLoop()
 {
     while (!m_context.isStopped) {
         m_gossipTimer.expires_after(gossipInterval);
         co_await m_gossipTimer.async_wait(awaitResult);
         const time_point now = steadyNow();
-        for (const endpoint &peer : choosePeers(m_context.fleet, gossipPeers, now, m_context.generator)) {
-            send(peer, false, false, newsPerDatagram);
+        for (const endpoint &peer : choosePeers(m_context.fleet, gossipFanout, now, m_context.generator)) {
+            send(peer, false, false, recordsPerDatagram);
         }
         for (const std::string &id : forgetSilent(m_context.fleet, now)) {
             m_context.log(log_line("spread", "node-forgotten").add("node", id));
--- a/packages/process/mesh/spread.h
+++ b/packages/process/mesh/spread.h
@@ -1,8 +1,9 @@
-// Spreads what nodes know: records of nodes by datagrams, and the configuration by the platform and by links. Private
-// to the mesh library.
+// Disseminates the state of the mesh: node records by gossip datagrams, and the configuration from the platform and
+// from other nodes. Private to the mesh library.
 //
-//   spread_duty spread(context, inbound, links);
-//   co_await spread.run();                        // until the node stops
+//   dissemination_tasks dissemination(context, inbound, links);
+//   BOOST_LEAF_CHECK(dissemination.open());
+//   dissemination.start();                        // until `stop`
 #pragma once
 
 #include <deque>
@@ -17,23 +18,24 @@
 namespace pistachioquay::internal {
 
 // Not thread safe: belongs to one loop.
-class spread_duty
+class dissemination_tasks
 {
 public:
-    spread_duty(mesh_context &context, inbound_side &inbound, peer_links &links);
+    dissemination_tasks(mesh_context &context, inbound_handler &inbound, peer_links &links);
 
     // open binds the datagram port.
     result<void> open();
-    // start runs the duties on the loop.
+    // start starts the background tasks on the loop.
     void start();
-    // announce sends the own record to all nodes at once, after a change that they must know of.
+    // announce sends the own record to all nodes at once, for a change that cannot wait for the gossip rounds.
     void announce();
-    // takeConfig takes over a configuration of another node; older ones are ignored.
-    void takeConfig(const config_message &message);
-    // configFor returns the configuration for a node that asks for it.
+    // applyPeerConfig applies a configuration that another node sent; one that is not newer is ignored.
+    void applyPeerConfig(const config_message &message);
+    // configFor returns the answer to another node's request for the configuration.
     config_message configFor(const config_request &request);
-    // withdraw removes the own address record from the platform.
-    awaitable<void> withdraw();
+    // unpublishRecord removes the own address record from the platform.
+    awaitable<void> unpublishRecord();
+    // stop closes the datagram port and wakes the gossip task, which ends if the node is stopped.
     void stop();
 
 private:
@@ -43,36 +45,36 @@
     awaitable<void> joinLoop();
     node_record ownRecord(time_point now);
     void onDatagram(std::string_view bytes, const endpoint &from);
-    void onMerged(const node_record &record, const merge_report &report, time_point now);
-    void noteVersion(const node_record &record);
-    void send(const endpoint &to, bool wantsReply, bool isStoreWord, std::size_t newsCount);
-    void sendStoreWord();
-    void raiseStarted(std::uint64_t above);
+    void applyMergeReport(const node_record &record, const merge_report &report, time_point now);
+    void pullIfNewer(const node_record &record);
+    void send(const endpoint &to, bool wantsReply, bool isReaderAnnouncement, std::size_t recordCount);
+    void announceStoreRead();
+    void raiseStartOrder(std::uint64_t above);
     void applyConfig(std::string bytes, std::string_view source);
-    std::optional<std::string> textOf(const config_message &message) const;
+    std::optional<std::string> configText(const config_message &message) const;
     awaitable<bool> publishIfNeeded(const std::vector<node_record> &published);
-    void greet(const std::vector<node_record> &published);
+    void contactNodes(const std::vector<node_record> &published);
     awaitable<std::optional<std::vector<node_record>>> readDirectory();
-    std::size_t ownRank(time_point now) const;
+    std::size_t readerRank(time_point now) const;
 
     mesh_context &m_context;
-    inbound_side &m_inbound;
+    inbound_handler &m_inbound;
     peer_links &m_links;
     net::ip::udp::socket m_socket;
     net::steady_timer m_gossipTimer;
-    std::uint64_t m_started = 0;
-    std::uint32_t m_revision = 0;
-    std::uint64_t m_position = 0; // in the platform's log of configurations
-    std::deque<std::pair<std::uint64_t, std::string>> m_texts; // newest last, by version
-    std::uint64_t m_rejectedHash = 0; // of the last text that could not be decoded
-    time_point m_wordAt; // last word of a reader of the own data centre
+    std::uint64_t m_startOrder = 0; // `started` of the own record
+    std::uint32_t m_revision = 0; // of the own record
+    std::uint64_t m_logPosition = 0; // in the platform's configuration log
+    std::deque<std::pair<std::uint64_t, std::string>> m_recentConfigs; // version and text, newest last
+    std::uint64_t m_rejectedHash = 0; // of the last text that was not decodable
+    time_point m_storeReadAt; // when this data centre was last known to have read the platform
     time_point m_startedAt;
-    std::uint64_t m_readVersion = 0; // in force when this node last read the platform
-    std::optional<time_point> m_behindSince; // a newer version than that in force was heard of
-    time_point m_pulledAt;
+    std::uint64_t m_versionAtLastRead = 0; // applied version when this node last read the platform
+    std::optional<time_point> m_behindSince; // since a version newer than the applied one is known
+    time_point m_pulledAt; // last configuration request to another node
     std::uint64_t m_pulledVersion = 0;
     bool m_isStoreReached = false;
-    decode_counters m_garbled;
+    decode_counters m_decodeCounters;
 };
 
 } // namespace pistachioquay::internal
