Mesh node library: cancellation and retry vocabulary

Fields and parameters of cancellation handles were called control; they are named cancellation, in line with the vocabulary of the shared loop library. Locals for hedge candidates, failed attempts, merge results and the reader status have the names of what they hold, and a comment got back its reason why other data centres are asked for the configuration last.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -11,9 +11,9 @@
 
 constexpr milliseconds responseSlack{80}; // after the deadline, for a response that the worker sends at the deadline
 // Idle time up to which a connection to the worker is reused. A worker may close an idle connection without notice, and
-// a request that is lost with it may have run; requests that must not be repeated therefore have a lower limit.
+// a request that is lost with it may have run; requests that must not be retried therefore have a lower limit.
 constexpr milliseconds atMostOnceMaxIdle{500};
-constexpr milliseconds repeatableMaxIdle{4000};
+constexpr milliseconds retryableMaxIdle{4000};
 constexpr double outcomeWeight = 0.08; // of one request in the moving average of failures
 constexpr double hungRunFactor = 3.0; // a run that is cancelled after this many expected run times counts as failed
 constexpr double slowdownHalfLifeMs = 300.0; // of a reported slowdown: it changes many times a second
@@ -65,7 +65,7 @@
     return reply;
 }
 
-awaitable<call_reply> inbound_handler::handleCall(call_message message, std::shared_ptr<exchange_control> control)
+awaitable<call_reply> inbound_handler::handleCall(call_message message, std::shared_ptr<exchange_control> cancellation)
 {
     const time_point now = steadyNow();
     call_reply reply;
@@ -89,7 +89,7 @@
     case entry_state::Void:
         co_return makeNotRunReply(message.id, "void");
     }
-    reply = co_await runNewCall(message, control);
+    reply = co_await runNewCall(message, cancellation);
     reply.id = message.id;
     reply.report = report(steadyNow());
     if (const auto known = m_runTimes.routes.find(message.route); known != m_runTimes.routes.end()) {
@@ -121,7 +121,7 @@
 }
 
 awaitable<call_reply> inbound_handler::runNewCall(const call_message &message,
-                                                  const std::shared_ptr<exchange_control> &control)
+                                                  const std::shared_ptr<exchange_control> &cancellation)
 {
     const time_point now = steadyNow();
     if (message.service != m_context.options.service) {
@@ -147,9 +147,9 @@
     m_openCalls[message.id] = open;
     call_reply reply;
     reply.id = message.id;
-    if (co_await awaitSlot(message, request, open, control, reply)) {
+    if (co_await awaitSlot(message, request, open, cancellation, reply)) {
         reply.waitedMs = millisBetween(now, steadyNow());
-        co_await runOnWorker(message, request.endsBy, control, reply);
+        co_await runOnWorker(message, request.endsBy, cancellation, reply);
     }
     finish(m_queue, request.ticket);
     dispatchQueued(steadyNow());
@@ -162,13 +162,13 @@
 awaitable<bool> inbound_handler::awaitSlot(const call_message &message,
                                            const waiting_request &request,
                                            const std::shared_ptr<open_call> &open,
-                                           const std::shared_ptr<exchange_control> &control,
+                                           const std::shared_ptr<exchange_control> &cancellation,
                                            call_reply &reply)
 {
     const time_point now = steadyNow();
-    const offer_verdict verdict = offer(m_queue, request, now, m_context.generator);
+    const offer_verdict enqueued = offer(m_queue, request, now, m_context.generator);
     const auto allowedWaitMs = static_cast<double>(message.longestWaitMs);
-    if (verdict.kind == offer_kind::Wait && allowedWaitMs > 0 && verdict.expectedWaitMs > allowedWaitMs) {
+    if (enqueued.kind == offer_kind::Wait && allowedWaitMs > 0 && enqueued.expectedWaitMs > allowedWaitMs) {
         finish(m_queue, request.ticket);
         reply.kind = reply_kind::NotRun;
         reply.reason = std::string(handedBackReason);
@@ -176,27 +176,27 @@
         m_context.log(log_line("inbound", "handed-back")
                           .add("id", message.id)
                           .add("route", message.route)
-                          .add("expected_wait_ms", verdict.expectedWaitMs)
+                          .add("expected_wait_ms", enqueued.expectedWaitMs)
                           .add("allowed_wait_ms", message.longestWaitMs)
                           .add("running", m_queue.running.size())
                           .add("waiting", m_queue.waiting.size()));
         co_return false;
     }
-    if (verdict.kind == offer_kind::Run) {
+    if (enqueued.kind == offer_kind::Run) {
         open->isGranted = true;
         co_return true;
     }
     reply.kind = reply_kind::NotRun;
-    wait_refusal reason = verdict.reason;
-    reply.retryAfterMs = verdict.retryAfter.count();
-    if (verdict.kind == offer_kind::Wait) {
+    wait_refusal reason = enqueued.reason;
+    reply.retryAfterMs = enqueued.retryAfter.count();
+    if (enqueued.kind == offer_kind::Wait) {
         m_waitingCalls[request.ticket] = open;
-        control->onCancel([open] {
+        cancellation->onCancel([open] {
             open->decided.notify();
         });
         scheduleQueueCheck();
         co_await open->decided.waitUntil(request.endsBy);
-        control->onCancel(nullptr);
+        cancellation->onCancel(nullptr);
         m_waitingCalls.erase(request.ticket);
         if (open->isGranted) {
             co_return true;
@@ -204,14 +204,14 @@
         reason = open->refusal.reason;
         reply.retryAfterMs = open->refusal.retryAfter.count();
     }
-    reply.reason = control->isCancelled() ? "cancelled" : std::string(refusalName(reason));
+    reply.reason = cancellation->isCancelled() ? "cancelled" : std::string(refusalName(reason));
     m_context.metrics.count("inbound_refused_total{reason=\"" + reply.reason + "\"}");
     m_context.log(log_line("inbound", "refused")
                       .add("id", message.id)
                       .add("route", message.route)
                       .add("reason", reply.reason)
                       .add("priority", message.priority)
-                      .add("expected_wait_ms", verdict.expectedWaitMs)
+                      .add("expected_wait_ms", enqueued.expectedWaitMs)
                       .add("expected_run_ms", request.expectedRunMs)
                       .add("time_left_ms", message.timeLeftMs)
                       .add("running", m_queue.running.size())
@@ -234,7 +234,7 @@
 
 awaitable<void> inbound_handler::runOnWorker(const call_message &message,
                                              time_point endsBy,
-                                             const std::shared_ptr<exchange_control> &control,
+                                             const std::shared_ptr<exchange_control> &cancellation,
                                              call_reply &reply)
 {
     const bool isRepeatable = message.repeat == repeat_rule::Repeatable;
@@ -245,15 +245,15 @@
         const whole_request request = makeWorkerRequest(message, endsBy, startedAt);
         exchange_options options;
         options.deadline = endsBy + responseSlack;
-        options.reuseWithin = attempt > 0 ? milliseconds{0} : isRepeatable ? repeatableMaxIdle : atMostOnceMaxIdle;
-        const auto exchangeControl = std::make_shared<exchange_control>();
-        control->onCancel([exchangeControl, isRepeatable] {
+        options.reuseWithin = attempt > 0 ? milliseconds{0} : isRepeatable ? retryableMaxIdle : atMostOnceMaxIdle;
+        const auto exchangeCancellation = std::make_shared<exchange_control>();
+        cancellation->onCancel([exchangeCancellation, isRepeatable] {
             if (isRepeatable) {
-                exchangeControl->cancel();
+                exchangeCancellation->cancel();
             }
         });
-        exchange_result result = co_await m_workerClient.send(request, options, *exchangeControl);
-        control->onCancel(nullptr);
+        exchange_result result = co_await m_workerClient.send(request, options, *exchangeCancellation);
+        cancellation->onCancel(nullptr);
         const double tookMs = msBetween(startedAt, steadyNow());
         const bool mayRetry = isRepeatable && result.end == exchange_end::Lost && result.wasReused;
         evaluateWorkerResponse(message, std::move(result), tookMs, reply);
@@ -381,7 +381,7 @@
 
 void inbound_handler::dispatchQueued(time_point now)
 {
-    rejectTickets(takeHopeless(m_queue, now, m_context.generator));
+    rejectQueued(takeHopeless(m_queue, now, m_context.generator));
     for (auto ticket = startNext(m_queue, now); ticket; ticket = startNext(m_queue, now)) {
         const auto found = m_waitingCalls.find(*ticket);
         if (found == m_waitingCalls.end()) {
@@ -394,12 +394,12 @@
     scheduleQueueCheck();
 }
 
-void inbound_handler::rejectTickets(const std::vector<refused_ticket> &refused)
+void inbound_handler::rejectQueued(const std::vector<refused_ticket> &refused)
 {
-    for (const refused_ticket &ticket : refused) {
-        const auto found = m_waitingCalls.find(ticket.ticket);
+    for (const refused_ticket &request : refused) {
+        const auto found = m_waitingCalls.find(request.ticket);
         if (found != m_waitingCalls.end()) {
-            found->second->refusal = ticket;
+            found->second->refusal = request;
             found->second->decided.notify();
         }
     }
@@ -434,11 +434,11 @@
         m_queue.closedFor = mayTakeWork(worker) ? wait_refusal::None : wait_refusal::WorkerDown;
     }
     if (worker.isUnreachable) {
-        rejectTickets(takeAll(m_queue, wait_refusal::WorkerDown));
+        rejectQueued(takeAll(m_queue, wait_refusal::WorkerDown));
         m_workerClient.closeAll();
     }
     if (worker.isLeaving && now - worker.leavingSince > m_context.options.drainTime / 2) {
-        rejectTickets(takeAll(m_queue, wait_refusal::Draining));
+        rejectQueued(takeAll(m_queue, wait_refusal::Draining));
     }
     refreshWorkers(m_context, m_context.options.service, now);
     dispatchQueued(now);
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -2,7 +2,7 @@
 // there, and leaves an entry in the deduplication table, so that a retransmission does not run it again. Private to the
 // mesh library.
 //
-//   const call_reply reply = co_await inbound.handleCall(message, control);
+//   const call_reply reply = co_await inbound.handleCall(message, cancellation);
 #pragma once
 
 #include <memory>
@@ -22,9 +22,9 @@
 public:
     explicit inbound_handler(mesh_context &context);
 
-    // handleCall queues and runs a call and returns its outcome. `control` cancels it: a queued call is removed, and a
-    // running one is aborted if it is repeatable.
-    awaitable<call_reply> handleCall(call_message message, std::shared_ptr<exchange_control> control);
+    // handleCall queues and runs a call and returns its outcome. `cancellation` cancels it: a queued call is removed,
+    // and a running one is aborted if it is retryable.
+    awaitable<call_reply> handleCall(call_message message, std::shared_ptr<exchange_control> cancellation);
     // onWorkerChange adapts the request queue and the placement to the state of the worker and of the node.
     void onWorkerChange(time_point now);
     // report returns the load report of the worker that other nodes receive.
@@ -70,15 +70,16 @@
     };
 
     awaitable<call_reply> joinOpenCall(const std::string &id, time_point until);
-    awaitable<call_reply> runNewCall(const call_message &message, const std::shared_ptr<exchange_control> &control);
+    awaitable<call_reply> runNewCall(const call_message &message,
+                                     const std::shared_ptr<exchange_control> &cancellation);
     awaitable<bool> awaitSlot(const call_message &message,
                               const waiting_request &request,
                               const std::shared_ptr<open_call> &open,
-                              const std::shared_ptr<exchange_control> &control,
+                              const std::shared_ptr<exchange_control> &cancellation,
                               call_reply &reply);
     awaitable<void> runOnWorker(const call_message &message,
                                 time_point endsBy,
-                                const std::shared_ptr<exchange_control> &control,
+                                const std::shared_ptr<exchange_control> &cancellation,
                                 call_reply &reply);
     whole_request makeWorkerRequest(const call_message &message, time_point endsBy, time_point now) const;
     void evaluateWorkerResponse(const call_message &message, exchange_result result, double tookMs, call_reply &reply);
@@ -86,7 +87,7 @@
     void recordWorkerLoad(const whole_response &response, time_point now);
     void recordOutcome(bool isFailure);
     void dispatchQueued(time_point now);
-    void rejectTickets(const std::vector<refused_ticket> &refused);
+    void rejectQueued(const std::vector<refused_ticket> &refused);
     void scheduleQueueCheck();
     call_reply makeNotRunReply(const std::string &id, std::string_view reason) const;
     void recordConnectFailure(exchange_end end, const std::string &detail);
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -60,8 +60,8 @@
     internal::peer_events events()
     {
         internal::peer_events events;
-        events.onCall = [this](call_message message, std::shared_ptr<exchange_control> control) {
-            return inbound.handleCall(std::move(message), std::move(control));
+        events.onCall = [this](call_message message, std::shared_ptr<exchange_control> cancellation) {
+            return inbound.handleCall(std::move(message), std::move(cancellation));
         };
         events.onConfig = [this](const config_message &message) {
             dissemination.applyPeerConfig(message);
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -34,7 +34,7 @@
     return buffer.data();
 }
 
-send_end sendEndOf(const call_reply &reply)
+send_end attemptOutcome(const call_reply &reply)
 {
     switch (reply.kind) {
     case reply_kind::Response:
@@ -86,7 +86,7 @@
     request.received = &received;
     request.caller = &caller;
     request.arrivedAt = steadyNow();
-    request.control = std::make_shared<exchange_control>();
+    request.cancellation = std::make_shared<exchange_control>();
     ++m_openRequests;
     m_context.linkMeter.recordBytes(received.body.size() + requestHeadBytes, 0, request.arrivedAt);
     m_context.metrics.count("requests_total");
@@ -95,8 +95,8 @@
         --m_openRequests;
         co_return std::move(*refused);
     }
-    caller.onGone([control = request.control] {
-        control->cancel();
+    caller.onGone([cancellation = request.cancellation] {
+        cancellation->cancel();
     });
     whole_response response = co_await forward(request);
     caller.onGone(nullptr);
@@ -210,31 +210,31 @@
 awaitable<outbound_handler::shared_attempt>
 outbound_handler::sendHedged(request_context &request, const shared_attempt &first, const placement_choice &choice)
 {
-    slow_request slow;
-    slow.isRepeatable = request.route->repeat == repeat_rule::Repeatable;
-    slow.workersTried = request.workersTried + 1;
-    slow.maxWorkers = request.route->maxWorkers;
-    slow.expectedWaitMs = choice.expectedWaitMs;
-    slow.expectedRunMs = choice.expectedRunMs;
-    slow.typicalRunMs = choice.typicalRunMs;
-    slow.targetLeftMs = request.placement.targetLeftMs;
-    slow.timeLeftMs = request.placement.timeLeftMs;
-    const auto delay = hedgeDelay(slow);
-    request.control->onCancel([first] {
-        first->control->cancel();
+    slow_request candidate;
+    candidate.isRepeatable = request.route->repeat == repeat_rule::Repeatable;
+    candidate.workersTried = request.workersTried + 1;
+    candidate.maxWorkers = request.route->maxWorkers;
+    candidate.expectedWaitMs = choice.expectedWaitMs;
+    candidate.expectedRunMs = choice.expectedRunMs;
+    candidate.typicalRunMs = choice.typicalRunMs;
+    candidate.targetLeftMs = request.placement.targetLeftMs;
+    candidate.timeLeftMs = request.placement.timeLeftMs;
+    const auto delay = hedgeDelay(candidate);
+    request.cancellation->onCancel([first] {
+        first->cancellation->cancel();
     });
-    if (request.control->isCancelled()) {
-        first->control->cancel();
+    if (request.cancellation->isCancelled()) {
+        first->cancellation->cancel();
     }
     if (!delay) {
         first->reply = co_await sendAttempt(*first);
-        request.control->onCancel(nullptr);
+        request.cancellation->onCancel(nullptr);
         co_return first;
     }
     const auto changed = std::make_shared<wait_point>(m_context.executor);
     startAttempt(first, changed);
     co_await changed->waitUntil(first->sentAt + *delay);
-    const bool isSlow = !first->reply && !request.control->isCancelled();
+    const bool isSlow = !first->reply && !request.cancellation->isCancelled();
     const shared_attempt second = isSlow ? makeHedge(request, *first) : nullptr;
     if (second) {
         startAttempt(second, changed);
@@ -253,9 +253,9 @@
     if (second) {
         attempts.push_back(second);
     }
-    request.control->onCancel([attempts] {
+    request.cancellation->onCancel([attempts] {
         for (const shared_attempt &attempt : attempts) {
-            attempt->control->cancel();
+            attempt->cancellation->cancel();
         }
     });
     const auto isEnded = [](const shared_attempt &attempt) {
@@ -268,7 +268,7 @@
         changed->reset();
         co_await changed->waitUntil(request.endsBy + replySlack * 2);
     }
-    request.control->onCancel(nullptr);
+    request.cancellation->onCancel(nullptr);
     const auto winner = std::ranges::find_if(attempts, isWinner);
     const shared_attempt chosen = winner != attempts.end() ? *winner : first;
     for (const shared_attempt &attempt : attempts) {
@@ -322,7 +322,7 @@
         return;
     }
     const time_point now = steadyNow();
-    attempt->control->cancel();
+    attempt->cancellation->cancel();
     noteSlow(m_context.placement,
              request.service,
              attempt->nodeId,
@@ -356,20 +356,20 @@
     } else {
         ++request.workersTried;
     }
-    resend_facts facts;
-    facts.end = sendEndOf(reply);
-    facts.isRepeatable = request.route->repeat == repeat_rule::Repeatable;
-    facts.workersTried = request.workersTried;
-    facts.maxWorkers = request.route->maxWorkers;
-    facts.timeLeft = request.endsBy - now;
-    facts.expectedRun = fromMs(request.expectedRunMs);
-    if (!mayResend(facts)) {
+    resend_facts failed;
+    failed.end = attemptOutcome(reply);
+    failed.isRepeatable = request.route->repeat == repeat_rule::Repeatable;
+    failed.workersTried = request.workersTried;
+    failed.maxWorkers = request.route->maxWorkers;
+    failed.timeLeft = request.endsBy - now;
+    failed.expectedRun = fromMs(request.expectedRunMs);
+    if (!mayResend(failed)) {
         return false;
     }
     if (request.overloadRejections >= maxOverloadRejections) {
         return false;
     }
-    if (facts.end == send_end::NotRun) {
+    if (failed.end == send_end::NotRun) {
         return true; // no worker has received it, so the attempt does not use the retry budget
     }
     const bool isAllowed = takeResend(m_retryBudget, request.service, retryLimits(), now);
@@ -413,7 +413,7 @@
 awaitable<call_reply> outbound_handler::sendAttempt(const request_attempt &attempt)
 {
     if (attempt.nodeId == m_context.options.nodeId) {
-        co_return co_await m_inbound.handleCall(attempt.message, attempt.control);
+        co_return co_await m_inbound.handleCall(attempt.message, attempt.cancellation);
     }
     const auto found = m_context.fleet.nodes.find(attempt.nodeId);
     if (found == m_context.fleet.nodes.end()) {
@@ -432,7 +432,7 @@
     const endpoint target = node.record.peer;
     if (peer_links::isLarge(message.request.body.size())) {
         const peer_end reservation =
-            co_await m_links.reserve(target, message.id, message.request.body.size(), *attempt.control);
+            co_await m_links.reserve(target, message.id, message.request.body.size(), *attempt.cancellation);
         if (reservation != peer_end::Replied) {
             call_reply refused;
             refused.id = message.id;
@@ -443,7 +443,7 @@
             co_return refused;
         }
     }
-    peer_result result = co_await m_links.call(target, message, attempt.endsBy + replySlack, *attempt.control);
+    peer_result result = co_await m_links.call(target, message, attempt.endsBy + replySlack, *attempt.cancellation);
     call_reply reply;
     reply.id = message.id;
     switch (result.end) {
@@ -479,9 +479,9 @@
     reply.id = message.id;
     reply.reason = "link-lost";
     const time_point until = std::min(attempt.endsBy, steadyNow() + retransmitWindow);
-    while (steadyNow() < until && !attempt.control->isCancelled()) {
+    while (steadyNow() < until && !attempt.cancellation->isCancelled()) {
         message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), attempt.endsBy));
-        peer_result result = co_await m_links.call(target, message, attempt.endsBy + replySlack, *attempt.control);
+        peer_result result = co_await m_links.call(target, message, attempt.endsBy + replySlack, *attempt.cancellation);
         if (result.end == peer_end::Replied) {
             co_return std::move(result.reply);
         }
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -41,8 +41,8 @@
         std::string service;
         time_point arrivedAt;
         time_point targetAt; // latency target of the route, counted from the caller's first attempt
-        time_point endsBy; // deadline
-        std::shared_ptr<exchange_control> control; // cancels all attempts
+        time_point endsBy;
+        std::shared_ptr<exchange_control> cancellation; // cancels all attempts
         placement_request placement;
         std::uint32_t workersTried = 0; // workers that the request may have reached
         std::uint32_t handBacks = 0; // how often a node has handed the request back
@@ -60,7 +60,7 @@
         call_message message;
         time_point sentAt;
         time_point endsBy;
-        std::shared_ptr<exchange_control> control = std::make_shared<exchange_control>();
+        std::shared_ptr<exchange_control> cancellation = std::make_shared<exchange_control>();
         std::optional<call_reply> reply; // set when the attempt has ended
     };
     using shared_attempt = std::shared_ptr<request_attempt>;
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -110,7 +110,7 @@
             m_incoming.erase(found);
             for (const auto &[id, call] : lost.calls) {
                 if (call.isRepeatable) {
-                    call.control->cancel();
+                    call.cancellation->cancel();
                 }
             }
         };
@@ -156,7 +156,7 @@
         }
         const auto call = found->second.calls.find(message->id);
         if (call != found->second.calls.end()) {
-            call->second.control->cancel();
+            call->second.cancellation->cancel();
         }
     }
 }
@@ -172,13 +172,14 @@
         return;
     }
     releaseRoom(m_context.linkReservations, message->id);
-    const auto control = std::make_shared<exchange_control>();
-    m_incoming[&link].calls[message->id] = {control, message->repeat == repeat_rule::Repeatable};
+    const auto cancellation = std::make_shared<exchange_control>();
+    m_incoming[&link].calls[message->id] = {cancellation, message->repeat == repeat_rule::Repeatable};
     net::co_spawn(
         m_context.executor,
-        [this, control, incoming = link.shared_from_this(), call = std::move(*message)]() mutable -> awaitable<void> {
+        [this, cancellation, incoming = link.shared_from_this(), call = std::move(*message)]() mutable
+        -> awaitable<void> {
             const std::string id = call.id;
-            const call_reply reply = co_await m_events.onCall(std::move(call), control);
+            const call_reply reply = co_await m_events.onCall(std::move(call), cancellation);
             if (incoming->isOpen()) {
                 const std::string bytes = encode(reply);
                 m_context.linkMeter.recordBytes(0, bytes.size(), steadyNow());
@@ -286,12 +287,12 @@
 }
 
 awaitable<peer_result>
-peer_links::call(endpoint target, const call_message &message, time_point deadline, exchange_control &control)
+peer_links::call(endpoint target, const call_message &message, time_point deadline, exchange_control &cancellation)
 {
     peer_result result;
     const link_key key{target, isLarge(message.request.body.size())};
     const std::shared_ptr<frame_link> link = co_await linkTo(key);
-    if (!link || control.isCancelled()) {
+    if (!link || cancellation.isCancelled()) {
         result.end = link ? peer_end::Cancelled : peer_end::NotSent;
         co_return result;
     }
@@ -300,11 +301,11 @@
     const std::string bytes = encode(message);
     m_context.linkMeter.recordBytes(0, bytes.size(), steadyNow());
     link->send(frameCode(frame_kind::Call), bytes);
-    control.onCancel([pending] {
+    cancellation.onCancel([pending] {
         pending->done.notify();
     });
     co_await pending->done.waitUntil(deadline);
-    control.onCancel(nullptr);
+    cancellation.onCancel(nullptr);
     m_outgoing[key].calls.erase(message.id);
     m_outgoing[key].lastUsed = steadyNow();
     if (pending->reply) {
@@ -317,7 +318,7 @@
         co_return result;
     }
     link->send(frameCode(frame_kind::Cancel), encode(cancel_message{message.id}));
-    result.end = control.isCancelled() ? peer_end::Cancelled : peer_end::TimedOut;
+    result.end = cancellation.isCancelled() ? peer_end::Cancelled : peer_end::TimedOut;
     co_return result;
 }
 
@@ -327,23 +328,23 @@
 }
 
 awaitable<peer_end>
-peer_links::reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &control)
+peer_links::reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &cancellation)
 {
     const link_key key{target, false};
     const std::shared_ptr<frame_link> link = co_await linkTo(key);
-    if (!link || control.isCancelled()) {
+    if (!link || cancellation.isCancelled()) {
         co_return link ? peer_end::Cancelled : peer_end::TimedOut;
     }
     const auto pending = std::make_shared<pending_call>(m_context.executor);
     m_outgoing[key].calls[id] = pending;
     link->send(frameCode(frame_kind::Reserve), encode(reservation_message{id, bytes, false}));
-    control.onCancel([pending] {
+    cancellation.onCancel([pending] {
         pending->done.notify();
     });
     co_await pending->done.waitUntil(steadyNow() + reserveTimeout);
-    control.onCancel(nullptr);
+    cancellation.onCancel(nullptr);
     m_outgoing[key].calls.erase(id);
-    if (control.isCancelled()) {
+    if (cancellation.isCancelled()) {
         co_return peer_end::Cancelled;
     }
     if (!pending->isGranted) {
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -1,7 +1,7 @@
 // Links to other nodes: sends calls, reservations and configuration requests, and serves those of other nodes. Private
 // to the mesh library.
 //
-//   const peer_result got = co_await links.call(target, message, deadline, *control);
+//   const peer_result got = co_await links.call(target, message, deadline, *cancellation);
 #pragma once
 
 #include <map>
@@ -54,10 +54,11 @@
     result<void> listen();
     // call sends a call and waits for its reply until `deadline`.
     awaitable<peer_result>
-    call(endpoint target, const call_message &message, time_point deadline, exchange_control &control);
+    call(endpoint target, const call_message &message, time_point deadline, exchange_control &cancellation);
     // reserve requests a bandwidth reservation for a large body on the link of a node's VM. Replied: it is granted;
     // NotSent: it is denied.
-    awaitable<peer_end> reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &control);
+    awaitable<peer_end>
+    reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &cancellation);
     // isLarge returns whether a body of this size needs a reservation and uses the separate link for large bodies.
     static bool isLarge(std::size_t bytes);
     // requestConfig requests the configuration of a node; the answer goes to `onConfig`.
@@ -110,7 +111,7 @@
     // A call of another node that runs here.
     struct served_call
     {
-        std::shared_ptr<exchange_control> control;
+        std::shared_ptr<exchange_control> cancellation;
         bool isRepeatable = false;
     };
     // A link that another node has opened.
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/spread.cc
@@ -223,9 +223,9 @@
     const time_point now = steadyNow();
     const node_record &sender = message->sender;
     noteHeard(m_context.placement, sender.dataCentre);
-    applyMergeReport(sender, mergeRecord(m_context.fleet, sender, m_startOrder, now), now);
+    applyMergeResult(sender, mergeRecord(m_context.fleet, sender, m_startOrder, now), now);
     for (const node_record &record : message->others) {
-        applyMergeReport(record, mergeRecord(m_context.fleet, record, m_startOrder, now), now);
+        applyMergeResult(record, mergeRecord(m_context.fleet, record, m_startOrder, now), now);
     }
     if (message->isReaderAnnouncement && sender.dataCentre == m_context.options.dataCentre) {
         m_storeReadAt = now;
@@ -236,15 +236,15 @@
     }
 }
 
-void dissemination_tasks::applyMergeReport(const node_record &record, const merge_report &report, time_point now)
+void dissemination_tasks::applyMergeResult(const node_record &record, const merge_report &merged, time_point now)
 {
-    if (report.isOwnOutdated) {
+    if (merged.isOwnOutdated) {
         raiseStartOrder(record.started);
     }
-    if (!report.isNews) {
+    if (!merged.isNews) {
         return;
     }
-    if (report.hasWorkerChanged) {
+    if (merged.hasWorkerChanged) {
         m_context.log(log_line("spread", "node-changed")
                           .add("node", record.nodeId)
                           .add("worker", stateName(record.worker))
@@ -253,7 +253,7 @@
                           .add("started", record.started)
                           .add("revision", record.revision));
         refreshWorkers(m_context, record.service, now);
-        if (report.isNew) {
+        if (merged.isNew) {
             send(record.gossip, false, false, 0);
         }
     }
@@ -273,8 +273,8 @@
     m_behindSince = m_behindSince.value_or(now);
     const bool isPulling = m_pulledVersion >= record.configVersion && now - m_pulledAt < pullTimeout;
     const bool isSameDataCentre = record.dataCentre == m_context.options.dataCentre;
-    // A transfer from another data centre costs more, so its nodes are asked only if the reader of this data centre has
-    // not announced a read for too long.
+    // Each data centre reads the platform itself, and a transfer from another one costs more, so nodes of other data
+    // centres are asked only if the reader of this one has not announced a read for too long.
     const bool isReaderOverdue = now - m_storeReadAt > m_context.options.configBound / 2;
     if (isPulling || (!isSameDataCentre && !isReaderOverdue)) {
         return;
@@ -405,12 +405,12 @@
     hasRead = m_context.config.table->version > 0;
     while (!m_context.isStopped) {
         const time_point now = steadyNow();
-        reader_facts facts;
-        facts.rank = readerRank(now);
-        facts.behindFor = now - m_behindSince.value_or(now);
-        facts.sinceWord = now - std::max(m_storeReadAt, m_startedAt);
-        facts.bound = m_context.options.configBound;
-        if (hasRead && !shouldRead(facts)) {
+        reader_facts reader;
+        reader.rank = readerRank(now);
+        reader.behindFor = now - m_behindSince.value_or(now);
+        reader.sinceWord = now - std::max(m_storeReadAt, m_startedAt);
+        reader.bound = m_context.options.configBound;
+        if (hasRead && !shouldRead(reader)) {
             pause.expires_after(standbyInterval);
             co_await pause.async_wait(awaitResult);
             continue;
@@ -424,7 +424,7 @@
             m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_logPosition));
         }
         if (!read.isReached) {
-            const milliseconds retryPause = readPause(++failures, facts.rank);
+            const milliseconds retryPause = readPause(++failures, reader.rank);
             pause.expires_after(retryPause + milliseconds(m_context.generator() % readJitterMs));
             co_await pause.async_wait(awaitResult);
             continue;
