request/once: plain wording for claims of idempotency keys

Comments spoke of folding the log, of winning, voiding and giving up claims, and of what may be said about a key. They now say: replay, hold, release, abandon, outcome.

Renamed inside the folder: winners -> holders, byTime -> keysByTime, claim_entry::atMs -> claimedAtMs, claim_kind::Void -> Release, keyMemoryMs -> keyRetentionMs, restartClaims -> resetIndex, own_claim -> local_claim, own -> localClaims, waiting (of once_state) -> pendingByKey, maxOwnClaims -> maxLocalClaims, ownOf -> findLocal, ownMemory -> localClaimRetention, claim_phase::Won -> Granted, sendVoid -> enqueueRelease, outcomeOfOwn -> outcomeOfLocal, outcomeOfHeld -> outcomeOfHolder, settle -> resolveClaim, settleWaiting -> resolveWaiting; in the test: answer -> checkOutcome, isAnswered -> isAcknowledged, most -> remaining. Nine test titles and the name of the property changed; the checks did not.

--- a/packages/request/once/claims.cc
+++ b/packages/request/once/claims.cc
@@ -9,27 +9,27 @@
 
 void dropExpired(claim_index &index)
 {
-    while (!index.byTime.empty() && index.byTime.front().first + keyMemoryMs <= index.timeMs) {
-        const auto [atMs, key] = index.byTime.front();
-        const auto found = index.winners.find(key);
-        if (found != index.winners.end() && found->second.atMs == atMs) {
-            index.winners.erase(found);
+    while (!index.keysByTime.empty() && index.keysByTime.front().first + keyRetentionMs <= index.timeMs) {
+        const auto [claimedAtMs, key] = index.keysByTime.front();
+        const auto found = index.holders.find(key);
+        if (found != index.holders.end() && found->second.claimedAtMs == claimedAtMs) {
+            index.holders.erase(found);
         }
-        index.byTime.pop_front();
+        index.keysByTime.pop_front();
     }
 }
 
 void applyOne(claim_index &index, const claim_record &record)
 {
     if (record.kind == claim_kind::Claim) {
-        if (index.winners.try_emplace(record.key, claim_entry{record.claim, index.timeMs}).second) {
-            index.byTime.emplace_back(index.timeMs, record.key);
+        if (index.holders.try_emplace(record.key, claim_entry{record.claim, index.timeMs}).second) {
+            index.keysByTime.emplace_back(index.timeMs, record.key);
         }
         return;
     }
-    const auto found = index.winners.find(record.key);
-    if (found != index.winners.end() && found->second.claim == record.claim) {
-        index.winners.erase(found);
+    const auto found = index.holders.find(record.key);
+    if (found != index.holders.end() && found->second.claim == record.claim) {
+        index.holders.erase(found);
     }
 }
 
@@ -42,7 +42,7 @@
     return hashBytes(bytes.append(idempotencyKey));
 }
 
-void restartClaims(claim_index &index, std::int64_t first)
+void resetIndex(claim_index &index, std::int64_t first)
 {
     index = {};
     index.position = first;
@@ -64,8 +64,8 @@
 
 const claim_entry *findClaim(const claim_index &index, const hash128 &key)
 {
-    const auto found = index.winners.find(key);
-    return found == index.winners.end() ? nullptr : &found->second;
+    const auto found = index.holders.find(key);
+    return found == index.holders.end() ? nullptr : &found->second;
 }
 
 bool enqueueClaim(claim_queue &queue, const claim_record &record)
--- a/packages/request/once/once.cc
+++ b/packages/request/once/once.cc
@@ -5,85 +5,86 @@
 namespace pistachioquay {
 
 using internal::claim_phase;
-using internal::own_claim;
+using internal::local_claim;
 
 namespace {
 
-constexpr milliseconds ownMemory{2 * keyMemoryMs}; // longer than any copy of a claim can be on its way to the log
+// Exceeds the time that a copy of a claim can be in transit to the log.
+constexpr milliseconds localClaimRetention{2 * keyRetentionMs};
 
-own_claim *ownOf(once_state &state, const hash128 &claim)
+local_claim *findLocal(once_state &state, const hash128 &claim)
 {
-    const auto found = state.own.find(claim);
-    return found == state.own.end() ? nullptr : &found->second;
+    const auto found = state.localClaims.find(claim);
+    return found == state.localClaims.end() ? nullptr : &found->second;
 }
 
-bool isTooLate(const own_claim &own, time_point now)
+bool isTooLate(const local_claim &local, time_point now)
 {
-    return now >= own.deadline || now - own.arrivedAt >= maxClaimWait;
+    return now >= local.deadline || now - local.arrivedAt >= maxClaimWait;
 }
 
 bool holdsKey(const once_state &state, const hash128 &key, const hash128 &claim)
 {
-    const claim_entry *winner = findClaim(state.index, key);
-    return winner != nullptr && winner->claim == claim;
+    const claim_entry *holder = findClaim(state.index, key);
+    return holder != nullptr && holder->claim == claim;
 }
 
-// A full queue drops the void: the key then stays claimed until it is forgotten, which is safe.
-void sendVoid(once_state &state, const hash128 &key, const hash128 &claim)
+// If the queue is full, the release is dropped: the key then stays claimed until it expires, which is safe.
+void enqueueRelease(once_state &state, const hash128 &key, const hash128 &claim)
 {
-    enqueueClaim(state.queue, {claim_kind::Void, key, claim});
+    enqueueClaim(state.queue, {claim_kind::Release, key, claim});
 }
 
-once_outcome outcomeOfOwn(const own_claim &own)
+once_outcome outcomeOfLocal(const local_claim &local)
 {
-    switch (own.phase) {
+    switch (local.phase) {
     case claim_phase::Running:
         return once_outcome::Running;
     case claim_phase::Ran:
         return once_outcome::Ran;
     case claim_phase::Waiting:
-    case claim_phase::Won:
+    case claim_phase::Granted:
     case claim_phase::Abandoned:
         break;
     }
     return once_outcome::Unknown;
 }
 
-once_outcome outcomeOfHeld(const once_state &state, const hash128 &claim)
+once_outcome outcomeOfHolder(const once_state &state, const hash128 &claim)
 {
-    const auto found = state.own.find(claim);
-    return found == state.own.end() ? once_outcome::Unknown : outcomeOfOwn(found->second);
+    const auto found = state.localClaims.find(claim);
+    return found == state.localClaims.end() ? once_outcome::Unknown : outcomeOfLocal(found->second);
 }
 
-void settleWaiting(once_state &state, const hash128 &claim, time_point now, std::vector<once_result> &actions)
+void resolveWaiting(once_state &state, const hash128 &claim, time_point now, std::vector<once_result> &actions)
 {
-    own_claim &own = state.own.at(claim);
-    state.waiting.erase(own.key);
-    const claim_entry *winner = findClaim(state.index, own.key);
-    if (winner == nullptr || winner->claim != claim) {
-        const once_outcome outcome = winner == nullptr ? once_outcome::Unknown : outcomeOfHeld(state, winner->claim);
-        own.phase = claim_phase::Abandoned;
+    local_claim &local = state.localClaims.at(claim);
+    state.pendingByKey.erase(local.key);
+    const claim_entry *holder = findClaim(state.index, local.key);
+    if (holder == nullptr || holder->claim != claim) {
+        const once_outcome outcome = holder == nullptr ? once_outcome::Unknown : outcomeOfHolder(state, holder->claim);
+        local.phase = claim_phase::Abandoned;
         actions.push_back({once_kind::Answer, claim, outcome});
         return;
     }
-    own.phase = claim_phase::Won;
-    if (isTooLate(own, now)) {
+    local.phase = claim_phase::Granted;
+    if (isTooLate(local, now)) {
         actions.push_back({once_kind::Answer, claim, abandonRun(state, claim)});
     } else {
         actions.push_back({once_kind::Run, claim, once_outcome::NotRun});
     }
 }
 
-void settle(once_state &state, const claim_record &record, time_point now, std::vector<once_result> &actions)
+void resolveClaim(once_state &state, const claim_record &record, time_point now, std::vector<once_result> &actions)
 {
-    const own_claim *own = ownOf(state, record.claim);
-    if (own == nullptr || record.kind != claim_kind::Claim) {
+    const local_claim *local = findLocal(state, record.claim);
+    if (local == nullptr || record.kind != claim_kind::Claim) {
         return;
     }
-    if (own->phase == claim_phase::Waiting) {
-        settleWaiting(state, record.claim, now, actions);
-    } else if (own->phase == claim_phase::Abandoned && holdsKey(state, record.key, record.claim)) {
-        sendVoid(state, record.key, record.claim);
+    if (local->phase == claim_phase::Waiting) {
+        resolveWaiting(state, record.claim, now, actions);
+    } else if (local->phase == claim_phase::Abandoned && holdsKey(state, record.key, record.claim)) {
+        enqueueRelease(state, record.key, record.claim);
     }
 }
 
@@ -91,16 +92,16 @@
 
 once_result beginOnce(once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now)
 {
-    const claim_entry *winner = findClaim(state.index, key);
-    if (winner != nullptr) {
-        return {once_kind::Answer, claim, outcomeOfHeld(state, winner->claim)};
+    const claim_entry *holder = findClaim(state.index, key);
+    if (holder != nullptr) {
+        return {once_kind::Answer, claim, outcomeOfHolder(state, holder->claim)};
     }
-    const bool isFull = state.own.size() >= maxOwnClaims || state.index.winners.size() >= maxKeys;
-    if (isFull || state.waiting.contains(key) || !enqueueClaim(state.queue, {claim_kind::Claim, key, claim})) {
+    const bool isFull = state.localClaims.size() >= maxLocalClaims || state.index.holders.size() >= maxKeys;
+    if (isFull || state.pendingByKey.contains(key) || !enqueueClaim(state.queue, {claim_kind::Claim, key, claim})) {
         return {once_kind::Answer, claim, once_outcome::Unknown};
     }
-    state.waiting[key] = claim;
-    state.own[claim] = {key, claim_phase::Waiting, now, deadline};
+    state.pendingByKey[key] = claim;
+    state.localClaims[claim] = {key, claim_phase::Waiting, now, deadline};
     return {once_kind::Wait, claim, once_outcome::Unknown};
 }
 
@@ -117,7 +118,7 @@
     }
     if (isNew) {
         for (const claim_record &record : records) {
-            settle(state, record, now, actions);
+            resolveClaim(state, record, now, actions);
         }
     }
     return true;
@@ -125,7 +126,7 @@
 
 void restartOnce(once_state &state, std::int64_t first)
 {
-    restartClaims(state.index, first);
+    resetIndex(state.index, first);
     state.currentAsOf = time_point();
 }
 
@@ -136,75 +137,75 @@
 
 bool startRun(once_state &state, const hash128 &claim, time_point now)
 {
-    own_claim *own = ownOf(state, claim);
-    if (own == nullptr || own->phase != claim_phase::Won || isTooLate(*own, now)) {
+    local_claim *local = findLocal(state, claim);
+    if (local == nullptr || local->phase != claim_phase::Granted || isTooLate(*local, now)) {
         return false;
     }
-    own->phase = claim_phase::Running;
+    local->phase = claim_phase::Running;
     return true;
 }
 
 void endRun(once_state &state, const hash128 &claim)
 {
-    own_claim *own = ownOf(state, claim);
-    if (own != nullptr && own->phase == claim_phase::Running) {
-        own->phase = claim_phase::Ran;
+    local_claim *local = findLocal(state, claim);
+    if (local != nullptr && local->phase == claim_phase::Running) {
+        local->phase = claim_phase::Ran;
     }
 }
 
 once_outcome abandonRun(once_state &state, const hash128 &claim)
 {
-    own_claim *own = ownOf(state, claim);
-    if (own == nullptr) {
+    local_claim *local = findLocal(state, claim);
+    if (local == nullptr) {
         return once_outcome::Unknown;
     }
-    switch (own->phase) {
+    switch (local->phase) {
     case claim_phase::Waiting: {
-        own->phase = claim_phase::Abandoned;
-        state.waiting.erase(own->key);
-        const once_outcome outcome = outcomeFor(state, own->key, own->arrivedAt);
+        local->phase = claim_phase::Abandoned;
+        state.pendingByKey.erase(local->key);
+        const once_outcome outcome = outcomeFor(state, local->key, local->arrivedAt);
         if (withdrawClaim(state.queue, claim)) {
-            state.own.erase(claim);
+            state.localClaims.erase(claim);
         }
         return outcome;
     }
-    case claim_phase::Won:
-        own->phase = claim_phase::Abandoned;
-        sendVoid(state, own->key, claim);
+    case claim_phase::Granted:
+        local->phase = claim_phase::Abandoned;
+        enqueueRelease(state, local->key, claim);
         return once_outcome::NotRun;
     case claim_phase::Running:
     case claim_phase::Ran:
     case claim_phase::Abandoned:
         break;
     }
-    return outcomeOfOwn(*own);
+    return outcomeOfLocal(*local);
 }
 
 once_outcome noteNothingSent(once_state &state, const hash128 &claim)
 {
-    own_claim *own = ownOf(state, claim);
-    if (own != nullptr && own->phase == claim_phase::Running) {
-        own->phase = claim_phase::Won;
+    local_claim *local = findLocal(state, claim);
+    if (local != nullptr && local->phase == claim_phase::Running) {
+        local->phase = claim_phase::Granted;
     }
     return abandonRun(state, claim);
 }
 
 once_outcome outcomeFor(const once_state &state, const hash128 &key, time_point arrivedAt)
 {
-    const claim_entry *winner = findClaim(state.index, key);
-    if (winner != nullptr) {
-        return outcomeOfHeld(state, winner->claim);
+    const claim_entry *holder = findClaim(state.index, key);
+    if (holder != nullptr) {
+        return outcomeOfHolder(state, holder->claim);
     }
     const bool isCurrent = state.currentAsOf != time_point() && state.currentAsOf >= arrivedAt;
-    return isCurrent && !state.waiting.contains(key) ? once_outcome::NotRun : once_outcome::Unknown;
+    return isCurrent && !state.pendingByKey.contains(key) ? once_outcome::NotRun : once_outcome::Unknown;
 }
 
 void forgetOld(once_state &state, time_point now)
 {
-    std::erase_if(state.own, [&](const auto &each) {
-        const own_claim &own = each.second;
-        const bool isSettled = own.phase == claim_phase::Ran || own.phase == claim_phase::Abandoned;
-        return isSettled && now - own.arrivedAt > ownMemory;
+    std::erase_if(state.localClaims, [&](const auto &each) {
+        const local_claim &local = each.second;
+        const bool isFinished = local.phase == claim_phase::Ran || local.phase == claim_phase::Abandoned;
+        return isFinished && now - local.arrivedAt > localClaimRetention;
     });
 }
 
--- a/packages/request/once/once.h
+++ b/packages/request/once/once.h
@@ -1,19 +1,19 @@
-// Runs a non-idempotent request with an `Idempotency-Key` at most once, also when its caller sends it again through
-// another node. The node in front of the worker claims the key in the platform's log, and runs the request only when it
-// has read its own claim back as the winner.
+// Runs a non-idempotent request with an `Idempotency-Key` at most once, even if its caller sends it again through
+// another node. Before the request reaches the worker, the worker's node appends a claim of the key to the platform's
+// log. It runs the request only after it has read that claim back and the claim holds the key.
 //
-//   once_result begun = beginOnce(state, key, claim, deadline, now);   // after the checks of quarantine
+//   once_result begun = beginOnce(state, key, claim, deadline, now);   // after the quarantine checks
 //   if (begun.kind == once_kind::Answer) return respond(begun.outcome);
-//   ...  append takeBatch(state.queue, now), read the stream, for each record:
-//   applyRecord(state, offset, timeMs, records, now, actions);        // Run: go on to admission; Answer: respond
+//   ...  append takeBatch(state.queue, now), read the stream, and for each record:
+//   applyRecord(state, offset, timeMs, records, now, actions);   // Run: go on to admission; otherwise respond
 //   if (!startRun(state, claim, now)) return respond(abandonRun(state, claim));   // just before the first byte
-//   endRun(state, claim);                                             // response, or the worker died
+//   endRun(state, claim);   // the worker responded or died
 //
-// Outcomes speak of the key, not only of one message: NotRun is stated only if no request with the key was run within
-// the memory of keys before this message arrived. If the log cannot be read, that cannot be known, and the outcome is
-// Unknown; sending the same key again is always safe. An earlier message of the same caller that is still on its way
-// can run after a NotRun until its own deadline, so a caller that gives up before its deadline should close its
-// connection, which cancels the message.
+// An outcome describes the key, not a single message. NotRun is returned only if no request with the key ran within
+// `keyRetentionMs` before this message arrived. While the log cannot be read this is not known, and the outcome is
+// Unknown; it is always safe to send the same key again. After a NotRun, an earlier message of the same caller that is
+// still in transit can run until its own deadline. A caller that gives up before its deadline should therefore close
+// its connection, which cancels the message.
 #pragma once
 
 #include <cstdint>
@@ -27,45 +27,49 @@
 
 namespace pistachioquay {
 
-inline constexpr seconds maxClaimWait{30}; // a claim that did not start by then is given up; far below the key memory
-inline constexpr std::size_t maxOwnClaims = 100'000;
+inline constexpr seconds maxClaimWait{30}; // from arrival to the start of the run; far below `keyRetentionMs`
+inline constexpr std::size_t maxLocalClaims = 100'000; // claims of this node; at this number no new key is claimed
 
+// What is known about the runs of a key.
 enum class once_outcome : std::uint8_t
 {
     NotRun, // no request with the key has run
     Unknown, // a request with the key may have run or may be running elsewhere
-    Running, // a request with the key runs behind this node: repeat later
-    Ran, // a request with the key has ended behind this node; its response is not kept
+    Running, // a request with the key is running on the worker of this node: the caller may send it again later
+    Ran, // a request with the key has ended on the worker of this node; its response is not kept
 };
 
+// Next step for a request.
 enum class once_kind : std::uint8_t
 {
     Wait, // the claim is queued for the log
-    Run, // the claim won: ask for a slot, then `startRun`
-    Answer, // do not run, respond with `outcome`
+    Run, // the claim holds the key: pass admission, then call `startRun`
+    Answer, // do not run the request; respond with `outcome`
 };
 
+// What to do with the request of `claim`.
 struct once_result
 {
     once_kind kind = once_kind::Answer;
     hash128 claim;
-    once_outcome outcome = once_outcome::Unknown;
+    once_outcome outcome = once_outcome::Unknown; // if `kind` is Respond
 
     friend bool operator==(const once_result &, const once_result &) = default;
 };
 
 namespace internal {
 
+// Progress of a claim of this node.
 enum class claim_phase : std::uint8_t
 {
-    Waiting, // its place in the log is not known
-    Won, // may start
+    Waiting, // the record of the claim has not been read back yet
+    Granted, // holds the key; the run may start
     Running,
     Ran,
-    Abandoned, // will never start; voided whenever it holds the key
+    Abandoned, // will never start; released whenever it turns out to hold the key
 };
 
-struct own_claim
+struct local_claim
 {
     hash128 key;
     claim_phase phase = claim_phase::Waiting;
@@ -75,22 +79,23 @@
 
 } // namespace internal
 
-// What a node knows of keyed requests. A restarted node starts with an empty state, so claims of its earlier life are
-// never run or voided by anyone: their outcome stays Unknown until the key is forgotten.
+// State of a node for requests with an `Idempotency-Key`. A restarted node starts with an empty state. Nobody runs or
+// releases the claims from before its restart: their outcome stays Unknown until the key expires.
 struct once_state
 {
     claim_index index;
     claim_queue queue;
-    std::unordered_map<hash128, internal::own_claim, internal::hash_of_hash> own; // by claim
-    std::unordered_map<hash128, hash128, internal::hash_of_hash> waiting; // claims by key, until their record is read
-    time_point currentAsOf; // start of the latest read that reached the end of the log
+    std::unordered_map<hash128, internal::local_claim, internal::hash_of_hash> localClaims; // by claim
+    std::unordered_map<hash128, hash128, internal::hash_of_hash> pendingByKey; // claim in phase Waiting, by key
+    time_point currentAsOf; // start time of the latest read that reached the end of the log
 };
 
-// beginOnce starts a request; `claim` is a new random id. Not thread safe.
+// beginOnce enqueues a claim of the key, or returns the outcome at once if the key is held, already pending here, or a
+// limit is reached. `claim` is a new random id. Not thread safe.
 once_result beginOnce(once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now);
 
-// applyRecord folds one record of the log and appends what follows for the requests of this node to `actions`. False if
-// records are missing: call `restartOnce` and read again from the oldest record. Not thread safe.
+// applyRecord applies one record of the log and appends the resulting decisions on requests of this node to `actions`.
+// Returns false if records are missing: call `restartOnce` and read again from the oldest record. Not thread safe.
 bool applyRecord(once_state &state,
                  std::int64_t offset,
                  std::int64_t timeMs,
@@ -98,33 +103,36 @@
                  time_point now,
                  std::vector<once_result> &actions);
 
-// restartOnce forgets what was read of the log, and expects `first`, the oldest record that the log keeps. Not thread
-// safe. Claims of this node are kept.
+// restartOnce discards the replayed state; the next record that it expects is `first`, the oldest offset that the log
+// retains. Keeps the claims of this node. Not thread safe.
 void restartOnce(once_state &state, std::int64_t first);
 
-// noteReadEnd notes that all records up to the end of the log were applied, as a read that was started at
-// `readStartedAt` found it. Not thread safe.
+// noteReadEnd records that a read which started at `readStartedAt` reached the end of the log and that all its records
+// were applied. Not thread safe.
 void noteReadEnd(once_state &state, time_point readStartedAt);
 
-// startRun gives leave to send the request to the worker, once per claim; false if it has not won or came too late.
-// Not thread safe. No byte may be sent before.
+// startRun permits sending the request to the worker, once per claim; no byte may be sent before. Returns false if the
+// claim does not hold the key or it is too late to start. Not thread safe.
 bool startRun(once_state &state, const hash128 &claim, time_point now);
 
-// endRun notes that the worker responded or died; the claim stays, so the key never runs again. Not thread safe.
+// endRun records that the worker responded or died. The claim keeps the key, which blocks further runs until the key
+// expires. Not thread safe.
 void endRun(once_state &state, const hash128 &claim);
 
-// abandonRun gives up a claim before its run (deadline, refused by admission, caller gone) and returns what to respond.
-// Not thread safe. A claim that runs or has run is not changed.
+// abandonRun gives up a claim before its run (deadline passed, refused by admission, caller disconnected) and returns
+// the outcome to respond with. A claim that runs or has run is not changed. Not thread safe.
 once_outcome abandonRun(once_state &state, const hash128 &claim);
 
-// noteNothingSent gives up a started run of which not one byte reached the worker. Not thread safe.
+// noteNothingSent gives up a started run of which no byte was sent to the worker, and returns the outcome to respond
+// with. Not thread safe.
 once_outcome noteNothingSent(once_state &state, const hash128 &claim);
 
-// outcomeFor returns what may be said about the key to a message that arrived at `arrivedAt` and is refused for another
+// outcomeFor returns what is known about the key, for a message that arrived at `arrivedAt` and is refused for another
 // reason. Not thread safe.
 once_outcome outcomeFor(const once_state &state, const hash128 &key, time_point arrivedAt);
 
-// forgetOld drops claims that no longer matter; call it about once a minute. Not thread safe.
+// forgetOld removes claims of this node that have ended and are old enough that no copy of them can still reach the
+// log. Call it about once a minute. Not thread safe.
 void forgetOld(once_state &state, time_point now);
 
 } // namespace pistachioquay
--- a/packages/request/once/once_test.cc
+++ b/packages/request/once/once_test.cc
@@ -1,5 +1,6 @@
-// Guards against a second run of a non-idempotent request and against a false `not-run`, while nodes crash and pause,
-// appends are lost or repeated, and callers send the same key through several nodes at once.
+// Guards against two runs of a request with the same `Idempotency-Key`, and against the outcome `not-run` for a key
+// that ran. Both can happen when nodes crash or pause, when appends to the log are lost or duplicated, or when a caller
+// sends the same key through several nodes at once.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -15,6 +16,7 @@
 const time_point start{seconds(1000)};
 constexpr std::int64_t startMs = 1'000'000;
 
+// One record of the simulated log.
 struct log_record
 {
     std::int64_t timeMs = 0;
@@ -30,11 +32,13 @@
 struct node_model
 {
     once_state state;
-    std::map<hash128, open_request> requests; // by claim, that wait for an outcome
-    std::vector<hash128> ready; // claims with leave to run
-    std::vector<hash128> running;
+    std::map<hash128, open_request> requests; // requests without an outcome, by claim
+    std::vector<hash128> ready; // claims that hold their key and have not started
+    std::vector<hash128> running; // claims whose request runs
 };
 
+// Three nodes and one log. Each word is decoded into one step: the low bits choose the event, the others the node and
+// the details.
 class once_model
 {
 public:
@@ -72,7 +76,7 @@
             break;
         case 13:
             if (rest % 2U == 0) {
-                node = {}; // the VM died and was replaced
+                node = {}; // the VM crashed and was replaced
             } else {
                 restartOnce(node.state, 1);
             }
@@ -97,7 +101,7 @@
         const once_result result = beginOnce(node.state, key, claim, deadline, m_now);
         node.requests[claim] = {key, m_now};
         if (result.kind == once_kind::Answer) {
-            answer(node, claim, result.outcome);
+            checkOutcome(node, claim, result.outcome);
         }
     }
 
@@ -109,13 +113,13 @@
         }
         const std::vector<claim_record> records(batch.begin(), batch.end());
         const bool isStored = choice % 4U != 0;
-        const bool isAnswered = isStored && choice / 4U % 4U != 0;
+        const bool isAcknowledged = isStored && choice / 4U % 4U != 0;
         if (isStored) {
             store(records);
         } else if (choice / 4U % 2U == 0) {
             m_late.push_back(records);
         }
-        batchAppended(node.state.queue, isAnswered, m_now, m_generator);
+        batchAppended(node.state.queue, isAcknowledged, m_now, m_generator);
     }
 
     void deliverLate(std::uint32_t choice)
@@ -133,9 +137,9 @@
     void read(node_model &node, std::uint32_t choice)
     {
         std::vector<once_result> actions;
-        std::size_t most = 1U + choice % 16U;
+        std::size_t remaining = 1U + choice % 16U;
         std::int64_t offset = node.state.index.position;
-        for (; offset <= static_cast<std::int64_t>(m_log.size()) && most > 0; ++offset, --most) {
+        for (; offset <= static_cast<std::int64_t>(m_log.size()) && remaining > 0; ++offset, --remaining) {
             const log_record &record = m_log.at(static_cast<std::size_t>(offset - 1));
             RC_ASSERT(applyRecord(node.state, offset, record.timeMs, record.records, m_now, actions));
         }
@@ -146,7 +150,7 @@
             if (action.kind == once_kind::Run) {
                 node.ready.push_back(action.claim);
             } else {
-                answer(node, action.claim, action.outcome);
+                checkOutcome(node, action.claim, action.outcome);
             }
         }
     }
@@ -158,9 +162,9 @@
         }
         const hash128 claim = node.ready.at(choice % node.ready.size());
         if (!startRun(node.state, claim, m_now)) {
-            answer(node, claim, abandonRun(node.state, claim));
+            checkOutcome(node, claim, abandonRun(node.state, claim));
         } else if (choice / 8U % 4U == 0) {
-            answer(node, claim, noteNothingSent(node.state, claim));
+            checkOutcome(node, claim, noteNothingSent(node.state, claim));
         } else {
             const hash128 key = node.requests.at(claim).key;
             RC_ASSERT(m_runs.count(key) == 0U);
@@ -175,7 +179,7 @@
     {
         if (!node.requests.empty()) {
             const hash128 claim = std::next(node.requests.begin(), choice % node.requests.size())->first;
-            answer(node, claim, abandonRun(node.state, claim));
+            checkOutcome(node, claim, abandonRun(node.state, claim));
             std::erase(node.ready, claim);
         }
     }
@@ -188,7 +192,8 @@
         node.running.clear();
     }
 
-    void answer(node_model &node, const hash128 &claim, once_outcome outcome)
+    // Checks an outcome against the runs of its key and closes the request.
+    void checkOutcome(node_model &node, const hash128 &claim, once_outcome outcome)
     {
         const auto found = node.requests.find(claim);
         if (found == node.requests.end()) {
@@ -206,14 +211,14 @@
 
     std::array<node_model, 3> m_nodes;
     std::vector<log_record> m_log;
-    std::vector<std::vector<claim_record>> m_late; // appends that may still take effect, any number of times
-    std::map<hash128, time_point> m_runs; // by key
+    std::vector<std::vector<claim_record>> m_late; // failed appends that may still take effect, any number of times
+    std::map<hash128, time_point> m_runs; // start of the run, by key
     random_generator m_generator{1};
     std::uint64_t m_lastClaim = 0;
     time_point m_now = start;
 };
 
-// One node that reads back what it appends.
+// One node whose appends succeed and are read back at once.
 struct single_node
 {
     once_state state;
@@ -238,20 +243,20 @@
 
 } // namespace
 
-TEST_CASE("a key runs at most once and not-run is never false, whatever is lost, late, repeated or restarted")
+TEST_CASE("a key runs at most once and not-run is never false, despite lost, late or duplicate appends and restarts")
 {
     std::size_t runs = 0;
-    CHECK(holds("once", 40000, [&](const std::vector<std::uint32_t> &words) {
+    CHECK(holds("a key runs at most once", 40000, [&](const std::vector<std::uint32_t> &words) {
         once_model model;
         for (const std::uint32_t word : words) {
             model.step(word);
         }
         runs += model.runs();
     }));
-    CHECK(runs > 1000); // guards against a model in which nothing runs
+    CHECK(runs > 1000); // the property would also hold if nothing ran
 }
 
-TEST_CASE("a request runs after its claim was read back, and its repeat does not")
+TEST_CASE("a request runs once its claim is read back; a second request with the key does not")
 {
     single_node node;
     REQUIRE(beginOnce(node.state, key, first, start + seconds(1), start).kind == once_kind::Wait);
@@ -265,7 +270,7 @@
     CHECK(beginOnce(node.state, key, second, start + seconds(1), start).outcome == once_outcome::Ran);
 }
 
-TEST_CASE("a claim that was given up frees the key for the next request")
+TEST_CASE("abandoning a claim frees the key for the next request")
 {
     single_node node;
     beginOnce(node.state, key, first, start + seconds(1), start);
@@ -276,7 +281,7 @@
     CHECK(node.flush(start + seconds(2)).front().kind == once_kind::Run);
 }
 
-TEST_CASE("a claim of a node that died stays unknown, also for its restarted node")
+TEST_CASE("the outcome of a claim by a crashed node stays unknown, also to the node after its restart")
 {
     single_node node;
     beginOnce(node.state, key, first, start + seconds(1), start);
@@ -291,7 +296,7 @@
     CHECK(beginOnce(restarted.state, key, second, start + seconds(9), start).outcome == once_outcome::Unknown);
 }
 
-TEST_CASE("without the log nothing runs, and nothing is said about earlier requests")
+TEST_CASE("without access to the log no request runs and the outcome is unknown")
 {
     once_state state;
     REQUIRE(beginOnce(state, key, first, start + seconds(1), start).kind == once_kind::Wait);
@@ -300,7 +305,7 @@
     CHECK_FALSE(startRun(state, first, start));
 }
 
-TEST_CASE("a node that was paused beyond the deadline does not run what it won")
+TEST_CASE("a node that was paused beyond the deadline does not run a request whose claim holds the key")
 {
     single_node node;
     beginOnce(node.state, key, first, start + seconds(1), start);
@@ -309,33 +314,33 @@
     CHECK(abandonRun(node.state, first) == once_outcome::NotRun);
 }
 
-TEST_CASE("a gap in the log is noticed, and keys are forgotten after the key memory")
+TEST_CASE("a gap in the log is detected, and keys expire after the retention time")
 {
     claim_index index;
     const std::vector<claim_record> records = {{claim_kind::Claim, key, first}};
     REQUIRE(applyClaims(index, 1, startMs, records));
     CHECK_FALSE(applyClaims(index, 3, startMs, records));
-    REQUIRE(applyClaims(index, 2, startMs + keyMemoryMs - 1, {}));
+    REQUIRE(applyClaims(index, 2, startMs + keyRetentionMs - 1, {}));
     CHECK(findClaim(index, key) != nullptr);
-    REQUIRE(applyClaims(index, 3, startMs + keyMemoryMs, {}));
+    REQUIRE(applyClaims(index, 3, startMs + keyRetentionMs, {}));
     CHECK(findClaim(index, key) == nullptr);
-    CHECK(index.byTime.empty());
+    CHECK(index.keysByTime.empty());
 }
 
-TEST_CASE("a late copy of a void does not free the key from the claim that came after it")
+TEST_CASE("a late duplicate of a release does not free the key from a later claim")
 {
     claim_index index;
     const std::vector<claim_record> records = {{claim_kind::Claim, key, first},
-                                               {claim_kind::Void, key, first},
+                                               {claim_kind::Release, key, first},
                                                {claim_kind::Claim, key, second},
-                                               {claim_kind::Void, key, first},
+                                               {claim_kind::Release, key, first},
                                                {claim_kind::Claim, key, first}};
     REQUIRE(applyClaims(index, 1, startMs, records));
     REQUIRE(findClaim(index, key) != nullptr);
     CHECK(findClaim(index, key)->claim == second);
 }
 
-TEST_CASE("appends of a node are spaced, and a failed batch goes first again")
+TEST_CASE("a node has one append in progress, and sends a failed batch again first")
 {
     claim_queue queue;
     random_generator generator(1);
