request/quarantine: plain wording for crash reports and quarantine

Comments spoke of condemning and naming innocent requests, of standing, and of what nodes know; two lines of the rule were broken by the formatter. They now say: detect, identify the cause, harmless request, suspicion, merge. The comment on reports said that equal ids merge; the code merges reports with the same id and time, and the comment says so now.

Renamed inside the folder: standing -> fingerprint_status, standings -> statuses, standingOf -> findOrInsertStatus, renewStandings -> rebuildStatuses, namesIsolated -> identifiesIsolated, isSuspectElsewhere -> isSuspectInOtherCrash, joined -> mergedReport, crash_report::atMs -> crashedAtMs, isBesideOther -> isOtherSuspectRunning, known -> knownSuspects, isIsolated -> isIsolatedThere, own -> ownSuspicion, place -> found; in the test: killers -> crashingRequests, isKiller -> crashesWorker, checkInnocent -> checkHarmless, standingIn -> suspicionIn, merged -> mergedState, innocent -> harmless. Nine test titles and the names of two properties changed; the checks did not.

--- a/packages/request/quarantine/quarantine.cc
+++ b/packages/request/quarantine/quarantine.cc
@@ -5,7 +5,7 @@
 
 namespace pistachioquay {
 
-using internal::standing;
+using internal::fingerprint_status;
 
 namespace {
 
@@ -23,50 +23,52 @@
     return found != nullptr && !found->isCleared;
 }
 
-// Whether another crash than `crash` points at the request, as point 3 of the rule has it.
-bool isSuspectElsewhere(const report_map &reports, const crash_report &crash, const fingerprint &request)
+// Whether the request is an uncleared suspect of another crash that counts for `crash`: see point 3 of the rule in the
+// header.
+bool isSuspectInOtherCrash(const report_map &reports, const crash_report &crash, const fingerprint &request)
 {
     return std::ranges::any_of(reports, [&](const auto &each) {
         const crash_report &other = each.second;
-        const bool isBefore = other.atMs <= crash.atMs + clockMarginMs;
-        const bool isIsolated = other.hasIsolated && other.isolated == request;
-        return other.id != crash.id && (isBefore || isIsolated) && isOpenSuspect(other, request);
+        const bool isBefore = other.crashedAtMs <= crash.crashedAtMs + clockMarginMs;
+        const bool isIsolatedThere = other.hasIsolated && other.isolated == request;
+        return other.id != crash.id && (isBefore || isIsolatedThere) && isOpenSuspect(other, request);
     });
 }
 
-bool namesIsolated(const report_map &reports, const crash_report &crash)
+// Point 3 of the rule: whether the crash identifies its isolated suspect as the cause.
+bool identifiesIsolated(const report_map &reports, const crash_report &crash)
 {
     if (!crash.hasIsolated || !isOpenSuspect(crash, crash.isolated)
-        || !isSuspectElsewhere(reports, crash, crash.isolated)) {
+        || !isSuspectInOtherCrash(reports, crash, crash.isolated)) {
         return false;
     }
     return std::ranges::none_of(crash.suspects, [&](const suspect &each) {
-        return each.request != crash.isolated && isSuspectElsewhere(reports, crash, each.request);
+        return each.request != crash.isolated && isSuspectInOtherCrash(reports, crash, each.request);
     });
 }
 
-standing &standingOf(std::vector<standing> &standings, const fingerprint &request)
+fingerprint_status &findOrInsertStatus(std::vector<fingerprint_status> &statuses, const fingerprint &request)
 {
-    const auto place = std::ranges::lower_bound(standings, request, {}, &standing::request);
-    if (place != standings.end() && place->request == request) {
-        return *place;
+    const auto found = std::ranges::lower_bound(statuses, request, {}, &fingerprint_status::request);
+    if (found != statuses.end() && found->request == request) {
+        return *found;
     }
-    return *standings.insert(place, {request, 0, 0});
+    return *statuses.insert(found, {request, 0, 0});
 }
 
-void renewStandings(quarantine_state &state)
+void rebuildStatuses(quarantine_state &state)
 {
-    state.standings.clear();
+    state.statuses.clear();
     for (const auto &[key, report] : state.reports) {
         for (const suspect &each : report.suspects) {
             if (!each.isCleared) {
-                standing &entry = standingOf(state.standings, each.request);
-                entry.suspectUntilMs = std::max(entry.suspectUntilMs, report.atMs + quarantineMs);
+                fingerprint_status &entry = findOrInsertStatus(state.statuses, each.request);
+                entry.suspectUntilMs = std::max(entry.suspectUntilMs, report.crashedAtMs + quarantineMs);
             }
         }
-        if (namesIsolated(state.reports, report)) {
-            standing &entry = standingOf(state.standings, report.isolated);
-            entry.quarantinedUntilMs = std::max(entry.quarantinedUntilMs, report.atMs + quarantineMs);
+        if (identifiesIsolated(state.reports, report)) {
+            fingerprint_status &entry = findOrInsertStatus(state.statuses, report.isolated);
+            entry.quarantinedUntilMs = std::max(entry.quarantinedUntilMs, report.crashedAtMs + quarantineMs);
         }
     }
 }
@@ -74,15 +76,15 @@
 void prune(quarantine_state &state, std::int64_t nowMs)
 {
     std::erase_if(state.reports, [&](const auto &each) {
-        return each.second.atMs + quarantineMs <= nowMs;
+        return each.second.crashedAtMs + quarantineMs <= nowMs;
     });
     while (state.reports.size() > maxReports) {
         state.reports.erase(state.reports.begin());
     }
 }
 
-// Joins two reports of one crash; symmetric, so that the order of deliveries does not matter.
-crash_report joined(const crash_report &left, const crash_report &right)
+// Merges two reports of the same crash. Symmetric in its arguments, so that the order of deliveries does not matter.
+crash_report mergedReport(const crash_report &left, const crash_report &right)
 {
     crash_report both = left;
     both.suspects.clear();
@@ -128,14 +130,14 @@
 
 suspicion suspicionOf(const quarantine_state &state, const fingerprint &request, std::int64_t nowMs)
 {
-    const auto place = std::ranges::lower_bound(state.standings, request, {}, &standing::request);
-    if (place == state.standings.end() || place->request != request) {
+    const auto found = std::ranges::lower_bound(state.statuses, request, {}, &fingerprint_status::request);
+    if (found == state.statuses.end() || found->request != request) {
         return suspicion::None;
     }
-    if (place->quarantinedUntilMs > nowMs) {
+    if (found->quarantinedUntilMs > nowMs) {
         return suspicion::Quarantined;
     }
-    return place->suspectUntilMs > nowMs ? suspicion::Suspect : suspicion::None;
+    return found->suspectUntilMs > nowMs ? suspicion::Suspect : suspicion::None;
 }
 
 run_verdict mayRun(const quarantine_state &state,
@@ -143,35 +145,35 @@
                    const fingerprint &request,
                    std::int64_t nowMs)
 {
-    const suspicion own = suspicionOf(state, request, nowMs);
-    if (own != suspicion::Suspect) {
-        return own == suspicion::None ? run_verdict::Run : run_verdict::Refuse;
+    const suspicion ownSuspicion = suspicionOf(state, request, nowMs);
+    if (ownSuspicion != suspicion::Suspect) {
+        return ownSuspicion == suspicion::None ? run_verdict::Run : run_verdict::Refuse;
     }
-    const bool isBesideOther = std::ranges::any_of(running, [&](const fingerprint &other) {
+    const bool isOtherSuspectRunning = std::ranges::any_of(running, [&](const fingerprint &other) {
         return other != request && suspicionOf(state, other, nowMs) != suspicion::None;
     });
-    return isBesideOther ? run_verdict::NotBeside : run_verdict::Run;
+    return isOtherSuspectRunning ? run_verdict::NotBeside : run_verdict::Run;
 }
 
 crash_report
 reportCrash(quarantine_state &state, const hash128 &id, std::span<const fingerprint> running, std::int64_t nowMs)
 {
     crash_report report{id, nowMs, {}, false, {}};
-    std::size_t known = 0;
+    std::size_t knownSuspects = 0;
     std::vector<fingerprint> requests(running.begin(), running.end());
     std::ranges::sort(requests);
     requests.erase(std::unique(requests.begin(), requests.end()), requests.end());
     for (const fingerprint &request : requests) {
         if (suspicionOf(state, request, nowMs) != suspicion::None) {
-            ++known;
+            ++knownSuspects;
             report.isolated = request;
         }
         if (report.suspects.size() < maxSuspects) {
             report.suspects.push_back({request, false});
         }
     }
-    report.hasIsolated = known == 1;
-    report.isolated = known == 1 ? report.isolated : fingerprint{};
+    report.hasIsolated = knownSuspects == 1;
+    report.isolated = knownSuspects == 1 ? report.isolated : fingerprint{};
     if (!report.suspects.empty()) {
         mergeReports(state, std::span(&report, 1), nowMs);
     }
@@ -191,7 +193,7 @@
             changed.push_back(report);
         }
     }
-    renewStandings(state);
+    rebuildStatuses(state);
     return changed;
 }
 
@@ -199,16 +201,16 @@
 {
     const report_map before = state.reports;
     for (const crash_report &report : reports) {
-        const auto [place, isNew] = state.reports.try_emplace({report.atMs, report.id}, report);
+        const auto [found, isNew] = state.reports.try_emplace({report.crashedAtMs, report.id}, report);
         if (!isNew) {
-            place->second = joined(place->second, report);
+            found->second = mergedReport(found->second, report);
         }
     }
     prune(state, nowMs);
     if (state.reports == before) {
         return false;
     }
-    renewStandings(state);
+    rebuildStatuses(state);
     return true;
 }
 
--- a/packages/request/quarantine/quarantine.h
+++ b/packages/request/quarantine/quarantine.h
@@ -1,36 +1,37 @@
-// Finds requests that crash workers, and refuses them without condemning those that ran beside them.
+// Detects requests that crash workers and refuses them, without refusing the harmless requests that ran beside them.
 //
 //   const fingerprint request = fingerprintOf(method, path, idempotencyKey, firstBytesOfBody);
-//   switch (mayRun(state, running, request, unixMs)) { ... }               // before each run, inbound
+//   switch (mayRun(state, running, request, unixMs)) { ... }               // before each run on the node's worker
 //   const crash_report report = reportCrash(state, id, running, unixMs);   // the worker died
 //   hold_back hold = beginHoldBack(otherNodesOfService, now);              // then send the report to them
 //   const auto changed = noteCompleted(state, request, unixMs);            // the worker responded: gossip `changed`
 //   mergeReports(state, reports, unixMs);                                  // from other nodes
 //
 // Rule:
+//
 // 1. All requests in flight when a worker dies are suspects of that crash. A suspect is cleared when a request with its
-//    fingerprint runs to its response.
-// 2. A node runs a suspect only while it runs no other suspect (`mayRun`). If the worker then dies, the report says
-// that
-//    the suspect was isolated.
-// 3. A crash C names its isolated suspect f if f is an uncleared suspect of another crash too, and no other suspect of
-// C
-//    is an uncleared suspect of a crash up to `clockMargin` after C, or isolated in another crash. A named request is
+//    fingerprint completes with a response.
+// 2. A node runs a suspect only while it runs no other suspect (`mayRun`). If the worker then dies, the crash report
+//    marks the suspect as isolated.
+// 3. A crash C identifies its isolated suspect as the cause if that suspect is also an uncleared suspect of another
+//    crash, and no other suspect of C is. Another crash counts for a suspect only if it happened before C (or at most
+//    `clockMarginMs` after C, because clocks differ) or if the suspect was isolated in it. The identified request is
 //    quarantined until `quarantineMs` after C.
-// So the second crash of a request that is sent again names exactly one. An innocent request is never named while all
-// crashes have one cause: that cause is in each of its crashes and is never cleared, so point 3 finds it beside the
-// innocent one, whatever the order in which reports arrive. With two causes an innocent request is named only if it was
-// in flight at both first crashes and did not complete in between; the next crash of the second cause, or one completed
-// copy of the innocent request, lifts it.
 //
-// A caller that sends the request again at once, through another node, must not crash a third worker. For that the
-// proxy
+// Hence the second crash that a repeated request causes identifies exactly one request. While all crashes have the same
+// cause, a harmless request is never identified: the cause is a suspect of each crash and is never cleared, so point 3
+// finds it beside the harmless request, in whatever order reports arrive. With two causes, a harmless request is
+// identified only if it was in flight at the first crash of each cause and did not complete in between. The next crash
+// of the second cause, or one completed request with the same fingerprint, lifts that quarantine.
+//
+// A caller that sends the request again at once through another node must not crash a third worker. Therefore the proxy
+//
 // - computes the fingerprint before it sends the first byte to the worker,
-// - on a crash sends the report to all nodes of the service (those of other data centres that took spilled work too),
-// - holds back the response to every request of the crash until all of them have acknowledged it, at most
-//   `maxHoldBack`; a node that cannot be reached in that time may run the request once more,
-// - neither retries nor hedges a suspect before the hold has ended, and lets it run again without its caller only if it
-//   is idempotent.
+// - after a crash sends the report to all nodes of the service, including those of other data centres that received
+//   spillover traffic,
+// - holds back the responses to all requests of the crash until all these nodes have acknowledged the report, for at
+//   most `maxHoldBack`; a node that cannot be reached in that time may run the request once more,
+// - neither retries nor hedges a suspect before that, and afterwards retries it by itself only if it is idempotent.
 #pragma once
 
 #include <cstdint>
@@ -47,9 +48,9 @@
 namespace pistachioquay {
 
 inline constexpr std::int64_t quarantineMs = 600'000;
-inline constexpr std::int64_t clockMarginMs = 1'000; // difference between the clocks of two nodes
+inline constexpr std::int64_t clockMarginMs = 1'000; // maximum difference between the clocks of two nodes
 inline constexpr std::size_t fingerprintBodyBytes = 65'536;
-inline constexpr std::size_t maxReports = 256; // the newest are kept
+inline constexpr std::size_t maxReports = 256; // per service; the newest are kept
 inline constexpr std::size_t maxSuspects = 256; // per report
 inline constexpr milliseconds maxHoldBack{500};
 
@@ -62,10 +63,11 @@
                           std::string_view idempotencyKey,
                           std::string_view bodyStart);
 
+// Request that was in flight at a crash.
 struct suspect
 {
     fingerprint request;
-    bool isCleared = false;
+    bool isCleared = false; // a request with the fingerprint has completed
 
     friend bool operator==(const suspect &, const suspect &) = default;
 
@@ -76,34 +78,36 @@
     }
 };
 
-// One crash of one worker. Reports with the same id merge.
+// One crash of one worker. Reports of the same crash have the same `id` and `crashedAtMs`, and are merged.
 struct crash_report
 {
     hash128 id;
-    std::int64_t atMs = 0; // wall clock of the reporting node
+    std::int64_t crashedAtMs = 0; // wall clock of the reporting node
     std::vector<suspect> suspects; // sorted by request, without duplicates
     bool hasIsolated = false;
-    fingerprint isolated; // the only request that was a suspect already, if `hasIsolated`
+    fingerprint isolated; // if `hasIsolated`: the only request in flight that was a suspect before this crash
 
     friend bool operator==(const crash_report &, const crash_report &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, atMs, suspects, hasIsolated, isolated);
+        archive(id, crashedAtMs, suspects, hasIsolated, isolated);
     }
 };
 
+// Whether a request is suspected of crashing workers.
 enum class suspicion : std::uint8_t
 {
     None,
-    Suspect,
-    Quarantined,
+    Suspect, // uncleared suspect of a recent crash
+    Quarantined, // identified as the cause of a recent crash
 };
 
 namespace internal {
 
-struct standing
+// What the reports say about one fingerprint. Times are 0 if no report makes it a suspect or quarantines it.
+struct fingerprint_status
 {
     fingerprint request;
     std::int64_t suspectUntilMs = 0;
@@ -112,56 +116,59 @@
 
 } // namespace internal
 
-// What a node knows of crashes of one service. It is equal on all nodes that have the same reports.
+// Crashes of one service that a node knows of. Nodes with the same reports have the same state.
 struct quarantine_state
 {
-    std::map<std::pair<std::int64_t, hash128>, crash_report> reports; // oldest first
-    std::vector<internal::standing> standings; // derived, sorted by request
+    std::map<std::pair<std::int64_t, hash128>, crash_report> reports; // by `crashedAtMs` and `id`, oldest first
+    std::vector<internal::fingerprint_status> statuses; // derived from `reports`, sorted by request
 };
 
-// suspicionOf returns how a request stands. Not thread safe; costs nothing while there are no reports.
+// suspicionOf returns the suspicion against a request. Cheap while there are no reports. Not thread safe.
 suspicion suspicionOf(const quarantine_state &state, const fingerprint &request, std::int64_t nowMs);
 
+// Whether a request may run on this worker now.
 enum class run_verdict : std::uint8_t
 {
     Run,
-    NotBeside, // not now on this worker, because another suspect runs there: `not-run`, another worker may run it
-    Refuse, // quarantined: `not-run` with the reason, on no worker
+    NotBeside, // another suspect is running on this worker: respond `not-run`; another worker may run the request
+    Refuse, // quarantined: respond `not-run` with the reason; no worker may run the request
 };
 
-// mayRun decides whether a request may start beside the requests that run on the worker. Not thread safe.
+// mayRun decides whether a request may start while the requests in `running` run on the worker. Not thread safe.
 run_verdict mayRun(const quarantine_state &state,
                    std::span<const fingerprint> running,
                    const fingerprint &request,
                    std::int64_t nowMs);
 
-// reportCrash records that the worker died while `running` was in flight, and returns the report for the other nodes.
-// Not thread safe. `id` is random. The report of a crash with nothing in flight has no suspects and is not recorded.
+// reportCrash records that the worker died while the requests in `running` were in flight, and returns the report for
+// the other nodes. `id` is random. If no request was in flight, the report has no suspects and is not recorded. Not
+// thread safe.
 crash_report
 reportCrash(quarantine_state &state, const hash128 &id, std::span<const fingerprint> running, std::int64_t nowMs);
 
-// noteCompleted clears a request that ran to its response, and returns the reports that changed, for the other nodes.
-// Not thread safe.
+// noteCompleted clears a request that completed with a response, and returns the reports that this changed, for the
+// other nodes. Not thread safe.
 std::vector<crash_report> noteCompleted(quarantine_state &state, const fingerprint &request, std::int64_t nowMs);
 
-// mergeReports takes over reports of other nodes, drops expired ones and keeps the newest `maxReports`; true if the
-// state changed. Not thread safe. The order and the number of deliveries do not matter.
+// mergeReports merges reports of other nodes into the state, then removes expired reports and all but the newest
+// `maxReports`. Returns true if the state changed. Reports may arrive in any order and any number of times. Not thread
+// safe.
 bool mergeReports(quarantine_state &state, std::span<const crash_report> reports, std::int64_t nowMs);
 
-// A response that waits until the other nodes know of the crash.
+// Acknowledgements of a crash report that the responses to the failed requests wait for.
 struct hold_back
 {
-    std::vector<std::string> waitingFor;
-    time_point until;
+    std::vector<std::string> waitingFor; // ids of nodes that have not acknowledged the report
+    time_point until; // the response is sent then at the latest
 };
 
-// beginHoldBack starts to wait for the acknowledgement of `nodeIds`. Thread safe.
+// beginHoldBack starts to wait for acknowledgements from `nodeIds`, for at most `maxHoldBack`. Thread safe.
 hold_back beginHoldBack(std::span<const std::string_view> nodeIds, time_point now);
 
-// acknowledgeReport notes that a node has merged the report. Thread safe for different holds.
+// acknowledgeReport records that a node has merged the report. Thread safe for different holds.
 void acknowledgeReport(hold_back &hold, std::string_view nodeId);
 
-// mayRespond tells whether the held response may be sent. Thread safe for different holds.
+// mayRespond returns whether the response may be sent. Thread safe for different holds.
 bool mayRespond(const hold_back &hold, time_point now);
 
 } // namespace pistachioquay
--- a/packages/request/quarantine/quarantine_test.cc
+++ b/packages/request/quarantine/quarantine_test.cc
@@ -1,5 +1,5 @@
-// Guards against a request that crashes one worker after the other, and against the refusal of innocent requests that
-// happened to run beside it.
+// Guards against a request that crashes one worker after another because each node sees it for the first time, and
+// against the refusal of harmless requests that were in flight at the same crashes.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -20,13 +20,13 @@
     return {0, number};
 }
 
-// Nodes with one worker each. Requests are numbers; those below `killers` crash the worker that runs them. Reports
-// travel when the sequence says so, so that views differ.
+// Three nodes with one worker each. Requests are numbers; those below `crashingRequests` crash the worker that runs
+// them. A step delivers one report from one node to another, so that the nodes' states differ.
 class crash_model
 {
 public:
-    crash_model(std::size_t killers, std::uint64_t seed)
-        : m_killers(killers)
+    crash_model(std::size_t crashingRequests, std::uint64_t seed)
+        : m_crashingRequests(crashingRequests)
         , m_generator(seed)
     {
     }
@@ -54,7 +54,7 @@
             break;
         }
         for (const node_model &each : m_nodes) {
-            checkInnocent(each);
+            checkHarmless(each);
         }
     }
 
@@ -65,9 +65,9 @@
         std::vector<fingerprint> running;
     };
 
-    bool isKiller(const fingerprint &request) const
+    bool crashesWorker(const fingerprint &request) const
     {
-        return request.low < m_killers;
+        return request.low < m_crashingRequests;
     }
 
     void run(node_model &node, const fingerprint &request)
@@ -80,7 +80,7 @@
     void crash(node_model &node)
     {
         if (std::ranges::any_of(node.running, [&](const fingerprint &each) {
-                return isKiller(each);
+                return crashesWorker(each);
             })) {
             reportCrash(node.state, randomId(m_generator), node.running, m_nowMs);
             node.running.clear();
@@ -89,7 +89,7 @@
 
     void complete(node_model &node, std::uint32_t choice)
     {
-        if (node.running.empty() || isKiller(node.running.at(choice % node.running.size()))) {
+        if (node.running.empty() || crashesWorker(node.running.at(choice % node.running.size()))) {
             return;
         }
         const auto chosen = node.running.begin() + static_cast<std::ptrdiff_t>(choice % node.running.size());
@@ -106,14 +106,14 @@
         }
     }
 
-    void checkInnocent(const node_model &node) const
+    void checkHarmless(const node_model &node) const
     {
-        for (std::uint64_t number = m_killers; number < 8; ++number) {
+        for (std::uint64_t number = m_crashingRequests; number < 8; ++number) {
             RC_ASSERT(suspicionOf(node.state, requestOf(number), m_nowMs) != suspicion::Quarantined);
         }
     }
 
-    std::size_t m_killers;
+    std::size_t m_crashingRequests;
     random_generator m_generator;
     std::array<node_model, 3> m_nodes;
     std::int64_t m_nowMs = startMs;
@@ -131,7 +131,7 @@
     return report;
 }
 
-quarantine_state merged(const std::vector<crash_report> &reports)
+quarantine_state mergedState(const std::vector<crash_report> &reports)
 {
     quarantine_state state;
     for (const crash_report &report : reports) {
@@ -140,16 +140,16 @@
     return state;
 }
 
-suspicion standingIn(const quarantine_state &state, std::uint64_t number, std::int64_t nowMs = startMs)
+suspicion suspicionIn(const quarantine_state &state, std::uint64_t number, std::int64_t nowMs = startMs)
 {
     return suspicionOf(state, requestOf(number), nowMs);
 }
 
 } // namespace
 
-TEST_CASE("with one cause of all crashes no innocent request is quarantined, in whatever order reports arrive")
+TEST_CASE("if one request causes all crashes, no harmless request is quarantined, in whatever order reports arrive")
 {
-    CHECK(holds("one cause", 5000, [](std::uint64_t seed, const std::vector<std::uint32_t> &words) {
+    CHECK(holds("one crashing request", 5000, [](std::uint64_t seed, const std::vector<std::uint32_t> &words) {
         crash_model model(1, seed);
         for (const std::uint32_t word : words) {
             model.step(word);
@@ -157,24 +157,24 @@
     }));
 }
 
-TEST_CASE("reports merge to the same state in any order and any number")
+TEST_CASE("merging gives the same state for any order and number of deliveries")
 {
-    CHECK(holds("merge", 3000, [](const std::vector<std::uint32_t> &words) {
+    CHECK(holds("merge order", 3000, [](const std::vector<std::uint32_t> &words) {
         std::vector<crash_report> reports;
         std::ranges::transform(words, std::back_inserter(reports), randomReport);
-        const quarantine_state forward = merged(reports);
+        const quarantine_state forward = mergedState(reports);
         std::ranges::reverse(reports);
         const std::vector<crash_report> once = reports;
         reports.insert(reports.end(), once.begin(), once.end());
-        const quarantine_state backward = merged(reports);
+        const quarantine_state backward = mergedState(reports);
         RC_ASSERT(forward.reports == backward.reports);
         for (std::uint64_t number = 0; number < 6; ++number) {
-            RC_ASSERT(standingIn(forward, number) == standingIn(backward, number));
+            RC_ASSERT(suspicionIn(forward, number) == suspicionIn(backward, number));
         }
     }));
 }
 
-TEST_CASE("a request that is sent again at once through another node crashes two workers, not three")
+TEST_CASE("a request that is sent again at once through other nodes crashes two workers, not three")
 {
     std::array<quarantine_state, 3> nodes;
     const std::vector<fingerprint> first = {requestOf(0), requestOf(1), requestOf(2)};
@@ -188,24 +188,24 @@
     const crash_report two = reportCrash(nodes[1], {0, 2}, second, startMs + 10);
     mergeReports(nodes[2], std::span(&two, 1), startMs + 10);
     CHECK(mayRun(nodes[2], {}, requestOf(0), startMs + 15) == run_verdict::Refuse);
-    for (const std::uint64_t innocent : {1, 2, 5, 6}) {
-        CHECK(mayRun(nodes[2], {}, requestOf(innocent), startMs + 15) == run_verdict::Run);
+    for (const std::uint64_t harmless : {1, 2, 5, 6}) {
+        CHECK(mayRun(nodes[2], {}, requestOf(harmless), startMs + 15) == run_verdict::Run);
     }
     CHECK(mayRun(nodes[2], {}, requestOf(0), startMs + 10 + quarantineMs) == run_verdict::Run);
 }
 
-TEST_CASE("a popular request that is in flight at many crashes is cleared by its first response")
+TEST_CASE("a harmless request that was in flight at a crash is cleared by its first response")
 {
     quarantine_state node;
     const std::vector<fingerprint> running = {requestOf(0), requestOf(7)};
     reportCrash(node, {0, 1}, running, startMs);
-    CHECK(standingIn(node, 7) == suspicion::Suspect);
+    CHECK(suspicionIn(node, 7) == suspicion::Suspect);
     CHECK(noteCompleted(node, requestOf(7), startMs + 1).size() == 1);
-    CHECK(standingIn(node, 7) == suspicion::None);
-    CHECK(standingIn(node, 0) == suspicion::Suspect);
+    CHECK(suspicionIn(node, 7) == suspicion::None);
+    CHECK(suspicionIn(node, 0) == suspicion::Suspect);
 }
 
-TEST_CASE("an innocent request named because of a second cause is lifted by the next crash of that cause")
+TEST_CASE("a harmless request quarantined because of a second cause is released by the next crash of that cause")
 {
     quarantine_state node;
     const std::vector<fingerprint> first = {requestOf(0), requestOf(7)};
@@ -213,21 +213,21 @@
     const std::vector<fingerprint> third = {requestOf(1)};
     reportCrash(node, {0, 1}, first, startMs);
     reportCrash(node, {0, 2}, second, startMs + 2000);
-    REQUIRE(standingIn(node, 7, startMs + 2000) == suspicion::Quarantined);
+    REQUIRE(suspicionIn(node, 7, startMs + 2000) == suspicion::Quarantined);
     reportCrash(node, {0, 3}, third, startMs + 4000);
-    CHECK(standingIn(node, 1, startMs + 4000) == suspicion::Quarantined);
-    CHECK(standingIn(node, 7, startMs + 4000) == suspicion::Suspect);
+    CHECK(suspicionIn(node, 1, startMs + 4000) == suspicion::Quarantined);
+    CHECK(suspicionIn(node, 7, startMs + 4000) == suspicion::Suspect);
 }
 
-TEST_CASE("one known crash quarantines nobody, even if its report says that a suspect was isolated")
+TEST_CASE("a single known crash quarantines no request, even if its report has an isolated suspect")
 {
     const crash_report second{{0, 2}, startMs + 10, {{requestOf(0), false}}, true, requestOf(0)};
     const crash_report first{{0, 1}, startMs, {{requestOf(0), false}, {requestOf(1), false}}, false, {}};
-    CHECK(standingIn(merged({second}), 0) == suspicion::Suspect);
-    CHECK(standingIn(merged({second, first}), 0) == suspicion::Quarantined);
+    CHECK(suspicionIn(mergedState({second}), 0) == suspicion::Suspect);
+    CHECK(suspicionIn(mergedState({second, first}), 0) == suspicion::Quarantined);
 }
 
-TEST_CASE("the state stays bounded under many crashes")
+TEST_CASE("the number of stored reports is bounded, and all expire after the quarantine time")
 {
     quarantine_state node;
     random_generator generator(1);
@@ -238,10 +238,10 @@
     CHECK(node.reports.size() == maxReports);
     mergeReports(node, {}, startMs + 1000 + quarantineMs);
     CHECK(node.reports.empty());
-    CHECK(node.standings.empty());
+    CHECK(node.statuses.empty());
 }
 
-TEST_CASE("fingerprints differ by each part and ignore the body beyond its start")
+TEST_CASE("fingerprints depend on method, path, key and the start of the body only")
 {
     const std::string body(fingerprintBodyBytes, 'x');
     const auto base = fingerprintOf("POST", "/orders", "k1", body);
@@ -251,7 +251,7 @@
     CHECK(fingerprintOf("POST", "/orders", "k2", body) != base);
 }
 
-TEST_CASE("a failure is held back until the other nodes know, at most for the stated time")
+TEST_CASE("a response is held back until all other nodes acknowledge the report, for at most maxHoldBack")
 {
     const time_point now{seconds(1000)};
     const std::vector<std::string_view> peers = {"a", "b"};
