--- a/packages/request/proxy/core.cc
+++ b/packages/request/proxy/core.cc
@@ -2,13 +2,13 @@
 
 namespace pistachioquay::internal {
 
-void flight_count::begin()
+void in_flight_counter::begin()
 {
     const std::lock_guard guard(m_mutex);
     ++m_count;
 }
 
-void flight_count::end()
+void in_flight_counter::end()
 {
     const std::lock_guard guard(m_mutex);
     if (--m_count == 0) {
@@ -16,7 +16,7 @@
     }
 }
 
-bool flight_count::waitForNone(time_point until)
+bool in_flight_counter::waitUntilEmpty(time_point until)
 {
     std::unique_lock guard(m_mutex);
     return m_changed.wait_until(guard, until, [&] {
@@ -24,16 +24,16 @@
     });
 }
 
-core::core(proxy_options given, proxy_sources from, proxy_tuning tuning)
-    : options(std::move(given))
-    , sources(std::move(from))
+shared_state::shared_state(proxy_options givenOptions, proxy_sources givenSources, proxy_tuning tuning)
+    : options(std::move(givenOptions))
+    , sources(std::move(givenSources))
     , pool(client_options{.maxPerTarget = options.maxConnections, .keepsConnections = tuning.keepsConnections})
     , slots(options.slots, options.nodeId)
     , crashes({sources.isWorkerGone, sources.spreadReports})
 {
 }
 
-http_response core::refuse(
+http_response shared_state::refuse(
     unsigned status, node_outcome outcome, const std::string &kind, std::string_view message, std::string_view remedy)
 {
     {
--- a/packages/request/proxy/core.h
+++ b/packages/request/proxy/core.h
@@ -1,4 +1,9 @@
-// What both handlers of a node share. Private to the proxy.
+// State that the outbound and the inbound handler of a node share. Private to the proxy.
+//
+//   shared_state shared(options, sources, {});
+//   http_server server(serverOptions, [&](const request_head &head, const caller_watch &watch) {
+//       return outboundExchange(shared, head, watch);
+//   });
 #pragma once
 
 #include <array>
@@ -19,27 +24,28 @@
 
 namespace pistachioquay::internal {
 
-// Counters that many threads raise.
+// Counters since the start, incremented by the connection threads.
 struct counters
 {
     std::atomic<std::uint64_t> requests = 0;
     std::atomic<std::uint64_t> inboundRequests = 0;
-    std::array<std::atomic<std::uint64_t>, 6> responses{};
+    std::array<std::atomic<std::uint64_t>, 6> responses{}; // by first digit of the status
     std::atomic<std::uint64_t> retries = 0;
     std::atomic<std::uint64_t> cancelled = 0;
     std::atomic<std::uint64_t> truncated = 0;
     std::mutex mutex;
-    std::map<std::string, std::uint64_t> refusals; // guarded by `mutex`
+    std::map<std::string, std::uint64_t> refusals; // by error kind; guarded by `mutex`
 };
 
-// Counts requests from their head to their end, so that a drain can wait for them.
-class flight_count
+// Counts the requests in flight, from the arrival of the head to the end of the response, so that a drain can wait for
+// them. All functions are thread safe.
+class in_flight_counter
 {
 public:
     void begin();
     void end();
-    // waitForNone returns when no request is in flight or `until` has passed; true in the first case.
-    bool waitForNone(time_point until);
+    // waitUntilEmpty blocks until no request is in flight or `until` has passed; true in the first case.
+    bool waitUntilEmpty(time_point until);
 
 private:
     std::mutex m_mutex;
@@ -47,9 +53,10 @@
     std::uint64_t m_count = 0;
 };
 
-struct core
+// Configuration sources, connection pool, admission, crash tracking, routing and counters of one node.
+struct shared_state
 {
-    core(proxy_options given, proxy_sources from, proxy_tuning tuning);
+    shared_state(proxy_options givenOptions, proxy_sources givenSources, proxy_tuning tuning);
 
     proxy_options options;
     proxy_sources sources;
@@ -58,10 +65,10 @@
     crash_guard crashes;
     call_dispatch dispatch;
     counters counts;
-    flight_count inFlight;
+    in_flight_counter inFlight;
     std::atomic<bool> isDraining = false;
 
-    // refuse counts a refusal and makes its response.
+    // refuse counts a refusal by its kind and returns the error response for it. Thread safe.
     http_response refuse(unsigned status,
                          node_outcome outcome,
                          const std::string &kind,
@@ -69,9 +76,9 @@
                          std::string_view remedy);
 };
 
-// makeExchange makes the steps of a request of type `Request`, which lives until the last step has ended. Thread safe.
+// makeExchange returns steps that forward to a `Request` object, which lives as long as the steps. Thread safe.
 template<class Request>
-exchange makeExchange(core &shared, const request_head &head, const caller_watch &watch)
+exchange makeExchange(shared_state &shared, const request_head &head, const caller_watch &watch)
 {
     const auto request = std::make_shared<Request>(shared, head, watch);
     exchange steps;
@@ -90,10 +97,11 @@
     return steps;
 }
 
-// outboundExchange makes the steps of a request on the caller port. `watch` lives until `onDone` returns. Thread safe.
-exchange outboundExchange(core &shared, const request_head &head, const caller_watch &watch);
+// outboundExchange returns the steps of a request on the caller port. `watch` lives until `onDone` returns. Thread
+// safe.
+exchange outboundExchange(shared_state &shared, const request_head &head, const caller_watch &watch);
 
-// inboundExchange makes the steps of a request on the peer port. `watch` lives until `onDone` returns. Thread safe.
-exchange inboundExchange(core &shared, const request_head &head, const caller_watch &watch);
+// inboundExchange returns the steps of a request on the peer port. `watch` lives until `onDone` returns. Thread safe.
+exchange inboundExchange(shared_state &shared, const request_head &head, const caller_watch &watch);
 
 } // namespace pistachioquay::internal
--- a/packages/request/proxy/crash_guard.cc
+++ b/packages/request/proxy/crash_guard.cc
@@ -13,17 +13,17 @@
 {
 }
 
-run_verdict crash_guard::begin(const std::string &requestId, const fingerprint &print)
+run_verdict crash_guard::tryBegin(const std::string &requestId, const fingerprint &requestFingerprint)
 {
     const std::lock_guard guard(m_mutex);
-    const run_verdict verdict = mayRun(m_state, runningPrints(), print, unixNowMs());
+    const run_verdict verdict = mayRun(m_state, runningFingerprints(), requestFingerprint, unixNowMs());
     if (verdict == run_verdict::Run) {
-        m_running[requestId] = {print, false};
+        m_running[requestId] = {requestFingerprint, false};
     }
     return verdict;
 }
 
-void crash_guard::completed(const std::string &requestId)
+void crash_guard::complete(const std::string &requestId)
 {
     std::vector<crash_report> changed;
     {
@@ -32,26 +32,26 @@
         if (found == m_running.end()) {
             return;
         }
-        changed = noteCompleted(m_state, found->second.print, unixNowMs());
+        changed = noteCompleted(m_state, found->second.requestFingerprint, unixNowMs());
         m_running.erase(found);
     }
-    if (!changed.empty() && m_sources.spread) {
-        m_sources.spread(changed);
+    if (!changed.empty() && m_sources.broadcast) {
+        m_sources.broadcast(changed);
     }
 }
 
-void crash_guard::abandoned(const std::string &requestId)
+void crash_guard::abandon(const std::string &requestId)
 {
     const std::lock_guard guard(m_mutex);
     m_running.erase(requestId);
 }
 
-bool crash_guard::lostResponse(const std::string &requestId)
+bool crash_guard::recordLostResponse(const std::string &requestId)
 {
-    if (!m_sources.isWorkerGone || !m_sources.spread) {
+    if (!m_sources.isWorkerGone || !m_sources.broadcast) {
         return false;
     }
-    const bool isGone = m_sources.isWorkerGone();
+    const bool isPortClosed = m_sources.isWorkerGone();
     std::unique_lock guard(m_mutex);
     const auto found = m_running.find(requestId);
     if (found == m_running.end()) {
@@ -59,19 +59,19 @@
     }
     if (found->second.isReported) {
         m_changed.wait_for(guard, maxHoldBack, [&] {
-            return m_spreading == 0;
+            return m_pendingBroadcasts == 0;
         });
         return true;
     }
-    if (!isGone) {
+    if (!isPortClosed) {
         return false;
     }
-    const std::vector<crash_report> reports = reportOnce(requestId);
-    ++m_spreading;
+    const std::vector<crash_report> reports = reportRunning(requestId);
+    ++m_pendingBroadcasts;
     guard.unlock();
-    m_sources.spread(reports);
+    m_sources.broadcast(reports);
     guard.lock();
-    --m_spreading;
+    --m_pendingBroadcasts;
     m_changed.notify_all();
     return true;
 }
@@ -82,27 +82,27 @@
     mergeReports(m_state, reports, unixNowMs());
 }
 
-std::vector<fingerprint> crash_guard::runningPrints() const
+std::vector<fingerprint> crash_guard::runningFingerprints() const
 {
-    std::vector<fingerprint> prints;
+    std::vector<fingerprint> fingerprints;
     for (const auto &[id, each] : m_running) {
         if (!each.isReported) {
-            prints.push_back(each.print);
+            fingerprints.push_back(each.requestFingerprint);
         }
     }
-    return prints;
+    return fingerprints;
 }
 
-// Reports all requests in flight as one crash; each request is part of one report only.
-std::vector<crash_report> crash_guard::reportOnce(const std::string &requestId)
+// Reports all requests in flight as one crash. A request becomes part of one report only.
+std::vector<crash_report> crash_guard::reportRunning(const std::string &requestId)
 {
-    const std::vector<fingerprint> prints = runningPrints();
+    const std::vector<fingerprint> fingerprints = runningFingerprints();
     std::ranges::for_each(m_running, [](auto &each) {
         each.second.isReported = true;
     });
-    LOG(WARNING) << "[proxy] The worker died while " << prints.size() << " requests ran, among them " << requestId
+    LOG(WARNING) << "[proxy] The worker died while " << fingerprints.size() << " requests ran, among them " << requestId
                  << ".";
-    return {reportCrash(m_state, randomId(m_generator), prints, unixNowMs())};
+    return {reportCrash(m_state, randomId(m_generator), fingerprints, unixNowMs())};
 }
 
 } // namespace pistachioquay::internal
--- a/packages/request/proxy/crash_guard.h
+++ b/packages/request/proxy/crash_guard.h
@@ -1,10 +1,11 @@
-// Requests that run on the own worker, watched for those that crash it: the quarantine decisions, guarded for the
-// connection threads. Private to the proxy.
+// Tracks the requests that run on this node's worker to find those that crash it. Makes the quarantine decisions of
+// request/quarantine usable from all connection threads. Private to the proxy.
 //
-//   if (const auto refused = guard.begin(requestId, print); refused != run_verdict::Run) return refuse(refused);
+//   if (const auto verdict = guard.tryBegin(requestId, requestFingerprint); verdict != run_verdict::Run)
+//       return refuse(verdict);
 //   ...
-//   guard.completed(requestId);                       // the worker responded
-//   if (guard.lostResponse(requestId)) ...            // blocks until the other nodes know of the crash
+//   guard.complete(requestId);                     // the worker responded
+//   if (guard.recordLostResponse(requestId)) ...   // the worker died, and the other nodes have the report
 #pragma once
 
 #include <condition_variable>
@@ -19,11 +20,11 @@
 
 namespace pistachioquay::internal {
 
-// How the guard learns of and tells about crashes; both may be empty, then no crash is ever reported.
+// How the guard detects crashes and reports them to the other nodes. If either is empty, no crash is reported.
 struct crash_sources
 {
     std::function<bool()> isWorkerGone; // whether the worker's port is closed
-    std::function<void(const std::vector<crash_report> &)> spread; // returns when the other nodes have the reports
+    std::function<void(const std::vector<crash_report> &)> broadcast; // returns when the other nodes have the reports
 };
 
 // All functions are thread safe.
@@ -32,33 +33,34 @@
 public:
     explicit crash_guard(crash_sources sources);
 
-    // begin adds a request to those that run if it may run now.
-    run_verdict begin(const std::string &requestId, const fingerprint &print);
-    // completed removes a request that ran to its response; a suspect is cleared by it.
-    void completed(const std::string &requestId);
-    // abandoned removes a request that ended in any other way.
-    void abandoned(const std::string &requestId);
-    // lostResponse tells whether the request was in flight when the worker died. Then it returns only after the other
-    // nodes of the service know, at most `maxHoldBack` later, so that a repeat by the caller finds them warned.
-    bool lostResponse(const std::string &requestId);
-    // merge takes over reports of other nodes.
+    // tryBegin returns whether the request may run now, and if so registers it as running.
+    run_verdict tryBegin(const std::string &requestId, const fingerprint &requestFingerprint);
+    // complete removes a request whose worker responded. This clears it if it was a suspect.
+    void complete(const std::string &requestId);
+    // abandon removes a request that ended in any other way; unknown ids are ignored.
+    void abandon(const std::string &requestId);
+    // recordLostResponse returns whether the request was in flight when the worker died. If so, it returns only after
+    // the other nodes of the service have the crash report, or after `maxHoldBack`: when the caller retries through
+    // another node, that node knows the request as a suspect.
+    bool recordLostResponse(const std::string &requestId);
+    // merge stores crash reports of other nodes.
     void merge(std::span<const crash_report> reports);
 
 private:
-    struct run
+    struct running_request
     {
-        fingerprint print;
-        bool isReported = false; // part of a crash report already
+        fingerprint requestFingerprint;
+        bool isReported = false; // already part of a crash report
     };
-    std::vector<fingerprint> runningPrints() const;
-    std::vector<crash_report> reportOnce(const std::string &requestId);
+    std::vector<fingerprint> runningFingerprints() const;
+    std::vector<crash_report> reportRunning(const std::string &requestId);
 
     crash_sources m_sources;
-    std::mutex m_mutex; // guards all below
+    std::mutex m_mutex; // guards all members below
     std::condition_variable m_changed;
     quarantine_state m_state;
-    std::map<std::string, run> m_running; // by request id
-    unsigned m_spreading = 0; // reports on their way to the other nodes
+    std::map<std::string, running_request> m_running; // by request id
+    unsigned m_pendingBroadcasts = 0; // reports that are being sent to the other nodes
     random_generator m_generator = seededFromDevice();
 };
 
--- a/packages/request/proxy/dispatch.h
+++ b/packages/request/proxy/dispatch.h
@@ -1,5 +1,5 @@
-// What the node knows of each service that it calls: routing state and retry budget, guarded for the connection
-// threads. Private to the proxy.
+// Routing state and retry budget of each service that the node calls, shared by all connection threads. Private to the
+// proxy.
 //
 //   call_choice choice = dispatch.begin(view, "orders", {work_class::Interactive, tried}, now);
 //   ...
@@ -20,22 +20,22 @@
 class call_dispatch
 {
 public:
-    // noteCall counts a request of the service for its retry budget.
+    // noteCall counts a request towards the retry budget of its service.
     void noteCall(const std::string &service, time_point now);
-    // begin chooses a worker from the view (null: none) like `beginCall`.
+    // begin chooses a worker with `beginCall`, after a new view (null: unchanged) was applied to the routing state.
     call_choice begin(const std::shared_ptr<const worker_view> &view,
                       const std::string &service,
                       const call_request &request,
                       time_point now);
-    // end records what was seen of a call like `endCall`.
+    // end records the outcome of a call with `endCall`.
     void end(const std::string &service, const call_choice &choice, const call_observation &seen, time_point now);
-    // decide tells whether a failed try is repeated like `decideRetry`; it sets `isSaturated` of the facts itself.
+    // decide returns whether to retry a failed attempt, with `decideRetry`; it sets `isSaturated` of the facts itself.
     retry_decision decide(const std::string &service, retry_facts facts, try_history &history, time_point now);
 
 private:
     struct service_state
     {
-        std::shared_ptr<const worker_view> view; // that `routing` has taken over
+        std::shared_ptr<const worker_view> view; // the latest view that was applied to `routing`
         routing_state routing;
         retry_budget budget;
     };
--- a/packages/request/proxy/node_headers.cc
+++ b/packages/request/proxy/node_headers.cc
@@ -10,21 +10,21 @@
 namespace {
 
 constexpr std::string_view nodeHeaderPrefix = "X-Pq-";
-constexpr std::uint64_t longestTimeLeftMs = 3600UL * 1000;
+constexpr std::uint64_t maxTimeLeftMs = 3600UL * 1000;
 
-std::string textOf(const header_list &headers, std::string_view name)
+std::string headerText(const header_list &headers, std::string_view name)
 {
     return std::string(findHeader(headers, name).value_or(""));
 }
 
-std::uint32_t countOf(const header_list &headers, std::string_view name)
+std::uint32_t headerCount(const header_list &headers, std::string_view name)
 {
-    constexpr std::uint32_t tooHigh = std::numeric_limits<std::uint32_t>::max();
+    constexpr std::uint32_t maxCount = std::numeric_limits<std::uint32_t>::max();
     const auto text = findHeader(headers, name);
     if (!text) {
         return 0;
     }
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(parseCount(*text).value_or(tooHigh), tooHigh));
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(parseCount(*text).value_or(maxCount), maxCount));
 }
 
 } // namespace
@@ -37,16 +37,16 @@
 call_context readContext(const header_list &headers)
 {
     call_context context;
-    context.requestId = textOf(headers, requestIdHeader);
-    if (const auto left = parseCount(textOf(headers, deadlineHeader))) {
-        context.timeLeft = milliseconds(std::min(*left, longestTimeLeftMs));
+    context.requestId = headerText(headers, requestIdHeader);
+    if (const auto left = parseCount(headerText(headers, deadlineHeader))) {
+        context.timeLeft = milliseconds(std::min(*left, maxTimeLeftMs));
     }
-    context.workClass = classFromName(textOf(headers, classHeader));
-    context.isIdempotent = textOf(headers, idempotentHeader) == "true";
-    context.attempt = countOf(headers, attemptCountHeader);
-    context.depth = countOf(headers, depthHeader);
-    context.service = textOf(headers, serviceHeader);
-    context.version = textOf(headers, versionHeader);
+    context.workClass = classFromName(headerText(headers, classHeader));
+    context.isIdempotent = headerText(headers, idempotentHeader) == "true";
+    context.attempt = headerCount(headers, attemptCountHeader);
+    context.depth = headerCount(headers, depthHeader);
+    context.service = headerText(headers, serviceHeader);
+    context.version = headerText(headers, versionHeader);
     return context;
 }
 
@@ -74,9 +74,9 @@
     return kept;
 }
 
-bool isWhollyHeld(const request_head &head)
+bool isBodyBuffered(const request_head &head)
 {
-    return head.bodyLength && *head.bodyLength <= replayBytes;
+    return head.bodyLength && *head.bodyLength <= maxBufferedBodyBytes;
 }
 
 http_response nodeError(
--- a/packages/request/proxy/node_headers.h
+++ b/packages/request/proxy/node_headers.h
@@ -1,4 +1,4 @@
-// Headers that nodes exchange, and the responses that a node makes itself. Private to the proxy.
+// `X-Pq-` headers between nodes, and the error responses that a node generates itself. Private to the proxy.
 //
 //   const call_context context = readContext(head.headers);
 //   return nodeError(503, node_outcome::NotRun, "draining", "this node leaves", "send the request to another node");
@@ -26,28 +26,28 @@
 inline constexpr std::string_view runningHeader = "X-Pq-Running";
 inline constexpr std::string_view waitingHeader = "X-Pq-Waiting";
 inline constexpr std::string_view outcomeHeader = "X-Pq-Outcome";
-// Set by a worker's node that knows from the claims of the log that no request with the key has run.
+// Set by the worker's node to `not-run` if the claims in the platform log show that no request with the key has run.
 inline constexpr std::string_view keyOutcomeHeader = "X-Pq-Key-Outcome";
 inline constexpr std::string_view idempotencyKeyHeader = "Idempotency-Key";
-inline constexpr std::string_view reasonHeader = "X-Pq-Reason"; // kind of the error, between nodes
+inline constexpr std::string_view reasonHeader = "X-Pq-Reason"; // error kind, for the calling node
 
-// Values of X-Pq-Reason that concern the request and not the worker.
+// Values of X-Pq-Reason that say nothing about the health of the worker.
 inline constexpr std::string_view quarantinedReason = "quarantined";
 inline constexpr std::string_view besideSuspectReason = "suspect-beside";
 
-inline constexpr std::size_t replayBytes = 64UL * 1024; // bodies up to this size are held for another try
+inline constexpr std::size_t maxBufferedBodyBytes = 64UL * 1024; // bodies up to this size are buffered for a retry
 
-// What the node knows about a request that it responds to itself.
+// Whether a request ran, in a response that the node generates itself.
 enum class node_outcome
 {
-    NotRun,
-    Unknown,
+    NotRun, // the worker has not run it
+    Unknown, // it may have run
 };
 
 // outcomeName returns the value of `X-Pq-Outcome`. Thread safe.
 std::string_view outcomeName(node_outcome outcome);
 
-// What a request carries from hop to hop.
+// Metadata that a request carries from hop to hop in `X-Pq-` headers.
 struct call_context
 {
     std::string requestId;
@@ -62,20 +62,21 @@
     friend bool operator==(const call_context &, const call_context &) = default;
 };
 
-// readContext reads the headers of a request; what is absent or malformed keeps its default. A depth or an attempt that
-// cannot be read counts as too high. Thread safe.
+// readContext reads the metadata of a request. Absent or malformed headers leave the default, except that a malformed
+// depth or attempt count is read as the maximum, so that it exceeds every limit. Thread safe.
 call_context readContext(const header_list &headers);
 
-// writeContext adds the headers for the next hop. Not thread safe for one list.
+// writeContext appends the metadata headers for the next hop. Not thread safe for one list.
 void writeContext(const call_context &context, header_list &headers);
 
-// forwardedHeaders returns the end-to-end headers without those that start with `X-Pq-`. Thread safe.
+// forwardedHeaders returns the end-to-end headers except those that start with `X-Pq-`. Thread safe.
 header_list forwardedHeaders(const header_list &headers);
 
-// isWhollyHeld is true if a body is collected before the request is sent on, so that it can be sent again. Thread safe.
-bool isWhollyHeld(const request_head &head);
+// isBodyBuffered returns whether the whole body is buffered before the request is forwarded, so that it can be retried.
+// Longer and chunked bodies are streamed. Thread safe.
+bool isBodyBuffered(const request_head &head);
 
-// nodeError makes the JSON response of a node in place of the worker. Thread safe.
+// nodeError returns a JSON error response that the node sends in place of a response of the worker. Thread safe.
 http_response nodeError(
     unsigned status, node_outcome outcome, std::string_view kind, std::string_view message, std::string_view remedy);
 
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -1,4 +1,5 @@
-// Caller port: requests of callers and of the own worker, sent to the node of a worker that the tree's routes name.
+// Outbound handler: requests of callers and of this node's worker on the caller port, forwarded to the node of a worker
+// of the service that the matching route names.
 #include <algorithm>
 
 #include <poll.h>
@@ -10,23 +11,23 @@
 
 namespace {
 
-// Reasons of a node that refuses all work for some time.
-bool isLasting(std::string_view reason)
+// Whether the reason means that the node refuses all requests for some time.
+bool refusesAllRequests(std::string_view reason)
 {
     return reason == "draining" || reason == "worker-down" || reason == "not-accepting" || reason == "other-service";
 }
 
-// What a refusal says about the worker. A refusal because of the request itself says nothing: it must not make routing
-// pass over healthy workers.
-call_end endOfRefusal(std::string_view reason)
+// Returns the call outcome that routing records for a refusal. A refusal caused by the request itself counts as
+// Cancelled, so that routing does not avoid healthy workers because of it.
+call_end outcomeOfRefusal(std::string_view reason)
 {
     if (reason == quarantinedReason || reason == besideSuspectReason) {
         return call_end::Cancelled;
     }
-    return isLasting(reason) ? call_end::Draining : call_end::Refused;
+    return refusesAllRequests(reason) ? call_end::Draining : call_end::Refused;
 }
 
-std::optional<load_report> loadOf(const header_list &headers)
+std::optional<load_report> readLoad(const header_list &headers)
 {
     const auto running = parseCount(findHeader(headers, runningHeader).value_or(""));
     const auto waiting = parseCount(findHeader(headers, waitingHeader).value_or(""));
@@ -39,15 +40,15 @@
 class outbound_request
 {
 public:
-    outbound_request(core &shared, const request_head &head, const caller_watch &watch)
-        : m_core(shared)
+    outbound_request(shared_state &shared, const request_head &head, const caller_watch &watch)
+        : m_shared(shared)
         , m_head(head)
         , m_watch(watch)
-        , m_arrived(readContext(head.headers))
-        , m_isHeld(isWhollyHeld(head))
+        , m_received(readContext(head.headers))
+        , m_isBodyBuffered(isBodyBuffered(head))
     {
-        ++m_core.counts.requests;
-        m_core.inFlight.begin();
+        ++m_shared.counts.requests;
+        m_shared.inFlight.begin();
     }
 
     std::optional<http_response> onHead();
@@ -58,98 +59,99 @@
 private:
     std::optional<http_response> checkRequest();
     std::optional<http_response> checkRoute();
-    std::optional<http_response> checkReach(time_point now);
-    std::optional<http_response> runTries();
-    bool beginTry();
+    std::optional<http_response> checkHopLimits(time_point now);
+    std::optional<http_response> runAttempts();
+    bool beginAttempt();
     void openCall();
     void closeCall();
-    void classify();
+    void classifyAttempt();
     void classifyResponse();
-    void noteEnd(try_progress progress, call_end end);
+    void recordAttemptEnd(try_progress progress, call_end outcome);
     bool isRetryAllowed();
-    bool pauseFor(milliseconds delay);
-    http_response result();
+    bool waitBeforeRetry(milliseconds delay);
+    http_response buildResponse();
     http_response workerResponse();
     http_response failureResponse();
     http_response noWorkerResponse();
-    http_response finished(http_response response);
+    http_response finalizeResponse(http_response response);
     bool isKeyed() const;
-    void observe(bool isComplete);
+    void reportSample(bool isComplete);
 
-    core &m_core;
-    const time_point m_arrivedAt = steadyNow();
+    shared_state &m_shared;
+    const time_point m_receivedAt = steadyNow();
     int m_status = 0; // of the response to the caller
     request_head m_head;
     const caller_watch &m_watch;
-    call_context m_arrived;
-    bool m_isHeld;
+    call_context m_received; // as the request arrived
+    bool m_isBodyBuffered;
     std::shared_ptr<const compiled_config> m_config;
     const route *m_route = nullptr;
-    call_context m_next; // what the next hop is told
+    call_context m_outgoing; // for the next hop
     time_point m_deadline;
     std::string m_body;
-    std::vector<std::string> m_tried; // node ids
+    std::vector<std::string> m_attemptedNodes; // node ids of all attempts
     try_history m_history;
-    bool m_isBodyGone = false; // body bytes were passed on that cannot be sent again
-    bool m_isCallerGone = false;
-    bool m_isQuarantined = false; // refused because it crashes workers: no worker runs it
-    bool m_isKeyUnused = false; // a worker's node knows that no request with the key has run
-    std::string m_detail; // how the last failed try ended
-    call_choice m_choice; // worker of `m_call`
-    call_observation m_seen; // of `m_call`
-    time_point m_sentAt; // when the whole request was handed over
+    bool m_isBodyConsumed = false; // streamed body bytes were forwarded: no retry is possible
+    bool m_isCallerDisconnected = false;
+    bool m_isQuarantined = false; // the request crashed two workers: no worker runs it
+    bool m_isKeyUnused = false; // a worker's node reported that no request with the key has run
+    std::string m_failureDetail; // why the last attempt failed
+    call_choice m_choice; // worker that `m_call` goes to
+    call_observation m_callResult; // of `m_call`, for routing
+    time_point m_sentAt; // when the last body bytes were handed to `m_call`
     std::unique_ptr<http_call> m_call;
     const response_head *m_response = nullptr; // of `m_call`
 };
 
-http_response outbound_request::finished(http_response response)
+http_response outbound_request::finalizeResponse(http_response response)
 {
-    if (!m_next.requestId.empty()) {
-        setHeader(response.head.headers, requestIdHeader, m_next.requestId);
+    if (!m_outgoing.requestId.empty()) {
+        setHeader(response.head.headers, requestIdHeader, m_outgoing.requestId);
     }
     if (m_config) {
         setHeader(response.head.headers, versionHeader, std::to_string(m_config->version));
     }
-    // Without word from the claims an earlier request with the same key may have run, so `not-run` would mislead.
+    // Unless the claims exclude it, an earlier request with the same key may have run: `not-run` would be wrong for the
+    // key.
     if (isKeyed() && !m_isKeyUnused && findHeader(response.head.headers, outcomeHeader)) {
         setHeader(response.head.headers, outcomeHeader, outcomeName(node_outcome::Unknown));
     }
-    ++m_core.counts.responses.at(std::min(response.head.status / 100, 5U));
+    ++m_shared.counts.responses.at(std::min(response.head.status / 100, 5U));
     m_status = static_cast<int>(response.head.status);
     return response;
 }
 
-// A request whose repeats by the caller are recognised.
+// Whether the request has an idempotency key that is claimed, so that retries by the caller do not run it twice.
 bool outbound_request::isKeyed() const
 {
-    return m_core.sources.claims && m_route != nullptr && !m_route->applied.isIdempotent
+    return m_shared.sources.claims && m_route != nullptr && !m_route->applied.isIdempotent
         && findHeader(m_head.headers, idempotencyKeyHeader);
 }
 
 std::optional<http_response> outbound_request::checkRequest()
 {
-    // While the node drains, the requests that still run on its own worker may need calls to end; these carry a depth.
-    if (m_core.isDraining && (m_arrived.depth == 0 || m_core.slots.load().running == 0)) {
-        return m_core.refuse(503,
-                             node_outcome::NotRun,
-                             "draining",
-                             "this node shuts down",
-                             "send the request to another node");
+    // While the node drains, the requests that still run on its worker may make calls. These carry a depth.
+    if (m_shared.isDraining && (m_received.depth == 0 || m_shared.slots.load().running == 0)) {
+        return m_shared.refuse(503,
+                               node_outcome::NotRun,
+                               "draining",
+                               "this node shuts down",
+                               "send the request to another node");
     }
-    m_config = m_core.sources.config();
+    m_config = m_shared.sources.config();
     if (!m_config) {
-        return m_core.refuse(503,
-                             node_outcome::NotRun,
-                             "no-configuration",
-                             "this node has no configuration yet",
-                             "send the request to another node, or publish a configuration");
+        return m_shared.refuse(503,
+                               node_outcome::NotRun,
+                               "no-configuration",
+                               "this node has no configuration yet",
+                               "send the request to another node, or publish a configuration");
     }
     if (!m_head.target.starts_with('/')) {
-        return m_core.refuse(400,
-                             node_outcome::NotRun,
-                             "bad-target",
-                             "the request target is not a path",
-                             "send a target that starts with /");
+        return m_shared.refuse(400,
+                               node_outcome::NotRun,
+                               "bad-target",
+                               "the request target is not a path",
+                               "send a target that starts with /");
     }
     return std::nullopt;
 }
@@ -157,21 +159,21 @@
 std::optional<http_response> outbound_request::checkRoute()
 {
     const route_choice choice = chooseRoute(*m_config, m_head.method, pathOf(m_head.target));
-    if (choice.matched == nullptr && choice.isMethodRefused) {
-        http_response refused = m_core.refuse(405,
-                                              node_outcome::NotRun,
-                                              "method-not-allowed",
-                                              "the route of this path does not accept " + m_head.method,
-                                              "use one of: " + choice.allowedMethods);
+    if (choice.matched == nullptr && choice.isMethodNotAllowed) {
+        http_response refused = m_shared.refuse(405,
+                                                node_outcome::NotRun,
+                                                "method-not-allowed",
+                                                "the route of this path does not accept " + m_head.method,
+                                                "use one of: " + choice.allowedMethods);
         setHeader(refused.head.headers, "Allow", choice.allowedMethods);
         return refused;
     }
     if (choice.matched == nullptr) {
-        return m_core.refuse(404,
-                             node_outcome::NotRun,
-                             "no-route",
-                             "no route matches this path",
-                             "check the path, or publish a route for it");
+        return m_shared.refuse(404,
+                               node_outcome::NotRun,
+                               "no-route",
+                               "no route matches this path",
+                               "check the path, or publish a route for it");
     }
     m_route = choice.matched;
     return std::nullopt;
@@ -183,38 +185,38 @@
     auto refused = checkRequest();
     refused = refused ? std::move(refused) : checkRoute();
     if (refused) {
-        return finished(std::move(*refused));
+        return finalizeResponse(std::move(*refused));
     }
     thread_local random_generator generator = seededFromDevice();
-    m_next.requestId = toHex(randomId(generator));
-    m_next.workClass = m_route->applied.workClass;
-    m_next.isIdempotent = m_route->applied.isIdempotent;
-    m_next.depth = m_arrived.depth < maxDepth ? m_arrived.depth + 1 : maxDepth + 1;
-    m_next.service = m_route->service;
-    m_next.version = std::to_string(m_config->version);
-    m_deadline = deadlineAfter(now, m_arrived.timeLeft, m_route->applied.deadline);
-    if (auto tooLate = checkReach(now)) {
-        return finished(std::move(*tooLate));
+    m_outgoing.requestId = toHex(randomId(generator));
+    m_outgoing.workClass = m_route->applied.workClass;
+    m_outgoing.isIdempotent = m_route->applied.isIdempotent;
+    m_outgoing.depth = m_received.depth < maxDepth ? m_received.depth + 1 : maxDepth + 1;
+    m_outgoing.service = m_route->service;
+    m_outgoing.version = std::to_string(m_config->version);
+    m_deadline = deadlineAfter(now, m_received.timeLeft, m_route->applied.deadline);
+    if (auto refused = checkHopLimits(now)) {
+        return finalizeResponse(std::move(*refused));
     }
-    m_core.dispatch.noteCall(m_route->service, now);
-    return m_isHeld ? std::nullopt : runTries();
+    m_shared.dispatch.noteCall(m_route->service, now);
+    return m_isBodyBuffered ? std::nullopt : runAttempts();
 }
 
-std::optional<http_response> outbound_request::checkReach(time_point now)
+std::optional<http_response> outbound_request::checkHopLimits(time_point now)
 {
-    switch (checkHop(m_deadline, m_next.depth, now)) {
+    switch (checkHop(m_deadline, m_outgoing.depth, now)) {
     case hop_refusal::TooDeep:
-        return m_core.refuse(508,
-                             node_outcome::NotRun,
-                             "too-deep",
-                             "the call chain is more than " + std::to_string(maxDepth) + " calls deep",
-                             "check the services for a loop of calls");
+        return m_shared.refuse(508,
+                               node_outcome::NotRun,
+                               "too-deep",
+                               "the call chain is more than " + std::to_string(maxDepth) + " calls deep",
+                               "check the services for a loop of calls");
     case hop_refusal::TooLittleTime:
-        return m_core.refuse(504,
-                             node_outcome::NotRun,
-                             "deadline",
-                             "too little time is left for the request",
-                             "raise X-Pq-Deadline-Ms, or deadline_ms in the policy");
+        return m_shared.refuse(504,
+                               node_outcome::NotRun,
+                               "deadline",
+                               "too little time is left for the request",
+                               "raise X-Pq-Deadline-Ms, or deadline_ms in the policy");
     case hop_refusal::None:
         break;
     }
@@ -223,58 +225,60 @@
 
 bool outbound_request::onBody(std::string_view piece)
 {
-    if (m_isHeld) {
+    if (m_isBodyBuffered) {
         m_body += piece;
         return true;
     }
-    m_isBodyGone = true;
+    m_isBodyConsumed = true;
     return m_call && m_call->send(piece);
 }
 
 http_response outbound_request::onEnd()
 {
-    if (m_isHeld) {
-        return *runTries();
+    if (m_isBodyBuffered) {
+        return *runAttempts();
     }
     m_sentAt = steadyNow();
     m_call->provideLast({});
-    classify();
-    return result();
+    classifyAttempt();
+    return buildResponse();
 }
 
-// Tries workers until there is a response to pass on, or, for a body that is not held, until a worker takes it (empty).
-std::optional<http_response> outbound_request::runTries()
+// Attempts the request on one worker after another until there is a response to the caller. Returns nothing if the body
+// is streamed and a worker's node is ready to receive it.
+std::optional<http_response> outbound_request::runAttempts()
 {
-    while (beginTry()) {
-        if (m_isHeld) {
+    while (beginAttempt()) {
+        if (m_isBodyBuffered) {
             m_sentAt = steadyNow();
             m_call->provideLast(m_body);
         } else if (m_call->awaitBodyWanted()) {
             return std::nullopt;
         }
-        classify();
+        classifyAttempt();
         if (!isRetryAllowed()) {
             break;
         }
     }
-    return m_call ? result() : noWorkerResponse();
+    return m_call ? buildResponse() : noWorkerResponse();
 }
 
-// Closes the last call and opens one to another worker; false, with the last call kept, if there is none.
-bool outbound_request::beginTry()
+// Closes the previous call and opens one to another worker. Returns false, and keeps the previous call, if there is
+// none.
+bool outbound_request::beginAttempt()
 {
-    const pistachioquay::call_request needed{m_route->applied.workClass, m_tried};
-    call_choice next = m_core.dispatch.begin(m_core.sources.workers(), m_route->service, needed, steadyNow());
+    const pistachioquay::call_request callRequest{m_route->applied.workClass, m_attemptedNodes};
+    call_choice next = m_shared.dispatch.begin(m_shared.sources.workers(), m_route->service, callRequest, steadyNow());
     if (!next.target) {
         return false;
     }
     if (m_call) {
-        ++m_core.counts.retries;
+        ++m_shared.counts.retries;
     }
     closeCall();
     m_choice = std::move(next);
-    m_seen = {call_end::Cancelled, {}, std::nullopt};
-    m_tried.push_back(m_choice.target->nodeId);
+    m_callResult = {call_end::Cancelled, {}, std::nullopt};
+    m_attemptedNodes.push_back(m_choice.target->nodeId);
     openCall();
     return true;
 }
@@ -286,14 +290,14 @@
     request.head.method = m_head.method;
     request.head.target = m_head.target;
     request.head.bodyLength = m_head.bodyLength;
-    // A body that cannot be sent again is sent only after the worker's node has admitted the request.
-    request.head.expectsContinue = !m_isHeld;
+    // A streamed body cannot be sent again, so it is sent only after the worker's node has admitted the request.
+    request.head.expectsContinue = !m_isBodyBuffered;
     request.head.headers = forwardedHeaders(m_head.headers);
     request.deadline = m_deadline;
-    m_next.attempt = m_arrived.attempt + m_history.budgeted;
-    m_next.timeLeft = milliseconds(millisForNextHop(m_deadline, steadyNow()));
-    writeContext(m_next, request.head.headers);
-    m_call = std::make_unique<http_call>(m_core.pool, std::move(request), m_watch);
+    m_outgoing.attempt = m_received.attempt + m_history.budgeted;
+    m_outgoing.timeLeft = milliseconds(millisForNextHop(m_deadline, steadyNow()));
+    writeContext(m_outgoing, request.head.headers);
+    m_call = std::make_unique<http_call>(m_shared.pool, std::move(request), m_watch);
 }
 
 void outbound_request::closeCall()
@@ -301,45 +305,47 @@
     if (m_call) {
         m_call.reset();
         m_response = nullptr;
-        m_core.dispatch.end(m_route->service, m_choice, m_seen, steadyNow());
+        m_shared.dispatch.end(m_route->service, m_choice, m_callResult, steadyNow());
     }
 }
 
-void outbound_request::noteEnd(try_progress progress, call_end end)
+void outbound_request::recordAttemptEnd(try_progress progress, call_end outcome)
 {
     noteTry(m_history, progress);
-    m_seen.end = end;
+    m_callResult.end = outcome;
 }
 
-// Sets what became of the call: `m_response`, `m_history` and `m_seen`.
-void outbound_request::classify()
+// Waits for the response head and records how the attempt ended in `m_response`, `m_history` and `m_callResult`.
+void outbound_request::classifyAttempt()
 {
     m_response = m_call->awaitHead();
-    m_seen.latency = steadyNow() - m_sentAt;
-    // A short response of an idempotent request is awaited whole, so that it can be requested again if it is cut.
-    if (m_response != nullptr && m_next.isIdempotent && m_isHeld) {
+    m_callResult.latency = steadyNow() - m_sentAt;
+    // Waits for the whole of a short response to an idempotent request, so that the request can be retried if the
+    // response is truncated.
+    if (m_response != nullptr && m_outgoing.isIdempotent && m_isBodyBuffered) {
         m_call->awaitSmallBody();
     }
     if (m_response != nullptr && m_call->failure() != call_failure::None) {
-        ++m_core.counts.truncated;
+        ++m_shared.counts.truncated;
         m_response = nullptr;
     }
     if (m_response != nullptr) {
         classifyResponse();
         return;
     }
-    m_detail = failureName(m_call->failure());
-    m_isCallerGone = m_call->failure() == call_failure::Cancelled;
-    const call_end broken = m_isCallerGone ? call_end::Cancelled : call_end::Broken;
+    m_failureDetail = failureName(m_call->failure());
+    m_isCallerDisconnected = m_call->failure() == call_failure::Cancelled;
+    const call_end failedOutcome = m_isCallerDisconnected ? call_end::Cancelled : call_end::Broken;
     switch (m_call->progress()) {
     case call_progress::NoConnection:
-        noteEnd(try_progress::NoConnection, m_isCallerGone ? call_end::Cancelled : call_end::NoConnection);
+        recordAttemptEnd(try_progress::NoConnection,
+                         m_isCallerDisconnected ? call_end::Cancelled : call_end::NoConnection);
         break;
     case call_progress::SentNoResponse:
-        noteEnd(try_progress::SentNoResponse, broken);
+        recordAttemptEnd(try_progress::SentNoResponse, failedOutcome);
         break;
     default:
-        noteEnd(try_progress::PartialResponse, broken);
+        recordAttemptEnd(try_progress::PartialResponse, failedOutcome);
         break;
     }
 }
@@ -347,55 +353,57 @@
 void outbound_request::classifyResponse()
 {
     const header_list &headers = m_response->headers;
-    m_seen.load = loadOf(headers);
+    m_callResult.load = readLoad(headers);
     const auto outcome = findHeader(headers, outcomeHeader);
     m_isKeyUnused = m_isKeyUnused || findHeader(headers, keyOutcomeHeader) == outcomeName(node_outcome::NotRun);
-    if (findHeader(headers, requestIdHeader) != m_next.requestId) {
-        m_detail = "the response belongs to another request";
+    if (findHeader(headers, requestIdHeader) != m_outgoing.requestId) {
+        m_failureDetail = "the response belongs to another request";
         m_response = nullptr;
-        noteEnd(try_progress::Unknown, call_end::Broken);
+        recordAttemptEnd(try_progress::Unknown, call_end::Broken);
     } else if (outcome == outcomeName(node_outcome::NotRun)) {
         const std::string_view reason = findHeader(headers, reasonHeader).value_or("");
-        m_detail = "the worker's node did not run it: " + std::string(reason);
+        m_failureDetail = "the worker's node did not run it: " + std::string(reason);
         m_isQuarantined = reason == quarantinedReason;
-        noteEnd(try_progress::NotRun, endOfRefusal(reason));
+        recordAttemptEnd(try_progress::NotRun, outcomeOfRefusal(reason));
     } else if (outcome) {
-        m_detail = "the worker's node does not know whether it ran";
-        noteEnd(try_progress::Unknown, call_end::Broken);
+        m_failureDetail = "the worker's node does not know whether it ran";
+        recordAttemptEnd(try_progress::Unknown, call_end::Broken);
     } else if (m_response->status == 503) {
-        noteEnd(try_progress::WorkerUnavailable, call_end::Failed);
+        recordAttemptEnd(try_progress::WorkerUnavailable, call_end::Failed);
     } else {
-        noteEnd(try_progress::WorkerStatus, m_response->status >= 500 ? call_end::Failed : call_end::Completed);
+        recordAttemptEnd(try_progress::WorkerStatus,
+                         m_response->status >= 500 ? call_end::Failed : call_end::Completed);
     }
 }
 
 bool outbound_request::isRetryAllowed()
 {
-    if (m_isCallerGone || m_isQuarantined) {
+    if (m_isCallerDisconnected || m_isQuarantined) {
         return false;
     }
     retry_facts facts;
-    facts.isIdempotent = m_next.isIdempotent;
+    facts.isIdempotent = m_outgoing.isIdempotent;
     facts.retries = m_route->applied.retries;
-    facts.inheritedAttempts = m_arrived.attempt;
-    facts.isBodyReplayable = !m_isBodyGone;
+    facts.inheritedAttempts = m_received.attempt;
+    facts.isBodyReplayable = !m_isBodyConsumed;
     facts.deadline = m_deadline;
-    const retry_decision decision = m_core.dispatch.decide(m_route->service, facts, m_history, steadyNow());
-    return decision.verdict == retry_verdict::Retry && pauseFor(decision.delay);
+    const retry_decision decision = m_shared.dispatch.decide(m_route->service, facts, m_history, steadyNow());
+    return decision.verdict == retry_verdict::Retry && waitBeforeRetry(decision.delay);
 }
 
-// Waits before another try; false if the caller is gone.
-bool outbound_request::pauseFor(milliseconds delay)
+// Waits for the retry delay. Returns false if the caller disconnects in that time.
+bool outbound_request::waitBeforeRetry(milliseconds delay)
 {
     pollfd watched{m_watch.fd(), POLLIN, 0};
-    m_isCallerGone = ::poll(&watched, 1, static_cast<int>(delay.count())) > 0;
-    return !m_isCallerGone;
+    m_isCallerDisconnected = ::poll(&watched, 1, static_cast<int>(delay.count())) > 0;
+    return !m_isCallerDisconnected;
 }
 
-http_response outbound_request::result()
+http_response outbound_request::buildResponse()
 {
-    const bool isRefusalOnly = m_history.last == try_progress::NotRun && m_history.mayHaveRun;
-    return m_response != nullptr && !isRefusalOnly ? workerResponse() : failureResponse();
+    // If an earlier attempt may have run, the last attempt's `not-run` must not reach the caller.
+    const bool isNotRunForLastAttemptOnly = m_history.last == try_progress::NotRun && m_history.mayHaveRun;
+    return m_response != nullptr && !isNotRunForLastAttemptOnly ? workerResponse() : failureResponse();
 }
 
 http_response outbound_request::workerResponse()
@@ -408,72 +416,74 @@
     setBody(response, m_call->takeWhole(), [this](std::span<char> buffer) {
         const read_result got = m_call->read(buffer);
         if (got.state == read_state::Cut) {
-            ++m_core.counts.truncated;
+            ++m_shared.counts.truncated;
         }
         return got;
     });
-    return finished(std::move(response));
+    return finalizeResponse(std::move(response));
 }
 
 http_response outbound_request::failureResponse()
 {
     const bool isDeadline = m_call && m_call->failure() == call_failure::DeadlinePassed;
     closeCall();
-    if (m_isCallerGone) {
+    if (m_isCallerDisconnected) {
         return {};
     }
     const std::string kind = isDeadline ? "deadline" : "call-failed";
     if (!m_history.mayHaveRun) {
-        return finished(m_core.refuse(503,
-                                      node_outcome::NotRun,
-                                      kind,
-                                      "no worker of \"" + m_route->service + "\" took the request: " + m_detail,
-                                      "send the request again"));
+        return finalizeResponse(
+            m_shared.refuse(503,
+                            node_outcome::NotRun,
+                            kind,
+                            "no worker of \"" + m_route->service + "\" took the request: " + m_failureDetail,
+                            "send the request again"));
     }
-    return finished(m_core.refuse(isDeadline ? 504 : 502,
-                                  node_outcome::Unknown,
-                                  kind,
-                                  "the request was sent to \"" + m_route->service + "\" and may have run: " + m_detail,
-                                  "look up whether it took effect before sending it again"));
+    return finalizeResponse(
+        m_shared.refuse(isDeadline ? 504 : 502,
+                        node_outcome::Unknown,
+                        kind,
+                        "the request was sent to \"" + m_route->service + "\" and may have run: " + m_failureDetail,
+                        "look up whether it took effect before sending it again"));
 }
 
 http_response outbound_request::noWorkerResponse()
 {
-    return finished(m_core.refuse(503,
-                                  node_outcome::NotRun,
-                                  "no-worker",
-                                  "no worker of \"" + m_route->service + "\" is ready",
-                                  "send the request again later, or start workers of the service"));
+    return finalizeResponse(m_shared.refuse(503,
+                                            node_outcome::NotRun,
+                                            "no-worker",
+                                            "no worker of \"" + m_route->service + "\" is ready",
+                                            "send the request again later, or start workers of the service"));
 }
 
-// Reports a finished request for the service's objectives. A response that was cut on the way counts as failed; a
-// request whose caller has left says nothing about the service.
-void outbound_request::observe(bool isComplete)
+// Reports a finished request for the objectives of its service. A truncated response counts as failed. A request whose
+// caller disconnected is not reported, since its outcome says nothing about the service.
+void outbound_request::reportSample(bool isComplete)
 {
     constexpr int badGateway = 502;
-    const bool hasLeft = m_isCallerGone || (!isComplete && m_watch.isGone());
-    if (m_route == nullptr || hasLeft || !m_core.sources.observe) {
+    const bool isCallerDisconnected = m_isCallerDisconnected || (!isComplete && m_watch.isGone());
+    if (m_route == nullptr || isCallerDisconnected || !m_shared.sources.observe) {
         return;
     }
-    m_core.sources.observe({.service = m_route->service,
-                            .workClass = m_route->applied.workClass,
-                            .status = isComplete ? m_status : badGateway,
-                            .latency = steadyNow() - m_arrivedAt});
+    m_shared.sources.observe({.service = m_route->service,
+                              .workClass = m_route->applied.workClass,
+                              .status = isComplete ? m_status : badGateway,
+                              .latency = steadyNow() - m_receivedAt});
 }
 
 void outbound_request::onDone(bool isComplete)
 {
-    observe(isComplete);
+    reportSample(isComplete);
     if (!isComplete && m_watch.isGone()) {
-        ++m_core.counts.cancelled;
+        ++m_shared.counts.cancelled;
     }
     closeCall();
-    m_core.inFlight.end();
+    m_shared.inFlight.end();
 }
 
 } // namespace
 
-exchange outboundExchange(core &shared, const request_head &head, const caller_watch &watch)
+exchange outboundExchange(shared_state &shared, const request_head &head, const caller_watch &watch)
 {
     return makeExchange<outbound_request>(shared, head, watch);
 }
--- a/packages/request/proxy/proxy.cc
+++ b/packages/request/proxy/proxy.cc
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr seconds upkeepInterval{1};
+constexpr seconds maintenanceInterval{1};
 
 std::set<endpoint> addressesIn(const worker_view *view)
 {
@@ -51,15 +51,16 @@
 
     server_options serverOptions(const endpoint &address, proxy_tuning tuning) const
     {
-        server_options made;
-        made.address = address;
-        made.maxConnections = shared.options.maxConnections;
-        made.threads = tuning.usesEventLoop ? server_threads::EventLoop : server_threads::PerConnection;
-        return made;
+        server_options options;
+        options.address = address;
+        options.maxConnections = shared.options.maxConnections;
+        options.threads = tuning.usesEventLoop ? server_threads::EventLoop : server_threads::PerConnection;
+        return options;
     }
 
-    // Closes connections that were idle for long, and those to nodes that have left.
-    void upkeep(const std::stop_token &stop)
+    // Every `maintenanceInterval`, closes idle connections and those to nodes that are no longer in the worker view,
+    // and updates the nodes of the service.
+    void runMaintenance(const std::stop_token &stop)
     {
         std::mutex mutex;
         std::condition_variable_any changed;
@@ -67,22 +68,22 @@
         std::unique_lock guard(mutex);
         while (!stop.stop_requested()) {
             std::set<endpoint> current = addressesIn(shared.sources.workers().get());
-            for (const endpoint &left : known) {
-                if (!current.contains(left)) {
-                    shared.pool.dropTarget(left);
+            for (const endpoint &address : known) {
+                if (!current.contains(address)) {
+                    shared.pool.dropTarget(address);
                 }
             }
             known = std::move(current);
             shared.pool.closeIdle(steadyNow());
-            observeOwnService();
-            changed.wait_for(guard, stop, upkeepInterval, [] {
+            updateServiceNodes();
+            changed.wait_for(guard, stop, maintenanceInterval, [] {
                 return false;
             });
         }
     }
 
-    // Tells the limits which nodes the own service has in the data centre.
-    void observeOwnService()
+    // Passes the nodes of this node's service in the data centre to the limits that they share.
+    void updateServiceNodes()
     {
         const std::shared_ptr<const worker_view> view = shared.sources.workers();
         std::vector<std::string_view> nodeIds{shared.options.nodeId};
@@ -91,13 +92,13 @@
                 nodeIds.push_back(known.nodeId);
             }
         }
-        shared.slots.observe(nodeIds);
+        shared.slots.setServiceNodes(nodeIds);
     }
 
-    internal::core shared;
+    internal::shared_state shared;
     http_server callerServer;
     http_server peerServer;
-    std::jthread upkeepThread;
+    std::jthread maintenanceThread;
 };
 
 proxy::proxy(proxy_options options, proxy_sources sources, proxy_tuning tuning)
@@ -119,10 +120,11 @@
 {
     BOOST_LEAF_CHECK(m_state->peerServer.start());
     BOOST_LEAF_CHECK(m_state->callerServer.start());
-    m_state->upkeepThread = std::jthread([own = m_state.get()](const std::stop_token &stop) {
-        own->upkeep(stop);
+    m_state->maintenanceThread = std::jthread([own = m_state.get()](const std::stop_token &stop) {
+        own->runMaintenance(stop);
     });
-    LOG(INFO) << "[proxy] callers at " << toText(callerAddress()) << ", peers at " << toText(peerAddress());
+    LOG(INFO) << "[proxy] listening for callers on " << toText(callerAddress()) << ", for nodes on "
+              << toText(peerAddress());
     return {};
 }
 
@@ -133,13 +135,13 @@
     m_state->shared.slots.drain();
     m_state->callerServer.closeConnectionsAfterResponse();
     m_state->peerServer.closeConnectionsAfterResponse();
-    const bool isEmpty = m_state->shared.inFlight.waitForNone(until);
-    LOG(INFO) << "[proxy] drained" << (isEmpty ? "" : ", requests are still in flight");
+    const bool isEmpty = m_state->shared.inFlight.waitUntilEmpty(until);
+    LOG(INFO) << "[proxy] drained" << (isEmpty ? "" : " incompletely: requests are still in flight");
 }
 
 void proxy::stop()
 {
-    m_state->upkeepThread = {};
+    m_state->maintenanceThread = {};
     m_state->callerServer.stop();
     m_state->peerServer.stop();
 }
@@ -151,7 +153,7 @@
 
 proxy_status proxy::status() const
 {
-    internal::core &shared = m_state->shared;
+    internal::shared_state &shared = m_state->shared;
     const internal::slot_load load = shared.slots.load();
     proxy_status status;
     status.running = load.running;
--- a/packages/request/proxy/proxy_fixture.h
+++ b/packages/request/proxy/proxy_fixture.h
@@ -1,4 +1,9 @@
-// Nodes, workers and callers on loopback for the tests of the proxy. Used by tests only.
+// Nodes, workers and callers on loopback for the tests of the proxy.
+//
+//   raw_server upstream(okWorker(runs));
+//   test_mesh mesh;
+//   const auto node = mesh.addNode("n1", upstream.address());
+//   CHECK(mesh.call("GET", "/read").status == 200);
 #pragma once
 
 #include <catch2/catch.hpp>
@@ -12,7 +17,7 @@
 
 inline constexpr std::string_view okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-// Responds "ok" to each request that has no body and counts them.
+// okWorker returns a script that responds "ok" to each request without a body and counts the requests in `runs`.
 inline raw_server::script okWorker(std::atomic<int> &runs)
 {
     return [&runs](raw_connection &peer, int) {
@@ -23,7 +28,7 @@
     };
 }
 
-// The whole of one response.
+// A response as the caller received it; `progress` tells whether it is whole.
 struct caller_response
 {
     unsigned status = 0;
@@ -37,8 +42,8 @@
     }
 };
 
-// One configuration with the routes /read (idempotent, GET) and /write (not idempotent, POST) of service "orders", one
-// entry node without a worker, and any number of nodes with one.
+// A configuration with the routes /read (idempotent, GET) and /write (not idempotent, POST) of service "orders", an
+// entry node without a worker, and any number of nodes with a worker.
 class test_mesh
 {
 public:
@@ -49,7 +54,7 @@
         entry = makeNode("entry", {"127.0.0.1", 1}, 1);
     }
 
-    // Adds a node in front of `upstream`.
+    // addNode starts a node whose worker is `upstream`, and adds it to the workers of "orders".
     std::unique_ptr<proxy> addNode(const std::string &nodeId, const endpoint &upstream, std::uint32_t slots = 6)
     {
         auto node = makeNode(nodeId, upstream, slots);
@@ -57,7 +62,7 @@
         return node;
     }
 
-    // Adds an address to the workers of "orders".
+    // addWorker adds a worker of "orders" that is reached at `peerAddress`, without starting a node.
     void addWorker(const std::string &nodeId, const endpoint &peerAddress)
     {
         worker added;
@@ -70,18 +75,20 @@
         m_workers = view;
     }
 
+    // setConfig replaces the configuration of all nodes; null for none.
     void setConfig(std::shared_ptr<const compiled_config> value)
     {
         const std::lock_guard guard(m_mutex);
         m_config = std::move(value);
     }
 
-    // Runs one call through the entry node.
+    // call sends a request to the caller port of the entry node and reads the whole response.
     caller_response call(const std::string &method, const std::string &target, header_list headers = {})
     {
         return callTo(entry->callerAddress(), method, target, std::move(headers));
     }
 
+    // callTo sends a request to any address and reads the whole response.
     caller_response
     callTo(const endpoint &address, const std::string &method, const std::string &target, header_list headers = {})
     {
@@ -89,18 +96,18 @@
         request.target = address;
         request.head = {method, target, std::move(headers), 0, false};
         request.deadline = steadyNow() + longestWait;
-        http_call made(m_pool, request, m_noWatch);
-        made.provideLast({});
+        http_call http(m_pool, request, m_noCallerWatch);
+        http.provideLast({});
         caller_response response;
-        if (const response_head *head = made.awaitHead()) {
+        if (const response_head *head = http.awaitHead()) {
             response.status = head->status;
             response.headers = head->headers;
             char buffer[4096];
-            for (read_result got = made.read(buffer); got.state == read_state::Data; got = made.read(buffer)) {
-                response.body.append(buffer, got.bytes);
+            for (read_result chunk = http.read(buffer); chunk.state == read_state::Data; chunk = http.read(buffer)) {
+                response.body.append(buffer, chunk.bytes);
             }
         }
-        response.progress = made.progress();
+        response.progress = http.progress();
         return response;
     }
 
@@ -154,13 +161,13 @@
     std::shared_ptr<const compiled_config> m_config = std::make_shared<compiled_config>();
     std::shared_ptr<const worker_view> m_workers = std::make_shared<worker_view>();
     client_pool m_pool{{}};
-    caller_watch m_noWatch;
+    caller_watch m_noCallerWatch;
 
 public:
-    std::unique_ptr<proxy> entry;
+    std::unique_ptr<proxy> entry; // the entry node
 };
 
-// waitFor polls a condition; false after the longest wait.
+// waitFor polls until the condition holds. Returns false if it does not within `longestWait`.
 inline bool waitFor(const std::function<bool()> &condition)
 {
     const time_point until = steadyNow() + longestWait;
--- a/packages/request/proxy/proxy_test.cc
+++ b/packages/request/proxy/proxy_test.cc
@@ -9,13 +9,13 @@
 
 namespace {
 
-// The headers that a node sends to the peer port.
+// Returns the headers that a node sends to the peer port of another.
 header_list peerHeaders(const std::string &service)
 {
     return {{"X-Pq-Request-Id", "1f"}, {"X-Pq-Service", service}, {"X-Pq-Deadline-Ms", "5000"}};
 }
 
-// Memory of this process that is in RAM.
+// Returns the resident memory of this process.
 std::size_t residentBytes()
 {
     std::ifstream statm("/proc/self/statm");
@@ -27,7 +27,8 @@
 
 } // namespace
 
-TEST_CASE("a call goes through two nodes, without hop-by-hop headers and foreign node headers", "[proxy]")
+TEST_CASE("a request passes two nodes without hop-by-hop headers and without X-Pq headers of the caller or worker",
+          "[proxy]")
 {
     std::string seen;
     raw_server upstream([&](raw_connection &peer, int) {
@@ -45,7 +46,7 @@
     CHECK(got.body == "ok");
     CHECK(got.header("X-Pq-Version") == "7");
     CHECK(got.header("X-Pq-Request-Id").size() == 32);
-    CHECK(got.header("X-Pq-Outcome").empty()); // a header of the worker must not be taken for one of a node
+    CHECK(got.header("X-Pq-Outcome").empty()); // a header of the worker must not pass for one of a node
     CHECK(got.header("Keep-Alive").empty());
     CHECK(std::ranges::count(got.headers, std::string("Set-Cookie"), &header_field::name) == 2);
     CHECK(seen.starts_with("GET /read/a%2Fb?q=%20 HTTP/1.1\r\n"));
@@ -55,7 +56,7 @@
     CHECK(seen.find("X-Pq-Depth: 1") != std::string::npos);
 }
 
-TEST_CASE("a request without a route, a fitting method, a worker or a configuration is refused as not run", "[proxy]")
+TEST_CASE("a request that no route, method, worker or configuration can serve gets a not-run response", "[proxy]")
 {
     test_mesh mesh;
     const caller_response noRoute = mesh.call("GET", "/readable");
@@ -79,7 +80,7 @@
     CHECK(mesh.entry->status().refusals.at("no-configuration") == 1);
 }
 
-TEST_CASE("the peer port takes only requests of nodes for the own service", "[proxy]")
+TEST_CASE("the peer port accepts only requests from nodes and only for its service", "[proxy]")
 {
     std::atomic<int> runs = 0;
     raw_server upstream(okWorker(runs));
@@ -95,27 +96,27 @@
     CHECK(got.header("X-Pq-Waiting") == "0");
 }
 
-TEST_CASE("a worker that is down gives not-run, a worker that dies in the call gives unknown", "[proxy]")
+TEST_CASE("a worker that is down yields not-run, a worker that dies during the call yields unknown", "[proxy]")
 {
     test_mesh mesh;
     const refusing_port closed;
     const auto down = mesh.addNode("down", closed.address());
-    const caller_response notRun = mesh.call("POST", "/write");
-    CHECK(notRun.status == 503);
-    CHECK(notRun.header("X-Pq-Outcome") == "not-run");
+    const caller_response whenDown = mesh.call("POST", "/write");
+    CHECK(whenDown.status == 503);
+    CHECK(whenDown.header("X-Pq-Outcome") == "not-run");
 
     raw_server dying([](raw_connection &peer, int) {
         peer.receiveUntil("\r\n\r\n");
     });
     test_mesh other;
     const auto node = other.addNode("dying", dying.address());
-    const caller_response unknown = other.call("POST", "/write");
-    CHECK(unknown.status == 502);
-    CHECK(unknown.header("X-Pq-Outcome") == "unknown");
+    const caller_response whenDying = other.call("POST", "/write");
+    CHECK(whenDying.status == 502);
+    CHECK(whenDying.header("X-Pq-Outcome") == "unknown");
     CHECK(dying.connections() == 1);
 }
 
-TEST_CASE("a non-idempotent request moves on only after not-run, and runs once", "[proxy]")
+TEST_CASE("a non-idempotent request is retried only after not-run or a failed connection, and runs once", "[proxy]")
 {
     std::atomic<int> runs = 0;
     raw_server upstream(okWorker(runs));
@@ -131,27 +132,28 @@
     CHECK(mesh.entry->status().retries > 0);
 }
 
-TEST_CASE("an idempotent request whose response is lost is tried on another worker", "[proxy]")
+TEST_CASE("an idempotent request whose response is lost or truncated is retried on another worker", "[proxy]")
 {
-    const std::string cut = GENERATE(as<std::string>(), "", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut");
+    const std::string partialResponse =
+        GENERATE(as<std::string>(), "", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut");
     std::atomic<int> runs = 0;
     raw_server upstream(okWorker(runs));
     raw_server dying([&](raw_connection &peer, int) {
         peer.receiveUntil("\r\n\r\n");
-        peer.send(cut);
+        peer.send(partialResponse);
     });
     test_mesh mesh;
     const auto first = mesh.addNode("dying", dying.address());
     const auto second = mesh.addNode("up", upstream.address());
     int failed = 0;
-    for (int index = 0; index < 5; ++index) { // the budget always allows 5 retries
+    for (int index = 0; index < 5; ++index) { // the retry budget always allows 5 retries
         failed += mesh.call("GET", "/read").status == 200 ? 0 : 1;
     }
     CHECK(failed == 0);
     CHECK(runs == 5);
 }
 
-TEST_CASE("a request that was tried again above this node is tried once here", "[proxy]")
+TEST_CASE("a request that an earlier node has retried is attempted only once", "[proxy]")
 {
     raw_server dying([](raw_connection &peer, int) {
         peer.receiveUntil("\r\n\r\n");
@@ -165,12 +167,12 @@
     CHECK(dying.connections() == 3);
 }
 
-TEST_CASE("a response that was cut on the way does not end cleanly at the caller", "[proxy]")
+TEST_CASE("the caller can detect a truncated response", "[proxy]")
 {
     raw_server upstream([](raw_connection &peer, int) {
         peer.receiveUntil("\r\n\r\n");
         peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n");
-        std::this_thread::sleep_for(milliseconds(50)); // the head passes before the connection ends
+        std::this_thread::sleep_for(milliseconds(50)); // lets the head pass before the connection closes
     });
     test_mesh mesh;
     const auto node = mesh.addNode("n1", upstream.address());
@@ -180,20 +182,20 @@
     CHECK(mesh.entry->status().truncated == 1);
 }
 
-TEST_CASE("a response that belongs to another request is refused", "[proxy]")
+TEST_CASE("a response with the request id of another request becomes a 502", "[proxy]")
 {
-    raw_server crossed([](raw_connection &peer, int) {
+    raw_server mismatched([](raw_connection &peer, int) {
         peer.receiveUntil("\r\n\r\n");
         peer.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Pq-Request-Id: 00\r\n\r\nother");
     });
     test_mesh asPeer;
-    asPeer.addWorker("crossed", crossed.address());
+    asPeer.addWorker("crossed", mismatched.address());
     const caller_response got = asPeer.call("POST", "/write");
     CHECK(got.status == 502);
     CHECK(got.header("X-Pq-Outcome") == "unknown");
     CHECK(got.body.find("other\"") == std::string::npos);
     test_mesh asWorker;
-    const auto node = asWorker.addNode("n1", crossed.address());
+    const auto node = asWorker.addNode("n1", mismatched.address());
     const caller_response fromWorker = asWorker.call("POST", "/write");
     CHECK(fromWorker.status == 502);
     CHECK(fromWorker.body.find("crossed-response") != std::string::npos);
@@ -221,15 +223,15 @@
     }));
 }
 
-TEST_CASE("a drain refuses new work and cuts nothing in flight", "[proxy]")
+TEST_CASE("a drain refuses new requests and completes those in flight", "[proxy]")
 {
     std::promise<void> arrived;
-    std::promise<void> goOn;
-    auto mayGoOn = goOn.get_future().share();
+    std::promise<void> release;
+    auto released = release.get_future().share();
     raw_server upstream([&](raw_connection &peer, int) {
         peer.receiveUntil("\r\n\r\n");
         arrived.set_value();
-        mayGoOn.wait_for(longestWait);
+        released.wait_for(longestWait);
         peer.send(okResponse);
     });
     test_mesh mesh;
@@ -250,22 +252,22 @@
     CHECK(refused.status == 503);
     CHECK(refused.header("X-Pq-Outcome") == "not-run");
     CHECK(refused.body.find("draining") != std::string::npos);
-    // A call that the running request makes through its own node is still served.
+    // A call that the running request makes through its node is still served.
     CHECK(mesh.callTo(node->callerAddress(), "GET", "/nothing", {{"X-Pq-Depth", "1"}}).status == 404);
     CHECK(draining.wait_for(milliseconds(0)) == std::future_status::timeout);
-    goOn.set_value();
+    release.set_value();
     CHECK(running.get().status == 200);
     CHECK(draining.wait_for(longestWait) == std::future_status::ready);
     node->stop();
 }
 
-TEST_CASE("a slow 20 MB upload neither blocks short calls nor is held in memory", "[proxy]")
+TEST_CASE("a slow 20 MB upload neither blocks short calls nor is buffered in memory", "[proxy]")
 {
     constexpr std::size_t uploadBytes = 20UL * 1024 * 1024;
     constexpr std::size_t allowedGrowth = 6UL * 1024 * 1024; // the caller, the worker and two nodes are in this process
     std::promise<void> halfway;
-    std::promise<void> goOn;
-    auto mayGoOn = goOn.get_future().share();
+    std::promise<void> release;
+    auto released = release.get_future().share();
     std::atomic<std::size_t> received = 0;
     raw_server upstream([&](raw_connection &peer, int) {
         std::string head = peer.receiveUntil("\r\n\r\n");
@@ -287,7 +289,7 @@
             if (isWaiting && received > uploadBytes / 2) {
                 isWaiting = false;
                 halfway.set_value();
-                mayGoOn.wait_for(longestWait);
+                released.wait_for(longestWait);
             }
         }
         peer.send(okResponse);
@@ -312,17 +314,18 @@
         CHECK(mesh.call("GET", "/read").status == 200);
     }
     CHECK(residentBytes() < before + allowedGrowth);
-    goOn.set_value();
+    release.set_value();
     CHECK(upload.get().starts_with("HTTP/1.1 200"));
     CHECK(received == uploadBytes);
     CHECK(residentBytes() < before + allowedGrowth);
 }
 
-TEST_CASE("a long body goes to another worker if the first one refuses it before its first byte", "[proxy]")
+TEST_CASE("a streamed body goes to another worker if the first one refuses the request before the body is sent",
+          "[proxy]")
 {
     std::atomic<int> runs = 0;
-    // Keeps its connections open. One that it closed after a response could still carry the next request, whose fate
-    // would be unknown.
+    // Keeps its connections open. If it closed one after a response, the node could still send the next request on it,
+    // and the outcome of that request would be unknown.
     raw_server upstream([&](raw_connection &peer, int) {
         while (!peer.receiveUntil("end").empty()) {
             ++runs;
@@ -346,7 +349,7 @@
     CHECK(mesh.entry->status().retries > 0);
 }
 
-TEST_CASE("an upload that stalls is cut after 5 s and frees its slot", "[proxy]")
+TEST_CASE("an upload that stalls is aborted after 5 s and frees its slot", "[proxy]")
 {
     raw_server upstream([](raw_connection &peer, int) {
         peer.isClosedByPeer();
--- a/packages/request/proxy/route_choice.cc
+++ b/packages/request/proxy/route_choice.cc
@@ -13,7 +13,7 @@
         for (const std::string &allowed : candidate.methods) {
             const bool isListed = choice.allowedMethods.find(allowed) != std::string::npos;
             if (!isListed && findRoute(config, allowed, path) != nullptr) {
-                choice.isMethodRefused = true;
+                choice.isMethodNotAllowed = true;
                 choice.allowedMethods += (choice.allowedMethods.empty() ? "" : ", ") + allowed;
             }
         }
--- a/packages/request/proxy/route_choice.h
+++ b/packages/request/proxy/route_choice.h
@@ -1,7 +1,7 @@
-// Finds the route of a request, or why there is none. Private to the proxy.
+// Finds the route of a request, or the reason why none matches. Private to the proxy.
 //
 //   const route_choice found = chooseRoute(config, "POST", "/orders/7");
-//   if (found.matched == nullptr && found.isMethodRefused) respond405();
+//   if (found.matched == nullptr && found.isMethodNotAllowed) respond405();
 #pragma once
 
 #include <string>
@@ -11,14 +11,15 @@
 
 namespace pistachioquay::internal {
 
+// Result of `chooseRoute`.
 struct route_choice
 {
     const route *matched = nullptr; // lives as long as the configuration
-    bool isMethodRefused = false; // routes match the path, but none accepts the method
-    std::string allowedMethods; // for the `Allow` header if so
+    bool isMethodNotAllowed = false; // routes match the path, but none of them accepts the method
+    std::string allowedMethods; // comma-separated, for the `Allow` header; empty unless `isMethodNotAllowed`
 };
 
-// chooseRoute returns the route with the longest matching prefix that accepts the method. Thread safe.
+// chooseRoute chooses the route with the longest matching prefix that accepts the method. Thread safe.
 route_choice chooseRoute(const compiled_config &config, std::string_view method, std::string_view path);
 
 } // namespace pistachioquay::internal
--- a/packages/request/proxy/slot_queue.cc
+++ b/packages/request/proxy/slot_queue.cc
@@ -22,25 +22,25 @@
     if (result.kind != admission_kind::Queued) {
         return {result.ticket, result.reason};
     }
-    waiter &own = m_waiters[result.ticket];
+    waiter &ownWaiter = m_waiters[result.ticket];
     slot_grant grant{result.ticket, refusal_reason::None};
     admission_events events;
-    while (!own.isDecided) {
+    while (!ownWaiter.isDecided) {
         const time_point now = steadyNow();
         const time_point due = nextWakeup(m_state).value_or(time_point::max());
         if (watch.isGone()) {
             cancel(m_state, result.ticket, now, events);
-            own.isDecided = true;
+            ownWaiter.isDecided = true;
             grant.ticket = 0;
         } else if (due <= now) {
             advance(m_state, now, events);
         } else {
-            own.changed.wait_until(guard, std::min(due, now + callerCheckInterval));
+            ownWaiter.changed.wait_until(guard, std::min(due, now + callerCheckInterval));
         }
-        wake(events);
+        notifyWaiters(events);
         events.clear();
     }
-    grant.reason = own.reason;
+    grant.reason = ownWaiter.reason;
     if (grant.reason != refusal_reason::None) {
         grant.ticket = 0;
     }
@@ -53,7 +53,7 @@
     const std::lock_guard guard(m_mutex);
     admission_events events;
     pistachioquay::release(m_state, ticket, hasResponse, steadyNow(), events);
-    wake(events);
+    notifyWaiters(events);
 }
 
 void slot_queue::drain()
@@ -61,10 +61,10 @@
     const std::lock_guard guard(m_mutex);
     admission_events events;
     setMode(m_state, serving_mode::Draining, steadyNow(), events);
-    wake(events);
+    notifyWaiters(events);
 }
 
-void slot_queue::observe(std::span<const std::string_view> nodeIds)
+void slot_queue::setServiceNodes(std::span<const std::string_view> nodeIds)
 {
     const std::lock_guard guard(m_mutex);
     observeWorkers(m_state.limits, nodeIds, steadyNow());
@@ -76,7 +76,7 @@
     return {runningCount(m_state), waitingShortCount(m_state)};
 }
 
-void slot_queue::wake(const admission_events &events)
+void slot_queue::notifyWaiters(const admission_events &events)
 {
     for (const admission_event &event : events) {
         const auto found = m_waiters.find(event.ticket);
--- a/packages/request/proxy/slot_queue.h
+++ b/packages/request/proxy/slot_queue.h
@@ -1,5 +1,5 @@
-// Slots of the own worker and the queue in front of them: the admission decisions, guarded for the connection threads.
-// Private to the proxy.
+// Slots of this node's worker and the queue in front of them. Makes the admission decisions of request/admission usable
+// from all connection threads, which block until their request is granted or refused. Private to the proxy.
 //
 //   const slot_grant grant = slots.acquire({work_class::Interactive, deadline}, watch);
 //   if (grant.ticket != 0) { run(); slots.release(grant.ticket, true); }
@@ -15,13 +15,14 @@
 
 namespace pistachioquay::internal {
 
-// A ticket, or why there is none; neither if the caller is gone.
+// A ticket, or the reason of the refusal; neither if the caller disconnected while the request waited.
 struct slot_grant
 {
-    std::uint64_t ticket = 0;
+    std::uint64_t ticket = 0; // 0: none
     refusal_reason reason = refusal_reason::None;
 };
 
+// Requests that run on the worker, and lookup and interactive requests that wait for a slot.
 struct slot_load
 {
     std::uint32_t running = 0;
@@ -34,15 +35,16 @@
 public:
     slot_queue(std::uint32_t slots, std::string_view nodeId);
 
-    // acquire blocks until the request is granted or refused, or the caller is gone.
+    // acquire blocks until a slot is granted, the request is refused, or the caller disconnects.
     slot_grant acquire(const admission_request &request, const caller_watch &watch);
-    // release frees a granted slot; `hasResponse` if the worker responded.
+    // release frees a granted slot. The time since the grant enters the service-time estimate if `hasResponse`, that
+    // is, if the worker responded.
     void release(std::uint64_t ticket, bool hasResponse);
-    // drain refuses what waits and all that comes.
+    // drain refuses the waiting requests and all new ones.
     void drain();
-    // observe tells the limits which nodes the service has.
-    void observe(std::span<const std::string_view> nodeIds);
-    // load returns what runs and waits now.
+    // setServiceNodes sets the nodes of the service in this data centre, which share its rate and concurrency limits.
+    void setServiceNodes(std::span<const std::string_view> nodeIds);
+    // load returns the numbers of running and waiting requests.
     slot_load load() const;
 
 private:
@@ -52,7 +54,7 @@
         bool isDecided = false;
         refusal_reason reason = refusal_reason::None;
     };
-    void wake(const admission_events &events);
+    void notifyWaiters(const admission_events &events);
 
     mutable std::mutex m_mutex;
     admission_state m_state;
