--- a/packages/connection/loop/wait_point.h
+++ b/packages/connection/loop/async_event.h
@@ -1,6 +1,6 @@
 // Coroutine types of an event loop, and an event that one coroutine awaits with a deadline.
 //
-//   wait_point responseArrived(executor);
+//   async_event responseArrived(executor);
 //   ...                                       // elsewhere on the loop: responseArrived.notify();
 //   const bool hasResponse = co_await responseArrived.waitUntil(deadline);
 #pragma once
@@ -25,10 +25,10 @@
 inline constexpr auto awaitResult = net::as_tuple(net::use_awaitable);
 
 // Event that a single coroutine awaits. Not thread safe: belongs to one loop.
-class wait_point
+class async_event
 {
 public:
-    explicit wait_point(const net::any_io_executor &executor)
+    explicit async_event(const net::any_io_executor &executor)
         : m_timer(executor)
     {
     }
--- a/packages/connection/loop/http_client.cc
+++ b/packages/connection/loop/http_client.cc
@@ -71,7 +71,7 @@
     return "unknown";
 }
 
-struct loop_client::connection
+struct async_http_client::connection
 {
     explicit connection(const net::any_io_executor &executor)
         : stream(executor)
@@ -86,15 +86,15 @@
     bool isWriting = false;
 };
 
-loop_client::loop_client(net::any_io_executor executor, loop_client_options options)
+async_http_client::async_http_client(net::any_io_executor executor, async_http_client_options options)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
 {
 }
 
-loop_client::~loop_client() = default;
+async_http_client::~async_http_client() = default;
 
-std::shared_ptr<loop_client::connection> loop_client::acquireIdle(milliseconds maxIdleTime)
+std::shared_ptr<async_http_client::connection> async_http_client::acquireIdle(milliseconds maxIdleTime)
 {
     const time_point now = steadyNow();
     closeIdle(now);
@@ -112,19 +112,20 @@
     return nullptr;
 }
 
-void loop_client::closeIdle(time_point now)
+void async_http_client::closeIdle(time_point now)
 {
     std::erase_if(m_idle, [&](const auto &idle) {
         return idle->closeAt <= now;
     });
 }
 
-void loop_client::closeAll()
+void async_http_client::closeAll()
 {
     m_idle.clear();
 }
 
-awaitable<std::shared_ptr<loop_client::connection>> loop_client::open(time_point deadline, exchange_result &result)
+awaitable<std::shared_ptr<async_http_client::connection>> async_http_client::open(time_point deadline,
+                                                                                  exchange_result &result)
 {
     auto conn = std::make_shared<connection>(m_executor);
     beast::error_code failure;
@@ -143,7 +144,7 @@
     co_return conn;
 }
 
-void loop_client::release(std::shared_ptr<connection> conn, const whole_response &response)
+void async_http_client::release(std::shared_ptr<connection> conn, const whole_response &response)
 {
     if (m_idle.size() >= m_options.maxIdleConnections) {
         return;
@@ -164,8 +165,9 @@
 
 // Writes the request and reads the response concurrently, because a target may respond before it has read all of the
 // request.
-awaitable<void>
-loop_client::exchange(const std::shared_ptr<connection> &conn, const whole_request &request, exchange_result &result)
+awaitable<void> async_http_client::exchange(const std::shared_ptr<connection> &conn,
+                                            const whole_request &request,
+                                            exchange_result &result)
 {
     connection &active = *conn;
     const auto message = std::make_shared<http::request<http::string_body>>(toBeast(request));
@@ -208,10 +210,10 @@
 }
 
 awaitable<exchange_result>
-loop_client::send(const whole_request &request, exchange_options options, exchange_control &cancellation)
+async_http_client::send(const whole_request &request, exchange_options options, cancellation_token &cancellation)
 {
     exchange_result result;
-    std::shared_ptr<connection> conn = acquireIdle(options.reuseWithin);
+    std::shared_ptr<connection> conn = acquireIdle(options.maxIdleForReuse);
     result.wasReused = conn != nullptr;
     if (conn) {
         ++m_counts.reused;
--- a/packages/connection/loop/http_client.h
+++ b/packages/connection/loop/http_client.h
@@ -1,6 +1,6 @@
 // HTTP/1.1 client on an event loop, with a pool of keep-alive connections to one target.
 //
-//   loop_client worker(executor, {.target = address, .echoHeader = "X-Request-Id"});
+//   async_http_client worker(executor, {.target = address, .echoHeader = "X-Request-Id"});
 //   const exchange_result got = co_await worker.send(request, {.deadline = now + seconds(1)}, cancellation);
 //   if (got.end == exchange_end::Complete) use(got.response);
 //
@@ -44,7 +44,7 @@
     bool wasReused = false; // the request was sent on a connection that had carried earlier ones
 };
 
-struct loop_client_options
+struct async_http_client_options
 {
     endpoint target;
     std::string echoHeader; // see above; empty: responses are not checked
@@ -59,11 +59,11 @@
     time_point deadline;
     // Only connections that have been idle for at most this long are reused. A target may drop an idle connection
     // without notice, and a request lost with it may or may not have been executed.
-    milliseconds reuseWithin{4000};
+    milliseconds maxIdleForReuse{4000};
 };
 
 // Lets the owner of an exchange cancel it. Not thread safe: belongs to one loop.
-class exchange_control
+class cancellation_token
 {
 public:
     // cancel marks the exchange as cancelled and calls the function set by onCancel, if any.
@@ -97,17 +97,17 @@
 };
 
 // Not thread safe: belongs to one loop.
-class loop_client
+class async_http_client
 {
 public:
-    loop_client(net::any_io_executor executor, loop_client_options options);
-    ~loop_client();
-    loop_client(const loop_client &) = delete;
-    loop_client &operator=(const loop_client &) = delete;
+    async_http_client(net::any_io_executor executor, async_http_client_options options);
+    ~async_http_client();
+    async_http_client(const async_http_client &) = delete;
+    async_http_client &operator=(const async_http_client &) = delete;
 
     // send sends a request and waits for its response. `request` and `cancellation` must outlive the operation.
     awaitable<exchange_result>
-    send(const whole_request &request, exchange_options options, exchange_control &cancellation);
+    send(const whole_request &request, exchange_options options, cancellation_token &cancellation);
     // closeIdle closes the connections whose idle time has reached its limit.
     void closeIdle(time_point now);
     // closeAll closes all idle connections.
@@ -130,7 +130,7 @@
     void release(std::shared_ptr<connection> conn, const whole_response &response);
 
     net::any_io_executor m_executor;
-    loop_client_options m_options;
+    async_http_client_options m_options;
     std::deque<std::shared_ptr<connection>> m_idle; // ordered by last use, the most recent at the back
     client_counts m_counts;
 };
--- a/packages/connection/loop/http_server.cc
+++ b/packages/connection/loop/http_server.cc
@@ -68,9 +68,9 @@
     return {status, {{"Content-Type", std::string(contentType)}}, std::move(text), false};
 }
 
-struct loop_server::state : std::enable_shared_from_this<loop_server::state>
+struct async_http_server::state : std::enable_shared_from_this<async_http_server::state>
 {
-    state(net::any_io_executor loopExecutor, loop_server_options serverOptions, request_handler requestHandler)
+    state(net::any_io_executor loopExecutor, async_http_server_options serverOptions, request_handler requestHandler)
         : executor(std::move(loopExecutor))
         , options(std::move(serverOptions))
         , handler(std::move(requestHandler))
@@ -78,15 +78,15 @@
     {
     }
 
-    server_bounds bounds() const
+    server_limits bounds() const
     {
-        return options.bounds ? options.bounds() : server_bounds{};
+        return options.bounds ? options.bounds() : server_limits{};
     }
 
     awaitable<void> acceptLoop();
 
     net::any_io_executor executor;
-    loop_server_options options;
+    async_http_server_options options;
     request_handler handler;
     tcp::acceptor acceptor;
     server_counts counts;
@@ -102,7 +102,7 @@
 class server_connection
 {
 public:
-    server_connection(std::shared_ptr<loop_server::state> server, tcp::socket socket);
+    server_connection(std::shared_ptr<async_http_server::state> server, tcp::socket socket);
     ~server_connection();
     server_connection(const server_connection &) = delete;
     server_connection &operator=(const server_connection &) = delete;
@@ -118,10 +118,10 @@
     awaitable<bool> rejectRequest(unsigned status);
     awaitable<whole_response> handle(const whole_request &request);
     awaitable<bool> write(whole_response response, unsigned version, bool isHead, bool keepAlive);
-    void watchForDisconnect(const std::shared_ptr<caller_presence> &caller);
+    void watchForDisconnect(const std::shared_ptr<caller_connection> &caller);
     awaitable<void> drain();
 
-    std::shared_ptr<loop_server::state> m_server;
+    std::shared_ptr<async_http_server::state> m_server;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::size_t m_reservedBytes = 0; // part of `bufferedBytes` that belongs to the current request
@@ -129,7 +129,7 @@
     std::shared_ptr<bool> m_isServing; // set while the handler runs; disconnects are reported only while it is set
 };
 
-server_connection::server_connection(std::shared_ptr<loop_server::state> server, tcp::socket socket)
+server_connection::server_connection(std::shared_ptr<async_http_server::state> server, tcp::socket socket)
     : m_server(std::move(server))
     , m_stream(std::move(socket))
 {
@@ -173,7 +173,7 @@
 
 awaitable<bool> server_connection::readRequest(parser_type &parser)
 {
-    const server_bounds bounds = m_server->bounds();
+    const server_limits bounds = m_server->bounds();
     parser.header_limit(static_cast<std::uint32_t>(bounds.headerBytes));
     parser.body_limit(bounds.bodyBytes);
     m_stream.expires_after(bounds.headerTimeout);
@@ -247,7 +247,7 @@
 
 // Reports to `caller` when the connection is closed. The wait ends when the caller sends more bytes or when handle()
 // cancels it after the handler has returned.
-void server_connection::watchForDisconnect(const std::shared_ptr<caller_presence> &caller)
+void server_connection::watchForDisconnect(const std::shared_ptr<caller_connection> &caller)
 {
     const std::weak_ptr<bool> isServing = m_isServing;
     m_stream.socket().async_wait(tcp::socket::wait_read, [caller, isServing, this](const beast::error_code &failure) {
@@ -259,7 +259,7 @@
 
 awaitable<whole_response> server_connection::handle(const whole_request &request)
 {
-    const auto caller = std::make_shared<caller_presence>();
+    const auto caller = std::make_shared<caller_connection>();
     m_isServing = std::make_shared<bool>(true);
     m_stream.expires_never();
     if (m_buffer.size() == 0 && !hasUnreadBytes(m_stream.socket())) {
@@ -271,7 +271,7 @@
     } catch (const std::exception &) {
         response = textReply(500, "internal error\n");
     }
-    caller->onGone(nullptr);
+    caller->onDisconnect(nullptr);
     m_isServing.reset();
     m_stream.socket().cancel();
     if (caller->isGone()) {
@@ -330,7 +330,7 @@
 
 } // namespace
 
-awaitable<void> loop_server::state::acceptLoop()
+awaitable<void> async_http_server::state::acceptLoop()
 {
     const auto self = shared_from_this();
     while (!isStopped) {
@@ -358,17 +358,19 @@
     }
 }
 
-loop_server::loop_server(net::any_io_executor executor, loop_server_options options, request_handler handler)
+async_http_server::async_http_server(net::any_io_executor executor,
+                                     async_http_server_options options,
+                                     request_handler handler)
     : m_state(std::make_shared<state>(std::move(executor), std::move(options), std::move(handler)))
 {
 }
 
-loop_server::~loop_server()
+async_http_server::~async_http_server()
 {
     stop();
 }
 
-result<void> loop_server::start()
+result<void> async_http_server::start()
 {
     beast::error_code failure;
     const tcp::endpoint local(net::ip::make_address(m_state->options.address.ip, failure),
@@ -395,12 +397,12 @@
     return {};
 }
 
-void loop_server::closeAfterResponse()
+void async_http_server::closeAfterResponse()
 {
     m_state->isClosing = true;
 }
 
-void loop_server::stop()
+void async_http_server::stop()
 {
     m_state->isStopped = true;
     beast::error_code ignored; // the socket is closed even if this fails
@@ -410,12 +412,12 @@
     }
 }
 
-server_counts loop_server::counts() const
+server_counts async_http_server::counts() const
 {
     return m_state->counts;
 }
 
-endpoint loop_server::address() const
+endpoint async_http_server::address() const
 {
     beast::error_code failure;
     const auto local = m_state->acceptor.local_endpoint(failure);
--- a/packages/connection/loop/http_server.h
+++ b/packages/connection/loop/http_server.h
@@ -1,7 +1,7 @@
 // HTTP/1.1 server on an event loop. It reads each request completely, within size and time limits, before it calls the
 // handler.
 //
-//   loop_server server(executor, options, [&](const whole_request &request, caller_presence &caller) ->
+//   async_http_server server(executor, options, [&](const whole_request &request, caller_connection &caller) ->
 //   awaitable<whole_response> {
 //       co_return textReply(200, "ready");
 //   });
@@ -21,7 +21,7 @@
 
 #include "base/endpoint.h"
 #include "connection/http/message.h"
-#include "connection/loop/wait_point.h"
+#include "connection/loop/async_event.h"
 
 namespace pistachioquay {
 
@@ -52,19 +52,19 @@
 whole_response textReply(unsigned status, std::string text, std::string_view contentType = "text/plain");
 
 // Tells whether the caller of a request has closed its connection. Not thread safe: belongs to one loop.
-class caller_presence
+class caller_connection
 {
 public:
     bool isGone() const
     {
         return m_isGone;
     }
-    // onGone sets a function that is called once when the caller disconnects; an empty function removes it.
-    void onGone(std::function<void()> action)
+    // onDisconnect sets a function that is called once when the caller disconnects; an empty function removes it.
+    void onDisconnect(std::function<void()> action)
     {
         m_action = std::move(action);
     }
-    // markGone records that the caller has disconnected and calls the function set by onGone.
+    // markGone records that the caller has disconnected and calls the function set by onDisconnect.
     void markGone()
     {
         if (!m_isGone) {
@@ -81,22 +81,22 @@
 };
 
 // Limits on requests. They are read for each request, so that a change takes effect at once.
-struct server_bounds
+struct server_limits
 {
     std::size_t headerBytes = 16UL * 1024;
     std::size_t bodyBytes = 64UL * 1024 * 1024;
     milliseconds headerTimeout{3000};
     milliseconds idleTimeout{15000};
 
-    friend auto operator<=>(const server_bounds &, const server_bounds &) = default;
+    friend auto operator<=>(const server_limits &, const server_limits &) = default;
 };
 
-struct loop_server_options
+struct async_http_server_options
 {
     endpoint address;
     std::size_t maxConnections = 3000; // connections beyond it are closed at once
     std::size_t maxBufferedBytes = 64UL * 1024 * 1024; // sum of the Content-Lengths in progress; 503 beyond it
-    std::function<server_bounds()> bounds; // empty: the defaults of server_bounds
+    std::function<server_limits()> bounds; // empty: the defaults of server_limits
 };
 
 struct server_counts
@@ -109,15 +109,15 @@
 };
 
 // Not thread safe: belongs to one loop.
-class loop_server
+class async_http_server
 {
 public:
-    using request_handler = std::function<awaitable<whole_response>(const whole_request &, caller_presence &)>;
+    using request_handler = std::function<awaitable<whole_response>(const whole_request &, caller_connection &)>;
 
-    loop_server(net::any_io_executor executor, loop_server_options options, request_handler handler);
-    loop_server(const loop_server &) = delete;
-    loop_server &operator=(const loop_server &) = delete;
-    ~loop_server();
+    async_http_server(net::any_io_executor executor, async_http_server_options options, request_handler handler);
+    async_http_server(const async_http_server &) = delete;
+    async_http_server &operator=(const async_http_server &) = delete;
+    ~async_http_server();
 
     // start binds the address and accepts connections. Fails with Unavailable if it cannot listen on the address.
     result<void> start();
--- a/packages/connection/loop/http_server_test.cc
+++ b/packages/connection/loop/http_server_test.cc
@@ -18,14 +18,14 @@
 class echo_server
 {
 public:
-    explicit echo_server(server_bounds bounds = {})
+    explicit echo_server(server_limits bounds = {})
         : m_server(m_loop.executor(),
                    {.address = {"127.0.0.1", 0},
                     .bounds =
                         [bounds] {
                             return bounds;
                         }},
-                   [this](const whole_request &request, caller_presence &caller) {
+                   [this](const whole_request &request, caller_connection &caller) {
                        return respond(request, caller);
                    })
     {
@@ -60,19 +60,19 @@
     }
 
 private:
-    awaitable<whole_response> respond(const whole_request &request, caller_presence &caller)
+    awaitable<whole_response> respond(const whole_request &request, caller_connection &caller)
     {
         ++m_handledRequests;
         if (request.target == "/throw") {
             throw std::runtime_error("handler");
         }
         if (request.target == "/wait") {
-            wait_point callerGone(m_loop.executor());
-            caller.onGone([&callerGone] {
+            async_event callerGone(m_loop.executor());
+            caller.onDisconnect([&callerGone] {
                 callerGone.notify();
             });
             m_sawCallerDisconnect = co_await callerGone.waitUntil(steadyNow() + seconds(5));
-            caller.onGone(nullptr);
+            caller.onDisconnect(nullptr);
         }
         co_return textReply(200, request.method + " " + request.target + " " + request.body);
     }
@@ -80,7 +80,7 @@
     loop_thread m_loop;
     std::atomic<int> m_handledRequests = 0;
     std::atomic<bool> m_sawCallerDisconnect = false;
-    loop_server m_server;
+    async_http_server m_server;
 };
 
 std::string roundTrip(echo_server &server, std::string_view text)
--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -1,8 +1,8 @@
 // State of the other nodes of the mesh and of their workers, which one node collects from gossip datagrams.
 //
 //   fleet_state fleet;
-//   const merge_report merged = mergeRecord(fleet, record, ownStarted, now);
-//   for (const node_record &record : chooseNews(fleet, count, generator)) ...     // records to send in a datagram
+//   const merge_result merged = mergeRecord(fleet, record, ownStarted, now);
+//   for (const node_record &record : chooseUpdates(fleet, count, generator)) ...     // records to send in a datagram
 //   const std::vector<worker_entry> workers = readyWorkers(fleet, "orders", now);
 //
 // The records of one node are ordered by the start of its process and by a revision that only the node itself
@@ -64,7 +64,7 @@
     bool isLeaving = false; // the node shuts down
     std::uint32_t slots = 0;
     std::uint32_t linkBytesPerMs = 0; // rate of the VM's link
-    std::uint32_t coldMs = 0; // remaining time for which the worker is slow after its start
+    std::uint32_t warmUpRemainingMs = 0; // remaining time for which the worker is slow after its start
     std::uint64_t configVersion = 0;
     worker_report report;
     std::map<std::string, double> runMs; // mean run time of the worker by route
@@ -75,7 +75,7 @@
     void serialize(Archive &archive)
     {
         archive(nodeId, started, revision, process, dataCentre, service, peer, gossip);
-        archive(worker, isLeaving, slots, linkBytesPerMs, coldMs, configVersion, report, runMs);
+        archive(worker, isLeaving, slots, linkBytesPerMs, warmUpRemainingMs, configVersion, report, runMs);
     }
 };
 
@@ -83,8 +83,8 @@
 struct known_node
 {
     node_record record;
-    time_point heardAt; // when a newer record arrived, or the node last responded
-    time_point coldUntil;
+    time_point lastHeardAt; // when a newer record arrived, or the node last responded
+    time_point warmUpUntil;
     std::uint32_t sendsLeft = 0; // remaining datagrams in which a change is sent first
 };
 
@@ -96,14 +96,14 @@
 };
 
 // What `mergeRecord` found in a record.
-struct merge_report
+struct merge_result
 {
     bool isNew = false; // the node or its process was unknown
     bool hasWorkerChanged = false; // the state or service of its worker, or whether the node leaves; also if `isNew`
-    bool isNews = false; // the record was newer than the known one and has replaced it
-    bool isOwnOutdated = false; // the record has the own id and a later start: raise the own `started` above it
+    bool wasApplied = false; // the record was newer than the known one and has replaced it
+    bool isOwnStartOutdated = false; // the record has the own id and a later start: raise the own `started` above it
 
-    friend auto operator<=>(const merge_report &, const merge_report &) = default;
+    friend auto operator<=>(const merge_result &, const merge_result &) = default;
 };
 
 // isNewer returns whether `left` is a newer record than `right` of the same node. Thread safe.
@@ -111,11 +111,11 @@
 
 // mergeRecord stores a record if it is newer than the known one of its node. `ownStarted` is the `started` of this
 // node.
-merge_report mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now);
+merge_result mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now);
 
-// chooseNews returns up to `count` records to send to another node: first those of nodes whose worker has changed, then
-// random others, preferably those that were heard last.
-std::vector<node_record> chooseNews(fleet_state &fleet, std::size_t count, random_generator &generator);
+// chooseUpdates returns up to `count` records to send to another node: first those of nodes whose worker has changed,
+// then random others, preferably those that were heard last.
+std::vector<node_record> chooseUpdates(fleet_state &fleet, std::size_t count, random_generator &generator);
 
 // choosePeers returns the gossip addresses of up to `count` random nodes that are not silent, all but one of them in
 // the own data centre if it has enough: a node mostly needs the state of its own data centre, and traffic between data
@@ -128,8 +128,8 @@
 // service has no other workers.
 std::vector<worker_entry> readyWorkers(const fleet_state &fleet, const std::string &service, time_point now);
 
-// noteAlive records a response of a node, which ends its silence like a newer record.
-void noteAlive(fleet_state &fleet, const std::string &nodeId, time_point now);
+// recordNodeResponse records a response of a node, which ends its silence like a newer record.
+void recordNodeResponse(fleet_state &fleet, const std::string &nodeId, time_point now);
 
 // silenceLimit returns the time without a newer record or a response after which a node is silent.
 milliseconds silenceLimit(const fleet_state &fleet);
@@ -137,8 +137,8 @@
 // isSilent returns whether a node has not been heard of for longer than `silenceLimit`.
 bool isSilent(const fleet_state &fleet, const known_node &node, time_point now);
 
-// forgetSilent removes nodes that have not been heard of for `removalSilenceLimits` limits and at least
+// removeSilentNodes removes nodes that have not been heard of for `removalSilenceLimits` limits and at least
 // `minRemovalSilence`, and returns their ids.
-std::vector<std::string> forgetSilent(fleet_state &fleet, time_point now);
+std::vector<std::string> removeSilentNodes(fleet_state &fleet, time_point now);
 
 } // namespace pistachioquay
--- a/packages/process/fleet/fleet_test.cc
+++ b/packages/process/fleet/fleet_test.cc
@@ -42,10 +42,10 @@
 TEST_CASE("records of a node are ordered by process and revision, not by arrival")
 {
     fleet_state fleet = fleetWith({recordOf("a", 10, 5)});
-    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 10, 4), 1, start).isNews);
-    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 9, 99), 1, start).isNews);
-    const merge_report restarted = mergeRecord(fleet, recordOf("a", 11, 0), 1, start);
-    CHECK(restarted.isNews);
+    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 10, 4), 1, start).wasApplied);
+    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 9, 99), 1, start).wasApplied);
+    const merge_result restarted = mergeRecord(fleet, recordOf("a", 11, 0), 1, start);
+    CHECK(restarted.wasApplied);
     CHECK(restarted.isNew);
     CHECK(restarted.hasWorkerChanged);
 }
@@ -53,8 +53,8 @@
 TEST_CASE("a record with the own id and a later start is reported and not stored")
 {
     fleet_state fleet = fleetWith({});
-    CHECK(mergeRecord(fleet, recordOf("self", 50, 0), 40, start).isOwnOutdated);
-    CHECK_FALSE(mergeRecord(fleet, recordOf("self", 50, 0), 50, start).isOwnOutdated);
+    CHECK(mergeRecord(fleet, recordOf("self", 50, 0), 40, start).isOwnStartOutdated);
+    CHECK_FALSE(mergeRecord(fleet, recordOf("self", 50, 0), 50, start).isOwnStartOutdated);
     CHECK(fleet.nodes.empty());
 }
 
@@ -86,8 +86,8 @@
     fleet_state fleet = fleetWith({recordOf("a", 1, 1)});
     random_generator generator(2);
     CHECK(choosePeers(fleet, 3, start + seconds(10), generator).size() == 1);
-    CHECK(forgetSilent(fleet, start + minRemovalSilence).empty());
-    CHECK(forgetSilent(fleet, start + minRemovalSilence + milliseconds(1)) == std::vector<std::string>{"a"});
+    CHECK(removeSilentNodes(fleet, start + minRemovalSilence).empty());
+    CHECK(removeSilentNodes(fleet, start + minRemovalSilence + milliseconds(1)) == std::vector<std::string>{"a"});
 }
 
 TEST_CASE("changed records are sent before unchanged ones, for a bounded number of times")
@@ -95,12 +95,12 @@
     fleet_state fleet = fleetWith({recordOf("a", 1, 1), recordOf("b", 1, 1), recordOf("c", 1, 1)});
     random_generator generator(2);
     for (int round = 0; round < 20; ++round) {
-        chooseNews(fleet, 3, generator);
+        chooseUpdates(fleet, 3, generator);
     }
     node_record changed = recordOf("b", 1, 2);
     changed.worker = worker_state::Down;
     mergeRecord(fleet, changed, 1, start);
-    const auto chosen = chooseNews(fleet, 1, generator);
+    const auto chosen = chooseUpdates(fleet, 1, generator);
     REQUIRE(chosen.size() == 1);
     CHECK(chosen.front().nodeId == "b");
 }
@@ -152,7 +152,7 @@
             for (const endpoint &peer : choosePeers(fleets[index], peersPerRound, now, generator)) {
                 const std::size_t target = indexOf.at(peer.port);
                 mergeRecord(fleets[target], own[index], 1, now);
-                for (const node_record &record : chooseNews(fleets[index], recordsPerDatagram, generator)) {
+                for (const node_record &record : chooseUpdates(fleets[index], recordsPerDatagram, generator)) {
                     mergeRecord(fleets[target], record, 1, now);
                 }
                 ++datagrams;
@@ -165,7 +165,7 @@
                 report.silentShare += isSilent(fleets[index], node, now) ? 1 : 0;
                 if (node.record.dataCentre == own[index].dataCentre) {
                     ++nearNodes;
-                    report.meanAgeMs += msBetween(node.heardAt, now);
+                    report.meanAgeMs += msBetween(node.lastHeardAt, now);
                 }
             }
         }
@@ -193,7 +193,7 @@
 {
     fleet_state fleet = fleetWith({recordOf("a", 1, 1), recordOf("b", 1, 1)});
     const time_point later = start + minSilenceLimit + milliseconds(1);
-    noteAlive(fleet, "a", later);
+    recordNodeResponse(fleet, "a", later);
     const auto ready = readyWorkers(fleet, "orders", later);
     REQUIRE(ready.size() == 1);
     CHECK(ready.front().nodeId == "a");
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -78,9 +78,9 @@
     placement_state placement;
     std::unordered_map<std::string, time_point> workersRefreshedAt; // by service
     active_config config;
-    worker_life worker;
+    worker_liveness worker;
     link_meter linkMeter;
-    link_room linkReservations; // bandwidth of the own link that large bodies have reserved
+    link_reservations linkReservations; // bandwidth of the own link that large bodies have reserved
     mesh_metrics metrics;
     bool isStopping = false; // the shutdown has begun
     // During the shutdown, a call for the own worker is accepted only if it is expected to end well before this time.
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -1,4 +1,4 @@
-#include "process/mesh/spread.h"
+#include "process/mesh/dissemination.h"
 
 #include <algorithm>
 #include <ranges>
@@ -124,7 +124,7 @@
 
 node_record dissemination_tasks::ownRecord(time_point now)
 {
-    const worker_life &worker = m_context.worker;
+    const worker_liveness &worker = m_context.worker;
     node_record record;
     record.nodeId = m_context.options.nodeId;
     record.started = m_startOrder;
@@ -141,11 +141,12 @@
     record.isLeaving = m_context.isInboundClosed;
     record.slots = worker.slots;
     record.linkBytesPerMs = static_cast<std::uint32_t>(m_context.options.linkBytesPerMs);
-    record.coldMs = static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(now, worker.coldUntil)));
+    record.warmUpRemainingMs =
+        static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(now, worker.warmUpUntil)));
     record.configVersion = m_context.config.table->version;
     record.report = m_inbound.report(now);
     for (const auto &[route, mean] : m_inbound.runTimes().routes) {
-        if (now - mean.lastAt < runForgotten) {
+        if (now - mean.lastAt < runTimeExpiry) {
             record.runMs[route] = mean.milliseconds;
         }
     }
@@ -158,7 +159,7 @@
     message.sender = ownRecord(steadyNow());
     message.wantsReply = wantsReply;
     message.isReaderAnnouncement = isReaderAnnouncement;
-    message.others = chooseNews(m_context.fleet, recordCount, m_context.generator);
+    message.others = chooseUpdates(m_context.fleet, recordCount, m_context.generator);
     std::string bytes = encodeMessage(message, meshFormatVersion);
     while (bytes.size() > maxDatagramBytes && !message.others.empty()) {
         message.others.pop_back();
@@ -222,7 +223,7 @@
     }
     const time_point now = steadyNow();
     const node_record &sender = message->sender;
-    noteHeard(m_context.placement, sender.dataCentre);
+    recordDataCentreContact(m_context.placement, sender.dataCentre);
     applyMergeResult(sender, mergeRecord(m_context.fleet, sender, m_startOrder, now), now);
     for (const node_record &record : message->others) {
         applyMergeResult(record, mergeRecord(m_context.fleet, record, m_startOrder, now), now);
@@ -236,12 +237,12 @@
     }
 }
 
-void dissemination_tasks::applyMergeResult(const node_record &record, const merge_report &merged, time_point now)
+void dissemination_tasks::applyMergeResult(const node_record &record, const merge_result &merged, time_point now)
 {
-    if (merged.isOwnOutdated) {
+    if (merged.isOwnStartOutdated) {
         raiseStartOrder(record.started);
     }
-    if (!merged.isNews) {
+    if (!merged.wasApplied) {
         return;
     }
     if (merged.hasWorkerChanged) {
@@ -257,9 +258,9 @@
             send(record.gossip, false, false, 0);
         }
     }
-    noteReport(m_context.placement, record.service, record.nodeId, record.report, now);
+    recordReport(m_context.placement, record.service, record.nodeId, record.report, now);
     for (const auto &[route, runMs] : record.runMs) {
-        noteRunMs(m_context.placement, record.service, record.nodeId, route, runMs, now);
+        recordWorkerRunTime(m_context.placement, record.service, record.nodeId, route, runMs, now);
     }
 }
 
@@ -275,7 +276,7 @@
     const bool isSameDataCentre = record.dataCentre == m_context.options.dataCentre;
     // Each data centre reads the platform itself, and a transfer from another one costs more, so nodes of other data
     // centres are asked only if the reader of this one has not announced a read for too long.
-    const bool isReaderOverdue = now - m_storeReadAt > m_context.options.configBound / 2;
+    const bool isReaderOverdue = now - m_storeReadAt > m_context.options.configApplyLimit / 2;
     if (isPulling || (!isSameDataCentre && !isReaderOverdue)) {
         return;
     }
@@ -393,7 +394,7 @@
 awaitable<void> dissemination_tasks::readLoop()
 {
     net::steady_timer pause(m_context.executor);
-    const milliseconds wait = readWait(m_context.options.configBound);
+    const milliseconds wait = longPollWait(m_context.options.configApplyLimit);
     unsigned failures = 0; // consecutive reads without an answer
     bool hasRead = false; // a starting node reads once, even if another node is the reader
     // A node that joins a running mesh usually gets the configuration from other nodes first.
@@ -405,11 +406,11 @@
     hasRead = m_context.config.table->version > 0;
     while (!m_context.isStopped) {
         const time_point now = steadyNow();
-        reader_facts reader;
+        reader_status reader;
         reader.rank = readerRank(now);
         reader.behindFor = now - m_behindSince.value_or(now);
-        reader.sinceWord = now - std::max(m_storeReadAt, m_startedAt);
-        reader.bound = m_context.options.configBound;
+        reader.sinceReaderAnnouncement = now - std::max(m_storeReadAt, m_startedAt);
+        reader.bound = m_context.options.configApplyLimit;
         if (hasRead && !shouldRead(reader)) {
             pause.expires_after(standbyInterval);
             co_await pause.async_wait(awaitResult);
@@ -424,7 +425,7 @@
             m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_logPosition));
         }
         if (!read.isReached) {
-            const milliseconds retryPause = readPause(++failures, reader.rank);
+            const milliseconds retryPause = readBackoff(++failures, reader.rank);
             pause.expires_after(retryPause + milliseconds(m_context.generator() % readJitterMs));
             co_await pause.async_wait(awaitResult);
             continue;
@@ -433,7 +434,7 @@
         failures = 0;
         m_logPosition = read.position;
         m_storeReadAt = steadyNow();
-        if (read.hasValue) {
+        if (read.hasNewConfig) {
             applyConfig(std::move(read.bytes), "platform");
         }
         m_versionAtLastRead = m_context.config.table->version;
@@ -444,7 +445,7 @@
 
 awaitable<std::optional<std::vector<node_record>>> dissemination_tasks::readDirectory()
 {
-    const auto values = co_await m_context.platform.readNodes();
+    const auto values = co_await m_context.platform.readNodeRecords();
     if (!values) {
         co_return std::nullopt;
     }
@@ -474,7 +475,7 @@
     }
     node_record record = ownRecord(steadyNow());
     record.runMs.clear();
-    co_return co_await m_context.platform.publishNode(record.nodeId, encodeMessage(record, meshFormatVersion));
+    co_return co_await m_context.platform.publishNodeRecord(record.nodeId, encodeMessage(record, meshFormatVersion));
 }
 
 // Contacts the published nodes that are unknown or silent, to exchange records.
@@ -516,7 +517,7 @@
 
 awaitable<void> dissemination_tasks::unpublishRecord()
 {
-    co_await m_context.platform.publishNode(m_context.options.nodeId, {});
+    co_await m_context.platform.publishNodeRecord(m_context.options.nodeId, {});
 }
 
 awaitable<void> dissemination_tasks::gossipLoop()
@@ -528,7 +529,7 @@
         for (const endpoint &peer : choosePeers(m_context.fleet, gossipFanout, now, m_context.generator)) {
             send(peer, false, false, recordsPerDatagram);
         }
-        for (const std::string &id : forgetSilent(m_context.fleet, now)) {
+        for (const std::string &id : removeSilentNodes(m_context.fleet, now)) {
             m_context.log(log_line("spread", "node-forgotten").add("node", id));
         }
     }
--- a/packages/process/mesh/spread.h
+++ b/packages/process/mesh/dissemination.h
@@ -45,7 +45,7 @@
     awaitable<void> joinLoop();
     node_record ownRecord(time_point now);
     void onDatagram(std::string_view bytes, const endpoint &from);
-    void applyMergeResult(const node_record &record, const merge_report &merged, time_point now);
+    void applyMergeResult(const node_record &record, const merge_result &merged, time_point now);
     void pullIfNewer(const node_record &record);
     void send(const endpoint &to, bool wantsReply, bool isReaderAnnouncement, std::size_t recordCount);
     void announceStoreRead();
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -53,7 +53,7 @@
     , m_queueTimer(context.executor)
 {
     m_queue.slots = defaultSlots;
-    m_queue.closedFor = wait_refusal::WorkerDown;
+    m_queue.closedReason = queue_refusal::WorkerDown;
 }
 
 call_reply inbound_handler::makeNotRunReply(const std::string &id, std::string_view reason) const
@@ -65,7 +65,8 @@
     return reply;
 }
 
-awaitable<call_reply> inbound_handler::handleCall(call_message message, std::shared_ptr<exchange_control> cancellation)
+awaitable<call_reply> inbound_handler::handleCall(call_message message,
+                                                  std::shared_ptr<cancellation_token> cancellation)
 {
     const time_point now = steadyNow();
     call_reply reply;
@@ -75,18 +76,18 @@
         co_return reply;
     }
     switch (m_deduplication.begin(message.id, now)) {
-    case entry_state::New:
+    case deduplication_state::New:
         break;
-    case entry_state::Open:
+    case deduplication_state::Open:
         co_return co_await joinOpenCall(message.id, now + milliseconds(message.timeLeftMs) + responseSlack);
-    case entry_state::Ended:
+    case deduplication_state::Completed:
         if (const call_reply *kept = m_deduplication.response(message.id)) {
             co_return *kept;
         }
         reply.id = message.id;
         reply.reason = "response-not-kept";
         co_return reply;
-    case entry_state::Void:
+    case deduplication_state::Void:
         co_return makeNotRunReply(message.id, "void");
     }
     reply = co_await runNewCall(message, cancellation);
@@ -96,7 +97,7 @@
         reply.runMs = known->second.milliseconds;
     }
     if (reply.kind == reply_kind::NotRun && message.isRetransmission) {
-        m_deduplication.makeVoid(message.id, steadyNow());
+        m_deduplication.markNeverRun(message.id, steadyNow());
     } else if (reply.kind == reply_kind::NotRun) {
         m_deduplication.forget(message.id);
     } else {
@@ -121,7 +122,7 @@
 }
 
 awaitable<call_reply> inbound_handler::runNewCall(const call_message &message,
-                                                  const std::shared_ptr<exchange_control> &cancellation)
+                                                  const std::shared_ptr<cancellation_token> &cancellation)
 {
     const time_point now = steadyNow();
     if (message.service != m_context.options.service) {
@@ -129,12 +130,12 @@
     }
     const double fallbackMs =
         unmeasuredRunMs(static_cast<double>(message.typicalRunMs), static_cast<double>(message.targetLeftMs));
-    waiting_request request;
+    queued_request request;
     request.ticket = ++m_lastTicket;
     request.priority = message.priority;
     request.arrivedAt = now;
     request.targetAt = now + milliseconds(message.targetLeftMs);
-    request.endsBy = now + milliseconds(message.timeLeftMs);
+    request.requestDeadline = now + milliseconds(message.timeLeftMs);
     request.expectedRunMs = expectedRunMs(m_runTimes, message.route, fallbackMs);
     if (m_context.isStopping) {
         const auto doubledRun = std::chrono::duration<double, std::milli>(2 * request.expectedRunMs);
@@ -149,7 +150,7 @@
     reply.id = message.id;
     if (co_await awaitSlot(message, request, open, cancellation, reply)) {
         reply.waitedMs = millisBetween(now, steadyNow());
-        co_await runOnWorker(message, request.endsBy, cancellation, reply);
+        co_await runOnWorker(message, request.requestDeadline, cancellation, reply);
     }
     finish(m_queue, request.ticket);
     dispatchQueued(steadyNow());
@@ -160,15 +161,15 @@
 }
 
 awaitable<bool> inbound_handler::awaitSlot(const call_message &message,
-                                           const waiting_request &request,
+                                           const queued_request &request,
                                            const std::shared_ptr<open_call> &open,
-                                           const std::shared_ptr<exchange_control> &cancellation,
+                                           const std::shared_ptr<cancellation_token> &cancellation,
                                            call_reply &reply)
 {
     const time_point now = steadyNow();
-    const offer_verdict enqueued = offer(m_queue, request, now, m_context.generator);
+    const enqueue_result enqueued = enqueue(m_queue, request, now, m_context.generator);
     const auto allowedWaitMs = static_cast<double>(message.longestWaitMs);
-    if (enqueued.kind == offer_kind::Wait && allowedWaitMs > 0 && enqueued.expectedWaitMs > allowedWaitMs) {
+    if (enqueued.kind == enqueue_outcome::Wait && allowedWaitMs > 0 && enqueued.expectedWaitMs > allowedWaitMs) {
         finish(m_queue, request.ticket);
         reply.kind = reply_kind::NotRun;
         reply.reason = std::string(handedBackReason);
@@ -182,20 +183,20 @@
                           .add("waiting", m_queue.waiting.size()));
         co_return false;
     }
-    if (enqueued.kind == offer_kind::Run) {
+    if (enqueued.kind == enqueue_outcome::Run) {
         open->isGranted = true;
         co_return true;
     }
     reply.kind = reply_kind::NotRun;
-    wait_refusal reason = enqueued.reason;
+    queue_refusal reason = enqueued.reason;
     reply.retryAfterMs = enqueued.retryAfter.count();
-    if (enqueued.kind == offer_kind::Wait) {
+    if (enqueued.kind == enqueue_outcome::Wait) {
         m_waitingCalls[request.ticket] = open;
         cancellation->onCancel([open] {
             open->decided.notify();
         });
         scheduleQueueCheck();
-        co_await open->decided.waitUntil(request.endsBy);
+        co_await open->decided.waitUntil(request.requestDeadline);
         cancellation->onCancel(nullptr);
         m_waitingCalls.erase(request.ticket);
         if (open->isGranted) {
@@ -221,41 +222,44 @@
     co_return false;
 }
 
-whole_request inbound_handler::makeWorkerRequest(const call_message &message, time_point endsBy, time_point now) const
+whole_request
+inbound_handler::makeWorkerRequest(const call_message &message, time_point requestDeadline, time_point now) const
 {
     const mesh_headers &names = m_context.options.headers;
     whole_request request = message.request;
     request.headers = endToEndHeaders(message.request.headers);
-    setHeader(request.headers, names.timeLeftMs, std::to_string(std::max<std::int64_t>(1, millisBetween(now, endsBy))));
+    setHeader(request.headers,
+              names.timeLeftMs,
+              std::to_string(std::max<std::int64_t>(1, millisBetween(now, requestDeadline))));
     setHeader(request.headers, names.expectedWorker, m_context.worker.workerId);
     setHeader(request.headers, names.callerService, message.callerService);
     return request;
 }
 
 awaitable<void> inbound_handler::runOnWorker(const call_message &message,
-                                             time_point endsBy,
-                                             const std::shared_ptr<exchange_control> &cancellation,
+                                             time_point requestDeadline,
+                                             const std::shared_ptr<cancellation_token> &cancellation,
                                              call_reply &reply)
 {
-    const bool isRepeatable = message.repeat == repeat_rule::Repeatable;
+    const bool isRetryable = message.repeat == repeat_rule::Repeatable;
     const time_point firstStartedAt = steadyNow();
     reply.kind = reply_kind::Unknown;
     for (unsigned attempt = 0; attempt < maxWorkerAttempts; ++attempt) {
         const time_point startedAt = steadyNow();
-        const whole_request request = makeWorkerRequest(message, endsBy, startedAt);
+        const whole_request request = makeWorkerRequest(message, requestDeadline, startedAt);
         exchange_options options;
-        options.deadline = endsBy + responseSlack;
-        options.reuseWithin = attempt > 0 ? milliseconds{0} : isRepeatable ? retryableMaxIdle : atMostOnceMaxIdle;
-        const auto exchangeCancellation = std::make_shared<exchange_control>();
-        cancellation->onCancel([exchangeCancellation, isRepeatable] {
-            if (isRepeatable) {
+        options.deadline = requestDeadline + responseSlack;
+        options.maxIdleForReuse = attempt > 0 ? milliseconds{0} : isRetryable ? retryableMaxIdle : atMostOnceMaxIdle;
+        const auto exchangeCancellation = std::make_shared<cancellation_token>();
+        cancellation->onCancel([exchangeCancellation, isRetryable] {
+            if (isRetryable) {
                 exchangeCancellation->cancel();
             }
         });
         exchange_result result = co_await m_workerClient.send(request, options, *exchangeCancellation);
         cancellation->onCancel(nullptr);
         const double tookMs = msBetween(startedAt, steadyNow());
-        const bool mayRetry = isRepeatable && result.end == exchange_end::Lost && result.wasReused;
+        const bool mayRetry = isRetryable && result.end == exchange_end::Lost && result.wasReused;
         evaluateWorkerResponse(message, std::move(result), tookMs, reply);
         if (!mayRetry || attempt + 1 == maxWorkerAttempts) {
             break;
@@ -313,7 +317,7 @@
     reply.kind = reply_kind::Response;
     recordOutcome(result.response.status >= 500);
     if (isSuccess(result.response.status)) {
-        noteRun(m_runTimes, message.route, tookMs, now);
+        recordRunTime(m_runTimes, message.route, tookMs, now);
         m_context.metrics.observe("worker_run_ms", tookMs);
     }
     reply.response = std::move(result.response);
@@ -326,7 +330,7 @@
 {
     const double expected = expectedRunMs(m_runTimes, message.route, tookMs);
     if (tookMs > expected) {
-        noteRun(m_runTimes, message.route, tookMs, now);
+        recordRunTime(m_runTimes, message.route, tookMs, now);
     }
     if (tookMs > hungRunFactor * expected) {
         recordOutcome(true);
@@ -336,7 +340,7 @@
 void inbound_handler::recordConnectFailure(exchange_end end, const std::string &detail)
 {
     recordOutcome(true);
-    if (noteUnreachable(m_context.worker)) {
+    if (recordUnreachable(m_context.worker)) {
         m_context.log(log_line("inbound", "worker-lost")
                           .add("worker", m_context.worker.workerId)
                           .add("end", endName(end))
@@ -371,7 +375,7 @@
     for (std::uint32_t priority = 0; priority < reportedPriorities; ++priority) {
         report.waitMs.at(priority) = expectedWaitMs(m_queue, priority, now);
     }
-    report.lineRunMs = lineRunMs(m_queue);
+    report.meanActiveRunMs = meanActiveRunMs(m_queue);
     report.failureShare = m_failureShare;
     report.slowdown = 1.0 + (m_slowdown - 1.0) * std::exp2(-msBetween(m_slowdownAt, now) / slowdownHalfLifeMs);
     report.linkLoad = std::max(m_context.linkMeter.load(m_context.options.linkBytesPerMs, now),
@@ -381,7 +385,7 @@
 
 void inbound_handler::dispatchQueued(time_point now)
 {
-    rejectQueued(takeHopeless(m_queue, now, m_context.generator));
+    rejectQueued(removeUnservable(m_queue, now, m_context.generator));
     for (auto ticket = startNext(m_queue, now); ticket; ticket = startNext(m_queue, now)) {
         const auto found = m_waitingCalls.find(*ticket);
         if (found == m_waitingCalls.end()) {
@@ -394,9 +398,9 @@
     scheduleQueueCheck();
 }
 
-void inbound_handler::rejectQueued(const std::vector<refused_ticket> &refused)
+void inbound_handler::rejectQueued(const std::vector<refused_request> &refused)
 {
-    for (const refused_ticket &request : refused) {
+    for (const refused_request &request : refused) {
         const auto found = m_waitingCalls.find(request.ticket);
         if (found != m_waitingCalls.end()) {
             found->second->refusal = request;
@@ -407,7 +411,7 @@
 
 void inbound_handler::scheduleQueueCheck()
 {
-    auto due = nextCheck(m_queue);
+    auto due = nextUnservableCheck(m_queue);
     if (due) {
         due = std::max(*due, steadyNow() + minQueueCheckInterval);
     }
@@ -426,19 +430,19 @@
 
 void inbound_handler::onWorkerChange(time_point now)
 {
-    const worker_life &worker = m_context.worker;
+    const worker_liveness &worker = m_context.worker;
     m_queue.slots = worker.slots > 0 ? worker.slots : defaultSlots;
     if (worker.isLeaving || m_context.isInboundClosed) {
-        m_queue.closedFor = wait_refusal::Draining;
+        m_queue.closedReason = queue_refusal::Draining;
     } else {
-        m_queue.closedFor = mayTakeWork(worker) ? wait_refusal::None : wait_refusal::WorkerDown;
+        m_queue.closedReason = isAcceptingRequests(worker) ? queue_refusal::None : queue_refusal::WorkerDown;
     }
     if (worker.isUnreachable) {
-        rejectQueued(takeAll(m_queue, wait_refusal::WorkerDown));
+        rejectQueued(removeAllQueued(m_queue, queue_refusal::WorkerDown));
         m_workerClient.closeAll();
     }
     if (worker.isLeaving && now - worker.leavingSince > m_context.options.drainTime / 2) {
-        rejectQueued(takeAll(m_queue, wait_refusal::Draining));
+        rejectQueued(removeAllQueued(m_queue, queue_refusal::Draining));
     }
     refreshWorkers(m_context, m_context.options.service, now);
     dispatchQueued(now);
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -24,13 +24,13 @@
 
     // handleCall queues and runs a call and returns its outcome. `cancellation` cancels it: a queued call is removed,
     // and a running one is aborted if it is retryable.
-    awaitable<call_reply> handleCall(call_message message, std::shared_ptr<exchange_control> cancellation);
+    awaitable<call_reply> handleCall(call_message message, std::shared_ptr<cancellation_token> cancellation);
     // onWorkerChange adapts the request queue and the placement to the state of the worker and of the node.
     void onWorkerChange(time_point now);
     // report returns the load report of the worker that other nodes receive.
     worker_report report(time_point now) const;
     // runTimes returns the measured run times by route, which other nodes receive.
-    const run_times &runTimes() const
+    const run_time_estimates &runTimes() const
     {
         return m_runTimes;
     }
@@ -61,42 +61,42 @@
             , ended(executor)
         {
         }
-        wait_point decided; // the queue has granted a slot or rejected the call, or the call was cancelled
-        wait_point ended; // retransmissions wait for it to return the same reply
+        async_event decided; // the queue has granted a slot or rejected the call, or the call was cancelled
+        async_event ended; // retransmissions wait for it to return the same reply
         bool isGranted = false;
-        refused_ticket refusal;
+        refused_request refusal;
         call_reply reply;
         std::string id;
     };
 
     awaitable<call_reply> joinOpenCall(const std::string &id, time_point until);
     awaitable<call_reply> runNewCall(const call_message &message,
-                                     const std::shared_ptr<exchange_control> &cancellation);
+                                     const std::shared_ptr<cancellation_token> &cancellation);
     awaitable<bool> awaitSlot(const call_message &message,
-                              const waiting_request &request,
+                              const queued_request &request,
                               const std::shared_ptr<open_call> &open,
-                              const std::shared_ptr<exchange_control> &cancellation,
+                              const std::shared_ptr<cancellation_token> &cancellation,
                               call_reply &reply);
     awaitable<void> runOnWorker(const call_message &message,
-                                time_point endsBy,
-                                const std::shared_ptr<exchange_control> &cancellation,
+                                time_point requestDeadline,
+                                const std::shared_ptr<cancellation_token> &cancellation,
                                 call_reply &reply);
-    whole_request makeWorkerRequest(const call_message &message, time_point endsBy, time_point now) const;
+    whole_request makeWorkerRequest(const call_message &message, time_point requestDeadline, time_point now) const;
     void evaluateWorkerResponse(const call_message &message, exchange_result result, double tookMs, call_reply &reply);
     void recordCancelledRun(const call_message &message, double tookMs, time_point now);
     void recordWorkerLoad(const whole_response &response, time_point now);
     void recordOutcome(bool isFailure);
     void dispatchQueued(time_point now);
-    void rejectQueued(const std::vector<refused_ticket> &refused);
+    void rejectQueued(const std::vector<refused_request> &refused);
     void scheduleQueueCheck();
     call_reply makeNotRunReply(const std::string &id, std::string_view reason) const;
     void recordConnectFailure(exchange_end end, const std::string &detail);
 
     mesh_context &m_context;
-    loop_client m_workerClient;
-    waiting_line m_queue;
-    run_times m_runTimes;
-    request_ledger<call_reply> m_deduplication;
+    async_http_client m_workerClient;
+    request_queue m_queue;
+    run_time_estimates m_runTimes;
+    deduplication_table<call_reply> m_deduplication;
     std::unordered_map<std::uint64_t, std::shared_ptr<open_call>> m_waitingCalls; // by ticket
     std::unordered_map<std::string, std::shared_ptr<open_call>> m_openCalls; // by id
     std::uint64_t m_lastTicket = 0;
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -6,10 +6,10 @@
 #include <boost/asio/detached.hpp>
 
 #include "process/mesh/context.h"
+#include "process/mesh/dissemination.h"
 #include "process/mesh/inbound.h"
 #include "process/mesh/outbound.h"
 #include "process/mesh/peer_links.h"
-#include "process/mesh/spread.h"
 
 namespace pistachioquay {
 
@@ -42,7 +42,7 @@
         , dissemination(context, inbound, links)
         , callers(executor,
                   serverOptions(),
-                  [this](const whole_request &request, caller_presence &caller) {
+                  [this](const whole_request &request, caller_connection &caller) {
                       return outbound.serve(request, caller);
                   })
         , maintenanceTimer(executor)
@@ -60,7 +60,7 @@
     internal::peer_events events()
     {
         internal::peer_events events;
-        events.onCall = [this](call_message message, std::shared_ptr<exchange_control> cancellation) {
+        events.onCall = [this](call_message message, std::shared_ptr<cancellation_token> cancellation) {
             return inbound.handleCall(std::move(message), std::move(cancellation));
         };
         events.onConfig = [this](const config_message &message) {
@@ -85,24 +85,24 @@
         const time_point now = steadyNow();
         for (const auto &[id, node] : context.fleet.nodes) {
             if (node.record.peer == address) {
-                noteSilent(context.placement, node.record.dataCentre, id, now);
+                recordSilentNode(context.placement, node.record.dataCentre, id, now);
                 pause(context.placement, node.record.service, id, length, now);
                 context.metrics.count("nodes_passed_over_total");
             }
         }
     }
 
-    loop_server_options serverOptions()
+    async_http_server_options serverOptions()
     {
-        loop_server_options options;
+        async_http_server_options options;
         options.address = context.options.callers;
-        options.maxConnections = context.options.maxDescriptors > 2 * descriptorReserve
-            ? context.options.maxDescriptors - descriptorReserve
+        options.maxConnections = context.options.maxFileDescriptors > 2 * descriptorReserve
+            ? context.options.maxFileDescriptors - descriptorReserve
             : descriptorReserve;
         options.maxBufferedBytes = context.options.memoryBytes / bodyMemoryDivisor;
         options.bounds = [this] {
             const caller_limits &limits = context.config.table->limits;
-            return server_bounds{limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
+            return server_limits{limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
         };
         return options;
     }
@@ -115,7 +115,7 @@
     internal::peer_links links;
     internal::outbound_handler outbound;
     internal::dissemination_tasks dissemination;
-    loop_server callers;
+    async_http_server callers;
     net::steady_timer maintenanceTimer;
 };
 
@@ -131,10 +131,10 @@
         }
         const time_point now = steadyNow();
         links.checkLiveness(now);
-        if (noteSilence(context.worker, allowedSilence, now)) {
+        if (recordSilence(context.worker, allowedSilence, now)) {
             context.log(log_line("worker", "silent")
                             .add("worker", context.worker.workerId)
-                            .add("silent_ms", millisBetween(context.worker.heardAt, now)));
+                            .add("silent_ms", millisBetween(context.worker.lastHeardAt, now)));
             inbound.onWorkerChange(now);
             dissemination.announce();
         }
@@ -148,7 +148,7 @@
 awaitable<void> mesh_node::impl::drainAndStop(std::function<void()> done)
 {
     const time_point startedAt = steadyNow();
-    const time_point exitDeadline = startedAt + context.options.graceTime - exitMargin;
+    const time_point exitDeadline = startedAt + context.options.gracePeriod - exitMargin;
     net::steady_timer pause(context.executor);
     time_point lastBusyAt = startedAt;
     while (steadyNow() < exitDeadline) {
@@ -213,7 +213,7 @@
     return {};
 }
 
-notice_verdict mesh_node::onNotice(const worker_notice &notice)
+notice_verdict mesh_node::onWorkerNotice(const worker_notice &notice)
 {
     const time_point now = steadyNow();
     internal::mesh_context &context = m_impl->context;
@@ -296,7 +296,7 @@
     text += line("worker_running", m_impl->inbound.runningCount());
     text += line("worker_waiting", m_impl->inbound.waitingCount());
     text += line("worker_reachable", context.worker.isUnreachable ? 0 : 1);
-    text += line("worker_heard_age_ms", millisBetween(context.worker.heardAt, steadyNow()));
+    text += line("worker_heard_age_ms", millisBetween(context.worker.lastHeardAt, steadyNow()));
     text += line("worker_connections_opened_total", m_impl->inbound.connectionCounts().opened);
     text += line("requests_open", m_impl->outbound.openCount());
     text += line("caller_connections_open", m_impl->callers.counts().open);
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -3,7 +3,7 @@
 //
 //   mesh_node node(executor, options, platform);
 //   const auto started = attempt([&] { return node.start(); });
-//   node.onNotice(notice);                              // from the worker on the node's VM
+//   node.onWorkerNotice(notice);                              // from the worker on the node's VM
 //   node.shutDown([&] { loop.stop(); });
 //
 // The platform is accessed through the functions of `mesh_platform` and the header names of `mesh_headers`, so that
@@ -46,13 +46,13 @@
     endpoint peers; // listens for links of other nodes
     endpoint gossip; // receives datagrams of other nodes
     std::size_t memoryBytes = 256UL * 1024 * 1024;
-    std::size_t maxDescriptors = 4096;
+    std::size_t maxFileDescriptors = 4096;
     double linkBytesPerMs = 0; // bandwidth of the VM's network link; 0: not known
     milliseconds noticeInterval{1500}; // time between two heartbeat notices of the worker
     milliseconds drainTime{2000}; // after a worker announces that it leaves, until it must get no more work
-    milliseconds graceTime{6000}; // from the stop signal until the process is killed
-    milliseconds configBound{2000}; // within which a published version must be applied
-    resend_limits resends; // `nodes` is set from the number of known nodes
+    milliseconds gracePeriod{6000}; // from the stop signal until the process is killed
+    milliseconds configApplyLimit{2000}; // within which a published version must be applied
+    retry_budget_limits resends; // `nodes` is set from the number of known nodes
     mesh_headers headers;
 };
 
@@ -60,7 +60,7 @@
 struct config_read
 {
     bool isReached = false; // the platform answered
-    bool hasValue = false; // the platform has a configuration after the position
+    bool hasNewConfig = false; // the platform has a configuration after the position
     std::string bytes; // text of the configuration, as the operator wrote it
     std::uint64_t position = 0; // where the next read continues
 };
@@ -75,9 +75,9 @@
     std::function<result<route_table>(std::string_view bytes)> decodeConfig;
     // Publishes the address record of this node, by which starting nodes find it; an empty value removes it. Returns
     // false if the platform was not reached.
-    std::function<awaitable<bool>(std::string key, std::string value)> publishNode;
+    std::function<awaitable<bool>(std::string key, std::string value)> publishNodeRecord;
     // Reads the address records that nodes have published; empty optional: the platform was not reached.
-    std::function<awaitable<std::optional<std::vector<std::string>>>()> readNodes;
+    std::function<awaitable<std::optional<std::vector<std::string>>>()> readNodeRecords;
     // Writes a log line.
     std::function<void(const class log_line &)> log;
 };
@@ -93,8 +93,8 @@
 
     // start opens the ports and joins the mesh. Fails with Unavailable if an address is in use.
     result<void> start();
-    // onNotice applies a heartbeat or a leave notice of the worker.
-    notice_verdict onNotice(const worker_notice &notice);
+    // onWorkerNotice applies a heartbeat or a leave notice of the worker.
+    notice_verdict onWorkerNotice(const worker_notice &notice);
     // isReady returns whether callers on this VM may send requests: a configuration is applied and no shutdown has
     // begun.
     bool isReady() const;
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -34,19 +34,19 @@
     return buffer.data();
 }
 
-send_end attemptOutcome(const call_reply &reply)
+attempt_outcome attemptOutcome(const call_reply &reply)
 {
     switch (reply.kind) {
     case reply_kind::Response:
-        return send_end::FailedResponse;
+        return attempt_outcome::FailedResponse;
     case reply_kind::NotRun:
-        return send_end::NotRun;
+        return attempt_outcome::NotRun;
     case reply_kind::RejectedByWorker:
-        return send_end::RejectedByWorker;
+        return attempt_outcome::RejectedByWorker;
     case reply_kind::Unknown:
-        return send_end::Unknown;
+        return attempt_outcome::Unknown;
     }
-    return send_end::Unknown;
+    return attempt_outcome::Unknown;
 }
 
 bool isOverloadRejection(const call_reply &reply)
@@ -73,20 +73,20 @@
 {
 }
 
-resend_limits outbound_handler::retryLimits() const
+retry_budget_limits outbound_handler::retryLimits() const
 {
-    resend_limits limits = m_context.options.resends;
+    retry_budget_limits limits = m_context.options.resends;
     limits.nodes = static_cast<std::uint32_t>(m_context.fleet.nodes.size()) + 1;
     return limits;
 }
 
-awaitable<whole_response> outbound_handler::serve(const whole_request &received, caller_presence &caller)
+awaitable<whole_response> outbound_handler::serve(const whole_request &received, caller_connection &caller)
 {
     request_context request;
     request.received = &received;
     request.caller = &caller;
     request.arrivedAt = steadyNow();
-    request.cancellation = std::make_shared<exchange_control>();
+    request.cancellation = std::make_shared<cancellation_token>();
     ++m_openRequests;
     m_context.linkMeter.recordBytes(received.body.size() + requestHeadBytes, 0, request.arrivedAt);
     m_context.metrics.count("requests_total");
@@ -95,11 +95,11 @@
         --m_openRequests;
         co_return std::move(*refused);
     }
-    caller.onGone([cancellation = request.cancellation] {
+    caller.onDisconnect([cancellation = request.cancellation] {
         cancellation->cancel();
     });
     whole_response response = co_await forward(request);
-    caller.onGone(nullptr);
+    caller.onDisconnect(nullptr);
     m_context.linkMeter.recordBytes(0, response.body.size() + requestHeadBytes, steadyNow());
     m_context.metrics.observe("request_ms", msBetween(request.arrivedAt, steadyNow()));
     --m_openRequests;
@@ -127,8 +127,9 @@
     const auto parsed = stated ? parseCount(*stated) : std::nullopt;
     const milliseconds timeLeft = parsed ? milliseconds(*parsed) : defaultTimeLeft;
     request.service = chooseTarget(m_splits, route);
-    request.targetAt = request.arrivedAt + route.targetLatency - spentBefore(m_attemptAges, route.name, timeLeft);
-    request.endsBy = request.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
+    request.targetAt =
+        request.arrivedAt + route.targetLatency - timeSinceFirstAttempt(m_attemptAges, route.name, timeLeft);
+    request.requestDeadline = request.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
     request.placement.route = route.name;
     request.placement.priority = route.priority;
     request.placement.bytes = request.received->body.size();
@@ -137,15 +138,15 @@
     // Calls that the own worker makes while it runs a request are still served during a shutdown: rejecting one would
     // fail that request. A request that has too little time left to be retried is taken for such a call.
     const bool mayBeFromWorker = m_inbound.runningCount() > 0
-        && isLastChance(msBetween(request.arrivedAt, request.targetAt),
-                        msBetween(request.arrivedAt, request.endsBy),
-                        m_inbound.report(request.arrivedAt).lineRunMs);
+        && isFinalAttempt(msBetween(request.arrivedAt, request.targetAt),
+                          msBetween(request.arrivedAt, request.requestDeadline),
+                          m_inbound.report(request.arrivedAt).meanActiveRunMs);
     if (m_context.isRejectingCallers && !mayBeFromWorker) {
         whole_response refused = makeRejection(request, "stopping", stoppingRetryMs);
         refused.closesConnection = true;
         return refused;
     }
-    noteRequest(m_retryBudget, request.service, retryLimits(), request.arrivedAt);
+    countRequest(m_retryBudget, request.service, retryLimits(), request.arrivedAt);
     return std::nullopt;
 }
 
@@ -182,7 +183,7 @@
     refreshStaleWorkers(m_context, request.service, now);
     m_context.placement.linkLoad = m_context.linkMeter.load(m_context.options.linkBytesPerMs, now);
     request.placement.targetLeftMs = msBetween(now, request.targetAt);
-    request.placement.timeLeftMs = msBetween(now, request.endsBy);
+    request.placement.timeLeftMs = msBetween(now, request.requestDeadline);
     return chooseWorker(m_context.placement, request.service, request.placement, now, m_context.generator);
 }
 
@@ -193,7 +194,7 @@
     request.expectedRunMs = choice.expectedRunMs;
     const auto node = m_context.fleet.nodes.find(*choice.nodeId);
     const bool isOwn = *choice.nodeId == m_context.options.nodeId || node == m_context.fleet.nodes.end();
-    noteSent(m_context.placement, request.service, *choice.nodeId, request.placement.bytes);
+    recordSentRequest(m_context.placement, request.service, *choice.nodeId, request.placement.bytes);
     auto attempt = std::make_shared<request_attempt>();
     attempt->nodeId = *choice.nodeId;
     attempt->message = makeCallMessage(request, isOwn ? m_context.processId : node->second.record.process, now);
@@ -203,15 +204,15 @@
         attempt->message.longestWaitMs = std::max<std::int64_t>(1, std::llround(*choice.longestWaitMs));
     }
     attempt->sentAt = now;
-    attempt->endsBy = request.endsBy;
+    attempt->requestDeadline = request.requestDeadline;
     return attempt;
 }
 
 awaitable<outbound_handler::shared_attempt>
 outbound_handler::sendHedged(request_context &request, const shared_attempt &first, const placement_choice &choice)
 {
-    slow_request candidate;
-    candidate.isRepeatable = request.route->repeat == repeat_rule::Repeatable;
+    hedge_candidate candidate;
+    candidate.isRetryable = request.route->repeat == repeat_rule::Repeatable;
     candidate.workersTried = request.workersTried + 1;
     candidate.maxWorkers = request.route->maxWorkers;
     candidate.expectedWaitMs = choice.expectedWaitMs;
@@ -231,7 +232,7 @@
         request.cancellation->onCancel(nullptr);
         co_return first;
     }
-    const auto changed = std::make_shared<wait_point>(m_context.executor);
+    const auto changed = std::make_shared<async_event>(m_context.executor);
     startAttempt(first, changed);
     co_await changed->waitUntil(first->sentAt + *delay);
     const bool isSlow = !first->reply && !request.cancellation->isCancelled();
@@ -247,7 +248,7 @@
 outbound_handler::waitForFirstFinalReply(request_context &request,
                                          const shared_attempt &first,
                                          const shared_attempt &second,
-                                         const std::shared_ptr<wait_point> &changed)
+                                         const std::shared_ptr<async_event> &changed)
 {
     std::vector<shared_attempt> attempts{first};
     if (second) {
@@ -266,7 +267,7 @@
     };
     while (std::ranges::none_of(attempts, isWinner) && !std::ranges::all_of(attempts, isEnded)) {
         changed->reset();
-        co_await changed->waitUntil(request.endsBy + replySlack * 2);
+        co_await changed->waitUntil(request.requestDeadline + replySlack * 2);
     }
     request.cancellation->onCancel(nullptr);
     const auto winner = std::ranges::find_if(attempts, isWinner);
@@ -286,8 +287,8 @@
     request.placement.excluded.insert(first.nodeId);
     const placement_choice choice = choosePlacement(request);
     request.placement.excluded = excluded;
-    if (!choice.nodeId || !maySendCopy({choice.expectedWaitMs, choice.expectedRunMs, request.placement.timeLeftMs})
-        || !takeHedge(m_retryBudget, request.service, retryLimits(), steadyNow())) {
+    if (!choice.nodeId || !maySendHedge({choice.expectedWaitMs, choice.expectedRunMs, request.placement.timeLeftMs})
+        || !tryAcquireServiceHedge(m_retryBudget, request.service, retryLimits(), steadyNow())) {
         return nullptr;
     }
     m_context.metrics.count("hedges_total");
@@ -302,7 +303,7 @@
     return makeAttempt(request, choice);
 }
 
-void outbound_handler::startAttempt(const shared_attempt &attempt, const std::shared_ptr<wait_point> &changed)
+void outbound_handler::startAttempt(const shared_attempt &attempt, const std::shared_ptr<async_event> &changed)
 {
     net::co_spawn(
         m_context.executor,
@@ -323,12 +324,12 @@
     }
     const time_point now = steadyNow();
     attempt->cancellation->cancel();
-    noteSlow(m_context.placement,
-             request.service,
-             attempt->nodeId,
-             request.route->name,
-             msBetween(attempt->sentAt, now),
-             now);
+    recordRunTimeLowerBound(m_context.placement,
+                            request.service,
+                            attempt->nodeId,
+                            request.route->name,
+                            msBetween(attempt->sentAt, now),
+                            now);
     ++request.workersTried;
     request.attemptHistory += (request.attemptHistory.empty() ? "" : ",") + attempt->nodeId + ":slower";
 }
@@ -356,23 +357,23 @@
     } else {
         ++request.workersTried;
     }
-    resend_facts failed;
+    failed_attempt failed;
     failed.end = attemptOutcome(reply);
-    failed.isRepeatable = request.route->repeat == repeat_rule::Repeatable;
+    failed.isRetryable = request.route->repeat == repeat_rule::Repeatable;
     failed.workersTried = request.workersTried;
     failed.maxWorkers = request.route->maxWorkers;
-    failed.timeLeft = request.endsBy - now;
+    failed.timeLeft = request.requestDeadline - now;
     failed.expectedRun = fromMs(request.expectedRunMs);
-    if (!mayResend(failed)) {
+    if (!mayRetryElsewhere(failed)) {
         return false;
     }
     if (request.overloadRejections >= maxOverloadRejections) {
         return false;
     }
-    if (failed.end == send_end::NotRun) {
+    if (failed.end == attempt_outcome::NotRun) {
         return true; // no worker has received it, so the attempt does not use the retry budget
     }
-    const bool isAllowed = takeResend(m_retryBudget, request.service, retryLimits(), now);
+    const bool isAllowed = tryAcquireServiceRetry(m_retryBudget, request.service, retryLimits(), now);
     m_context.metrics.count(isAllowed ? "resends_total" : "resends_denied_total");
     return isAllowed;
 }
@@ -381,15 +382,15 @@
 {
     const time_point now = steadyNow();
     if (reply.report != worker_report{}) {
-        noteAlive(m_context.fleet, nodeId, now);
-        noteReport(m_context.placement, request.service, nodeId, reply.report, now);
+        recordNodeResponse(m_context.fleet, nodeId, now);
+        recordReport(m_context.placement, request.service, nodeId, reply.report, now);
     }
     if (reply.runMs > 0) {
-        noteRunMs(m_context.placement, request.service, nodeId, request.route->name, reply.runMs, now);
+        recordWorkerRunTime(m_context.placement, request.service, nodeId, request.route->name, reply.runMs, now);
     }
     if (reply.reason == "unreachable" || reply.reason == "worker-down" || reply.reason == "draining"
         || reply.reason == "link-lost") {
-        avoid(m_context.placement, request.service, nodeId, now);
+        startBackoff(m_context.placement, request.service, nodeId, now);
     }
 }
 
@@ -404,7 +405,7 @@
     message.repeat = request.route->repeat;
     message.priority = request.route->priority;
     message.targetLeftMs = millisBetween(now, request.targetAt);
-    message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, request.endsBy));
+    message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, request.requestDeadline));
     message.callerService = m_context.options.service;
     message.request = *request.received;
     return message;
@@ -443,7 +444,8 @@
             co_return refused;
         }
     }
-    peer_result result = co_await m_links.call(target, message, attempt.endsBy + replySlack, *attempt.cancellation);
+    peer_result result =
+        co_await m_links.call(target, message, attempt.requestDeadline + replySlack, *attempt.cancellation);
     call_reply reply;
     reply.id = message.id;
     switch (result.end) {
@@ -478,10 +480,11 @@
     call_reply reply;
     reply.id = message.id;
     reply.reason = "link-lost";
-    const time_point until = std::min(attempt.endsBy, steadyNow() + retransmitWindow);
+    const time_point until = std::min(attempt.requestDeadline, steadyNow() + retransmitWindow);
     while (steadyNow() < until && !attempt.cancellation->isCancelled()) {
-        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), attempt.endsBy));
-        peer_result result = co_await m_links.call(target, message, attempt.endsBy + replySlack, *attempt.cancellation);
+        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), attempt.requestDeadline));
+        peer_result result =
+            co_await m_links.call(target, message, attempt.requestDeadline + replySlack, *attempt.cancellation);
         if (result.end == peer_end::Replied) {
             co_return std::move(result.reply);
         }
@@ -508,14 +511,14 @@
         }
         if (reply.kind == reply_kind::RejectedByWorker) {
             std::uniform_real_distribution<double> draw(0, 1);
-            const milliseconds wait = returnAfterRejection(request.expectedRunMs, draw(m_context.generator));
+            const milliseconds wait = rejectionRetryAfter(request.expectedRunMs, draw(m_context.generator));
             return makeRejection(request, reply.reason, wait.count());
         }
         const std::int64_t retryAfterMs = request.retryAfterMs > 0 ? request.retryAfterMs : reply.retryAfterMs;
         return makeRejection(request, reply.reason, retryAfterMs > 0 ? retryAfterMs : noWorkerRetryMs);
     }
     case reply_kind::Unknown:
-        return makeFailure(request, steadyNow() >= request.endsBy ? 504 : 502, reply.reason);
+        return makeFailure(request, steadyNow() >= request.requestDeadline ? 504 : 502, reply.reason);
     }
     return makeFailure(request, 502, reply.reason);
 }
@@ -559,7 +562,7 @@
         .add("from", request.received->sender);
     if (request.route != nullptr) {
         line.add("target_left_ms", millisBetween(request.arrivedAt, request.targetAt))
-            .add("time_left_ms", millisBetween(request.arrivedAt, request.endsBy))
+            .add("time_left_ms", millisBetween(request.arrivedAt, request.requestDeadline))
             .add("nodes", request.attemptHistory);
     } else {
         line.add("path", request.received->target)
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -22,7 +22,7 @@
     outbound_handler(mesh_context &context, inbound_handler &inbound, peer_links &links);
 
     // serve returns the response to one request of a caller. Every request gets a response, also after a failure.
-    awaitable<whole_response> serve(const whole_request &received, caller_presence &caller);
+    awaitable<whole_response> serve(const whole_request &received, caller_connection &caller);
     // openCount returns the number of requests without a response yet.
     std::size_t openCount() const
     {
@@ -34,15 +34,15 @@
     struct request_context
     {
         const whole_request *received = nullptr; // as the caller sent it
-        caller_presence *caller = nullptr;
+        caller_connection *caller = nullptr;
         std::string id;
         std::shared_ptr<const route_table> table;
         const routed_path *route = nullptr;
         std::string service;
         time_point arrivedAt;
         time_point targetAt; // latency target of the route, counted from the caller's first attempt
-        time_point endsBy;
-        std::shared_ptr<exchange_control> cancellation; // cancels all attempts
+        time_point requestDeadline;
+        std::shared_ptr<cancellation_token> cancellation; // cancels all attempts
         placement_request placement;
         std::uint32_t workersTried = 0; // workers that the request may have reached
         std::uint32_t handBacks = 0; // how often a node has handed the request back
@@ -59,8 +59,8 @@
         std::string nodeId;
         call_message message;
         time_point sentAt;
-        time_point endsBy;
-        std::shared_ptr<exchange_control> cancellation = std::make_shared<exchange_control>();
+        time_point requestDeadline;
+        std::shared_ptr<cancellation_token> cancellation = std::make_shared<cancellation_token>();
         std::optional<call_reply> reply; // set when the attempt has ended
     };
     using shared_attempt = std::shared_ptr<request_attempt>;
@@ -76,9 +76,9 @@
     awaitable<shared_attempt> waitForFirstFinalReply(request_context &request,
                                                      const shared_attempt &first,
                                                      const shared_attempt &second,
-                                                     const std::shared_ptr<wait_point> &changed);
+                                                     const std::shared_ptr<async_event> &changed);
     shared_attempt makeHedge(request_context &request, const request_attempt &first);
-    void startAttempt(const shared_attempt &attempt, const std::shared_ptr<wait_point> &changed);
+    void startAttempt(const shared_attempt &attempt, const std::shared_ptr<async_event> &changed);
     void cancelSlower(request_context &request, const shared_attempt &attempt);
     void recordAttemptEnd(request_context &request, const request_attempt &attempt);
     awaitable<call_reply> sendAttempt(const request_attempt &attempt);
@@ -91,14 +91,14 @@
     whole_response makeRejection(const request_context &request, std::string_view reason, std::int64_t retryAfterMs);
     whole_response makeFailure(const request_context &request, unsigned status, std::string_view reason);
     void logRequestEnd(const request_context &request, const whole_response &response, std::string_view outcome);
-    resend_limits retryLimits() const;
+    retry_budget_limits retryLimits() const;
 
     mesh_context &m_context;
     inbound_handler &m_inbound;
     peer_links &m_links;
     split_state m_splits;
-    resend_budget m_retryBudget;
-    attempt_ages m_attemptAges;
+    service_retry_budgets m_retryBudget;
+    caller_timeouts m_attemptAges;
     std::size_t m_openRequests = 0;
 };
 
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -109,7 +109,7 @@
             const incoming_link lost = std::move(found->second);
             m_incoming.erase(found);
             for (const auto &[id, call] : lost.calls) {
-                if (call.isRepeatable) {
+                if (call.isRetryable) {
                     call.cancellation->cancel();
                 }
             }
@@ -133,7 +133,8 @@
             return decodeMessage<reservation_message>(payload, meshFormatVersion, m_decodeCounters);
         });
         if (request) {
-            const bool isGranted = reserveRoom(m_context.linkReservations, request->id, request->bytes, steadyNow());
+            const bool isGranted =
+                reserveBandwidth(m_context.linkReservations, request->id, request->bytes, steadyNow());
             link.send(frameCode(frame_kind::Reserved),
                       encode(reservation_message{request->id, request->bytes, isGranted}));
         }
@@ -171,8 +172,8 @@
         link.close("malformed frame");
         return;
     }
-    releaseRoom(m_context.linkReservations, message->id);
-    const auto cancellation = std::make_shared<exchange_control>();
+    releaseBandwidth(m_context.linkReservations, message->id);
+    const auto cancellation = std::make_shared<cancellation_token>();
     m_incoming[&link].calls[message->id] = {cancellation, message->repeat == repeat_rule::Repeatable};
     net::co_spawn(
         m_context.executor,
@@ -202,7 +203,7 @@
             co_return state.link;
         }
         if (state.isConnecting) {
-            const auto waiter = std::make_shared<wait_point>(m_context.executor);
+            const auto waiter = std::make_shared<async_event>(m_context.executor);
             state.waiters.push_back(waiter);
             co_await waiter->waitUntil(steadyNow() + connectTimeout);
             const outgoing_link &after = m_outgoing[key];
@@ -287,7 +288,7 @@
 }
 
 awaitable<peer_result>
-peer_links::call(endpoint target, const call_message &message, time_point deadline, exchange_control &cancellation)
+peer_links::call(endpoint target, const call_message &message, time_point deadline, cancellation_token &cancellation)
 {
     peer_result result;
     const link_key key{target, isLarge(message.request.body.size())};
@@ -328,7 +329,7 @@
 }
 
 awaitable<peer_end>
-peer_links::reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &cancellation)
+peer_links::reserve(endpoint target, const std::string &id, std::size_t bytes, cancellation_token &cancellation)
 {
     const link_key key{target, false};
     const std::shared_ptr<frame_link> link = co_await linkTo(key);
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -36,7 +36,7 @@
 // Callbacks for messages that arrive on links and for nodes that do not answer.
 struct peer_events
 {
-    std::function<awaitable<call_reply>(call_message, std::shared_ptr<exchange_control>)> onCall;
+    std::function<awaitable<call_reply>(call_message, std::shared_ptr<cancellation_token>)> onCall;
     std::function<void(const config_message &)> onConfig;
     std::function<config_message(const config_request &)> onConfigRequest; // returns the answer
     std::function<void(const endpoint &)> onSuspect; // a node has not answered a ping yet
@@ -54,11 +54,11 @@
     result<void> listen();
     // call sends a call and waits for its reply until `deadline`.
     awaitable<peer_result>
-    call(endpoint target, const call_message &message, time_point deadline, exchange_control &cancellation);
+    call(endpoint target, const call_message &message, time_point deadline, cancellation_token &cancellation);
     // reserve requests a bandwidth reservation for a large body on the link of a node's VM. Replied: it is granted;
     // NotSent: it is denied.
     awaitable<peer_end>
-    reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &cancellation);
+    reserve(endpoint target, const std::string &id, std::size_t bytes, cancellation_token &cancellation);
     // isLarge returns whether a body of this size needs a reservation and uses the separate link for large bodies.
     static bool isLarge(std::size_t bytes);
     // requestConfig requests the configuration of a node; the answer goes to `onConfig`.
@@ -79,7 +79,7 @@
             : done(executor)
         {
         }
-        wait_point done; // answered, lost or cancelled
+        async_event done; // answered, lost or cancelled
         bool isLost = false;
         std::optional<call_reply> reply;
         std::optional<bool> isGranted;
@@ -88,7 +88,7 @@
     struct outgoing_link
     {
         std::shared_ptr<frame_link> link;
-        std::vector<std::shared_ptr<wait_point>> waiters; // coroutines that wait for the connection
+        std::vector<std::shared_ptr<async_event>> waiters; // coroutines that wait for the connection
         bool isConnecting = false;
         std::unordered_map<std::string, std::shared_ptr<pending_call>> calls; // by id
         time_point lastUsed;
@@ -111,8 +111,8 @@
     // A call of another node that runs here.
     struct served_call
     {
-        std::shared_ptr<exchange_control> cancellation;
-        bool isRepeatable = false;
+        std::shared_ptr<cancellation_token> cancellation;
+        bool isRetryable = false;
     };
     // A link that another node has opened.
     struct incoming_link
--- a/packages/process/metrics/metrics.h
+++ b/packages/process/metrics/metrics.h
@@ -46,18 +46,18 @@
 };
 
 // Metrics of the requests of one service, by the names of work classes and of objectives.
-struct service_figures
+struct service_metrics
 {
     std::map<std::string, latency_summary> latencyByClass;
     std::map<std::string, burn_counts> burnByObjective;
 
-    friend bool operator==(const service_figures &, const service_figures &) = default;
+    friend bool operator==(const service_metrics &, const service_metrics &) = default;
 };
 
 // Metrics of a node at one point in time.
 struct metrics_snapshot
 {
-    std::map<std::string, service_figures, std::less<>> services; // by service name
+    std::map<std::string, service_metrics, std::less<>> services; // by service name
 
     friend bool operator==(const metrics_snapshot &, const metrics_snapshot &) = default;
 };
--- a/packages/process/metrics/metrics_test.cc
+++ b/packages/process/metrics/metrics_test.cc
@@ -54,7 +54,7 @@
     recorder.record({"orders", work_class::Interactive, 200, milliseconds(150)}, objectives, start);
     recorder.record({"orders", work_class::Interactive, 503, milliseconds(1)}, objectives, start);
     const metrics_snapshot snapshot = recorder.snapshot(start);
-    const service_figures &orders = snapshot.services.at("orders");
+    const service_metrics &orders = snapshot.services.at("orders");
     CHECK(orders.burnByObjective.at("fast") == burn_counts{99, 3, 2, 3, 2});
     CHECK(orders.latencyByClass.at("interactive").count == 3);
     CHECK(orders.latencyByClass.at("interactive").max == Approx(150));
--- a/packages/process/store_reading/store_reading.cc
+++ b/packages/process/store_reading/store_reading.cc
@@ -10,19 +10,20 @@
 
 } // namespace
 
-bool shouldRead(const reader_facts &status)
+bool shouldRead(const reader_status &status)
 {
-    const milliseconds overdueAfter = readWait(status.bound) + status.bound / 8;
+    const milliseconds overdueAfter = longPollWait(status.bound) + status.bound / 8;
     return status.rank == 0 || status.behindFor > status.bound / 3
-        || status.sinceWord > overdueAfter + rankStagger * std::min<std::size_t>(status.rank - 1, maxStaggers);
+        || status.sinceReaderAnnouncement
+        > overdueAfter + rankStagger * std::min<std::size_t>(status.rank - 1, maxStaggers);
 }
 
-milliseconds readWait(milliseconds bound)
+milliseconds longPollWait(milliseconds bound)
 {
     return bound * 3 / 5;
 }
 
-milliseconds readPause(unsigned failures, std::size_t rank)
+milliseconds readBackoff(unsigned failures, std::size_t rank)
 {
     const unsigned doublings = std::min(failures > 0 ? failures - 1 : 0U, maxDoublings);
     const milliseconds longestBackoff =
--- a/packages/process/store_reading/store_reading.h
+++ b/packages/process/store_reading/store_reading.h
@@ -1,8 +1,8 @@
 // Decides which nodes of a data centre read the platform's store, and how long they back off after a failed read.
 //
-//   if (shouldRead(status)) read(readWait(status.bound));
+//   if (shouldRead(status)) read(longPollWait(status.bound));
 //   ...                                        // if the store did not respond or refused the read:
-//   sleepFor(readPause(failures, status.rank));
+//   sleepFor(readBackoff(failures, status.rank));
 //
 // The nodes of a data centre are ranked. The node of rank 0, the reader, long-polls the store; the others get a new
 // version from other nodes.
@@ -27,25 +27,25 @@
 inline constexpr std::size_t maxBackoffRank = 20; // higher ranks back off like this one
 
 // What a node knows when it decides whether to read.
-struct reader_facts
+struct reader_status
 {
     std::size_t rank = 0; // of this node among the nodes of its data centre that are not silent; 0: the reader
     duration behindFor{0}; // since this node has known that another has a newer version
-    duration sinceWord{0}; // since the last announcement that the data centre's reader has read the store
+    duration sinceReaderAnnouncement{0}; // since the last announcement that the data centre's reader has read the store
     milliseconds bound{2000}; // within which a new version has to be in force
 
-    friend auto operator<=>(const reader_facts &, const reader_facts &) = default;
+    friend auto operator<=>(const reader_status &, const reader_status &) = default;
 };
 
 // shouldRead returns whether a node reads the store. The reader always does. Another node does if the reader's
 // announcement is overdue, the later the higher its rank, or if it has known for a third of the bound of a newer
 // version that no other node has sent to it. Thread safe.
-bool shouldRead(const reader_facts &status);
+bool shouldRead(const reader_status &status);
 
-// readWait returns how long a read may wait in the store for a new version. Thread safe.
-milliseconds readWait(milliseconds bound);
+// longPollWait returns how long a read may wait in the store for a new version. Thread safe.
+milliseconds longPollWait(milliseconds bound);
 
-// readPause returns the time until the next read after `failures` failed reads in a row. Thread safe.
-milliseconds readPause(unsigned failures, std::size_t rank);
+// readBackoff returns the time until the next read after `failures` failed reads in a row. Thread safe.
+milliseconds readBackoff(unsigned failures, std::size_t rank);
 
 } // namespace pistachioquay
--- a/packages/process/store_reading/store_reading_test.cc
+++ b/packages/process/store_reading/store_reading_test.cc
@@ -17,12 +17,12 @@
     for (std::size_t rank = 0; rank < nodes; ++rank) {
         unsigned failures = 0;
         for (milliseconds now{0}; now < outage;) {
-            if (!shouldRead({.rank = rank, .sinceWord = now, .bound = bound})) {
+            if (!shouldRead({.rank = rank, .sinceReaderAnnouncement = now, .bound = bound})) {
                 now += milliseconds(10);
                 continue;
             }
             ++calls;
-            now += readPause(++failures, rank);
+            now += readBackoff(++failures, rank);
         }
     }
     return calls;
@@ -33,16 +33,16 @@
 TEST_CASE("other nodes than the reader read only if its announcement is overdue or they lack a newer version")
 {
     CHECK(shouldRead({.rank = 0, .bound = bound}));
-    CHECK_FALSE(shouldRead({.rank = 1, .sinceWord = readWait(bound), .bound = bound}));
-    CHECK(shouldRead({.rank = 1, .sinceWord = bound, .bound = bound}));
+    CHECK_FALSE(shouldRead({.rank = 1, .sinceReaderAnnouncement = longPollWait(bound), .bound = bound}));
+    CHECK(shouldRead({.rank = 1, .sinceReaderAnnouncement = bound, .bound = bound}));
     CHECK(shouldRead({.rank = 9, .behindFor = bound / 2, .bound = bound}));
 }
 
 TEST_CASE("nodes take over for a silent reader one after the other")
 {
-    const duration rankTwoDue = readWait(bound) + bound / 8 + rankStagger;
-    CHECK(shouldRead({.rank = 1, .sinceWord = rankTwoDue, .bound = bound}));
-    CHECK_FALSE(shouldRead({.rank = 3, .sinceWord = rankTwoDue, .bound = bound}));
+    const duration rankTwoDue = longPollWait(bound) + bound / 8 + rankStagger;
+    CHECK(shouldRead({.rank = 1, .sinceReaderAnnouncement = rankTwoDue, .bound = bound}));
+    CHECK_FALSE(shouldRead({.rank = 3, .sinceReaderAnnouncement = rankTwoDue, .bound = bound}));
 }
 
 TEST_CASE("an outage costs few calls, and the reader retries often enough to notice its end within the bound")
@@ -52,7 +52,7 @@
     constexpr unsigned fixedIntervalCalls = 10000 / 200 * nodes; // if each node retried every 200 ms
     CHECK(callsInOutage(nodes, outage) < fixedIntervalCalls / 5);
     for (unsigned failures = 1; failures < 40; ++failures) {
-        CHECK(readPause(failures, 0) <= bound / 2);
-        CHECK(readPause(failures, 0) >= initialReadBackoff);
+        CHECK(readBackoff(failures, 0) <= bound / 2);
+        CHECK(readBackoff(failures, 0) >= initialReadBackoff);
     }
 }
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-bool isSameProcess(const worker_life &worker, const worker_notice &notice)
+bool isSameProcess(const worker_liveness &worker, const worker_notice &notice)
 {
     // A leave notice can be the first notice of a process and may lack its start time. A process that started before
     // the leave notice arrived is then the one that sent it.
@@ -16,7 +16,7 @@
     return worker.workerId == notice.workerId && notice.startedMs.value_or(worker.startedMs) == worker.startedMs;
 }
 
-notice_verdict startProcess(worker_life &worker, const worker_notice &notice, time_point now)
+notice_verdict startProcess(worker_liveness &worker, const worker_notice &notice, time_point now)
 {
     worker = {};
     worker.workerId = notice.workerId;
@@ -26,12 +26,12 @@
     worker.slots = notice.slots;
     worker.isLeaving = notice.kind != notice_kind::Ready;
     worker.leavingSince = now;
-    worker.coldUntil = now + notice.warmUpRemaining;
-    worker.heardAt = now;
+    worker.warmUpUntil = now + notice.warmUpRemaining;
+    worker.lastHeardAt = now;
     return notice_verdict::Changed;
 }
 
-notice_verdict beginLeaving(worker_life &worker, time_point now)
+notice_verdict beginLeaving(worker_liveness &worker, time_point now)
 {
     if (worker.isLeaving) {
         return notice_verdict::Unchanged;
@@ -56,7 +56,7 @@
     return "unknown";
 }
 
-notice_verdict applyNotice(worker_life &worker, const worker_notice &notice, time_point now)
+notice_verdict applyNotice(worker_liveness &worker, const worker_notice &notice, time_point now)
 {
     if (!isSameProcess(worker, notice)) {
         const bool isOlder = notice.startedMs.value_or(0) < worker.startedMs;
@@ -74,8 +74,8 @@
         return notice_verdict::Stale;
     }
     worker.sequence = notice.sequence.value_or(worker.sequence);
-    worker.heardAt = now;
-    worker.coldUntil = now + notice.warmUpRemaining;
+    worker.lastHeardAt = now;
+    worker.warmUpUntil = now + notice.warmUpRemaining;
     notice_verdict verdict = notice_verdict::Unchanged;
     if (worker.isUnreachable || worker.slots != notice.slots) {
         worker.isUnreachable = false;
@@ -87,17 +87,17 @@
         : verdict;
 }
 
-bool noteUnreachable(worker_life &worker)
+bool recordUnreachable(worker_liveness &worker)
 {
     return !std::exchange(worker.isUnreachable, true);
 }
 
-bool noteSilence(worker_life &worker, milliseconds allowed, time_point now)
+bool recordSilence(worker_liveness &worker, milliseconds allowed, time_point now)
 {
-    return !worker.workerId.empty() && now - worker.heardAt > allowed && noteUnreachable(worker);
+    return !worker.workerId.empty() && now - worker.lastHeardAt > allowed && recordUnreachable(worker);
 }
 
-bool mayTakeWork(const worker_life &worker)
+bool isAcceptingRequests(const worker_liveness &worker)
 {
     return !worker.workerId.empty() && !worker.isLeaving && !worker.isUnreachable;
 }
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -1,7 +1,7 @@
 // Liveness of the worker on a node's VM, as the worker reports it in its notices: heartbeats and leave notices.
 //
 //   const notice_verdict verdict = applyNotice(worker, notice, now);
-//   if (mayTakeWork(worker)) ...
+//   if (isAcceptingRequests(worker)) ...
 //
 // Notices can arrive seconds late, even after a newer process of the worker has announced itself. Processes are ordered
 // by their start time, and the notices of one process by their sequence number. A process that has announced that it
@@ -51,7 +51,7 @@
 std::string_view verdictName(notice_verdict verdict);
 
 // The recorded state of the worker. Default values: no worker has announced itself.
-struct worker_life
+struct worker_liveness
 {
     std::string workerId; // empty: no worker has announced itself
     std::int64_t startedMs = 0; // 0: unknown, after a leave notice without a start time
@@ -60,26 +60,26 @@
     std::uint32_t slots = 0;
     bool isLeaving = false;
     bool isUnreachable = false; // connections to it fail, or it is silent
-    time_point coldUntil;
-    time_point heardAt;
+    time_point warmUpUntil;
+    time_point lastHeardAt;
     time_point leavingSince;
 
-    friend bool operator==(const worker_life &, const worker_life &) = default;
+    friend bool operator==(const worker_liveness &, const worker_liveness &) = default;
 };
 
 // applyNotice records what a notice announces, unless the notice is stale.
-notice_verdict applyNotice(worker_life &worker, const worker_notice &notice, time_point now);
+notice_verdict applyNotice(worker_liveness &worker, const worker_notice &notice, time_point now);
 
-// noteUnreachable records that the worker could not be reached; the next heartbeat that is not stale resets this.
+// recordUnreachable records that the worker could not be reached; the next heartbeat that is not stale resets this.
 // Returns true if the worker was reachable before.
-bool noteUnreachable(worker_life &worker);
+bool recordUnreachable(worker_liveness &worker);
 
-// noteSilence records the worker as unreachable if it has sent no heartbeat for longer than `allowed`. Returns true if
-// it was reachable before.
-bool noteSilence(worker_life &worker, milliseconds allowed, time_point now);
+// recordSilence records the worker as unreachable if it has sent no heartbeat for longer than `allowed`. Returns true
+// if it was reachable before.
+bool recordSilence(worker_liveness &worker, milliseconds allowed, time_point now);
 
-// mayTakeWork returns whether the worker may get new requests: it has announced itself, is not leaving and is
+// isAcceptingRequests returns whether the worker may get new requests: it has announced itself, is not leaving and is
 // reachable.
-bool mayTakeWork(const worker_life &worker);
+bool isAcceptingRequests(const worker_liveness &worker);
 
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life_test.cc
+++ b/packages/process/worker_life/worker_life_test.cc
@@ -34,7 +34,7 @@
 
 TEST_CASE("a notice of an older process does not replace the state of a newer one")
 {
-    worker_life worker;
+    worker_liveness worker;
     applyNotice(worker, noticeOf("w2", 2000, 0), start);
     CHECK(applyNotice(worker, noticeOf("w1", 1000, 9), start) == notice_verdict::Stale);
     CHECK(worker.workerId == "w2");
@@ -42,90 +42,90 @@
 
 TEST_CASE("a worker that restarts under the same id gets requests again")
 {
-    worker_life worker;
+    worker_liveness worker;
     applyNotice(worker, noticeOf("w1", 1000, 7), start);
     applyNotice(worker, noticeOf("w1", 1000, 8, notice_kind::Draining), start);
     CHECK(applyNotice(worker, noticeOf("w1", 5000, 0), start) == notice_verdict::Changed);
-    CHECK(mayTakeWork(worker));
+    CHECK(isAcceptingRequests(worker));
 }
 
 TEST_CASE("a draining worker never gets requests again, whichever notices arrive late")
 {
-    worker_life worker;
+    worker_liveness worker;
     applyNotice(worker, noticeOf("w1", 1000, 3), start);
     CHECK(applyNotice(worker, noticeOf("w1", 1000, 5, notice_kind::Draining), start) == notice_verdict::Changed);
     CHECK(applyNotice(worker, noticeOf("w1", 1000, 4), start) == notice_verdict::Stale);
     applyNotice(worker, noticeOf("w1", 1000, 6), start);
-    CHECK_FALSE(mayTakeWork(worker));
+    CHECK_FALSE(isAcceptingRequests(worker));
 }
 
 TEST_CASE("a leave notice applies without a sequence number, and only to its own process")
 {
-    worker_life worker;
+    worker_liveness worker;
     applyNotice(worker, noticeOf("w2", 2000, 3), start);
     worker_notice leaveNotice = leaveNoticeOf("w1");
     CHECK(applyNotice(worker, leaveNotice, start) == notice_verdict::Stale);
-    CHECK(mayTakeWork(worker));
+    CHECK(isAcceptingRequests(worker));
     leaveNotice.workerId = "w2";
     CHECK(applyNotice(worker, leaveNotice, start) == notice_verdict::Changed);
-    CHECK_FALSE(mayTakeWork(worker));
+    CHECK_FALSE(isAcceptingRequests(worker));
 }
 
 TEST_CASE("a leave notice of an earlier process with the same id is stale")
 {
-    worker_life worker;
+    worker_liveness worker;
     applyNotice(worker, noticeOf("w1", 2000, 0), start);
     worker_notice leaveNotice = leaveNoticeOf("w1");
     leaveNotice.startedMs = 1000;
     CHECK(applyNotice(worker, leaveNotice, start) == notice_verdict::Stale);
-    CHECK(mayTakeWork(worker));
+    CHECK(isAcceptingRequests(worker));
 }
 
 TEST_CASE("a leave notice that arrives as the first notice of a process is not undone by heartbeats of that process")
 {
-    worker_life worker;
+    worker_liveness worker;
     worker_notice leaveNotice = leaveNoticeOf("w1");
     leaveNotice.receivedMs = 5000;
     applyNotice(worker, leaveNotice, start);
     worker_notice heartbeat = noticeOf("w1", 1000, 15);
     heartbeat.receivedMs = 7000;
     applyNotice(worker, heartbeat, start);
-    CHECK_FALSE(mayTakeWork(worker));
+    CHECK_FALSE(isAcceptingRequests(worker));
     CHECK(worker.startedMs == 1000);
     worker_notice restarted = noticeOf("w1", 8000, 0);
     applyNotice(worker, restarted, start);
-    CHECK(mayTakeWork(worker));
+    CHECK(isAcceptingRequests(worker));
 }
 
 TEST_CASE("a worker that restarts after a leave notice without a start time gets requests")
 {
-    worker_life worker;
+    worker_liveness worker;
     worker_notice leaveNotice = leaveNoticeOf("w1");
     leaveNotice.receivedMs = 5000;
     applyNotice(worker, leaveNotice, start);
     applyNotice(worker, noticeOf("w1", 6000, 0), start);
-    CHECK(mayTakeWork(worker));
+    CHECK(isAcceptingRequests(worker));
 }
 
 TEST_CASE("an unreachable worker gets requests again after its next heartbeat")
 {
-    worker_life worker;
+    worker_liveness worker;
     applyNotice(worker, noticeOf("w1", 1000, 1), start);
-    CHECK(noteUnreachable(worker));
-    CHECK_FALSE(noteUnreachable(worker));
-    CHECK_FALSE(mayTakeWork(worker));
+    CHECK(recordUnreachable(worker));
+    CHECK_FALSE(recordUnreachable(worker));
+    CHECK_FALSE(isAcceptingRequests(worker));
     CHECK(applyNotice(worker, noticeOf("w1", 1000, 1), start) == notice_verdict::Stale);
-    CHECK_FALSE(mayTakeWork(worker));
+    CHECK_FALSE(isAcceptingRequests(worker));
     CHECK(applyNotice(worker, noticeOf("w1", 1000, 2), start) == notice_verdict::Changed);
-    CHECK(mayTakeWork(worker));
+    CHECK(isAcceptingRequests(worker));
 }
 
 TEST_CASE("a worker whose heartbeats stop gets no requests")
 {
-    worker_life worker;
-    CHECK_FALSE(noteSilence(worker, seconds(3), start + seconds(60)));
+    worker_liveness worker;
+    CHECK_FALSE(recordSilence(worker, seconds(3), start + seconds(60)));
     applyNotice(worker, noticeOf("w1", 1000, 1), start);
-    CHECK_FALSE(noteSilence(worker, seconds(3), start + seconds(3)));
-    CHECK(noteSilence(worker, seconds(3), start + seconds(4)));
-    CHECK_FALSE(mayTakeWork(worker));
+    CHECK_FALSE(recordSilence(worker, seconds(3), start + seconds(3)));
+    CHECK(recordSilence(worker, seconds(3), start + seconds(4)));
+    CHECK_FALSE(isAcceptingRequests(worker));
 }
--- a/packages/request/admission/limits.h
+++ b/packages/request/admission/limits.h
@@ -1,7 +1,7 @@
 // Rate and concurrency limits of a service. The value of a limit applies to all nodes of a data centre together; each
 // node enforces its own share without talking to the others.
 //
-//   observeWorkers(state, nodeIds, now);                                        // at each view, and once a second
+//   recordSeenWorkers(state, nodeIds, now);                                        // at each view, and once a second
 //   limit_verdict verdict = tryAcquireLimit(state, "orders", {400, 64}, now, index);
 //   ...
 //   releaseLimit(state, index);                                                 // when the request has ended
@@ -89,9 +89,9 @@
 // makeLimits returns the limit state of a node that starts at `now`. Thread safe.
 limit_state makeLimits(std::string_view selfId, time_point now);
 
-// observeWorkers adds workers of the service in the same data centre, ready or not, to the set U, and removes those
+// recordSeenWorkers adds workers of the service in the same data centre, ready or not, to the set U, and removes those
 // not seen for 30 s. Not thread safe.
-void observeWorkers(limit_state &state, std::span<const std::string_view> nodeIds, time_point now);
+void recordSeenWorkers(limit_state &state, std::span<const std::string_view> nodeIds, time_point now);
 
 // tryAcquireLimit counts one request against this node's share of the limit `name`, or returns which bound is reached.
 // On Pass, `index` is the value for `releaseLimit`. Not thread safe.
--- a/packages/request/admission/limits_test.cc
+++ b/packages/request/admission/limits_test.cc
@@ -56,7 +56,7 @@
             }
         }
         made.nodes.push_back(makeLimits(ids.at(self), start));
-        observeWorkers(made.nodes.back(), view, start + newNodeShareDelay);
+        recordSeenWorkers(made.nodes.back(), view, start + newNodeShareDelay);
     }
     return made;
 }
@@ -162,10 +162,10 @@
     limit_state node = makeLimits("a", start);
     const std::vector<std::string_view> both = {"a", "b"};
     const std::vector<std::string_view> alone = {"a"};
-    observeWorkers(node, both, start);
-    observeWorkers(node, alone, start + seconds(30));
+    recordSeenWorkers(node, both, start);
+    recordSeenWorkers(node, alone, start + seconds(30));
     CHECK(node.seenWorkers.size() == 2);
-    observeWorkers(node, alone, start + seconds(31));
+    recordSeenWorkers(node, alone, start + seconds(31));
     CHECK(node.seenWorkers.size() == 1);
 }
 
--- a/packages/request/attempt_age/attempt_age.cc
+++ b/packages/request/attempt_age/attempt_age.cc
@@ -4,7 +4,7 @@
 
 namespace pistachioquay {
 
-milliseconds spentBefore(attempt_ages &timeouts, const std::string &route, milliseconds statedTimeLeft)
+milliseconds timeSinceFirstAttempt(caller_timeouts &timeouts, const std::string &route, milliseconds statedTimeLeft)
 {
     milliseconds &longest = timeouts.longestByRoute[route];
     longest = std::max(longest, statedTimeLeft);
--- a/packages/request/attempt_age/attempt_age.h
+++ b/packages/request/attempt_age/attempt_age.h
@@ -1,7 +1,7 @@
 // Estimates how long ago the caller of a request sent its first attempt. The target latency counts from that attempt,
 // but a request only states how much time its caller has left.
 //
-//   const milliseconds elapsed = spentBefore(timeouts, route, statedTimeLeft);
+//   const milliseconds elapsed = timeSinceFirstAttempt(timeouts, route, statedTimeLeft);
 //   const time_point targetAt = arrivedAt + targetLatency - elapsed;
 //
 // Load pattern: the timeouts of the callers of one route differ by up to `timeoutSpread`, and under overload callers
@@ -22,13 +22,13 @@
 inline constexpr double timeoutSpread = 0.16;
 
 // The longest time left that requests of each route have stated, as an estimate of the timeout of their callers.
-struct attempt_ages
+struct caller_timeouts
 {
     std::unordered_map<std::string, milliseconds> longestByRoute;
 };
 
-// spentBefore returns the estimated time since the caller's first attempt, and updates the timeout of the route with
-// `statedTimeLeft`. Not thread safe.
-milliseconds spentBefore(attempt_ages &timeouts, const std::string &route, milliseconds statedTimeLeft);
+// timeSinceFirstAttempt returns the estimated time since the caller's first attempt, and updates the timeout of the
+// route with `statedTimeLeft`. Not thread safe.
+milliseconds timeSinceFirstAttempt(caller_timeouts &timeouts, const std::string &route, milliseconds statedTimeLeft);
 
 } // namespace pistachioquay
--- a/packages/request/attempt_age/attempt_age_test.cc
+++ b/packages/request/attempt_age/attempt_age_test.cc
@@ -17,33 +17,33 @@
 
 TEST_CASE("a first attempt is recognized whatever the timeout of its caller")
 {
-    attempt_ages timeouts;
+    caller_timeouts timeouts;
     random_generator generator(11);
     std::uniform_real_distribution<double> timeoutShare(0.85, 1.0);
-    spentBefore(timeouts, "lookup", longest);
+    timeSinceFirstAttempt(timeouts, "lookup", longest);
     for (int index = 0; index < 1000; ++index) {
         const milliseconds stated(static_cast<std::int64_t>(longest.count() * timeoutShare(generator)));
-        CHECK(spentBefore(timeouts, "lookup", stated) == milliseconds{0});
+        CHECK(timeSinceFirstAttempt(timeouts, "lookup", stated) == milliseconds{0});
     }
 }
 
 TEST_CASE("a retry sent well after the target is recognized as late")
 {
-    attempt_ages timeouts;
+    caller_timeouts timeouts;
     random_generator generator(12);
     std::uniform_real_distribution<double> timeoutShare(0.85, 1.0);
-    spentBefore(timeouts, "lookup", longest);
+    timeSinceFirstAttempt(timeouts, "lookup", longest);
     constexpr milliseconds sinceFirstAttempt{900};
     for (int index = 0; index < 1000; ++index) {
         const milliseconds stated =
             milliseconds(static_cast<std::int64_t>(longest.count() * timeoutShare(generator))) - sinceFirstAttempt;
-        CHECK(spentBefore(timeouts, "lookup", stated) > targetLatency);
+        CHECK(timeSinceFirstAttempt(timeouts, "lookup", stated) > targetLatency);
     }
 }
 
 TEST_CASE("each route has its own estimate")
 {
-    attempt_ages timeouts;
-    spentBefore(timeouts, "lookup", longest);
-    CHECK(spentBefore(timeouts, "audit", milliseconds(300)) == milliseconds{0});
+    caller_timeouts timeouts;
+    timeSinceFirstAttempt(timeouts, "lookup", longest);
+    CHECK(timeSinceFirstAttempt(timeouts, "audit", milliseconds(300)) == milliseconds{0});
 }
--- a/packages/request/hedge/hedge.h
+++ b/packages/request/hedge/hedge.h
@@ -2,7 +2,7 @@
 // (`request/retry/hedge.h` does so by the operator's policy, for the request path of `--settings`.)
 //
 //   if (const auto delay = hedgeDelay(request)) {
-//       if (!co_await replied(sentAt + *delay) && maySendCopy(target)) sendHedge();
+//       if (!co_await replied(sentAt + *delay) && maySendHedge(target)) sendHedge();
 //   }
 //
 // Load pattern: some workers slow down for seconds, hang, or fail while their health checks pass, and nodes only notice
@@ -24,9 +24,9 @@
 inline constexpr double maxHedgeWaitRuns = 0.1; // longest expected wait of a hedge, in its run times
 
 // A request that was sent to a first worker and has no response yet.
-struct slow_request
+struct hedge_candidate
 {
-    bool isRepeatable = false;
+    bool isRetryable = false;
     std::uint32_t workersTried = 0; // including the one that has the request now
     std::uint32_t maxWorkers = 1;
     double expectedWaitMs = 0; // at the first worker
@@ -35,12 +35,12 @@
     double targetLeftMs = 0; // time left until the target; negative if it has passed
     double timeLeftMs = 0; // time left until the deadline
 
-    friend auto operator<=>(const slow_request &, const slow_request &) = default;
+    friend auto operator<=>(const hedge_candidate &, const hedge_candidate &) = default;
 };
 
 // hedgeDelay returns how long to wait for the first worker before a hedge is sent; empty if none may be sent. Thread
 // safe.
-std::optional<milliseconds> hedgeDelay(const slow_request &request);
+std::optional<milliseconds> hedgeDelay(const hedge_candidate &request);
 
 // The worker that would get the hedge.
 struct hedge_target
@@ -52,7 +52,7 @@
     friend auto operator<=>(const hedge_target &, const hedge_target &) = default;
 };
 
-// maySendCopy returns whether a hedge may be sent to the worker. Thread safe.
-bool maySendCopy(const hedge_target &target);
+// maySendHedge returns whether a hedge may be sent to the worker. Thread safe.
+bool maySendHedge(const hedge_target &target);
 
 } // namespace pistachioquay
--- a/packages/request/hedge/hedge_test.cc
+++ b/packages/request/hedge/hedge_test.cc
@@ -8,14 +8,14 @@
 
 namespace {
 
-constexpr slow_request lookup{.isRepeatable = true,
-                              .workersTried = 1,
-                              .maxWorkers = 3,
-                              .expectedWaitMs = 0,
-                              .expectedRunMs = 25,
-                              .typicalRunMs = 25,
-                              .targetLeftMs = 100,
-                              .timeLeftMs = 250};
+constexpr hedge_candidate lookup{.isRetryable = true,
+                                 .workersTried = 1,
+                                 .maxWorkers = 3,
+                                 .expectedWaitMs = 0,
+                                 .expectedRunMs = 25,
+                                 .typicalRunMs = 25,
+                                 .targetLeftMs = 100,
+                                 .timeLeftMs = 250};
 
 } // namespace
 
@@ -29,7 +29,7 @@
 
 TEST_CASE("a close target makes the hedge earlier, but not earlier than the minimum delay")
 {
-    slow_request request = lookup;
+    hedge_candidate request = lookup;
     request.targetLeftMs = 68;
     const auto delay = hedgeDelay(request);
     REQUIRE(delay);
@@ -39,7 +39,7 @@
 
 TEST_CASE("a request past its target is hedged after the usual delay, if the hedge can finish before the deadline")
 {
-    slow_request request = lookup;
+    hedge_candidate request = lookup;
     request.targetLeftMs = -10;
     REQUIRE(hedgeDelay(request));
     CHECK(hedgeDelay(request)->count() >= request.expectedRunMs * hedgeRuns);
@@ -49,24 +49,24 @@
 
 TEST_CASE("a worker that is known to be slow does not delay the hedge")
 {
-    slow_request request = lookup;
+    hedge_candidate request = lookup;
     request.expectedRunMs = 200;
     CHECK(hedgeDelay(request) == hedgeDelay(lookup));
 }
 
 TEST_CASE("requests that are not retryable or have reached their maximum number of workers are not hedged")
 {
-    slow_request atMostOnce = lookup;
-    atMostOnce.isRepeatable = false;
+    hedge_candidate atMostOnce = lookup;
+    atMostOnce.isRetryable = false;
     CHECK_FALSE(hedgeDelay(atMostOnce));
-    slow_request exhausted = lookup;
+    hedge_candidate exhausted = lookup;
     exhausted.workersTried = exhausted.maxWorkers;
     CHECK_FALSE(hedgeDelay(exhausted));
 }
 
 TEST_CASE("a hedge is sent only to a worker that has almost no wait and can finish in time")
 {
-    CHECK(maySendCopy({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 100}));
-    CHECK_FALSE(maySendCopy({.expectedWaitMs = 12, .expectedRunMs = 25, .timeLeftMs = 100}));
-    CHECK_FALSE(maySendCopy({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 20}));
+    CHECK(maySendHedge({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 100}));
+    CHECK_FALSE(maySendHedge({.expectedWaitMs = 12, .expectedRunMs = 25, .timeLeftMs = 100}));
+    CHECK_FALSE(maySendHedge({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 20}));
 }
--- a/packages/request/ledger/ledger.h
+++ b/packages/request/ledger/ledger.h
@@ -2,10 +2,10 @@
 // twice when its sender sends it again after losing the connection.
 //
 //   switch (table.begin(id, now)) {
-//   case entry_state::New: ...          // the id was not received before
-//   case entry_state::Open: ...         // the request is queued or running: respond when it ends
-//   case entry_state::Ended: ...        // it has completed; its response is kept for `responseRetention`
-//   case entry_state::Void: ...         // the sender was told that it has not run, so it must never run
+//   case deduplication_state::New: ...          // the id was not received before
+//   case deduplication_state::Open: ...         // the request is queued or running: respond when it ends
+//   case deduplication_state::Ended: ...        // it has completed; its response is kept for `responseRetention`
+//   case deduplication_state::Void: ...         // the sender was told that it has not run, so it must never run
 //   }
 //
 // Load pattern: connections between nodes break while requests are in transit, and data of the old connection may
@@ -26,26 +26,26 @@
 inline constexpr seconds idRetention{20}; // longer than the lifetime of any request
 inline constexpr std::size_t maxRetainedBytes = 8UL * 1024 * 1024; // of kept responses; the oldest are dropped first
 
-enum class entry_state : std::uint8_t
+enum class deduplication_state : std::uint8_t
 {
     New,
     Open,
-    Ended,
+    Completed,
     Void,
 };
 
 template<class Response>
-class request_ledger
+class deduplication_table
 {
 public:
     // begin adds a request if its id is new, and returns its state before the call.
-    entry_state begin(const std::string &id, time_point now)
+    deduplication_state begin(const std::string &id, time_point now)
     {
         expire(now);
         const auto [found, isNew] = m_entries.try_emplace(id);
         if (isNew) {
-            found->second.state = entry_state::Open;
-            return entry_state::New;
+            found->second.state = deduplication_state::Open;
+            return deduplication_state::New;
         }
         return found->second.state;
     }
@@ -57,7 +57,7 @@
         if (found == m_entries.end()) {
             return;
         }
-        found->second = {entry_state::Ended, std::move(response), bytes};
+        found->second = {deduplication_state::Completed, std::move(response), bytes};
         m_retainedBytes += bytes;
         m_responses.push_back({id, now + responseRetention});
         m_ids.push_back({id, now + idRetention});
@@ -69,10 +69,10 @@
         m_entries.erase(id);
     }
 
-    // makeVoid marks a request as one that will never run.
-    void makeVoid(const std::string &id, time_point now)
+    // markNeverRun marks a request as one that will never run.
+    void markNeverRun(const std::string &id, time_point now)
     {
-        m_entries[id] = {entry_state::Void, std::nullopt, 0};
+        m_entries[id] = {deduplication_state::Void, std::nullopt, 0};
         m_ids.push_back({id, now + idRetention});
     }
 
@@ -91,7 +91,7 @@
 private:
     struct entry
     {
-        entry_state state = entry_state::Open;
+        deduplication_state state = deduplication_state::Open;
         std::optional<Response> response;
         std::size_t bytes = 0;
     };
--- a/packages/request/ledger/ledger_test.cc
+++ b/packages/request/ledger/ledger_test.cc
@@ -14,44 +14,44 @@
 
 TEST_CASE("a duplicate finds the request in progress, then its response")
 {
-    request_ledger<std::string> table;
-    CHECK(table.begin("r1", start) == entry_state::New);
-    CHECK(table.begin("r1", start) == entry_state::Open);
+    deduplication_table<std::string> table;
+    CHECK(table.begin("r1", start) == deduplication_state::New);
+    CHECK(table.begin("r1", start) == deduplication_state::Open);
     table.end("r1", "done", 4, start);
-    CHECK(table.begin("r1", start) == entry_state::Ended);
+    CHECK(table.begin("r1", start) == deduplication_state::Completed);
     REQUIRE(table.response("r1") != nullptr);
     CHECK(*table.response("r1") == "done");
 }
 
 TEST_CASE("an id is kept for longer than its response")
 {
-    request_ledger<std::string> table;
+    deduplication_table<std::string> table;
     table.begin("r1", start);
     table.end("r1", "done", 4, start);
-    CHECK(table.begin("r1", start + responseRetention) == entry_state::Ended);
+    CHECK(table.begin("r1", start + responseRetention) == deduplication_state::Completed);
     CHECK(table.response("r1") == nullptr);
-    CHECK(table.begin("r1", start + idRetention) == entry_state::New);
+    CHECK(table.begin("r1", start + idRetention) == deduplication_state::New);
 }
 
 TEST_CASE("a request from an old connection does not run after its duplicate was refused")
 {
-    request_ledger<std::string> table;
-    REQUIRE(table.begin("r1", start) == entry_state::New);
-    table.makeVoid("r1", start);
-    CHECK(table.begin("r1", start + seconds(1)) == entry_state::Void);
+    deduplication_table<std::string> table;
+    REQUIRE(table.begin("r1", start) == deduplication_state::New);
+    table.markNeverRun("r1", start);
+    CHECK(table.begin("r1", start + seconds(1)) == deduplication_state::Void);
 }
 
 TEST_CASE("a request that was refused at first may be sent again")
 {
-    request_ledger<std::string> table;
+    deduplication_table<std::string> table;
     table.begin("r1", start);
     table.forget("r1");
-    CHECK(table.begin("r1", start) == entry_state::New);
+    CHECK(table.begin("r1", start) == deduplication_state::New);
 }
 
 TEST_CASE("kept responses are limited by their total size, and their ids stay in the table")
 {
-    request_ledger<std::string> table;
+    deduplication_table<std::string> table;
     for (int index = 0; index < 20; ++index) {
         const std::string id = std::to_string(index);
         table.begin(id, start);
@@ -60,6 +60,6 @@
     table.begin("next", start);
     CHECK(table.response("0") == nullptr);
     CHECK(table.response("19") != nullptr);
-    CHECK(table.begin("0", start) == entry_state::Ended);
+    CHECK(table.begin("0", start) == deduplication_state::Completed);
     CHECK(table.size() == 21);
 }
--- a/packages/request/link_room/link_room.cc
+++ b/packages/request/link_room/link_room.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-std::uint64_t reservedBytes(const link_room &link)
+std::uint64_t reservedBytes(const link_reservations &link)
 {
     return std::accumulate(link.reservations.begin(),
                            link.reservations.end(),
@@ -16,14 +16,14 @@
                            });
 }
 
-double capacityBytes(const link_room &link)
+double capacityBytes(const link_reservations &link)
 {
     return link.bytesPerMs * static_cast<double>(reservableTime.count());
 }
 
 } // namespace
 
-bool reserveRoom(link_room &link, const std::string &id, std::uint64_t bytes, time_point now)
+bool reserveBandwidth(link_reservations &link, const std::string &id, std::uint64_t bytes, time_point now)
 {
     std::erase_if(link.reservations, [&](const auto &item) {
         return item.second.until <= now;
@@ -36,12 +36,12 @@
     return isGranted;
 }
 
-void releaseRoom(link_room &link, const std::string &id)
+void releaseBandwidth(link_reservations &link, const std::string &id)
 {
     link.reservations.erase(id);
 }
 
-double reservedShare(const link_room &link)
+double reservedShare(const link_reservations &link)
 {
     return link.bytesPerMs > 0 ? static_cast<double>(reservedBytes(link)) / capacityBytes(link) : 0.0;
 }
--- a/packages/request/link_room/link_room.h
+++ b/packages/request/link_room/link_room.h
@@ -1,8 +1,8 @@
 // Reservations of bandwidth on the link of a VM for large request bodies that are sent to it.
 //
-//   if (!reserveRoom(link, id, bytes, now)) return refuse();           // before the body is sent
+//   if (!reserveBandwidth(link, id, bytes, now)) return refuse();           // before the body is sent
 //   ...
-//   releaseRoom(link, id);                                             // once it has arrived
+//   releaseBandwidth(link, id);                                             // once it has arrived
 //
 // Load pattern: many nodes send uploads to the fastest worker at once. Its slots are free, but the link of its VM is
 // saturated: the bodies queue on it for seconds, and all other messages behind them. A sender therefore asks first, and
@@ -22,7 +22,7 @@
 inline constexpr milliseconds reservableTime{150}; // total reservations, as transfer time of the link
 inline constexpr milliseconds reservationTimeout{1500}; // a body that has not arrived by then loses its reservation
 
-struct link_room
+struct link_reservations
 {
     struct reservation
     {
@@ -33,14 +33,14 @@
     std::map<std::string, reservation> reservations; // by request id
 };
 
-// reserveRoom returns whether a body may be sent, and reserves bandwidth for it if so. A link without other
+// reserveBandwidth returns whether a body may be sent, and reserves bandwidth for it if so. A link without other
 // reservations accepts a body of any size.
-bool reserveRoom(link_room &link, const std::string &id, std::uint64_t bytes, time_point now);
+bool reserveBandwidth(link_reservations &link, const std::string &id, std::uint64_t bytes, time_point now);
 
-// releaseRoom ends a reservation.
-void releaseRoom(link_room &link, const std::string &id);
+// releaseBandwidth ends a reservation.
+void releaseBandwidth(link_reservations &link, const std::string &id);
 
 // reservedShare returns the reserved share of the link; may exceed 1 for a single large body.
-double reservedShare(const link_room &link);
+double reservedShare(const link_reservations &link);
 
 } // namespace pistachioquay
--- a/packages/request/link_room/link_room_test.cc
+++ b/packages/request/link_room/link_room_test.cc
@@ -14,10 +14,10 @@
 
 TEST_CASE("reservations do not exceed what the link transfers within the limit")
 {
-    link_room link{slowLink, {}};
+    link_reservations link{slowLink, {}};
     std::uint64_t granted = 0;
     for (int index = 0; index < 50; ++index) {
-        granted += reserveRoom(link, std::to_string(index), 60000, start) ? 60000U : 0U;
+        granted += reserveBandwidth(link, std::to_string(index), 60000, start) ? 60000U : 0U;
     }
     CHECK(granted >= 60000);
     CHECK(static_cast<double>(granted) <= slowLink * static_cast<double>(reservableTime.count()));
@@ -25,25 +25,25 @@
 
 TEST_CASE("bandwidth is available again when a reservation is released or times out")
 {
-    link_room link{slowLink, {}};
-    REQUIRE(reserveRoom(link, "a", 130000, start));
-    CHECK_FALSE(reserveRoom(link, "b", 60000, start));
-    releaseRoom(link, "a");
-    CHECK(reserveRoom(link, "b", 60000, start));
-    CHECK_FALSE(reserveRoom(link, "c", 130000, start));
-    CHECK(reserveRoom(link, "c", 130000, start + reservationTimeout));
+    link_reservations link{slowLink, {}};
+    REQUIRE(reserveBandwidth(link, "a", 130000, start));
+    CHECK_FALSE(reserveBandwidth(link, "b", 60000, start));
+    releaseBandwidth(link, "a");
+    CHECK(reserveBandwidth(link, "b", 60000, start));
+    CHECK_FALSE(reserveBandwidth(link, "c", 130000, start));
+    CHECK(reserveBandwidth(link, "c", 130000, start + reservationTimeout));
 }
 
 TEST_CASE("a body of any size is granted on an idle link")
 {
-    link_room link{slowLink, {}};
-    CHECK(reserveRoom(link, "large", 60'000'000, start));
+    link_reservations link{slowLink, {}};
+    CHECK(reserveBandwidth(link, "large", 60'000'000, start));
 }
 
 TEST_CASE("everything is granted while the rate of the link is unknown")
 {
-    link_room link;
-    CHECK(reserveRoom(link, "a", 60'000'000, start));
-    CHECK(reserveRoom(link, "b", 60'000'000, start));
+    link_reservations link;
+    CHECK(reserveBandwidth(link, "a", 60'000'000, start));
+    CHECK(reserveBandwidth(link, "b", 60'000'000, start));
     CHECK(reservedShare(link) == 0);
 }
--- a/packages/request/once/claims.h
+++ b/packages/request/once/claims.h
@@ -67,7 +67,7 @@
 namespace internal {
 
 // Hash function for maps with hash128 keys, which are uniformly distributed already.
-struct hash_of_hash
+struct hash128_hasher
 {
     std::size_t operator()(const hash128 &value) const
     {
@@ -82,7 +82,7 @@
 {
     std::int64_t position = 1; // offset of the next record
     std::int64_t timeMs = 0; // latest timestamp of the applied records
-    std::unordered_map<hash128, claim_entry, internal::hash_of_hash> holders; // by key
+    std::unordered_map<hash128, claim_entry, internal::hash128_hasher> holders; // by key
     std::deque<std::pair<std::int64_t, hash128>> keysByTime; // claim time and key, oldest first
 };
 
@@ -114,12 +114,12 @@
 // that the claim may be in the log or reach it. Not thread safe.
 bool withdrawClaim(claim_queue &queue, const hash128 &claim);
 
-// takeBatch starts an append and returns its records; none if nothing waits or no append may start yet. After a failure
-// it returns the same batch again, because the failed append may or may not have taken effect. Not thread safe.
-std::span<const claim_record> takeBatch(claim_queue &queue, time_point now);
+// beginAppend starts an append and returns its records; none if nothing waits or no append may start yet. After a
+// failure it returns the same batch again, because the failed append may or may not have taken effect. Not thread safe.
+std::span<const claim_record> beginAppend(claim_queue &queue, time_point now);
 
-// batchAppended ends the append that takeBatch started. `isAccepted` is false if the log returned an error or its
+// endAppend ends the append that beginAppend started. `isAccepted` is false if the log returned an error or its
 // response was lost; then the next attempt waits for a jittered exponential backoff. Not thread safe.
-void batchAppended(claim_queue &queue, bool isAccepted, time_point now, random_generator &generator);
+void endAppend(claim_queue &queue, bool isAccepted, time_point now, random_generator &generator);
 
 } // namespace pistachioquay
--- a/packages/request/once/once.cc
+++ b/packages/request/once/once.cc
@@ -12,7 +12,7 @@
 // Exceeds the time that a copy of a claim can be in transit to the log.
 constexpr milliseconds localClaimRetention{2 * keyRetentionMs};
 
-local_claim *findLocal(once_state &state, const hash128 &claim)
+local_claim *findLocal(at_most_once_state &state, const hash128 &claim)
 {
     const auto found = state.localClaims.find(claim);
     return found == state.localClaims.end() ? nullptr : &found->second;
@@ -23,59 +23,65 @@
     return now >= local.deadline || now - local.arrivedAt >= maxClaimWait;
 }
 
-bool holdsKey(const once_state &state, const hash128 &key, const hash128 &claim)
+bool holdsKey(const at_most_once_state &state, const hash128 &key, const hash128 &claim)
 {
     const claim_entry *holder = findClaim(state.index, key);
     return holder != nullptr && holder->claim == claim;
 }
 
 // If the queue is full, the release is dropped: the key then stays claimed until it expires, which is safe.
-void enqueueRelease(once_state &state, const hash128 &key, const hash128 &claim)
+void enqueueRelease(at_most_once_state &state, const hash128 &key, const hash128 &claim)
 {
     enqueueClaim(state.queue, {claim_kind::Release, key, claim});
 }
 
-once_outcome outcomeOfLocal(const local_claim &local)
+key_outcome outcomeOfLocal(const local_claim &local)
 {
     switch (local.phase) {
     case claim_phase::Running:
-        return once_outcome::Running;
+        return key_outcome::Running;
     case claim_phase::Ran:
-        return once_outcome::Ran;
+        return key_outcome::Ran;
     case claim_phase::Waiting:
     case claim_phase::Granted:
     case claim_phase::Abandoned:
         break;
     }
-    return once_outcome::Unknown;
+    return key_outcome::Unknown;
 }
 
-once_outcome outcomeOfHolder(const once_state &state, const hash128 &claim)
+key_outcome outcomeOfHolder(const at_most_once_state &state, const hash128 &claim)
 {
     const auto found = state.localClaims.find(claim);
-    return found == state.localClaims.end() ? once_outcome::Unknown : outcomeOfLocal(found->second);
+    return found == state.localClaims.end() ? key_outcome::Unknown : outcomeOfLocal(found->second);
 }
 
-void resolveWaiting(once_state &state, const hash128 &claim, time_point now, std::vector<once_result> &actions)
+void resolveWaiting(at_most_once_state &state,
+                    const hash128 &claim,
+                    time_point now,
+                    std::vector<claim_decision> &actions)
 {
     local_claim &local = state.localClaims.at(claim);
     state.pendingByKey.erase(local.key);
     const claim_entry *holder = findClaim(state.index, local.key);
     if (holder == nullptr || holder->claim != claim) {
-        const once_outcome outcome = holder == nullptr ? once_outcome::Unknown : outcomeOfHolder(state, holder->claim);
+        const key_outcome outcome = holder == nullptr ? key_outcome::Unknown : outcomeOfHolder(state, holder->claim);
         local.phase = claim_phase::Abandoned;
-        actions.push_back({once_kind::Answer, claim, outcome});
+        actions.push_back({claim_action::Respond, claim, outcome});
         return;
     }
     local.phase = claim_phase::Granted;
     if (isTooLate(local, now)) {
-        actions.push_back({once_kind::Answer, claim, abandonRun(state, claim)});
+        actions.push_back({claim_action::Respond, claim, abandonRun(state, claim)});
     } else {
-        actions.push_back({once_kind::Run, claim, once_outcome::NotRun});
+        actions.push_back({claim_action::Run, claim, key_outcome::NotRun});
     }
 }
 
-void resolveClaim(once_state &state, const claim_record &record, time_point now, std::vector<once_result> &actions)
+void resolveClaim(at_most_once_state &state,
+                  const claim_record &record,
+                  time_point now,
+                  std::vector<claim_decision> &actions)
 {
     const local_claim *local = findLocal(state, record.claim);
     if (local == nullptr || record.kind != claim_kind::Claim) {
@@ -90,27 +96,28 @@
 
 } // namespace
 
-once_result beginOnce(once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now)
+claim_decision
+beginClaim(at_most_once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now)
 {
     const claim_entry *holder = findClaim(state.index, key);
     if (holder != nullptr) {
-        return {once_kind::Answer, claim, outcomeOfHolder(state, holder->claim)};
+        return {claim_action::Respond, claim, outcomeOfHolder(state, holder->claim)};
     }
     const bool isFull = state.localClaims.size() >= maxLocalClaims || state.index.holders.size() >= maxKeys;
     if (isFull || state.pendingByKey.contains(key) || !enqueueClaim(state.queue, {claim_kind::Claim, key, claim})) {
-        return {once_kind::Answer, claim, once_outcome::Unknown};
+        return {claim_action::Respond, claim, key_outcome::Unknown};
     }
     state.pendingByKey[key] = claim;
     state.localClaims[claim] = {key, claim_phase::Waiting, now, deadline};
-    return {once_kind::Wait, claim, once_outcome::Unknown};
+    return {claim_action::Wait, claim, key_outcome::Unknown};
 }
 
-bool applyRecord(once_state &state,
+bool applyRecord(at_most_once_state &state,
                  std::int64_t offset,
                  std::int64_t timeMs,
                  std::span<const claim_record> records,
                  time_point now,
-                 std::vector<once_result> &actions)
+                 std::vector<claim_decision> &actions)
 {
     const bool isNew = offset == state.index.position;
     if (!applyClaims(state.index, offset, timeMs, records)) {
@@ -124,18 +131,18 @@
     return true;
 }
 
-void restartOnce(once_state &state, std::int64_t first)
+void restartReplay(at_most_once_state &state, std::int64_t first)
 {
     resetIndex(state.index, first);
     state.currentAsOf = time_point();
 }
 
-void noteReadEnd(once_state &state, time_point readStartedAt)
+void recordCaughtUp(at_most_once_state &state, time_point readStartedAt)
 {
     state.currentAsOf = std::max(state.currentAsOf, readStartedAt);
 }
 
-bool startRun(once_state &state, const hash128 &claim, time_point now)
+bool startRun(at_most_once_state &state, const hash128 &claim, time_point now)
 {
     local_claim *local = findLocal(state, claim);
     if (local == nullptr || local->phase != claim_phase::Granted || isTooLate(*local, now)) {
@@ -145,7 +152,7 @@
     return true;
 }
 
-void endRun(once_state &state, const hash128 &claim)
+void endRun(at_most_once_state &state, const hash128 &claim)
 {
     local_claim *local = findLocal(state, claim);
     if (local != nullptr && local->phase == claim_phase::Running) {
@@ -153,17 +160,17 @@
     }
 }
 
-once_outcome abandonRun(once_state &state, const hash128 &claim)
+key_outcome abandonRun(at_most_once_state &state, const hash128 &claim)
 {
     local_claim *local = findLocal(state, claim);
     if (local == nullptr) {
-        return once_outcome::Unknown;
+        return key_outcome::Unknown;
     }
     switch (local->phase) {
     case claim_phase::Waiting: {
         local->phase = claim_phase::Abandoned;
         state.pendingByKey.erase(local->key);
-        const once_outcome outcome = outcomeFor(state, local->key, local->arrivedAt);
+        const key_outcome outcome = outcomeFor(state, local->key, local->arrivedAt);
         if (withdrawClaim(state.queue, claim)) {
             state.localClaims.erase(claim);
         }
@@ -172,7 +179,7 @@
     case claim_phase::Granted:
         local->phase = claim_phase::Abandoned;
         enqueueRelease(state, local->key, claim);
-        return once_outcome::NotRun;
+        return key_outcome::NotRun;
     case claim_phase::Running:
     case claim_phase::Ran:
     case claim_phase::Abandoned:
@@ -181,7 +188,7 @@
     return outcomeOfLocal(*local);
 }
 
-once_outcome noteNothingSent(once_state &state, const hash128 &claim)
+key_outcome abandonUnsentRun(at_most_once_state &state, const hash128 &claim)
 {
     local_claim *local = findLocal(state, claim);
     if (local != nullptr && local->phase == claim_phase::Running) {
@@ -190,17 +197,17 @@
     return abandonRun(state, claim);
 }
 
-once_outcome outcomeFor(const once_state &state, const hash128 &key, time_point arrivedAt)
+key_outcome outcomeFor(const at_most_once_state &state, const hash128 &key, time_point arrivedAt)
 {
     const claim_entry *holder = findClaim(state.index, key);
     if (holder != nullptr) {
         return outcomeOfHolder(state, holder->claim);
     }
     const bool isCurrent = state.currentAsOf != time_point() && state.currentAsOf >= arrivedAt;
-    return isCurrent && !state.pendingByKey.contains(key) ? once_outcome::NotRun : once_outcome::Unknown;
+    return isCurrent && !state.pendingByKey.contains(key) ? key_outcome::NotRun : key_outcome::Unknown;
 }
 
-void forgetOld(once_state &state, time_point now)
+void forgetOld(at_most_once_state &state, time_point now)
 {
     std::erase_if(state.localClaims, [&](const auto &each) {
         const local_claim &local = each.second;
--- a/packages/request/once/once.h
+++ b/packages/request/once/once.h
@@ -2,9 +2,9 @@
 // another node. Before the request reaches the worker, the worker's node appends a claim of the key to the platform's
 // log. It runs the request only after it has read that claim back and the claim holds the key.
 //
-//   once_result begun = beginOnce(state, key, claim, deadline, now);   // after the quarantine checks
-//   if (begun.kind == once_kind::Answer) return respond(begun.outcome);
-//   ...  append takeBatch(state.queue, now), read the stream, and for each record:
+//   claim_decision begun = beginClaim(state, key, claim, deadline, now);   // after the quarantine checks
+//   if (begun.kind == claim_action::Answer) return respond(begun.outcome);
+//   ...  append beginAppend(state.queue, now), read the stream, and for each record:
 //   applyRecord(state, offset, timeMs, records, now, actions);   // Run: go on to admission; otherwise respond
 //   if (!startRun(state, claim, now)) return respond(abandonRun(state, claim));   // just before the first byte
 //   endRun(state, claim);   // the worker responded or died
@@ -31,7 +31,7 @@
 inline constexpr std::size_t maxLocalClaims = 100'000; // claims of this node; at this number no new key is claimed
 
 // What is known about the runs of a key.
-enum class once_outcome : std::uint8_t
+enum class key_outcome : std::uint8_t
 {
     NotRun, // no request with the key has run
     Unknown, // a request with the key may have run or may be running elsewhere
@@ -40,21 +40,21 @@
 };
 
 // Next step for a request.
-enum class once_kind : std::uint8_t
+enum class claim_action : std::uint8_t
 {
     Wait, // the claim is queued for the log
     Run, // the claim holds the key: pass admission, then call `startRun`
-    Answer, // do not run the request; respond with `outcome`
+    Respond, // do not run the request; respond with `outcome`
 };
 
 // What to do with the request of `claim`.
-struct once_result
+struct claim_decision
 {
-    once_kind kind = once_kind::Answer;
+    claim_action kind = claim_action::Respond;
     hash128 claim;
-    once_outcome outcome = once_outcome::Unknown; // if `kind` is Respond
+    key_outcome outcome = key_outcome::Unknown; // if `kind` is Respond
 
-    friend bool operator==(const once_result &, const once_result &) = default;
+    friend bool operator==(const claim_decision &, const claim_decision &) = default;
 };
 
 namespace internal {
@@ -81,58 +81,59 @@
 
 // State of a node for requests with an `Idempotency-Key`. A restarted node starts with an empty state. Nobody runs or
 // releases the claims from before its restart: their outcome stays Unknown until the key expires.
-struct once_state
+struct at_most_once_state
 {
     claim_index index;
     claim_queue queue;
-    std::unordered_map<hash128, internal::local_claim, internal::hash_of_hash> localClaims; // by claim
-    std::unordered_map<hash128, hash128, internal::hash_of_hash> pendingByKey; // claim in phase Waiting, by key
+    std::unordered_map<hash128, internal::local_claim, internal::hash128_hasher> localClaims; // by claim
+    std::unordered_map<hash128, hash128, internal::hash128_hasher> pendingByKey; // claim in phase Waiting, by key
     time_point currentAsOf; // start time of the latest read that reached the end of the log
 };
 
-// beginOnce enqueues a claim of the key, or returns the outcome at once if the key is held, already pending here, or a
+// beginClaim enqueues a claim of the key, or returns the outcome at once if the key is held, already pending here, or a
 // limit is reached. `claim` is a new random id. Not thread safe.
-once_result beginOnce(once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now);
+claim_decision
+beginClaim(at_most_once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now);
 
 // applyRecord applies one record of the log and appends the resulting decisions on requests of this node to `actions`.
-// Returns false if records are missing: call `restartOnce` and read again from the oldest record. Not thread safe.
-bool applyRecord(once_state &state,
+// Returns false if records are missing: call `restartReplay` and read again from the oldest record. Not thread safe.
+bool applyRecord(at_most_once_state &state,
                  std::int64_t offset,
                  std::int64_t timeMs,
                  std::span<const claim_record> records,
                  time_point now,
-                 std::vector<once_result> &actions);
+                 std::vector<claim_decision> &actions);
 
-// restartOnce discards the replayed state; the next record that it expects is `first`, the oldest offset that the log
+// restartReplay discards the replayed state; the next record that it expects is `first`, the oldest offset that the log
 // retains. Keeps the claims of this node. Not thread safe.
-void restartOnce(once_state &state, std::int64_t first);
+void restartReplay(at_most_once_state &state, std::int64_t first);
 
-// noteReadEnd records that a read which started at `readStartedAt` reached the end of the log and that all its records
-// were applied. Not thread safe.
-void noteReadEnd(once_state &state, time_point readStartedAt);
+// recordCaughtUp records that a read which started at `readStartedAt` reached the end of the log and that all its
+// records were applied. Not thread safe.
+void recordCaughtUp(at_most_once_state &state, time_point readStartedAt);
 
 // startRun permits sending the request to the worker, once per claim; no byte may be sent before. Returns false if the
 // claim does not hold the key or it is too late to start. Not thread safe.
-bool startRun(once_state &state, const hash128 &claim, time_point now);
+bool startRun(at_most_once_state &state, const hash128 &claim, time_point now);
 
 // endRun records that the worker responded or died. The claim keeps the key, which blocks further runs until the key
 // expires. Not thread safe.
-void endRun(once_state &state, const hash128 &claim);
+void endRun(at_most_once_state &state, const hash128 &claim);
 
 // abandonRun gives up a claim before its run (deadline passed, refused by admission, caller disconnected) and returns
 // the outcome to respond with. A claim that runs or has run is not changed. Not thread safe.
-once_outcome abandonRun(once_state &state, const hash128 &claim);
+key_outcome abandonRun(at_most_once_state &state, const hash128 &claim);
 
-// noteNothingSent gives up a started run of which no byte was sent to the worker, and returns the outcome to respond
+// abandonUnsentRun gives up a started run of which no byte was sent to the worker, and returns the outcome to respond
 // with. Not thread safe.
-once_outcome noteNothingSent(once_state &state, const hash128 &claim);
+key_outcome abandonUnsentRun(at_most_once_state &state, const hash128 &claim);
 
 // outcomeFor returns what is known about the key, for a message that arrived at `arrivedAt` and is refused for another
 // reason. Not thread safe.
-once_outcome outcomeFor(const once_state &state, const hash128 &key, time_point arrivedAt);
+key_outcome outcomeFor(const at_most_once_state &state, const hash128 &key, time_point arrivedAt);
 
 // forgetOld removes claims of this node that have ended and are old enough that no copy of them can still reach the
 // log. Call it about once a minute. Not thread safe.
-void forgetOld(once_state &state, time_point now);
+void forgetOld(at_most_once_state &state, time_point now);
 
 } // namespace pistachioquay
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -28,7 +28,7 @@
 std::optional<double> freshRunMs(const candidate_worker &worker, const std::string &route, time_point now)
 {
     const auto found = worker.runMs.find(route);
-    if (found == worker.runMs.end() || now - found->second.second > runForgotten) {
+    if (found == worker.runMs.end() || now - found->second.second > runTimeExpiry) {
         return std::nullopt;
     }
     return found->second.first;
@@ -117,7 +117,7 @@
                       double typicalMs,
                       time_point now)
 {
-    const bool isWarmingUp = worker.entry.coldUntil > now;
+    const bool isWarmingUp = worker.entry.warmUpUntil > now;
     scored_worker scored{&worker};
     scored.run = freshRunMs(worker, request.route, now).value_or(typicalMs * (isWarmingUp ? warmUpRunFactor : 1.0));
     const double slowdownWeight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
@@ -126,7 +126,7 @@
     scored.score = scored.wait + noiseFilteredRunMs(scored.run, typicalMs) + contentionMs(worker, scored.run);
     scored.score += networkCostMs(state, worker, request, now);
     const bool isLate = scored.wait + scored.run > request.targetLeftMs;
-    const bool isFinal = isLastChance(request.targetLeftMs, request.timeLeftMs, worker.report.lineRunMs);
+    const bool isFinal = isFinalAttempt(request.targetLeftMs, request.timeLeftMs, worker.report.meanActiveRunMs);
     scored.isRefusalExpected = !isFinal && isLate && scored.wait > maxLateWaitRuns * scored.run;
     scored.score += worker.report.failureShare * failurePenalty * std::max(request.targetMs, scored.run);
     return scored;
@@ -191,11 +191,11 @@
     placement.workers = std::move(updated);
 }
 
-void noteReport(placement_state &state,
-                const std::string &service,
-                const std::string &nodeId,
-                const worker_report &report,
-                time_point now)
+void recordReport(placement_state &state,
+                  const std::string &service,
+                  const std::string &nodeId,
+                  const worker_report &report,
+                  time_point now)
 {
     if (candidate_worker *worker = findWorker(state, service, nodeId)) {
         worker->report = report;
@@ -206,32 +206,32 @@
     }
 }
 
-void noteRunMs(placement_state &state,
-               const std::string &service,
-               const std::string &nodeId,
-               const std::string &route,
-               double milliseconds,
-               time_point now)
+void recordWorkerRunTime(placement_state &state,
+                         const std::string &service,
+                         const std::string &nodeId,
+                         const std::string &route,
+                         double milliseconds,
+                         time_point now)
 {
     if (candidate_worker *worker = findWorker(state, service, nodeId)) {
         worker->runMs[route] = {milliseconds, now};
     }
 }
 
-void noteSlow(placement_state &state,
-              const std::string &service,
-              const std::string &nodeId,
-              const std::string &route,
-              double milliseconds,
-              time_point now)
+void recordRunTimeLowerBound(placement_state &state,
+                             const std::string &service,
+                             const std::string &nodeId,
+                             const std::string &route,
+                             double milliseconds,
+                             time_point now)
 {
     if (const candidate_worker *worker = findWorker(state, service, nodeId)) {
         const double known = freshRunMs(*worker, route, now).value_or(0.0);
-        noteRunMs(state, service, nodeId, route, std::max(known, milliseconds), now);
+        recordWorkerRunTime(state, service, nodeId, route, std::max(known, milliseconds), now);
     }
 }
 
-void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now)
+void recordSilentNode(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now)
 {
     if (dataCentre != state.dataCentre) {
         data_centre_status &status = state.dataCentreStatus[dataCentre];
@@ -240,7 +240,7 @@
     }
 }
 
-void noteHeard(placement_state &state, const std::string &dataCentre)
+void recordDataCentreContact(placement_state &state, const std::string &dataCentre)
 {
     state.dataCentreStatus.erase(dataCentre);
 }
@@ -284,7 +284,7 @@
     return choice;
 }
 
-void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes)
+void recordSentRequest(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes)
 {
     if (candidate_worker *worker = findWorker(state, service, nodeId)) {
         ++worker->sentSinceReport;
@@ -292,7 +292,7 @@
     }
 }
 
-void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now)
+void startBackoff(placement_state &state, const std::string &service, const std::string &nodeId, time_point now)
 {
     if (candidate_worker *worker = findWorker(state, service, nodeId)) {
         const auto length =
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -3,7 +3,7 @@
 //
 //   const placement_choice choice = chooseWorker(state, "orders", request, now, generator);
 //   if (!choice.nodeId) return refuse();
-//   noteSent(state, "orders", *choice.nodeId, bytes);
+//   recordSentRequest(state, "orders", *choice.nodeId, bytes);
 //
 // Load pattern: the workers of a service differ in speed, slow down for a second because of noisy neighbours, and
 // receive requests from many nodes at once, each of which has load reports of a different age. Therefore
@@ -40,7 +40,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "request/waiting/late_rule.h"
+#include "request/waiting/late_admission.h"
 
 namespace pistachioquay {
 
@@ -59,7 +59,7 @@
 inline constexpr double warmUpRunFactor = 2.0; // run time factor during warm-up, until the worker is measured
 inline constexpr milliseconds initialBackoff{300}; // after a failed connection; doubles up to `maxBackoff`
 inline constexpr milliseconds maxBackoff{3000};
-inline constexpr milliseconds runForgotten{6000}; // run times that were not updated for this long are ignored
+inline constexpr milliseconds runTimeExpiry{6000}; // run times that were not updated for this long are ignored
 inline constexpr std::size_t silentNodesUntilUnreachable = 2; // silent nodes that make a data centre unreachable
 inline constexpr milliseconds unreachableDuration{3000}; // reachable again if no further node falls silent
 inline constexpr double handBackCostMs = 4.0; // round trip and processing at both nodes
@@ -75,14 +75,14 @@
     double failureShare = 0; // of the worker's recent requests
     double slowdown = 1.0; // current run times relative to the usual ones
     double linkLoad = 0; // used share of the VM's link rate
-    double lineRunMs = 0; // mean expected run time of the running requests
+    double meanActiveRunMs = 0; // mean expected run time of the running requests
 
     friend auto operator<=>(const worker_report &, const worker_report &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad, lineRunMs);
+        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad, meanActiveRunMs);
     }
 };
 
@@ -93,7 +93,7 @@
     std::uint64_t process = 0; // identifies the process of the node; changes when it restarts
     std::string dataCentre;
     std::uint32_t slots = 1;
-    time_point coldUntil;
+    time_point warmUpUntil;
     double linkBytesPerMs = 0; // rate of the VM's link; 0 if unknown
 
     friend auto operator<=>(const worker_entry &, const worker_entry &) = default;
@@ -160,33 +160,34 @@
 // setWorkers replaces the workers of a service. Reports and run times of workers that stay are kept.
 void setWorkers(placement_state &state, const std::string &service, std::vector<worker_entry> workers);
 
-// noteReport stores a load report, and resets the counts of requests sent since the last one and of backoffs.
-void noteReport(placement_state &state,
-                const std::string &service,
-                const std::string &nodeId,
-                const worker_report &report,
-                time_point now);
-
-// noteRunMs stores the run time of a route at a worker.
-void noteRunMs(placement_state &state,
-               const std::string &service,
-               const std::string &nodeId,
-               const std::string &route,
-               double milliseconds,
-               time_point now);
-
-// noteSlow raises the run time of a route to at least `milliseconds`, because a request has been running for that long.
-void noteSlow(placement_state &state,
-              const std::string &service,
-              const std::string &nodeId,
-              const std::string &route,
-              double milliseconds,
-              time_point now);
-
-// noteSilent records that a node of another data centre did not answer in time. noteHeard records that a node of the
-// data centre was heard from.
-void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now);
-void noteHeard(placement_state &state, const std::string &dataCentre);
+// recordReport stores a load report, and resets the counts of requests sent since the last one and of backoffs.
+void recordReport(placement_state &state,
+                  const std::string &service,
+                  const std::string &nodeId,
+                  const worker_report &report,
+                  time_point now);
+
+// recordWorkerRunTime stores the run time of a route at a worker.
+void recordWorkerRunTime(placement_state &state,
+                         const std::string &service,
+                         const std::string &nodeId,
+                         const std::string &route,
+                         double milliseconds,
+                         time_point now);
+
+// recordRunTimeLowerBound raises the run time of a route to at least `milliseconds`, because a request has been running
+// for that long.
+void recordRunTimeLowerBound(placement_state &state,
+                             const std::string &service,
+                             const std::string &nodeId,
+                             const std::string &route,
+                             double milliseconds,
+                             time_point now);
+
+// recordSilentNode records that a node of another data centre did not answer in time. recordDataCentreContact records
+// that a node of the data centre was heard from.
+void recordSilentNode(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now);
+void recordDataCentreContact(placement_state &state, const std::string &dataCentre);
 
 // isDataCentreUnreachable returns whether a data centre counts as unreachable.
 bool isDataCentreUnreachable(const placement_state &state, const std::string &dataCentre, time_point now);
@@ -198,12 +199,15 @@
                               time_point now,
                               random_generator &generator);
 
-// noteSent counts a request that is sent to the worker now.
-void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes);
+// recordSentRequest counts a request that is sent to the worker now.
+void recordSentRequest(placement_state &state,
+                       const std::string &service,
+                       const std::string &nodeId,
+                       std::size_t bytes);
 
 // startBackoff skips the worker for a backoff time after it was unreachable or unavailable. Each call without a report
 // in between doubles the time, up to `maxBackoff`.
-void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
+void startBackoff(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
 
 // pause skips the worker for at least `length`.
 void pause(
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -52,7 +52,7 @@
         const placement_choice choice = chooseWorker(state, service, request, start, generator);
         REQUIRE(choice.nodeId);
         ++sent[*choice.nodeId];
-        noteSent(state, service, *choice.nodeId, request.bytes);
+        recordSentRequest(state, service, *choice.nodeId, request.bytes);
     }
     return sent;
 }
@@ -73,8 +73,8 @@
 TEST_CASE("a faster worker gets more requests until its slots are in use")
 {
     placement_state state = stateWith({workerOf("fast", "dc-1"), workerOf("slow", "dc-1")});
-    noteRunMs(state, service, "fast", "sign", 60, start);
-    noteRunMs(state, service, "slow", "sign", 120, start);
+    recordWorkerRunTime(state, service, "fast", "sign", 60, start);
+    recordWorkerRunTime(state, service, "slow", "sign", 120, start);
     const auto sent = sendMany(state, 18, requestOf());
     CHECK(sent.at("fast") > sent.at("slow"));
     CHECK(sent.at("slow") >= 3);
@@ -88,7 +88,7 @@
     worker_report full;
     full.running = 6;
     full.waitMs = {0, 80, 80};
-    noteReport(state, service, "near", full, start);
+    recordReport(state, service, "near", full, start);
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId == "far");
 }
 
@@ -98,7 +98,7 @@
     worker_report full;
     full.running = 6;
     full.waitMs = {0, 80, 80};
-    noteReport(state, service, "near", full, start);
+    recordReport(state, service, "near", full, start);
     random_generator generator(5);
     CHECK(chooseWorker(state, service, requestOf(60000), start, generator).nodeId == "near");
 }
@@ -107,15 +107,15 @@
 {
     const double slowLink = 875; // 7 Mbit/s
     placement_state state = stateWith({workerOf("fast", "dc-1", slowLink), workerOf("slow", "dc-1", slowLink)});
-    noteRunMs(state, service, "fast", "sign", 100, start);
-    noteRunMs(state, service, "slow", "sign", 200, start);
+    recordWorkerRunTime(state, service, "fast", "sign", 100, start);
+    recordWorkerRunTime(state, service, "slow", "sign", 200, start);
     worker_report filled;
     filled.linkLoad = 0.9;
-    noteReport(state, service, "fast", filled, start);
+    recordReport(state, service, "fast", filled, start);
     random_generator generator(5);
     CHECK(chooseWorker(state, service, requestOf(60000), start, generator).nodeId == "slow");
     CHECK(chooseWorker(state, service, requestOf(0), start, generator).nodeId == "fast");
-    noteReport(state, service, "fast", worker_report{}, start);
+    recordReport(state, service, "fast", worker_report{}, start);
     const auto sent = sendMany(state, 10, requestOf(60000));
     CHECK(sent.at("slow") >= 3);
 }
@@ -123,8 +123,8 @@
 TEST_CASE("a new worker gets requests before its run times are known")
 {
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1")});
-    noteRunMs(state, service, "a", "sign", 100, start);
-    noteRunMs(state, service, "b", "sign", 100, start);
+    recordWorkerRunTime(state, service, "a", "sign", 100, start);
+    recordWorkerRunTime(state, service, "b", "sign", 100, start);
     setWorkers(state, service, {workerOf("a", "dc-1"), workerOf("b", "dc-1"), workerOf("new", "dc-1")});
     CHECK(sendMany(state, 18, requestOf()).at("new") >= 3);
 }
@@ -134,7 +134,7 @@
     placement_state state = stateWith({workerOf("good", "dc-1"), workerOf("grey", "dc-1")});
     worker_report failing;
     failing.failureShare = 0.5;
-    noteReport(state, service, "grey", failing, start);
+    recordReport(state, service, "grey", failing, start);
     CHECK(sendMany(state, 6, requestOf()).count("grey") == 0);
 }
 
@@ -143,11 +143,11 @@
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-2")});
     random_generator generator(5);
     time_point now = start;
-    avoid(state, service, "a", now);
+    startBackoff(state, service, "a", now);
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
     now += initialBackoff;
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "a");
-    avoid(state, service, "a", now);
+    startBackoff(state, service, "a", now);
     now += initialBackoff;
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
 }
@@ -160,10 +160,10 @@
     full.running = 6;
     full.waitMs = {0, 80, 80};
     for (const std::string node : {"fast-1", "fast-2"}) {
-        noteReport(state, service, node, full, start);
-        noteRunMs(state, service, node, "sign", 100, start);
+        recordReport(state, service, node, full, start);
+        recordWorkerRunTime(state, service, node, "sign", 100, start);
     }
-    noteRunMs(state, service, "slow", "sign", 220, start);
+    recordWorkerRunTime(state, service, "slow", "sign", 220, start);
     random_generator generator(5);
     placement_request request = requestOf();
     CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
@@ -171,8 +171,8 @@
     CHECK(chooseWorker(state, service, request, start, generator).nodeId == "slow");
     request.targetLeftMs = 50;
     request.timeLeftMs = 250;
-    full.lineRunMs = 100;
-    noteReport(state, service, "fast-1", full, start);
+    full.meanActiveRunMs = 100;
+    recordReport(state, service, "fast-1", full, start);
     CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
 }
 
@@ -183,13 +183,13 @@
     worker_report full;
     full.running = 6;
     full.waitMs = {0, 200, 200};
-    noteReport(state, service, "d", full, start);
+    recordReport(state, service, "d", full, start);
     random_generator generator(5);
-    noteSilent(state, "dc-2", "a", start);
+    recordSilentNode(state, "dc-2", "a", start);
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId != "d");
-    noteSilent(state, "dc-2", "b", start);
+    recordSilentNode(state, "dc-2", "b", start);
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId == "d");
-    noteHeard(state, "dc-2");
+    recordDataCentreContact(state, "dc-2");
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId != "d");
 }
 
@@ -206,8 +206,8 @@
 TEST_CASE("a choice includes the wait above which the second best worker is faster")
 {
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1")});
-    noteRunMs(state, service, "a", "sign", 100, start);
-    noteRunMs(state, service, "b", "sign", 140, start);
+    recordWorkerRunTime(state, service, "a", "sign", 100, start);
+    recordWorkerRunTime(state, service, "b", "sign", 140, start);
     random_generator generator(5);
     const placement_choice choice = chooseWorker(state, service, requestOf(), start, generator);
     REQUIRE(choice.nodeId == "a");
@@ -258,10 +258,10 @@
                     return end > nowMs;
                 }));
                 report.waitMs.fill(wait);
-                noteSent(sender, service, *choice.nodeId, 0);
+                recordSentRequest(sender, service, *choice.nodeId, 0);
                 const bool isHandedBack =
                     canHandBack && handBacks < 2 && choice.longestWaitMs && wait > *choice.longestWaitMs;
-                noteReport(sender, service, *choice.nodeId, report, now);
+                recordReport(sender, service, *choice.nodeId, report, now);
                 if (isHandedBack) {
                     continue;
                 }
@@ -347,8 +347,8 @@
             return end > nowMs;
         }));
         workerReport.waitMs.fill(std::max(0.0, std::ranges::min(worker.freeAt) - nowMs));
-        noteReport(sender, service, nodeId, workerReport, now);
-        noteRunMs(sender, service, nodeId, "sign", worker.meanMs, now);
+        recordReport(sender, service, nodeId, workerReport, now);
+        recordWorkerRunTime(sender, service, nodeId, "sign", worker.meanMs, now);
     };
     std::lognormal_distribution<double> run(std::log(runMs) - 0.32, 0.8);
     double arrivalsDue = 0;
@@ -375,7 +375,7 @@
             const double sampledRunMs = run(generator);
             *slot = std::max<double>(*slot, ms) + sampledRunMs;
             worker.meanMs += meanWeight * (sampledRunMs - worker.meanMs);
-            noteSent(sender, service, nodeId, 0);
+            recordSentRequest(sender, service, nodeId, 0);
             report(sender, nodeId, now);
         }
     }
--- a/packages/request/proxy/crash_guard.cc
+++ b/packages/request/proxy/crash_guard.cc
@@ -13,11 +13,11 @@
 {
 }
 
-run_verdict crash_guard::tryBegin(const std::string &requestId, const fingerprint &requestFingerprint)
+run_decision crash_guard::tryBegin(const std::string &requestId, const fingerprint &requestFingerprint)
 {
     const std::lock_guard guard(m_mutex);
-    const run_verdict verdict = mayRun(m_state, runningFingerprints(), requestFingerprint, unixNowMs());
-    if (verdict == run_verdict::Run) {
+    const run_decision verdict = mayRun(m_state, runningFingerprints(), requestFingerprint, unixNowMs());
+    if (verdict == run_decision::Run) {
         m_running[requestId] = {requestFingerprint, false};
     }
     return verdict;
@@ -32,7 +32,7 @@
         if (found == m_running.end()) {
             return;
         }
-        changed = noteCompleted(m_state, found->second.requestFingerprint, unixNowMs());
+        changed = recordCompleted(m_state, found->second.requestFingerprint, unixNowMs());
         m_running.erase(found);
     }
     if (!changed.empty() && m_sources.broadcast) {
@@ -48,10 +48,10 @@
 
 bool crash_guard::recordLostResponse(const std::string &requestId)
 {
-    if (!m_sources.isWorkerGone || !m_sources.broadcast) {
+    if (!m_sources.isWorkerPortClosed || !m_sources.broadcast) {
         return false;
     }
-    const bool isPortClosed = m_sources.isWorkerGone();
+    const bool isPortClosed = m_sources.isWorkerPortClosed();
     std::unique_lock guard(m_mutex);
     const auto found = m_running.find(requestId);
     if (found == m_running.end()) {
--- a/packages/request/proxy/crash_guard.h
+++ b/packages/request/proxy/crash_guard.h
@@ -1,7 +1,7 @@
 // Tracks the requests that run on this node's worker to find those that crash it. Makes the quarantine decisions of
 // request/quarantine usable from all connection threads. Private to the proxy.
 //
-//   if (const auto verdict = guard.tryBegin(requestId, requestFingerprint); verdict != run_verdict::Run)
+//   if (const auto verdict = guard.tryBegin(requestId, requestFingerprint); verdict != run_decision::Run)
 //       return refuse(verdict);
 //   ...
 //   guard.complete(requestId);                     // the worker responded
@@ -23,7 +23,7 @@
 // How the guard detects crashes and reports them to the other nodes. If either is empty, no crash is reported.
 struct crash_sources
 {
-    std::function<bool()> isWorkerGone; // whether the worker's port is closed
+    std::function<bool()> isWorkerPortClosed; // whether the worker's port is closed
     std::function<void(const std::vector<crash_report> &)> broadcast; // returns when the other nodes have the reports
 };
 
@@ -34,7 +34,7 @@
     explicit crash_guard(crash_sources sources);
 
     // tryBegin returns whether the request may run now, and if so registers it as running.
-    run_verdict tryBegin(const std::string &requestId, const fingerprint &requestFingerprint);
+    run_decision tryBegin(const std::string &requestId, const fingerprint &requestFingerprint);
     // complete removes a request whose worker responded. This clears it if it was a suspect.
     void complete(const std::string &requestId);
     // abandon removes a request that ended in any other way; unknown ids are ignored.
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -1,5 +1,5 @@
 // Inbound handler: requests of other nodes on the peer port, for this node's worker.
-#include "request/proxy/core.h"
+#include "request/proxy/shared_state.h"
 
 namespace pistachioquay::internal {
 
@@ -34,8 +34,8 @@
     std::optional<http_response> checkQuarantine();
     std::optional<http_response> claimKey();
     std::optional<http_response> acquireSlot();
-    http_response claimRefusalResponse(once_outcome outcome);
-    http_response withKeyOutcome(http_response response, once_outcome outcome);
+    http_response claimRefusalResponse(key_outcome outcome);
+    http_response withKeyOutcome(http_response response, key_outcome outcome);
     void endClaim();
     void releaseSlot();
     void openCall();
@@ -52,7 +52,7 @@
     std::uint64_t m_ticket = 0; // of the slot; 0: none
     bool m_hasResponse = false;
     std::optional<hash128> m_claim; // of a request with an Idempotency-Key, once the claim was won
-    bool m_isClaimRunning = false; // `startRun` succeeded; `endRun` or `noteNothingSent` is due
+    bool m_isClaimRunning = false; // `startRun` succeeded; `endRun` or `abandonUnsentRun` is due
     bool m_isCrashTracked = false; // registered with the crash guard
     std::string m_body;
     std::unique_ptr<http_call> m_call;
@@ -116,15 +116,15 @@
 std::optional<http_response> inbound_request::checkQuarantine()
 {
     const auto key = findHeader(m_head.headers, idempotencyKeyHeader);
-    const run_verdict verdict =
+    const run_decision verdict =
         m_shared.crashes.tryBegin(m_context.requestId,
                                   fingerprintOf(m_head.method, m_head.target, key.value_or(""), m_body));
-    m_isCrashTracked = verdict == run_verdict::Run;
+    m_isCrashTracked = verdict == run_decision::Run;
     if (m_isCrashTracked) {
         return std::nullopt;
     }
     releaseSlot();
-    if (verdict == run_verdict::NotBeside) {
+    if (verdict == run_decision::RunElsewhere) {
         return m_shared.refuse(503,
                                node_outcome::NotRun,
                                std::string(besideSuspectReason),
@@ -157,8 +157,8 @@
     if (!key || m_context.isIdempotent || !m_shared.sources.claims) {
         return std::nullopt;
     }
-    const once_result claimed = m_shared.sources.claims->claim(keyOf(m_context.service, *key), m_deadline);
-    if (claimed.kind == once_kind::Run) {
+    const claim_decision claimed = m_shared.sources.claims->claim(keyOf(m_context.service, *key), m_deadline);
+    if (claimed.kind == claim_action::Run) {
         m_claim = claimed.claim;
         return std::nullopt;
     }
@@ -166,29 +166,29 @@
 }
 
 // Returns the response to a request that must not run because of its key. `outcome` covers all requests with the key.
-http_response inbound_request::claimRefusalResponse(once_outcome outcome)
+http_response inbound_request::claimRefusalResponse(key_outcome outcome)
 {
     switch (outcome) {
-    case once_outcome::NotRun:
+    case key_outcome::NotRun:
         return withKeyOutcome(m_shared.refuse(503,
                                               node_outcome::NotRun,
                                               "claim-late",
                                               "the claim of the Idempotency-Key came too late for the deadline",
                                               "send the request again with the same key"),
                               outcome);
-    case once_outcome::Running:
+    case key_outcome::Running:
         return m_shared.refuse(409,
                                node_outcome::Unknown,
                                "key-running",
                                "a request with this Idempotency-Key is running",
                                "send it again later with the same key; it will not run twice");
-    case once_outcome::Ran:
+    case key_outcome::Ran:
         return m_shared.refuse(409,
                                node_outcome::Unknown,
                                "key-ran",
                                "a request with this Idempotency-Key has run; its response is not kept",
                                "look up the result at the service");
-    case once_outcome::Unknown:
+    case key_outcome::Unknown:
         break;
     }
     return m_shared.refuse(503,
@@ -200,9 +200,9 @@
 
 // Adds the key's outcome to the response to a request that was not run. Unless no request with the key has run, the
 // response is replaced by one that reports that outcome.
-http_response inbound_request::withKeyOutcome(http_response response, once_outcome outcome)
+http_response inbound_request::withKeyOutcome(http_response response, key_outcome outcome)
 {
-    if (outcome == once_outcome::NotRun) {
+    if (outcome == key_outcome::NotRun) {
         setHeader(response.head.headers, keyOutcomeHeader, outcomeName(node_outcome::NotRun));
         return response;
     }
@@ -354,8 +354,8 @@
         return {};
     }
     if (isUnsent && std::exchange(m_isClaimRunning, false)) {
-        const once_outcome outcome = m_shared.sources.claims->noteNothingSent(*m_claim);
-        if (outcome != once_outcome::NotRun) {
+        const key_outcome outcome = m_shared.sources.claims->abandonUnsentRun(*m_claim);
+        if (outcome != key_outcome::NotRun) {
             return withNodeHeaders(claimRefusalResponse(outcome));
         }
     }
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -4,8 +4,8 @@
 
 #include <poll.h>
 
-#include "request/proxy/core.h"
 #include "request/proxy/route_choice.h"
+#include "request/proxy/shared_state.h"
 
 namespace pistachioquay::internal {
 
@@ -19,12 +19,12 @@
 
 // Returns the call outcome that routing records for a refusal. A refusal caused by the request itself counts as
 // Cancelled, so that routing does not avoid healthy workers because of it.
-call_end outcomeOfRefusal(std::string_view reason)
+call_outcome outcomeOfRefusal(std::string_view reason)
 {
     if (reason == quarantinedReason || reason == besideSuspectReason) {
-        return call_end::Cancelled;
+        return call_outcome::Cancelled;
     }
-    return refusesAllRequests(reason) ? call_end::Draining : call_end::Refused;
+    return refusesAllRequests(reason) ? call_outcome::Draining : call_outcome::Refused;
 }
 
 std::optional<load_report> readLoad(const header_list &headers)
@@ -66,7 +66,7 @@
     void closeCall();
     void classifyAttempt();
     void classifyResponse();
-    void recordAttemptEnd(try_progress progress, call_end outcome);
+    void recordAttemptEnd(attempt_progress progress, call_outcome outcome);
     bool isRetryAllowed();
     bool waitBeforeRetry(milliseconds delay);
     http_response buildResponse();
@@ -90,14 +90,14 @@
     time_point m_deadline;
     std::string m_body;
     std::vector<std::string> m_attemptedNodes; // node ids of all attempts
-    try_history m_history;
+    attempt_history m_history;
     bool m_isBodyConsumed = false; // streamed body bytes were forwarded: no retry is possible
     bool m_isCallerDisconnected = false;
     bool m_isQuarantined = false; // the request crashed two workers: no worker runs it
     bool m_isKeyUnused = false; // a worker's node reported that no request with the key has run
     std::string m_failureDetail; // why the last attempt failed
     call_choice m_choice; // worker that `m_call` goes to
-    call_observation m_callResult; // of `m_call`, for routing
+    call_result m_callResult; // of `m_call`, for routing
     time_point m_sentAt; // when the last body bytes were handed to `m_call`
     std::unique_ptr<http_call> m_call;
     const response_head *m_response = nullptr; // of `m_call`
@@ -198,7 +198,7 @@
     if (auto refused = checkHopLimits(now)) {
         return finalizeResponse(std::move(*refused));
     }
-    m_shared.dispatch.noteCall(m_route->service, now);
+    m_shared.dispatch.countRequest(m_route->service, now);
     return m_isBodyBuffered ? std::nullopt : runAttempts();
 }
 
@@ -277,7 +277,7 @@
     }
     closeCall();
     m_choice = std::move(next);
-    m_callResult = {call_end::Cancelled, {}, std::nullopt};
+    m_callResult = {call_outcome::Cancelled, {}, std::nullopt};
     m_attemptedNodes.push_back(m_choice.target->nodeId);
     openCall();
     return true;
@@ -294,8 +294,8 @@
     request.head.expectsContinue = !m_isBodyBuffered;
     request.head.headers = forwardedHeaders(m_head.headers);
     request.deadline = m_deadline;
-    m_outgoing.attempt = m_received.attempt + m_history.budgeted;
-    m_outgoing.timeLeft = milliseconds(millisForNextHop(m_deadline, steadyNow()));
+    m_outgoing.attempt = m_received.attempt + m_history.budgetedRetries;
+    m_outgoing.timeLeft = milliseconds(timeForNextHop(m_deadline, steadyNow()));
     writeContext(m_outgoing, request.head.headers);
     m_call = std::make_unique<http_call>(m_shared.pool, std::move(request), m_watch);
 }
@@ -309,9 +309,9 @@
     }
 }
 
-void outbound_request::recordAttemptEnd(try_progress progress, call_end outcome)
+void outbound_request::recordAttemptEnd(attempt_progress progress, call_outcome outcome)
 {
-    noteTry(m_history, progress);
+    recordAttempt(m_history, progress);
     m_callResult.end = outcome;
 }
 
@@ -335,17 +335,17 @@
     }
     m_failureDetail = failureName(m_call->failure());
     m_isCallerDisconnected = m_call->failure() == call_failure::Cancelled;
-    const call_end failedOutcome = m_isCallerDisconnected ? call_end::Cancelled : call_end::Broken;
+    const call_outcome failedOutcome = m_isCallerDisconnected ? call_outcome::Cancelled : call_outcome::NoValidResponse;
     switch (m_call->progress()) {
     case call_progress::NoConnection:
-        recordAttemptEnd(try_progress::NoConnection,
-                         m_isCallerDisconnected ? call_end::Cancelled : call_end::NoConnection);
+        recordAttemptEnd(attempt_progress::NoConnection,
+                         m_isCallerDisconnected ? call_outcome::Cancelled : call_outcome::NoConnection);
         break;
     case call_progress::SentNoResponse:
-        recordAttemptEnd(try_progress::SentNoResponse, failedOutcome);
+        recordAttemptEnd(attempt_progress::SentNoResponse, failedOutcome);
         break;
     default:
-        recordAttemptEnd(try_progress::PartialResponse, failedOutcome);
+        recordAttemptEnd(attempt_progress::PartialResponse, failedOutcome);
         break;
     }
 }
@@ -359,20 +359,20 @@
     if (findHeader(headers, requestIdHeader) != m_outgoing.requestId) {
         m_failureDetail = "the response belongs to another request";
         m_response = nullptr;
-        recordAttemptEnd(try_progress::Unknown, call_end::Broken);
+        recordAttemptEnd(attempt_progress::Unknown, call_outcome::NoValidResponse);
     } else if (outcome == outcomeName(node_outcome::NotRun)) {
         const std::string_view reason = findHeader(headers, reasonHeader).value_or("");
         m_failureDetail = "the worker's node did not run it: " + std::string(reason);
         m_isQuarantined = reason == quarantinedReason;
-        recordAttemptEnd(try_progress::NotRun, outcomeOfRefusal(reason));
+        recordAttemptEnd(attempt_progress::NotRun, outcomeOfRefusal(reason));
     } else if (outcome) {
         m_failureDetail = "the worker's node does not know whether it ran";
-        recordAttemptEnd(try_progress::Unknown, call_end::Broken);
+        recordAttemptEnd(attempt_progress::Unknown, call_outcome::NoValidResponse);
     } else if (m_response->status == 503) {
-        recordAttemptEnd(try_progress::WorkerUnavailable, call_end::Failed);
+        recordAttemptEnd(attempt_progress::WorkerUnavailable, call_outcome::Failed);
     } else {
-        recordAttemptEnd(try_progress::WorkerStatus,
-                         m_response->status >= 500 ? call_end::Failed : call_end::Completed);
+        recordAttemptEnd(attempt_progress::WorkerResponse,
+                         m_response->status >= 500 ? call_outcome::Failed : call_outcome::Completed);
     }
 }
 
@@ -381,7 +381,7 @@
     if (m_isCallerDisconnected || m_isQuarantined) {
         return false;
     }
-    retry_facts facts;
+    retry_context facts;
     facts.isIdempotent = m_outgoing.isIdempotent;
     facts.retries = m_route->applied.retries;
     facts.inheritedAttempts = m_received.attempt;
@@ -402,7 +402,7 @@
 http_response outbound_request::buildResponse()
 {
     // If an earlier attempt may have run, the last attempt's `not-run` must not reach the caller.
-    const bool isNotRunForLastAttemptOnly = m_history.last == try_progress::NotRun && m_history.mayHaveRun;
+    const bool isNotRunForLastAttemptOnly = m_history.last == attempt_progress::NotRun && m_history.mayHaveRun;
     return m_response != nullptr && !isNotRunForLastAttemptOnly ? workerResponse() : failureResponse();
 }
 
--- a/packages/request/proxy/proxy.h
+++ b/packages/request/proxy/proxy.h
@@ -49,11 +49,11 @@
 // contracts are in request/once/once.h. `claim` blocks until the request may run, must not run, or its deadline passes.
 struct claim_sources
 {
-    std::function<once_result(const hash128 &key, time_point deadline)> claim;
+    std::function<claim_decision(const hash128 &key, time_point deadline)> claim;
     std::function<bool(const hash128 &claim)> startRun;
     std::function<void(const hash128 &claim)> endRun;
-    std::function<once_outcome(const hash128 &claim)> abandonRun;
-    std::function<once_outcome(const hash128 &claim)> noteNothingSent;
+    std::function<key_outcome(const hash128 &claim)> abandonRun;
+    std::function<key_outcome(const hash128 &claim)> abandonUnsentRun;
 };
 
 // Functions through which the proxy reads the state of the node and reports to it. Each may be called by several
@@ -64,11 +64,11 @@
     std::function<std::shared_ptr<const worker_view>()> workers; // null: no workers known yet
     std::function<bool()> isAccepting; // false: the peer port refuses new requests
     std::optional<claim_sources> claims; // empty: keyed requests run without a claim
-    // Optional, to detect requests that crash the worker. `isWorkerGone` returns whether the worker's port is closed;
-    // `spreadReports` sends crash reports to the other nodes of the service and returns when they have them, at most
-    // `maxHoldBack` later.
-    std::function<bool()> isWorkerGone;
-    std::function<void(const std::vector<crash_report> &)> spreadReports;
+    // Optional, to detect requests that crash the worker. `isWorkerPortClosed` returns whether the worker's port is
+    // closed; `broadcastReports` sends crash reports to the other nodes of the service and returns when they have them,
+    // at most `maxHoldBack` later.
+    std::function<bool()> isWorkerPortClosed;
+    std::function<void(const std::vector<crash_report> &)> broadcastReports;
     std::function<void(const request_sample &)> observe; // optional; receives each finished request of the caller port
 };
 
--- a/packages/request/quarantine/quarantine.h
+++ b/packages/request/quarantine/quarantine.h
@@ -4,7 +4,7 @@
 //   switch (mayRun(state, running, request, unixMs)) { ... }               // before each run on the node's worker
 //   const crash_report report = reportCrash(state, id, running, unixMs);   // the worker died
 //   hold_back hold = beginHoldBack(otherNodesOfService, now);              // then send the report to them
-//   const auto changed = noteCompleted(state, request, unixMs);            // the worker responded: gossip `changed`
+//   const auto changed = recordCompleted(state, request, unixMs);            // the worker responded: gossip `changed`
 //   mergeReports(state, reports, unixMs);                                  // from other nodes
 //
 // Rule:
@@ -127,18 +127,18 @@
 suspicion suspicionOf(const quarantine_state &state, const fingerprint &request, std::int64_t nowMs);
 
 // Whether a request may run on this worker now.
-enum class run_verdict : std::uint8_t
+enum class run_decision : std::uint8_t
 {
     Run,
-    NotBeside, // another suspect is running on this worker: respond `not-run`; another worker may run the request
+    RunElsewhere, // another suspect is running on this worker: respond `not-run`; another worker may run the request
     Refuse, // quarantined: respond `not-run` with the reason; no worker may run the request
 };
 
 // mayRun decides whether a request may start while the requests in `running` run on the worker. Not thread safe.
-run_verdict mayRun(const quarantine_state &state,
-                   std::span<const fingerprint> running,
-                   const fingerprint &request,
-                   std::int64_t nowMs);
+run_decision mayRun(const quarantine_state &state,
+                    std::span<const fingerprint> running,
+                    const fingerprint &request,
+                    std::int64_t nowMs);
 
 // reportCrash records that the worker died while the requests in `running` were in flight, and returns the report for
 // the other nodes. `id` is random. If no request was in flight, the report has no suspects and is not recorded. Not
@@ -146,9 +146,9 @@
 crash_report
 reportCrash(quarantine_state &state, const hash128 &id, std::span<const fingerprint> running, std::int64_t nowMs);
 
-// noteCompleted clears a request that completed with a response, and returns the reports that this changed, for the
+// recordCompleted clears a request that completed with a response, and returns the reports that this changed, for the
 // other nodes. Not thread safe.
-std::vector<crash_report> noteCompleted(quarantine_state &state, const fingerprint &request, std::int64_t nowMs);
+std::vector<crash_report> recordCompleted(quarantine_state &state, const fingerprint &request, std::int64_t nowMs);
 
 // mergeReports merges reports of other nodes into the state, then removes expired reports and all but the newest
 // `maxReports`. Returns true if the state changed. Reports may arrive in any order and any number of times. Not thread
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -14,7 +14,7 @@
     return static_cast<std::size_t>((number % count + count) % count);
 }
 
-retry_counts &currentBucket(retry_window &window, const resend_limits &limits, time_point now)
+retry_counts &currentBucket(retry_window &window, const retry_budget_limits &limits, time_point now)
 {
     const duration bucketLength = std::max<duration>(limits.window / windowBuckets, milliseconds{1});
     const std::int64_t number = now.time_since_epoch() / bucketLength;
@@ -37,13 +37,16 @@
                            });
 }
 
-bool tryAcquireShare(
-    resend_budget &budget, const std::string &service, const resend_limits &limits, double share, time_point now)
+bool tryAcquireShare(service_retry_budgets &budget,
+                     const std::string &service,
+                     const retry_budget_limits &limits,
+                     double share,
+                     time_point now)
 {
     retry_window &window = budget.services[service];
     retry_counts &bucket = currentBucket(window, limits, now);
     const retry_counts total = totalOf(window);
-    const double ownFixedRetries = static_cast<double>(limits.extra) / std::max<std::uint32_t>(limits.nodes, 1);
+    const double ownFixedRetries = static_cast<double>(limits.fixedRetries) / std::max<std::uint32_t>(limits.nodes, 1);
     const double allowed = directRetryShare * share * (limits.ratio * total.requests + ownFixedRetries);
     if (total.retries + 1 > allowed) {
         return false;
@@ -54,39 +57,48 @@
 
 } // namespace
 
-void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+void countRequest(service_retry_budgets &budget,
+                  const std::string &service,
+                  const retry_budget_limits &limits,
+                  time_point now)
 {
     ++currentBucket(budget.services[service], limits, now).requests;
 }
 
-bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+bool tryAcquireServiceRetry(service_retry_budgets &budget,
+                            const std::string &service,
+                            const retry_budget_limits &limits,
+                            time_point now)
 {
     return tryAcquireShare(budget, service, limits, 1.0, now);
 }
 
-bool takeHedge(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+bool tryAcquireServiceHedge(service_retry_budgets &budget,
+                            const std::string &service,
+                            const retry_budget_limits &limits,
+                            time_point now)
 {
     return tryAcquireShare(budget, service, limits, hedgeShare, now);
 }
 
-bool mayResend(const resend_facts &attempt)
+bool mayRetryElsewhere(const failed_attempt &attempt)
 {
     if (attempt.timeLeft <= attempt.expectedRun) {
         return false;
     }
     switch (attempt.end) {
-    case send_end::NotRun:
+    case attempt_outcome::NotRun:
         return true;
-    case send_end::RejectedByWorker:
+    case attempt_outcome::RejectedByWorker:
         return attempt.workersTried < attempt.maxWorkers;
-    case send_end::FailedResponse:
-    case send_end::Unknown:
-        return attempt.isRepeatable && attempt.workersTried < attempt.maxWorkers;
+    case attempt_outcome::FailedResponse:
+    case attempt_outcome::Unknown:
+        return attempt.isRetryable && attempt.workersTried < attempt.maxWorkers;
     }
     return false;
 }
 
-milliseconds returnAfterRejection(double expectedRunMs, double draw)
+milliseconds rejectionRetryAfter(double expectedRunMs, double draw)
 {
     const double wait = expectedRunMs * (rejectionRetryRuns + rejectionJitterRuns * draw);
     return std::max(minRejectionRetryAfter, milliseconds(static_cast<std::int64_t>(wait)));
