--- a/packages/request/resend/resend.h
+++ b/packages/request/resend/resend.h
@@ -1,8 +1,8 @@
 // Decides whether a request that failed at one worker may be retried on another one, and limits these retries by a
 // budget for each service.
 //
-//   noteRequest(budget, "orders", limits, now);                      // for each request of a caller
-//   if (mayResend(attempt) && takeResend(budget, "orders", limits, now)) sendToOtherWorker();
+//   countRequest(budget, "orders", limits, now);                      // for each request of a caller
+//   if (mayRetryElsewhere(attempt) && tryAcquireServiceRetry(budget, "orders", limits, now)) sendToOtherWorker();
 //
 // Load pattern: when workers fail or shed load, every retry adds load to those that still work. All nodes together may
 // therefore retry only a share of the requests of a service in each window. A node uses the allowance of its own
@@ -27,14 +27,14 @@
 inline constexpr milliseconds minRejectionRetryAfter{5};
 
 // Retry limits of a service that hold for all nodes together.
-struct resend_limits
+struct retry_budget_limits
 {
     double ratio = 0.2; // retries for each request
     milliseconds window{10000};
-    std::uint32_t extra = 64; // retries that are allowed in addition, in each window
+    std::uint32_t fixedRetries = 64; // retries that are allowed in addition, in each window
     std::uint32_t nodes = 1; // nodes that share the additional retries
 
-    friend auto operator<=>(const resend_limits &, const resend_limits &) = default;
+    friend auto operator<=>(const retry_budget_limits &, const retry_budget_limits &) = default;
 };
 
 struct retry_counts
@@ -52,23 +52,32 @@
     std::int64_t lastBucket = -1;
 };
 
-struct resend_budget
+struct service_retry_budgets
 {
     std::unordered_map<std::string, retry_window> services;
 };
 
-// noteRequest counts a request of a caller to the service. Not thread safe.
-void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
-
-// takeResend consumes one retry of the allowance; false if none is left. Not thread safe.
-bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
-
-// takeHedge consumes one retry of the allowance for a hedge; false once `hedgeShare` of the allowance is used, so that
-// the rest stays available for retries of failed requests. Not thread safe.
-bool takeHedge(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
+// countRequest counts a request of a caller to the service. Not thread safe.
+void countRequest(service_retry_budgets &budget,
+                  const std::string &service,
+                  const retry_budget_limits &limits,
+                  time_point now);
+
+// tryAcquireServiceRetry consumes one retry of the allowance; false if none is left. Not thread safe.
+bool tryAcquireServiceRetry(service_retry_budgets &budget,
+                            const std::string &service,
+                            const retry_budget_limits &limits,
+                            time_point now);
+
+// tryAcquireServiceHedge consumes one retry of the allowance for a hedge; false once `hedgeShare` of the allowance is
+// used, so that the rest stays available for retries of failed requests. Not thread safe.
+bool tryAcquireServiceHedge(service_retry_budgets &budget,
+                            const std::string &service,
+                            const retry_budget_limits &limits,
+                            time_point now);
 
 // Outcome of an attempt, as far as the decision about a retry depends on it.
-enum class send_end : std::uint8_t
+enum class attempt_outcome : std::uint8_t
 {
     NotRun, // refused by the worker's node: it has not run and never will
     RejectedByWorker, // the worker responded that it did not run the request
@@ -76,27 +85,27 @@
     Unknown, // it may have run
 };
 
-struct resend_facts
+struct failed_attempt
 {
-    send_end end = send_end::Unknown;
-    bool isRepeatable = false;
+    attempt_outcome end = attempt_outcome::Unknown;
+    bool isRetryable = false;
     std::uint32_t workersTried = 0; // number of workers that the request has reached
     std::uint32_t maxWorkers = 1;
     duration timeLeft{0};
     duration expectedRun{0};
 
-    friend auto operator<=>(const resend_facts &, const resend_facts &) = default;
+    friend auto operator<=>(const failed_attempt &, const failed_attempt &) = default;
 };
 
-// mayResend returns whether the request may be retried on another worker, given its outcome, its route and the time
-// left. Requests that have not reached a worker are not limited by `maxWorkers`. Thread safe.
-bool mayResend(const resend_facts &attempt);
+// mayRetryElsewhere returns whether the request may be retried on another worker, given its outcome, its route and the
+// time left. Requests that have not reached a worker are not limited by `maxWorkers`. Thread safe.
+bool mayRetryElsewhere(const failed_attempt &attempt);
 
-// returnAfterRejection returns the delay after which a caller should retry when a worker rejected its request and the
+// rejectionRetryAfter returns the delay after which a caller should retry when a worker rejected its request and the
 // node may not retry it. Load pattern: the workers of a service reject requests at random although they have capacity,
 // and more than the budget can retry. An early retry is as likely to succeed as a late one, so the delay is short
 // enough for the target, and random so that callers do not retry all at once: `draw` is a random number from 0 to 1.
 // Thread safe.
-milliseconds returnAfterRejection(double expectedRunMs, double draw);
+milliseconds rejectionRetryAfter(double expectedRunMs, double draw);
 
 } // namespace pistachioquay
--- a/packages/request/resend/resend_test.cc
+++ b/packages/request/resend/resend_test.cc
@@ -14,7 +14,7 @@
 
 const time_point start{}; // the epoch of the clock
 
-resend_limits limitsOf(std::uint32_t nodes)
+retry_budget_limits limitsOf(std::uint32_t nodes)
 {
     return {0.2, milliseconds(10000), 64, nodes};
 }
@@ -25,14 +25,14 @@
 {
     constexpr std::uint32_t nodes = 12;
     constexpr unsigned requestsPerNode = 200;
-    const resend_limits limits = limitsOf(nodes);
+    const retry_budget_limits limits = limitsOf(nodes);
     unsigned retries = 0;
     for (std::uint32_t node = 0; node < nodes; ++node) {
-        resend_budget budget;
+        service_retry_budgets budget;
         for (unsigned index = 0; index < requestsPerNode; ++index) {
             const time_point now = start + milliseconds(index * 20);
-            noteRequest(budget, "orders", limits, now);
-            retries += takeResend(budget, "orders", limits, now) ? 1U : 0U;
+            countRequest(budget, "orders", limits, now);
+            retries += tryAcquireServiceRetry(budget, "orders", limits, now) ? 1U : 0U;
         }
     }
     CHECK(retries <= 0.2 * nodes * requestsPerNode + 64);
@@ -41,72 +41,72 @@
 
 TEST_CASE("the budget counts only the requests of the last window")
 {
-    const resend_limits limits = limitsOf(64);
-    resend_budget budget;
-    noteRequest(budget, "orders", limits, start);
-    CHECK_FALSE(takeResend(budget, "orders", limits, start));
+    const retry_budget_limits limits = limitsOf(64);
+    service_retry_budgets budget;
+    countRequest(budget, "orders", limits, start);
+    CHECK_FALSE(tryAcquireServiceRetry(budget, "orders", limits, start));
     for (int index = 0; index < 10; ++index) {
-        noteRequest(budget, "orders", limits, start);
+        countRequest(budget, "orders", limits, start);
     }
-    CHECK(takeResend(budget, "orders", limits, start));
-    CHECK_FALSE(takeResend(budget, "orders", limits, start + seconds(11)));
+    CHECK(tryAcquireServiceRetry(budget, "orders", limits, start));
+    CHECK_FALSE(tryAcquireServiceRetry(budget, "orders", limits, start + seconds(11)));
 }
 
 TEST_CASE("each service has its own retry budget")
 {
-    const resend_limits limits = limitsOf(1);
-    resend_budget budget;
-    while (takeResend(budget, "orders", limits, start)) {
+    const retry_budget_limits limits = limitsOf(1);
+    service_retry_budgets budget;
+    while (tryAcquireServiceRetry(budget, "orders", limits, start)) {
     }
-    CHECK(takeResend(budget, "designs", limits, start));
+    CHECK(tryAcquireServiceRetry(budget, "designs", limits, start));
 }
 
 TEST_CASE("a request that is not retryable is retried only if it has not run")
 {
-    resend_facts attempt;
+    failed_attempt attempt;
     attempt.maxWorkers = 3;
     attempt.workersTried = 1;
     attempt.timeLeft = seconds(1);
-    attempt.end = send_end::Unknown;
-    CHECK_FALSE(mayResend(attempt));
-    attempt.end = send_end::FailedResponse;
-    CHECK_FALSE(mayResend(attempt));
-    attempt.end = send_end::RejectedByWorker;
-    CHECK(mayResend(attempt));
-    attempt.end = send_end::NotRun;
-    CHECK(mayResend(attempt));
+    attempt.end = attempt_outcome::Unknown;
+    CHECK_FALSE(mayRetryElsewhere(attempt));
+    attempt.end = attempt_outcome::FailedResponse;
+    CHECK_FALSE(mayRetryElsewhere(attempt));
+    attempt.end = attempt_outcome::RejectedByWorker;
+    CHECK(mayRetryElsewhere(attempt));
+    attempt.end = attempt_outcome::NotRun;
+    CHECK(mayRetryElsewhere(attempt));
 }
 
 TEST_CASE("retries are limited by the maximum number of workers of the route and by the time left")
 {
-    resend_facts attempt;
-    attempt.isRepeatable = true;
-    attempt.end = send_end::Unknown;
+    failed_attempt attempt;
+    attempt.isRetryable = true;
+    attempt.end = attempt_outcome::Unknown;
     attempt.timeLeft = milliseconds(100);
     attempt.expectedRun = milliseconds(50);
     attempt.workersTried = 1;
     attempt.maxWorkers = 2;
-    CHECK(mayResend(attempt));
+    CHECK(mayRetryElsewhere(attempt));
     attempt.workersTried = 2;
-    CHECK_FALSE(mayResend(attempt));
+    CHECK_FALSE(mayRetryElsewhere(attempt));
     attempt.workersTried = 1;
     attempt.expectedRun = milliseconds(100);
-    CHECK_FALSE(mayResend(attempt));
+    CHECK_FALSE(mayRetryElsewhere(attempt));
 }
 
 TEST_CASE("hedges leave a part of the budget for retries of failed requests")
 {
-    const resend_limits limits = limitsOf(1);
-    resend_budget budget;
+    const retry_budget_limits limits = limitsOf(1);
+    service_retry_budgets budget;
     for (int index = 0; index < 100; ++index) {
-        noteRequest(budget, "orders", limits, start);
+        countRequest(budget, "orders", limits, start);
     }
     unsigned hedges = 0;
-    while (takeHedge(budget, "orders", limits, start)) {
+    while (tryAcquireServiceHedge(budget, "orders", limits, start)) {
         ++hedges;
     }
     unsigned retries = 0;
-    while (takeResend(budget, "orders", limits, start)) {
+    while (tryAcquireServiceRetry(budget, "orders", limits, start)) {
         ++retries;
     }
     CHECK(hedges > 0);
@@ -148,11 +148,11 @@
         return milliseconds(300);
     });
     const double withShortDelay = simulateRejections([](double draw) {
-        return returnAfterRejection(80, draw);
+        return rejectionRetryAfter(80, draw);
     });
     INFO("served on time: " << withShortDelay << ", with a fixed delay of 300 ms: " << withFixedDelay);
     CHECK(withShortDelay > 0.8);
     CHECK(withShortDelay > withFixedDelay);
-    CHECK(returnAfterRejection(0, 0) == minRejectionRetryAfter);
-    CHECK(returnAfterRejection(80, 0) != returnAfterRejection(80, 1));
+    CHECK(rejectionRetryAfter(0, 0) == minRejectionRetryAfter);
+    CHECK(rejectionRetryAfter(80, 0) != rejectionRetryAfter(80, 1));
 }
--- a/packages/request/retry/deadline.h
+++ b/packages/request/retry/deadline.h
@@ -3,7 +3,7 @@
 //
 //   const time_point deadline = deadlineAfter(now, headerMillis, policyDeadline);
 //   if (checkHop(deadline, depth, now) != hop_refusal::None) return refuseNotRun();
-//   setHeader("X-Pq-Deadline-Ms", millisForNextHop(deadline, now));
+//   setHeader("X-Pq-Deadline-Ms", timeForNextHop(deadline, now));
 #pragma once
 
 #include <cstdint>
@@ -31,9 +31,9 @@
 // timeLeft returns the time until `deadline`, or 0 if it has passed. Thread safe.
 milliseconds timeLeft(time_point deadline, time_point now);
 
-// millisForNextHop returns the time that the next hop may use: the time left minus `hopMargin`, at least 0. Thread
+// timeForNextHop returns the time that the next hop may use: the time left minus `hopMargin`, at least 0. Thread
 // safe.
-milliseconds millisForNextHop(time_point deadline, time_point now);
+milliseconds timeForNextHop(time_point deadline, time_point now);
 
 // checkHop returns whether a request that arrived with `depth` may be forwarded, or why not. Thread safe.
 hop_refusal checkHop(time_point deadline, std::uint32_t depth, time_point now);
--- a/packages/request/retry/retry.cc
+++ b/packages/request/retry/retry.cc
@@ -21,9 +21,9 @@
     "no-budget",
 };
 
-bool wasNotExecuted(try_progress progress)
+bool wasNotExecuted(attempt_progress progress)
 {
-    return progress == try_progress::NoConnection || progress == try_progress::NotRun;
+    return progress == attempt_progress::NoConnection || progress == attempt_progress::NotRun;
 }
 
 std::int64_t secondOf(time_point now)
@@ -42,9 +42,9 @@
 }
 
 // Returns the reason not to retry that applies to every failed attempt, whether or not it used the budget.
-give_up_reason reasonNotToRetry(const retry_facts &context, const try_history &history, time_point now)
+give_up_reason reasonNotToRetry(const retry_context &context, const attempt_history &history, time_point now)
 {
-    if (history.last == try_progress::WorkerStatus) {
+    if (history.last == attempt_progress::WorkerResponse) {
         return give_up_reason::WorkerResponded;
     }
     if (context.isResponseStarted) {
@@ -60,12 +60,12 @@
 }
 
 // Returns the reason not to retry after an attempt that a worker may have executed.
-give_up_reason reasonNotToRetryExecuted(const retry_facts &context, const try_history &history)
+give_up_reason reasonNotToRetryExecuted(const retry_context &context, const attempt_history &history)
 {
     if (context.inheritedAttempts > 0) {
         return give_up_reason::RetriedByEarlierNode;
     }
-    return history.budgeted >= context.retries ? give_up_reason::RetriesUsed : give_up_reason::None;
+    return history.budgetedRetries >= context.retries ? give_up_reason::RetriesUsed : give_up_reason::None;
 }
 
 retry_decision giveUp(give_up_reason reason)
@@ -74,7 +74,7 @@
 }
 
 milliseconds
-retryDelay(const retry_facts &context, const try_history &history, time_point now, random_generator &generator)
+retryDelay(const retry_context &context, const attempt_history &history, time_point now, random_generator &generator)
 {
     constexpr int timeLeftDivisor = 4; // a delay takes at most a quarter of the time left
     const milliseconds maxDelay = std::min(retryDelayCap, timeLeft(context.deadline, now) / timeLeftDivisor);
@@ -88,7 +88,7 @@
     return giveUpNames.at(static_cast<std::size_t>(reason));
 }
 
-void noteCall(retry_budget &budget, time_point now)
+void countRequest(retry_budget &budget, time_point now)
 {
     ++currentBucket(budget, now).calls;
 }
@@ -112,20 +112,23 @@
     return true;
 }
 
-void noteTry(try_history &history, try_progress progress)
+void recordAttempt(attempt_history &history, attempt_progress progress)
 {
     ++history.attempts;
     history.last = progress;
     history.mayHaveRun = history.mayHaveRun || !wasNotExecuted(progress);
 }
 
-std::uint32_t attemptHeader(const retry_facts &context, const try_history &history)
+std::uint32_t attemptHeader(const retry_context &context, const attempt_history &history)
 {
-    return context.inheritedAttempts + history.budgeted;
+    return context.inheritedAttempts + history.budgetedRetries;
 }
 
-retry_decision decideRetry(
-    const retry_facts &context, try_history &history, retry_budget &budget, time_point now, random_generator &generator)
+retry_decision decideRetry(const retry_context &context,
+                           attempt_history &history,
+                           retry_budget &budget,
+                           time_point now,
+                           random_generator &generator)
 {
     const give_up_reason reason = reasonNotToRetry(context, history, now);
     if (reason != give_up_reason::None) {
@@ -148,7 +151,7 @@
     if (!tryAcquireRetry(budget, now)) {
         return giveUp(give_up_reason::NoBudget);
     }
-    ++history.budgeted;
+    ++history.budgetedRetries;
     return {retry_verdict::Retry, give_up_reason::None, retryDelay(context, history, now, generator)};
 }
 
--- a/packages/request/retry/retry.h
+++ b/packages/request/retry/retry.h
@@ -1,7 +1,7 @@
 // Decides whether a failed attempt is retried, and which outcome the caller gets if it is not.
 //
-//   noteCall(budget, now);                                                // once for each request of the service
-//   noteTry(history, progress);                                           // after each failed attempt
+//   countRequest(budget, now);                                                // once for each request of the service
+//   recordAttempt(history, progress);                                           // after each failed attempt
 //   const retry_decision decision = decideRetry(context, history, budget, now, generator);
 //   if (decision.verdict == retry_verdict::Retry) waitAndSendToOtherWorker(decision.delay);
 //   else if (history.mayHaveRun) respondUnknown(); else respondNotRun();
@@ -30,7 +30,7 @@
 inline constexpr milliseconds minTimeForRetry{10};
 
 // How far an attempt got before it failed.
-enum class try_progress : std::uint8_t
+enum class attempt_progress : std::uint8_t
 {
     NoConnection, // no byte reached the node
     NotRun, // the node reported that the request was not run
@@ -38,7 +38,7 @@
     PartialResponse, // the response was truncated
     Unknown, // the node reported that it does not know whether the request was run
     WorkerUnavailable, // the worker itself responded 503
-    WorkerStatus, // any other response of the worker; it is forwarded to the caller
+    WorkerResponse, // any other response of the worker; it is forwarded to the caller
 };
 
 enum class retry_verdict : std::uint8_t
@@ -64,7 +64,7 @@
 std::string_view giveUpName(give_up_reason reason);
 
 // Inputs of the retry decision, besides the attempts made so far.
-struct retry_facts
+struct retry_context
 {
     bool isIdempotent = false;
     std::uint32_t retries = 0; // limit from the policy
@@ -76,14 +76,14 @@
 };
 
 // The failed attempts of one request.
-struct try_history
+struct attempt_history
 {
     std::uint32_t attempts = 0;
-    std::uint32_t budgeted = 0; // retries that used the budget
-    try_progress last = try_progress::NoConnection;
+    std::uint32_t budgetedRetries = 0; // retries that used the budget
+    attempt_progress last = attempt_progress::NoConnection;
     bool mayHaveRun = false; // an attempt may have reached a worker, so the outcome cannot be `not-run`
 
-    friend auto operator<=>(const try_history &, const try_history &) = default;
+    friend auto operator<=>(const attempt_history &, const attempt_history &) = default;
 };
 
 struct retry_decision
@@ -106,23 +106,23 @@
     std::array<bucket, budgetBuckets> buckets{};
 };
 
-// noteCall counts a request to the service. Not thread safe.
-void noteCall(retry_budget &budget, time_point now);
+// countRequest counts a request to the service. Not thread safe.
+void countRequest(retry_budget &budget, time_point now);
 
 // tryAcquireRetry takes one retry or hedge out of the budget, or returns false if the budget is exhausted. Not thread
 // safe.
 bool tryAcquireRetry(retry_budget &budget, time_point now);
 
-// noteTry adds a failed attempt to `history`. Thread safe for different histories.
-void noteTry(try_history &history, try_progress progress);
+// recordAttempt adds a failed attempt to `history`. Thread safe for different histories.
+void recordAttempt(attempt_history &history, attempt_progress progress);
 
 // attemptHeader returns the value of the `X-Pq-Attempt` header for the next attempt. Thread safe.
-std::uint32_t attemptHeader(const retry_facts &context, const try_history &history);
+std::uint32_t attemptHeader(const retry_context &context, const attempt_history &history);
 
-// decideRetry decides whether to retry after a failed attempt that noteTry has added to `history`. If the retry needs
-// the budget, decideRetry takes it from there and increments `history.budgeted`. Not thread safe.
-retry_decision decideRetry(const retry_facts &context,
-                           try_history &history,
+// decideRetry decides whether to retry after a failed attempt that recordAttempt has added to `history`. If the retry
+// needs the budget, decideRetry takes it from there and increments `history.budgeted`. Not thread safe.
+retry_decision decideRetry(const retry_context &context,
+                           attempt_history &history,
                            retry_budget &budget,
                            time_point now,
                            random_generator &generator);
--- a/packages/request/retry/retry_test.cc
+++ b/packages/request/retry/retry_test.cc
@@ -17,12 +17,12 @@
 
 constexpr std::uint32_t progressCount = 7;
 
-bool mayHaveReachedWorker(try_progress progress)
+bool mayHaveReachedWorker(attempt_progress progress)
 {
-    return progress != try_progress::NoConnection && progress != try_progress::NotRun;
+    return progress != attempt_progress::NoConnection && progress != attempt_progress::NotRun;
 }
 
-retry_facts decodeContext(std::uint32_t word)
+retry_context decodeContext(std::uint32_t word)
 {
     return {(word & 1U) != 0,
             word / 2U % 5U,
@@ -33,19 +33,19 @@
             start + milliseconds(word / 4096U % 2000U)};
 }
 
-retry_facts retryableContext()
+retry_context retryableContext()
 {
     return {true, 2, 0, true, false, false, start + seconds(1)};
 }
 
-retry_verdict verdictAfterAttempts(const retry_facts &context, const std::vector<try_progress> &attempts)
+retry_verdict verdictAfterAttempts(const retry_context &context, const std::vector<attempt_progress> &attempts)
 {
     retry_budget budget;
-    try_history history;
+    attempt_history history;
     random_generator generator(1);
     retry_decision decision;
-    for (const try_progress progress : attempts) {
-        noteTry(history, progress);
+    for (const attempt_progress progress : attempts) {
+        recordAttempt(history, progress);
         decision = decideRetry(context, history, budget, start, generator);
     }
     return decision.verdict;
@@ -57,15 +57,15 @@
     "retries never execute a non-idempotent request twice, exceed their limits or hide that a request may have run")
 {
     CHECK(holds("retries", 5000, [](std::uint32_t word, const std::vector<std::uint32_t> &words) {
-        const retry_facts context = decodeContext(word);
+        const retry_context context = decodeContext(word);
         retry_budget budget;
-        try_history history;
+        attempt_history history;
         random_generator generator(word);
         bool mayHaveRun = false;
         for (const std::uint32_t each : words) {
-            const auto progress = static_cast<try_progress>(each % progressCount);
+            const auto progress = static_cast<attempt_progress>(each % progressCount);
             mayHaveRun = mayHaveRun || mayHaveReachedWorker(progress);
-            noteTry(history, progress);
+            recordAttempt(history, progress);
             const retry_decision decision = decideRetry(context, history, budget, start, generator);
             RC_ASSERT(history.mayHaveRun == mayHaveRun);
             RC_ASSERT((decision.verdict == retry_verdict::Retry) == (decision.reason == give_up_reason::None));
@@ -76,7 +76,7 @@
             RC_ASSERT(!context.isResponseStarted);
             RC_ASSERT(context.isBodyReplayable);
             RC_ASSERT(context.inheritedAttempts == 0U || !mayHaveReachedWorker(progress));
-            RC_ASSERT(history.budgeted <= context.retries);
+            RC_ASSERT(history.budgetedRetries <= context.retries);
             RC_ASSERT(history.attempts < maxUnexecutedAttempts + context.retries + 1);
             RC_ASSERT(decision.delay < timeLeft(context.deadline, start));
         }
@@ -93,7 +93,7 @@
         for (const std::uint32_t word : words) {
             now += milliseconds((word >> 4U) % 700U);
             for (std::uint32_t each = 0; each < word % 16U; ++each) {
-                noteCall(budget, now);
+                countRequest(budget, now);
                 calls.push_back(now);
             }
             const auto recent = [&](const std::vector<time_point> &times, duration window) {
@@ -113,34 +113,35 @@
 
 TEST_CASE("a request that no worker has run is retried even if the policy allows no retries and it is not idempotent")
 {
-    retry_facts context = retryableContext();
+    retry_context context = retryableContext();
     context.isIdempotent = false;
     context.retries = 0;
     context.inheritedAttempts = 1;
-    CHECK(verdictAfterAttempts(context, {try_progress::NotRun}) == retry_verdict::Retry);
-    CHECK(verdictAfterAttempts(context, {try_progress::NoConnection}) == retry_verdict::Retry);
-    CHECK(verdictAfterAttempts(context, {try_progress::SentNoResponse}) == retry_verdict::GiveUp);
-    CHECK(verdictAfterAttempts(context, {try_progress::Unknown, try_progress::NotRun}) == retry_verdict::GiveUp);
+    CHECK(verdictAfterAttempts(context, {attempt_progress::NotRun}) == retry_verdict::Retry);
+    CHECK(verdictAfterAttempts(context, {attempt_progress::NoConnection}) == retry_verdict::Retry);
+    CHECK(verdictAfterAttempts(context, {attempt_progress::SentNoResponse}) == retry_verdict::GiveUp);
+    CHECK(verdictAfterAttempts(context, {attempt_progress::Unknown, attempt_progress::NotRun})
+          == retry_verdict::GiveUp);
 }
 
 TEST_CASE("an idempotent request is retried up to the policy's number of retries, unless a worker responds")
 {
-    CHECK(verdictAfterAttempts(retryableContext(), {try_progress::SentNoResponse}) == retry_verdict::Retry);
-    CHECK(verdictAfterAttempts(retryableContext(), {try_progress::Unknown, try_progress::Unknown})
+    CHECK(verdictAfterAttempts(retryableContext(), {attempt_progress::SentNoResponse}) == retry_verdict::Retry);
+    CHECK(verdictAfterAttempts(retryableContext(), {attempt_progress::Unknown, attempt_progress::Unknown})
           == retry_verdict::Retry);
-    CHECK(
-        verdictAfterAttempts(retryableContext(), {try_progress::Unknown, try_progress::Unknown, try_progress::Unknown})
-        == retry_verdict::GiveUp);
-    CHECK(verdictAfterAttempts(retryableContext(), {try_progress::WorkerUnavailable}) == retry_verdict::Retry);
-    CHECK(verdictAfterAttempts(retryableContext(), {try_progress::WorkerStatus}) == retry_verdict::GiveUp);
+    CHECK(verdictAfterAttempts(retryableContext(),
+                               {attempt_progress::Unknown, attempt_progress::Unknown, attempt_progress::Unknown})
+          == retry_verdict::GiveUp);
+    CHECK(verdictAfterAttempts(retryableContext(), {attempt_progress::WorkerUnavailable}) == retry_verdict::Retry);
+    CHECK(verdictAfterAttempts(retryableContext(), {attempt_progress::WorkerResponse}) == retry_verdict::GiveUp);
 }
 
 TEST_CASE("each hop gets less time than the one before, and a request too deep or too late is not forwarded")
 {
     const time_point deadline = deadlineAfter(start, milliseconds(100), milliseconds(800));
     CHECK(timeLeft(deadline, start) == milliseconds(100));
-    CHECK(millisForNextHop(deadline, start + milliseconds(10)) == milliseconds(88));
-    CHECK(millisForNextHop(deadline, start + milliseconds(500)) == milliseconds(0));
+    CHECK(timeForNextHop(deadline, start + milliseconds(10)) == milliseconds(88));
+    CHECK(timeForNextHop(deadline, start + milliseconds(500)) == milliseconds(0));
     CHECK(deadlineAfter(start, std::nullopt, milliseconds(800)) == start + milliseconds(800));
     CHECK(deadlineAfter(start, milliseconds(-5), milliseconds(800)) == start);
     CHECK(checkHop(deadline, 16, start) == hop_refusal::None);
--- a/packages/request/routing/estimate.cc
+++ b/packages/request/routing/estimate.cc
@@ -185,28 +185,28 @@
     }
 }
 
-void updateBackoff(tracked_worker &tracked, call_end end, time_point now)
+void updateBackoff(tracked_worker &tracked, call_outcome end, time_point now)
 {
     constexpr unsigned maxDoublings = 10;
     switch (end) {
-    case call_end::Refused:
+    case call_outcome::Refused:
         tracked.backoffUntil = now + refusalBackoff;
         break;
-    case call_end::Draining:
+    case call_outcome::Draining:
         tracked.backoffUntil = now + drainBackoff;
         break;
-    case call_end::NoConnection:
-    case call_end::Broken: {
+    case call_outcome::NoConnection:
+    case call_outcome::NoValidResponse: {
         const milliseconds delay = firstReconnectDelay * (1U << std::min(tracked.failedConnections, maxDoublings));
         tracked.backoffUntil = now + std::min(delay, maxReconnectDelay);
         ++tracked.failedConnections;
         break;
     }
-    case call_end::Completed:
-    case call_end::Failed:
+    case call_outcome::Completed:
+    case call_outcome::Failed:
         tracked.failedConnections = 0;
         break;
-    case call_end::Cancelled:
+    case call_outcome::Cancelled:
         break;
     }
 }
@@ -270,7 +270,7 @@
 }
 
 void recordProbeEnd(
-    routing_state &state, tracked_worker &tracked, work_class workClass, const call_observation &result, time_point now)
+    routing_state &state, tracked_worker &tracked, work_class workClass, const call_result &result, time_point now)
 {
     if (!tracked.isEjected) {
         return;
@@ -278,7 +278,8 @@
     tracked.isProbing = false;
     const float median = medianOfWorkers(state, workClass, &tracked, now);
     const float healthyLimit = static_cast<float>(readmitFactor) * median + static_cast<float>(ejectMargin.count());
-    const bool isHealthy = result.end == call_end::Completed && (median <= 0 || toMs(result.latency) <= healthyLimit);
+    const bool isHealthy =
+        result.end == call_outcome::Completed && (median <= 0 || toMs(result.latency) <= healthyLimit);
     if (!isHealthy) {
         tracked.healthyProbes = 0;
         tracked.probeInterval = std::min(tracked.probeInterval * 2, maxProbeInterval);
@@ -296,14 +297,14 @@
     return found == state.spill.end() ? nullptr : &*found;
 }
 
-void recordSpillEnd(routing_state &state, const call_choice &choice, call_end end, time_point now)
+void recordSpillEnd(routing_state &state, const call_choice &choice, call_outcome end, time_point now)
 {
     spill_target *target = findSpillTarget(state, choice.target->dataCentre);
     if (target == nullptr) {
         return;
     }
     target->outstanding -= std::min<std::uint32_t>(target->outstanding, 1);
-    if (end != call_end::Completed && end != call_end::Failed && end != call_end::Cancelled) {
+    if (end != call_outcome::Completed && end != call_outcome::Failed && end != call_outcome::Cancelled) {
         target->backoffUntil = now + spillBackoff;
     }
 }
--- a/packages/request/routing/estimate.h
+++ b/packages/request/routing/estimate.h
@@ -22,7 +22,7 @@
 
 // updateBackoff starts a backoff after a refusal or a failed connection; a response of the worker resets the reconnect
 // delay.
-void updateBackoff(tracked_worker &tracked, call_end end, time_point now);
+void updateBackoff(tracked_worker &tracked, call_outcome end, time_point now);
 
 // recordLatency adds a latency sample and recomputes the median of the class after every few samples.
 void recordLatency(
@@ -33,11 +33,8 @@
 void ejectIfSlow(routing_state &state, std::size_t index, work_class workClass, time_point now);
 
 // recordProbeEnd readmits the worker after enough healthy probes, or schedules the next probe.
-void recordProbeEnd(routing_state &state,
-                    tracked_worker &tracked,
-                    work_class workClass,
-                    const call_observation &result,
-                    time_point now);
+void recordProbeEnd(
+    routing_state &state, tracked_worker &tracked, work_class workClass, const call_result &result, time_point now);
 
 // readmit ends the ejection of a worker and drops its latency samples.
 void readmit(routing_state &state, tracked_worker &tracked);
@@ -47,7 +44,7 @@
 
 // recordSpillEnd ends the accounting of a call to another data centre. It starts a backoff if the call was refused or
 // its connection failed.
-void recordSpillEnd(routing_state &state, const call_choice &choice, call_end end, time_point now);
+void recordSpillEnd(routing_state &state, const call_choice &choice, call_outcome end, time_point now);
 
 // findTracked returns the index of the chosen worker, or the size of `workers` if it is no longer tracked.
 std::size_t findTracked(const std::vector<tracked_worker> &workers, const call_choice &choice);
--- a/packages/request/routing/routing.cc
+++ b/packages/request/routing/routing.cc
@@ -211,7 +211,7 @@
     return beginCallWhenFull(state, request, now, generator);
 }
 
-void endCall(routing_state &state, const call_choice &choice, const call_observation &result, time_point now)
+void endCall(routing_state &state, const call_choice &choice, const call_result &result, time_point now)
 {
     if (!choice.target) {
         return;
@@ -234,12 +234,12 @@
         return open.call == choice.call;
     });
     internal::updateBackoff(tracked, result.end, now);
-    if (result.end == call_end::Completed) {
+    if (result.end == call_outcome::Completed) {
         internal::recordLatency(state, tracked, choice.workClass, result.latency, now);
     }
     if (choice.isProbe) {
         internal::recordProbeEnd(state, tracked, choice.workClass, result, now);
-    } else if (!choice.isSpill && result.end == call_end::Completed) {
+    } else if (!choice.isSpill && result.end == call_outcome::Completed) {
         internal::ejectIfSlow(state, index, choice.workClass, now);
     }
 }
--- a/packages/request/routing/routing.h
+++ b/packages/request/routing/routing.h
@@ -6,7 +6,7 @@
 //   call_choice call = beginCall(state, {work_class::Interactive, tried}, now, generator);
 //   if (!call.target) return respondNotRun();
 //   ...
-//   endCall(state, call, {call_end::Completed, latency, load_report{running, waiting}}, now);
+//   endCall(state, call, {call_outcome::Completed, latency, load_report{running, waiting}}, now);
 //
 // Short requests are those of the classes lookup and interactive; heavy requests are those of upload and background.
 //
@@ -61,14 +61,14 @@
 inline constexpr milliseconds spillBackoff{500}; // after a refusal or failed connection in the other data centre
 
 // How a call ended, as far as it concerns the worker.
-enum class call_end : std::uint8_t
+enum class call_outcome : std::uint8_t
 {
     Completed, // the worker responded; the latency is recorded
     Failed, // the worker responded with a server error; the latency is ignored, because errors can be fast
     Refused, // not run: queue full, shed or over a limit
     Draining, // not run: the node drains or its worker is down
     NoConnection, // nothing was sent
-    Broken, // sent, but without a valid response: connection lost, response mismatched or outcome unknown
+    NoValidResponse, // sent, but without a valid response: connection lost, response mismatched or outcome unknown
     Cancelled, // by the caller, or because another attempt of a hedged request won; does not concern the worker
 };
 
@@ -103,9 +103,9 @@
 
 // Result of a call. `latency` is measured from the last byte of the request to the head of the response, so that a
 // caller that sends slowly does not make a worker look slow.
-struct call_observation
+struct call_result
 {
-    call_end end = call_end::Completed;
+    call_outcome end = call_outcome::Completed;
     duration latency{};
     std::optional<load_report> load;
 };
@@ -176,7 +176,7 @@
 call_choice beginCall(routing_state &state, const call_request &request, time_point now, random_generator &generator);
 
 // endCall records the result of a call. Calls to workers that are no longer tracked are ignored. Not thread safe.
-void endCall(routing_state &state, const call_choice &choice, const call_observation &result, time_point now);
+void endCall(routing_state &state, const call_choice &choice, const call_result &result, time_point now);
 
 // isSaturated returns whether no local worker is expected to have a free slot; calls are then not hedged. Not thread
 // safe.
--- a/packages/request/run_time/run_time.h
+++ b/packages/request/run_time/run_time.h
@@ -1,7 +1,7 @@
 // Moving averages of the run time of each route on one worker.
 //
-//   run_times times;
-//   noteRun(times, "orders", 84.0, now);
+//   run_time_estimates times;
+//   recordRunTime(times, "orders", 84.0, now);
 //   const double expected = expectedRunMs(times, "orders", fallbackMs);
 //
 // Load pattern: most runs of a route take a similar time, a few take many times longer, and a worker can slow down and
@@ -24,7 +24,7 @@
 inline constexpr double unmeasuredShare = 0.25; // of the time left until the target, while no run time is known
 inline constexpr double minUnmeasuredMs = 5.0;
 
-struct run_times
+struct run_time_estimates
 {
     struct mean
     {
@@ -35,13 +35,13 @@
     std::unordered_map<std::string, mean> routes;
 };
 
-// noteRun records the run time of a request that the worker completed, or the time so far of a cancelled run that is
-// overdue. Not thread safe.
-void noteRun(run_times &times, const std::string &route, double milliseconds, time_point now);
+// recordRunTime records the run time of a request that the worker completed, or the time so far of a cancelled run that
+// is overdue. Not thread safe.
+void recordRunTime(run_time_estimates &times, const std::string &route, double milliseconds, time_point now);
 
 // expectedRunMs returns the mean run time of the route, or `fallbackMs` if none of its requests has completed. Thread
 // safe for reads.
-double expectedRunMs(const run_times &times, const std::string &route, double fallbackMs);
+double expectedRunMs(const run_time_estimates &times, const std::string &route, double fallbackMs);
 
 // unmeasuredRunMs returns the run time to assume for a route that the worker has not run yet: the run time at the other
 // workers (`typicalMs`, 0 if unknown) or else a share of the time left until the target. Load pattern: when many nodes
--- a/packages/request/run_time/run_time_test.cc
+++ b/packages/request/run_time/run_time_test.cc
@@ -9,10 +9,10 @@
 
 const time_point start{}; // the epoch of the clock
 
-void recordMany(run_times &times, int count, double milliseconds)
+void recordMany(run_time_estimates &times, int count, double milliseconds)
 {
     for (int index = 0; index < count; ++index) {
-        noteRun(times, "sign", milliseconds, start);
+        recordRunTime(times, "sign", milliseconds, start);
     }
 }
 
@@ -25,15 +25,15 @@
 
 TEST_CASE("a single outlier hardly changes the estimate")
 {
-    run_times times;
+    run_time_estimates times;
     recordMany(times, 50, 100);
-    noteRun(times, "sign", 5000, start);
+    recordRunTime(times, "sign", 5000, start);
     CHECK(expectedRunMs(times, "sign", 0) < 150);
 }
 
 TEST_CASE("the estimate follows a fivefold slowdown within ten runs")
 {
-    run_times times;
+    run_time_estimates times;
     recordMany(times, 50, 100);
     recordMany(times, 10, 500);
     CHECK(expectedRunMs(times, "sign", 0) > 300);
@@ -41,9 +41,9 @@
 
 TEST_CASE("each route has its own estimate")
 {
-    run_times times;
-    noteRun(times, "sign", 100, start);
-    noteRun(times, "look-up", 10, start);
+    run_time_estimates times;
+    recordRunTime(times, "sign", 100, start);
+    recordRunTime(times, "look-up", 10, start);
     CHECK(expectedRunMs(times, "sign", 0) == 100);
     CHECK(expectedRunMs(times, "look-up", 0) == 10);
 }
--- a/packages/request/waiting/late_rule.h
+++ b/packages/request/waiting/late_admission.h
@@ -11,9 +11,9 @@
 // isFinalAttempt returns whether the request can still meet its target, but its caller would have too little time to
 // retry after a refusal: the queue would be no shorter by then. Calls made by workers are usually of this kind; if one
 // fails, the work that the calling worker has done is lost. Thread safe.
-constexpr bool isLastChance(double targetLeftMs, double timeLeftMs, double lineRunMs)
+constexpr bool isFinalAttempt(double targetLeftMs, double timeLeftMs, double meanActiveRunMs)
 {
-    return targetLeftMs > 0 && timeLeftMs * maxRetryAfterShare < minRetryRuns * lineRunMs;
+    return targetLeftMs > 0 && timeLeftMs * maxRetryAfterShare < minRetryRuns * meanActiveRunMs;
 }
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -12,18 +12,18 @@
 
 namespace {
 
-bool canMeetTarget(const waiting_request &request, time_point now)
+bool canMeetTarget(const queued_request &request, time_point now)
 {
     return now + fromMs(request.expectedRunMs) <= request.targetAt;
 }
 
 // Sort key: the smallest runs first. A request that was admitted late is ordered by its arrival time instead of its
 // target.
-auto dispatchOrder(const waiting_request &request)
+auto dispatchOrder(const queued_request &request)
 {
     const time_point due =
         request.isAdmittedLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
-    return std::tuple(!request.isLastChance, request.priority, due, request.ticket);
+    return std::tuple(!request.isFinalAttempt, request.priority, due, request.ticket);
 }
 
 double remainingMs(const running_request &running, time_point now)
@@ -35,7 +35,7 @@
 // Returns the wait of a request behind the queued ones for which `isAhead` holds, if each slot takes the next request
 // as soon as it is free.
 template<class IsAhead>
-double waitBehindMs(const waiting_line &queue, time_point now, IsAhead isAhead)
+double waitBehindMs(const request_queue &queue, time_point now, IsAhead isAhead)
 {
     if (queue.running.size() < queue.slots) {
         return 0;
@@ -47,7 +47,7 @@
     for (std::size_t excess = queue.running.size(); excess > queue.slots; --excess) {
         slotFreeAt.pop();
     }
-    for (const waiting_request &other : queue.waiting) {
+    for (const queued_request &other : queue.waiting) {
         if (isAhead(other)) {
             const double start = slotFreeAt.top();
             slotFreeAt.pop();
@@ -57,11 +57,11 @@
     return slotFreeAt.top();
 }
 
-refused_ticket refusalOf(const waiting_line &queue,
-                         const waiting_request &request,
-                         wait_refusal reason,
-                         time_point now,
-                         random_generator &generator)
+refused_request refusalOf(const request_queue &queue,
+                          const queued_request &request,
+                          queue_refusal reason,
+                          time_point now,
+                          random_generator &generator)
 {
     const double wait = expectedWaitMs(queue, request.priority, now);
     return {request.ticket, reason, retryAfterDelay(request, wait, now, generator)};
@@ -69,45 +69,45 @@
 
 // Returns whether a late request would wait longer than `maxLateWaitRuns` behind the running and all other queued
 // requests, which then make better use of the slot.
-bool hasCompetingWork(const waiting_line &queue, const waiting_request &request, time_point now)
+bool hasCompetingWork(const request_queue &queue, const queued_request &request, time_point now)
 {
-    const double wait = waitBehindMs(queue, now, [&](const waiting_request &other) {
+    const double wait = waitBehindMs(queue, now, [&](const queued_request &other) {
         return other.ticket != request.ticket;
     });
     return wait > maxLateWaitRuns * request.expectedRunMs;
 }
 
-bool isUnservable(const waiting_line &queue, const waiting_request &request, time_point now)
+bool isUnservable(const request_queue &queue, const queued_request &request, time_point now)
 {
     if (now > latestStart(request)) {
         return true;
     }
-    return !request.isLastChance && !request.isAdmittedLate && !canMeetTarget(request, now)
+    return !request.isFinalAttempt && !request.isAdmittedLate && !canMeetTarget(request, now)
         && hasCompetingWork(queue, request, now);
 }
 
 } // namespace
 
-std::string_view refusalName(wait_refusal reason)
+std::string_view refusalName(queue_refusal reason)
 {
     switch (reason) {
-    case wait_refusal::None:
+    case queue_refusal::None:
         return "none";
-    case wait_refusal::Draining:
+    case queue_refusal::Draining:
         return "draining";
-    case wait_refusal::WorkerDown:
+    case queue_refusal::WorkerDown:
         return "worker-down";
-    case wait_refusal::NoTime:
+    case queue_refusal::NoTime:
         return "no-time";
-    case wait_refusal::WouldMissTarget:
+    case queue_refusal::WouldMissTarget:
         return "crowded";
-    case wait_refusal::QueueFull:
+    case queue_refusal::QueueFull:
         return "queue-full";
     }
     return "unknown";
 }
 
-double lineRunMs(const waiting_line &queue)
+double meanActiveRunMs(const request_queue &queue)
 {
     const double sum = std::accumulate(queue.running.begin(),
                                        queue.running.end(),
@@ -118,15 +118,15 @@
     return queue.running.empty() ? 0.0 : sum / static_cast<double>(queue.running.size());
 }
 
-time_point latestStart(const waiting_request &request)
+time_point latestStart(const queued_request &request)
 {
-    return request.endsBy - fromMs(request.expectedRunMs * runTimeMargin);
+    return request.requestDeadline - fromMs(request.expectedRunMs * runTimeMargin);
 }
 
 milliseconds
-retryAfterDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator)
+retryAfterDelay(const queued_request &request, double expectedWaitMs, time_point now, random_generator &generator)
 {
-    const double maxDelay = msBetween(now, request.endsBy) / 3.0;
+    const double maxDelay = msBetween(now, request.requestDeadline) / 3.0;
     const double targetLeft = msBetween(now, request.targetAt) - request.expectedRunMs;
     std::uniform_real_distribution<double> jitter(1.0 - retryAfterJitter, 1.0);
     const double untilOnTime = expectedWaitMs - targetLeft;
@@ -135,53 +135,54 @@
     return milliseconds(static_cast<std::int64_t>(std::max(0.0, std::min(delay, maxDelay))));
 }
 
-double expectedWaitMs(const waiting_line &queue, std::uint32_t priority, time_point now)
+double expectedWaitMs(const request_queue &queue, std::uint32_t priority, time_point now)
 {
-    return waitBehindMs(queue, now, [&](const waiting_request &other) {
-        return other.isLastChance || other.priority <= priority;
+    return waitBehindMs(queue, now, [&](const queued_request &other) {
+        return other.isFinalAttempt || other.priority <= priority;
     });
 }
 
-offer_verdict offer(waiting_line &queue, const waiting_request &request, time_point now, random_generator &generator)
+enqueue_result enqueue(request_queue &queue, const queued_request &request, time_point now, random_generator &generator)
 {
-    offer_verdict result;
-    if (queue.closedFor != wait_refusal::None) {
-        result.reason = queue.closedFor;
+    enqueue_result result;
+    if (queue.closedReason != queue_refusal::None) {
+        result.reason = queue.closedReason;
         return result;
     }
-    waiting_request candidate = request;
+    queued_request candidate = request;
     candidate.isAdmittedLate = false;
-    candidate.isLastChance =
-        isLastChance(msBetween(now, request.targetAt), msBetween(now, request.endsBy), lineRunMs(queue));
+    candidate.isFinalAttempt = isFinalAttempt(msBetween(now, request.targetAt),
+                                              msBetween(now, request.requestDeadline),
+                                              meanActiveRunMs(queue));
     const auto rank = dispatchOrder(candidate);
-    result.expectedWaitMs = waitBehindMs(queue, now, [&](const waiting_request &other) {
+    result.expectedWaitMs = waitBehindMs(queue, now, [&](const queued_request &other) {
         return dispatchOrder(other) < rank;
     });
     const time_point startsAt = now + fromMs(result.expectedWaitMs);
     if (startsAt > latestStart(candidate)) {
-        result.reason = wait_refusal::NoTime;
-    } else if (!candidate.isLastChance && !canMeetTarget(candidate, startsAt)) {
+        result.reason = queue_refusal::NoTime;
+    } else if (!candidate.isFinalAttempt && !canMeetTarget(candidate, startsAt)) {
         candidate.isAdmittedLate = true;
-        result.reason = hasCompetingWork(queue, candidate, now) ? wait_refusal::WouldMissTarget : wait_refusal::None;
+        result.reason = hasCompetingWork(queue, candidate, now) ? queue_refusal::WouldMissTarget : queue_refusal::None;
     }
-    if (result.reason == wait_refusal::None && queue.waiting.size() >= maxQueued) {
-        result.reason = wait_refusal::QueueFull;
+    if (result.reason == queue_refusal::None && queue.waiting.size() >= maxQueued) {
+        result.reason = queue_refusal::QueueFull;
     }
-    if (result.reason != wait_refusal::None) {
+    if (result.reason != queue_refusal::None) {
         result.retryAfter = refusalOf(queue, candidate, result.reason, now, generator).retryAfter;
         return result;
     }
     if (queue.running.size() < queue.slots && queue.waiting.empty()) {
         queue.running.push_back({candidate.ticket, now, candidate.expectedRunMs});
-        result.kind = offer_kind::Run;
+        result.kind = enqueue_outcome::Run;
         return result;
     }
     queue.waiting.push_back(candidate);
-    result.kind = offer_kind::Wait;
+    result.kind = enqueue_outcome::Wait;
     return result;
 }
 
-std::optional<std::uint64_t> startNext(waiting_line &queue, time_point now)
+std::optional<std::uint64_t> startNext(request_queue &queue, time_point now)
 {
     if (queue.waiting.empty() || queue.running.size() >= queue.slots) {
         return std::nullopt;
@@ -193,11 +194,11 @@
     return ticket;
 }
 
-std::vector<refused_ticket> takeHopeless(waiting_line &queue, time_point now, random_generator &generator)
+std::vector<refused_request> removeUnservable(request_queue &queue, time_point now, random_generator &generator)
 {
-    std::vector<refused_ticket> refused;
+    std::vector<refused_request> refused;
     for (std::size_t index = 0; index < queue.waiting.size();) {
-        const waiting_request request = queue.waiting[index];
+        const queued_request request = queue.waiting[index];
         if (!isUnservable(queue, request, now)) {
             ++index;
             continue;
@@ -206,41 +207,41 @@
         const bool isPastLatestStart = now > latestStart(request);
         refused.push_back(refusalOf(queue,
                                     request,
-                                    isPastLatestStart ? wait_refusal::NoTime : wait_refusal::WouldMissTarget,
+                                    isPastLatestStart ? queue_refusal::NoTime : queue_refusal::WouldMissTarget,
                                     now,
                                     generator));
     }
     return refused;
 }
 
-std::vector<refused_ticket> takeAll(waiting_line &queue, wait_refusal reason)
+std::vector<refused_request> removeAllQueued(request_queue &queue, queue_refusal reason)
 {
-    std::vector<refused_ticket> refused;
-    std::ranges::transform(queue.waiting, std::back_inserter(refused), [&](const waiting_request &request) {
-        return refused_ticket{request.ticket, reason, milliseconds{0}};
+    std::vector<refused_request> refused;
+    std::ranges::transform(queue.waiting, std::back_inserter(refused), [&](const queued_request &request) {
+        return refused_request{request.ticket, reason, milliseconds{0}};
     });
     queue.waiting.clear();
     return refused;
 }
 
-void finish(waiting_line &queue, std::uint64_t ticket)
+void finish(request_queue &queue, std::uint64_t ticket)
 {
     std::erase_if(queue.running, [&](const running_request &running) {
         return running.ticket == ticket;
     });
-    std::erase_if(queue.waiting, [&](const waiting_request &waiting) {
+    std::erase_if(queue.waiting, [&](const queued_request &waiting) {
         return waiting.ticket == ticket;
     });
 }
 
-std::optional<time_point> nextCheck(const waiting_line &queue)
+std::optional<time_point> nextUnservableCheck(const request_queue &queue)
 {
     if (queue.waiting.empty()) {
         return std::nullopt;
     }
-    const auto dueAt = [](const waiting_request &request) {
+    const auto dueAt = [](const queued_request &request) {
         const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs);
-        const bool isExempt = request.isLastChance || request.isAdmittedLate;
+        const bool isExempt = request.isFinalAttempt || request.isAdmittedLate;
         return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
     };
     return dueAt(*std::ranges::min_element(queue.waiting, {}, dueAt));
--- a/packages/request/waiting/waiting_test.cc
+++ b/packages/request/waiting/waiting_test.cc
@@ -13,14 +13,14 @@
 
 const time_point start{}; // the epoch of the clock
 
-waiting_request requestOf(std::uint64_t ticket, time_point now, int targetMs, int timeLeftMs, double runMs)
+queued_request requestOf(std::uint64_t ticket, time_point now, int targetMs, int timeLeftMs, double runMs)
 {
-    waiting_request request;
+    queued_request request;
     request.ticket = ticket;
     request.priority = 1;
     request.arrivedAt = now;
     request.targetAt = now + milliseconds(targetMs);
-    request.endsBy = now + milliseconds(timeLeftMs);
+    request.requestDeadline = now + milliseconds(timeLeftMs);
     request.expectedRunMs = runMs;
     return request;
 }
@@ -43,10 +43,10 @@
 simulation_result simulateOverload(double loadFactor, bool usesTargets)
 {
     random_generator generator(7);
-    waiting_line queue;
+    request_queue queue;
     queue.slots = 6;
     simulation_result result;
-    std::map<std::uint64_t, waiting_request> requests;
+    std::map<std::uint64_t, queued_request> requests;
     std::map<std::uint64_t, time_point> ends;
     std::uint64_t ticket = 0;
     const double arrivalsPerMs = loadFactor * queue.slots / simulatedRunMs;
@@ -63,21 +63,21 @@
             finish(queue, end->first);
             end = ends.erase(end);
         }
-        for (const refused_ticket &refused : takeHopeless(queue, now, generator)) {
+        for (const refused_request &refused : removeUnservable(queue, now, generator)) {
             ++result.refused;
             result.longestWaitOfRefused =
                 std::max(result.longestWaitOfRefused, now - requests.at(refused.ticket).arrivedAt);
         }
         for (arrivalsDue += arrivalsPerMs; arrivalsDue >= 1; arrivalsDue -= 1) {
-            waiting_request request = requestOf(++ticket, now, simulatedTargetMs, simulatedTimeLeftMs, simulatedRunMs);
+            queued_request request = requestOf(++ticket, now, simulatedTargetMs, simulatedTimeLeftMs, simulatedRunMs);
             if (!usesTargets) {
-                request.targetAt = request.endsBy;
+                request.targetAt = request.requestDeadline;
             }
             requests[ticket] = request;
-            const offer_verdict decision = offer(queue, request, now, generator);
-            if (decision.kind == offer_kind::Refused) {
+            const enqueue_result decision = enqueue(queue, request, now, generator);
+            if (decision.kind == enqueue_outcome::Refused) {
                 ++result.refused;
-            } else if (decision.kind == offer_kind::Run) {
+            } else if (decision.kind == enqueue_outcome::Run) {
                 ends[ticket] = now + milliseconds(100);
             }
         }
@@ -115,35 +115,36 @@
 TEST_CASE("a request that cannot finish before its deadline is refused on arrival")
 {
     random_generator generator(1);
-    waiting_line queue;
+    request_queue queue;
     queue.slots = 1;
-    CHECK(offer(queue, requestOf(1, start, 300, 400, 500), start, generator).kind == offer_kind::Refused);
-    REQUIRE(offer(queue, requestOf(2, start, 900, 1000, 500), start, generator).kind == offer_kind::Run);
-    const offer_verdict late = offer(queue, requestOf(3, start, 900, 900, 500), start, generator);
-    CHECK(late.kind == offer_kind::Refused);
-    CHECK(late.reason == wait_refusal::NoTime);
+    CHECK(enqueue(queue, requestOf(1, start, 300, 400, 500), start, generator).kind == enqueue_outcome::Refused);
+    REQUIRE(enqueue(queue, requestOf(2, start, 900, 1000, 500), start, generator).kind == enqueue_outcome::Run);
+    const enqueue_result late = enqueue(queue, requestOf(3, start, 900, 900, 500), start, generator);
+    CHECK(late.kind == enqueue_outcome::Refused);
+    CHECK(late.reason == queue_refusal::NoTime);
     CHECK(late.retryAfter <= milliseconds(300));
 }
 
 TEST_CASE("a late request is admitted only if it can start almost at once")
 {
     random_generator generator(1);
-    waiting_line queue;
+    request_queue queue;
     queue.slots = 1;
-    const waiting_request late = requestOf(1, start, -100, 1000, 100);
-    CHECK(offer(queue, late, start, generator).kind == offer_kind::Run);
-    CHECK(offer(queue, requestOf(2, start, -100, 1000, 100), start, generator).reason == wait_refusal::WouldMissTarget);
+    const queued_request late = requestOf(1, start, -100, 1000, 100);
+    CHECK(enqueue(queue, late, start, generator).kind == enqueue_outcome::Run);
+    CHECK(enqueue(queue, requestOf(2, start, -100, 1000, 100), start, generator).reason
+          == queue_refusal::WouldMissTarget);
 }
 
 TEST_CASE("a final attempt runs first and is not refused while it can finish before its deadline")
 {
     random_generator generator(1);
-    waiting_line queue;
+    request_queue queue;
     queue.slots = 1;
-    REQUIRE(offer(queue, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
-    REQUIRE(offer(queue, requestOf(2, start, 300, 1000, 100), start, generator).kind == offer_kind::Wait);
-    REQUIRE(offer(queue, requestOf(3, start, 50, 250, 30), start, generator).kind == offer_kind::Wait);
-    CHECK(takeHopeless(queue, start + milliseconds(60), generator).empty());
+    REQUIRE(enqueue(queue, requestOf(1, start, 300, 1000, 100), start, generator).kind == enqueue_outcome::Run);
+    REQUIRE(enqueue(queue, requestOf(2, start, 300, 1000, 100), start, generator).kind == enqueue_outcome::Wait);
+    REQUIRE(enqueue(queue, requestOf(3, start, 50, 250, 30), start, generator).kind == enqueue_outcome::Wait);
+    CHECK(removeUnservable(queue, start + milliseconds(60), generator).empty());
     finish(queue, 1);
     CHECK(startNext(queue, start + milliseconds(100)) == 3U);
     CHECK_FALSE(startNext(queue, start + milliseconds(100)).has_value());
@@ -152,23 +153,23 @@
 TEST_CASE("a request past its target does not count as a final attempt")
 {
     random_generator generator(1);
-    waiting_line queue;
+    request_queue queue;
     queue.slots = 1;
-    REQUIRE(offer(queue, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
-    CHECK(offer(queue, requestOf(2, start, -10, 250, 30), start, generator).reason == wait_refusal::WouldMissTarget);
+    REQUIRE(enqueue(queue, requestOf(1, start, 300, 1000, 100), start, generator).kind == enqueue_outcome::Run);
+    CHECK(enqueue(queue, requestOf(2, start, -10, 250, 30), start, generator).reason == queue_refusal::WouldMissTarget);
 }
 
 TEST_CASE("requests run by the priority of their route, then by the earliest target")
 {
     random_generator generator(1);
-    waiting_line queue;
+    request_queue queue;
     queue.slots = 1;
-    REQUIRE(offer(queue, requestOf(1, start, 300, 1000, 10), start, generator).kind == offer_kind::Run);
-    waiting_request lessUrgent = requestOf(2, start, 200, 1000, 10);
+    REQUIRE(enqueue(queue, requestOf(1, start, 300, 1000, 10), start, generator).kind == enqueue_outcome::Run);
+    queued_request lessUrgent = requestOf(2, start, 200, 1000, 10);
     lessUrgent.priority = 2;
-    offer(queue, lessUrgent, start, generator);
-    offer(queue, requestOf(3, start, 290, 1000, 10), start, generator);
-    offer(queue, requestOf(4, start, 250, 1000, 10), start, generator);
+    enqueue(queue, lessUrgent, start, generator);
+    enqueue(queue, requestOf(3, start, 290, 1000, 10), start, generator);
+    enqueue(queue, requestOf(4, start, 250, 1000, 10), start, generator);
     std::vector<std::uint64_t> order;
     for (std::uint64_t running = 1; running != 0;) {
         finish(queue, running);
@@ -184,7 +185,7 @@
 TEST_CASE("Retry-After delays vary and stay within a third of the time left")
 {
     random_generator generator(3);
-    const waiting_request request = requestOf(1, start, -10, 900, 100);
+    const queued_request request = requestOf(1, start, -10, 900, 100);
     std::vector<milliseconds> delays(200);
     std::ranges::generate(delays, [&] {
         return retryAfterDelay(request, 800, start, generator);
@@ -197,13 +198,13 @@
 TEST_CASE("a closed queue refuses with its reason and removes all queued requests")
 {
     random_generator generator(1);
-    waiting_line queue;
+    request_queue queue;
     queue.slots = 1;
-    offer(queue, requestOf(1, start, 300, 1000, 10), start, generator);
-    offer(queue, requestOf(2, start, 300, 1000, 10), start, generator);
-    queue.closedFor = wait_refusal::Draining;
-    CHECK(offer(queue, requestOf(3, start, 300, 1000, 10), start, generator).reason == wait_refusal::Draining);
-    const auto refused = takeAll(queue, wait_refusal::Draining);
+    enqueue(queue, requestOf(1, start, 300, 1000, 10), start, generator);
+    enqueue(queue, requestOf(2, start, 300, 1000, 10), start, generator);
+    queue.closedReason = queue_refusal::Draining;
+    CHECK(enqueue(queue, requestOf(3, start, 300, 1000, 10), start, generator).reason == queue_refusal::Draining);
+    const auto refused = removeAllQueued(queue, queue_refusal::Draining);
     REQUIRE(refused.size() == 1);
     CHECK(refused.front().ticket == 2);
 }
