Plain wording in process/spread

They now say what is stored, returned and ignored.

Renamed inside the folder: bufferedRecords and bufferedBytes to maxBufferedRecords and maxBufferedRecordBytes, keptVerdicts to maxKeptVerdicts, peerListenTime to peerWaitTime, firstPeerAt to firstPeerResponseAt, highestHeard to highestPeerProgress, and locals. All 14 test titles changed; no check changed.

--- a/packages/process/spread/record_buffer.cc
+++ b/packages/process/spread/record_buffer.cc
@@ -12,7 +12,8 @@
     }
     buffer.bytes += record.data.size();
     buffer.records.push_back(std::move(record));
-    while (buffer.records.size() > bufferedRecords || (buffer.bytes > bufferedBytes && buffer.records.size() > 1)) {
+    while (buffer.records.size() > maxBufferedRecords
+           || (buffer.bytes > maxBufferedRecordBytes && buffer.records.size() > 1)) {
         buffer.bytes -= buffer.records.front().data.size();
         buffer.records.pop_front();
     }
@@ -21,23 +22,23 @@
 std::optional<std::vector<config_record>>
 recordsFrom(const record_buffer &buffer, std::uint64_t position, std::uint64_t next, std::size_t maxBytes)
 {
-    std::vector<config_record> found;
+    std::vector<config_record> selected;
     if (position >= next) {
-        return found;
+        return selected;
     }
     if (buffer.records.empty() || position < buffer.records.front().offset) {
         return std::nullopt;
     }
-    const auto skipped = static_cast<std::ptrdiff_t>(position - buffer.records.front().offset);
+    const auto firstIndex = static_cast<std::ptrdiff_t>(position - buffer.records.front().offset);
     std::size_t bytes = 0;
-    for (auto each = buffer.records.begin() + skipped; each != buffer.records.end(); ++each) {
-        bytes += each->data.size();
-        if (!found.empty() && bytes > maxBytes) {
+    for (auto entry = buffer.records.begin() + firstIndex; entry != buffer.records.end(); ++entry) {
+        bytes += entry->data.size();
+        if (!selected.empty() && bytes > maxBytes) {
             break;
         }
-        found.push_back(*each);
+        selected.push_back(*entry);
     }
-    return found;
+    return selected;
 }
 
 } // namespace pistachioquay
--- a/packages/process/spread/record_buffer.h
+++ b/packages/process/spread/record_buffer.h
@@ -1,9 +1,9 @@
-// The newest records of stream `config`, kept so that peers that are a little behind get records in place of a
-// snapshot.
+// Bounded in-memory buffer of the newest records of stream `config`. A peer that is only a few records behind is sent
+// these records instead of a snapshot.
 //
 //   record_buffer buffer;
-//   appendRecord(buffer, {offset, bytes});
-//   const auto records = recordsFrom(buffer, position, maxBytes);   // empty optional: too old, send a snapshot
+//   appendToBuffer(buffer, {offset, bytes});
+//   const auto records = recordsFrom(buffer, position, next, maxBytes);   // std::nullopt: send a snapshot
 #pragma once
 
 #include <compare>
@@ -15,7 +15,7 @@
 
 namespace pistachioquay {
 
-// A record as it stands in the log.
+// A record of stream `config`: its offset in the log and its encoded bytes.
 struct config_record
 {
     std::uint64_t offset = 0;
@@ -30,21 +30,23 @@
     }
 };
 
-inline constexpr std::size_t bufferedRecords = 2000;
-inline constexpr std::size_t bufferedBytes = 8 * 1024 * 1024;
+inline constexpr std::size_t maxBufferedRecords = 2000;
+inline constexpr std::size_t maxBufferedRecordBytes = 8 * 1024 * 1024;
 
 // Records with contiguous offsets, oldest first. Not thread safe.
 struct record_buffer
 {
     std::deque<config_record> records;
-    std::size_t bytes = 0;
+    std::size_t bytes = 0; // total size of `data` in `records`
 };
 
-// appendToBuffer adds a record and drops the oldest beyond the bounds. A gap before it empties the buffer first.
+// appendToBuffer appends a record and evicts the oldest ones while the buffer exceeds its limits. If the offset does
+// not follow the last buffered one, all earlier records are dropped.
 void appendToBuffer(record_buffer &buffer, config_record record);
 
-// recordsFrom returns the records from offset `position` on, at most about `maxBytes` but at least one if there is any;
-// empty optional if the buffer does not reach back to `position`. `next` is the position of the buffer's owner.
+// recordsFrom returns the records from offset `position` on, up to `maxBytes` in total, and at least one if there is
+// any. `next` is the offset of the next record that the owner of the buffer will fold: from there on the result is
+// empty. Returns std::nullopt if the record at `position` is no longer buffered.
 std::optional<std::vector<config_record>>
 recordsFrom(const record_buffer &buffer, std::uint64_t position, std::uint64_t next, std::size_t maxBytes);
 
--- a/packages/process/spread/snapshot_duty.cc
+++ b/packages/process/spread/snapshot_duty.cc
@@ -16,24 +16,24 @@
 
 } // namespace
 
-bool isSnapshotDue(const snapshot_facts &facts, const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs)
+bool isSnapshotDue(const snapshot_facts &status, const snapshot_rules &policy, std::uint32_t rank, std::int64_t nowMs)
 {
-    const bool hasState = facts.position > 1;
-    const bool isAtEnd = facts.position >= facts.logNext;
-    if (!hasState || !isAtEnd) {
+    const bool hasFoldedRecords = status.position > 1;
+    const bool isAtLogEnd = status.position >= status.logNext;
+    if (!hasFoldedRecords || !isAtLogEnd) {
         return false;
     }
-    const std::int64_t retentionMs = rules.retention.count();
+    const std::int64_t retentionMs = policy.retention.count();
     const std::int64_t rankDelayMs = retentionMs / rankDelayDivisor * rank;
-    const std::uint64_t uncovered = facts.position - facts.snapshotPosition;
-    const bool isLost = facts.snapshotPosition > 0 && !facts.isSnapshotKept;
-    const bool isExpired = facts.snapshotPosition == 0 && facts.logFirst > 1;
-    const bool isCountDue = uncovered >= rules.maxUncoveredRecords + rankDelayRecords * rank;
+    const std::uint64_t uncoveredRecords = status.position - status.snapshotPosition;
+    const bool isSnapshotExpired = status.snapshotPosition > 0 && !status.isSnapshotKept;
+    const bool isLogTruncatedWithoutSnapshot = status.snapshotPosition == 0 && status.logFirst > 1;
+    const bool isCountDue = uncoveredRecords >= policy.maxUncoveredRecords + rankDelayRecords * rank;
     const bool isRecordAgeDue =
-        isOlderThan(facts.oldestUncoveredMs, retentionMs / recordAgeDivisor + rankDelayMs, nowMs);
+        isOlderThan(status.oldestUncoveredMs, retentionMs / recordAgeDivisor + rankDelayMs, nowMs);
     const bool isSnapshotAgeDue =
-        isOlderThan(facts.snapshotTimeMs, retentionMs / snapshotAgeDivisor + rankDelayMs, nowMs);
-    return isLost || isExpired || isCountDue || isRecordAgeDue || isSnapshotAgeDue;
+        isOlderThan(status.snapshotTimeMs, retentionMs / snapshotAgeDivisor + rankDelayMs, nowMs);
+    return isSnapshotExpired || isLogTruncatedWithoutSnapshot || isCountDue || isRecordAgeDue || isSnapshotAgeDue;
 }
 
 } // namespace pistachioquay
--- a/packages/process/spread/snapshot_duty.h
+++ b/packages/process/spread/snapshot_duty.h
@@ -1,9 +1,10 @@
-// Decides when a node writes a snapshot of the fold state to the log.
+// Decides when a node writes a snapshot of the fold state to the log, before retention removes the records that the
+// state was folded from.
 //
-//   if (isSnapshotDue(facts, rank, nowUnixMs)) writeSnapshot();
+//   if (isSnapshotDue(status, policy, rank, nowUnixMs)) writeSnapshot();
 //
-// A snapshot is a pure function of the position, so a second one does no harm; the rank among the live nodes makes
-// about one node write it.
+// The snapshot at a position is the same whichever node writes it, so a duplicate is harmless. Delays that grow with a
+// node's rank among the live nodes make it likely that only one node writes it.
 #pragma once
 
 #include <compare>
@@ -14,21 +15,21 @@
 
 namespace pistachioquay {
 
-// What a node knows about the records that no snapshot covers.
+// What a node has seen of the log, its newest snapshot and the records after that snapshot.
 struct snapshot_facts
 {
-    std::uint64_t position = 0; // of the own fold
-    std::uint64_t snapshotPosition = 0; // of the newest snapshot seen in the log; 0 is none
-    std::uint64_t logFirst = 0; // oldest offset that the log keeps
+    std::uint64_t position = 0; // next offset that this node folds
+    std::uint64_t snapshotPosition = 0; // of the newest snapshot seen in the log; 0 if none was seen
+    std::uint64_t logFirst = 0; // oldest offset that the log retains
     std::uint64_t logNext = 0; // offset of the next append
     std::optional<std::int64_t> oldestUncoveredMs; // log time of the oldest folded record after that snapshot
-    std::optional<std::int64_t> snapshotTimeMs; // log time of that snapshot
-    bool isSnapshotKept = false; // whether the log still keeps that snapshot
+    std::optional<std::int64_t> snapshotTimeMs; // log time of the newest snapshot
+    bool isSnapshotKept = false; // whether the log still retains the newest snapshot
 
     friend auto operator<=>(const snapshot_facts &, const snapshot_facts &) = default;
 };
 
-// The time that the log keeps records, as operators set it for the platform.
+// Limits that isSnapshotDue applies. `retention` is how long the log keeps records (setting `platform.retention_ms`).
 struct snapshot_rules
 {
     milliseconds retention{0};
@@ -37,11 +38,15 @@
     friend auto operator<=>(const snapshot_rules &, const snapshot_rules &) = default;
 };
 
-// isSnapshotDue tells whether the node of `rank` (0 is first among the live nodes) has to write one now. It is due when
-// the oldest uncovered record has used a quarter of the retention time, when too many records are uncovered, when the
-// newest snapshot has used half of the retention time, or when the log no longer keeps it. Each rank waits a further
-// sixteenth of the retention time, or 100 records, before it steps in. A node that has not folded up to the log's end
-// never writes, so an old state never replaces a newer one. Thread safe.
-bool isSnapshotDue(const snapshot_facts &facts, const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs);
+// isSnapshotDue returns whether the node with `rank` (0 is the first of the live nodes) must write a snapshot now. An
+// uncovered record is one after the newest snapshot. A snapshot is due when
+// - the oldest uncovered record is at least a quarter of the retention time old,
+// - at least `maxUncoveredRecords` records are uncovered,
+// - the newest snapshot is at least half of the retention time old, or
+// - the log no longer retains the newest snapshot, or has removed its first records and no snapshot was seen.
+// For the first three, each rank waits a further sixteenth of the retention time, or 100 records, so that it writes
+// only if the nodes before it did not. A node that has not folded up to the end of the log never writes, so that an old
+// state never replaces a newer one. Thread safe.
+bool isSnapshotDue(const snapshot_facts &status, const snapshot_rules &policy, std::uint32_t rank, std::int64_t nowMs);
 
 } // namespace pistachioquay
--- a/packages/process/spread/spread_test.cc
+++ b/packages/process/spread/spread_test.cc
@@ -1,5 +1,5 @@
-// Guards the decisions around spreading versions: what a peer is given, when a restarted node may route, who writes
-// snapshots.
+// Tests of configuration dissemination: which records a peer is sent, when a restarted node may route, and when a node
+// writes a snapshot.
 #include <catch2/catch.hpp>
 
 #include "base/random.h"
@@ -16,7 +16,7 @@
 
 const time_point start = time_point(std::chrono::hours(1));
 
-record_buffer bufferOf(std::uint64_t first, std::uint64_t count)
+record_buffer makeBuffer(std::uint64_t first, std::uint64_t count)
 {
     record_buffer buffer;
     for (std::uint64_t offset = first; offset < first + count; ++offset) {
@@ -27,9 +27,9 @@
 
 } // namespace
 
-TEST_CASE("a peer behind the buffer is sent to a snapshot, never a range with a gap")
+TEST_CASE("recordsFrom returns no value for a position before the buffer, never records with a gap")
 {
-    const record_buffer buffer = bufferOf(10, 5);
+    const record_buffer buffer = makeBuffer(10, 5);
     CHECK_FALSE(recordsFrom(buffer, 9, 15, 1000));
     CHECK(recordsFrom(buffer, 10, 15, 1000)->size() == 5);
     CHECK(recordsFrom(buffer, 14, 15, 1000)->front().offset == 14);
@@ -37,24 +37,24 @@
     CHECK_FALSE(recordsFrom(record_buffer{}, 3, 15, 1000));
 }
 
-TEST_CASE("a response is bounded in bytes but always makes progress")
+TEST_CASE("recordsFrom limits the bytes but returns at least one record")
 {
-    const record_buffer buffer = bufferOf(10, 5);
+    const record_buffer buffer = makeBuffer(10, 5);
     CHECK(recordsFrom(buffer, 10, 15, 1)->size() == 1);
     CHECK(recordsFrom(buffer, 10, 15, 6)->size() == 2);
 }
 
-TEST_CASE("the buffer is bounded and a gap empties it")
+TEST_CASE("the record buffer evicts the oldest records, and a gap in the offsets empties it")
 {
-    record_buffer buffer = bufferOf(1, bufferedRecords + 10);
-    CHECK(buffer.records.size() == bufferedRecords);
+    record_buffer buffer = makeBuffer(1, maxBufferedRecords + 10);
+    CHECK(buffer.records.size() == maxBufferedRecords);
     CHECK(buffer.records.front().offset == 11);
     appendToBuffer(buffer, {5000, "x"});
     CHECK(buffer.records.size() == 1);
     CHECK(buffer.bytes == 1);
 }
 
-TEST_CASE("a node that heard of its own newer version does not route at an older one")
+TEST_CASE("the gate stays closed below the version that peers report for this node")
 {
     startup_gate gate;
     gate = withPeerNews(gate, {.position = 20, .version = 19}, start);
@@ -64,7 +64,7 @@
     CHECK(gate.wasOpened);
 }
 
-TEST_CASE("a node listens to further peers before it trusts the first one")
+TEST_CASE("the gate stays closed for 1 s after the first peer response and takes later reports into account")
 {
     startup_gate gate = withPeerNews({}, {.position = 10, .version = 9}, start);
     CHECK_FALSE(advanceGate(gate, {.position = 10, .version = 9}, start + milliseconds(999)).wasOpened);
@@ -72,7 +72,7 @@
     CHECK_FALSE(advanceGate(gate, {.position = 10, .version = 9}, start + seconds(5)).wasOpened);
 }
 
-TEST_CASE("the log's end opens the gate, and an older read of the end does not move it back")
+TEST_CASE("the gate opens at the log's first known end, which a later read does not change, and stays open")
 {
     startup_gate gate = withLogEnd({}, 20);
     CHECK(withLogEnd(gate, 5) == gate);
@@ -82,106 +82,110 @@
     CHECK(advanceGate(gate, {.position = 1, .version = 0}, start).wasOpened);
 }
 
-TEST_CASE("a node that can reach neither log nor peers never routes")
+TEST_CASE("the gate stays closed without a log read and without a peer response")
 {
     CHECK_FALSE(advanceGate({}, {.position = 1, .version = 0}, start + std::chrono::hours(9)).wasOpened);
 }
 
-TEST_CASE("snapshots are written in time, by one node, and only at the log's end")
+TEST_CASE("a snapshot is due by record age, later for a higher rank, and only for a node at the log's end")
 {
-    const snapshot_rules rules{.retention = milliseconds(100'000)};
-    snapshot_facts facts{.position = 50, .snapshotPosition = 40, .logFirst = 1, .logNext = 50, .isSnapshotKept = true};
-    facts.oldestUncoveredMs = 0;
-    facts.snapshotTimeMs = 0;
-    CHECK_FALSE(isSnapshotDue(facts, rules, 0, 24'999));
-    CHECK(isSnapshotDue(facts, rules, 0, 25'000));
-    CHECK_FALSE(isSnapshotDue(facts, rules, 1, 25'000));
-    CHECK(isSnapshotDue(facts, rules, 1, 31'250));
-    facts.logNext = 51;
-    CHECK_FALSE(isSnapshotDue(facts, rules, 0, 99'000));
+    const snapshot_rules policy{.retention = milliseconds(100'000)};
+    snapshot_facts status{.position = 50, .snapshotPosition = 40, .logFirst = 1, .logNext = 50, .isSnapshotKept = true};
+    status.oldestUncoveredMs = 0;
+    status.snapshotTimeMs = 0;
+    CHECK_FALSE(isSnapshotDue(status, policy, 0, 24'999));
+    CHECK(isSnapshotDue(status, policy, 0, 25'000));
+    CHECK_FALSE(isSnapshotDue(status, policy, 1, 25'000));
+    CHECK(isSnapshotDue(status, policy, 1, 31'250));
+    status.logNext = 51;
+    CHECK_FALSE(isSnapshotDue(status, policy, 0, 99'000));
 }
 
-TEST_CASE("a snapshot that expired during an outage is written again at once by any node")
+TEST_CASE("a snapshot that the log no longer retains is due at once for a node of any rank")
 {
-    const snapshot_rules rules{.retention = milliseconds(100'000)};
-    snapshot_facts facts{.position = 50,
-                         .snapshotPosition = 50,
-                         .logFirst = 50,
-                         .logNext = 50,
-                         .isSnapshotKept = false};
-    CHECK(isSnapshotDue(facts, rules, 3, 0));
-    facts.snapshotPosition = 0;
-    CHECK(isSnapshotDue(facts, rules, 3, 0));
+    const snapshot_rules policy{.retention = milliseconds(100'000)};
+    snapshot_facts status{.position = 50,
+                          .snapshotPosition = 50,
+                          .logFirst = 50,
+                          .logNext = 50,
+                          .isSnapshotKept = false};
+    CHECK(isSnapshotDue(status, policy, 3, 0));
+    status.snapshotPosition = 0;
+    CHECK(isSnapshotDue(status, policy, 3, 0));
 }
 
-TEST_CASE("a quiet tree is written again before its only snapshot expires")
+TEST_CASE("without new records, a snapshot is due after half of the retention time")
 {
-    const snapshot_rules rules{.retention = milliseconds(100'000)};
-    snapshot_facts facts{.position = 50, .snapshotPosition = 50, .logFirst = 50, .logNext = 50, .isSnapshotKept = true};
-    facts.snapshotTimeMs = 0;
-    CHECK_FALSE(isSnapshotDue(facts, rules, 0, 49'999));
-    CHECK(isSnapshotDue(facts, rules, 0, 50'000));
+    const snapshot_rules policy{.retention = milliseconds(100'000)};
+    snapshot_facts status{.position = 50,
+                          .snapshotPosition = 50,
+                          .logFirst = 50,
+                          .logNext = 50,
+                          .isSnapshotKept = true};
+    status.snapshotTimeMs = 0;
+    CHECK_FALSE(isSnapshotDue(status, policy, 0, 49'999));
+    CHECK(isSnapshotDue(status, policy, 0, 50'000));
 }
 
 namespace {
 
-timed_record editAt(std::uint64_t offset, std::uint64_t base, const std::string &name)
+timed_record makeEdit(std::uint64_t offset, std::uint64_t base, const std::string &name)
 {
     const edit_record record{hash128{offset, 1}, base, "awa", {addPlace({name, {}})}};
     return {{offset, encodeRecord(record)}, 1000 + static_cast<std::int64_t>(offset)};
 }
 
-std::vector<timed_record> editsOf(std::uint64_t count)
+std::vector<timed_record> makeEdits(std::uint64_t count)
 {
     std::vector<timed_record> records;
     for (std::uint64_t offset = 1; offset <= count; ++offset) {
-        records.push_back(editAt(offset, offset - 1, "dc-" + std::to_string(offset)));
+        records.push_back(makeEdit(offset, offset - 1, "dc-" + std::to_string(offset)));
     }
     return records;
 }
 
-fold_state foldedTo(std::uint64_t count)
+fold_state foldEdits(std::uint64_t count)
 {
     version_state state;
-    absorbRecords(state, editsOf(count));
+    absorbRecords(state, makeEdits(count));
     return state.folded;
 }
 
 } // namespace
 
-TEST_CASE("any order, repetition or loss of records and snapshots only moves a node forward")
+TEST_CASE("records and snapshots in any order, repeated or lost, never decrease position or version")
 {
     constexpr std::uint64_t records = 12;
-    constexpr int sequences = 3000;
-    const std::vector<timed_record> log = editsOf(records);
-    const fold_state whole = foldedTo(records);
+    constexpr int sequenceCount = 3000;
+    const std::vector<timed_record> log = makeEdits(records);
+    const fold_state expected = foldEdits(records);
     random_generator generator(20261204);
-    for (int sequence = 0; sequence < sequences; ++sequence) {
+    for (int sequence = 0; sequence < sequenceCount; ++sequence) {
         version_state state;
         for (int step = 0; step < 20; ++step) {
             const fold_progress before = progressOf(state);
             const std::uint64_t from = generator() % records;
             const std::uint64_t count = 1 + generator() % (records - from);
             if (generator() % 5 == 0) {
-                absorbSnapshot(state, foldedTo(from));
+                absorbSnapshot(state, foldEdits(from));
             } else {
                 absorbRecords(state, std::span(log).subspan(from, count));
             }
             const fold_progress after = progressOf(state);
             REQUIRE(after.position >= before.position);
             REQUIRE(after.version >= before.version);
-            REQUIRE(state.folded == foldedTo(after.position - 1));
+            REQUIRE(state.folded == foldEdits(after.position - 1));
         }
         absorbRecords(state, log);
-        REQUIRE(state.folded == whole);
+        REQUIRE(state.folded == expected);
     }
 }
 
-TEST_CASE("a corrupt record is rejected as a whole and the fold goes on behind it")
+TEST_CASE("a corrupt record is rejected and the fold continues with the next record")
 {
-    std::vector<timed_record> log = editsOf(2);
+    std::vector<timed_record> log = makeEdits(2);
     log.push_back({{3, "garbage"}, 1});
-    log.push_back(editAt(4, 2, "dc-4"));
+    log.push_back(makeEdit(4, 2, "dc-4"));
     version_state state;
     const absorb_report report = absorbRecords(state, log);
     CHECK(report.versionChanged);
@@ -189,18 +193,18 @@
     CHECK(state.rejectedRecords == 1);
 }
 
-TEST_CASE("a snapshot that is behind never replaces a newer state")
+TEST_CASE("a snapshot at a lower position does not replace the state")
 {
     version_state state;
-    absorbRecords(state, editsOf(5));
-    CHECK(absorbSnapshot(state, foldedTo(4)) == absorb_report{});
+    absorbRecords(state, makeEdits(5));
+    CHECK(absorbSnapshot(state, foldEdits(4)) == absorb_report{});
     CHECK(progressOf(state) == fold_progress{6, 5});
 }
 
-TEST_CASE("a peer gets the record that blocks a node, and so learns that it is blocked too")
+TEST_CASE("recordsForPeer includes the record with an unreadable schema that blocks the fold")
 {
     version_state state;
-    absorbRecords(state, editsOf(2));
+    absorbRecords(state, makeEdits(2));
     std::string newer = encodeRecord({hash128{3, 1}, 2, "awa", {addPlace({"dc-3", {}})}});
     newer = sealEnvelope(recordMagic, recordSchema + 1, openEnvelope(recordMagic, recordSchema, newer).body);
     const std::vector<timed_record> blocking = {{{3, newer}, 1}};
--- a/packages/process/spread/startup_gate.cc
+++ b/packages/process/spread/startup_gate.cc
@@ -12,22 +12,23 @@
     return gate;
 }
 
-startup_gate withPeerNews(startup_gate gate, const fold_progress &heard, time_point now)
+startup_gate withPeerNews(startup_gate gate, const fold_progress &peer, time_point now)
 {
-    if (!gate.firstPeerAt) {
-        gate.firstPeerAt = now;
+    if (!gate.firstPeerResponseAt) {
+        gate.firstPeerResponseAt = now;
     }
-    gate.highestHeard.position = std::max(gate.highestHeard.position, heard.position);
-    gate.highestHeard.version = std::max(gate.highestHeard.version, heard.version);
+    gate.highestPeerProgress.position = std::max(gate.highestPeerProgress.position, peer.position);
+    gate.highestPeerProgress.version = std::max(gate.highestPeerProgress.version, peer.version);
     return gate;
 }
 
 startup_gate advanceGate(startup_gate gate, const fold_progress &own, time_point now)
 {
     const bool isAtLogEnd = gate.logEnd && own.position >= *gate.logEnd;
-    const bool hasListened = gate.firstPeerAt && now - *gate.firstPeerAt >= peerListenTime;
-    const bool isAtPeers = own.position >= gate.highestHeard.position && own.version >= gate.highestHeard.version;
-    if (isAtLogEnd || (hasListened && isAtPeers && own.version > 0)) {
+    const bool hasWaitedForPeers = gate.firstPeerResponseAt && now - *gate.firstPeerResponseAt >= peerWaitTime;
+    const bool isAtPeerProgress =
+        own.position >= gate.highestPeerProgress.position && own.version >= gate.highestPeerProgress.version;
+    if (isAtLogEnd || (hasWaitedForPeers && isAtPeerProgress && own.version > 0)) {
         gate.wasOpened = true;
     }
     return gate;
--- a/packages/process/spread/startup_gate.h
+++ b/packages/process/spread/startup_gate.h
@@ -1,13 +1,16 @@
-// Start-up gate: a node without a disk must not serve an older version than the one it served before it restarted. It
-// routes nothing until it has caught up with what it can learn.
+// Start-up gate: holds back routing until a restarted node has caught up. A node keeps no state on disk, and must not
+// route by an older version than before its restart.
 //
 //   startup_gate gate;
 //   gate = withPeerNews(gate, {.position = 12, .version = 11}, now);
 //   gate = advanceGate(gate, {.position = 12, .version = 11}, now);
 //   if (gate.wasOpened) startRouting();
 //
-// The gate opens when the node has (a) folded up to the log's end once, or (b) folded up to the highest position and
-// version heard from peers, and 1 s has passed since the first peer responded. Once open it stays open.
+// The gate opens when the node
+// (a) has folded up to the end that the log had at its first read, or
+// (b) has an accepted version, has folded up to the highest position and version that peers reported, and
+//     `peerWaitTime` has passed since the first peer responded.
+// Once open it stays open.
 #pragma once
 
 #include <compare>
@@ -18,7 +21,7 @@
 
 namespace pistachioquay {
 
-// How far a node has folded the log.
+// Position and version that a node has reached by folding the log.
 struct fold_progress
 {
     std::uint64_t position = 0; // next offset to fold
@@ -27,25 +30,26 @@
     friend auto operator<=>(const fold_progress &, const fold_progress &) = default;
 };
 
-// Time to hear of newer versions from further peers after the first one responded.
-inline constexpr milliseconds peerListenTime{1000};
+// Wait after the first peer response, so that further peers can report a newer version.
+inline constexpr milliseconds peerWaitTime{1000};
 
-// Immutable state of the gate.
+// State of the gate; the functions below return a changed copy.
 struct startup_gate
 {
     bool wasOpened = false;
-    std::optional<std::uint64_t> logEnd; // `next` of the first read of the log
-    std::optional<time_point> firstPeerAt;
-    fold_progress highestHeard;
+    std::optional<std::uint64_t> logEnd; // next offset to append, from the first read of the log
+    std::optional<time_point> firstPeerResponseAt;
+    fold_progress highestPeerProgress; // highest position and highest version, each over all reports
 
     friend auto operator<=>(const startup_gate &, const startup_gate &) = default;
 };
 
-// withLogEnd notes the end of the log at the first successful read. Thread safe.
+// withLogEnd stores the end of the log at the first read; later calls change nothing. Thread safe.
 startup_gate withLogEnd(startup_gate gate, std::uint64_t next);
 
-// withPeerNews notes how far a peer has folded, or what a peer remembers of this node's earlier life. Thread safe.
-startup_gate withPeerNews(startup_gate gate, const fold_progress &heard, time_point now);
+// withPeerNews stores the progress that a peer reports: its own, or the progress that this node reported to it before
+// the restart. Thread safe.
+startup_gate withPeerNews(startup_gate gate, const fold_progress &peer, time_point now);
 
 // advanceGate returns the gate with `wasOpened` set if a condition for opening holds. Thread safe.
 startup_gate advanceGate(startup_gate gate, const fold_progress &own, time_point now);
--- a/packages/process/spread/version_state.cc
+++ b/packages/process/spread/version_state.cc
@@ -7,37 +7,37 @@
 
 namespace {
 
-void keepVerdict(version_state &state, std::uint64_t offset, fold_verdict verdict)
+void storeVerdict(version_state &state, std::uint64_t offset, fold_verdict verdict)
 {
     if (verdict.kind != verdict_kind::Accepted) {
         ++state.rejectedRecords;
     }
     state.verdicts.push_back({offset, std::move(verdict)});
-    if (state.verdicts.size() > keptVerdicts) {
+    if (state.verdicts.size() > maxKeptVerdicts) {
         state.verdicts.pop_front();
     }
 }
 
-void noteUncovered(version_state &state, const timed_record &each)
+void updateOldestUncovered(version_state &state, const timed_record &entry)
 {
-    if (!state.snapshots.oldestUncoveredMs && each.timeMs > 0) {
-        state.snapshots.oldestUncoveredMs = each.timeMs;
+    if (!state.snapshots.oldestUncoveredMs && entry.timeMs > 0) {
+        state.snapshots.oldestUncoveredMs = entry.timeMs;
     }
 }
 
-// Folds one record at the position; false if the fold cannot go on.
-bool foldNext(version_state &state, const timed_record &each)
+// Folds the record at the state's position. Returns false if this program cannot read the record's schema.
+bool foldNext(version_state &state, const timed_record &entry)
 {
-    fold_step step = foldRecord(std::move(state.folded), each.record.offset, each.record.data);
+    fold_step step = foldRecord(std::move(state.folded), entry.record.offset, entry.record.data);
     state.folded = std::move(step.state);
     state.blockedBy.reset();
     if (step.verdict.kind == verdict_kind::UnreadableSchema) {
-        state.blockedBy = each;
+        state.blockedBy = entry;
         return false;
     }
-    keepVerdict(state, each.record.offset, std::move(step.verdict));
-    noteUncovered(state, each);
-    appendToBuffer(state.recent, each.record);
+    storeVerdict(state, entry.record.offset, std::move(step.verdict));
+    updateOldestUncovered(state, entry);
+    appendToBuffer(state.recent, entry.record);
     return true;
 }
 
@@ -68,15 +68,15 @@
 {
     const fold_progress before = progressOf(state);
     absorb_report report;
-    for (const timed_record &each : records) {
-        if (each.record.offset < state.folded.position) {
+    for (const timed_record &entry : records) {
+        if (entry.record.offset < state.folded.position) {
             continue;
         }
-        if (each.record.offset > state.folded.position) {
+        if (entry.record.offset > state.folded.position) {
             report.hasGap = true;
             break;
         }
-        if (!foldNext(state, each)) {
+        if (!foldNext(state, entry)) {
             break;
         }
     }
@@ -107,12 +107,12 @@
 
 void noteSnapshot(version_state &state, std::uint64_t position, std::int64_t timeMs, bool isKept)
 {
-    snapshot_facts &facts = state.snapshots;
-    facts.isSnapshotKept = isKept;
-    if (isKept && position >= facts.snapshotPosition) {
-        facts.snapshotPosition = position;
-        facts.snapshotTimeMs = timeMs;
-        facts.oldestUncoveredMs.reset();
+    snapshot_facts &status = state.snapshots;
+    status.isSnapshotKept = isKept;
+    if (isKept && position >= status.snapshotPosition) {
+        status.snapshotPosition = position;
+        status.snapshotTimeMs = timeMs;
+        status.oldestUncoveredMs.reset();
     }
 }
 
--- a/packages/process/spread/version_state.h
+++ b/packages/process/spread/version_state.h
@@ -1,5 +1,5 @@
-// The versions that one node knows: the fold, the newest records for peers, the start-up gate and the facts about
-// snapshots. All functions only go forward: no input makes the position or the version smaller.
+// Configuration state of one node: the fold state, the newest records for peers, the start-up gate and the status of
+// snapshots. No input decreases the position or the version.
 //
 //   version_state state;
 //   const absorb_report report = absorbRecords(state, batch.records);
@@ -20,7 +20,7 @@
 
 namespace pistachioquay {
 
-// A record with the time at which the log took it; 0 when a peer passed it on without the time.
+// A record with the time at which the log appended it; 0 if a peer sent the record without the time.
 struct timed_record
 {
     config_record record;
@@ -35,7 +35,7 @@
     }
 };
 
-// Verdict on a record, kept for status.
+// Verdict of the fold on the record at `offset`.
 struct record_verdict
 {
     std::uint64_t offset = 0;
@@ -44,52 +44,57 @@
     friend bool operator==(const record_verdict &, const record_verdict &) = default;
 };
 
-inline constexpr std::size_t keptVerdicts = 64;
+inline constexpr std::size_t maxKeptVerdicts = 64;
 
-// Not thread safe.
+// See the head of this file. Not thread safe.
 struct version_state
 {
     fold_state folded;
     record_buffer recent;
     startup_gate gate;
     snapshot_facts snapshots;
-    std::optional<timed_record> blockedBy; // the next record, if its schema is newer than this program reads
-    std::deque<record_verdict> verdicts; // newest last
-    std::uint64_t rejectedRecords = 0;
+    std::optional<timed_record> blockedBy; // the next record, if its schema is too new for this program
+    std::deque<record_verdict> verdicts; // of the newest `maxKeptVerdicts` records, newest last
+    std::uint64_t rejectedRecords = 0; // since the node started
 };
 
-// What a change of the state means for the node.
+// What absorbRecords or absorbSnapshot changed.
 struct absorb_report
 {
     bool positionChanged = false;
     bool versionChanged = false;
-    bool hasGap = false; // records are missing before the first one given: a snapshot or older records are needed
+    bool hasGap = false; // the given records skip offsets: earlier records or a snapshot are needed
 
     friend auto operator<=>(const absorb_report &, const absorb_report &) = default;
 };
 
-// progressOf returns how far the state has folded.
+// progressOf returns the position and version of the fold state.
 fold_progress progressOf(const version_state &state);
 
-// seenProgress returns what the node tells its peers: its progress, with the position behind a record that blocks it.
-// So peers that have not seen that record pull it, and a peer of the same release does not ask for it again and again.
+// seenProgress returns the progress that the node announces to its peers. If a record with an unreadable schema blocks
+// the fold, the announced position is the one after that record: peers that lack the record pull it, and a peer of the
+// same release, blocked by it too, does not pull it repeatedly.
 fold_progress seenProgress(const version_state &state);
 
-// recordsForPeer returns the records that a peer at `position` lacks, the blocking one among them; empty optional if
-// they are no longer kept.
+// recordsForPeer returns the records from `position` on, limited by `maxBytes` as in recordsFrom; a record that blocks
+// the fold is added when it comes next. Returns std::nullopt if the records are no longer buffered.
 std::optional<std::vector<config_record>>
 recordsForPeer(const version_state &state, std::uint64_t position, std::size_t maxBytes);
 
-// absorbRecords folds the records that follow the position, in order; older ones are ignored, and a gap stops it.
+// absorbRecords folds `records`, which are in ascending order of offset. It skips those before the state's position,
+// and stops at a gap or at a record with an unreadable schema.
 absorb_report absorbRecords(version_state &state, std::span<const timed_record> records);
 
-// absorbSnapshot takes over a whole state if it is ahead. A state with an older version or position is ignored.
+// absorbSnapshot replaces the fold state if the snapshot's position is higher and its version is not lower. Otherwise
+// it changes nothing.
 absorb_report absorbSnapshot(version_state &state, fold_state snapshot);
 
-// noteLogRange notes the range of offsets that the log of stream `config` keeps.
+// noteLogRange stores which offsets of stream `config` the log retains: from `first` up to, but not including, `next`.
+// Neither bound is ever decreased.
 void noteLogRange(version_state &state, std::uint64_t first, std::uint64_t next);
 
-// noteSnapshot notes the newest snapshot in the log: its position and time. `isKept` is false when the log keeps none.
+// noteSnapshot stores the position and time of the newest snapshot in the log. `isKept` is false if the log retains no
+// snapshot; position and time are then ignored.
 void noteSnapshot(version_state &state, std::uint64_t position, std::int64_t timeMs, bool isKept);
 
 } // namespace pistachioquay
