Plain wording in process/settings

Comments and error texts now use the usual terms (validate, required key, omitted key). Renamed in the source file: checkKnown to checkKnownKeys, checkDistinct to checkDistinctAddresses, quoted to inBackticks, least, most and fallback to minimum, maximum and defaultValue. A comment says why the gossip address is not compared: it is a UDP port. Four texts of remedies and messages changed; no test or tool matches them. Test titles changed, no check.

--- a/packages/process/settings/settings.cc
+++ b/packages/process/settings/settings.cc
@@ -16,7 +16,7 @@
     return fail(error_kind::InvalidSettings, message, remedy);
 }
 
-std::string quoted(std::string_view text)
+std::string inBackticks(std::string_view text)
 {
     return "`" + std::string(text) + "`";
 }
@@ -32,19 +32,20 @@
     }
 }
 
-// Fails on the first key of `table` that is not in `known`; both are full dotted names.
-result<void> checkKnown(const toml::table &table, std::string_view prefix, std::span<const std::string_view> known)
+// Fails on the first key of `table` or of a table inside it that is not in `known`. `prefix` is the dotted path of
+// `table` with a trailing dot, or empty; `known` holds full dotted keys.
+result<void> checkKnownKeys(const toml::table &table, std::string_view prefix, std::span<const std::string_view> known)
 {
     for (const auto &[key, node] : table) {
         const std::string name = std::string(prefix) + std::string(key.str());
         if (const auto *inner = node.as_table()) {
-            BOOST_LEAF_CHECK(checkKnown(*inner, name + ".", known));
+            BOOST_LEAF_CHECK(checkKnownKeys(*inner, name + ".", known));
         } else if (std::ranges::find(known, name) == known.end()) {
             std::string names;
             for (const std::string_view each : known) {
                 names += (names.empty() ? "" : ", ") + std::string(each);
             }
-            return invalid("unknown key " + quoted(name), "remove it or use one of: " + names);
+            return invalid("unknown key " + inBackticks(name), "remove it or use one of: " + names);
         }
     }
     return {};
@@ -54,11 +55,11 @@
 {
     const auto node = table.at_path(key);
     if (!node) {
-        return invalid("missing key " + quoted(key), "add it to the settings file");
+        return invalid("missing key " + inBackticks(key), "add it to the settings file");
     }
     const auto text = node.value_exact<std::string>();
     if (!text || text->empty()) {
-        return invalid(quoted(key) + " is not a text", "write a non-empty quoted string");
+        return invalid(inBackticks(key) + " is not a text", "write a non-empty quoted string");
     }
     return *text;
 }
@@ -70,22 +71,25 @@
         return parseEndpoint(text);
     });
     if (!address) {
-        return invalid(quoted(key) + ": " + address.failure().message, address.failure().remedy);
+        return invalid(inBackticks(key) + ": " + address.failure().message, address.failure().remedy);
     }
     return *address;
 }
 
-result<std::int64_t>
-readNumber(const toml::table &table, std::string_view key, std::int64_t least, std::int64_t most, std::int64_t fallback)
+result<std::int64_t> readNumber(const toml::table &table,
+                                std::string_view key,
+                                std::int64_t minimum,
+                                std::int64_t maximum,
+                                std::int64_t defaultValue)
 {
     const auto node = table.at_path(key);
     if (!node) {
-        return fallback;
+        return defaultValue;
     }
     const auto number = node.value_exact<std::int64_t>();
-    if (!number || *number < least || *number > most) {
-        return invalid(quoted(key) + " is out of range or not a whole number",
-                       "give a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    if (!number || *number < minimum || *number > maximum) {
+        return invalid(inBackticks(key) + " is out of range or not a whole number",
+                       "write a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
     }
     return *number;
 }
@@ -99,7 +103,7 @@
     }
     const auto *list = node.as_array();
     if (list == nullptr) {
-        return invalid(quoted(key) + " is not a list", "write [\"IP:PORT\", ...]");
+        return invalid(inBackticks(key) + " is not a list", "write [\"IP:PORT\", ...]");
     }
     for (const auto &item : *list) {
         const auto text = item.value_exact<std::string>();
@@ -107,14 +111,15 @@
             return parseEndpoint(text.value_or(""));
         });
         if (!address) {
-            return invalid(quoted(key) + ": " + address.failure().message, address.failure().remedy);
+            return invalid(inBackticks(key) + ": " + address.failure().message, address.failure().remedy);
         }
         addresses.push_back(*address);
     }
     return addresses;
 }
 
-result<void> checkDistinct(const node_settings &settings)
+// The gossip address is not checked: it is a UDP port, which may have the number of a TCP port.
+result<void> checkDistinctAddresses(const node_settings &settings)
 {
     const std::array<endpoint, 4> listeners = {settings.callerAddress,
                                                settings.peerAddress,
@@ -122,8 +127,8 @@
                                                settings.syncAddress};
     for (auto each = listeners.begin(); each != listeners.end(); ++each) {
         if (std::find(std::next(each), listeners.end(), *each) != listeners.end()) {
-            return invalid("two `listen` keys have the address " + toText(*each),
-                           "give caller, peer, control and sync an address of their own");
+            return invalid("two `listen` keys use the address " + toText(*each),
+                           "set a different address for each of caller, peer, control and sync");
         }
     }
     return {};
@@ -139,7 +144,7 @@
     BOOST_LEAF_ASSIGN(settings.upstream, readEndpoint(table, "upstream.address"));
     BOOST_LEAF_ASSIGN(settings.platformLog, readEndpoint(table, "platform.log"));
     BOOST_LEAF_ASSIGN(settings.seeds, readEndpoints(table, "seeds.gossip"));
-    return checkDistinct(settings);
+    return checkDistinctAddresses(settings);
 }
 
 constexpr std::array<std::string_view, 15> nodeKeys = {
@@ -173,7 +178,7 @@
     constexpr std::int64_t maxConnections = 10'000;
     node_settings settings;
     BOOST_LEAF_AUTO(table, parseToml(toml));
-    BOOST_LEAF_CHECK(checkKnown(table, "", nodeKeys));
+    BOOST_LEAF_CHECK(checkKnownKeys(table, "", nodeKeys));
     BOOST_LEAF_ASSIGN(settings.dataCentre, readText(table, "node.data_centre"));
     BOOST_LEAF_ASSIGN(settings.service, readText(table, "node.service"));
     BOOST_LEAF_CHECK(readAddresses(table, settings));
@@ -183,7 +188,8 @@
     }
     BOOST_LEAF_AUTO(slots, readNumber(table, "upstream.slots", 1, maxSlots, 0));
     if (slots == 0) {
-        return invalid("missing key `upstream.slots`", "say how many requests the upstream runs at once");
+        return invalid("missing key `upstream.slots`",
+                       "set it to the number of requests that the upstream runs concurrently");
     }
     settings.slots = static_cast<std::uint32_t>(slots);
     BOOST_LEAF_AUTO(
@@ -201,7 +207,7 @@
 {
     cli_settings settings;
     BOOST_LEAF_AUTO(table, parseToml(toml));
-    BOOST_LEAF_CHECK(checkKnown(table, "", cliKeys));
+    BOOST_LEAF_CHECK(checkKnownKeys(table, "", cliKeys));
     BOOST_LEAF_ASSIGN(settings.platformLog, readEndpoint(table, "platform.log"));
     BOOST_LEAF_ASSIGN(settings.nodes, readEndpoints(table, "nodes.control"));
     BOOST_LEAF_ASSIGN(settings.author, readText(table, "operator.name"));
--- a/packages/process/settings/settings.h
+++ b/packages/process/settings/settings.h
@@ -1,9 +1,10 @@
-// Settings of the daemon and of the command line, read from TOML and checked as a whole at start.
+// Settings of the daemon and of the command-line program, read from TOML and fully validated at start.
 //
 //   const auto settings = attempt([&] { return readNodeSettings(fileText); });
 //   if (!settings) { std::cerr << describe(settings.failure()) << '\n'; return 2; }
 //
-// Unknown keys, wrong types, values out of range and missing addresses are errors that name the key and the remedy.
+// Unknown keys, wrong types, values out of range and missing required keys are errors. The error names the key and says
+// how to correct it.
 #pragma once
 
 #include <cstdint>
@@ -29,12 +30,12 @@
     endpoint gossipAddress; // `listen.gossip`
     endpoint syncAddress; // `listen.sync`
     endpoint upstream; // `upstream.address`
-    std::uint32_t slots = 0; // `upstream.slots`, requests that the worker runs at once
+    std::uint32_t slots = 0; // `upstream.slots`, requests that the upstream runs concurrently
     endpoint platformLog; // `platform.log`
-    milliseconds logRetention{86'400'000}; // `platform.retention_ms`, time that the log keeps records
-    std::vector<endpoint> seeds; // `seeds.gossip`, gossip addresses of nodes to join by
+    milliseconds logRetention{86'400'000}; // `platform.retention_ms`, how long the log retains records
+    std::vector<endpoint> seeds; // `seeds.gossip`, gossip addresses of the nodes contacted first to join the mesh
     milliseconds drainTimeout{30'000}; // `limits.drain_ms`
-    std::uint32_t maxConnections = 512; // `limits.connections`, for each HTTP port
+    std::uint32_t maxConnections = 512; // `limits.connections`, maximum for each HTTP port
 
     friend bool operator==(const node_settings &, const node_settings &) = default;
 };
@@ -43,16 +44,16 @@
 struct cli_settings
 {
     endpoint platformLog; // `platform.log`
-    std::vector<endpoint> nodes; // `nodes.control`, control addresses to ask for status
-    std::string author; // `operator.name`
+    std::vector<endpoint> nodes; // `nodes.control`, control addresses of the nodes to query for status
+    std::string author; // `operator.name`, written to published records as their author
 
     friend bool operator==(const cli_settings &, const cli_settings &) = default;
 };
 
-// readNodeSettings reads and checks the TOML text. Thread safe. Fails with InvalidSettings.
+// readNodeSettings parses and validates the TOML text. Thread safe. Fails with InvalidSettings.
 result<node_settings> readNodeSettings(std::string_view toml);
 
-// readCliSettings reads and checks the TOML text. Thread safe. Fails with InvalidSettings.
+// readCliSettings parses and validates the TOML text. Thread safe. Fails with InvalidSettings.
 result<cli_settings> readCliSettings(std::string_view toml);
 
 } // namespace pistachioquay
--- a/packages/process/settings/settings_test.cc
+++ b/packages/process/settings/settings_test.cc
@@ -1,4 +1,4 @@
-// Guards start-up against settings that would only fail later: each wrong key gets one error that names it.
+// Invalid settings must fail at start, not later: each invalid key gives an error that names it.
 #include <catch2/catch.hpp>
 
 #include "process/settings/settings.h"
@@ -7,7 +7,7 @@
 
 namespace {
 
-const std::string goodNode = R"(
+const std::string validNodeSettings = R"(
 [node]
 data_centre = "dakar-1"
 service = "venue-desk"
@@ -26,14 +26,14 @@
 gossip = ["127.0.0.1:8104"]
 )";
 
-std::string with(std::string_view from, std::string_view to)
+std::string withReplaced(std::string_view from, std::string_view to)
 {
-    std::string text = goodNode;
+    std::string text = validNodeSettings;
     text.replace(text.find(from), from.size(), to);
     return text;
 }
 
-error failureOf(const std::string &text)
+error readFailure(const std::string &text)
 {
     const auto read = attempt([&] {
         return readNodeSettings(text);
@@ -46,10 +46,10 @@
 
 } // namespace
 
-TEST_CASE("complete node settings are read with their defaults")
+TEST_CASE("node settings with all required keys are read, and omitted keys get their defaults")
 {
     const auto read = attempt([] {
-        return readNodeSettings(goodNode);
+        return readNodeSettings(validNodeSettings);
     });
     REQUIRE(read);
     CHECK(read->nodeId == "venue-desk@127.0.0.1:8002");
@@ -58,21 +58,25 @@
     CHECK(read->drainTimeout == milliseconds(30'000));
 }
 
-TEST_CASE("each kind of wrong setting is refused with the name of its key")
+TEST_CASE("an invalid setting is rejected with an error that names its key, address or line")
 {
-    CHECK(failureOf(with("slots = 6", "slotz = 6")).message.find("upstream.slotz") != std::string::npos);
-    CHECK(failureOf(with("slots = 6", "slots = \"6\"")).message.find("upstream.slots") != std::string::npos);
-    CHECK(failureOf(with("slots = 6", "slots = 0")).message.find("upstream.slots") != std::string::npos);
-    CHECK(failureOf(with("slots = 6", "")).message.find("upstream.slots") != std::string::npos);
-    CHECK(failureOf(with("caller = \"127.0.0.1:8001\"", "")).message.find("listen.caller") != std::string::npos);
-    CHECK(failureOf(with("127.0.0.1:8002", "localhost:8002")).message.find("listen.peer") != std::string::npos);
-    CHECK(failureOf(with("127.0.0.1:8002", "127.0.0.1:70000")).message.find("listen.peer") != std::string::npos);
-    CHECK(failureOf(with("127.0.0.1:8002", "127.0.0.1:8001")).message.find("127.0.0.1:8001") != std::string::npos);
-    CHECK(failureOf(with("[\"127.0.0.1:8104\"]", "7")).message.find("seeds.gossip") != std::string::npos);
-    CHECK(failureOf("[node").message.find("line 1") != std::string::npos);
+    CHECK(readFailure(withReplaced("slots = 6", "slotz = 6")).message.find("upstream.slotz") != std::string::npos);
+    CHECK(readFailure(withReplaced("slots = 6", "slots = \"6\"")).message.find("upstream.slots") != std::string::npos);
+    CHECK(readFailure(withReplaced("slots = 6", "slots = 0")).message.find("upstream.slots") != std::string::npos);
+    CHECK(readFailure(withReplaced("slots = 6", "")).message.find("upstream.slots") != std::string::npos);
+    CHECK(readFailure(withReplaced("caller = \"127.0.0.1:8001\"", "")).message.find("listen.caller")
+          != std::string::npos);
+    CHECK(readFailure(withReplaced("127.0.0.1:8002", "localhost:8002")).message.find("listen.peer")
+          != std::string::npos);
+    CHECK(readFailure(withReplaced("127.0.0.1:8002", "127.0.0.1:70000")).message.find("listen.peer")
+          != std::string::npos);
+    CHECK(readFailure(withReplaced("127.0.0.1:8002", "127.0.0.1:8001")).message.find("127.0.0.1:8001")
+          != std::string::npos);
+    CHECK(readFailure(withReplaced("[\"127.0.0.1:8104\"]", "7")).message.find("seeds.gossip") != std::string::npos);
+    CHECK(readFailure("[node").message.find("line 1") != std::string::npos);
 }
 
-TEST_CASE("command line settings need a platform address and an operator name")
+TEST_CASE("command-line settings require `operator.name` besides the platform log's address")
 {
     const auto read = attempt([] {
         return readCliSettings("[platform]\nlog = \"127.0.0.1:7000\"\n[operator]\nname = \"awa\"\n");
