Plain wording in packages/version/routes

Comments spoke of splits that stray, full worth and where a split stands. They now describe the lookup, the limits and the smooth weighted round robin. Test titles say what is checked.

--- a/packages/version/routes/routes.cc
+++ b/packages/version/routes/routes.cc
@@ -13,8 +13,8 @@
         host.remove_suffix(1);
     }
     std::string key(host);
-    std::ranges::transform(key, key.begin(), [](unsigned char letter) {
-        return static_cast<char>(std::tolower(letter));
+    std::ranges::transform(key, key.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
     });
     return key;
 }
@@ -51,18 +51,18 @@
     if (route.targets.size() == 1) {
         return route.targets.front().service;
     }
-    split_state::position &position = state.routes[route.name];
-    if (position.targets != route.targets) {
-        position = {route.targets, std::vector<std::int64_t>(route.targets.size(), 0)};
+    split_state::round_robin_state &robin = state.routes[route.name];
+    if (robin.targets != route.targets) {
+        robin = {route.targets, std::vector<std::int64_t>(route.targets.size(), 0)};
     }
-    std::int64_t total = 0;
+    std::int64_t totalWeight = 0;
     for (std::size_t index = 0; index < route.targets.size(); ++index) {
-        position.credit[index] += route.targets[index].weight;
-        total += route.targets[index].weight;
+        robin.currentWeights[index] += route.targets[index].weight;
+        totalWeight += route.targets[index].weight;
     }
-    const auto best = std::ranges::max_element(position.credit);
-    *best -= total;
-    return route.targets[static_cast<std::size_t>(best - position.credit.begin())].service;
+    const auto best = std::ranges::max_element(robin.currentWeights);
+    *best -= totalWeight;
+    return route.targets[static_cast<std::size_t>(best - robin.currentWeights.begin())].service;
 }
 
 } // namespace pistachioquay
--- a/packages/version/routes/routes.h
+++ b/packages/version/routes/routes.h
@@ -1,8 +1,8 @@
-// The routes of one configuration version, by host and path prefix. Immutable: a request keeps a pointer to the table
-// that it started with, and a new version replaces the pointer as a whole.
+// Route table of one configuration version, looked up by host and path prefix. Tables are immutable: a request keeps a
+// pointer to the table that was current when it arrived, and a new version replaces the shared pointer.
 //
 //   const routed_path *found = findRoute(table, "shop.example:8080", "/orders/7?full=1");
-//   const std::string &service = chooseTarget(splits, *found);          // exact by weight over any span of requests
+//   const std::string &service = chooseTarget(splits, *found); // by weight, if the route splits its traffic
 #pragma once
 
 #include <cstdint>
@@ -16,14 +16,15 @@
 
 namespace pistachioquay {
 
-// Whether a request may run again after it ran, or may have run.
+// Whether a request may be retried after an attempt that ran, or that may have run.
 enum class repeat_rule : std::uint8_t
 {
     Repeatable,
     AtMostOnce,
 };
 
-// One service of a split; a route without a split has one with weight 1.
+// One target service of a route and its share of the traffic. A route without a traffic split has one target of
+// weight 1.
 struct weighted_service
 {
     std::string service;
@@ -32,22 +33,22 @@
     friend auto operator<=>(const weighted_service &, const weighted_service &) = default;
 };
 
-// How requests under one host and prefix are treated.
+// Settings of one route: how requests with its host and path prefix are handled.
 struct routed_path
 {
     std::string name;
-    std::string prefix; // begins and ends with a slash
+    std::string prefix; // starts and ends with a slash
     repeat_rule repeat = repeat_rule::AtMostOnce;
-    milliseconds targetLatency{0}; // a response within this time earns its full worth
+    milliseconds targetLatency{0}; // a response within this time has its full value
     std::uint32_t priority = 0; // 0 is the most urgent
-    milliseconds timeout{0}; // longest time from the arrival at a node to the final response
-    std::uint32_t maxWorkers = 1; // that one request of a caller may be sent to
+    milliseconds timeout{0}; // longest time from arrival at a node to the final response
+    std::uint32_t maxWorkers = 1; // workers that may receive attempts of one request
     std::vector<weighted_service> targets;
 
     friend auto operator<=>(const routed_path &, const routed_path &) = default;
 };
 
-// Bounds on what callers send.
+// Limits on the connections and requests of callers.
 struct caller_limits
 {
     std::size_t maxHeaderBytes = 16UL * 1024;
@@ -60,36 +61,36 @@
 
 struct route_table
 {
-    std::uint64_t version = 0; // 0: no configuration is known yet
+    std::uint64_t version = 0; // 0: no configuration received yet
     caller_limits limits;
     std::unordered_map<std::string, std::map<std::string, routed_path, std::less<>>> hosts; // by host, then prefix
 
     friend bool operator==(const route_table &, const route_table &) = default;
 };
 
-// hostKey returns the lower-case host of a `Host` header, without port and final dot. Thread safe.
+// hostKey normalizes the value of a `Host` header for lookup: lower case, without port and trailing dot. Thread safe.
 std::string hostKey(std::string_view host);
 
-// findRoute returns the route with the longest prefix of the path of `target`; null if there is none. The pointer lives
-// as long as `table`. Thread safe.
+// findRoute returns the route of `host` whose prefix is the longest one that matches the path of `target`; null if none
+// matches. The pointer is valid as long as `table` exists. Thread safe.
 const routed_path *findRoute(const route_table &table, std::string_view host, std::string_view target);
 
-// routeCount returns the number of routes. Thread safe.
+// routeCount returns the number of routes of all hosts. Thread safe.
 std::size_t routeCount(const route_table &table);
 
-// Where each split stands. Belongs to one loop.
+// State of the weighted round robin of each route that splits its traffic. Used by one event loop only.
 struct split_state
 {
-    struct position
+    struct round_robin_state
     {
         std::vector<weighted_service> targets;
-        std::vector<std::int64_t> credit;
+        std::vector<std::int64_t> currentWeights; // one for each target
     };
-    std::unordered_map<std::string, position> routes; // by route name
+    std::unordered_map<std::string, round_robin_state> routes; // by route name
 };
 
-// chooseTarget picks the service of the next request by smooth weighted round robin, so that every span of requests
-// follows the weights. A change of the weights starts the split anew. Not thread safe.
+// chooseTarget returns the target service of the next request. It uses smooth weighted round robin, so that short
+// sequences of requests follow the weights too. A change of the targets or weights resets the state. Not thread safe.
 const std::string &chooseTarget(split_state &state, const routed_path &route);
 
 } // namespace pistachioquay
--- a/packages/version/routes/routes_test.cc
+++ b/packages/version/routes/routes_test.cc
@@ -1,4 +1,5 @@
-// Guards against requests that match the wrong route or host, and splits that stray from their weights.
+// Guards against requests that match the wrong route or host, and against traffic splits that deviate from their
+// weights.
 #include <catch2/catch.hpp>
 
 #include "version/routes/routes.h"
@@ -7,7 +8,7 @@
 
 namespace {
 
-route_table tableWith(const std::vector<std::string> &prefixes)
+route_table makeTable(const std::vector<std::string> &prefixes)
 {
     route_table table;
     table.version = 1;
@@ -21,7 +22,7 @@
     return table;
 }
 
-std::string routeOf(const route_table &table, std::string_view host, std::string_view target)
+std::string matchedRoute(const route_table &table, std::string_view host, std::string_view target)
 {
     const routed_path *found = findRoute(table, host, target);
     return found == nullptr ? "none" : found->name;
@@ -29,40 +30,40 @@
 
 } // namespace
 
-TEST_CASE("the longest prefix of whole segments wins")
+TEST_CASE("findRoute chooses the longest prefix that matches whole path segments")
 {
-    const route_table table = tableWith({"/a/", "/a/b/"});
-    CHECK(routeOf(table, "shop.example", "/a/b/c") == "/a/b/");
-    CHECK(routeOf(table, "shop.example", "/a/bc/d") == "/a/");
-    CHECK(routeOf(table, "shop.example", "/a/b/") == "/a/b/");
-    CHECK(routeOf(table, "shop.example", "/a/b") == "/a/");
-    CHECK(routeOf(table, "shop.example", "/a") == "none");
-    CHECK(routeOf(table, "shop.example", "/x/a/") == "none");
+    const route_table table = makeTable({"/a/", "/a/b/"});
+    CHECK(matchedRoute(table, "shop.example", "/a/b/c") == "/a/b/");
+    CHECK(matchedRoute(table, "shop.example", "/a/bc/d") == "/a/");
+    CHECK(matchedRoute(table, "shop.example", "/a/b/") == "/a/b/");
+    CHECK(matchedRoute(table, "shop.example", "/a/b") == "/a/");
+    CHECK(matchedRoute(table, "shop.example", "/a") == "none");
+    CHECK(matchedRoute(table, "shop.example", "/x/a/") == "none");
 }
 
-TEST_CASE("a query takes no part in the match")
+TEST_CASE("findRoute ignores the query string")
 {
-    const route_table table = tableWith({"/a/", "/b/"});
-    CHECK(routeOf(table, "shop.example", "/a/x?next=/b/") == "/a/");
-    CHECK(routeOf(table, "shop.example", "/c?next=/a/") == "none");
+    const route_table table = makeTable({"/a/", "/b/"});
+    CHECK(matchedRoute(table, "shop.example", "/a/x?next=/b/") == "/a/");
+    CHECK(matchedRoute(table, "shop.example", "/c?next=/a/") == "none");
 }
 
-TEST_CASE("hosts match without regard to case, port and final dot")
+TEST_CASE("findRoute ignores letter case, port and trailing dot of the host")
 {
-    const route_table table = tableWith({"/a/"});
-    CHECK(routeOf(table, "Shop.Example:8080", "/a/x") == "/a/");
-    CHECK(routeOf(table, "shop.example.", "/a/x") == "/a/");
-    CHECK(routeOf(table, "other.example", "/a/x") == "none");
-    CHECK(routeOf(table, "", "/a/x") == "none");
+    const route_table table = makeTable({"/a/"});
+    CHECK(matchedRoute(table, "Shop.Example:8080", "/a/x") == "/a/");
+    CHECK(matchedRoute(table, "shop.example.", "/a/x") == "/a/");
+    CHECK(matchedRoute(table, "other.example", "/a/x") == "none");
+    CHECK(matchedRoute(table, "", "/a/x") == "none");
 }
 
-TEST_CASE("every span of requests follows the weights of a split")
+TEST_CASE("a traffic split follows its weights within every 20 requests")
 {
     routed_path route;
     route.name = "split";
     route.targets = {{"old", 90}, {"new", 10}};
     split_state state;
-    for (int span = 0; span < 5; ++span) {
+    for (int batch = 0; batch < 5; ++batch) {
         unsigned toNew = 0;
         for (int index = 0; index < 20; ++index) {
             toNew += chooseTarget(state, route) == "new" ? 1U : 0U;
@@ -71,7 +72,7 @@
     }
 }
 
-TEST_CASE("changed weights hold from the next request on")
+TEST_CASE("changed weights of a traffic split apply to the next request")
 {
     routed_path route;
     route.name = "split";
