Plain wording in packages/version/text_delta

Pieces are chunks now, an ambiguous 'known' is the index of the chunk in the older text, and the fields of a step are firstChunk, chunkCount and newText (encoded without names, in the same order). Comments say why the chunk after the last copied one is preferred.

--- a/packages/version/text_delta/text_delta.cc
+++ b/packages/version/text_delta/text_delta.cc
@@ -10,36 +10,37 @@
 
 namespace {
 
-constexpr std::size_t stepOverhead = 8; // numbers and length of a step, at most about
+constexpr std::size_t stepOverheadBytes = 8; // upper estimate: chunk numbers and text length of a step
 
-std::vector<std::string_view> piecesOf(std::string_view text)
+std::vector<std::string_view> splitIntoChunks(std::string_view text)
 {
-    std::vector<std::string_view> pieces;
+    std::vector<std::string_view> chunks;
     while (!text.empty()) {
         const auto end = text.find('}');
         const std::size_t length = end == std::string_view::npos ? text.size() : end + 1;
-        pieces.push_back(text.substr(0, length));
+        chunks.push_back(text.substr(0, length));
         text.remove_prefix(length);
     }
-    return pieces;
+    return chunks;
 }
 
-// Appends a piece to the last step, as a copy if it continues that of the step.
-void appendPiece(std::vector<delta_step> &steps, std::string_view piece, std::optional<std::uint32_t> known)
+// Adds the next chunk of the newer text to `steps`. `olderIndex` is the index of an equal chunk of the older text, if
+// there is one: that chunk is copied, as part of the last step where it continues the range that the step copies.
+void appendChunk(std::vector<delta_step> &steps, std::string_view chunk, std::optional<std::uint32_t> olderIndex)
 {
-    if (!known) {
+    if (!olderIndex) {
         if (steps.empty()) {
             steps.emplace_back();
         }
-        steps.back().added += piece;
+        steps.back().newText += chunk;
         return;
     }
-    const bool continues = !steps.empty() && steps.back().added.empty()
-        && steps.back().firstPiece + steps.back().pieces == *known && steps.back().pieces > 0;
-    if (continues) {
-        ++steps.back().pieces;
+    const bool continuesCopy = !steps.empty() && steps.back().newText.empty()
+        && steps.back().firstChunk + steps.back().chunkCount == *olderIndex && steps.back().chunkCount > 0;
+    if (continuesCopy) {
+        ++steps.back().chunkCount;
     } else {
-        steps.push_back({*known, 1, {}});
+        steps.push_back({*olderIndex, 1, {}});
     }
 }
 
@@ -47,21 +48,22 @@
 
 text_delta makeDelta(std::string_view older, std::string_view newer)
 {
-    std::unordered_map<std::string_view, std::uint32_t> known;
-    const std::vector<std::string_view> olderPieces = piecesOf(older);
-    for (std::uint32_t index = 0; index < olderPieces.size(); ++index) {
-        known.emplace(olderPieces[index], index);
+    std::unordered_map<std::string_view, std::uint32_t> indexOfChunk;
+    const std::vector<std::string_view> olderChunks = splitIntoChunks(older);
+    for (std::uint32_t index = 0; index < olderChunks.size(); ++index) {
+        indexOfChunk.emplace(olderChunks[index], index);
     }
     text_delta delta;
     delta.resultHash = hash64(newer);
-    for (const std::string_view piece : piecesOf(newer)) {
-        // The piece that follows the last copy goes first, since equal pieces may stand in several places.
-        const std::uint32_t next = delta.steps.empty() ? 0 : delta.steps.back().firstPiece + delta.steps.back().pieces;
-        const auto found = known.find(piece);
-        if (next < olderPieces.size() && olderPieces[next] == piece) {
-            appendPiece(delta.steps, piece, next);
+    for (const std::string_view chunk : splitIntoChunks(newer)) {
+        // Prefers the chunk after the last copied one, because equal chunks may occur several times in the older text.
+        const std::uint32_t next =
+            delta.steps.empty() ? 0 : delta.steps.back().firstChunk + delta.steps.back().chunkCount;
+        const auto found = indexOfChunk.find(chunk);
+        if (next < olderChunks.size() && olderChunks[next] == chunk) {
+            appendChunk(delta.steps, chunk, next);
         } else {
-            appendPiece(delta.steps, piece, found == known.end() ? std::nullopt : std::optional(found->second));
+            appendChunk(delta.steps, chunk, found == indexOfChunk.end() ? std::nullopt : std::optional(found->second));
         }
     }
     return delta;
@@ -69,25 +71,28 @@
 
 std::optional<std::string> applyDelta(std::string_view older, const text_delta &delta)
 {
-    const std::vector<std::string_view> pieces = piecesOf(older);
-    std::string text;
+    const std::vector<std::string_view> chunks = splitIntoChunks(older);
+    std::string newer;
     for (const delta_step &step : delta.steps) {
-        if (step.firstPiece > pieces.size() || step.pieces > pieces.size() - step.firstPiece) {
+        if (step.firstChunk > chunks.size() || step.chunkCount > chunks.size() - step.firstChunk) {
             return std::nullopt;
         }
-        for (std::uint32_t index = 0; index < step.pieces; ++index) {
-            text += pieces[step.firstPiece + index];
+        for (std::uint32_t index = 0; index < step.chunkCount; ++index) {
+            newer += chunks[step.firstChunk + index];
         }
-        text += step.added;
+        newer += step.newText;
     }
-    return hash64(text) == delta.resultHash ? std::optional(std::move(text)) : std::nullopt;
+    return hash64(newer) == delta.resultHash ? std::optional(std::move(newer)) : std::nullopt;
 }
 
 std::size_t encodedBytes(const text_delta &delta)
 {
-    return std::accumulate(delta.steps.begin(), delta.steps.end(), stepOverhead, [](std::size_t sum, const auto &step) {
-        return sum + stepOverhead + step.added.size();
-    });
+    return std::accumulate(delta.steps.begin(),
+                           delta.steps.end(),
+                           stepOverheadBytes,
+                           [](std::size_t sum, const auto &step) {
+                               return sum + stepOverheadBytes + step.newText.size();
+                           });
 }
 
 } // namespace pistachioquay
