Plain wording in packages/pistachioquay/explain

They are endEntry, isOfRequestOrItsCalls, nodeName, explainCause and suggestNextStep; valueOf and parseLine are fieldValue and parseLogLine, line_field is log_field. Comments of the header say which text gives the node name and how entries are ordered. Test titles say what is checked. All texts that the command prints or reads are as before.

--- a/packages/pistachioquay/explain/explain.cc
+++ b/packages/pistachioquay/explain/explain.cc
@@ -8,21 +8,21 @@
 
 namespace {
 
-constexpr double leastErrorStatus = 400;
+constexpr double minErrorStatus = 400;
 
-// Node of a line whose text before the time ends with a name, as in collected logs.
-std::string nodeBefore(std::string_view head, std::string_view fallback)
+// Returns the last word of the text before the timestamp, which collected logs use for the name of the node.
+std::string nodeName(std::string_view prefix, std::string_view fallback)
 {
-    while (head.ends_with(' ')) {
-        head.remove_suffix(1);
+    while (prefix.ends_with(' ')) {
+        prefix.remove_suffix(1);
     }
-    const auto blank = head.rfind(' ');
-    const std::string_view name = blank == std::string_view::npos ? head : head.substr(blank + 1);
+    const auto blank = prefix.rfind(' ');
+    const std::string_view name = blank == std::string_view::npos ? prefix : prefix.substr(blank + 1);
     return std::string(name.empty() ? fallback : name);
 }
 
-// Takes one value from the front of `text`; values with blanks are quoted.
-std::string takeValue(std::string_view &text)
+// Removes one value from the start of `text` and returns it. A quoted value may have spaces and escaped characters.
+std::string consumeValue(std::string_view &text)
 {
     std::string value;
     const bool isQuoted = text.starts_with('"');
@@ -37,9 +37,9 @@
     return value;
 }
 
-std::vector<line_field> fieldsOf(std::string_view text)
+std::vector<log_field> parseFields(std::string_view text)
 {
-    std::vector<line_field> fields;
+    std::vector<log_field> fields;
     for (;;) {
         while (text.starts_with(' ')) {
             text.remove_prefix(1);
@@ -48,25 +48,25 @@
         if (equals == std::string_view::npos) {
             return fields;
         }
-        line_field field;
+        log_field field;
         field.key = text.substr(0, equals);
         text.remove_prefix(equals + 1);
-        field.value = takeValue(text);
+        field.value = consumeValue(text);
         fields.push_back(std::move(field));
     }
 }
 
-std::optional<double> numberOf(const node_line &line, std::string_view key)
+std::optional<double> numericValue(const node_line &line, std::string_view key)
 {
-    const std::string_view text = valueOf(line, key);
+    const std::string_view text = fieldValue(line, key);
     double number = 0;
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
     return failure == std::errc{} ? std::optional(number) : std::nullopt;
 }
 
-std::string textOf(const node_line &line, std::string_view key)
+std::string textValue(const node_line &line, std::string_view key)
 {
-    return std::string(valueOf(line, key));
+    return std::string(fieldValue(line, key));
 }
 
 bool isEvent(const node_line &line, std::string_view part, std::string_view event)
@@ -74,160 +74,163 @@
     return line.part == part && line.event == event;
 }
 
-bool belongsTo(const node_line &line, std::string_view id)
+// True for entries of request `id` and of the calls that its workers made, whose ids are `id` and a suffix after a dot.
+bool isOfRequestOrItsCalls(const node_line &line, std::string_view id)
 {
-    const std::string_view own = valueOf(line, "id");
-    return own == id || (own.starts_with(id) && own.substr(id.size()).starts_with('.'));
+    const std::string_view entryId = fieldValue(line, "id");
+    return entryId == id || (entryId.starts_with(id) && entryId.substr(id.size()).starts_with('.'));
 }
 
-bool isOfRequest(const node_line &line, std::string_view id)
+bool hasRequestId(const node_line &line, std::string_view id)
 {
-    return valueOf(line, "id") == id;
+    return fieldValue(line, "id") == id;
 }
 
-bool hasNoRoute(const node_line &ended)
+bool hasNoRoute(const node_line &endEntry)
 {
-    return valueOf(ended, "status") == "404" && valueOf(ended, "route") == "-";
+    return fieldValue(endEntry, "status") == "404" && fieldValue(endEntry, "route") == "-";
 }
 
-// Name of the last node of a trail like `be-1:handed-back,be-2:unknown`.
-std::string lastNode(const node_line &ended)
+// Returns the node of the last attempt in an attempt history like `be-1:handed-back,be-2:unknown`.
+std::string lastAttemptNode(const node_line &endEntry)
 {
-    const std::string_view trail = valueOf(ended, "nodes");
-    const std::string_view last = trail.substr(trail.rfind(',') + 1);
+    const std::string_view attempts = fieldValue(endEntry, "nodes");
+    const std::string_view last = attempts.substr(attempts.rfind(',') + 1);
     return std::string(last.substr(0, last.find(':')));
 }
 
-std::string explainNoRoute(const node_line &ended)
+std::string explainNoRoute(const node_line &endEntry)
 {
-    return "No route of configuration version " + textOf(ended, "version") + " matches host " + textOf(ended, "host")
-        + " and path " + textOf(ended, "path") + ".\n";
+    return "No route of configuration version " + textValue(endEntry, "version") + " matches host "
+        + textValue(endEntry, "host") + " and path " + textValue(endEntry, "path") + ".\n";
 }
 
-std::string explainRefusal(const node_line &ended, const std::vector<node_line> &lines)
+std::string explainRefusal(const node_line &endEntry, const std::vector<node_line> &lines)
 {
-    constexpr std::string_view marker = "not run: "; // begins the response that the caller got
-    std::string reason = textOf(ended, "reason");
-    reason.erase(0, reason.starts_with(marker) ? marker.size() : 0);
+    constexpr std::string_view prefix = "not run: "; // start of the response body that the caller received
+    std::string reason = textValue(endEntry, "reason");
+    reason.erase(0, reason.starts_with(prefix) ? prefix.size() : 0);
     std::string cause = "It was refused and has not run: " + reason + ".\n";
     for (const node_line &line : lines) {
-        if (isEvent(line, "inbound", "refused") && isOfRequest(line, valueOf(ended, "id"))) {
-            cause += "Node " + line.node + " refused it (" + textOf(line, "reason") + "): " + textOf(line, "running")
-                + " running, " + textOf(line, "waiting") + " waiting, expected wait " + textOf(line, "expected_wait_ms")
-                + " ms and run " + textOf(line, "expected_run_ms") + " ms, " + textOf(line, "time_left_ms")
-                + " ms left.\n";
+        if (isEvent(line, "inbound", "refused") && hasRequestId(line, fieldValue(endEntry, "id"))) {
+            cause += "Node " + line.node + " refused it (" + textValue(line, "reason")
+                + "): " + textValue(line, "running") + " running, " + textValue(line, "waiting")
+                + " waiting, expected wait " + textValue(line, "expected_wait_ms") + " ms and run "
+                + textValue(line, "expected_run_ms") + " ms, " + textValue(line, "time_left_ms") + " ms left.\n";
         }
     }
     return cause;
 }
 
-std::string explainRun(const node_line &ran)
+std::string describeRun(const node_line &run)
 {
-    return "At " + ran.node + " worker " + textOf(ran, "worker") + " took " + textOf(ran, "took_ms")
-        + " ms after a wait of " + textOf(ran, "waited_ms") + " ms, where " + textOf(ran, "expected_ms")
+    return "At " + run.node + " worker " + textValue(run, "worker") + " took " + textValue(run, "took_ms")
+        + " ms after a wait of " + textValue(run, "waited_ms") + " ms, where " + textValue(run, "expected_ms")
         + " ms was usual, and ended with "
-        + (valueOf(ran, "status") == "0" ? textOf(ran, "reason") : "status " + textOf(ran, "status")) + ".\n";
+        + (fieldValue(run, "status") == "0" ? textValue(run, "reason") : "status " + textValue(run, "status")) + ".\n";
 }
 
-bool isRunOf(const node_line &line, const node_line &ended)
+bool isRunOfRequest(const node_line &line, const node_line &endEntry)
 {
-    return isEvent(line, "inbound", "ran") && isOfRequest(line, valueOf(ended, "id"));
+    return isEvent(line, "inbound", "ran") && hasRequestId(line, fieldValue(endEntry, "id"));
 }
 
-// A call that the request's worker made and that failed.
-bool isFailedCallOf(const node_line &line, const node_line &ended)
+// True for the end of a failed call that a worker made while it ran the request.
+bool isFailedWorkerCall(const node_line &line, const node_line &endEntry)
 {
-    return isEvent(line, "outbound", "ended") && !isOfRequest(line, valueOf(ended, "id"))
-        && numberOf(line, "status") >= leastErrorStatus;
+    return isEvent(line, "outbound", "ended") && !hasRequestId(line, fieldValue(endEntry, "id"))
+        && numericValue(line, "status") >= minErrorStatus;
 }
 
-std::string explainUnknown(const node_line &ended, const std::vector<node_line> &lines)
+std::string explainLostResponse(const node_line &endEntry, const std::vector<node_line> &lines)
 {
-    const bool isTimeout = valueOf(ended, "status") == "504";
-    const std::string start = isTimeout ? "No response came in its time of " + textOf(ended, "time_left_ms") + " ms"
-                                        : "It was sent, and its response was lost";
+    const bool isTimeout = fieldValue(endEntry, "status") == "504";
+    const std::string start = isTimeout
+        ? "No response came in its time of " + textValue(endEntry, "time_left_ms") + " ms"
+        : "It was sent, and its response was lost";
     std::string runs;
     for (const node_line &line : lines) {
-        runs += isRunOf(line, ended) ? explainRun(line) : "";
+        runs += isRunOfRequest(line, endEntry) ? describeRun(line) : "";
     }
-    return start + " (" + textOf(ended, "reason") + "), last at node " + lastNode(ended) + ".\n"
+    return start + " (" + textValue(endEntry, "reason") + "), last at node " + lastAttemptNode(endEntry) + ".\n"
         + (runs.empty() ? "No node has logged a run of it: it may have run at a node that died.\n" : runs);
 }
 
-std::string explainResponse(const node_line &ended, const std::vector<node_line> &lines)
+std::string explainResponse(const node_line &endEntry, const std::vector<node_line> &lines)
 {
-    const auto took = numberOf(ended, "took_ms");
-    const auto target = numberOf(ended, "target_left_ms");
+    const auto took = numericValue(endEntry, "took_ms");
+    const auto target = numericValue(endEntry, "target_left_ms");
     const bool isLate = took && target && *took > *target;
-    std::string cause = "The worker responded with status " + textOf(ended, "status") + " after "
-        + textOf(ended, "took_ms") + " ms"
-        + (isLate ? ", later than its target of " + textOf(ended, "target_left_ms") + " ms" : "") + ".\n";
+    std::string cause = "The worker responded with status " + textValue(endEntry, "status") + " after "
+        + textValue(endEntry, "took_ms") + " ms"
+        + (isLate ? ", later than its target of " + textValue(endEntry, "target_left_ms") + " ms" : "") + ".\n";
     for (const node_line &line : lines) {
-        if (isRunOf(line, ended)) {
-            cause += explainRun(line);
-        } else if (isFailedCallOf(line, ended)) {
-            cause += "Its worker's call " + textOf(line, "id") + " to " + textOf(line, "service")
-                + " ended with status " + textOf(line, "status") + ": explain that id for its cause.\n";
+        if (isRunOfRequest(line, endEntry)) {
+            cause += describeRun(line);
+        } else if (isFailedWorkerCall(line, endEntry)) {
+            cause += "Its worker's call " + textValue(line, "id") + " to " + textValue(line, "service")
+                + " ended with status " + textValue(line, "status") + ": explain that id for its cause.\n";
         }
     }
     return cause;
 }
 
-std::string causeOf(const node_line &ended, const std::vector<node_line> &lines)
+std::string explainCause(const node_line &endEntry, const std::vector<node_line> &lines)
 {
-    if (hasNoRoute(ended)) {
-        return explainNoRoute(ended);
+    if (hasNoRoute(endEntry)) {
+        return explainNoRoute(endEntry);
     }
-    if (valueOf(ended, "outcome") == "caller-left") {
-        return "Its caller left after " + textOf(ended, "took_ms") + " ms, before the response.\n";
+    if (fieldValue(endEntry, "outcome") == "caller-left") {
+        return "Its caller left after " + textValue(endEntry, "took_ms") + " ms, before the response.\n";
     }
-    if (valueOf(ended, "status") == "503") {
-        return explainRefusal(ended, lines);
+    if (fieldValue(endEntry, "status") == "503") {
+        return explainRefusal(endEntry, lines);
     }
-    return valueOf(ended, "outcome") == "response" ? explainResponse(ended, lines) : explainUnknown(ended, lines);
+    return fieldValue(endEntry, "outcome") == "response" ? explainResponse(endEntry, lines)
+                                                         : explainLostResponse(endEntry, lines);
 }
 
-std::string nextOf(const node_line &ended)
+std::string suggestNextStep(const node_line &endEntry)
 {
-    if (hasNoRoute(ended)) {
-        return "Compare `[config] in-force` of " + ended.node + " with other nodes at that time.\n";
+    if (hasNoRoute(endEntry)) {
+        return "Compare `[config] in-force` of " + endEntry.node + " with other nodes at that time.\n";
     }
-    if (valueOf(ended, "outcome") == "unknown") {
-        return "Look for `[peer]` and `[store]` lines of " + ended.node + " and for `[node] started` of "
-            + lastNode(ended) + " at that time.\n";
+    if (fieldValue(endEntry, "outcome") == "unknown") {
+        return "Look for `[peer]` and `[store]` lines of " + endEntry.node + " and for `[node] started` of "
+            + lastAttemptNode(endEntry) + " at that time.\n";
     }
     return {};
 }
 
 } // namespace
 
-std::string_view valueOf(const node_line &line, std::string_view key)
+std::string_view fieldValue(const node_line &line, std::string_view key)
 {
-    const auto found = std::ranges::find(line.fields, key, &line_field::key);
+    const auto found = std::ranges::find(line.fields, key, &log_field::key);
     return found == line.fields.end() ? std::string_view() : std::string_view(found->value);
 }
 
-std::optional<node_line> parseLine(std::string_view text, std::string_view node)
+std::optional<node_line> parseLogLine(std::string_view text, std::string_view node)
 {
     const auto open = text.find(" [");
     const auto close = text.find("] ", open == std::string_view::npos ? 0 : open);
     if (open == std::string_view::npos || close == std::string_view::npos) {
         return std::nullopt;
     }
-    const std::string_view head = text.substr(0, open);
-    const std::string_view time = head.substr(head.rfind(' ') + 1); // npos + 1 is 0
+    const std::string_view beforePart = text.substr(0, open);
+    const std::string_view time = beforePart.substr(beforePart.rfind(' ') + 1); // npos + 1 is 0
     node_line line;
     const auto [end, failure] = std::from_chars(time.data(), time.data() + time.size(), line.atMs);
     if (failure != std::errc{} || end != time.data() + time.size()) {
         return std::nullopt;
     }
-    line.node = nodeBefore(head.substr(0, head.size() - time.size()), node);
+    line.node = nodeName(beforePart.substr(0, beforePart.size() - time.size()), node);
     line.part = text.substr(open + 2, close - open - 2);
     line.text = text.substr(open + 1);
     const std::string_view rest = text.substr(close + 2);
     const auto blank = std::min(rest.find(' '), rest.size());
     line.event = rest.substr(0, blank);
-    line.fields = fieldsOf(rest.substr(blank));
+    line.fields = parseFields(rest.substr(blank));
     return line;
 }
 
@@ -235,7 +238,7 @@
 {
     while (!log.empty()) {
         const auto lineEnd = std::min(log.find('\n'), log.size());
-        if (auto line = parseLine(log.substr(0, lineEnd), node)) {
+        if (auto line = parseLogLine(log.substr(0, lineEnd), node)) {
             lines.push_back(std::move(*line));
         }
         log.remove_prefix(std::min(lineEnd + 1, log.size()));
@@ -246,23 +249,23 @@
 {
     explanation found;
     std::erase_if(lines, [&](const node_line &line) {
-        return id.empty() || !belongsTo(line, id);
+        return id.empty() || !isOfRequestOrItsCalls(line, id);
     });
     std::ranges::stable_sort(lines, {}, &node_line::atMs);
     found.lines = std::move(lines);
     if (found.lines.empty()) {
         return found;
     }
-    const auto ended = std::ranges::find_if(found.lines, [&](const node_line &line) {
-        return isEvent(line, "outbound", "ended") && isOfRequest(line, id);
+    const auto endEntry = std::ranges::find_if(found.lines, [&](const node_line &line) {
+        return isEvent(line, "outbound", "ended") && hasRequestId(line, id);
     });
-    if (ended == found.lines.end()) {
+    if (endEntry == found.lines.end()) {
         found.cause = "No node has logged how it ended.\n";
         found.next = "Add the log of the node that the caller used, or of that node before its restart.\n";
         return found;
     }
-    found.cause = causeOf(*ended, found.lines);
-    found.next = nextOf(*ended);
+    found.cause = explainCause(*endEntry, found.lines);
+    found.next = suggestNextStep(*endEntry);
     return found;
 }
 
--- a/packages/pistachioquay/explain/explain.h
+++ b/packages/pistachioquay/explain/explain.h
@@ -1,11 +1,11 @@
-// Finds the lines of one request in the logs of many nodes and says in a sentence how it ended and why.
+// Finds the log entries of one request in the logs of several nodes and explains in sentences how it ended and why.
 //
 //   std::vector<node_line> lines;
-//   appendLines(lines, "be-1", logText);             // once for each node
+//   appendLines(lines, "be-1", logText);             // once per node
 //   const explanation found = explainRequest(std::move(lines), "a23a.33e1");
 //   std::cout << found.cause;
 //
-// Lines that are no log lines are skipped: logs of nodes may stand among other output.
+// Lines in another format are skipped, so the logs may be mixed with other output.
 #pragma once
 
 #include <cstdint>
@@ -16,46 +16,49 @@
 
 namespace pistachioquay {
 
-struct line_field
+// One key=value pair of a log entry, with quotes and escapes removed from the value.
+struct log_field
 {
     std::string key;
     std::string value;
 
-    friend auto operator<=>(const line_field &, const line_field &) = default;
+    friend auto operator<=>(const log_field &, const log_field &) = default;
 };
 
-// One line of a node's log.
+// One parsed entry of a node's log.
 struct node_line
 {
-    std::int64_t atMs = 0; // Unix time by the clock of its node
-    std::string node; // from the text before the time, or the name of the log
-    std::string part; // of the program, for example "outbound"
+    std::int64_t atMs = 0; // Unix time, by the clock of the node
+    std::string node; // name before the timestamp, or that of the log if there is none
+    std::string part; // of the program that logged the entry, for example "outbound"
     std::string event;
-    std::vector<line_field> fields;
-    std::string text; // the line from its part on
+    std::vector<log_field> fields;
+    std::string text; // the line from its [part] on
 
     friend auto operator<=>(const node_line &, const node_line &) = default;
 };
 
-// parseLine reads `[TEXT] UNIX-MS [part] event key=value ...`; empty if the line is none of the program's. `node` is
-// the name for a line that does not start with one. Thread safe.
-std::optional<node_line> parseLine(std::string_view text, std::string_view node);
+// parseLogLine parses `[TEXT] UNIX-MS [part] event key=value ...`, where the last word of the optional TEXT is the name
+// of the node; without TEXT the node is `node`. Empty if the line has another format. Thread safe.
+std::optional<node_line> parseLogLine(std::string_view text, std::string_view node);
 
-// appendLines reads a whole log. Thread safe for different vectors.
+// appendLines appends all entries of a log; `node` is the node of entries without a node name. Thread safe for
+// different vectors.
 void appendLines(std::vector<node_line> &lines, std::string_view node, std::string_view log);
 
-// valueOf returns the value of a key; empty if the line lacks it. Thread safe.
-std::string_view valueOf(const node_line &line, std::string_view key);
+// fieldValue returns the value of a key; empty if the entry does not have the key. Thread safe.
+std::string_view fieldValue(const node_line &line, std::string_view key);
 
+// Result of explainRequest.
 struct explanation
 {
-    std::vector<node_line> lines; // of the request and of the calls that its workers made, by time
-    std::string cause; // in sentences, ends with a line end; empty if there is no line of the request
-    std::string next; // what to look at to go on; empty if nothing is missing
+    std::vector<node_line> lines; // of the request and of the calls that its workers made, sorted by time
+    std::string cause; // sentences that end with a newline; empty if no log has an entry of the request
+    std::string next; // what to look at next; empty if nothing is missing
 };
 
-// explainRequest finds the lines of request `id`. Clocks of nodes may differ, so the order between nodes is only as
-// good as they are. Thread safe.
+// explainRequest explains the outcome of request `id`. Entries are sorted by the clocks of their nodes, so entries of
+// different nodes may be out of order by the difference of these clocks. Thread safe.
 explanation explainRequest(std::vector<node_line> lines, std::string_view id);
 
 } // namespace pistachioquay
--- a/packages/pistachioquay/explain/explain_test.cc
+++ b/packages/pistachioquay/explain/explain_test.cc
@@ -1,4 +1,5 @@
-// Guards the way from a failed request's id to its cause: three kinds of failure, from the lines of nodes alone.
+// Guards against failed requests whose cause cannot be found from their id and the logs of the nodes: refused requests,
+// lost or late responses, and requests without a matching route.
 #include <catch2/catch.hpp>
 
 #include "base/log_line.h"
@@ -8,7 +9,7 @@
 
 namespace {
 
-std::vector<node_line> linesOf(std::initializer_list<std::pair<std::string_view, std::string_view>> logs)
+std::vector<node_line> parseLogs(std::initializer_list<std::pair<std::string_view, std::string_view>> logs)
 {
     std::vector<node_line> lines;
     for (const auto &[node, log] : logs) {
@@ -24,36 +25,36 @@
 
 } // namespace
 
-TEST_CASE("a line of the log writer is read back with its values")
+TEST_CASE("parseLogLine restores the fields that log_line has written")
 {
     const log_line written =
         log_line("outbound", "ended").add("id", "a.1").add("reason", "not run: \"crowded\"").add("took_ms", 2.5);
-    const auto line = parseLine("1796398604169 " + written.text(), "be-1");
+    const auto line = parseLogLine("1796398604169 " + written.text(), "be-1");
     REQUIRE(line);
     CHECK(line->atMs == 1796398604169);
     CHECK(line->node == "be-1");
     CHECK(line->part == "outbound");
     CHECK(line->event == "ended");
-    CHECK(valueOf(*line, "reason") == "not run: \"crowded\"");
-    CHECK(valueOf(*line, "took_ms") == "2.5");
-    CHECK(valueOf(*line, "none").empty());
+    CHECK(fieldValue(*line, "reason") == "not run: \"crowded\"");
+    CHECK(fieldValue(*line, "took_ms") == "2.5");
+    CHECK(fieldValue(*line, "none").empty());
 }
 
-TEST_CASE("a collected line names its node, and other output is skipped")
+TEST_CASE("parseLogLine reads the node name before the timestamp and rejects other output")
 {
-    const auto line = parseLine("  0.25 be-2 1796398604169 [node] started node=be-2", "be-1");
+    const auto line = parseLogLine("  0.25 be-2 1796398604169 [node] started node=be-2", "be-1");
     REQUIRE(line);
     CHECK(line->node == "be-2");
     for (const std::string line : {"", "what happened", "12 [node", "x [node] started", "service [a] b"}) {
         INFO(line);
-        CHECK_FALSE(parseLine(line, "be-1"));
+        CHECK_FALSE(parseLogLine(line, "be-1"));
     }
 }
 
-TEST_CASE("a request that was refused under load names the nodes that refused it and their lines")
+TEST_CASE("a refused request is explained by the nodes that refused it and the length of their queues")
 {
     const explanation found = explainRequest(
-        linesOf(
+        parseLogs(
             {{"be-1",
               "20 [outbound] ended id=r1 route=orders service=orders status=503 outcome=not-run version=3 took_ms=9.0 "
               "nodes=be-2:not-run reason=\"not run: crowded\"\n"},
@@ -69,39 +70,39 @@
     CHECK_FALSE(contains(found.cause, "5 running"));
 }
 
-TEST_CASE("a request whose response was lost tells whether it ran")
+TEST_CASE("a lost response is explained by the logged run, or by a node that may have died")
 {
     const std::string ended = "30 [outbound] ended id=r2 route=sign service=sign status=502 outcome=unknown version=3 "
                               "took_ms=1500.0 nodes=be-2:not-run,be-3:unknown reason=link-lost\n";
-    const explanation dead = explainRequest(linesOf({{"be-1", ended}}), "r2");
-    CHECK(contains(dead.cause, "response was lost (link-lost), last at node be-3"));
-    CHECK(contains(dead.cause, "may have run at a node that died"));
-    CHECK(contains(dead.next, "`[node] started` of be-3"));
+    const explanation withoutRun = explainRequest(parseLogs({{"be-1", ended}}), "r2");
+    CHECK(contains(withoutRun.cause, "response was lost (link-lost), last at node be-3"));
+    CHECK(contains(withoutRun.cause, "may have run at a node that died"));
+    CHECK(contains(withoutRun.next, "`[node] started` of be-3"));
     const std::string ran = "25 [inbound] ran id=r2 worker=w-3 outcome=response status=200 waited_ms=1 took_ms=90.5 "
                             "expected_ms=80.0\n";
-    const explanation cut = explainRequest(linesOf({{"be-1", ended}, {"be-3", ran}}), "r2");
-    CHECK(contains(cut.cause, "At be-3 worker w-3 took 90.5 ms"));
-    CHECK_FALSE(contains(cut.cause, "died"));
+    const explanation withRun = explainRequest(parseLogs({{"be-1", ended}, {"be-3", ran}}), "r2");
+    CHECK(contains(withRun.cause, "At be-3 worker w-3 took 90.5 ms"));
+    CHECK_FALSE(contains(withRun.cause, "died"));
 }
 
-TEST_CASE("a request that an old configuration does not know names the version")
+TEST_CASE("a request without a matching route is explained by the configuration version")
 {
     const explanation found = explainRequest(
-        linesOf({{"be-1", "7 [outbound] ended id=r3 route=- status=404 version=11 path=/new/7 host=shop.example\n"}}),
+        parseLogs({{"be-1", "7 [outbound] ended id=r3 route=- status=404 version=11 path=/new/7 host=shop.example\n"}}),
         "r3");
     CHECK(contains(found.cause, "No route of configuration version 11 matches host shop.example and path /new/7"));
     CHECK(contains(found.next, "`[config] in-force` of be-1"));
 }
 
-TEST_CASE("a late response names the run, and a failed call of its worker")
+TEST_CASE("a late response is explained by its run and by a failed call of its worker")
 {
     const explanation found = explainRequest(
-        linesOf({{"be-1",
-                  "90 [outbound] ended id=r4 route=sign service=sign status=500 outcome=response took_ms=812.0 "
-                  "target_left_ms=400 nodes=be-2:response\n"},
-                 {"be-2",
-                  "89 [inbound] ran id=r4 worker=w-2 status=500 waited_ms=10 took_ms=800.0 expected_ms=100.0\n"
-                  "80 [outbound] ended id=r4.c1 service=lookup status=504 outcome=unknown took_ms=300.0\n"}}),
+        parseLogs({{"be-1",
+                    "90 [outbound] ended id=r4 route=sign service=sign status=500 outcome=response took_ms=812.0 "
+                    "target_left_ms=400 nodes=be-2:response\n"},
+                   {"be-2",
+                    "89 [inbound] ran id=r4 worker=w-2 status=500 waited_ms=10 took_ms=800.0 expected_ms=100.0\n"
+                    "80 [outbound] ended id=r4.c1 service=lookup status=504 outcome=unknown took_ms=300.0\n"}}),
         "r4");
     CHECK(found.lines.size() == 3);
     CHECK(contains(found.cause, "later than its target of 400 ms"));
@@ -109,12 +110,12 @@
     CHECK(contains(found.cause, "call r4.c1 to lookup ended with status 504"));
 }
 
-TEST_CASE("a request without its last line, or without any, says what is missing")
+TEST_CASE("explainRequest reports a missing outcome, and returns nothing without entries or without an id")
 {
-    const explanation open =
-        explainRequest(linesOf({{"be-2", "5 [inbound] ran id=r5 worker=w-2 status=200 took_ms=4.0\n"}}), "r5");
-    CHECK(contains(open.cause, "No node has logged how it ended"));
-    CHECK(contains(open.next, "the node that the caller used"));
+    const explanation withoutOutcome =
+        explainRequest(parseLogs({{"be-2", "5 [inbound] ran id=r5 worker=w-2 status=200 took_ms=4.0\n"}}), "r5");
+    CHECK(contains(withoutOutcome.cause, "No node has logged how it ended"));
+    CHECK(contains(withoutOutcome.next, "the node that the caller used"));
     CHECK(explainRequest({}, "r5").cause.empty());
-    CHECK(explainRequest(linesOf({{"be-2", "5 [inbound] ran id= worker=w\n"}}), "").lines.empty());
+    CHECK(explainRequest(parseLogs({{"be-2", "5 [inbound] ran id= worker=w\n"}}), "").lines.empty());
 }
