--- a/packages/version/routes/routes_test.cc
+++ b/packages/version/routes/routes_test.cc
@@ -57,7 +57,7 @@
     CHECK(matchedRoute(table, "", "/a/x") == "none");
 }
 
-TEST_CASE("a traffic split follows its weights within every 20 requests")
+TEST_CASE("a traffic split follows its weights in each batch of 20 requests")
 {
     routed_path route;
     route.name = "split";
