--- a/packages/connection/loop/wait_point.h
+++ b/packages/connection/loop/async_event.h
@@ -1,6 +1,6 @@
 // Coroutines of one event loop, and a point where one of them waits for an event or a time.
 //
-//   wait_point answered(executor);
+//   async_event answered(executor);
 //   ...                                       // elsewhere on the loop: answered.notify();
 //   const bool isAnswered = co_await answered.waitUntil(deadline);
 #pragma once
@@ -24,10 +24,10 @@
 inline constexpr auto awaitResult = net::as_tuple(net::use_awaitable);
 
 // One event that one coroutine waits for. Not thread safe: belongs to one loop.
-class wait_point
+class async_event
 {
 public:
-    explicit wait_point(const net::any_io_executor &executor)
+    explicit async_event(const net::any_io_executor &executor)
         : m_timer(executor)
     {
     }
--- a/packages/connection/loop/frame_link.h
+++ b/packages/connection/loop/frame_link.h
@@ -16,7 +16,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "base/endpoint.h"
-#include "connection/loop/wait_point.h"
+#include "connection/loop/async_event.h"
 
 namespace pistachioquay {
 
--- a/packages/connection/loop/http_client.cc
+++ b/packages/connection/loop/http_client.cc
@@ -70,7 +70,7 @@
     return "unknown";
 }
 
-struct loop_client::connection
+struct async_http_client::connection
 {
     explicit connection(const net::any_io_executor &executor)
         : stream(executor)
@@ -85,15 +85,15 @@
     bool isWriting = false;
 };
 
-loop_client::loop_client(net::any_io_executor executor, loop_client_options options)
+async_http_client::async_http_client(net::any_io_executor executor, async_http_client_options options)
     : m_executor(std::move(executor))
     , m_options(std::move(options))
 {
 }
 
-loop_client::~loop_client() = default;
+async_http_client::~async_http_client() = default;
 
-std::shared_ptr<loop_client::connection> loop_client::takeIdle(milliseconds within)
+std::shared_ptr<async_http_client::connection> async_http_client::takeIdle(milliseconds within)
 {
     const time_point now = steadyNow();
     closeIdle(now);
@@ -111,19 +111,20 @@
     return nullptr;
 }
 
-void loop_client::closeIdle(time_point now)
+void async_http_client::closeIdle(time_point now)
 {
     std::erase_if(m_idle, [&](const auto &idle) {
         return idle->closeAt <= now;
     });
 }
 
-void loop_client::closeAll()
+void async_http_client::closeAll()
 {
     m_idle.clear();
 }
 
-awaitable<std::shared_ptr<loop_client::connection>> loop_client::open(time_point deadline, exchange_result &result)
+awaitable<std::shared_ptr<async_http_client::connection>> async_http_client::open(time_point deadline,
+                                                                                  exchange_result &result)
 {
     auto made = std::make_shared<connection>(m_executor);
     beast::error_code failure;
@@ -142,7 +143,7 @@
     co_return made;
 }
 
-void loop_client::keep(std::shared_ptr<connection> used, const whole_response &response)
+void async_http_client::keep(std::shared_ptr<connection> used, const whole_response &response)
 {
     if (m_idle.size() >= m_options.maxIdle) {
         return;
@@ -162,8 +163,9 @@
 }
 
 // Writes the request and reads the response at the same time, because a target may respond before it has read all.
-awaitable<void>
-loop_client::exchange(const std::shared_ptr<connection> &used, const whole_request &request, exchange_result &result)
+awaitable<void> async_http_client::exchange(const std::shared_ptr<connection> &used,
+                                            const whole_request &request,
+                                            exchange_result &result)
 {
     connection &on = *used;
     const auto message = std::make_shared<http::request<http::string_body>>(toBeast(request));
@@ -204,10 +206,10 @@
 }
 
 awaitable<exchange_result>
-loop_client::send(const whole_request &request, exchange_options options, exchange_control &control)
+async_http_client::send(const whole_request &request, exchange_options options, cancellation_token &control)
 {
     exchange_result result;
-    std::shared_ptr<connection> used = takeIdle(options.reuseWithin);
+    std::shared_ptr<connection> used = takeIdle(options.maxIdleForReuse);
     result.wasReused = used != nullptr;
     if (used) {
         ++m_counts.reused;
--- a/packages/connection/loop/http_client.h
+++ b/packages/connection/loop/http_client.h
@@ -1,6 +1,6 @@
 // HTTP/1.1 client on an event loop, with connections that are kept for further requests.
 //
-//   loop_client worker(executor, {.target = address, .echoHeader = "X-Request-Id"});
+//   async_http_client worker(executor, {.target = address, .echoHeader = "X-Request-Id"});
 //   const exchange_result got = co_await worker.send(request, {.deadline = now + seconds(1)}, control);
 //   if (got.end == exchange_end::Complete) use(got.response);
 //
@@ -43,7 +43,7 @@
     bool wasReused = false; // the connection had served earlier requests
 };
 
-struct loop_client_options
+struct async_http_client_options
 {
     endpoint target;
     std::string echoHeader; // empty: responses are not compared
@@ -58,11 +58,11 @@
     time_point deadline;
     // Only connections that were in use this recently are used again. A target may drop an idle connection without
     // notice, and a request that is lost with it may have run.
-    milliseconds reuseWithin{4000};
+    milliseconds maxIdleForReuse{4000};
 };
 
 // Lets the owner of an exchange end it early. Belongs to the loop.
-class exchange_control
+class cancellation_token
 {
 public:
     void cancel()
@@ -94,16 +94,17 @@
 };
 
 // Not thread safe: belongs to one loop.
-class loop_client
+class async_http_client
 {
 public:
-    loop_client(net::any_io_executor executor, loop_client_options options);
-    ~loop_client();
-    loop_client(const loop_client &) = delete;
-    loop_client &operator=(const loop_client &) = delete;
+    async_http_client(net::any_io_executor executor, async_http_client_options options);
+    ~async_http_client();
+    async_http_client(const async_http_client &) = delete;
+    async_http_client &operator=(const async_http_client &) = delete;
 
     // send exchanges one request. The request must live until the operation ends.
-    awaitable<exchange_result> send(const whole_request &request, exchange_options options, exchange_control &control);
+    awaitable<exchange_result>
+    send(const whole_request &request, exchange_options options, cancellation_token &control);
     // closeIdle closes the connections that were idle for too long.
     void closeIdle(time_point now);
     // closeAll closes all idle connections.
@@ -126,7 +127,7 @@
     void keep(std::shared_ptr<connection> used, const whole_response &response);
 
     net::any_io_executor m_executor;
-    loop_client_options m_options;
+    async_http_client_options m_options;
     std::deque<std::shared_ptr<connection>> m_idle; // the most recently used last
     client_counts m_counts;
 };
--- a/packages/connection/loop/http_client_test.cc
+++ b/packages/connection/loop/http_client_test.cc
@@ -30,8 +30,8 @@
 {
 public:
     explicit client_of(const endpoint &target)
-        : m_client(std::make_unique<loop_client>(m_loop.executor(),
-                                                 loop_client_options{.target = target, .echoHeader = idHeader}))
+        : m_client(std::make_unique<async_http_client>(
+            m_loop.executor(), async_http_client_options{.target = target, .echoHeader = idHeader}))
     {
     }
     ~client_of()
@@ -50,7 +50,7 @@
         request.target = "/a";
         request.headers = {{"Host", "x"}, {idHeader, id}};
         request.body = std::move(body);
-        exchange_control control;
+        cancellation_token control;
         return m_loop.await(m_client->send(request, {.deadline = steadyNow() + wait}, control));
     }
 
@@ -61,7 +61,7 @@
 
 private:
     loop_thread m_loop;
-    std::unique_ptr<loop_client> m_client;
+    std::unique_ptr<async_http_client> m_client;
 };
 
 } // namespace
--- a/packages/connection/loop/http_server.cc
+++ b/packages/connection/loop/http_server.cc
@@ -66,9 +66,9 @@
     return {status, {{"Content-Type", std::string(contentType)}}, std::move(text), false};
 }
 
-struct loop_server::state : std::enable_shared_from_this<loop_server::state>
+struct async_http_server::state : std::enable_shared_from_this<async_http_server::state>
 {
-    state(net::any_io_executor given, loop_server_options with, request_handler call)
+    state(net::any_io_executor given, async_http_server_options with, request_handler call)
         : executor(std::move(given))
         , options(std::move(with))
         , handler(std::move(call))
@@ -76,15 +76,15 @@
     {
     }
 
-    server_bounds bounds() const
+    server_limits bounds() const
     {
-        return options.bounds ? options.bounds() : server_bounds{};
+        return options.bounds ? options.bounds() : server_limits{};
     }
 
     awaitable<void> acceptLoop();
 
     net::any_io_executor executor;
-    loop_server_options options;
+    async_http_server_options options;
     request_handler handler;
     tcp::acceptor acceptor;
     server_counts counts;
@@ -100,7 +100,7 @@
 class server_connection
 {
 public:
-    server_connection(std::shared_ptr<loop_server::state> shared, tcp::socket socket);
+    server_connection(std::shared_ptr<async_http_server::state> shared, tcp::socket socket);
     ~server_connection();
     server_connection(const server_connection &) = delete;
     server_connection &operator=(const server_connection &) = delete;
@@ -116,10 +116,10 @@
     awaitable<bool> rejectRequest(unsigned status);
     awaitable<whole_response> handle(const whole_request &request);
     awaitable<bool> write(whole_response response, unsigned version, bool isHead, bool keepAlive);
-    void watch(const std::shared_ptr<caller_presence> &caller);
+    void watch(const std::shared_ptr<caller_connection> &caller);
     awaitable<void> drain();
 
-    std::shared_ptr<loop_server::state> m_server;
+    std::shared_ptr<async_http_server::state> m_server;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::size_t m_heldBytes = 0;
@@ -127,7 +127,7 @@
     std::shared_ptr<bool> m_isServing; // set while the handler works; the watch of the connection ends with it
 };
 
-server_connection::server_connection(std::shared_ptr<loop_server::state> shared, tcp::socket socket)
+server_connection::server_connection(std::shared_ptr<async_http_server::state> shared, tcp::socket socket)
     : m_server(std::move(shared))
     , m_stream(std::move(socket))
 {
@@ -170,7 +170,7 @@
 
 awaitable<bool> server_connection::readRequest(parser_type &parser)
 {
-    const server_bounds bounds = m_server->bounds();
+    const server_limits bounds = m_server->bounds();
     parser.header_limit(static_cast<std::uint32_t>(bounds.headerBytes));
     parser.body_limit(bounds.bodyBytes);
     m_stream.expires_after(bounds.headerTimeout);
@@ -242,7 +242,7 @@
 }
 
 // Watches the connection until the caller leaves or sends more; the watch ends when the next operation starts.
-void server_connection::watch(const std::shared_ptr<caller_presence> &caller)
+void server_connection::watch(const std::shared_ptr<caller_connection> &caller)
 {
     const std::weak_ptr<bool> serving = m_isServing;
     m_stream.socket().async_wait(tcp::socket::wait_read, [caller, serving, this](const beast::error_code &failure) {
@@ -254,7 +254,7 @@
 
 awaitable<whole_response> server_connection::handle(const whole_request &request)
 {
-    const auto caller = std::make_shared<caller_presence>();
+    const auto caller = std::make_shared<caller_connection>();
     m_isServing = std::make_shared<bool>(true);
     m_stream.expires_never();
     if (m_buffer.size() == 0 && !hasBytes(m_stream.socket())) {
@@ -266,7 +266,7 @@
     } catch (const std::exception &) {
         response = textReply(500, "internal error\n");
     }
-    caller->onGone(nullptr);
+    caller->onDisconnect(nullptr);
     m_isServing.reset();
     m_stream.socket().cancel();
     if (caller->isGone()) {
@@ -325,7 +325,7 @@
 
 } // namespace
 
-awaitable<void> loop_server::state::acceptLoop()
+awaitable<void> async_http_server::state::acceptLoop()
 {
     const auto self = shared_from_this();
     while (!isStopped) {
@@ -353,17 +353,19 @@
     }
 }
 
-loop_server::loop_server(net::any_io_executor executor, loop_server_options options, request_handler handler)
+async_http_server::async_http_server(net::any_io_executor executor,
+                                     async_http_server_options options,
+                                     request_handler handler)
     : m_state(std::make_shared<state>(std::move(executor), std::move(options), std::move(handler)))
 {
 }
 
-loop_server::~loop_server()
+async_http_server::~async_http_server()
 {
     stop();
 }
 
-result<void> loop_server::start()
+result<void> async_http_server::start()
 {
     beast::error_code failure;
     const tcp::endpoint local(net::ip::make_address(m_state->options.address.ip, failure),
@@ -390,12 +392,12 @@
     return {};
 }
 
-void loop_server::closeAfterResponse()
+void async_http_server::closeAfterResponse()
 {
     m_state->isClosing = true;
 }
 
-void loop_server::stop()
+void async_http_server::stop()
 {
     m_state->isStopped = true;
     beast::error_code ignored; // closing ends the port in any case
@@ -405,12 +407,12 @@
     }
 }
 
-server_counts loop_server::counts() const
+server_counts async_http_server::counts() const
 {
     return m_state->counts;
 }
 
-endpoint loop_server::address() const
+endpoint async_http_server::address() const
 {
     beast::error_code failure;
     const auto local = m_state->acceptor.local_endpoint(failure);
--- a/packages/connection/loop/http_server.h
+++ b/packages/connection/loop/http_server.h
@@ -1,6 +1,6 @@
 // HTTP/1.1 server on an event loop. Requests are read whole, within bounds, before the handler sees them.
 //
-//   loop_server server(executor, options, [&](const whole_request &request, caller_presence &caller) ->
+//   async_http_server server(executor, options, [&](const whole_request &request, caller_connection &caller) ->
 //   awaitable<whole_response> {
 //       co_return textReply(200, "ready");
 //   });
@@ -19,7 +19,7 @@
 
 #include "base/endpoint.h"
 #include "connection/http/message.h"
-#include "connection/loop/wait_point.h"
+#include "connection/loop/async_event.h"
 
 namespace pistachioquay {
 
@@ -50,15 +50,15 @@
 whole_response textReply(unsigned status, std::string text, std::string_view contentType = "text/plain");
 
 // Whether the caller of a request is still there. Belongs to the loop.
-class caller_presence
+class caller_connection
 {
 public:
     bool isGone() const
     {
         return m_isGone;
     }
-    // onGone sets what is called once when the caller leaves; an empty function removes it.
-    void onGone(std::function<void()> action)
+    // onDisconnect sets what is called once when the caller leaves; an empty function removes it.
+    void onDisconnect(std::function<void()> action)
     {
         m_action = std::move(action);
     }
@@ -79,22 +79,22 @@
 };
 
 // Bounds on what callers send; they are read for each request, so that a change holds at once.
-struct server_bounds
+struct server_limits
 {
     std::size_t headerBytes = 16UL * 1024;
     std::size_t bodyBytes = 64UL * 1024 * 1024;
     milliseconds headerTimeout{3000};
     milliseconds idleTimeout{15000};
 
-    friend auto operator<=>(const server_bounds &, const server_bounds &) = default;
+    friend auto operator<=>(const server_limits &, const server_limits &) = default;
 };
 
-struct loop_server_options
+struct async_http_server_options
 {
     endpoint address;
     std::size_t maxConnections = 3000; // further ones are closed at once
     std::size_t maxBufferedBytes = 64UL * 1024 * 1024; // of request bodies on all connections; beyond it 503
-    std::function<server_bounds()> bounds; // empty: the defaults
+    std::function<server_limits()> bounds; // empty: the defaults
 };
 
 struct server_counts
@@ -107,15 +107,15 @@
 };
 
 // Not thread safe: belongs to one loop.
-class loop_server
+class async_http_server
 {
 public:
-    using request_handler = std::function<awaitable<whole_response>(const whole_request &, caller_presence &)>;
+    using request_handler = std::function<awaitable<whole_response>(const whole_request &, caller_connection &)>;
 
-    loop_server(net::any_io_executor executor, loop_server_options options, request_handler handler);
-    loop_server(const loop_server &) = delete;
-    loop_server &operator=(const loop_server &) = delete;
-    ~loop_server();
+    async_http_server(net::any_io_executor executor, async_http_server_options options, request_handler handler);
+    async_http_server(const async_http_server &) = delete;
+    async_http_server &operator=(const async_http_server &) = delete;
+    ~async_http_server();
 
     // start listens. Fails with Unavailable if the address is in use.
     result<void> start();
--- a/packages/connection/loop/http_server_test.cc
+++ b/packages/connection/loop/http_server_test.cc
@@ -17,14 +17,14 @@
 class echo_server
 {
 public:
-    explicit echo_server(server_bounds bounds = {})
+    explicit echo_server(server_limits bounds = {})
         : m_server(m_loop.executor(),
                    {.address = {"127.0.0.1", 0},
                     .bounds =
                         [bounds] {
                             return bounds;
                         }},
-                   [this](const whole_request &request, caller_presence &caller) {
+                   [this](const whole_request &request, caller_connection &caller) {
                        return answer(request, caller);
                    })
     {
@@ -59,19 +59,19 @@
     }
 
 private:
-    awaitable<whole_response> answer(const whole_request &request, caller_presence &caller)
+    awaitable<whole_response> answer(const whole_request &request, caller_connection &caller)
     {
         ++m_handled;
         if (request.target == "/throw") {
             throw std::runtime_error("handler");
         }
         if (request.target == "/wait") {
-            wait_point left(m_loop.executor());
-            caller.onGone([&left] {
+            async_event left(m_loop.executor());
+            caller.onDisconnect([&left] {
                 left.notify();
             });
             m_sawCallerLeave = co_await left.waitUntil(steadyNow() + seconds(5));
-            caller.onGone(nullptr);
+            caller.onDisconnect(nullptr);
         }
         co_return textReply(200, request.method + " " + request.target + " " + request.body);
     }
@@ -79,7 +79,7 @@
     loop_thread m_loop;
     std::atomic<int> m_handled = 0;
     std::atomic<bool> m_sawCallerLeave = false;
-    loop_server m_server;
+    async_http_server m_server;
 };
 
 std::string roundTrip(echo_server &server, std::string_view text)
--- a/packages/connection/loop/loop_fixture.h
+++ b/packages/connection/loop/loop_fixture.h
@@ -13,7 +13,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_future.hpp>
 
-#include "connection/loop/wait_point.h"
+#include "connection/loop/async_event.h"
 
 namespace pistachioquay::testing {
 
--- a/packages/process/fleet/fleet.cc
+++ b/packages/process/fleet/fleet.cc
@@ -30,7 +30,7 @@
             node.record.process,
             node.record.dataCentre,
             node.record.slots,
-            node.coldUntil,
+            node.warmUpUntil,
             static_cast<double>(node.record.linkBytesPerMs)};
 }
 
@@ -56,11 +56,11 @@
     return std::tuple(left.started, left.revision) > std::tuple(right.started, right.revision);
 }
 
-merge_report mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now)
+merge_result mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now)
 {
-    merge_report report;
+    merge_result report;
     if (record.nodeId == fleet.selfId) {
-        report.isOwnOutdated = record.started > ownStarted;
+        report.isOwnStartOutdated = record.started > ownStarted;
         return report;
     }
     const auto found = fleet.nodes.find(record.nodeId);
@@ -70,21 +70,21 @@
     if (found != fleet.nodes.end() && !isNewer(record, found->second.record)) {
         return report;
     }
-    report.isNews = true;
+    report.wasApplied = true;
     report.isNew = found == fleet.nodes.end() || found->second.record.process != record.process;
     report.hasWorkerChanged = report.isNew || found->second.record.worker != record.worker
         || found->second.record.isLeaving != record.isLeaving || found->second.record.service != record.service;
     known_node &node = fleet.nodes[record.nodeId];
     node.record = record;
-    node.heardAt = now;
-    node.coldUntil = now + milliseconds(record.coldMs);
+    node.lastHeardAt = now;
+    node.warmUpUntil = now + milliseconds(record.warmUpRemainingMs);
     if (report.hasWorkerChanged) {
         node.sendsLeft = sendsOf(fleet);
     }
     return report;
 }
 
-std::vector<node_record> chooseNews(fleet_state &fleet, std::size_t count, random_generator &generator)
+std::vector<node_record> chooseUpdates(fleet_state &fleet, std::size_t count, random_generator &generator)
 {
     std::vector<known_node *> changed;
     std::vector<known_node *> others;
@@ -95,7 +95,7 @@
     std::ranges::shuffle(others, generator);
     // What was heard last is news for most others; old records mostly are not.
     const auto fresh = others.begin() + static_cast<std::ptrdiff_t>(std::min(others.size(), count * freshDraws));
-    std::ranges::sort(others.begin(), fresh, std::ranges::greater(), &known_node::heardAt);
+    std::ranges::sort(others.begin(), fresh, std::ranges::greater(), &known_node::lastHeardAt);
     changed.insert(changed.end(), others.begin(), others.end());
     changed.resize(std::min(changed.size(), count));
     std::vector<node_record> news;
@@ -127,10 +127,10 @@
     return peers;
 }
 
-void noteAlive(fleet_state &fleet, const std::string &nodeId, time_point now)
+void recordNodeResponse(fleet_state &fleet, const std::string &nodeId, time_point now)
 {
     if (const auto found = fleet.nodes.find(nodeId); found != fleet.nodes.end()) {
-        found->second.heardAt = now;
+        found->second.lastHeardAt = now;
     }
 }
 
@@ -141,7 +141,7 @@
 
 bool isSilent(const fleet_state &fleet, const known_node &node, time_point now)
 {
-    return now - node.heardAt > silenceLimit(fleet);
+    return now - node.lastHeardAt > silenceLimit(fleet);
 }
 
 std::vector<worker_entry> readyWorkers(const fleet_state &fleet, const std::string &service, time_point now)
@@ -156,12 +156,12 @@
     return heard.empty() ? silent : heard;
 }
 
-std::vector<std::string> forgetSilent(fleet_state &fleet, time_point now)
+std::vector<std::string> removeSilentNodes(fleet_state &fleet, time_point now)
 {
     const milliseconds limit = std::max<milliseconds>(leastForgotten, silenceLimit(fleet) * forgottenSilences);
     std::vector<std::string> forgotten;
     std::erase_if(fleet.nodes, [&](const auto &item) {
-        const bool isForgotten = now - item.second.heardAt > limit;
+        const bool isForgotten = now - item.second.lastHeardAt > limit;
         if (isForgotten) {
             forgotten.push_back(item.first);
         }
--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -1,8 +1,8 @@
 // The nodes of the mesh and their workers, as one node knows them from datagrams of the others.
 //
 //   fleet_state fleet;
-//   const merge_report merged = mergeRecord(fleet, record, now);
-//   for (const node_record &record : chooseNews(fleet, now, generator)) ...     // what a datagram passes on
+//   const merge_result merged = mergeRecord(fleet, record, now);
+//   for (const node_record &record : chooseUpdates(fleet, now, generator)) ...     // what a datagram passes on
 //   const std::vector<worker_entry> workers = readyWorkers(fleet, "orders", now);
 //
 // News about one node is ordered by the time at which its process started and a revision that only the node raises, so
@@ -62,7 +62,7 @@
     bool isLeaving = false; // the node shuts down
     std::uint32_t slots = 0;
     std::uint32_t linkBytesPerMs = 0; // rate of the VM's link
-    std::uint32_t coldMs = 0; // how much longer the worker is slow after its start
+    std::uint32_t warmUpRemainingMs = 0; // how much longer the worker is slow after its start
     std::uint64_t configVersion = 0;
     worker_report report;
     std::map<std::string, double> runMs; // by route
@@ -73,15 +73,15 @@
     void serialize(Archive &archive)
     {
         archive(nodeId, started, revision, process, dataCentre, service, peer, gossip);
-        archive(worker, isLeaving, slots, linkBytesPerMs, coldMs, configVersion, report, runMs);
+        archive(worker, isLeaving, slots, linkBytesPerMs, warmUpRemainingMs, configVersion, report, runMs);
     }
 };
 
 struct known_node
 {
     node_record record;
-    time_point heardAt; // when its revision last rose, or it last responded
-    time_point coldUntil;
+    time_point lastHeardAt; // when its revision last rose, or it last responded
+    time_point warmUpUntil;
     std::uint32_t sendsLeft = 0; // how often a change is still passed on
 };
 
@@ -92,24 +92,24 @@
     std::map<std::string, known_node> nodes; // without the own one
 };
 
-struct merge_report
+struct merge_result
 {
     bool isNew = false; // the node, or its process, was not known
     bool hasWorkerChanged = false; // state of its worker, or whether the node leaves
-    bool isNews = false; // the record is newer than what was known
-    bool isOwnOutdated = false; // a record of the own id that is newer than the own process: raise `started`
+    bool wasApplied = false; // the record is newer than what was known
+    bool isOwnStartOutdated = false; // a record of the own id that is newer than the own process: raise `started`
 
-    friend auto operator<=>(const merge_report &, const merge_report &) = default;
+    friend auto operator<=>(const merge_result &, const merge_result &) = default;
 };
 
 // isNewer orders two records of one node.
 bool isNewer(const node_record &left, const node_record &right);
 
 // mergeRecord takes over news of a node; `ownStarted` is the order of the own process.
-merge_report mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now);
+merge_result mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now);
 
-// chooseNews returns up to `count` records to pass on: changes first, then any.
-std::vector<node_record> chooseNews(fleet_state &fleet, std::size_t count, random_generator &generator);
+// chooseUpdates returns up to `count` records to pass on: changes first, then any.
+std::vector<node_record> chooseUpdates(fleet_state &fleet, std::size_t count, random_generator &generator);
 
 // choosePeers draws up to `count` nodes that are not silent, one of them of another data centre: what a node needs most
 // is news of its own data centre, and traffic between data centres is paid for. Silent ones are drawn now and then so
@@ -120,8 +120,8 @@
 // readyWorkers returns the workers of a service that may get requests. Silent nodes are among them only if no other is.
 std::vector<worker_entry> readyWorkers(const fleet_state &fleet, const std::string &service, time_point now);
 
-// noteAlive counts a response of a node like news of it.
-void noteAlive(fleet_state &fleet, const std::string &nodeId, time_point now);
+// recordNodeResponse counts a response of a node like news of it.
+void recordNodeResponse(fleet_state &fleet, const std::string &nodeId, time_point now);
 
 // silenceLimit returns the time without news after which a node counts as silent.
 milliseconds silenceLimit(const fleet_state &fleet);
@@ -129,7 +129,7 @@
 // isSilent tells whether a node was not heard of for longer than the limit.
 bool isSilent(const fleet_state &fleet, const known_node &node, time_point now);
 
-// forgetSilent drops nodes that were silent for `forgottenSilences` limits, and returns their ids.
-std::vector<std::string> forgetSilent(fleet_state &fleet, time_point now);
+// removeSilentNodes drops nodes that were silent for `forgottenSilences` limits, and returns their ids.
+std::vector<std::string> removeSilentNodes(fleet_state &fleet, time_point now);
 
 } // namespace pistachioquay
--- a/packages/process/fleet/fleet_test.cc
+++ b/packages/process/fleet/fleet_test.cc
@@ -42,10 +42,10 @@
 TEST_CASE("news is ordered by process and revision, not by arrival")
 {
     fleet_state fleet = fleetWith({recordOf("a", 10, 5)});
-    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 10, 4), 1, start).isNews);
-    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 9, 99), 1, start).isNews);
-    const merge_report restarted = mergeRecord(fleet, recordOf("a", 11, 0), 1, start);
-    CHECK(restarted.isNews);
+    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 10, 4), 1, start).wasApplied);
+    CHECK_FALSE(mergeRecord(fleet, recordOf("a", 9, 99), 1, start).wasApplied);
+    const merge_result restarted = mergeRecord(fleet, recordOf("a", 11, 0), 1, start);
+    CHECK(restarted.wasApplied);
     CHECK(restarted.isNew);
     CHECK(restarted.hasWorkerChanged);
 }
@@ -53,8 +53,8 @@
 TEST_CASE("a node learns that its own id was seen with a later start")
 {
     fleet_state fleet = fleetWith({});
-    CHECK(mergeRecord(fleet, recordOf("self", 50, 0), 40, start).isOwnOutdated);
-    CHECK_FALSE(mergeRecord(fleet, recordOf("self", 50, 0), 50, start).isOwnOutdated);
+    CHECK(mergeRecord(fleet, recordOf("self", 50, 0), 40, start).isOwnStartOutdated);
+    CHECK_FALSE(mergeRecord(fleet, recordOf("self", 50, 0), 50, start).isOwnStartOutdated);
     CHECK(fleet.nodes.empty());
 }
 
@@ -86,8 +86,8 @@
     fleet_state fleet = fleetWith({recordOf("a", 1, 1)});
     random_generator generator(2);
     CHECK(choosePeers(fleet, 3, start + seconds(10), generator).size() == 1);
-    CHECK(forgetSilent(fleet, start + leastForgotten).empty());
-    CHECK(forgetSilent(fleet, start + leastForgotten + milliseconds(1)) == std::vector<std::string>{"a"});
+    CHECK(removeSilentNodes(fleet, start + leastForgotten).empty());
+    CHECK(removeSilentNodes(fleet, start + leastForgotten + milliseconds(1)) == std::vector<std::string>{"a"});
 }
 
 TEST_CASE("changes are passed on first, for a bounded number of times")
@@ -95,12 +95,12 @@
     fleet_state fleet = fleetWith({recordOf("a", 1, 1), recordOf("b", 1, 1), recordOf("c", 1, 1)});
     random_generator generator(2);
     for (int round = 0; round < 20; ++round) {
-        chooseNews(fleet, 3, generator);
+        chooseUpdates(fleet, 3, generator);
     }
     node_record changed = recordOf("b", 1, 2);
     changed.worker = worker_state::Down;
     mergeRecord(fleet, changed, 1, start);
-    const auto news = chooseNews(fleet, 1, generator);
+    const auto news = chooseUpdates(fleet, 1, generator);
     REQUIRE(news.size() == 1);
     CHECK(news.front().nodeId == "b");
 }
@@ -152,7 +152,7 @@
             for (const endpoint &peer : choosePeers(fleets[index], peersPerRound, now, generator)) {
                 const std::size_t target = indexOf.at(peer.port);
                 mergeRecord(fleets[target], own[index], 1, now);
-                for (const node_record &news : chooseNews(fleets[index], newsPerDatagram, generator)) {
+                for (const node_record &news : chooseUpdates(fleets[index], newsPerDatagram, generator)) {
                     mergeRecord(fleets[target], news, 1, now);
                 }
                 ++datagrams;
@@ -165,7 +165,7 @@
                 report.silentShare += isSilent(fleets[index], node, now) ? 1 : 0;
                 if (node.record.dataCentre == own[index].dataCentre) {
                     ++nearBeliefs;
-                    report.meanAgeMs += msBetween(node.heardAt, now);
+                    report.meanAgeMs += msBetween(node.lastHeardAt, now);
                 }
             }
         }
@@ -193,7 +193,7 @@
 {
     fleet_state fleet = fleetWith({recordOf("a", 1, 1), recordOf("b", 1, 1)});
     const time_point later = start + leastSilence + milliseconds(1);
-    noteAlive(fleet, "a", later);
+    recordNodeResponse(fleet, "a", later);
     const auto ready = readyWorkers(fleet, "orders", later);
     REQUIRE(ready.size() == 1);
     CHECK(ready.front().nodeId == "a");
--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -53,12 +53,12 @@
 void refreshWorkers(mesh_context &context, const std::string &service, time_point now)
 {
     std::vector<worker_entry> workers = readyWorkers(context.fleet, service, now);
-    if (service == context.options.service && mayTakeWork(context.worker)) {
+    if (service == context.options.service && isAcceptingRequests(context.worker)) {
         workers.push_back({context.options.nodeId,
                            context.process,
                            context.options.dataCentre,
                            context.worker.slots,
-                           context.worker.coldUntil,
+                           context.worker.warmUpUntil,
                            context.options.linkBytesPerMs});
     }
     setWorkers(context.placement, service, std::move(workers));
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -75,9 +75,9 @@
     placement_state placement;
     std::unordered_map<std::string, time_point> refreshedAt; // by service
     config_in_force config;
-    worker_life worker;
+    worker_liveness worker;
     link_meter link;
-    link_room room; // on the own link
+    link_reservations room; // on the own link
     mesh_metrics metrics;
     bool isStopping = false; // the node leaves
     time_point servesUntil; // when the node leaves: end of the requests that its worker still gets
--- a/packages/process/mesh/spread.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -1,4 +1,4 @@
-#include "process/mesh/spread.h"
+#include "process/mesh/dissemination.h"
 
 #include <algorithm>
 #include <ranges>
@@ -123,7 +123,7 @@
 
 node_record spread_duty::ownRecord(time_point now)
 {
-    const worker_life &worker = m_context.worker;
+    const worker_liveness &worker = m_context.worker;
     node_record record;
     record.nodeId = m_context.options.nodeId;
     record.started = m_started;
@@ -140,11 +140,12 @@
     record.isLeaving = m_context.isWorkerClosed;
     record.slots = worker.slots;
     record.linkBytesPerMs = static_cast<std::uint32_t>(m_context.options.linkBytesPerMs);
-    record.coldMs = static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(now, worker.coldUntil)));
+    record.warmUpRemainingMs =
+        static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(now, worker.warmUpUntil)));
     record.configVersion = m_context.config.table->version;
     record.report = m_inbound.report(now);
     for (const auto &[route, mean] : m_inbound.runs().routes) {
-        if (now - mean.lastAt < runForgotten) {
+        if (now - mean.lastAt < runTimeExpiry) {
             record.runMs[route] = mean.milliseconds;
         }
     }
@@ -157,7 +158,7 @@
     message.sender = ownRecord(steadyNow());
     message.wantsReply = wantsReply;
     message.isStoreWord = isStoreWord;
-    message.others = chooseNews(m_context.fleet, newsCount, m_context.generator);
+    message.others = chooseUpdates(m_context.fleet, newsCount, m_context.generator);
     std::string bytes = encodeMessage(message, meshFormat);
     while (bytes.size() > maxDatagramBytes && !message.others.empty()) {
         message.others.pop_back();
@@ -221,7 +222,7 @@
     }
     const time_point now = steadyNow();
     const node_record &sender = message->sender;
-    noteHeard(m_context.placement, sender.dataCentre);
+    recordDataCentreContact(m_context.placement, sender.dataCentre);
     onMerged(sender, mergeRecord(m_context.fleet, sender, m_started, now), now);
     for (const node_record &record : message->others) {
         onMerged(record, mergeRecord(m_context.fleet, record, m_started, now), now);
@@ -235,12 +236,12 @@
     }
 }
 
-void spread_duty::onMerged(const node_record &record, const merge_report &report, time_point now)
+void spread_duty::onMerged(const node_record &record, const merge_result &report, time_point now)
 {
-    if (report.isOwnOutdated) {
+    if (report.isOwnStartOutdated) {
         raiseStarted(record.started);
     }
-    if (!report.isNews) {
+    if (!report.wasApplied) {
         return;
     }
     if (report.hasWorkerChanged) {
@@ -256,9 +257,9 @@
             send(record.gossip, false, false, 0);
         }
     }
-    noteReport(m_context.placement, record.service, record.nodeId, record.report, now);
+    recordReport(m_context.placement, record.service, record.nodeId, record.report, now);
     for (const auto &[route, runMs] : record.runMs) {
-        noteRunMs(m_context.placement, record.service, record.nodeId, route, runMs, now);
+        recordWorkerRunTime(m_context.placement, record.service, record.nodeId, route, runMs, now);
     }
 }
 
@@ -273,7 +274,7 @@
     const bool isPulling = m_pulledVersion >= record.configVersion && now - m_pulledAt < pullAgain;
     const bool isNear = record.dataCentre == m_context.options.dataCentre;
     // Other data centres read the platform themselves; their copy costs more, so it is a second choice.
-    const bool isCutOff = now - m_wordAt > m_context.options.configBound / 2;
+    const bool isCutOff = now - m_wordAt > m_context.options.configApplyLimit / 2;
     if (isPulling || (!isNear && !isCutOff)) {
         return;
     }
@@ -388,7 +389,7 @@
 awaitable<void> spread_duty::readLoop()
 {
     net::steady_timer pause(m_context.executor);
-    const milliseconds wait = readWait(m_context.options.configBound);
+    const milliseconds wait = longPollWait(m_context.options.configApplyLimit);
     unsigned failures = 0; // reads in a row without an answer
     bool hasRead = false; // a node that starts looks once, whoever the reader is
     // A node that starts among others gets the configuration from them.
@@ -399,11 +400,11 @@
     hasRead = m_context.config.table->version > 0;
     while (!m_context.isStopped) {
         const time_point now = steadyNow();
-        reader_facts facts;
+        reader_status facts;
         facts.rank = ownRank(now);
         facts.behindFor = now - m_behindSince.value_or(now);
-        facts.sinceWord = now - std::max(m_wordAt, m_startedAt);
-        facts.bound = m_context.options.configBound;
+        facts.sinceReaderAnnouncement = now - std::max(m_wordAt, m_startedAt);
+        facts.bound = m_context.options.configApplyLimit;
         if (hasRead && !shouldRead(facts)) {
             pause.expires_after(idleCheck);
             co_await pause.async_wait(awaitResult);
@@ -417,7 +418,7 @@
             m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_position));
         }
         if (!read.isReached) {
-            const milliseconds again = readPause(++failures, facts.rank);
+            const milliseconds again = readBackoff(++failures, facts.rank);
             pause.expires_after(again + milliseconds(m_context.generator() % readJitterMs));
             co_await pause.async_wait(awaitResult);
             continue;
@@ -426,7 +427,7 @@
         failures = 0;
         m_position = read.position;
         m_wordAt = steadyNow();
-        if (read.hasValue) {
+        if (read.hasNewConfig) {
             applyConfig(std::move(read.bytes), "platform");
         }
         m_readVersion = m_context.config.table->version;
@@ -437,7 +438,7 @@
 
 awaitable<std::optional<std::vector<node_record>>> spread_duty::readDirectory()
 {
-    const auto values = co_await m_context.platform.readNodes();
+    const auto values = co_await m_context.platform.readNodeRecords();
     if (!values) {
         co_return std::nullopt;
     }
@@ -467,7 +468,7 @@
     }
     node_record record = ownRecord(steadyNow());
     record.runMs.clear();
-    co_return co_await m_context.platform.publishNode(record.nodeId, encodeMessage(record, meshFormat));
+    co_return co_await m_context.platform.publishNodeRecord(record.nodeId, encodeMessage(record, meshFormat));
 }
 
 // Asks published nodes that are not known for their records.
@@ -509,7 +510,7 @@
 
 awaitable<void> spread_duty::withdraw()
 {
-    co_await m_context.platform.publishNode(m_context.options.nodeId, {});
+    co_await m_context.platform.publishNodeRecord(m_context.options.nodeId, {});
 }
 
 awaitable<void> spread_duty::gossipLoop()
@@ -521,7 +522,7 @@
         for (const endpoint &peer : choosePeers(m_context.fleet, gossipPeers, now, m_context.generator)) {
             send(peer, false, false, newsPerDatagram);
         }
-        for (const std::string &id : forgetSilent(m_context.fleet, now)) {
+        for (const std::string &id : removeSilentNodes(m_context.fleet, now)) {
             m_context.log(log_line("spread", "node-forgotten").add("node", id));
         }
     }
--- a/packages/process/mesh/spread.h
+++ b/packages/process/mesh/dissemination.h
@@ -43,7 +43,7 @@
     awaitable<void> joinLoop();
     node_record ownRecord(time_point now);
     void onDatagram(std::string_view bytes, const endpoint &from);
-    void onMerged(const node_record &record, const merge_report &report, time_point now);
+    void onMerged(const node_record &record, const merge_result &report, time_point now);
     void noteVersion(const node_record &record);
     void send(const endpoint &to, bool wantsReply, bool isStoreWord, std::size_t newsCount);
     void sendStoreWord();
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -49,7 +49,7 @@
     , m_check(context.executor)
 {
     m_line.slots = defaultSlots;
-    m_line.closedFor = wait_refusal::WorkerDown;
+    m_line.closedReason = queue_refusal::WorkerDown;
 }
 
 call_reply inbound_side::notRun(const std::string &id, std::string_view reason) const
@@ -61,7 +61,7 @@
     return reply;
 }
 
-awaitable<call_reply> inbound_side::run(call_message message, std::shared_ptr<exchange_control> control)
+awaitable<call_reply> inbound_side::run(call_message message, std::shared_ptr<cancellation_token> control)
 {
     const time_point now = steadyNow();
     call_reply reply;
@@ -71,18 +71,18 @@
         co_return reply;
     }
     switch (m_ledger.begin(message.id, now)) {
-    case entry_state::New:
+    case deduplication_state::New:
         break;
-    case entry_state::Open:
+    case deduplication_state::Open:
         co_return co_await joinOpen(message.id, now + milliseconds(message.timeLeftMs) + responseSlack);
-    case entry_state::Ended:
+    case deduplication_state::Completed:
         if (const call_reply *kept = m_ledger.response(message.id)) {
             co_return *kept;
         }
         reply.id = message.id;
         reply.reason = "response-not-kept";
         co_return reply;
-    case entry_state::Void:
+    case deduplication_state::Void:
         co_return notRun(message.id, "void");
     }
     reply = co_await runNew(message, control);
@@ -92,7 +92,7 @@
         reply.runMs = known->second.milliseconds;
     }
     if (reply.kind == reply_kind::NotRun && message.isRepeat) {
-        m_ledger.makeVoid(message.id, steadyNow());
+        m_ledger.markNeverRun(message.id, steadyNow());
     } else if (reply.kind == reply_kind::NotRun) {
         m_ledger.forget(message.id);
     } else {
@@ -117,7 +117,7 @@
 }
 
 awaitable<call_reply> inbound_side::runNew(const call_message &message,
-                                           const std::shared_ptr<exchange_control> &control)
+                                           const std::shared_ptr<cancellation_token> &control)
 {
     const time_point now = steadyNow();
     if (message.service != m_context.options.service) {
@@ -125,12 +125,12 @@
     }
     const double fallbackMs =
         unmeasuredRunMs(static_cast<double>(message.typicalRunMs), static_cast<double>(message.targetLeftMs));
-    waiting_request request;
+    queued_request request;
     request.ticket = ++m_lastTicket;
     request.priority = message.priority;
     request.arrivedAt = now;
     request.targetAt = now + milliseconds(message.targetLeftMs);
-    request.endsBy = now + milliseconds(message.timeLeftMs);
+    request.requestDeadline = now + milliseconds(message.timeLeftMs);
     request.expectedRunMs = expectedRunMs(m_runs, message.route, fallbackMs);
     if (m_context.isStopping) {
         const auto twice = std::chrono::duration<double, std::milli>(2 * request.expectedRunMs);
@@ -145,7 +145,7 @@
     reply.id = message.id;
     if (co_await awaitSlot(message, request, open, control, reply)) {
         reply.waitedMs = millisBetween(now, steadyNow());
-        co_await runOnWorker(message, request.endsBy, control, reply);
+        co_await runOnWorker(message, request.requestDeadline, control, reply);
     }
     finish(m_line, request.ticket);
     pump(steadyNow());
@@ -156,15 +156,15 @@
 }
 
 awaitable<bool> inbound_side::awaitSlot(const call_message &message,
-                                        const waiting_request &request,
+                                        const queued_request &request,
                                         const std::shared_ptr<open_call> &open,
-                                        const std::shared_ptr<exchange_control> &control,
+                                        const std::shared_ptr<cancellation_token> &control,
                                         call_reply &reply)
 {
     const time_point now = steadyNow();
-    const offer_verdict verdict = offer(m_line, request, now, m_context.generator);
+    const enqueue_result verdict = enqueue(m_line, request, now, m_context.generator);
     const auto allowedWaitMs = static_cast<double>(message.longestWaitMs);
-    if (verdict.kind == offer_kind::Wait && allowedWaitMs > 0 && verdict.expectedWaitMs > allowedWaitMs) {
+    if (verdict.kind == enqueue_outcome::Wait && allowedWaitMs > 0 && verdict.expectedWaitMs > allowedWaitMs) {
         finish(m_line, request.ticket);
         reply.kind = reply_kind::NotRun;
         reply.reason = std::string(handedBackReason);
@@ -178,20 +178,20 @@
                           .add("waiting", m_line.waiting.size()));
         co_return false;
     }
-    if (verdict.kind == offer_kind::Run) {
+    if (verdict.kind == enqueue_outcome::Run) {
         open->isGranted = true;
         co_return true;
     }
     reply.kind = reply_kind::NotRun;
-    wait_refusal reason = verdict.reason;
+    queue_refusal reason = verdict.reason;
     reply.retryAfterMs = verdict.retryAfter.count();
-    if (verdict.kind == offer_kind::Wait) {
+    if (verdict.kind == enqueue_outcome::Wait) {
         m_waiting[request.ticket] = open;
         control->onCancel([open] {
             open->decided.notify();
         });
         scheduleCheck();
-        co_await open->decided.waitUntil(request.endsBy);
+        co_await open->decided.waitUntil(request.requestDeadline);
         control->onCancel(nullptr);
         m_waiting.erase(request.ticket);
         if (open->isGranted) {
@@ -217,41 +217,43 @@
     co_return false;
 }
 
-whole_request inbound_side::workerRequest(const call_message &message, time_point endsBy, time_point now) const
+whole_request inbound_side::workerRequest(const call_message &message, time_point requestDeadline, time_point now) const
 {
     const mesh_headers &names = m_context.options.headers;
     whole_request request = message.request;
     request.headers = endToEndHeaders(message.request.headers);
-    setHeader(request.headers, names.timeLeftMs, std::to_string(std::max<std::int64_t>(1, millisBetween(now, endsBy))));
+    setHeader(request.headers,
+              names.timeLeftMs,
+              std::to_string(std::max<std::int64_t>(1, millisBetween(now, requestDeadline))));
     setHeader(request.headers, names.expectedWorker, m_context.worker.workerId);
     setHeader(request.headers, names.callerService, message.callerService);
     return request;
 }
 
 awaitable<void> inbound_side::runOnWorker(const call_message &message,
-                                          time_point endsBy,
-                                          const std::shared_ptr<exchange_control> &control,
+                                          time_point requestDeadline,
+                                          const std::shared_ptr<cancellation_token> &control,
                                           call_reply &reply)
 {
-    const bool isRepeatable = message.repeat == repeat_rule::Repeatable;
+    const bool isRetryable = message.repeat == repeat_rule::Repeatable;
     const time_point begunAt = steadyNow();
     reply.kind = reply_kind::Unknown;
     for (unsigned attempt = 0; attempt < localAttempts; ++attempt) {
         const time_point startedAt = steadyNow();
-        const whole_request request = workerRequest(message, endsBy, startedAt);
+        const whole_request request = workerRequest(message, requestDeadline, startedAt);
         exchange_options options;
-        options.deadline = endsBy + responseSlack;
-        options.reuseWithin = attempt > 0 ? milliseconds{0} : isRepeatable ? repeatableReuse : onceReuse;
-        const auto own = std::make_shared<exchange_control>();
-        control->onCancel([own, isRepeatable] {
-            if (isRepeatable) {
+        options.deadline = requestDeadline + responseSlack;
+        options.maxIdleForReuse = attempt > 0 ? milliseconds{0} : isRetryable ? repeatableReuse : onceReuse;
+        const auto own = std::make_shared<cancellation_token>();
+        control->onCancel([own, isRetryable] {
+            if (isRetryable) {
                 own->cancel();
             }
         });
         exchange_result got = co_await m_worker.send(request, options, *own);
         control->onCancel(nullptr);
         const double tookMs = msBetween(startedAt, steadyNow());
-        const bool mayTryAgain = isRepeatable && got.end == exchange_end::Lost && got.wasReused;
+        const bool mayTryAgain = isRetryable && got.end == exchange_end::Lost && got.wasReused;
         readWorkerResponse(message, std::move(got), tookMs, reply);
         if (!mayTryAgain || attempt + 1 == localAttempts) {
             break;
@@ -309,7 +311,7 @@
     reply.kind = reply_kind::Response;
     noteOutcome(got.response.status >= 500);
     if (isSuccess(got.response.status)) {
-        noteRun(m_runs, message.route, tookMs, now);
+        recordRunTime(m_runs, message.route, tookMs, now);
         m_context.metrics.note("worker_run_ms", tookMs);
     }
     reply.response = std::move(got.response);
@@ -321,7 +323,7 @@
 {
     const double expected = expectedRunMs(m_runs, message.route, tookMs);
     if (tookMs > expected) {
-        noteRun(m_runs, message.route, tookMs, now);
+        recordRunTime(m_runs, message.route, tookMs, now);
     }
     if (tookMs > hangingRuns * expected) {
         noteOutcome(true);
@@ -331,7 +333,7 @@
 void inbound_side::noteConnectFailure(exchange_end end, const std::string &detail)
 {
     noteOutcome(true);
-    if (noteUnreachable(m_context.worker)) {
+    if (recordUnreachable(m_context.worker)) {
         m_context.log(log_line("inbound", "worker-lost")
                           .add("worker", m_context.worker.workerId)
                           .add("end", endName(end))
@@ -366,7 +368,7 @@
     for (std::uint32_t priority = 0; priority < reportedPriorities; ++priority) {
         report.waitMs.at(priority) = expectedWaitMs(m_line, priority, now);
     }
-    report.lineRunMs = lineRunMs(m_line);
+    report.meanActiveRunMs = meanActiveRunMs(m_line);
     report.failureShare = m_failureShare;
     report.slowdown = 1.0 + (m_slowdown - 1.0) * std::exp2(-msBetween(m_slowdownAt, now) / slowdownHalfLifeMs);
     report.linkLoad =
@@ -376,7 +378,7 @@
 
 void inbound_side::pump(time_point now)
 {
-    refuseTickets(takeHopeless(m_line, now, m_context.generator));
+    refuseTickets(removeUnservable(m_line, now, m_context.generator));
     for (auto ticket = startNext(m_line, now); ticket; ticket = startNext(m_line, now)) {
         const auto found = m_waiting.find(*ticket);
         if (found == m_waiting.end()) {
@@ -389,9 +391,9 @@
     scheduleCheck();
 }
 
-void inbound_side::refuseTickets(const std::vector<refused_ticket> &refused)
+void inbound_side::refuseTickets(const std::vector<refused_request> &refused)
 {
-    for (const refused_ticket &ticket : refused) {
+    for (const refused_request &ticket : refused) {
         const auto found = m_waiting.find(ticket.ticket);
         if (found != m_waiting.end()) {
             found->second->refusal = ticket;
@@ -402,7 +404,7 @@
 
 void inbound_side::scheduleCheck()
 {
-    auto due = nextCheck(m_line);
+    auto due = nextUnservableCheck(m_line);
     if (due) {
         due = std::max(*due, steadyNow() + minCheckPause);
     }
@@ -421,19 +423,19 @@
 
 void inbound_side::onWorkerChange(time_point now)
 {
-    const worker_life &worker = m_context.worker;
+    const worker_liveness &worker = m_context.worker;
     m_line.slots = worker.slots > 0 ? worker.slots : defaultSlots;
     if (worker.isLeaving || m_context.isWorkerClosed) {
-        m_line.closedFor = wait_refusal::Draining;
+        m_line.closedReason = queue_refusal::Draining;
     } else {
-        m_line.closedFor = mayTakeWork(worker) ? wait_refusal::None : wait_refusal::WorkerDown;
+        m_line.closedReason = isAcceptingRequests(worker) ? queue_refusal::None : queue_refusal::WorkerDown;
     }
     if (worker.isUnreachable) {
-        refuseTickets(takeAll(m_line, wait_refusal::WorkerDown));
+        refuseTickets(removeAllQueued(m_line, queue_refusal::WorkerDown));
         m_worker.closeAll();
     }
     if (worker.isLeaving && now - worker.leavingSince > m_context.options.drainTime / 2) {
-        refuseTickets(takeAll(m_line, wait_refusal::Draining));
+        refuseTickets(removeAllQueued(m_line, queue_refusal::Draining));
     }
     refreshWorkers(m_context, m_context.options.service, now);
     pump(now);
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -23,13 +23,13 @@
 
     // run takes a call and returns how it ended. `control` ends it early: a waiting call is dropped, and a running one
     // that may be repeated is broken off.
-    awaitable<call_reply> run(call_message message, std::shared_ptr<exchange_control> control);
+    awaitable<call_reply> run(call_message message, std::shared_ptr<cancellation_token> control);
     // onWorkerChange adapts the line to the state of the worker and of the node.
     void onWorkerChange(time_point now);
     // report returns what other nodes are told of the worker.
     worker_report report(time_point now) const;
     // runMs returns the run times by route that other nodes are told.
-    const run_times &runs() const
+    const run_time_estimates &runs() const
     {
         return m_runs;
     }
@@ -59,41 +59,41 @@
             , ended(executor)
         {
         }
-        wait_point decided; // granted or refused by the line
-        wait_point ended; // for repeats that wait for the response of this call
+        async_event decided; // granted or refused by the line
+        async_event ended; // for repeats that wait for the response of this call
         bool isGranted = false;
-        refused_ticket refusal;
+        refused_request refusal;
         call_reply reply;
         std::string id;
     };
 
     awaitable<call_reply> joinOpen(const std::string &id, time_point until);
-    awaitable<call_reply> runNew(const call_message &message, const std::shared_ptr<exchange_control> &control);
+    awaitable<call_reply> runNew(const call_message &message, const std::shared_ptr<cancellation_token> &control);
     awaitable<bool> awaitSlot(const call_message &message,
-                              const waiting_request &request,
+                              const queued_request &request,
                               const std::shared_ptr<open_call> &open,
-                              const std::shared_ptr<exchange_control> &control,
+                              const std::shared_ptr<cancellation_token> &control,
                               call_reply &reply);
     awaitable<void> runOnWorker(const call_message &message,
-                                time_point endsBy,
-                                const std::shared_ptr<exchange_control> &control,
+                                time_point requestDeadline,
+                                const std::shared_ptr<cancellation_token> &control,
                                 call_reply &reply);
-    whole_request workerRequest(const call_message &message, time_point endsBy, time_point now) const;
+    whole_request workerRequest(const call_message &message, time_point requestDeadline, time_point now) const;
     void readWorkerResponse(const call_message &message, exchange_result got, double tookMs, call_reply &reply);
     void noteCancelled(const call_message &message, double tookMs, time_point now);
     void noteLoad(const whole_response &response, time_point now);
     void noteOutcome(bool isFailure);
     void pump(time_point now);
-    void refuseTickets(const std::vector<refused_ticket> &refused);
+    void refuseTickets(const std::vector<refused_request> &refused);
     void scheduleCheck();
     call_reply notRun(const std::string &id, std::string_view reason) const;
     void noteConnectFailure(exchange_end end, const std::string &detail);
 
     mesh_context &m_context;
-    loop_client m_worker;
-    waiting_line m_line;
-    run_times m_runs;
-    request_ledger<call_reply> m_ledger;
+    async_http_client m_worker;
+    request_queue m_line;
+    run_time_estimates m_runs;
+    deduplication_table<call_reply> m_ledger;
     std::unordered_map<std::uint64_t, std::shared_ptr<open_call>> m_waiting; // by ticket
     std::unordered_map<std::string, std::shared_ptr<open_call>> m_open; // by id
     std::uint64_t m_lastTicket = 0;
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -6,10 +6,10 @@
 #include <boost/asio/detached.hpp>
 
 #include "process/mesh/context.h"
+#include "process/mesh/dissemination.h"
 #include "process/mesh/inbound.h"
 #include "process/mesh/outbound.h"
 #include "process/mesh/peer_links.h"
-#include "process/mesh/spread.h"
 
 namespace pistachioquay {
 
@@ -39,7 +39,7 @@
         , spread(context, inbound, links)
         , callers(executor,
                   serverOptions(),
-                  [this](const whole_request &request, caller_presence &caller) {
+                  [this](const whole_request &request, caller_connection &caller) {
                       return outbound.serve(request, caller);
                   })
         , upkeepTimer(executor)
@@ -57,7 +57,7 @@
     internal::peer_events events()
     {
         internal::peer_events events;
-        events.onCall = [this](call_message message, std::shared_ptr<exchange_control> control) {
+        events.onCall = [this](call_message message, std::shared_ptr<cancellation_token> control) {
             return inbound.run(std::move(message), std::move(control));
         };
         events.onConfig = [this](const config_message &message) {
@@ -81,24 +81,24 @@
         const time_point now = steadyNow();
         for (const auto &[id, node] : context.fleet.nodes) {
             if (node.record.peer == address) {
-                noteSilent(context.placement, node.record.dataCentre, id, now);
+                recordSilentNode(context.placement, node.record.dataCentre, id, now);
                 pause(context.placement, node.record.service, id, length, now);
                 context.metrics.count("nodes_passed_over_total");
             }
         }
     }
 
-    loop_server_options serverOptions()
+    async_http_server_options serverOptions()
     {
-        loop_server_options made;
+        async_http_server_options made;
         made.address = context.options.callers;
-        made.maxConnections = context.options.maxDescriptors > 2 * descriptorReserve
-            ? context.options.maxDescriptors - descriptorReserve
+        made.maxConnections = context.options.maxFileDescriptors > 2 * descriptorReserve
+            ? context.options.maxFileDescriptors - descriptorReserve
             : descriptorReserve;
         made.maxBufferedBytes = context.options.memoryBytes / bodyShare;
         made.bounds = [this] {
             const caller_limits &limits = context.config.table->limits;
-            return server_bounds{limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
+            return server_limits{limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout};
         };
         return made;
     }
@@ -111,7 +111,7 @@
     internal::peer_links links;
     internal::outbound_side outbound;
     internal::spread_duty spread;
-    loop_server callers;
+    async_http_server callers;
     net::steady_timer upkeepTimer;
 };
 
@@ -127,10 +127,10 @@
         }
         const time_point now = steadyNow();
         links.check(now);
-        if (noteSilence(context.worker, allowedSilence, now)) {
+        if (recordSilence(context.worker, allowedSilence, now)) {
             context.log(log_line("worker", "silent")
                             .add("worker", context.worker.workerId)
-                            .add("silent_ms", millisBetween(context.worker.heardAt, now)));
+                            .add("silent_ms", millisBetween(context.worker.lastHeardAt, now)));
             inbound.onWorkerChange(now);
             spread.announce();
         }
@@ -144,7 +144,7 @@
 awaitable<void> mesh_node::parts::leave(std::function<void()> done)
 {
     const time_point startedAt = steadyNow();
-    const time_point latest = startedAt + context.options.graceTime - exitMargin;
+    const time_point latest = startedAt + context.options.gracePeriod - exitMargin;
     net::steady_timer pause(context.executor);
     time_point busyAt = startedAt;
     while (steadyNow() < latest) {
@@ -209,7 +209,7 @@
     return {};
 }
 
-notice_verdict mesh_node::onNotice(const worker_notice &notice)
+notice_verdict mesh_node::onWorkerNotice(const worker_notice &notice)
 {
     const time_point now = steadyNow();
     internal::mesh_context &context = m_parts->context;
@@ -292,7 +292,7 @@
     text += line("worker_running", m_parts->inbound.runningCount());
     text += line("worker_waiting", m_parts->inbound.waitingCount());
     text += line("worker_reachable", context.worker.isUnreachable ? 0 : 1);
-    text += line("worker_heard_age_ms", millisBetween(context.worker.heardAt, steadyNow()));
+    text += line("worker_heard_age_ms", millisBetween(context.worker.lastHeardAt, steadyNow()));
     text += line("worker_connections_opened_total", m_parts->inbound.connectionCounts().opened);
     text += line("requests_open", m_parts->outbound.openCount());
     text += line("caller_connections_open", m_parts->callers.counts().open);
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -3,7 +3,7 @@
 //
 //   mesh_node node(executor, options, platform);
 //   const auto started = attempt([&] { return node.start(); });
-//   node.onNotice(notice);                              // from the worker beside the node
+//   node.onWorkerNotice(notice);                              // from the worker beside the node
 //   node.shutDown([&] { loop.stop(); });
 //
 // What the platform offers is given as functions, so that this library knows none of its names.
@@ -44,13 +44,13 @@
     endpoint peers; // calls of other nodes
     endpoint gossip; // datagrams of other nodes
     std::size_t memoryBytes = 256UL * 1024 * 1024;
-    std::size_t maxDescriptors = 4096;
+    std::size_t maxFileDescriptors = 4096;
     double linkBytesPerMs = 0; // rate of the VM's link; 0: not known
     milliseconds noticeInterval{1500}; // between two notices of a worker
     milliseconds drainTime{2000}; // within which a leaving worker gets no more work
-    milliseconds graceTime{6000}; // from the signal to stop until the process is killed
-    milliseconds configBound{2000}; // within which a version is in force
-    resend_limits resends; // `nodes` is set from the fleet
+    milliseconds gracePeriod{6000}; // from the signal to stop until the process is killed
+    milliseconds configApplyLimit{2000}; // within which a version is in force
+    retry_budget_limits resends; // `nodes` is set from the fleet
     mesh_headers headers;
 };
 
@@ -58,7 +58,7 @@
 struct config_read
 {
     bool isReached = false; // the platform answered
-    bool hasValue = false; // there is a configuration newer than the position
+    bool hasNewConfig = false; // there is a configuration newer than the position
     std::string bytes; // as the operator wrote it
     std::uint64_t position = 0; // to read on from
 };
@@ -71,9 +71,9 @@
     // Decodes what an operator wrote. Fails with Corrupt.
     std::function<result<route_table>(std::string_view bytes)> decodeConfig;
     // Publishes the address record of this node for nodes that start; empty removes it. False: not reached.
-    std::function<awaitable<bool>(std::string key, std::string value)> publishNode;
+    std::function<awaitable<bool>(std::string key, std::string value)> publishNodeRecord;
     // Reads the records that nodes have published; empty optional: not reached.
-    std::function<awaitable<std::optional<std::vector<std::string>>>()> readNodes;
+    std::function<awaitable<std::optional<std::vector<std::string>>>()> readNodeRecords;
     // Takes a log line.
     std::function<void(const class log_line &)> log;
 };
@@ -89,8 +89,8 @@
 
     // start opens the ports and joins the mesh. Fails with Unavailable if an address is in use.
     result<void> start();
-    // onNotice takes over what the worker says of itself.
-    notice_verdict onNotice(const worker_notice &notice);
+    // onWorkerNotice takes over what the worker says of itself.
+    notice_verdict onWorkerNotice(const worker_notice &notice);
     // isReady tells whether callers of this VM may send requests.
     bool isReady() const;
     // shutDown takes the node out of the mesh, lets its requests end, and calls `done`.
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -34,19 +34,19 @@
     return buffer.data();
 }
 
-send_end sendEndOf(const call_reply &reply)
+attempt_outcome sendEndOf(const call_reply &reply)
 {
     switch (reply.kind) {
     case reply_kind::Response:
-        return send_end::FailedResponse;
+        return attempt_outcome::FailedResponse;
     case reply_kind::NotRun:
-        return send_end::NotRun;
+        return attempt_outcome::NotRun;
     case reply_kind::RejectedByWorker:
-        return send_end::RejectedByWorker;
+        return attempt_outcome::RejectedByWorker;
     case reply_kind::Unknown:
-        return send_end::Unknown;
+        return attempt_outcome::Unknown;
     }
-    return send_end::Unknown;
+    return attempt_outcome::Unknown;
 }
 
 bool isForLoad(const call_reply &reply)
@@ -73,20 +73,20 @@
 {
 }
 
-resend_limits outbound_side::limits() const
+retry_budget_limits outbound_side::limits() const
 {
-    resend_limits limits = m_context.options.resends;
+    retry_budget_limits limits = m_context.options.resends;
     limits.nodes = static_cast<std::uint32_t>(m_context.fleet.nodes.size()) + 1;
     return limits;
 }
 
-awaitable<whole_response> outbound_side::serve(const whole_request &request, caller_presence &caller)
+awaitable<whole_response> outbound_side::serve(const whole_request &request, caller_connection &caller)
 {
     job work;
     work.request = &request;
     work.caller = &caller;
     work.arrivedAt = steadyNow();
-    work.control = std::make_shared<exchange_control>();
+    work.control = std::make_shared<cancellation_token>();
     ++m_open;
     m_context.link.note(request.body.size() + requestHeadBytes, 0, work.arrivedAt);
     m_context.metrics.count("requests_total");
@@ -95,11 +95,11 @@
         --m_open;
         co_return std::move(*refused);
     }
-    caller.onGone([control = work.control] {
+    caller.onDisconnect([control = work.control] {
         control->cancel();
     });
     whole_response response = co_await forward(work);
-    caller.onGone(nullptr);
+    caller.onDisconnect(nullptr);
     m_context.link.note(0, response.body.size() + requestHeadBytes, steadyNow());
     m_context.metrics.note("request_ms", msBetween(work.arrivedAt, steadyNow()));
     --m_open;
@@ -127,8 +127,8 @@
     const auto parsed = stated ? parseCount(*stated) : std::nullopt;
     const milliseconds timeLeft = parsed ? milliseconds(*parsed) : defaultTimeLeft;
     work.service = chooseTarget(m_splits, route);
-    work.targetAt = work.arrivedAt + route.targetLatency - spentBefore(m_ages, route.name, timeLeft);
-    work.endsBy = work.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
+    work.targetAt = work.arrivedAt + route.targetLatency - timeSinceFirstAttempt(m_ages, route.name, timeLeft);
+    work.requestDeadline = work.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
     work.placement.route = route.name;
     work.placement.priority = route.priority;
     work.placement.bytes = work.request->body.size();
@@ -136,15 +136,15 @@
     work.placement.fallbackRunMs = work.placement.targetMs * fallbackRunShare;
     // While its own worker still runs requests, the calls that these make are served.
     const bool mayBeWorkers = m_inbound.runningCount() > 0
-        && isLastChance(msBetween(work.arrivedAt, work.targetAt),
-                        msBetween(work.arrivedAt, work.endsBy),
-                        m_inbound.report(work.arrivedAt).lineRunMs);
+        && isFinalAttempt(msBetween(work.arrivedAt, work.targetAt),
+                          msBetween(work.arrivedAt, work.requestDeadline),
+                          m_inbound.report(work.arrivedAt).meanActiveRunMs);
     if (m_context.isRefusing && !mayBeWorkers) {
         whole_response refused = refusal(work, "stopping", stoppingRetryMs);
         refused.closesConnection = true;
         return refused;
     }
-    noteRequest(m_budget, work.service, limits(), work.arrivedAt);
+    countRequest(m_budget, work.service, limits(), work.arrivedAt);
     return std::nullopt;
 }
 
@@ -181,7 +181,7 @@
     keepWorkersFresh(m_context, work.service, now);
     m_context.placement.linkLoad = m_context.link.load(m_context.options.linkBytesPerMs, now);
     work.placement.targetLeftMs = msBetween(now, work.targetAt);
-    work.placement.timeLeftMs = msBetween(now, work.endsBy);
+    work.placement.timeLeftMs = msBetween(now, work.requestDeadline);
     return chooseWorker(m_context.placement, work.service, work.placement, now, m_context.generator);
 }
 
@@ -191,7 +191,7 @@
     work.expectedRunMs = choice.expectedRunMs;
     const auto node = m_context.fleet.nodes.find(*choice.nodeId);
     const bool isOwn = *choice.nodeId == m_context.options.nodeId || node == m_context.fleet.nodes.end();
-    noteSent(m_context.placement, work.service, *choice.nodeId, work.placement.bytes);
+    recordSentRequest(m_context.placement, work.service, *choice.nodeId, work.placement.bytes);
     auto copy = std::make_shared<sent_copy>();
     copy->nodeId = *choice.nodeId;
     copy->message = messageFor(work, isOwn ? m_context.process : node->second.record.process, now);
@@ -201,15 +201,15 @@
         copy->message.longestWaitMs = std::max<std::int64_t>(1, std::llround(*choice.longestWaitMs));
     }
     copy->sentAt = now;
-    copy->endsBy = work.endsBy;
+    copy->requestDeadline = work.requestDeadline;
     return copy;
 }
 
 awaitable<outbound_side::shared_copy>
 outbound_side::sendHedged(job &work, const shared_copy &first, const placement_choice &choice)
 {
-    slow_request request;
-    request.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
+    hedge_candidate request;
+    request.isRetryable = work.route->repeat == repeat_rule::Repeatable;
     request.workersTried = work.workersTried + 1;
     request.maxWorkers = work.route->maxWorkers;
     request.expectedWaitMs = choice.expectedWaitMs;
@@ -229,7 +229,7 @@
         work.control->onCancel(nullptr);
         co_return first;
     }
-    const auto changed = std::make_shared<wait_point>(m_context.executor);
+    const auto changed = std::make_shared<async_event>(m_context.executor);
     launch(first, changed);
     co_await changed->waitUntil(first->sentAt + *delay);
     const bool isSlow = !first->reply && !work.control->isCancelled();
@@ -244,7 +244,7 @@
 awaitable<outbound_side::shared_copy> outbound_side::race(job &work,
                                                           const shared_copy &first,
                                                           const shared_copy &second,
-                                                          const std::shared_ptr<wait_point> &changed)
+                                                          const std::shared_ptr<async_event> &changed)
 {
     std::vector<shared_copy> copies{first};
     if (second) {
@@ -263,7 +263,7 @@
     };
     while (std::ranges::none_of(copies, isWinner) && !std::ranges::all_of(copies, isEnded)) {
         changed->reset();
-        co_await changed->waitUntil(work.endsBy + replySlack * 2);
+        co_await changed->waitUntil(work.requestDeadline + replySlack * 2);
     }
     work.control->onCancel(nullptr);
     const auto winner = std::ranges::find_if(copies, isWinner);
@@ -283,8 +283,8 @@
     work.placement.excluded.insert(first.nodeId);
     const placement_choice choice = choose(work);
     work.placement.excluded = excluded;
-    if (!choice.nodeId || !maySendCopy({choice.expectedWaitMs, choice.expectedRunMs, work.placement.timeLeftMs})
-        || !takeHedge(m_budget, work.service, limits(), steadyNow())) {
+    if (!choice.nodeId || !maySendHedge({choice.expectedWaitMs, choice.expectedRunMs, work.placement.timeLeftMs})
+        || !tryAcquireServiceHedge(m_budget, work.service, limits(), steadyNow())) {
         return nullptr;
     }
     m_context.metrics.count("hedges_total");
@@ -299,7 +299,7 @@
     return copyFor(work, choice);
 }
 
-void outbound_side::launch(const shared_copy &copy, const std::shared_ptr<wait_point> &changed)
+void outbound_side::launch(const shared_copy &copy, const std::shared_ptr<async_event> &changed)
 {
     net::co_spawn(
         m_context.executor,
@@ -320,7 +320,12 @@
     }
     const time_point now = steadyNow();
     copy->control->cancel();
-    noteSlow(m_context.placement, work.service, copy->nodeId, work.route->name, msBetween(copy->sentAt, now), now);
+    recordRunTimeLowerBound(m_context.placement,
+                            work.service,
+                            copy->nodeId,
+                            work.route->name,
+                            msBetween(copy->sentAt, now),
+                            now);
     ++work.workersTried;
     work.trail += (work.trail.empty() ? "" : ",") + copy->nodeId + ":slower";
 }
@@ -348,23 +353,23 @@
     } else {
         ++work.workersTried;
     }
-    resend_facts facts;
+    failed_attempt facts;
     facts.end = sendEndOf(reply);
-    facts.isRepeatable = work.route->repeat == repeat_rule::Repeatable;
+    facts.isRetryable = work.route->repeat == repeat_rule::Repeatable;
     facts.workersTried = work.workersTried;
     facts.maxWorkers = work.route->maxWorkers;
-    facts.timeLeft = work.endsBy - now;
+    facts.timeLeft = work.requestDeadline - now;
     facts.expectedRun = fromMs(work.expectedRunMs);
-    if (!mayResend(facts)) {
+    if (!mayRetryElsewhere(facts)) {
         return false;
     }
     if (work.refusals >= maxLoadRefusals) {
         return false;
     }
-    if (facts.end == send_end::NotRun) {
+    if (facts.end == attempt_outcome::NotRun) {
         return true; // no worker saw it, so what the budget gave for this send is still there
     }
-    const bool isAllowed = takeResend(m_budget, work.service, limits(), now);
+    const bool isAllowed = tryAcquireServiceRetry(m_budget, work.service, limits(), now);
     m_context.metrics.count(isAllowed ? "resends_total" : "resends_denied_total");
     return isAllowed;
 }
@@ -373,15 +378,15 @@
 {
     const time_point now = steadyNow();
     if (reply.report != worker_report{}) {
-        noteAlive(m_context.fleet, nodeId, now);
-        noteReport(m_context.placement, work.service, nodeId, reply.report, now);
+        recordNodeResponse(m_context.fleet, nodeId, now);
+        recordReport(m_context.placement, work.service, nodeId, reply.report, now);
     }
     if (reply.runMs > 0) {
-        noteRunMs(m_context.placement, work.service, nodeId, work.route->name, reply.runMs, now);
+        recordWorkerRunTime(m_context.placement, work.service, nodeId, work.route->name, reply.runMs, now);
     }
     if (reply.reason == "unreachable" || reply.reason == "worker-down" || reply.reason == "draining"
         || reply.reason == "link-lost") {
-        avoid(m_context.placement, work.service, nodeId, now);
+        startBackoff(m_context.placement, work.service, nodeId, now);
     }
 }
 
@@ -395,7 +400,7 @@
     message.repeat = work.route->repeat;
     message.priority = work.route->priority;
     message.targetLeftMs = millisBetween(now, work.targetAt);
-    message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, work.endsBy));
+    message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, work.requestDeadline));
     message.callerService = m_context.options.service;
     message.request = *work.request;
     return message;
@@ -432,7 +437,7 @@
             co_return refused;
         }
     }
-    peer_result got = co_await m_links.call(target, message, copy.endsBy + replySlack, *copy.control);
+    peer_result got = co_await m_links.call(target, message, copy.requestDeadline + replySlack, *copy.control);
     call_reply reply;
     reply.id = message.id;
     switch (got.end) {
@@ -466,10 +471,10 @@
     call_reply reply;
     reply.id = message.id;
     reply.reason = "link-lost";
-    const time_point until = std::min(copy.endsBy, steadyNow() + resumeWindow);
+    const time_point until = std::min(copy.requestDeadline, steadyNow() + resumeWindow);
     while (steadyNow() < until && !copy.control->isCancelled()) {
-        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), copy.endsBy));
-        peer_result got = co_await m_links.call(target, message, copy.endsBy + replySlack, *copy.control);
+        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), copy.requestDeadline));
+        peer_result got = co_await m_links.call(target, message, copy.requestDeadline + replySlack, *copy.control);
         if (got.end == peer_end::Replied) {
             co_return std::move(got.reply);
         }
@@ -496,14 +501,14 @@
         }
         if (reply.kind == reply_kind::RejectedByWorker) {
             std::uniform_real_distribution<double> draw(0, 1);
-            const milliseconds wait = returnAfterRejection(work.expectedRunMs, draw(m_context.generator));
+            const milliseconds wait = rejectionRetryAfter(work.expectedRunMs, draw(m_context.generator));
             return refusal(work, reply.reason, wait.count());
         }
         const std::int64_t named = work.retryAfterMs > 0 ? work.retryAfterMs : reply.retryAfterMs;
         return refusal(work, reply.reason, named > 0 ? named : noWorkerRetryMs);
     }
     case reply_kind::Unknown:
-        return failure(work, steadyNow() >= work.endsBy ? 504 : 502, reply.reason);
+        return failure(work, steadyNow() >= work.requestDeadline ? 504 : 502, reply.reason);
     }
     return failure(work, 502, reply.reason);
 }
@@ -544,7 +549,7 @@
         .add("from", work.request->sender);
     if (work.route != nullptr) {
         line.add("target_left_ms", millisBetween(work.arrivedAt, work.targetAt))
-            .add("time_left_ms", millisBetween(work.arrivedAt, work.endsBy))
+            .add("time_left_ms", millisBetween(work.arrivedAt, work.requestDeadline))
             .add("nodes", work.trail);
     } else {
         line.add("path", work.request->target).add("host", findHeader(work.request->headers, "Host").value_or(""));
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -22,7 +22,7 @@
     outbound_side(mesh_context &context, inbound_side &inbound, peer_links &links);
 
     // serve answers one request of a caller. Every request gets a final response.
-    awaitable<whole_response> serve(const whole_request &request, caller_presence &caller);
+    awaitable<whole_response> serve(const whole_request &request, caller_connection &caller);
     // openCount returns the number of requests without a response yet.
     std::size_t openCount() const
     {
@@ -34,15 +34,15 @@
     struct job
     {
         const whole_request *request = nullptr;
-        caller_presence *caller = nullptr;
+        caller_connection *caller = nullptr;
         std::string id;
         std::shared_ptr<const route_table> table;
         const routed_path *route = nullptr;
         std::string service;
         time_point arrivedAt;
         time_point targetAt;
-        time_point endsBy;
-        std::shared_ptr<exchange_control> control;
+        time_point requestDeadline;
+        std::shared_ptr<cancellation_token> control;
         placement_request placement;
         std::uint32_t workersTried = 0; // that the request may have reached
         std::uint32_t handBacks = 0; // by nodes where it would have waited long
@@ -58,8 +58,8 @@
         std::string nodeId;
         call_message message;
         time_point sentAt;
-        time_point endsBy;
-        std::shared_ptr<exchange_control> control = std::make_shared<exchange_control>();
+        time_point requestDeadline;
+        std::shared_ptr<cancellation_token> control = std::make_shared<cancellation_token>();
         std::optional<call_reply> reply; // once it has ended
     };
     using shared_copy = std::shared_ptr<sent_copy>;
@@ -71,9 +71,9 @@
     // sendHedged sends the copy and, if that takes long, another one elsewhere; returns the one whose reply counts.
     awaitable<shared_copy> sendHedged(job &work, const shared_copy &first, const placement_choice &choice);
     awaitable<shared_copy>
-    race(job &work, const shared_copy &first, const shared_copy &second, const std::shared_ptr<wait_point> &changed);
+    race(job &work, const shared_copy &first, const shared_copy &second, const std::shared_ptr<async_event> &changed);
     shared_copy hedge(job &work, const sent_copy &first);
-    void launch(const shared_copy &copy, const std::shared_ptr<wait_point> &changed);
+    void launch(const shared_copy &copy, const std::shared_ptr<async_event> &changed);
     void dropSlower(job &work, const shared_copy &copy);
     void noteEnd(job &work, const sent_copy &copy);
     awaitable<call_reply> sendTo(const sent_copy &copy);
@@ -86,14 +86,14 @@
     whole_response refusal(const job &work, std::string_view reason, std::int64_t retryAfterMs);
     whole_response failure(const job &work, unsigned status, std::string_view reason);
     void logEnd(const job &work, const whole_response &response, std::string_view outcome);
-    resend_limits limits() const;
+    retry_budget_limits limits() const;
 
     mesh_context &m_context;
     inbound_side &m_inbound;
     peer_links &m_links;
     split_state m_splits;
-    resend_budget m_budget;
-    attempt_ages m_ages;
+    service_retry_budgets m_budget;
+    caller_timeouts m_ages;
     std::size_t m_open = 0;
 };
 
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -108,7 +108,7 @@
             const incoming lost = std::move(found->second);
             m_incoming.erase(found);
             for (const auto &[id, call] : lost.calls) {
-                if (call.isRepeatable) {
+                if (call.isRetryable) {
                     call.control->cancel();
                 }
             }
@@ -132,7 +132,7 @@
             return decodeMessage<reservation_message>(payload, meshFormat, m_garbled);
         });
         if (request) {
-            const bool isGranted = reserveRoom(m_context.room, request->id, request->bytes, steadyNow());
+            const bool isGranted = reserveBandwidth(m_context.room, request->id, request->bytes, steadyNow());
             link.send(code(frame_kind::Reserved), encode(reservation_message{request->id, request->bytes, isGranted}));
         }
     } else if (kind == code(frame_kind::Ping)) {
@@ -169,8 +169,8 @@
         link.close("garbled frame");
         return;
     }
-    releaseRoom(m_context.room, message->id);
-    const auto control = std::make_shared<exchange_control>();
+    releaseBandwidth(m_context.room, message->id);
+    const auto control = std::make_shared<cancellation_token>();
     m_incoming[&link].calls[message->id] = {control, message->repeat == repeat_rule::Repeatable};
     net::co_spawn(
         m_context.executor,
@@ -199,7 +199,7 @@
             co_return state.link;
         }
         if (state.isConnecting) {
-            const auto waiter = std::make_shared<wait_point>(m_context.executor);
+            const auto waiter = std::make_shared<async_event>(m_context.executor);
             state.waiters.push_back(waiter);
             co_await waiter->waitUntil(steadyNow() + connectTimeout);
             const outgoing &after = m_links[key];
@@ -284,7 +284,7 @@
 }
 
 awaitable<peer_result>
-peer_links::call(endpoint target, const call_message &message, time_point deadline, exchange_control &control)
+peer_links::call(endpoint target, const call_message &message, time_point deadline, cancellation_token &control)
 {
     peer_result result;
     const link_key key{target, isLarge(message.request.body.size())};
@@ -325,7 +325,7 @@
 }
 
 awaitable<peer_end>
-peer_links::reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &control)
+peer_links::reserve(endpoint target, const std::string &id, std::size_t bytes, cancellation_token &control)
 {
     const link_key key{target, false};
     const std::shared_ptr<frame_link> link = co_await linkTo(key);
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -34,7 +34,7 @@
 // Calls and messages that arrive on links.
 struct peer_events
 {
-    std::function<awaitable<call_reply>(call_message, std::shared_ptr<exchange_control>)> onCall;
+    std::function<awaitable<call_reply>(call_message, std::shared_ptr<cancellation_token>)> onCall;
     std::function<void(const config_message &)> onConfig;
     std::function<config_message(const config_request &)> config;
     std::function<void(const endpoint &)> onSuspect; // a node has not answered a ping yet
@@ -52,9 +52,9 @@
     result<void> listen();
     // call sends a call and waits for its reply.
     awaitable<peer_result>
-    call(endpoint target, const call_message &message, time_point deadline, exchange_control &control);
+    call(endpoint target, const call_message &message, time_point deadline, cancellation_token &control);
     // reserve asks a node for room on its link for a large body.
-    awaitable<peer_end> reserve(endpoint target, const std::string &id, std::size_t bytes, exchange_control &control);
+    awaitable<peer_end> reserve(endpoint target, const std::string &id, std::size_t bytes, cancellation_token &control);
     // isLarge tells whether a body needs a reservation.
     static bool isLarge(std::size_t bytes);
     // requestConfig asks a node for its configuration; the answer goes to `onConfig`.
@@ -73,7 +73,7 @@
             : done(executor)
         {
         }
-        wait_point done;
+        async_event done;
         bool isLost = false;
         std::optional<call_reply> reply;
         std::optional<bool> isGranted;
@@ -81,7 +81,7 @@
     struct outgoing
     {
         std::shared_ptr<frame_link> link;
-        std::vector<std::shared_ptr<wait_point>> waiters; // while it connects
+        std::vector<std::shared_ptr<async_event>> waiters; // while it connects
         bool isConnecting = false;
         std::unordered_map<std::string, std::shared_ptr<pending_call>> calls; // by id
         time_point lastUsed;
@@ -103,8 +103,8 @@
     std::map<link_key, outgoing> m_links;
     struct served_call
     {
-        std::shared_ptr<exchange_control> control;
-        bool isRepeatable = false;
+        std::shared_ptr<cancellation_token> control;
+        bool isRetryable = false;
     };
     struct incoming
     {
--- a/packages/process/metrics/metrics.cc
+++ b/packages/process/metrics/metrics.cc
@@ -104,7 +104,7 @@
     metrics_snapshot copy;
     const std::lock_guard guard(m_mutex);
     for (const auto &[name, entry] : m_services) {
-        service_figures &figures = copy.services[name];
+        service_metrics &figures = copy.services[name];
         for (std::size_t index = 0; index < workClassNames.size(); ++index) {
             const latency_summary summary = summarize(entry->latencies.at(index));
             if (summary.count > 0) {
--- a/packages/process/metrics/metrics.h
+++ b/packages/process/metrics/metrics.h
@@ -46,17 +46,17 @@
 };
 
 // Everything that a node reports about the requests of one service.
-struct service_figures
+struct service_metrics
 {
     std::map<std::string, latency_summary> latencyByClass;
     std::map<std::string, burn_counts> burnByObjective;
 
-    friend bool operator==(const service_figures &, const service_figures &) = default;
+    friend bool operator==(const service_metrics &, const service_metrics &) = default;
 };
 
 struct metrics_snapshot
 {
-    std::map<std::string, service_figures, std::less<>> services;
+    std::map<std::string, service_metrics, std::less<>> services;
 
     friend bool operator==(const metrics_snapshot &, const metrics_snapshot &) = default;
 };
--- a/packages/process/metrics/metrics_test.cc
+++ b/packages/process/metrics/metrics_test.cc
@@ -53,7 +53,7 @@
     figures.record({"orders", work_class::Interactive, 200, milliseconds(150)}, wanted, start);
     figures.record({"orders", work_class::Interactive, 503, milliseconds(1)}, wanted, start);
     const metrics_snapshot copy = figures.snapshot(start);
-    const service_figures &orders = copy.services.at("orders");
+    const service_metrics &orders = copy.services.at("orders");
     CHECK(orders.burnByObjective.at("fast") == burn_counts{99, 3, 2, 3, 2});
     CHECK(orders.latencyByClass.at("interactive").count == 3);
     CHECK(orders.latencyByClass.at("interactive").max == Approx(150));
--- a/packages/process/node/claims_duty.cc
+++ b/packages/process/node/claims_duty.cc
@@ -51,12 +51,12 @@
     m_threads.clear();
 }
 
-once_result claims_duty::claim(const hash128 &key, time_point deadline)
+claim_decision claims_duty::claim(const hash128 &key, time_point deadline)
 {
     std::unique_lock guard(m_mutex);
     const hash128 claim = randomId(m_generator);
-    const once_result begun = beginOnce(m_state, key, claim, deadline, steadyNow());
-    if (begun.kind != once_kind::Wait) {
+    const claim_decision begun = beginClaim(m_state, key, claim, deadline, steadyNow());
+    if (begun.kind != claim_action::Wait) {
         return begun;
     }
     m_queued.notify_one();
@@ -65,9 +65,9 @@
     });
     const auto found = m_results.find(claim);
     if (found == m_results.end()) {
-        return {once_kind::Answer, claim, pistachioquay::abandonRun(m_state, claim)};
+        return {claim_action::Respond, claim, pistachioquay::abandonRun(m_state, claim)};
     }
-    const once_result decided = found->second;
+    const claim_decision decided = found->second;
     m_results.erase(found);
     return decided;
 }
@@ -84,18 +84,18 @@
     pistachioquay::endRun(m_state, claim);
 }
 
-once_outcome claims_duty::abandonRun(const hash128 &claim)
+key_outcome claims_duty::abandonRun(const hash128 &claim)
 {
     const std::lock_guard guard(m_mutex);
     m_queued.notify_one();
     return pistachioquay::abandonRun(m_state, claim);
 }
 
-once_outcome claims_duty::noteNothingSent(const hash128 &claim)
+key_outcome claims_duty::abandonUnsentRun(const hash128 &claim)
 {
     const std::lock_guard guard(m_mutex);
     m_queued.notify_one();
-    return pistachioquay::noteNothingSent(m_state, claim);
+    return pistachioquay::abandonUnsentRun(m_state, claim);
 }
 
 void claims_duty::runAppends(const std::stop_token &stop)
@@ -124,7 +124,7 @@
     claim_batch batch;
     {
         const std::lock_guard guard(m_mutex);
-        const auto due = takeBatch(m_state.queue, steadyNow());
+        const auto due = beginAppend(m_state.queue, steadyNow());
         batch.records.assign(due.begin(), due.end());
     }
     if (batch.records.empty()) {
@@ -134,7 +134,7 @@
         return appendRecord(m_target, claimsStream, encodeMessage(batch, claimsFormat));
     });
     const std::lock_guard guard(m_mutex);
-    batchAppended(m_state.queue, static_cast<bool>(appended), steadyNow(), m_generator);
+    endAppend(m_state.queue, static_cast<bool>(appended), steadyNow(), m_generator);
     return true;
 }
 
@@ -173,9 +173,9 @@
     const std::lock_guard guard(m_mutex);
     const time_point now = steadyNow();
     if (batch.first > static_cast<std::uint64_t>(m_state.index.position)) {
-        restartOnce(m_state, static_cast<std::int64_t>(batch.first));
+        restartReplay(m_state, static_cast<std::int64_t>(batch.first));
     }
-    std::vector<once_result> actions;
+    std::vector<claim_decision> actions;
     decode_counters counters;
     for (const log_record &record : batch.records) {
         // A record that cannot be read holds no claim that anybody runs, because its writer waits to read it back.
@@ -190,9 +190,9 @@
                     actions);
     }
     if (static_cast<std::uint64_t>(m_state.index.position) >= batch.next) {
-        noteReadEnd(m_state, startedAt);
+        recordCaughtUp(m_state, startedAt);
     }
-    for (const once_result &each : actions) {
+    for (const claim_decision &each : actions) {
         m_results[each.claim] = each;
     }
     if (now - m_forgottenAt >= forgetInterval) {
--- a/packages/process/node/claims_duty.h
+++ b/packages/process/node/claims_duty.h
@@ -3,8 +3,8 @@
 //
 //   claims_duty claims(target, [&] { return servesKeyedRequests(); });
 //   claims.start();
-//   const once_result decided = claims.claim(key, deadline);   // blocks
-//   if (decided.kind == once_kind::Run && claims.startRun(decided.claim)) ...
+//   const claim_decision decided = claims.claim(key, deadline);   // blocks
+//   if (decided.kind == claim_action::Run && claims.startRun(decided.claim)) ...
 #pragma once
 
 #include <condition_variable>
@@ -49,13 +49,13 @@
     void stop();
 
     // claim claims a key and blocks until the request may run, must not run, or its deadline passes.
-    once_result claim(const hash128 &key, time_point deadline);
+    claim_decision claim(const hash128 &key, time_point deadline);
 
-    // startRun, endRun, abandonRun and noteNothingSent have the contracts of request/once/once.h.
+    // startRun, endRun, abandonRun and abandonUnsentRun have the contracts of request/once/once.h.
     bool startRun(const hash128 &claim);
     void endRun(const hash128 &claim);
-    once_outcome abandonRun(const hash128 &claim);
-    once_outcome noteNothingSent(const hash128 &claim);
+    key_outcome abandonRun(const hash128 &claim);
+    key_outcome abandonUnsentRun(const hash128 &claim);
 
 private:
     void runAppends(const std::stop_token &stop);
@@ -70,8 +70,9 @@
     std::mutex m_mutex; // guards all below
     std::condition_variable m_decided;
     std::condition_variable_any m_queued; // records wait to be appended
-    once_state m_state;
-    std::unordered_map<hash128, once_result, internal::hash_of_hash> m_results; // by claim, until its thread takes it
+    at_most_once_state m_state;
+    std::unordered_map<hash128, claim_decision, internal::hash128_hasher>
+        m_results; // by claim, until its thread takes it
     random_generator m_generator = seededFromDevice();
     time_point m_forgottenAt;
     std::vector<std::jthread> m_threads;
--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -112,8 +112,8 @@
     void observe(const request_sample &sample);
     bool servesKeyedRequests() const;
     claim_sources claimSources();
-    bool isWorkerGone() const;
-    void spreadReports(const std::vector<crash_report> &reports);
+    bool isWorkerPortClosed() const;
+    void broadcastReports(const std::vector<crash_report> &reports);
     status_facts statusFacts() const;
 
     const node_settings &settings;
@@ -164,13 +164,13 @@
                                                    return gossip->isAccepting();
                                                },
                                            .claims = claimSources(),
-                                           .isWorkerGone =
+                                           .isWorkerPortClosed =
                                                [this] {
-                                                   return isWorkerGone();
+                                                   return isWorkerPortClosed();
                                                },
-                                           .spreadReports =
+                                           .broadcastReports =
                                                [this](const std::vector<crash_report> &reports) {
-                                                   spreadReports(reports);
+                                                   broadcastReports(reports);
                                                },
                                            .observe =
                                                [this](const request_sample &sample) {
@@ -360,13 +360,13 @@
            });
 }
 
-bool node::parts::isWorkerGone() const
+bool node::parts::isWorkerPortClosed() const
 {
     return isPortClosed(settings.upstream, steadyNow() + workerCheckWait);
 }
 
 // Returns when all other nodes of the own service in the data centre have the reports, or after `maxHoldBack`.
-void node::parts::spreadReports(const std::vector<crash_report> &reports)
+void node::parts::broadcastReports(const std::vector<crash_report> &reports)
 {
     const time_point deadline = steadyNow() + maxHoldBack;
     std::vector<std::future<bool>> open;
@@ -404,9 +404,9 @@
             [this](const hash128 &claim) {
                 return claims->abandonRun(claim);
             },
-        .noteNothingSent =
+        .abandonUnsentRun =
             [this](const hash128 &claim) {
-                return claims->noteNothingSent(claim);
+                return claims->abandonUnsentRun(claim);
             },
     };
 }
--- a/packages/process/node/status_json.cc
+++ b/packages/process/node/status_json.cc
@@ -159,7 +159,7 @@
                      number(counts.longBad));
 }
 
-json_t *serviceJson(const service_figures &figures)
+json_t *serviceJson(const service_metrics &figures)
 {
     json_t *latencies = json_object();
     for (const auto &[name, summary] : figures.latencyByClass) {
--- a/packages/process/store_reading/store_reading.cc
+++ b/packages/process/store_reading/store_reading.cc
@@ -10,19 +10,19 @@
 
 } // namespace
 
-bool shouldRead(const reader_facts &facts)
+bool shouldRead(const reader_status &facts)
 {
-    const milliseconds overdue = readWait(facts.bound) + facts.bound / 8;
+    const milliseconds overdue = longPollWait(facts.bound) + facts.bound / 8;
     return facts.rank == 0 || facts.behindFor > facts.bound / 3
-        || facts.sinceWord > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, lastStagger);
+        || facts.sinceReaderAnnouncement > overdue + rankStagger * std::min<std::size_t>(facts.rank - 1, lastStagger);
 }
 
-milliseconds readWait(milliseconds bound)
+milliseconds longPollWait(milliseconds bound)
 {
     return bound * 3 / 5;
 }
 
-milliseconds readPause(unsigned failures, std::size_t rank)
+milliseconds readBackoff(unsigned failures, std::size_t rank)
 {
     const unsigned doublings = std::min(failures > 0 ? failures - 1 : 0U, maxDoublings);
     const milliseconds longest =
--- a/packages/process/store_reading/store_reading_test.cc
+++ b/packages/process/store_reading/store_reading_test.cc
@@ -16,12 +16,12 @@
     for (std::size_t rank = 0; rank < nodes; ++rank) {
         unsigned failures = 0;
         for (milliseconds now{0}; now < outage;) {
-            if (!shouldRead({.rank = rank, .sinceWord = now, .bound = bound})) {
+            if (!shouldRead({.rank = rank, .sinceReaderAnnouncement = now, .bound = bound})) {
                 now += milliseconds(10);
                 continue;
             }
             ++calls;
-            now += readPause(++failures, rank);
+            now += readBackoff(++failures, rank);
         }
     }
     return calls;
@@ -32,16 +32,16 @@
 TEST_CASE("the reader reads, and the others leave it to it while its word is fresh")
 {
     CHECK(shouldRead({.rank = 0, .bound = bound}));
-    CHECK_FALSE(shouldRead({.rank = 1, .sinceWord = readWait(bound), .bound = bound}));
-    CHECK(shouldRead({.rank = 1, .sinceWord = bound, .bound = bound}));
+    CHECK_FALSE(shouldRead({.rank = 1, .sinceReaderAnnouncement = longPollWait(bound), .bound = bound}));
+    CHECK(shouldRead({.rank = 1, .sinceReaderAnnouncement = bound, .bound = bound}));
     CHECK(shouldRead({.rank = 9, .behindFor = bound / 2, .bound = bound}));
 }
 
 TEST_CASE("nodes step in one after the other")
 {
-    const duration second = readWait(bound) + bound / 8 + rankStagger;
-    CHECK(shouldRead({.rank = 1, .sinceWord = second, .bound = bound}));
-    CHECK_FALSE(shouldRead({.rank = 3, .sinceWord = second, .bound = bound}));
+    const duration second = longPollWait(bound) + bound / 8 + rankStagger;
+    CHECK(shouldRead({.rank = 1, .sinceReaderAnnouncement = second, .bound = bound}));
+    CHECK_FALSE(shouldRead({.rank = 3, .sinceReaderAnnouncement = second, .bound = bound}));
 }
 
 TEST_CASE("an outage costs few calls, and its end is noticed within the bound")
@@ -51,7 +51,7 @@
     constexpr unsigned simpleRule = 10000 / 200 * nodes; // every node again after 200 ms
     CHECK(callsInOutage(nodes, outage) < simpleRule / 5);
     for (unsigned failures = 1; failures < 40; ++failures) {
-        CHECK(readPause(failures, 0) <= bound / 2);
-        CHECK(readPause(failures, 0) >= firstReadPause);
+        CHECK(readBackoff(failures, 0) <= bound / 2);
+        CHECK(readBackoff(failures, 0) >= firstReadPause);
     }
 }
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-bool isSameProcess(const worker_life &life, const worker_notice &notice)
+bool isSameProcess(const worker_liveness &life, const worker_notice &notice)
 {
     // A farewell may be the first that is heard of a process, and need not tell its start. What started before that
     // farewell came is the process that sent it.
@@ -16,7 +16,7 @@
     return life.workerId == notice.workerId && notice.startedMs.value_or(life.startedMs) == life.startedMs;
 }
 
-notice_verdict startProcess(worker_life &life, const worker_notice &notice, time_point now)
+notice_verdict startProcess(worker_liveness &life, const worker_notice &notice, time_point now)
 {
     life = {};
     life.workerId = notice.workerId;
@@ -26,12 +26,12 @@
     life.slots = notice.slots;
     life.isLeaving = notice.kind != notice_kind::Ready;
     life.leavingSince = now;
-    life.coldUntil = now + notice.coldLeft;
-    life.heardAt = now;
+    life.warmUpUntil = now + notice.coldLeft;
+    life.lastHeardAt = now;
     return notice_verdict::Changed;
 }
 
-notice_verdict beginLeaving(worker_life &life, time_point now)
+notice_verdict beginLeaving(worker_liveness &life, time_point now)
 {
     if (life.isLeaving) {
         return notice_verdict::Unchanged;
@@ -56,7 +56,7 @@
     return "unknown";
 }
 
-notice_verdict applyNotice(worker_life &life, const worker_notice &notice, time_point now)
+notice_verdict applyNotice(worker_liveness &life, const worker_notice &notice, time_point now)
 {
     if (!isSameProcess(life, notice)) {
         const bool isOlder = notice.startedMs.value_or(0) < life.startedMs;
@@ -74,8 +74,8 @@
         return notice_verdict::Stale;
     }
     life.sequence = notice.sequence.value_or(life.sequence);
-    life.heardAt = now;
-    life.coldUntil = now + notice.coldLeft;
+    life.lastHeardAt = now;
+    life.warmUpUntil = now + notice.coldLeft;
     notice_verdict verdict = notice_verdict::Unchanged;
     if (life.isUnreachable || life.slots != notice.slots) {
         life.isUnreachable = false;
@@ -87,17 +87,17 @@
         : verdict;
 }
 
-bool noteUnreachable(worker_life &life)
+bool recordUnreachable(worker_liveness &life)
 {
     return !std::exchange(life.isUnreachable, true);
 }
 
-bool noteSilence(worker_life &life, milliseconds allowed, time_point now)
+bool recordSilence(worker_liveness &life, milliseconds allowed, time_point now)
 {
-    return !life.workerId.empty() && now - life.heardAt > allowed && noteUnreachable(life);
+    return !life.workerId.empty() && now - life.lastHeardAt > allowed && recordUnreachable(life);
 }
 
-bool mayTakeWork(const worker_life &life)
+bool isAcceptingRequests(const worker_liveness &life)
 {
     return !life.workerId.empty() && !life.isLeaving && !life.isUnreachable;
 }
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -1,7 +1,7 @@
 // What a node knows of its worker from the worker's own notices.
 //
 //   const notice_verdict verdict = applyNotice(life, notice, now);
-//   if (mayTakeWork(life, now)) ...
+//   if (isAcceptingRequests(life, now)) ...
 //
 // Notices may arrive seconds late and after a newer process of the worker has announced itself. The start time of the
 // worker's process orders its processes, and the sequence orders the notices of one process. A process that has said
@@ -50,7 +50,7 @@
 // verdictName returns the lower-case name for logs. Thread safe.
 std::string_view verdictName(notice_verdict verdict);
 
-struct worker_life
+struct worker_liveness
 {
     std::string workerId; // empty: no worker has announced itself
     std::int64_t startedMs = 0; // 0: not known yet, after a farewell that did not tell it
@@ -59,24 +59,24 @@
     std::uint32_t slots = 0;
     bool isLeaving = false;
     bool isUnreachable = false; // its port is closed, or it is silent
-    time_point coldUntil;
-    time_point heardAt;
+    time_point warmUpUntil;
+    time_point lastHeardAt;
     time_point leavingSince;
 
-    friend bool operator==(const worker_life &, const worker_life &) = default;
+    friend bool operator==(const worker_liveness &, const worker_liveness &) = default;
 };
 
 // applyNotice takes over a notice.
-notice_verdict applyNotice(worker_life &life, const worker_notice &notice, time_point now);
+notice_verdict applyNotice(worker_liveness &life, const worker_notice &notice, time_point now);
 
-// noteUnreachable records that the worker could not be reached; the next notice that is not stale ends that. True if
+// recordUnreachable records that the worker could not be reached; the next notice that is not stale ends that. True if
 // it was reachable before.
-bool noteUnreachable(worker_life &life);
+bool recordUnreachable(worker_liveness &life);
 
-// noteSilence records a worker whose notices have stopped for `allowed`; true if the belief changed.
-bool noteSilence(worker_life &life, milliseconds allowed, time_point now);
+// recordSilence records a worker whose notices have stopped for `allowed`; true if the belief changed.
+bool recordSilence(worker_liveness &life, milliseconds allowed, time_point now);
 
-// mayTakeWork tells whether the worker gets new requests.
-bool mayTakeWork(const worker_life &life);
+// isAcceptingRequests tells whether the worker gets new requests.
+bool isAcceptingRequests(const worker_liveness &life);
 
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life_test.cc
+++ b/packages/process/worker_life/worker_life_test.cc
@@ -33,7 +33,7 @@
 
 TEST_CASE("a notice of an older process does not replace a newer one")
 {
-    worker_life life;
+    worker_liveness life;
     applyNotice(life, noticeOf("w2", 2000, 0), start);
     CHECK(applyNotice(life, noticeOf("w1", 1000, 9), start) == notice_verdict::Stale);
     CHECK(life.workerId == "w2");
@@ -41,90 +41,90 @@
 
 TEST_CASE("a worker that starts again under its id begins anew")
 {
-    worker_life life;
+    worker_liveness life;
     applyNotice(life, noticeOf("w1", 1000, 7), start);
     applyNotice(life, noticeOf("w1", 1000, 8, notice_kind::Draining), start);
     CHECK(applyNotice(life, noticeOf("w1", 5000, 0), start) == notice_verdict::Changed);
-    CHECK(mayTakeWork(life));
+    CHECK(isAcceptingRequests(life));
 }
 
 TEST_CASE("a draining worker takes no work again, whatever arrives late")
 {
-    worker_life life;
+    worker_liveness life;
     applyNotice(life, noticeOf("w1", 1000, 3), start);
     CHECK(applyNotice(life, noticeOf("w1", 1000, 5, notice_kind::Draining), start) == notice_verdict::Changed);
     CHECK(applyNotice(life, noticeOf("w1", 1000, 4), start) == notice_verdict::Stale);
     applyNotice(life, noticeOf("w1", 1000, 6), start);
-    CHECK_FALSE(mayTakeWork(life));
+    CHECK_FALSE(isAcceptingRequests(life));
 }
 
 TEST_CASE("a farewell counts without a sequence, and only for its own process")
 {
-    worker_life life;
+    worker_liveness life;
     applyNotice(life, noticeOf("w2", 2000, 3), start);
     worker_notice farewell = farewellOf("w1");
     CHECK(applyNotice(life, farewell, start) == notice_verdict::Stale);
-    CHECK(mayTakeWork(life));
+    CHECK(isAcceptingRequests(life));
     farewell.workerId = "w2";
     CHECK(applyNotice(life, farewell, start) == notice_verdict::Changed);
-    CHECK_FALSE(mayTakeWork(life));
+    CHECK_FALSE(isAcceptingRequests(life));
 }
 
 TEST_CASE("a farewell of an earlier start under the same id is stale")
 {
-    worker_life life;
+    worker_liveness life;
     applyNotice(life, noticeOf("w1", 2000, 0), start);
     worker_notice farewell = farewellOf("w1");
     farewell.startedMs = 1000;
     CHECK(applyNotice(life, farewell, start) == notice_verdict::Stale);
-    CHECK(mayTakeWork(life));
+    CHECK(isAcceptingRequests(life));
 }
 
 TEST_CASE("a farewell that is the first notice of a process holds against its later heartbeats")
 {
-    worker_life life;
+    worker_liveness life;
     worker_notice farewell = farewellOf("w1");
     farewell.receivedMs = 5000;
     applyNotice(life, farewell, start);
     worker_notice heartbeat = noticeOf("w1", 1000, 15);
     heartbeat.receivedMs = 7000;
     applyNotice(life, heartbeat, start);
-    CHECK_FALSE(mayTakeWork(life));
+    CHECK_FALSE(isAcceptingRequests(life));
     CHECK(life.startedMs == 1000);
     worker_notice restarted = noticeOf("w1", 8000, 0);
     applyNotice(life, restarted, start);
-    CHECK(mayTakeWork(life));
+    CHECK(isAcceptingRequests(life));
 }
 
 TEST_CASE("a worker that starts again after a farewell of unknown start takes work")
 {
-    worker_life life;
+    worker_liveness life;
     worker_notice farewell = farewellOf("w1");
     farewell.receivedMs = 5000;
     applyNotice(life, farewell, start);
     applyNotice(life, noticeOf("w1", 6000, 0), start);
-    CHECK(mayTakeWork(life));
+    CHECK(isAcceptingRequests(life));
 }
 
 TEST_CASE("an unreachable worker is back with its next notice")
 {
-    worker_life life;
+    worker_liveness life;
     applyNotice(life, noticeOf("w1", 1000, 1), start);
-    CHECK(noteUnreachable(life));
-    CHECK_FALSE(noteUnreachable(life));
-    CHECK_FALSE(mayTakeWork(life));
+    CHECK(recordUnreachable(life));
+    CHECK_FALSE(recordUnreachable(life));
+    CHECK_FALSE(isAcceptingRequests(life));
     CHECK(applyNotice(life, noticeOf("w1", 1000, 1), start) == notice_verdict::Stale);
-    CHECK_FALSE(mayTakeWork(life));
+    CHECK_FALSE(isAcceptingRequests(life));
     CHECK(applyNotice(life, noticeOf("w1", 1000, 2), start) == notice_verdict::Changed);
-    CHECK(mayTakeWork(life));
+    CHECK(isAcceptingRequests(life));
 }
 
 TEST_CASE("a worker whose notices stop takes no work")
 {
-    worker_life life;
-    CHECK_FALSE(noteSilence(life, seconds(3), start + seconds(60)));
+    worker_liveness life;
+    CHECK_FALSE(recordSilence(life, seconds(3), start + seconds(60)));
     applyNotice(life, noticeOf("w1", 1000, 1), start);
-    CHECK_FALSE(noteSilence(life, seconds(3), start + seconds(3)));
-    CHECK(noteSilence(life, seconds(3), start + seconds(4)));
-    CHECK_FALSE(mayTakeWork(life));
+    CHECK_FALSE(recordSilence(life, seconds(3), start + seconds(3)));
+    CHECK(recordSilence(life, seconds(3), start + seconds(4)));
+    CHECK_FALSE(isAcceptingRequests(life));
 }
--- a/packages/request/admission/limits.cc
+++ b/packages/request/admission/limits.cc
@@ -79,7 +79,7 @@
     return state;
 }
 
-void observeWorkers(limit_state &state, std::span<const std::string_view> nodeIds, time_point now)
+void recordSeenWorkers(limit_state &state, std::span<const std::string_view> nodeIds, time_point now)
 {
     const std::size_t before = state.seen.size();
     const auto note = [&](std::uint64_t id) {
--- a/packages/request/admission/limits.h
+++ b/packages/request/admission/limits.h
@@ -1,6 +1,6 @@
 // Share of a node in the limits of its service. A limit's value counts for all nodes of a data centre together.
 //
-//   observeWorkers(state, nodeIds, now);                                        // at each view, and once a second
+//   recordSeenWorkers(state, nodeIds, now);                                        // at each view, and once a second
 //   limit_verdict verdict = takeLimit(state, "orders", {400, 64}, now, index);
 //   ...
 //   releaseLimit(state, index);                                                 // when the request has ended
@@ -87,8 +87,8 @@
 // makeLimits returns the state of a node that has just started. Thread safe.
 limit_state makeLimits(std::string_view selfId, time_point now);
 
-// observeWorkers records the workers of the service in the own data centre, whatever their state. Not thread safe.
-void observeWorkers(limit_state &state, std::span<const std::string_view> nodeIds, time_point now);
+// recordSeenWorkers records the workers of the service in the own data centre, whatever their state. Not thread safe.
+void recordSeenWorkers(limit_state &state, std::span<const std::string_view> nodeIds, time_point now);
 
 // takeLimit takes one request out of the share of `name`, or tells which bound is reached. Not thread safe. On Pass,
 // `index` names the share for `releaseLimit`.
--- a/packages/request/admission/limits_test.cc
+++ b/packages/request/admission/limits_test.cc
@@ -55,7 +55,7 @@
             }
         }
         made.nodes.push_back(makeLimits(names.at(self), start));
-        observeWorkers(made.nodes.back(), view, start + newNodeWait);
+        recordSeenWorkers(made.nodes.back(), view, start + newNodeWait);
     }
     return made;
 }
@@ -156,10 +156,10 @@
     limit_state node = makeLimits("a", start);
     const std::vector<std::string_view> both = {"a", "b"};
     const std::vector<std::string_view> alone = {"a"};
-    observeWorkers(node, both, start);
-    observeWorkers(node, alone, start + seconds(30));
+    recordSeenWorkers(node, both, start);
+    recordSeenWorkers(node, alone, start + seconds(30));
     CHECK(node.seen.size() == 2);
-    observeWorkers(node, alone, start + seconds(31));
+    recordSeenWorkers(node, alone, start + seconds(31));
     CHECK(node.seen.size() == 1);
 }
 
--- a/packages/request/attempt_age/attempt_age.cc
+++ b/packages/request/attempt_age/attempt_age.cc
@@ -4,7 +4,7 @@
 
 namespace pistachioquay {
 
-milliseconds spentBefore(attempt_ages &ages, const std::string &route, milliseconds statedLeft)
+milliseconds timeSinceFirstAttempt(caller_timeouts &ages, const std::string &route, milliseconds statedLeft)
 {
     milliseconds &longest = ages.longestWait[route];
     longest = std::max(longest, statedLeft);
--- a/packages/request/attempt_age/attempt_age.h
+++ b/packages/request/attempt_age/attempt_age.h
@@ -1,7 +1,7 @@
 // How long ago the caller of a request sent its first attempt. Targets count from that attempt, but requests only state
 // how long their caller still waits.
 //
-//   const milliseconds spent = spentBefore(ages, route, statedLeft);
+//   const milliseconds spent = timeSinceFirstAttempt(ages, route, statedLeft);
 //   const time_point targetAt = arrivedAt + targetLatency - spent;
 //
 // Load pattern: callers of one route differ in how long they wait, by up to `patienceSpread`, and in a swing those that
@@ -21,12 +21,13 @@
 // lie between 0.85 and 1 of the longest.
 inline constexpr double patienceSpread = 0.16;
 
-struct attempt_ages
+struct caller_timeouts
 {
     std::unordered_map<std::string, milliseconds> longestWait; // stated on each route
 };
 
-// spentBefore returns the time since the caller's first attempt, and learns from `statedLeft`. Not thread safe.
-milliseconds spentBefore(attempt_ages &ages, const std::string &route, milliseconds statedLeft);
+// timeSinceFirstAttempt returns the time since the caller's first attempt, and learns from `statedLeft`. Not thread
+// safe.
+milliseconds timeSinceFirstAttempt(caller_timeouts &ages, const std::string &route, milliseconds statedLeft);
 
 } // namespace pistachioquay
--- a/packages/request/attempt_age/attempt_age_test.cc
+++ b/packages/request/attempt_age/attempt_age_test.cc
@@ -17,33 +17,33 @@
 
 TEST_CASE("first attempts have their whole target, whatever the patience of their callers")
 {
-    attempt_ages ages;
+    caller_timeouts ages;
     random_generator generator(11);
     std::uniform_real_distribution<double> patience(0.85, 1.0);
-    spentBefore(ages, "lookup", longest);
+    timeSinceFirstAttempt(ages, "lookup", longest);
     for (int index = 0; index < 1000; ++index) {
         const milliseconds stated(static_cast<std::int64_t>(longest.count() * patience(generator)));
-        CHECK(spentBefore(ages, "lookup", stated) == milliseconds{0});
+        CHECK(timeSinceFirstAttempt(ages, "lookup", stated) == milliseconds{0});
     }
 }
 
 TEST_CASE("a caller that comes back well after its target is known as late")
 {
-    attempt_ages ages;
+    caller_timeouts ages;
     random_generator generator(12);
     std::uniform_real_distribution<double> patience(0.85, 1.0);
-    spentBefore(ages, "lookup", longest);
+    timeSinceFirstAttempt(ages, "lookup", longest);
     constexpr milliseconds away{900};
     for (int index = 0; index < 1000; ++index) {
         const milliseconds stated =
             milliseconds(static_cast<std::int64_t>(longest.count() * patience(generator))) - away;
-        CHECK(spentBefore(ages, "lookup", stated) > targetLatency);
+        CHECK(timeSinceFirstAttempt(ages, "lookup", stated) > targetLatency);
     }
 }
 
 TEST_CASE("routes are told apart")
 {
-    attempt_ages ages;
-    spentBefore(ages, "lookup", longest);
-    CHECK(spentBefore(ages, "audit", milliseconds(300)) == milliseconds{0});
+    caller_timeouts ages;
+    timeSinceFirstAttempt(ages, "lookup", longest);
+    CHECK(timeSinceFirstAttempt(ages, "audit", milliseconds(300)) == milliseconds{0});
 }
--- a/packages/request/hedge/hedge.cc
+++ b/packages/request/hedge/hedge.cc
@@ -4,9 +4,9 @@
 
 namespace pistachioquay {
 
-std::optional<milliseconds> hedgeDelay(const slow_request &request)
+std::optional<milliseconds> hedgeDelay(const hedge_candidate &request)
 {
-    if (!request.isRepeatable || request.workersTried + 1 > request.maxWorkers) {
+    if (!request.isRetryable || request.workersTried + 1 > request.maxWorkers) {
         return std::nullopt;
     }
     // A worker that is known to be slow is given no more time than the others take.
@@ -21,7 +21,7 @@
     return milliseconds(static_cast<std::int64_t>(delay) + 1);
 }
 
-bool maySendCopy(const copy_target &target)
+bool maySendHedge(const copy_target &target)
 {
     return target.expectedWaitMs <= target.expectedRunMs * hedgeWaitRuns
         && target.expectedWaitMs + target.expectedRunMs * hedgeFit <= target.timeLeftMs;
--- a/packages/request/hedge/hedge.h
+++ b/packages/request/hedge/hedge.h
@@ -2,7 +2,7 @@
 // operator's policy, for the request path of `--settings`.)
 //
 //   if (const auto delay = hedgeDelay(request)) {
-//       if (!co_await replied(now + *delay) && maySendCopy(spare)) sendCopy();
+//       if (!co_await replied(now + *delay) && maySendHedge(spare)) sendCopy();
 //   }
 //
 // Load pattern: some workers slow down for seconds, hang, or fail while their health is good, and nodes learn of it
@@ -24,9 +24,9 @@
 inline constexpr double hedgeWaitRuns = 0.1; // expected wait of a copy, in its own runs, up to which it is sent
 
 // A request that a worker has, and what is known of it.
-struct slow_request
+struct hedge_candidate
 {
-    bool isRepeatable = false;
+    bool isRetryable = false;
     std::uint32_t workersTried = 0; // with the one that has the request now
     std::uint32_t maxWorkers = 1;
     double expectedWaitMs = 0; // at the first worker
@@ -35,12 +35,12 @@
     double targetLeftMs = 0; // until the response loses worth; negative if that has passed
     double timeLeftMs = 0; // until it is of no use
 
-    friend auto operator<=>(const slow_request &, const slow_request &) = default;
+    friend auto operator<=>(const hedge_candidate &, const hedge_candidate &) = default;
 };
 
 // hedgeDelay returns how long to wait for the first worker before a copy is sent; empty if none may be sent. Thread
 // safe.
-std::optional<milliseconds> hedgeDelay(const slow_request &request);
+std::optional<milliseconds> hedgeDelay(const hedge_candidate &request);
 
 // The worker that would get the copy.
 struct copy_target
@@ -52,7 +52,7 @@
     friend auto operator<=>(const copy_target &, const copy_target &) = default;
 };
 
-// maySendCopy tells whether the copy may go there. Thread safe.
-bool maySendCopy(const copy_target &target);
+// maySendHedge tells whether the copy may go there. Thread safe.
+bool maySendHedge(const copy_target &target);
 
 } // namespace pistachioquay
--- a/packages/request/hedge/hedge_test.cc
+++ b/packages/request/hedge/hedge_test.cc
@@ -6,14 +6,14 @@
 
 namespace {
 
-constexpr slow_request lookup{.isRepeatable = true,
-                              .workersTried = 1,
-                              .maxWorkers = 3,
-                              .expectedWaitMs = 0,
-                              .expectedRunMs = 25,
-                              .typicalRunMs = 25,
-                              .targetLeftMs = 100,
-                              .timeLeftMs = 250};
+constexpr hedge_candidate lookup{.isRetryable = true,
+                                 .workersTried = 1,
+                                 .maxWorkers = 3,
+                                 .expectedWaitMs = 0,
+                                 .expectedRunMs = 25,
+                                 .typicalRunMs = 25,
+                                 .targetLeftMs = 100,
+                                 .timeLeftMs = 250};
 
 } // namespace
 
@@ -27,7 +27,7 @@
 
 TEST_CASE("a target that is close brings the copy forward, but not before the first worker had its time")
 {
-    slow_request facts = lookup;
+    hedge_candidate facts = lookup;
     facts.targetLeftMs = 68;
     const auto delay = hedgeDelay(facts);
     REQUIRE(delay);
@@ -37,7 +37,7 @@
 
 TEST_CASE("a request that missed its target waits patiently, and gets a copy while that can end in time")
 {
-    slow_request facts = lookup;
+    hedge_candidate facts = lookup;
     facts.targetLeftMs = -10;
     REQUIRE(hedgeDelay(facts));
     CHECK(hedgeDelay(facts)->count() >= facts.expectedRunMs * hedgeRuns);
@@ -47,24 +47,24 @@
 
 TEST_CASE("a worker that is known to be slow is waited for no longer than others take")
 {
-    slow_request facts = lookup;
+    hedge_candidate facts = lookup;
     facts.expectedRunMs = 200;
     CHECK(hedgeDelay(facts) == hedgeDelay(lookup));
 }
 
 TEST_CASE("requests that may run once, or have used their workers, get no copy")
 {
-    slow_request once = lookup;
-    once.isRepeatable = false;
+    hedge_candidate once = lookup;
+    once.isRetryable = false;
     CHECK_FALSE(hedgeDelay(once));
-    slow_request used = lookup;
+    hedge_candidate used = lookup;
     used.workersTried = used.maxWorkers;
     CHECK_FALSE(hedgeDelay(used));
 }
 
 TEST_CASE("in a swing that fills all slots no copy is sent")
 {
-    CHECK(maySendCopy({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 100}));
-    CHECK_FALSE(maySendCopy({.expectedWaitMs = 12, .expectedRunMs = 25, .timeLeftMs = 100}));
-    CHECK_FALSE(maySendCopy({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 20}));
+    CHECK(maySendHedge({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 100}));
+    CHECK_FALSE(maySendHedge({.expectedWaitMs = 12, .expectedRunMs = 25, .timeLeftMs = 100}));
+    CHECK_FALSE(maySendHedge({.expectedWaitMs = 0, .expectedRunMs = 25, .timeLeftMs = 20}));
 }
--- a/packages/request/ledger/ledger.h
+++ b/packages/request/ledger/ledger.h
@@ -2,10 +2,10 @@
 // lost its connection.
 //
 //   switch (beginEntry(ledger, id, now)) {
-//   case entry_state::New: ...          // this send is the first one
-//   case entry_state::Open: ...         // it waits or runs: the sender gets the response when it ends
-//   case entry_state::Ended: ...        // its response is kept for `responseKept`
-//   case entry_state::Void: ...         // the sender was told that it has not run; it never will
+//   case deduplication_state::New: ...          // this send is the first one
+//   case deduplication_state::Open: ...         // it waits or runs: the sender gets the response when it ends
+//   case deduplication_state::Ended: ...        // its response is kept for `responseKept`
+//   case deduplication_state::Void: ...         // the sender was told that it has not run; it never will
 //   }
 //
 // Load pattern: connections between nodes break while requests are on them, and bytes of the old connection may arrive
@@ -26,26 +26,26 @@
 inline constexpr seconds idKept{20}; // longer than any request lives
 inline constexpr std::size_t maxKeptBytes = 8UL * 1024 * 1024; // of kept responses; the oldest go first
 
-enum class entry_state : std::uint8_t
+enum class deduplication_state : std::uint8_t
 {
     New,
     Open,
-    Ended,
+    Completed,
     Void,
 };
 
 template<class Response>
-class request_ledger
+class deduplication_table
 {
 public:
     // begin enters a request and returns what was known of it before.
-    entry_state begin(const std::string &id, time_point now)
+    deduplication_state begin(const std::string &id, time_point now)
     {
         expire(now);
         const auto [found, isNew] = m_entries.try_emplace(id);
         if (isNew) {
-            found->second.state = entry_state::Open;
-            return entry_state::New;
+            found->second.state = deduplication_state::Open;
+            return deduplication_state::New;
         }
         return found->second.state;
     }
@@ -57,7 +57,7 @@
         if (found == m_entries.end()) {
             return;
         }
-        found->second = {entry_state::Ended, std::move(response), bytes};
+        found->second = {deduplication_state::Completed, std::move(response), bytes};
         m_keptBytes += bytes;
         m_responses.push_back({id, now + responseKept});
         m_ids.push_back({id, now + idKept});
@@ -69,10 +69,10 @@
         m_entries.erase(id);
     }
 
-    // makeVoid marks a request as one that will never run.
-    void makeVoid(const std::string &id, time_point now)
+    // markNeverRun marks a request as one that will never run.
+    void markNeverRun(const std::string &id, time_point now)
     {
-        m_entries[id] = {entry_state::Void, std::nullopt, 0};
+        m_entries[id] = {deduplication_state::Void, std::nullopt, 0};
         m_ids.push_back({id, now + idKept});
     }
 
@@ -91,7 +91,7 @@
 private:
     struct entry
     {
-        entry_state state = entry_state::Open;
+        deduplication_state state = deduplication_state::Open;
         std::optional<Response> response;
         std::size_t bytes = 0;
     };
--- a/packages/request/link_room/link_room.cc
+++ b/packages/request/link_room/link_room.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-std::uint64_t reservedBytes(const link_room &room)
+std::uint64_t reservedBytes(const link_reservations &room)
 {
     return std::accumulate(room.reservations.begin(),
                            room.reservations.end(),
@@ -16,14 +16,14 @@
                            });
 }
 
-double capacityOf(const link_room &room)
+double capacityOf(const link_reservations &room)
 {
     return room.bytesPerMs * static_cast<double>(roomTime.count());
 }
 
 } // namespace
 
-bool reserveRoom(link_room &room, const std::string &id, std::uint64_t bytes, time_point now)
+bool reserveBandwidth(link_reservations &room, const std::string &id, std::uint64_t bytes, time_point now)
 {
     std::erase_if(room.reservations, [&](const auto &item) {
         return item.second.until <= now;
@@ -36,12 +36,12 @@
     return isGranted;
 }
 
-void releaseRoom(link_room &room, const std::string &id)
+void releaseBandwidth(link_reservations &room, const std::string &id)
 {
     room.reservations.erase(id);
 }
 
-double reservedShare(const link_room &room)
+double reservedShare(const link_reservations &room)
 {
     return room.bytesPerMs > 0 ? static_cast<double>(reservedBytes(room)) / capacityOf(room) : 0.0;
 }
--- a/packages/request/link_room/link_room.h
+++ b/packages/request/link_room/link_room.h
@@ -1,8 +1,8 @@
 // Room on the link of a VM for large bodies on their way to it.
 //
-//   if (!reserveRoom(room, id, bytes, now)) return refuse();           // before the body is sent
+//   if (!reserveBandwidth(room, id, bytes, now)) return refuse();           // before the body is sent
 //   ...
-//   releaseRoom(room, id);                                             // when it has arrived
+//   releaseBandwidth(room, id);                                             // when it has arrived
 //
 // Load pattern: many nodes send uploads to the fastest worker at once. Its slots are free, but the link of its VM is
 // not: the bodies queue up on it for seconds, and every other message behind them. So a sender asks first, and a node
@@ -22,7 +22,7 @@
 inline constexpr milliseconds roomTime{150}; // of the link's rate that may be reserved at a time
 inline constexpr milliseconds reservationKept{1500}; // a body that has not arrived by then is not waited for
 
-struct link_room
+struct link_reservations
 {
     struct reservation
     {
@@ -33,13 +33,13 @@
     std::map<std::string, reservation> reservations; // by request id
 };
 
-// reserveRoom grants or refuses room for a body. A link without other reservations takes a body of any size.
-bool reserveRoom(link_room &room, const std::string &id, std::uint64_t bytes, time_point now);
+// reserveBandwidth grants or refuses room for a body. A link without other reservations takes a body of any size.
+bool reserveBandwidth(link_reservations &room, const std::string &id, std::uint64_t bytes, time_point now);
 
-// releaseRoom ends a reservation.
-void releaseRoom(link_room &room, const std::string &id);
+// releaseBandwidth ends a reservation.
+void releaseBandwidth(link_reservations &room, const std::string &id);
 
 // reservedShare returns which share of the room is reserved.
-double reservedShare(const link_room &room);
+double reservedShare(const link_reservations &room);
 
 } // namespace pistachioquay
--- a/packages/request/once/claims.cc
+++ b/packages/request/once/claims.cc
@@ -86,7 +86,7 @@
         > 0;
 }
 
-std::span<const claim_record> takeBatch(claim_queue &queue, time_point now)
+std::span<const claim_record> beginAppend(claim_queue &queue, time_point now)
 {
     if (queue.isAppending || now < queue.nextAppendAt) {
         return {};
@@ -102,7 +102,7 @@
     return queue.inFlight;
 }
 
-void batchAppended(claim_queue &queue, bool isAccepted, time_point now, random_generator &generator)
+void endAppend(claim_queue &queue, bool isAccepted, time_point now, random_generator &generator)
 {
     queue.isAppending = false;
     if (isAccepted) {
--- a/packages/request/once/claims.h
+++ b/packages/request/once/claims.h
@@ -64,7 +64,7 @@
 
 namespace internal {
 
-struct hash_of_hash
+struct hash128_hasher
 {
     std::size_t operator()(const hash128 &value) const
     {
@@ -79,7 +79,7 @@
 {
     std::int64_t position = 1; // offset of the next record
     std::int64_t timeMs = 0; // time of the latest record
-    std::unordered_map<hash128, claim_entry, internal::hash_of_hash> winners; // by key
+    std::unordered_map<hash128, claim_entry, internal::hash128_hasher> winners; // by key
     std::deque<std::pair<std::int64_t, hash128>> byTime; // keys in the order of their claims
 };
 
@@ -109,11 +109,11 @@
 // withdrawClaim removes a claim that was never handed to an append; false if it may reach the log. Not thread safe.
 bool withdrawClaim(claim_queue &queue, const hash128 &claim);
 
-// takeBatch returns the records to append now, empty if none are due. After a failure the same records come first
+// beginAppend returns the records to append now, empty if none are due. After a failure the same records come first
 // again, since the append may or may not have taken effect. Not thread safe.
-std::span<const claim_record> takeBatch(claim_queue &queue, time_point now);
+std::span<const claim_record> beginAppend(claim_queue &queue, time_point now);
 
-// batchAppended ends an append. `isAccepted` is false if the log refused it or its response was lost. Not thread safe.
-void batchAppended(claim_queue &queue, bool isAccepted, time_point now, random_generator &generator);
+// endAppend ends an append. `isAccepted` is false if the log refused it or its response was lost. Not thread safe.
+void endAppend(claim_queue &queue, bool isAccepted, time_point now, random_generator &generator);
 
 } // namespace pistachioquay
--- a/packages/request/once/once.cc
+++ b/packages/request/once/once.cc
@@ -11,7 +11,7 @@
 
 constexpr milliseconds ownMemory{2 * keyMemoryMs}; // longer than any copy of a claim can be on its way to the log
 
-own_claim *ownOf(once_state &state, const hash128 &claim)
+own_claim *ownOf(at_most_once_state &state, const hash128 &claim)
 {
     const auto found = state.own.find(claim);
     return found == state.own.end() ? nullptr : &found->second;
@@ -22,59 +22,62 @@
     return now >= own.deadline || now - own.arrivedAt >= maxClaimWait;
 }
 
-bool holdsKey(const once_state &state, const hash128 &key, const hash128 &claim)
+bool holdsKey(const at_most_once_state &state, const hash128 &key, const hash128 &claim)
 {
     const claim_entry *winner = findClaim(state.index, key);
     return winner != nullptr && winner->claim == claim;
 }
 
 // A full queue drops the void: the key then stays claimed until it is forgotten, which is safe.
-void sendVoid(once_state &state, const hash128 &key, const hash128 &claim)
+void sendVoid(at_most_once_state &state, const hash128 &key, const hash128 &claim)
 {
     enqueueClaim(state.queue, {claim_kind::Void, key, claim});
 }
 
-once_outcome outcomeOfOwn(const own_claim &own)
+key_outcome outcomeOfOwn(const own_claim &own)
 {
     switch (own.phase) {
     case claim_phase::Running:
-        return once_outcome::Running;
+        return key_outcome::Running;
     case claim_phase::Ran:
-        return once_outcome::Ran;
+        return key_outcome::Ran;
     case claim_phase::Waiting:
     case claim_phase::Won:
     case claim_phase::Abandoned:
         break;
     }
-    return once_outcome::Unknown;
+    return key_outcome::Unknown;
 }
 
-once_outcome outcomeOfHeld(const once_state &state, const hash128 &claim)
+key_outcome outcomeOfHeld(const at_most_once_state &state, const hash128 &claim)
 {
     const auto found = state.own.find(claim);
-    return found == state.own.end() ? once_outcome::Unknown : outcomeOfOwn(found->second);
+    return found == state.own.end() ? key_outcome::Unknown : outcomeOfOwn(found->second);
 }
 
-void settleWaiting(once_state &state, const hash128 &claim, time_point now, std::vector<once_result> &actions)
+void settleWaiting(at_most_once_state &state,
+                   const hash128 &claim,
+                   time_point now,
+                   std::vector<claim_decision> &actions)
 {
     own_claim &own = state.own.at(claim);
     state.waiting.erase(own.key);
     const claim_entry *winner = findClaim(state.index, own.key);
     if (winner == nullptr || winner->claim != claim) {
-        const once_outcome outcome = winner == nullptr ? once_outcome::Unknown : outcomeOfHeld(state, winner->claim);
+        const key_outcome outcome = winner == nullptr ? key_outcome::Unknown : outcomeOfHeld(state, winner->claim);
         own.phase = claim_phase::Abandoned;
-        actions.push_back({once_kind::Answer, claim, outcome});
+        actions.push_back({claim_action::Respond, claim, outcome});
         return;
     }
     own.phase = claim_phase::Won;
     if (isTooLate(own, now)) {
-        actions.push_back({once_kind::Answer, claim, abandonRun(state, claim)});
+        actions.push_back({claim_action::Respond, claim, abandonRun(state, claim)});
     } else {
-        actions.push_back({once_kind::Run, claim, once_outcome::NotRun});
+        actions.push_back({claim_action::Run, claim, key_outcome::NotRun});
     }
 }
 
-void settle(once_state &state, const claim_record &record, time_point now, std::vector<once_result> &actions)
+void settle(at_most_once_state &state, const claim_record &record, time_point now, std::vector<claim_decision> &actions)
 {
     const own_claim *own = ownOf(state, record.claim);
     if (own == nullptr || record.kind != claim_kind::Claim) {
@@ -89,27 +92,28 @@
 
 } // namespace
 
-once_result beginOnce(once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now)
+claim_decision
+beginClaim(at_most_once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now)
 {
     const claim_entry *winner = findClaim(state.index, key);
     if (winner != nullptr) {
-        return {once_kind::Answer, claim, outcomeOfHeld(state, winner->claim)};
+        return {claim_action::Respond, claim, outcomeOfHeld(state, winner->claim)};
     }
     const bool isFull = state.own.size() >= maxOwnClaims || state.index.winners.size() >= maxKeys;
     if (isFull || state.waiting.contains(key) || !enqueueClaim(state.queue, {claim_kind::Claim, key, claim})) {
-        return {once_kind::Answer, claim, once_outcome::Unknown};
+        return {claim_action::Respond, claim, key_outcome::Unknown};
     }
     state.waiting[key] = claim;
     state.own[claim] = {key, claim_phase::Waiting, now, deadline};
-    return {once_kind::Wait, claim, once_outcome::Unknown};
+    return {claim_action::Wait, claim, key_outcome::Unknown};
 }
 
-bool applyRecord(once_state &state,
+bool applyRecord(at_most_once_state &state,
                  std::int64_t offset,
                  std::int64_t timeMs,
                  std::span<const claim_record> records,
                  time_point now,
-                 std::vector<once_result> &actions)
+                 std::vector<claim_decision> &actions)
 {
     const bool isNew = offset == state.index.position;
     if (!applyClaims(state.index, offset, timeMs, records)) {
@@ -123,18 +127,18 @@
     return true;
 }
 
-void restartOnce(once_state &state, std::int64_t first)
+void restartReplay(at_most_once_state &state, std::int64_t first)
 {
     restartClaims(state.index, first);
     state.currentAsOf = time_point();
 }
 
-void noteReadEnd(once_state &state, time_point readStartedAt)
+void recordCaughtUp(at_most_once_state &state, time_point readStartedAt)
 {
     state.currentAsOf = std::max(state.currentAsOf, readStartedAt);
 }
 
-bool startRun(once_state &state, const hash128 &claim, time_point now)
+bool startRun(at_most_once_state &state, const hash128 &claim, time_point now)
 {
     own_claim *own = ownOf(state, claim);
     if (own == nullptr || own->phase != claim_phase::Won || isTooLate(*own, now)) {
@@ -144,7 +148,7 @@
     return true;
 }
 
-void endRun(once_state &state, const hash128 &claim)
+void endRun(at_most_once_state &state, const hash128 &claim)
 {
     own_claim *own = ownOf(state, claim);
     if (own != nullptr && own->phase == claim_phase::Running) {
@@ -152,17 +156,17 @@
     }
 }
 
-once_outcome abandonRun(once_state &state, const hash128 &claim)
+key_outcome abandonRun(at_most_once_state &state, const hash128 &claim)
 {
     own_claim *own = ownOf(state, claim);
     if (own == nullptr) {
-        return once_outcome::Unknown;
+        return key_outcome::Unknown;
     }
     switch (own->phase) {
     case claim_phase::Waiting: {
         own->phase = claim_phase::Abandoned;
         state.waiting.erase(own->key);
-        const once_outcome outcome = outcomeFor(state, own->key, own->arrivedAt);
+        const key_outcome outcome = outcomeFor(state, own->key, own->arrivedAt);
         if (withdrawClaim(state.queue, claim)) {
             state.own.erase(claim);
         }
@@ -171,7 +175,7 @@
     case claim_phase::Won:
         own->phase = claim_phase::Abandoned;
         sendVoid(state, own->key, claim);
-        return once_outcome::NotRun;
+        return key_outcome::NotRun;
     case claim_phase::Running:
     case claim_phase::Ran:
     case claim_phase::Abandoned:
@@ -180,7 +184,7 @@
     return outcomeOfOwn(*own);
 }
 
-once_outcome noteNothingSent(once_state &state, const hash128 &claim)
+key_outcome abandonUnsentRun(at_most_once_state &state, const hash128 &claim)
 {
     own_claim *own = ownOf(state, claim);
     if (own != nullptr && own->phase == claim_phase::Running) {
@@ -189,17 +193,17 @@
     return abandonRun(state, claim);
 }
 
-once_outcome outcomeFor(const once_state &state, const hash128 &key, time_point arrivedAt)
+key_outcome outcomeFor(const at_most_once_state &state, const hash128 &key, time_point arrivedAt)
 {
     const claim_entry *winner = findClaim(state.index, key);
     if (winner != nullptr) {
         return outcomeOfHeld(state, winner->claim);
     }
     const bool isCurrent = state.currentAsOf != time_point() && state.currentAsOf >= arrivedAt;
-    return isCurrent && !state.waiting.contains(key) ? once_outcome::NotRun : once_outcome::Unknown;
+    return isCurrent && !state.waiting.contains(key) ? key_outcome::NotRun : key_outcome::Unknown;
 }
 
-void forgetOld(once_state &state, time_point now)
+void forgetOld(at_most_once_state &state, time_point now)
 {
     std::erase_if(state.own, [&](const auto &each) {
         const own_claim &own = each.second;
--- a/packages/request/once/once.h
+++ b/packages/request/once/once.h
@@ -2,9 +2,9 @@
 // another node. The node in front of the worker claims the key in the platform's log, and runs the request only when it
 // has read its own claim back as the winner.
 //
-//   once_result begun = beginOnce(state, key, claim, deadline, now);   // after the checks of quarantine
-//   if (begun.kind == once_kind::Answer) return respond(begun.outcome);
-//   ...  append takeBatch(state.queue, now), read the stream, for each record:
+//   claim_decision begun = beginClaim(state, key, claim, deadline, now);   // after the checks of quarantine
+//   if (begun.kind == claim_action::Answer) return respond(begun.outcome);
+//   ...  append beginAppend(state.queue, now), read the stream, for each record:
 //   applyRecord(state, offset, timeMs, records, now, actions);        // Run: go on to admission; Answer: respond
 //   if (!startRun(state, claim, now)) return respond(abandonRun(state, claim));   // just before the first byte
 //   endRun(state, claim);                                             // response, or the worker died
@@ -30,7 +30,7 @@
 inline constexpr seconds maxClaimWait{30}; // a claim that did not start by then is given up; far below the key memory
 inline constexpr std::size_t maxOwnClaims = 100'000;
 
-enum class once_outcome : std::uint8_t
+enum class key_outcome : std::uint8_t
 {
     NotRun, // no request with the key has run
     Unknown, // a request with the key may have run or may be running elsewhere
@@ -38,20 +38,20 @@
     Ran, // a request with the key has ended behind this node; its response is not kept
 };
 
-enum class once_kind : std::uint8_t
+enum class claim_action : std::uint8_t
 {
     Wait, // the claim is queued for the log
     Run, // the claim won: ask for a slot, then `startRun`
-    Answer, // do not run, respond with `outcome`
+    Respond, // do not run, respond with `outcome`
 };
 
-struct once_result
+struct claim_decision
 {
-    once_kind kind = once_kind::Answer;
+    claim_action kind = claim_action::Respond;
     hash128 claim;
-    once_outcome outcome = once_outcome::Unknown;
+    key_outcome outcome = key_outcome::Unknown;
 
-    friend bool operator==(const once_result &, const once_result &) = default;
+    friend bool operator==(const claim_decision &, const claim_decision &) = default;
 };
 
 namespace internal {
@@ -77,54 +77,55 @@
 
 // What a node knows of keyed requests. A restarted node starts with an empty state, so claims of its earlier life are
 // never run or voided by anyone: their outcome stays Unknown until the key is forgotten.
-struct once_state
+struct at_most_once_state
 {
     claim_index index;
     claim_queue queue;
-    std::unordered_map<hash128, internal::own_claim, internal::hash_of_hash> own; // by claim
-    std::unordered_map<hash128, hash128, internal::hash_of_hash> waiting; // claims by key, until their record is read
+    std::unordered_map<hash128, internal::own_claim, internal::hash128_hasher> own; // by claim
+    std::unordered_map<hash128, hash128, internal::hash128_hasher> waiting; // claims by key, until their record is read
     time_point currentAsOf; // start of the latest read that reached the end of the log
 };
 
-// beginOnce starts a request; `claim` is a new random id. Not thread safe.
-once_result beginOnce(once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now);
+// beginClaim starts a request; `claim` is a new random id. Not thread safe.
+claim_decision
+beginClaim(at_most_once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now);
 
 // applyRecord folds one record of the log and appends what follows for the requests of this node to `actions`. False if
-// records are missing: call `restartOnce` and read again from the oldest record. Not thread safe.
-bool applyRecord(once_state &state,
+// records are missing: call `restartReplay` and read again from the oldest record. Not thread safe.
+bool applyRecord(at_most_once_state &state,
                  std::int64_t offset,
                  std::int64_t timeMs,
                  std::span<const claim_record> records,
                  time_point now,
-                 std::vector<once_result> &actions);
+                 std::vector<claim_decision> &actions);
 
-// restartOnce forgets what was read of the log, and expects `first`, the oldest record that the log keeps. Not thread
+// restartReplay forgets what was read of the log, and expects `first`, the oldest record that the log keeps. Not thread
 // safe. Claims of this node are kept.
-void restartOnce(once_state &state, std::int64_t first);
+void restartReplay(at_most_once_state &state, std::int64_t first);
 
-// noteReadEnd notes that all records up to the end of the log were applied, as a read that was started at
+// recordCaughtUp notes that all records up to the end of the log were applied, as a read that was started at
 // `readStartedAt` found it. Not thread safe.
-void noteReadEnd(once_state &state, time_point readStartedAt);
+void recordCaughtUp(at_most_once_state &state, time_point readStartedAt);
 
 // startRun gives leave to send the request to the worker, once per claim; false if it has not won or came too late.
 // Not thread safe. No byte may be sent before.
-bool startRun(once_state &state, const hash128 &claim, time_point now);
+bool startRun(at_most_once_state &state, const hash128 &claim, time_point now);
 
 // endRun notes that the worker responded or died; the claim stays, so the key never runs again. Not thread safe.
-void endRun(once_state &state, const hash128 &claim);
+void endRun(at_most_once_state &state, const hash128 &claim);
 
 // abandonRun gives up a claim before its run (deadline, refused by admission, caller gone) and returns what to respond.
 // Not thread safe. A claim that runs or has run is not changed.
-once_outcome abandonRun(once_state &state, const hash128 &claim);
+key_outcome abandonRun(at_most_once_state &state, const hash128 &claim);
 
-// noteNothingSent gives up a started run of which not one byte reached the worker. Not thread safe.
-once_outcome noteNothingSent(once_state &state, const hash128 &claim);
+// abandonUnsentRun gives up a started run of which not one byte reached the worker. Not thread safe.
+key_outcome abandonUnsentRun(at_most_once_state &state, const hash128 &claim);
 
 // outcomeFor returns what may be said about the key to a message that arrived at `arrivedAt` and is refused for another
 // reason. Not thread safe.
-once_outcome outcomeFor(const once_state &state, const hash128 &key, time_point arrivedAt);
+key_outcome outcomeFor(const at_most_once_state &state, const hash128 &key, time_point arrivedAt);
 
 // forgetOld drops claims that no longer matter; call it about once a minute. Not thread safe.
-void forgetOld(once_state &state, time_point now);
+void forgetOld(at_most_once_state &state, time_point now);
 
 } // namespace pistachioquay
--- a/packages/request/once/once_test.cc
+++ b/packages/request/once/once_test.cc
@@ -29,7 +29,7 @@
 
 struct node_model
 {
-    once_state state;
+    at_most_once_state state;
     std::map<hash128, open_request> requests; // by claim, that wait for an outcome
     std::vector<hash128> ready; // claims with leave to run
     std::vector<hash128> running;
@@ -74,7 +74,7 @@
             if (rest % 2U == 0) {
                 node = {}; // the VM died and was replaced
             } else {
-                restartOnce(node.state, 1);
+                restartReplay(node.state, 1);
             }
             break;
         default:
@@ -94,16 +94,16 @@
         const hash128 key{0, choice % 3U};
         const hash128 claim{1, ++m_lastClaim};
         const time_point deadline = m_now + milliseconds(50 + choice / 4U % 4000U);
-        const once_result result = beginOnce(node.state, key, claim, deadline, m_now);
+        const claim_decision result = beginClaim(node.state, key, claim, deadline, m_now);
         node.requests[claim] = {key, m_now};
-        if (result.kind == once_kind::Answer) {
+        if (result.kind == claim_action::Respond) {
             answer(node, claim, result.outcome);
         }
     }
 
     void append(node_model &node, std::uint32_t choice)
     {
-        const auto batch = takeBatch(node.state.queue, m_now);
+        const auto batch = beginAppend(node.state.queue, m_now);
         if (batch.empty()) {
             return;
         }
@@ -115,7 +115,7 @@
         } else if (choice / 4U % 2U == 0) {
             m_late.push_back(records);
         }
-        batchAppended(node.state.queue, isAnswered, m_now, m_generator);
+        endAppend(node.state.queue, isAnswered, m_now, m_generator);
     }
 
     void deliverLate(std::uint32_t choice)
@@ -132,7 +132,7 @@
 
     void read(node_model &node, std::uint32_t choice)
     {
-        std::vector<once_result> actions;
+        std::vector<claim_decision> actions;
         std::size_t most = 1U + choice % 16U;
         std::int64_t offset = node.state.index.position;
         for (; offset <= static_cast<std::int64_t>(m_log.size()) && most > 0; ++offset, --most) {
@@ -140,10 +140,10 @@
             RC_ASSERT(applyRecord(node.state, offset, record.timeMs, record.records, m_now, actions));
         }
         if (offset > static_cast<std::int64_t>(m_log.size())) {
-            noteReadEnd(node.state, m_now);
+            recordCaughtUp(node.state, m_now);
         }
-        for (const once_result &action : actions) {
-            if (action.kind == once_kind::Run) {
+        for (const claim_decision &action : actions) {
+            if (action.kind == claim_action::Run) {
                 node.ready.push_back(action.claim);
             } else {
                 answer(node, action.claim, action.outcome);
@@ -160,7 +160,7 @@
         if (!startRun(node.state, claim, m_now)) {
             answer(node, claim, abandonRun(node.state, claim));
         } else if (choice / 8U % 4U == 0) {
-            answer(node, claim, noteNothingSent(node.state, claim));
+            answer(node, claim, abandonUnsentRun(node.state, claim));
         } else {
             const hash128 key = node.requests.at(claim).key;
             RC_ASSERT(m_runs.count(key) == 0U);
@@ -188,17 +188,17 @@
         node.running.clear();
     }
 
-    void answer(node_model &node, const hash128 &claim, once_outcome outcome)
+    void answer(node_model &node, const hash128 &claim, key_outcome outcome)
     {
         const auto found = node.requests.find(claim);
         if (found == node.requests.end()) {
             return;
         }
         const auto ran = m_runs.find(found->second.key);
-        if (outcome == once_outcome::NotRun) {
+        if (outcome == key_outcome::NotRun) {
             RC_ASSERT((ran == m_runs.end() || ran->second >= found->second.arrivedAt));
         }
-        if (outcome == once_outcome::Ran || outcome == once_outcome::Running) {
+        if (outcome == key_outcome::Ran || outcome == key_outcome::Running) {
             RC_ASSERT((ran != m_runs.end()));
         }
         node.requests.erase(found);
@@ -216,18 +216,18 @@
 // One node that reads back what it appends.
 struct single_node
 {
-    once_state state;
+    at_most_once_state state;
     std::int64_t offset = 0;
 
-    std::vector<once_result> flush(time_point now)
+    std::vector<claim_decision> flush(time_point now)
     {
-        const auto batch = takeBatch(state.queue, now);
+        const auto batch = beginAppend(state.queue, now);
         const std::vector<claim_record> records(batch.begin(), batch.end());
         random_generator generator(1);
-        batchAppended(state.queue, true, now, generator);
-        std::vector<once_result> actions;
+        endAppend(state.queue, true, now, generator);
+        std::vector<claim_decision> actions;
         applyRecord(state, ++offset, startMs + millisBetween(start, now), records, now, actions);
-        noteReadEnd(state, now);
+        recordCaughtUp(state, now);
         return actions;
     }
 };
@@ -254,59 +254,59 @@
 TEST_CASE("a request runs after its claim was read back, and its repeat does not")
 {
     single_node node;
-    REQUIRE(beginOnce(node.state, key, first, start + seconds(1), start).kind == once_kind::Wait);
+    REQUIRE(beginClaim(node.state, key, first, start + seconds(1), start).kind == claim_action::Wait);
     CHECK_FALSE(startRun(node.state, first, start));
     const auto actions = node.flush(start);
-    CHECK(actions == std::vector<once_result>{{once_kind::Run, first, once_outcome::NotRun}});
+    CHECK(actions == std::vector<claim_decision>{{claim_action::Run, first, key_outcome::NotRun}});
     CHECK(startRun(node.state, first, start));
     CHECK_FALSE(startRun(node.state, first, start));
-    CHECK(beginOnce(node.state, key, second, start + seconds(1), start).outcome == once_outcome::Running);
+    CHECK(beginClaim(node.state, key, second, start + seconds(1), start).outcome == key_outcome::Running);
     endRun(node.state, first);
-    CHECK(beginOnce(node.state, key, second, start + seconds(1), start).outcome == once_outcome::Ran);
+    CHECK(beginClaim(node.state, key, second, start + seconds(1), start).outcome == key_outcome::Ran);
 }
 
 TEST_CASE("a claim that was given up frees the key for the next request")
 {
     single_node node;
-    beginOnce(node.state, key, first, start + seconds(1), start);
+    beginClaim(node.state, key, first, start + seconds(1), start);
     node.flush(start);
-    CHECK(abandonRun(node.state, first) == once_outcome::NotRun);
+    CHECK(abandonRun(node.state, first) == key_outcome::NotRun);
     node.flush(start + seconds(1));
-    REQUIRE(beginOnce(node.state, key, second, start + seconds(9), start + seconds(2)).kind == once_kind::Wait);
-    CHECK(node.flush(start + seconds(2)).front().kind == once_kind::Run);
+    REQUIRE(beginClaim(node.state, key, second, start + seconds(9), start + seconds(2)).kind == claim_action::Wait);
+    CHECK(node.flush(start + seconds(2)).front().kind == claim_action::Run);
 }
 
 TEST_CASE("a claim of a node that died stays unknown, also for its restarted node")
 {
     single_node node;
-    beginOnce(node.state, key, first, start + seconds(1), start);
+    beginClaim(node.state, key, first, start + seconds(1), start);
     node.flush(start);
     single_node restarted;
-    std::vector<once_result> actions;
+    std::vector<claim_decision> actions;
     const std::vector<claim_record> records = {{claim_kind::Claim, key, first}};
     applyRecord(restarted.state, 1, startMs, records, start, actions);
-    noteReadEnd(restarted.state, start + seconds(5));
+    recordCaughtUp(restarted.state, start + seconds(5));
     CHECK(actions.empty());
-    CHECK(outcomeFor(restarted.state, key, start) == once_outcome::Unknown);
-    CHECK(beginOnce(restarted.state, key, second, start + seconds(9), start).outcome == once_outcome::Unknown);
+    CHECK(outcomeFor(restarted.state, key, start) == key_outcome::Unknown);
+    CHECK(beginClaim(restarted.state, key, second, start + seconds(9), start).outcome == key_outcome::Unknown);
 }
 
 TEST_CASE("without the log nothing runs, and nothing is said about earlier requests")
 {
-    once_state state;
-    REQUIRE(beginOnce(state, key, first, start + seconds(1), start).kind == once_kind::Wait);
-    takeBatch(state.queue, start);
-    CHECK(abandonRun(state, first) == once_outcome::Unknown);
+    at_most_once_state state;
+    REQUIRE(beginClaim(state, key, first, start + seconds(1), start).kind == claim_action::Wait);
+    beginAppend(state.queue, start);
+    CHECK(abandonRun(state, first) == key_outcome::Unknown);
     CHECK_FALSE(startRun(state, first, start));
 }
 
 TEST_CASE("a node that was paused beyond the deadline does not run what it won")
 {
     single_node node;
-    beginOnce(node.state, key, first, start + seconds(1), start);
+    beginClaim(node.state, key, first, start + seconds(1), start);
     node.flush(start);
     CHECK_FALSE(startRun(node.state, first, start + seconds(60)));
-    CHECK(abandonRun(node.state, first) == once_outcome::NotRun);
+    CHECK(abandonRun(node.state, first) == key_outcome::NotRun);
 }
 
 TEST_CASE("a gap in the log is noticed, and keys are forgotten after the key memory")
@@ -340,13 +340,13 @@
     claim_queue queue;
     random_generator generator(1);
     enqueueClaim(queue, {claim_kind::Claim, key, first});
-    CHECK(takeBatch(queue, start).size() == 1);
+    CHECK(beginAppend(queue, start).size() == 1);
     enqueueClaim(queue, {claim_kind::Claim, key, second});
-    CHECK(takeBatch(queue, start + seconds(1)).empty()); // one append at a time
-    batchAppended(queue, false, start + seconds(1), generator);
-    CHECK(takeBatch(queue, start + seconds(4)).front().claim == first);
+    CHECK(beginAppend(queue, start + seconds(1)).empty()); // one append at a time
+    endAppend(queue, false, start + seconds(1), generator);
+    CHECK(beginAppend(queue, start + seconds(4)).front().claim == first);
     CHECK_FALSE(withdrawClaim(queue, first));
     CHECK(withdrawClaim(queue, second));
-    batchAppended(queue, true, start + seconds(4), generator);
-    CHECK(takeBatch(queue, start + seconds(5)).empty());
+    endAppend(queue, true, start + seconds(4), generator);
+    CHECK(beginAppend(queue, start + seconds(5)).empty());
 }
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -28,7 +28,7 @@
 std::optional<double> knownRunMs(const placed_worker &worker, const std::string &route, time_point now)
 {
     const auto found = worker.runMs.find(route);
-    if (found == worker.runMs.end() || now - found->second.second > runForgotten) {
+    if (found == worker.runMs.end() || now - found->second.second > runTimeExpiry) {
         return std::nullopt;
     }
     return found->second.first;
@@ -115,7 +115,7 @@
                       double typicalMs,
                       time_point now)
 {
-    const bool isCold = worker.entry.coldUntil > now;
+    const bool isCold = worker.entry.warmUpUntil > now;
     scored_worker scored{&worker};
     scored.run = knownRunMs(worker, request.route, now).value_or(typicalMs * (isCold ? coldFactor : 1.0));
     const double slowdownWeight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
@@ -124,7 +124,7 @@
     scored.score = scored.wait + comparedRunMs(scored.run, typicalMs) + crowdingMs(worker, scored.run);
     scored.score += pathMs(state, worker, request, now);
     const bool isLate = scored.wait + scored.run > request.targetLeftMs;
-    const bool isLast = isLastChance(request.targetLeftMs, request.timeLeftMs, worker.report.lineRunMs);
+    const bool isLast = isFinalAttempt(request.targetLeftMs, request.timeLeftMs, worker.report.meanActiveRunMs);
     scored.isRefusal = !isLast && isLate && scored.wait > lateWaitRuns * scored.run;
     scored.score += worker.report.failureShare * failurePenalty * std::max(request.targetMs, scored.run);
     return scored;
@@ -189,11 +189,11 @@
     placement.workers = std::move(placed);
 }
 
-void noteReport(placement_state &state,
-                const std::string &service,
-                const std::string &nodeId,
-                const worker_report &report,
-                time_point now)
+void recordReport(placement_state &state,
+                  const std::string &service,
+                  const std::string &nodeId,
+                  const worker_report &report,
+                  time_point now)
 {
     if (placed_worker *worker = findWorker(state, service, nodeId)) {
         worker->report = report;
@@ -204,32 +204,32 @@
     }
 }
 
-void noteRunMs(placement_state &state,
-               const std::string &service,
-               const std::string &nodeId,
-               const std::string &route,
-               double milliseconds,
-               time_point now)
+void recordWorkerRunTime(placement_state &state,
+                         const std::string &service,
+                         const std::string &nodeId,
+                         const std::string &route,
+                         double milliseconds,
+                         time_point now)
 {
     if (placed_worker *worker = findWorker(state, service, nodeId)) {
         worker->runMs[route] = {milliseconds, now};
     }
 }
 
-void noteSlow(placement_state &state,
-              const std::string &service,
-              const std::string &nodeId,
-              const std::string &route,
-              double milliseconds,
-              time_point now)
+void recordRunTimeLowerBound(placement_state &state,
+                             const std::string &service,
+                             const std::string &nodeId,
+                             const std::string &route,
+                             double milliseconds,
+                             time_point now)
 {
     if (const placed_worker *worker = findWorker(state, service, nodeId)) {
         const double known = knownRunMs(*worker, route, now).value_or(0.0);
-        noteRunMs(state, service, nodeId, route, std::max(known, milliseconds), now);
+        recordWorkerRunTime(state, service, nodeId, route, std::max(known, milliseconds), now);
     }
 }
 
-void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now)
+void recordSilentNode(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now)
 {
     if (dataCentre != state.dataCentre) {
         data_centre_path &path = state.paths[dataCentre];
@@ -238,7 +238,7 @@
     }
 }
 
-void noteHeard(placement_state &state, const std::string &dataCentre)
+void recordDataCentreContact(placement_state &state, const std::string &dataCentre)
 {
     state.paths.erase(dataCentre);
 }
@@ -281,7 +281,7 @@
     return choice;
 }
 
-void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes)
+void recordSentRequest(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes)
 {
     if (placed_worker *worker = findWorker(state, service, nodeId)) {
         ++worker->sentSinceReport;
@@ -289,7 +289,7 @@
     }
 }
 
-void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now)
+void startBackoff(placement_state &state, const std::string &service, const std::string &nodeId, time_point now)
 {
     if (placed_worker *worker = findWorker(state, service, nodeId)) {
         const auto length = std::min<milliseconds>(avoidFirst * (1U << std::min(worker->avoidances, 8U)), avoidLast);
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -2,7 +2,7 @@
 //
 //   const placement_choice choice = chooseWorker(state, "orders", request, now, generator);
 //   if (!choice.nodeId) return refuse(choice.retryAfterMs);
-//   noteSent(state, "orders", *choice.nodeId, bytes);
+//   recordSentRequest(state, "orders", *choice.nodeId, bytes);
 //
 // Load pattern: workers of one service differ in speed, slow down for a second because of unseen neighbours, and are
 // filled by many nodes at once that all see reports of different age. So
@@ -40,7 +40,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "request/waiting/late_rule.h"
+#include "request/waiting/late_admission.h"
 
 namespace pistachioquay {
 
@@ -59,7 +59,7 @@
 inline constexpr double coldFactor = 2.0; // run time of a worker that has just started, before it is measured
 inline constexpr milliseconds avoidFirst{300}; // after a failed connection; doubles up to `avoidLast`
 inline constexpr milliseconds avoidLast{3000};
-inline constexpr milliseconds runForgotten{6000}; // a run time that was not renewed for this long no longer counts
+inline constexpr milliseconds runTimeExpiry{6000}; // a run time that was not renewed for this long no longer counts
 inline constexpr std::size_t silentNodesOfCut = 2; // silent nodes after which a data centre counts as cut off
 inline constexpr milliseconds cutForgotten{3000}; // without further silence
 inline constexpr double handBackMs = 4.0; // a hand-back costs about this: a round trip and the work at both nodes
@@ -75,14 +75,14 @@
     double failureShare = 0; // of the worker's recent requests
     double slowdown = 1.0; // how long work takes there at the moment, 1 as usual
     double linkLoad = 0; // used share of the rate of the VM's link
-    double lineRunMs = 0; // mean expected run of what runs there
+    double meanActiveRunMs = 0; // mean expected run of what runs there
 
     friend auto operator<=>(const worker_report &, const worker_report &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad, lineRunMs);
+        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad, meanActiveRunMs);
     }
 };
 
@@ -93,7 +93,7 @@
     std::uint64_t process = 0; // of the node
     std::string dataCentre;
     std::uint32_t slots = 1;
-    time_point coldUntil;
+    time_point warmUpUntil;
     double linkBytesPerMs = 0; // rate of the VM's link; 0: not known
 
     friend auto operator<=>(const worker_entry &, const worker_entry &) = default;
@@ -159,32 +159,33 @@
 // setWorkers replaces the workers of a service; what is known of those that stay is kept.
 void setWorkers(placement_state &state, const std::string &service, std::vector<worker_entry> workers);
 
-// noteReport takes over a report and, if it is known, the run time of one route.
-void noteReport(placement_state &state,
-                const std::string &service,
-                const std::string &nodeId,
-                const worker_report &report,
-                time_point now);
-
-// noteRunMs takes over the run time of a route at a worker.
-void noteRunMs(placement_state &state,
-               const std::string &service,
-               const std::string &nodeId,
-               const std::string &route,
-               double milliseconds,
-               time_point now);
-
-// noteSlow records that the worker has not responded to a request of the route for `milliseconds`.
-void noteSlow(placement_state &state,
-              const std::string &service,
-              const std::string &nodeId,
-              const std::string &route,
-              double milliseconds,
-              time_point now);
-
-// noteSilent records that a node of a data centre did not answer in time; noteHeard that one of it was heard.
-void noteSilent(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now);
-void noteHeard(placement_state &state, const std::string &dataCentre);
+// recordReport takes over a report and, if it is known, the run time of one route.
+void recordReport(placement_state &state,
+                  const std::string &service,
+                  const std::string &nodeId,
+                  const worker_report &report,
+                  time_point now);
+
+// recordWorkerRunTime takes over the run time of a route at a worker.
+void recordWorkerRunTime(placement_state &state,
+                         const std::string &service,
+                         const std::string &nodeId,
+                         const std::string &route,
+                         double milliseconds,
+                         time_point now);
+
+// recordRunTimeLowerBound records that the worker has not responded to a request of the route for `milliseconds`.
+void recordRunTimeLowerBound(placement_state &state,
+                             const std::string &service,
+                             const std::string &nodeId,
+                             const std::string &route,
+                             double milliseconds,
+                             time_point now);
+
+// recordSilentNode records that a node of a data centre did not answer in time; recordDataCentreContact that one of it
+// was heard.
+void recordSilentNode(placement_state &state, const std::string &dataCentre, const std::string &nodeId, time_point now);
+void recordDataCentreContact(placement_state &state, const std::string &dataCentre);
 
 // isCutOff tells whether a data centre counts as cut off.
 bool isCutOff(const placement_state &state, const std::string &dataCentre, time_point now);
@@ -196,11 +197,14 @@
                               time_point now,
                               random_generator &generator);
 
-// noteSent counts a request that goes to the worker now.
-void noteSent(placement_state &state, const std::string &service, const std::string &nodeId, std::size_t bytes);
+// recordSentRequest counts a request that goes to the worker now.
+void recordSentRequest(placement_state &state,
+                       const std::string &service,
+                       const std::string &nodeId,
+                       std::size_t bytes);
 
-// avoid passes the worker over for a while after it could not be reached; `noteReport` ends that.
-void avoid(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
+// avoid passes the worker over for a while after it could not be reached; `recordReport` ends that.
+void startBackoff(placement_state &state, const std::string &service, const std::string &nodeId, time_point now);
 
 // pause passes the worker over for `length`.
 void pause(
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -52,7 +52,7 @@
         const placement_choice choice = chooseWorker(state, service, request, start, generator);
         REQUIRE(choice.nodeId);
         ++sent[*choice.nodeId];
-        noteSent(state, service, *choice.nodeId, request.bytes);
+        recordSentRequest(state, service, *choice.nodeId, request.bytes);
     }
     return sent;
 }
@@ -73,8 +73,8 @@
 TEST_CASE("a faster worker gets more until it is full")
 {
     placement_state state = stateWith({workerOf("fast", "dc-1"), workerOf("slow", "dc-1")});
-    noteRunMs(state, service, "fast", "sign", 60, start);
-    noteRunMs(state, service, "slow", "sign", 120, start);
+    recordWorkerRunTime(state, service, "fast", "sign", 60, start);
+    recordWorkerRunTime(state, service, "slow", "sign", 120, start);
     const auto sent = sendMany(state, 18, requestOf());
     CHECK(sent.at("fast") > sent.at("slow"));
     CHECK(sent.at("slow") >= 3);
@@ -88,7 +88,7 @@
     worker_report full;
     full.running = 6;
     full.waitMs = {0, 80, 80};
-    noteReport(state, service, "near", full, start);
+    recordReport(state, service, "near", full, start);
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId == "far");
 }
 
@@ -98,7 +98,7 @@
     worker_report full;
     full.running = 6;
     full.waitMs = {0, 80, 80};
-    noteReport(state, service, "near", full, start);
+    recordReport(state, service, "near", full, start);
     random_generator generator(5);
     CHECK(chooseWorker(state, service, requestOf(60000), start, generator).nodeId == "near");
 }
@@ -107,15 +107,15 @@
 {
     const double slowLink = 875; // 7 Mbit/s
     placement_state state = stateWith({workerOf("fast", "dc-1", slowLink), workerOf("slow", "dc-1", slowLink)});
-    noteRunMs(state, service, "fast", "sign", 100, start);
-    noteRunMs(state, service, "slow", "sign", 200, start);
+    recordWorkerRunTime(state, service, "fast", "sign", 100, start);
+    recordWorkerRunTime(state, service, "slow", "sign", 200, start);
     worker_report filled;
     filled.linkLoad = 0.9;
-    noteReport(state, service, "fast", filled, start);
+    recordReport(state, service, "fast", filled, start);
     random_generator generator(5);
     CHECK(chooseWorker(state, service, requestOf(60000), start, generator).nodeId == "slow");
     CHECK(chooseWorker(state, service, requestOf(0), start, generator).nodeId == "fast");
-    noteReport(state, service, "fast", worker_report{}, start);
+    recordReport(state, service, "fast", worker_report{}, start);
     const auto sent = sendMany(state, 10, requestOf(60000));
     CHECK(sent.at("slow") >= 3);
 }
@@ -123,8 +123,8 @@
 TEST_CASE("a new worker is tried before anything is known of it")
 {
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1")});
-    noteRunMs(state, service, "a", "sign", 100, start);
-    noteRunMs(state, service, "b", "sign", 100, start);
+    recordWorkerRunTime(state, service, "a", "sign", 100, start);
+    recordWorkerRunTime(state, service, "b", "sign", 100, start);
     setWorkers(state, service, {workerOf("a", "dc-1"), workerOf("b", "dc-1"), workerOf("new", "dc-1")});
     CHECK(sendMany(state, 18, requestOf()).at("new") >= 3);
 }
@@ -134,7 +134,7 @@
     placement_state state = stateWith({workerOf("good", "dc-1"), workerOf("grey", "dc-1")});
     worker_report failing;
     failing.failureShare = 0.5;
-    noteReport(state, service, "grey", failing, start);
+    recordReport(state, service, "grey", failing, start);
     CHECK(sendMany(state, 6, requestOf()).count("grey") == 0);
 }
 
@@ -143,11 +143,11 @@
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-2")});
     random_generator generator(5);
     time_point now = start;
-    avoid(state, service, "a", now);
+    startBackoff(state, service, "a", now);
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
     now += avoidFirst;
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "a");
-    avoid(state, service, "a", now);
+    startBackoff(state, service, "a", now);
     now += avoidFirst;
     CHECK(chooseWorker(state, service, requestOf(), now, generator).nodeId == "b");
 }
@@ -160,10 +160,10 @@
     full.running = 6;
     full.waitMs = {0, 80, 80};
     for (const std::string node : {"fast-1", "fast-2"}) {
-        noteReport(state, service, node, full, start);
-        noteRunMs(state, service, node, "sign", 100, start);
+        recordReport(state, service, node, full, start);
+        recordWorkerRunTime(state, service, node, "sign", 100, start);
     }
-    noteRunMs(state, service, "slow", "sign", 220, start);
+    recordWorkerRunTime(state, service, "slow", "sign", 220, start);
     random_generator generator(5);
     placement_request request = requestOf();
     CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
@@ -171,8 +171,8 @@
     CHECK(chooseWorker(state, service, request, start, generator).nodeId == "slow");
     request.targetLeftMs = 50;
     request.timeLeftMs = 250;
-    full.lineRunMs = 100;
-    noteReport(state, service, "fast-1", full, start);
+    full.meanActiveRunMs = 100;
+    recordReport(state, service, "fast-1", full, start);
     CHECK(chooseWorker(state, service, request, start, generator).nodeId != "slow");
 }
 
@@ -183,13 +183,13 @@
     worker_report full;
     full.running = 6;
     full.waitMs = {0, 200, 200};
-    noteReport(state, service, "d", full, start);
+    recordReport(state, service, "d", full, start);
     random_generator generator(5);
-    noteSilent(state, "dc-2", "a", start);
+    recordSilentNode(state, "dc-2", "a", start);
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId != "d");
-    noteSilent(state, "dc-2", "b", start);
+    recordSilentNode(state, "dc-2", "b", start);
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId == "d");
-    noteHeard(state, "dc-2");
+    recordDataCentreContact(state, "dc-2");
     CHECK(chooseWorker(state, service, requestOf(), start, generator).nodeId != "d");
 }
 
@@ -206,8 +206,8 @@
 TEST_CASE("a choice names the wait from which the second best worker is faster")
 {
     placement_state state = stateWith({workerOf("a", "dc-1"), workerOf("b", "dc-1")});
-    noteRunMs(state, service, "a", "sign", 100, start);
-    noteRunMs(state, service, "b", "sign", 140, start);
+    recordWorkerRunTime(state, service, "a", "sign", 100, start);
+    recordWorkerRunTime(state, service, "b", "sign", 140, start);
     random_generator generator(5);
     const placement_choice choice = chooseWorker(state, service, requestOf(), start, generator);
     REQUIRE(choice.nodeId == "a");
@@ -258,10 +258,10 @@
                     return end > nowMs;
                 }));
                 report.waitMs.fill(wait);
-                noteSent(sender, service, *choice.nodeId, 0);
+                recordSentRequest(sender, service, *choice.nodeId, 0);
                 const bool isHandedBack =
                     canHandBack && handBacks < 2 && choice.longestWaitMs && wait > *choice.longestWaitMs;
-                noteReport(sender, service, *choice.nodeId, report, now);
+                recordReport(sender, service, *choice.nodeId, report, now);
                 if (isHandedBack) {
                     continue;
                 }
@@ -347,8 +347,8 @@
             return end > nowMs;
         }));
         told.waitMs.fill(std::max(0.0, std::ranges::min(worker.freeAt) - nowMs));
-        noteReport(sender, service, nodeId, told, now);
-        noteRunMs(sender, service, nodeId, "sign", worker.meanMs, now);
+        recordReport(sender, service, nodeId, told, now);
+        recordWorkerRunTime(sender, service, nodeId, "sign", worker.meanMs, now);
     };
     std::lognormal_distribution<double> run(std::log(runMs) - 0.32, 0.8);
     double due = 0;
@@ -375,7 +375,7 @@
             const double took = run(generator);
             *slot = std::max<double>(*slot, ms) + took;
             worker.meanMs += learnWeight * (took - worker.meanMs);
-            noteSent(sender, service, nodeId, 0);
+            recordSentRequest(sender, service, nodeId, 0);
             report(sender, nodeId, now);
         }
     }
--- a/packages/request/proxy/crash_guard.cc
+++ b/packages/request/proxy/crash_guard.cc
@@ -13,11 +13,11 @@
 {
 }
 
-run_verdict crash_guard::begin(const std::string &requestId, const fingerprint &print)
+run_decision crash_guard::begin(const std::string &requestId, const fingerprint &print)
 {
     const std::lock_guard guard(m_mutex);
-    const run_verdict verdict = mayRun(m_state, runningPrints(), print, unixNowMs());
-    if (verdict == run_verdict::Run) {
+    const run_decision verdict = mayRun(m_state, runningPrints(), print, unixNowMs());
+    if (verdict == run_decision::Run) {
         m_running[requestId] = {print, false};
     }
     return verdict;
@@ -32,7 +32,7 @@
         if (found == m_running.end()) {
             return;
         }
-        changed = noteCompleted(m_state, found->second.print, unixNowMs());
+        changed = recordCompleted(m_state, found->second.print, unixNowMs());
         m_running.erase(found);
     }
     if (!changed.empty() && m_sources.spread) {
@@ -48,10 +48,10 @@
 
 bool crash_guard::lostResponse(const std::string &requestId)
 {
-    if (!m_sources.isWorkerGone || !m_sources.spread) {
+    if (!m_sources.isWorkerPortClosed || !m_sources.spread) {
         return false;
     }
-    const bool isGone = m_sources.isWorkerGone();
+    const bool isGone = m_sources.isWorkerPortClosed();
     std::unique_lock guard(m_mutex);
     const auto found = m_running.find(requestId);
     if (found == m_running.end()) {
--- a/packages/request/proxy/crash_guard.h
+++ b/packages/request/proxy/crash_guard.h
@@ -1,7 +1,7 @@
 // Requests that run on the own worker, watched for those that crash it: the quarantine decisions, guarded for the
 // connection threads. Private to the proxy.
 //
-//   if (const auto refused = guard.begin(requestId, print); refused != run_verdict::Run) return refuse(refused);
+//   if (const auto refused = guard.begin(requestId, print); refused != run_decision::Run) return refuse(refused);
 //   ...
 //   guard.completed(requestId);                       // the worker responded
 //   if (guard.lostResponse(requestId)) ...            // blocks until the other nodes know of the crash
@@ -22,7 +22,7 @@
 // How the guard learns of and tells about crashes; both may be empty, then no crash is ever reported.
 struct crash_sources
 {
-    std::function<bool()> isWorkerGone; // whether the worker's port is closed
+    std::function<bool()> isWorkerPortClosed; // whether the worker's port is closed
     std::function<void(const std::vector<crash_report> &)> spread; // returns when the other nodes have the reports
 };
 
@@ -33,7 +33,7 @@
     explicit crash_guard(crash_sources sources);
 
     // begin adds a request to those that run if it may run now.
-    run_verdict begin(const std::string &requestId, const fingerprint &print);
+    run_decision begin(const std::string &requestId, const fingerprint &print);
     // completed removes a request that ran to its response; a suspect is cleared by it.
     void completed(const std::string &requestId);
     // abandoned removes a request that ended in any other way.
--- a/packages/request/proxy/dispatch.cc
+++ b/packages/request/proxy/dispatch.cc
@@ -2,10 +2,10 @@
 
 namespace pistachioquay::internal {
 
-void call_dispatch::noteCall(const std::string &service, time_point now)
+void call_dispatch::countRequest(const std::string &service, time_point now)
 {
     const std::lock_guard guard(m_mutex);
-    pistachioquay::noteCall(m_services[service].budget, now);
+    pistachioquay::countRequest(m_services[service].budget, now);
 }
 
 call_choice call_dispatch::begin(const std::shared_ptr<const worker_view> &view,
@@ -23,17 +23,14 @@
     return beginCall(state.routing, request, now, m_generator);
 }
 
-void call_dispatch::end(const std::string &service,
-                        const call_choice &choice,
-                        const call_observation &seen,
-                        time_point now)
+void call_dispatch::end(const std::string &service, const call_choice &choice, const call_result &seen, time_point now)
 {
     const std::lock_guard guard(m_mutex);
     endCall(m_services[service].routing, choice, seen, now);
 }
 
 retry_decision
-call_dispatch::decide(const std::string &service, retry_facts facts, try_history &history, time_point now)
+call_dispatch::decide(const std::string &service, retry_context facts, attempt_history &history, time_point now)
 {
     const std::lock_guard guard(m_mutex);
     service_state &state = m_services[service];
--- a/packages/request/proxy/dispatch.h
+++ b/packages/request/proxy/dispatch.h
@@ -3,7 +3,7 @@
 //
 //   call_choice choice = dispatch.begin(view, "orders", {work_class::Interactive, tried}, now);
 //   ...
-//   dispatch.end("orders", choice, {call_end::Completed, latency, load}, now);
+//   dispatch.end("orders", choice, {call_outcome::Completed, latency, load}, now);
 #pragma once
 
 #include <map>
@@ -20,17 +20,17 @@
 class call_dispatch
 {
 public:
-    // noteCall counts a request of the service for its retry budget.
-    void noteCall(const std::string &service, time_point now);
+    // countRequest counts a request of the service for its retry budget.
+    void countRequest(const std::string &service, time_point now);
     // begin chooses a worker from the view (null: none) like `beginCall`.
     call_choice begin(const std::shared_ptr<const worker_view> &view,
                       const std::string &service,
                       const call_request &request,
                       time_point now);
     // end records what was seen of a call like `endCall`.
-    void end(const std::string &service, const call_choice &choice, const call_observation &seen, time_point now);
+    void end(const std::string &service, const call_choice &choice, const call_result &seen, time_point now);
     // decide tells whether a failed try is repeated like `decideRetry`; it sets `isSaturated` of the facts itself.
-    retry_decision decide(const std::string &service, retry_facts facts, try_history &history, time_point now);
+    retry_decision decide(const std::string &service, retry_context facts, attempt_history &history, time_point now);
 
 private:
     struct service_state
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -1,5 +1,5 @@
 // Peer port: requests of other nodes for the own worker.
-#include "request/proxy/core.h"
+#include "request/proxy/shared_state.h"
 
 namespace pistachioquay::internal {
 
@@ -34,8 +34,8 @@
     std::optional<http_response> checkSuspicion();
     std::optional<http_response> claimKey();
     std::optional<http_response> acquireSlot();
-    http_response claimRefusal(once_outcome outcome);
-    http_response withKeyOutcome(http_response response, once_outcome outcome);
+    http_response claimRefusal(key_outcome outcome);
+    http_response withKeyOutcome(http_response response, key_outcome outcome);
     void endClaim();
     void releaseSlot();
     void openCall();
@@ -115,15 +115,15 @@
 std::optional<http_response> inbound_request::checkSuspicion()
 {
     const auto key = findHeader(m_head.headers, idempotencyKeyHeader);
-    const run_verdict verdict =
+    const run_decision verdict =
         m_core.crashes.begin(m_context.requestId,
                              fingerprintOf(m_head.method, m_head.target, key.value_or(""), m_body));
-    m_isWatched = verdict == run_verdict::Run;
+    m_isWatched = verdict == run_decision::Run;
     if (m_isWatched) {
         return std::nullopt;
     }
     releaseSlot();
-    if (verdict == run_verdict::NotBeside) {
+    if (verdict == run_decision::RunElsewhere) {
         return m_core.refuse(503,
                              node_outcome::NotRun,
                              std::string(besideSuspectReason),
@@ -156,8 +156,8 @@
     if (!key || m_context.isIdempotent || !m_core.sources.claims) {
         return std::nullopt;
     }
-    const once_result decided = m_core.sources.claims->claim(keyOf(m_context.service, *key), m_deadline);
-    if (decided.kind == once_kind::Run) {
+    const claim_decision decided = m_core.sources.claims->claim(keyOf(m_context.service, *key), m_deadline);
+    if (decided.kind == claim_action::Run) {
         m_claim = decided.claim;
         return std::nullopt;
     }
@@ -165,29 +165,29 @@
 }
 
 // Responds to a keyed request that is not run now; the outcome speaks of all requests with the key.
-http_response inbound_request::claimRefusal(once_outcome outcome)
+http_response inbound_request::claimRefusal(key_outcome outcome)
 {
     switch (outcome) {
-    case once_outcome::NotRun:
+    case key_outcome::NotRun:
         return withKeyOutcome(m_core.refuse(503,
                                             node_outcome::NotRun,
                                             "claim-late",
                                             "the claim of the Idempotency-Key came too late for the deadline",
                                             "send the request again with the same key"),
                               outcome);
-    case once_outcome::Running:
+    case key_outcome::Running:
         return m_core.refuse(409,
                              node_outcome::Unknown,
                              "key-running",
                              "a request with this Idempotency-Key is running",
                              "send it again later with the same key; it will not run twice");
-    case once_outcome::Ran:
+    case key_outcome::Ran:
         return m_core.refuse(409,
                              node_outcome::Unknown,
                              "key-ran",
                              "a request with this Idempotency-Key has run; its response is not kept",
                              "look up the result at the service");
-    case once_outcome::Unknown:
+    case key_outcome::Unknown:
         break;
     }
     return m_core.refuse(503,
@@ -197,9 +197,9 @@
                          "send it again later with the same key; it will not run twice");
 }
 
-http_response inbound_request::withKeyOutcome(http_response response, once_outcome outcome)
+http_response inbound_request::withKeyOutcome(http_response response, key_outcome outcome)
 {
-    if (outcome == once_outcome::NotRun) {
+    if (outcome == key_outcome::NotRun) {
         setHeader(response.head.headers, keyOutcomeHeader, outcomeName(node_outcome::NotRun));
         return response;
     }
@@ -351,8 +351,8 @@
         return {};
     }
     if (isUnsent && std::exchange(m_isClaimRunning, false)) {
-        const once_outcome outcome = m_core.sources.claims->noteNothingSent(*m_claim);
-        if (outcome != once_outcome::NotRun) {
+        const key_outcome outcome = m_core.sources.claims->abandonUnsentRun(*m_claim);
+        if (outcome != key_outcome::NotRun) {
             return signedResponse(claimRefusal(outcome));
         }
     }
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -3,8 +3,8 @@
 
 #include <poll.h>
 
-#include "request/proxy/core.h"
 #include "request/proxy/route_choice.h"
+#include "request/proxy/shared_state.h"
 
 namespace pistachioquay::internal {
 
@@ -18,12 +18,12 @@
 
 // What a refusal says about the worker. A refusal because of the request itself says nothing: it must not make routing
 // pass over healthy workers.
-call_end endOfRefusal(std::string_view reason)
+call_outcome endOfRefusal(std::string_view reason)
 {
     if (reason == quarantinedReason || reason == besideSuspectReason) {
-        return call_end::Cancelled;
+        return call_outcome::Cancelled;
     }
-    return isLasting(reason) ? call_end::Draining : call_end::Refused;
+    return isLasting(reason) ? call_outcome::Draining : call_outcome::Refused;
 }
 
 std::optional<load_report> loadOf(const header_list &headers)
@@ -65,7 +65,7 @@
     void closeCall();
     void classify();
     void classifyResponse();
-    void noteEnd(try_progress progress, call_end end);
+    void noteEnd(attempt_progress progress, call_outcome end);
     bool isRetryAllowed();
     bool pauseFor(milliseconds delay);
     http_response result();
@@ -89,14 +89,14 @@
     time_point m_deadline;
     std::string m_body;
     std::vector<std::string> m_tried; // node ids
-    try_history m_history;
+    attempt_history m_history;
     bool m_isBodyGone = false; // body bytes were passed on that cannot be sent again
     bool m_isCallerGone = false;
     bool m_isQuarantined = false; // refused because it crashes workers: no worker runs it
     bool m_isKeyUnused = false; // a worker's node knows that no request with the key has run
     std::string m_detail; // how the last failed try ended
     call_choice m_choice; // worker of `m_call`
-    call_observation m_seen; // of `m_call`
+    call_result m_seen; // of `m_call`
     time_point m_sentAt; // when the whole request was handed over
     std::unique_ptr<http_call> m_call;
     const response_head *m_response = nullptr; // of `m_call`
@@ -196,7 +196,7 @@
     if (auto tooLate = checkReach(now)) {
         return finished(std::move(*tooLate));
     }
-    m_core.dispatch.noteCall(m_route->service, now);
+    m_core.dispatch.countRequest(m_route->service, now);
     return m_isHeld ? std::nullopt : runTries();
 }
 
@@ -273,7 +273,7 @@
     }
     closeCall();
     m_choice = std::move(next);
-    m_seen = {call_end::Cancelled, {}, std::nullopt};
+    m_seen = {call_outcome::Cancelled, {}, std::nullopt};
     m_tried.push_back(m_choice.target->nodeId);
     openCall();
     return true;
@@ -290,8 +290,8 @@
     request.head.expectsContinue = !m_isHeld;
     request.head.headers = forwardedHeaders(m_head.headers);
     request.deadline = m_deadline;
-    m_next.attempt = m_arrived.attempt + m_history.budgeted;
-    m_next.timeLeft = milliseconds(millisForNextHop(m_deadline, steadyNow()));
+    m_next.attempt = m_arrived.attempt + m_history.budgetedRetries;
+    m_next.timeLeft = milliseconds(timeForNextHop(m_deadline, steadyNow()));
     writeContext(m_next, request.head.headers);
     m_call = std::make_unique<http_call>(m_core.pool, std::move(request), m_watch);
 }
@@ -305,9 +305,9 @@
     }
 }
 
-void outbound_request::noteEnd(try_progress progress, call_end end)
+void outbound_request::noteEnd(attempt_progress progress, call_outcome end)
 {
-    noteTry(m_history, progress);
+    recordAttempt(m_history, progress);
     m_seen.end = end;
 }
 
@@ -330,16 +330,16 @@
     }
     m_detail = failureName(m_call->failure());
     m_isCallerGone = m_call->failure() == call_failure::Cancelled;
-    const call_end broken = m_isCallerGone ? call_end::Cancelled : call_end::Broken;
+    const call_outcome broken = m_isCallerGone ? call_outcome::Cancelled : call_outcome::NoValidResponse;
     switch (m_call->progress()) {
     case call_progress::NoConnection:
-        noteEnd(try_progress::NoConnection, m_isCallerGone ? call_end::Cancelled : call_end::NoConnection);
+        noteEnd(attempt_progress::NoConnection, m_isCallerGone ? call_outcome::Cancelled : call_outcome::NoConnection);
         break;
     case call_progress::SentNoResponse:
-        noteEnd(try_progress::SentNoResponse, broken);
+        noteEnd(attempt_progress::SentNoResponse, broken);
         break;
     default:
-        noteEnd(try_progress::PartialResponse, broken);
+        noteEnd(attempt_progress::PartialResponse, broken);
         break;
     }
 }
@@ -353,19 +353,20 @@
     if (findHeader(headers, requestIdHeader) != m_next.requestId) {
         m_detail = "the response belongs to another request";
         m_response = nullptr;
-        noteEnd(try_progress::Unknown, call_end::Broken);
+        noteEnd(attempt_progress::Unknown, call_outcome::NoValidResponse);
     } else if (outcome == outcomeName(node_outcome::NotRun)) {
         const std::string_view reason = findHeader(headers, reasonHeader).value_or("");
         m_detail = "the worker's node did not run it: " + std::string(reason);
         m_isQuarantined = reason == quarantinedReason;
-        noteEnd(try_progress::NotRun, endOfRefusal(reason));
+        noteEnd(attempt_progress::NotRun, endOfRefusal(reason));
     } else if (outcome) {
         m_detail = "the worker's node does not know whether it ran";
-        noteEnd(try_progress::Unknown, call_end::Broken);
+        noteEnd(attempt_progress::Unknown, call_outcome::NoValidResponse);
     } else if (m_response->status == 503) {
-        noteEnd(try_progress::WorkerUnavailable, call_end::Failed);
+        noteEnd(attempt_progress::WorkerUnavailable, call_outcome::Failed);
     } else {
-        noteEnd(try_progress::WorkerStatus, m_response->status >= 500 ? call_end::Failed : call_end::Completed);
+        noteEnd(attempt_progress::WorkerResponse,
+                m_response->status >= 500 ? call_outcome::Failed : call_outcome::Completed);
     }
 }
 
@@ -374,7 +375,7 @@
     if (m_isCallerGone || m_isQuarantined) {
         return false;
     }
-    retry_facts facts;
+    retry_context facts;
     facts.isIdempotent = m_next.isIdempotent;
     facts.retries = m_route->applied.retries;
     facts.inheritedAttempts = m_arrived.attempt;
@@ -394,7 +395,7 @@
 
 http_response outbound_request::result()
 {
-    const bool isRefusalOnly = m_history.last == try_progress::NotRun && m_history.mayHaveRun;
+    const bool isRefusalOnly = m_history.last == attempt_progress::NotRun && m_history.mayHaveRun;
     return m_response != nullptr && !isRefusalOnly ? workerResponse() : failureResponse();
 }
 
--- a/packages/request/proxy/proxy.cc
+++ b/packages/request/proxy/proxy.cc
@@ -7,7 +7,7 @@
 
 #include <glog/logging.h>
 
-#include "request/proxy/core.h"
+#include "request/proxy/shared_state.h"
 
 namespace pistachioquay {
 
