--- a/packages/request/proxy/proxy.h
+++ b/packages/request/proxy/proxy.h
@@ -48,11 +48,11 @@
 // request/once/once.h. `claim` blocks until the request may run, must not run, or its deadline passes.
 struct claim_sources
 {
-    std::function<once_result(const hash128 &key, time_point deadline)> claim;
+    std::function<claim_decision(const hash128 &key, time_point deadline)> claim;
     std::function<bool(const hash128 &claim)> startRun;
     std::function<void(const hash128 &claim)> endRun;
-    std::function<once_outcome(const hash128 &claim)> abandonRun;
-    std::function<once_outcome(const hash128 &claim)> noteNothingSent;
+    std::function<key_outcome(const hash128 &claim)> abandonRun;
+    std::function<key_outcome(const hash128 &claim)> abandonUnsentRun;
 };
 
 // Where a request takes its view of the world from. All are called from many threads at once.
@@ -62,10 +62,10 @@
     std::function<std::shared_ptr<const worker_view>()> workers; // null: none known
     std::function<bool()> isAccepting; // false: the peer port refuses new work
     std::optional<claim_sources> claims; // empty: keyed requests run without a claim
-    // Optional, for requests that crash the worker. `isWorkerGone` tells whether its port is closed; `spreadReports`
-    // returns when the other nodes of the service have the reports, at most `maxHoldBack` later.
-    std::function<bool()> isWorkerGone;
-    std::function<void(const std::vector<crash_report> &)> spreadReports;
+    // Optional, for requests that crash the worker. `isWorkerPortClosed` tells whether its port is closed;
+    // `broadcastReports` returns when the other nodes of the service have the reports, at most `maxHoldBack` later.
+    std::function<bool()> isWorkerPortClosed;
+    std::function<void(const std::vector<crash_report> &)> broadcastReports;
     std::function<void(const request_sample &)> observe; // optional; gets each finished request of the caller port
 };
 
--- a/packages/request/proxy/core.cc
+++ b/packages/request/proxy/shared_state.cc
@@ -1,4 +1,4 @@
-#include "request/proxy/core.h"
+#include "request/proxy/shared_state.h"
 
 namespace pistachioquay::internal {
 
@@ -29,7 +29,7 @@
     , sources(std::move(from))
     , pool(client_options{.maxPerTarget = options.maxConnections, .keepsConnections = tuning.keepsConnections})
     , slots(options.slots, options.nodeId)
-    , crashes({sources.isWorkerGone, sources.spreadReports})
+    , crashes({sources.isWorkerPortClosed, sources.broadcastReports})
 {
 }
 
--- a/packages/request/proxy/slot_queue.cc
+++ b/packages/request/proxy/slot_queue.cc
@@ -67,7 +67,7 @@
 void slot_queue::observe(std::span<const std::string_view> nodeIds)
 {
     const std::lock_guard guard(m_mutex);
-    observeWorkers(m_state.limits, nodeIds, steadyNow());
+    recordSeenWorkers(m_state.limits, nodeIds, steadyNow());
 }
 
 slot_load slot_queue::load() const
--- a/packages/request/quarantine/quarantine.cc
+++ b/packages/request/quarantine/quarantine.cc
@@ -138,19 +138,19 @@
     return place->suspectUntilMs > nowMs ? suspicion::Suspect : suspicion::None;
 }
 
-run_verdict mayRun(const quarantine_state &state,
-                   std::span<const fingerprint> running,
-                   const fingerprint &request,
-                   std::int64_t nowMs)
+run_decision mayRun(const quarantine_state &state,
+                    std::span<const fingerprint> running,
+                    const fingerprint &request,
+                    std::int64_t nowMs)
 {
     const suspicion own = suspicionOf(state, request, nowMs);
     if (own != suspicion::Suspect) {
-        return own == suspicion::None ? run_verdict::Run : run_verdict::Refuse;
+        return own == suspicion::None ? run_decision::Run : run_decision::Refuse;
     }
     const bool isBesideOther = std::ranges::any_of(running, [&](const fingerprint &other) {
         return other != request && suspicionOf(state, other, nowMs) != suspicion::None;
     });
-    return isBesideOther ? run_verdict::NotBeside : run_verdict::Run;
+    return isBesideOther ? run_decision::RunElsewhere : run_decision::Run;
 }
 
 crash_report
@@ -178,7 +178,7 @@
     return report;
 }
 
-std::vector<crash_report> noteCompleted(quarantine_state &state, const fingerprint &request, std::int64_t nowMs)
+std::vector<crash_report> recordCompleted(quarantine_state &state, const fingerprint &request, std::int64_t nowMs)
 {
     std::vector<crash_report> changed;
     if (suspicionOf(state, request, nowMs) == suspicion::None) {
--- a/packages/request/quarantine/quarantine.h
+++ b/packages/request/quarantine/quarantine.h
@@ -4,7 +4,7 @@
 //   switch (mayRun(state, running, request, unixMs)) { ... }               // before each run, inbound
 //   const crash_report report = reportCrash(state, id, running, unixMs);   // the worker died
 //   hold_back hold = beginHoldBack(otherNodesOfService, now);              // then send the report to them
-//   const auto changed = noteCompleted(state, request, unixMs);            // the worker responded: gossip `changed`
+//   const auto changed = recordCompleted(state, request, unixMs);            // the worker responded: gossip `changed`
 //   mergeReports(state, reports, unixMs);                                  // from other nodes
 //
 // Rule:
@@ -122,27 +122,27 @@
 // suspicionOf returns how a request stands. Not thread safe; costs nothing while there are no reports.
 suspicion suspicionOf(const quarantine_state &state, const fingerprint &request, std::int64_t nowMs);
 
-enum class run_verdict : std::uint8_t
+enum class run_decision : std::uint8_t
 {
     Run,
-    NotBeside, // not now on this worker, because another suspect runs there: `not-run`, another worker may run it
+    RunElsewhere, // not now on this worker, because another suspect runs there: `not-run`, another worker may run it
     Refuse, // quarantined: `not-run` with the reason, on no worker
 };
 
 // mayRun decides whether a request may start beside the requests that run on the worker. Not thread safe.
-run_verdict mayRun(const quarantine_state &state,
-                   std::span<const fingerprint> running,
-                   const fingerprint &request,
-                   std::int64_t nowMs);
+run_decision mayRun(const quarantine_state &state,
+                    std::span<const fingerprint> running,
+                    const fingerprint &request,
+                    std::int64_t nowMs);
 
 // reportCrash records that the worker died while `running` was in flight, and returns the report for the other nodes.
 // Not thread safe. `id` is random. The report of a crash with nothing in flight has no suspects and is not recorded.
 crash_report
 reportCrash(quarantine_state &state, const hash128 &id, std::span<const fingerprint> running, std::int64_t nowMs);
 
-// noteCompleted clears a request that ran to its response, and returns the reports that changed, for the other nodes.
+// recordCompleted clears a request that ran to its response, and returns the reports that changed, for the other nodes.
 // Not thread safe.
-std::vector<crash_report> noteCompleted(quarantine_state &state, const fingerprint &request, std::int64_t nowMs);
+std::vector<crash_report> recordCompleted(quarantine_state &state, const fingerprint &request, std::int64_t nowMs);
 
 // mergeReports takes over reports of other nodes, drops expired ones and keeps the newest `maxReports`; true if the
 // state changed. Not thread safe. The order and the number of deliveries do not matter.
--- a/packages/request/quarantine/quarantine_test.cc
+++ b/packages/request/quarantine/quarantine_test.cc
@@ -72,7 +72,7 @@
 
     void run(node_model &node, const fingerprint &request)
     {
-        if (mayRun(node.state, node.running, request, m_nowMs) == run_verdict::Run) {
+        if (mayRun(node.state, node.running, request, m_nowMs) == run_decision::Run) {
             node.running.push_back(request);
         }
     }
@@ -93,7 +93,7 @@
             return;
         }
         const auto chosen = node.running.begin() + static_cast<std::ptrdiff_t>(choice % node.running.size());
-        noteCompleted(node.state, *chosen, m_nowMs);
+        recordCompleted(node.state, *chosen, m_nowMs);
         node.running.erase(chosen);
     }
 
@@ -182,16 +182,16 @@
     mergeReports(nodes[1], std::span(&one, 1), startMs);
     mergeReports(nodes[2], std::span(&one, 1), startMs);
     const std::vector<fingerprint> fresh = {requestOf(5), requestOf(6)};
-    REQUIRE(mayRun(nodes[1], fresh, requestOf(0), startMs + 5) == run_verdict::Run);
+    REQUIRE(mayRun(nodes[1], fresh, requestOf(0), startMs + 5) == run_decision::Run);
     const std::vector<fingerprint> second = {requestOf(5), requestOf(6), requestOf(0)};
-    CHECK(mayRun(nodes[1], second, requestOf(1), startMs + 5) == run_verdict::NotBeside);
+    CHECK(mayRun(nodes[1], second, requestOf(1), startMs + 5) == run_decision::RunElsewhere);
     const crash_report two = reportCrash(nodes[1], {0, 2}, second, startMs + 10);
     mergeReports(nodes[2], std::span(&two, 1), startMs + 10);
-    CHECK(mayRun(nodes[2], {}, requestOf(0), startMs + 15) == run_verdict::Refuse);
+    CHECK(mayRun(nodes[2], {}, requestOf(0), startMs + 15) == run_decision::Refuse);
     for (const std::uint64_t innocent : {1, 2, 5, 6}) {
-        CHECK(mayRun(nodes[2], {}, requestOf(innocent), startMs + 15) == run_verdict::Run);
+        CHECK(mayRun(nodes[2], {}, requestOf(innocent), startMs + 15) == run_decision::Run);
     }
-    CHECK(mayRun(nodes[2], {}, requestOf(0), startMs + 10 + quarantineMs) == run_verdict::Run);
+    CHECK(mayRun(nodes[2], {}, requestOf(0), startMs + 10 + quarantineMs) == run_decision::Run);
 }
 
 TEST_CASE("a popular request that is in flight at many crashes is cleared by its first response")
@@ -200,7 +200,7 @@
     const std::vector<fingerprint> running = {requestOf(0), requestOf(7)};
     reportCrash(node, {0, 1}, running, startMs);
     CHECK(standingIn(node, 7) == suspicion::Suspect);
-    CHECK(noteCompleted(node, requestOf(7), startMs + 1).size() == 1);
+    CHECK(recordCompleted(node, requestOf(7), startMs + 1).size() == 1);
     CHECK(standingIn(node, 7) == suspicion::None);
     CHECK(standingIn(node, 0) == suspicion::Suspect);
 }
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -14,7 +14,7 @@
     return static_cast<std::size_t>((step % count + count) % count);
 }
 
-resend_counts &currentStep(resend_window &window, const resend_limits &limits, time_point now)
+resend_counts &currentStep(resend_window &window, const retry_budget_limits &limits, time_point now)
 {
     const duration stepLength = std::max<duration>(limits.window / budgetSteps, milliseconds{1});
     const std::int64_t step = now.time_since_epoch() / stepLength;
@@ -36,14 +36,17 @@
                            });
 }
 
-bool takeShare(
-    resend_budget &budget, const std::string &service, const resend_limits &limits, double share, time_point now)
+bool takeShare(service_retry_budgets &budget,
+               const std::string &service,
+               const retry_budget_limits &limits,
+               double share,
+               time_point now)
 {
     resend_window &window = budget.services[service];
     resend_counts &step = currentStep(window, limits, now);
     const resend_counts total = totalOf(window);
-    const double extra = static_cast<double>(limits.extra) / std::max<std::uint32_t>(limits.nodes, 1);
-    const double allowed = ownShare * share * (limits.ratio * total.requests + extra);
+    const double fixedRetries = static_cast<double>(limits.fixedRetries) / std::max<std::uint32_t>(limits.nodes, 1);
+    const double allowed = ownShare * share * (limits.ratio * total.requests + fixedRetries);
     if (total.resends + 1 > allowed) {
         return false;
     }
@@ -53,39 +56,48 @@
 
 } // namespace
 
-void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+void countRequest(service_retry_budgets &budget,
+                  const std::string &service,
+                  const retry_budget_limits &limits,
+                  time_point now)
 {
     ++currentStep(budget.services[service], limits, now).requests;
 }
 
-bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+bool tryAcquireServiceRetry(service_retry_budgets &budget,
+                            const std::string &service,
+                            const retry_budget_limits &limits,
+                            time_point now)
 {
     return takeShare(budget, service, limits, 1.0, now);
 }
 
-bool takeHedge(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now)
+bool tryAcquireServiceHedge(service_retry_budgets &budget,
+                            const std::string &service,
+                            const retry_budget_limits &limits,
+                            time_point now)
 {
     return takeShare(budget, service, limits, hedgeShare, now);
 }
 
-bool mayResend(const resend_facts &facts)
+bool mayRetryElsewhere(const failed_attempt &facts)
 {
     if (facts.timeLeft <= facts.expectedRun) {
         return false;
     }
     switch (facts.end) {
-    case send_end::NotRun:
+    case attempt_outcome::NotRun:
         return true;
-    case send_end::RejectedByWorker:
+    case attempt_outcome::RejectedByWorker:
         return facts.workersTried < facts.maxWorkers;
-    case send_end::FailedResponse:
-    case send_end::Unknown:
-        return facts.isRepeatable && facts.workersTried < facts.maxWorkers;
+    case attempt_outcome::FailedResponse:
+    case attempt_outcome::Unknown:
+        return facts.isRetryable && facts.workersTried < facts.maxWorkers;
     }
     return false;
 }
 
-milliseconds returnAfterRejection(double expectedRunMs, double draw)
+milliseconds rejectionRetryAfter(double expectedRunMs, double draw)
 {
     const double wait = expectedRunMs * (rejectedReturnRuns + rejectedSpreadRuns * draw);
     return std::max(leastRejectedReturn, milliseconds(static_cast<std::int64_t>(wait)));
--- a/packages/request/resend/resend.h
+++ b/packages/request/resend/resend.h
@@ -1,7 +1,7 @@
 // Whether a request that failed at one worker may be sent to another one.
 //
-//   noteRequest(budget, "orders", now);                              // each request of a caller
-//   if (mayResend(facts) && takeResend(budget, "orders", limits, now)) sendElsewhere();
+//   countRequest(budget, "orders", now);                              // each request of a caller
+//   if (mayRetryElsewhere(facts) && tryAcquireServiceRetry(budget, "orders", limits, now)) sendElsewhere();
 //
 // Load pattern: when workers fail or shed under load, every repeat adds load to those that still work. All nodes
 // together may therefore repeat only a share of the requests of a service in each window. A node spends what its own
@@ -27,14 +27,14 @@
 inline constexpr milliseconds leastRejectedReturn{5};
 
 // The bound that holds for all nodes together.
-struct resend_limits
+struct retry_budget_limits
 {
     double ratio = 0.2; // repeats for each request
     milliseconds window{10000};
-    std::uint32_t extra = 64; // repeats that are allowed besides
+    std::uint32_t fixedRetries = 64; // repeats that are allowed besides
     std::uint32_t nodes = 1; // nodes that share `extra`
 
-    friend auto operator<=>(const resend_limits &, const resend_limits &) = default;
+    friend auto operator<=>(const retry_budget_limits &, const retry_budget_limits &) = default;
 };
 
 struct resend_counts
@@ -52,23 +52,32 @@
     std::int64_t lastStep = -1;
 };
 
-struct resend_budget
+struct service_retry_budgets
 {
     std::unordered_map<std::string, resend_window> services;
 };
 
-// noteRequest counts a request of a caller for the service. Not thread safe.
-void noteRequest(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
-
-// takeResend takes one repeat out of the allowance; false if there is none left. Not thread safe.
-bool takeResend(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
-
-// takeHedge takes a copy of a slow request out of the allowance; copies get at most `hedgeShare` of it, so that repeats
-// of failed requests always find the rest. Not thread safe.
-bool takeHedge(resend_budget &budget, const std::string &service, const resend_limits &limits, time_point now);
+// countRequest counts a request of a caller for the service. Not thread safe.
+void countRequest(service_retry_budgets &budget,
+                  const std::string &service,
+                  const retry_budget_limits &limits,
+                  time_point now);
+
+// tryAcquireServiceRetry takes one repeat out of the allowance; false if there is none left. Not thread safe.
+bool tryAcquireServiceRetry(service_retry_budgets &budget,
+                            const std::string &service,
+                            const retry_budget_limits &limits,
+                            time_point now);
+
+// tryAcquireServiceHedge takes a copy of a slow request out of the allowance; copies get at most `hedgeShare` of it, so
+// that repeats of failed requests always find the rest. Not thread safe.
+bool tryAcquireServiceHedge(service_retry_budgets &budget,
+                            const std::string &service,
+                            const retry_budget_limits &limits,
+                            time_point now);
 
 // How a send to a worker ended, as far as a repeat depends on it.
-enum class send_end : std::uint8_t
+enum class attempt_outcome : std::uint8_t
 {
     NotRun, // the worker's node refused it: it has not run and never will
     RejectedByWorker, // the worker said that it has not run
@@ -76,26 +85,26 @@
     Unknown, // it may have run
 };
 
-struct resend_facts
+struct failed_attempt
 {
-    send_end end = send_end::Unknown;
-    bool isRepeatable = false;
+    attempt_outcome end = attempt_outcome::Unknown;
+    bool isRetryable = false;
     std::uint32_t workersTried = 0; // workers that the request has reached
     std::uint32_t maxWorkers = 1;
     duration timeLeft{0};
     duration expectedRun{0};
 
-    friend auto operator<=>(const resend_facts &, const resend_facts &) = default;
+    friend auto operator<=>(const failed_attempt &, const failed_attempt &) = default;
 };
 
-// mayResend tells whether another worker may get the request, as far as its kind, its route and its time allow. A
-// request that no worker has seen is not bounded by `maxWorkers`. Thread safe.
-bool mayResend(const resend_facts &facts);
+// mayRetryElsewhere tells whether another worker may get the request, as far as its kind, its route and its time allow.
+// A request that no worker has seen is not bounded by `maxWorkers`. Thread safe.
+bool mayRetryElsewhere(const failed_attempt &facts);
 
-// returnAfterRejection returns when a caller may come back after a worker has rejected its request and no repeat is
+// rejectionRetryAfter returns when a caller may come back after a worker has rejected its request and no repeat is
 // left. Load pattern: the workers of a service reject at random although they have room, more requests than the budget
 // can repeat. The next try is as good as a later one, so callers come back within their target, and not all at once:
 // `draw` is random from 0 to 1. Thread safe.
-milliseconds returnAfterRejection(double expectedRunMs, double draw);
+milliseconds rejectionRetryAfter(double expectedRunMs, double draw);
 
 } // namespace pistachioquay
--- a/packages/request/resend/resend_test.cc
+++ b/packages/request/resend/resend_test.cc
@@ -13,7 +13,7 @@
 
 const time_point start{}; // a clock that begins at zero
 
-resend_limits limitsOf(std::uint32_t nodes)
+retry_budget_limits limitsOf(std::uint32_t nodes)
 {
     return {0.2, milliseconds(10000), 64, nodes};
 }
@@ -24,14 +24,14 @@
 {
     constexpr std::uint32_t nodes = 12;
     constexpr unsigned requestsPerNode = 200;
-    const resend_limits limits = limitsOf(nodes);
+    const retry_budget_limits limits = limitsOf(nodes);
     unsigned resends = 0;
     for (std::uint32_t node = 0; node < nodes; ++node) {
-        resend_budget budget;
+        service_retry_budgets budget;
         for (unsigned index = 0; index < requestsPerNode; ++index) {
             const time_point now = start + milliseconds(index * 20);
-            noteRequest(budget, "orders", limits, now);
-            resends += takeResend(budget, "orders", limits, now) ? 1U : 0U;
+            countRequest(budget, "orders", limits, now);
+            resends += tryAcquireServiceRetry(budget, "orders", limits, now) ? 1U : 0U;
         }
     }
     CHECK(resends <= 0.2 * nodes * requestsPerNode + 64);
@@ -40,72 +40,72 @@
 
 TEST_CASE("a budget fills again when the window has passed")
 {
-    const resend_limits limits = limitsOf(64);
-    resend_budget budget;
-    noteRequest(budget, "orders", limits, start);
-    CHECK_FALSE(takeResend(budget, "orders", limits, start));
+    const retry_budget_limits limits = limitsOf(64);
+    service_retry_budgets budget;
+    countRequest(budget, "orders", limits, start);
+    CHECK_FALSE(tryAcquireServiceRetry(budget, "orders", limits, start));
     for (int index = 0; index < 10; ++index) {
-        noteRequest(budget, "orders", limits, start);
+        countRequest(budget, "orders", limits, start);
     }
-    CHECK(takeResend(budget, "orders", limits, start));
-    CHECK_FALSE(takeResend(budget, "orders", limits, start + seconds(11)));
+    CHECK(tryAcquireServiceRetry(budget, "orders", limits, start));
+    CHECK_FALSE(tryAcquireServiceRetry(budget, "orders", limits, start + seconds(11)));
 }
 
 TEST_CASE("services do not share their budgets")
 {
-    const resend_limits limits = limitsOf(1);
-    resend_budget budget;
-    while (takeResend(budget, "orders", limits, start)) {
+    const retry_budget_limits limits = limitsOf(1);
+    service_retry_budgets budget;
+    while (tryAcquireServiceRetry(budget, "orders", limits, start)) {
     }
-    CHECK(takeResend(budget, "designs", limits, start));
+    CHECK(tryAcquireServiceRetry(budget, "designs", limits, start));
 }
 
 TEST_CASE("a request that may run once is repeated only if it has not run")
 {
-    resend_facts facts;
+    failed_attempt facts;
     facts.maxWorkers = 3;
     facts.workersTried = 1;
     facts.timeLeft = seconds(1);
-    facts.end = send_end::Unknown;
-    CHECK_FALSE(mayResend(facts));
-    facts.end = send_end::FailedResponse;
-    CHECK_FALSE(mayResend(facts));
-    facts.end = send_end::RejectedByWorker;
-    CHECK(mayResend(facts));
-    facts.end = send_end::NotRun;
-    CHECK(mayResend(facts));
+    facts.end = attempt_outcome::Unknown;
+    CHECK_FALSE(mayRetryElsewhere(facts));
+    facts.end = attempt_outcome::FailedResponse;
+    CHECK_FALSE(mayRetryElsewhere(facts));
+    facts.end = attempt_outcome::RejectedByWorker;
+    CHECK(mayRetryElsewhere(facts));
+    facts.end = attempt_outcome::NotRun;
+    CHECK(mayRetryElsewhere(facts));
 }
 
 TEST_CASE("a route's number of workers and the time left bound the repeats")
 {
-    resend_facts facts;
-    facts.isRepeatable = true;
-    facts.end = send_end::Unknown;
+    failed_attempt facts;
+    facts.isRetryable = true;
+    facts.end = attempt_outcome::Unknown;
     facts.timeLeft = milliseconds(100);
     facts.expectedRun = milliseconds(50);
     facts.workersTried = 1;
     facts.maxWorkers = 2;
-    CHECK(mayResend(facts));
+    CHECK(mayRetryElsewhere(facts));
     facts.workersTried = 2;
-    CHECK_FALSE(mayResend(facts));
+    CHECK_FALSE(mayRetryElsewhere(facts));
     facts.workersTried = 1;
     facts.expectedRun = milliseconds(100);
-    CHECK_FALSE(mayResend(facts));
+    CHECK_FALSE(mayRetryElsewhere(facts));
 }
 
 TEST_CASE("copies of slow requests leave a part of the budget to repeats of failed ones")
 {
-    const resend_limits limits = limitsOf(1);
-    resend_budget budget;
+    const retry_budget_limits limits = limitsOf(1);
+    service_retry_budgets budget;
     for (int index = 0; index < 100; ++index) {
-        noteRequest(budget, "orders", limits, start);
+        countRequest(budget, "orders", limits, start);
     }
     unsigned hedges = 0;
-    while (takeHedge(budget, "orders", limits, start)) {
+    while (tryAcquireServiceHedge(budget, "orders", limits, start)) {
         ++hedges;
     }
     unsigned resends = 0;
-    while (takeResend(budget, "orders", limits, start)) {
+    while (tryAcquireServiceRetry(budget, "orders", limits, start)) {
         ++resends;
     }
     CHECK(hedges > 0);
@@ -147,11 +147,11 @@
         return milliseconds(300);
     });
     const double soon = replayRejections([](double draw) {
-        return returnAfterRejection(80, draw);
+        return rejectionRetryAfter(80, draw);
     });
     INFO("on time " << soon << ", after a fixed 300 ms " << fixed);
     CHECK(soon > 0.8);
     CHECK(soon > fixed);
-    CHECK(returnAfterRejection(0, 0) == leastRejectedReturn);
-    CHECK(returnAfterRejection(80, 0) != returnAfterRejection(80, 1));
+    CHECK(rejectionRetryAfter(0, 0) == leastRejectedReturn);
+    CHECK(rejectionRetryAfter(80, 0) != rejectionRetryAfter(80, 1));
 }
--- a/packages/request/retry/deadline.cc
+++ b/packages/request/retry/deadline.cc
@@ -15,7 +15,7 @@
     return std::max(milliseconds(0), std::chrono::floor<milliseconds>(deadline - now));
 }
 
-milliseconds millisForNextHop(time_point deadline, time_point now)
+milliseconds timeForNextHop(time_point deadline, time_point now)
 {
     return std::max(milliseconds(0), timeLeft(deadline, now) - hopMargin);
 }
--- a/packages/request/retry/deadline.h
+++ b/packages/request/retry/deadline.h
@@ -2,7 +2,7 @@
 //
 //   const time_point deadline = deadlineAfter(now, headerMillis, policyDeadline);
 //   if (checkHop(deadline, depth, now) != hop_refusal::None) return refuseNotRun();
-//   setHeader("X-Pq-Deadline-Ms", millisForNextHop(deadline, now));
+//   setHeader("X-Pq-Deadline-Ms", timeForNextHop(deadline, now));
 #pragma once
 
 #include <cstdint>
@@ -29,8 +29,8 @@
 // timeLeft returns the time until `deadline`, 0 if it has passed. Thread safe.
 milliseconds timeLeft(time_point deadline, time_point now);
 
-// millisForNextHop returns the time left that the next hop is given: less the margin, at least 0. Thread safe.
-milliseconds millisForNextHop(time_point deadline, time_point now);
+// timeForNextHop returns the time left that the next hop is given: less the margin, at least 0. Thread safe.
+milliseconds timeForNextHop(time_point deadline, time_point now);
 
 // checkHop tells whether a request that arrived with `depth` may be sent on. Thread safe.
 hop_refusal checkHop(time_point deadline, std::uint32_t depth, time_point now);
--- a/packages/request/retry/retry.cc
+++ b/packages/request/retry/retry.cc
@@ -21,9 +21,9 @@
     "no-budget",
 };
 
-bool wasNotRun(try_progress progress)
+bool wasNotRun(attempt_progress progress)
 {
-    return progress == try_progress::NoConnection || progress == try_progress::NotRun;
+    return progress == attempt_progress::NoConnection || progress == attempt_progress::NotRun;
 }
 
 std::int64_t secondOf(time_point now)
@@ -42,9 +42,9 @@
 }
 
 // Reasons that hold whatever the budget says.
-give_up_reason ruledOut(const retry_facts &facts, const try_history &history, time_point now)
+give_up_reason ruledOut(const retry_context &facts, const attempt_history &history, time_point now)
 {
-    if (history.last == try_progress::WorkerStatus) {
+    if (history.last == attempt_progress::WorkerResponse) {
         return give_up_reason::IsResponse;
     }
     if (facts.isResponseStarted) {
@@ -60,12 +60,12 @@
 }
 
 // Reasons for a try whose last failure may have cost a worker some work.
-give_up_reason ruledOutAfterRun(const retry_facts &facts, const try_history &history)
+give_up_reason ruledOutAfterRun(const retry_context &facts, const attempt_history &history)
 {
     if (facts.inheritedAttempts > 0) {
         return give_up_reason::RetriedAbove;
     }
-    return history.budgeted >= facts.retries ? give_up_reason::RetriesUsed : give_up_reason::None;
+    return history.budgetedRetries >= facts.retries ? give_up_reason::RetriesUsed : give_up_reason::None;
 }
 
 retry_decision giveUp(give_up_reason reason)
@@ -74,7 +74,7 @@
 }
 
 milliseconds
-retryDelay(const retry_facts &facts, const try_history &history, time_point now, random_generator &generator)
+retryDelay(const retry_context &facts, const attempt_history &history, time_point now, random_generator &generator)
 {
     constexpr int shareOfTimeLeft = 4;
     const milliseconds cap = std::min(retryDelayCap, timeLeft(facts.deadline, now) / shareOfTimeLeft);
@@ -88,7 +88,7 @@
     return giveUpNames.at(static_cast<std::size_t>(reason));
 }
 
-void noteCall(retry_budget &budget, time_point now)
+void countRequest(retry_budget &budget, time_point now)
 {
     ++currentBucket(budget, now).calls;
 }
@@ -112,20 +112,23 @@
     return true;
 }
 
-void noteTry(try_history &history, try_progress progress)
+void recordAttempt(attempt_history &history, attempt_progress progress)
 {
     ++history.tries;
     history.last = progress;
     history.mayHaveRun = history.mayHaveRun || !wasNotRun(progress);
 }
 
-std::uint32_t attemptHeader(const retry_facts &facts, const try_history &history)
+std::uint32_t attemptHeader(const retry_context &facts, const attempt_history &history)
 {
-    return facts.inheritedAttempts + history.budgeted;
+    return facts.inheritedAttempts + history.budgetedRetries;
 }
 
-retry_decision decideRetry(
-    const retry_facts &facts, try_history &history, retry_budget &budget, time_point now, random_generator &generator)
+retry_decision decideRetry(const retry_context &facts,
+                           attempt_history &history,
+                           retry_budget &budget,
+                           time_point now,
+                           random_generator &generator)
 {
     const give_up_reason always = ruledOut(facts, history, now);
     if (always != give_up_reason::None) {
@@ -148,7 +151,7 @@
     if (!takeRetry(budget, now)) {
         return giveUp(give_up_reason::NoBudget);
     }
-    ++history.budgeted;
+    ++history.budgetedRetries;
     return {retry_verdict::Retry, give_up_reason::None, retryDelay(facts, history, now, generator)};
 }
 
--- a/packages/request/retry/retry.h
+++ b/packages/request/retry/retry.h
@@ -1,7 +1,7 @@
 // Decides whether a failed try is repeated, and what the caller is told if it is not.
 //
-//   noteCall(budget, now);                                                // once for each request of the service
-//   noteTry(history, progress);                                           // after each failed try
+//   countRequest(budget, now);                                                // once for each request of the service
+//   recordAttempt(history, progress);                                           // after each failed try
 //   const retry_decision decision = decideRetry(facts, history, budget, now, generator);
 //   if (decision.verdict == retry_verdict::Retry) waitAndTryOtherWorker(decision.delay);
 //   else if (history.mayHaveRun) respondUnknown(); else respondNotRun();
@@ -30,7 +30,7 @@
 inline constexpr milliseconds leastTimeForRetry{10};
 
 // How far a failed try came.
-enum class try_progress : std::uint8_t
+enum class attempt_progress : std::uint8_t
 {
     NoConnection, // no byte reached the node
     NotRun, // the node said that the request was not run
@@ -38,7 +38,7 @@
     PartialResponse, // the response ended before its end
     Unknown, // the node said that it does not know
     WorkerUnavailable, // the worker itself responded 503
-    WorkerStatus, // any other response of the worker: it is passed on
+    WorkerResponse, // any other response of the worker: it is passed on
 };
 
 enum class retry_verdict : std::uint8_t
@@ -64,7 +64,7 @@
 std::string_view giveUpName(give_up_reason reason);
 
 // What the decision depends on, besides the history.
-struct retry_facts
+struct retry_context
 {
     bool isIdempotent = false;
     std::uint32_t retries = 0; // of the policy
@@ -76,14 +76,14 @@
 };
 
 // The tries made for one request.
-struct try_history
+struct attempt_history
 {
     std::uint32_t tries = 0;
-    std::uint32_t budgeted = 0; // retries taken from the budget
-    try_progress last = try_progress::NoConnection;
+    std::uint32_t budgetedRetries = 0; // retries taken from the budget
+    attempt_progress last = attempt_progress::NoConnection;
     bool mayHaveRun = false; // some try may have reached the worker: the outcome is not `not-run`
 
-    friend auto operator<=>(const try_history &, const try_history &) = default;
+    friend auto operator<=>(const attempt_history &, const attempt_history &) = default;
 };
 
 struct retry_decision
@@ -106,21 +106,24 @@
     std::array<bucket, budgetBuckets> buckets{};
 };
 
-// noteCall counts a request of the service. Not thread safe.
-void noteCall(retry_budget &budget, time_point now);
+// countRequest counts a request of the service. Not thread safe.
+void countRequest(retry_budget &budget, time_point now);
 
 // takeRetry takes one retry or hedge out of the budget; false if it is used up. Not thread safe.
 bool takeRetry(retry_budget &budget, time_point now);
 
-// noteTry adds a failed try to the history. Thread safe for different histories.
-void noteTry(try_history &history, try_progress progress);
+// recordAttempt adds a failed try to the history. Thread safe for different histories.
+void recordAttempt(attempt_history &history, attempt_progress progress);
 
 // attemptHeader returns the value of `X-Pq-Attempt` for the next try. Thread safe.
-std::uint32_t attemptHeader(const retry_facts &facts, const try_history &history);
+std::uint32_t attemptHeader(const retry_context &facts, const attempt_history &history);
 
 // decideRetry decides after a failed try that was noted in `history`, and takes from the budget if needed. Not thread
 // safe. `history.budgeted` is raised when the budget was used.
-retry_decision decideRetry(
-    const retry_facts &facts, try_history &history, retry_budget &budget, time_point now, random_generator &generator);
+retry_decision decideRetry(const retry_context &facts,
+                           attempt_history &history,
+                           retry_budget &budget,
+                           time_point now,
+                           random_generator &generator);
 
 } // namespace pistachioquay
--- a/packages/request/retry/retry_test.cc
+++ b/packages/request/retry/retry_test.cc
@@ -16,12 +16,12 @@
 
 constexpr std::uint32_t progressCount = 7;
 
-bool mayReachWorker(try_progress progress)
+bool mayReachWorker(attempt_progress progress)
 {
-    return progress != try_progress::NoConnection && progress != try_progress::NotRun;
+    return progress != attempt_progress::NoConnection && progress != attempt_progress::NotRun;
 }
 
-retry_facts factsOf(std::uint32_t word)
+retry_context factsOf(std::uint32_t word)
 {
     return {(word & 1U) != 0,
             word / 2U % 5U,
@@ -32,19 +32,19 @@
             start + milliseconds(word / 4096U % 2000U)};
 }
 
-retry_facts easyFacts()
+retry_context easyFacts()
 {
     return {true, 2, 0, true, false, false, start + seconds(1)};
 }
 
-retry_verdict verdictAfter(const retry_facts &facts, const std::vector<try_progress> &tries)
+retry_verdict verdictAfter(const retry_context &facts, const std::vector<attempt_progress> &tries)
 {
     retry_budget budget;
-    try_history history;
+    attempt_history history;
     random_generator generator(1);
     retry_decision decision;
-    for (const try_progress each : tries) {
-        noteTry(history, each);
+    for (const attempt_progress each : tries) {
+        recordAttempt(history, each);
         decision = decideRetry(facts, history, budget, start, generator);
     }
     return decision.verdict;
@@ -55,15 +55,15 @@
 TEST_CASE("no request is sent again in a way that may double, multiply or falsely deny a run")
 {
     CHECK(holds("retries", 5000, [](std::uint32_t word, const std::vector<std::uint32_t> &words) {
-        const retry_facts facts = factsOf(word);
+        const retry_context facts = factsOf(word);
         retry_budget budget;
-        try_history history;
+        attempt_history history;
         random_generator generator(word);
         bool mayHaveRun = false;
         for (const std::uint32_t each : words) {
-            const auto progress = static_cast<try_progress>(each % progressCount);
+            const auto progress = static_cast<attempt_progress>(each % progressCount);
             mayHaveRun = mayHaveRun || mayReachWorker(progress);
-            noteTry(history, progress);
+            recordAttempt(history, progress);
             const retry_decision decision = decideRetry(facts, history, budget, start, generator);
             RC_ASSERT(history.mayHaveRun == mayHaveRun);
             RC_ASSERT((decision.verdict == retry_verdict::Retry) == (decision.reason == give_up_reason::None));
@@ -74,7 +74,7 @@
             RC_ASSERT(!facts.isResponseStarted);
             RC_ASSERT(facts.isBodyReplayable);
             RC_ASSERT(facts.inheritedAttempts == 0U || !mayReachWorker(progress));
-            RC_ASSERT(history.budgeted <= facts.retries);
+            RC_ASSERT(history.budgetedRetries <= facts.retries);
             RC_ASSERT(history.tries < maxUnrunTries + facts.retries + 1);
             RC_ASSERT(decision.delay < timeLeft(facts.deadline, start));
         }
@@ -91,7 +91,7 @@
         for (const std::uint32_t word : words) {
             now += milliseconds((word >> 4U) % 700U);
             for (std::uint32_t each = 0; each < word % 16U; ++each) {
-                noteCall(budget, now);
+                countRequest(budget, now);
                 calls.push_back(now);
             }
             const auto recent = [&](const std::vector<time_point> &times, duration window) {
@@ -110,32 +110,32 @@
 
 TEST_CASE("a refusal that is known to be not run is tried elsewhere, whatever the policy")
 {
-    retry_facts facts = easyFacts();
+    retry_context facts = easyFacts();
     facts.isIdempotent = false;
     facts.retries = 0;
     facts.inheritedAttempts = 1;
-    CHECK(verdictAfter(facts, {try_progress::NotRun}) == retry_verdict::Retry);
-    CHECK(verdictAfter(facts, {try_progress::NoConnection}) == retry_verdict::Retry);
-    CHECK(verdictAfter(facts, {try_progress::SentNoResponse}) == retry_verdict::GiveUp);
-    CHECK(verdictAfter(facts, {try_progress::Unknown, try_progress::NotRun}) == retry_verdict::GiveUp);
+    CHECK(verdictAfter(facts, {attempt_progress::NotRun}) == retry_verdict::Retry);
+    CHECK(verdictAfter(facts, {attempt_progress::NoConnection}) == retry_verdict::Retry);
+    CHECK(verdictAfter(facts, {attempt_progress::SentNoResponse}) == retry_verdict::GiveUp);
+    CHECK(verdictAfter(facts, {attempt_progress::Unknown, attempt_progress::NotRun}) == retry_verdict::GiveUp);
 }
 
 TEST_CASE("an idempotent request is retried as often as the policy says")
 {
-    CHECK(verdictAfter(easyFacts(), {try_progress::SentNoResponse}) == retry_verdict::Retry);
-    CHECK(verdictAfter(easyFacts(), {try_progress::Unknown, try_progress::Unknown}) == retry_verdict::Retry);
-    CHECK(verdictAfter(easyFacts(), {try_progress::Unknown, try_progress::Unknown, try_progress::Unknown})
+    CHECK(verdictAfter(easyFacts(), {attempt_progress::SentNoResponse}) == retry_verdict::Retry);
+    CHECK(verdictAfter(easyFacts(), {attempt_progress::Unknown, attempt_progress::Unknown}) == retry_verdict::Retry);
+    CHECK(verdictAfter(easyFacts(), {attempt_progress::Unknown, attempt_progress::Unknown, attempt_progress::Unknown})
           == retry_verdict::GiveUp);
-    CHECK(verdictAfter(easyFacts(), {try_progress::WorkerUnavailable}) == retry_verdict::Retry);
-    CHECK(verdictAfter(easyFacts(), {try_progress::WorkerStatus}) == retry_verdict::GiveUp);
+    CHECK(verdictAfter(easyFacts(), {attempt_progress::WorkerUnavailable}) == retry_verdict::Retry);
+    CHECK(verdictAfter(easyFacts(), {attempt_progress::WorkerResponse}) == retry_verdict::GiveUp);
 }
 
 TEST_CASE("time left shrinks at each hop, and depth is bounded")
 {
     const time_point deadline = deadlineAfter(start, milliseconds(100), milliseconds(800));
     CHECK(timeLeft(deadline, start) == milliseconds(100));
-    CHECK(millisForNextHop(deadline, start + milliseconds(10)) == milliseconds(88));
-    CHECK(millisForNextHop(deadline, start + milliseconds(500)) == milliseconds(0));
+    CHECK(timeForNextHop(deadline, start + milliseconds(10)) == milliseconds(88));
+    CHECK(timeForNextHop(deadline, start + milliseconds(500)) == milliseconds(0));
     CHECK(deadlineAfter(start, std::nullopt, milliseconds(800)) == start + milliseconds(800));
     CHECK(deadlineAfter(start, milliseconds(-5), milliseconds(800)) == start);
     CHECK(checkHop(deadline, 16, start) == hop_refusal::None);
--- a/packages/request/routing/estimate.cc
+++ b/packages/request/routing/estimate.cc
@@ -177,28 +177,28 @@
     }
 }
 
-void notePause(tracked_worker &tracked, call_end end, time_point now)
+void notePause(tracked_worker &tracked, call_outcome end, time_point now)
 {
     constexpr unsigned maxDoublings = 10;
     switch (end) {
-    case call_end::Refused:
+    case call_outcome::Refused:
         tracked.pausedUntil = now + refusalPause;
         break;
-    case call_end::Draining:
+    case call_outcome::Draining:
         tracked.pausedUntil = now + drainPause;
         break;
-    case call_end::NoConnection:
-    case call_end::Broken: {
+    case call_outcome::NoConnection:
+    case call_outcome::NoValidResponse: {
         const milliseconds delay = firstReconnectDelay * (1U << std::min(tracked.failedConnections, maxDoublings));
         tracked.pausedUntil = now + std::min(delay, maxReconnectDelay);
         ++tracked.failedConnections;
         break;
     }
-    case call_end::Completed:
-    case call_end::Failed:
+    case call_outcome::Completed:
+    case call_outcome::Failed:
         tracked.failedConnections = 0;
         break;
-    case call_end::Cancelled:
+    case call_outcome::Cancelled:
         break;
     }
 }
@@ -261,7 +261,7 @@
 }
 
 void endProbe(
-    routing_state &state, tracked_worker &tracked, work_class workClass, const call_observation &seen, time_point now)
+    routing_state &state, tracked_worker &tracked, work_class workClass, const call_result &seen, time_point now)
 {
     if (!tracked.isEjected) {
         return;
@@ -269,7 +269,7 @@
     tracked.isProbing = false;
     const float median = peerMedian(state, workClass, &tracked, now);
     const float healthy = static_cast<float>(readmitFactor) * median + static_cast<float>(ejectFloor.count());
-    const bool isGood = seen.end == call_end::Completed && (median <= 0 || toMs(seen.latency) <= healthy);
+    const bool isGood = seen.end == call_outcome::Completed && (median <= 0 || toMs(seen.latency) <= healthy);
     if (!isGood) {
         tracked.goodProbes = 0;
         tracked.probeInterval = std::min(tracked.probeInterval * 2, maxProbeInterval);
@@ -287,14 +287,14 @@
     return found == state.spill.end() ? nullptr : &*found;
 }
 
-void endSpill(routing_state &state, const call_choice &choice, call_end end, time_point now)
+void endSpill(routing_state &state, const call_choice &choice, call_outcome end, time_point now)
 {
     spill_target *target = spillOf(state, choice.target->dataCentre);
     if (target == nullptr) {
         return;
     }
     target->outstanding -= std::min<std::uint32_t>(target->outstanding, 1);
-    if (end != call_end::Completed && end != call_end::Failed && end != call_end::Cancelled) {
+    if (end != call_outcome::Completed && end != call_outcome::Failed && end != call_outcome::Cancelled) {
         target->pausedUntil = now + spillPause;
     }
 }
--- a/packages/request/routing/estimate.h
+++ b/packages/request/routing/estimate.h
@@ -20,7 +20,7 @@
 void noteLoad(tracked_worker &tracked, const std::optional<load_report> &load, time_point now);
 
 // notePause passes the worker over for a while after a refusal or a failed connection.
-void notePause(tracked_worker &tracked, call_end end, time_point now);
+void notePause(tracked_worker &tracked, call_outcome end, time_point now);
 
 // noteLatency records a latency and renews the class median when due.
 void noteLatency(routing_state &state, tracked_worker &tracked, work_class workClass, duration latency, time_point now);
@@ -31,7 +31,7 @@
 
 // endProbe takes the worker back after enough healthy probes, or sets the time of the next probe.
 void endProbe(
-    routing_state &state, tracked_worker &tracked, work_class workClass, const call_observation &seen, time_point now);
+    routing_state &state, tracked_worker &tracked, work_class workClass, const call_result &seen, time_point now);
 
 // readmit ends an ejection.
 void readmit(routing_state &state, tracked_worker &tracked);
@@ -40,7 +40,7 @@
 spill_target *spillOf(routing_state &state, std::string_view dataCentre);
 
 // endSpill ends the accounting of a call to another data centre.
-void endSpill(routing_state &state, const call_choice &choice, call_end end, time_point now);
+void endSpill(routing_state &state, const call_choice &choice, call_outcome end, time_point now);
 
 // findTracked returns the index of the worker that was chosen, or the size of `workers` if it is forgotten.
 std::size_t findTracked(const std::vector<tracked_worker> &workers, const call_choice &choice);
--- a/packages/request/routing/routing.cc
+++ b/packages/request/routing/routing.cc
@@ -46,7 +46,7 @@
     std::size_t index = none;
     double score = 0;
 
-    void offer(std::size_t candidate, double candidateScore)
+    void enqueue(std::size_t candidate, double candidateScore)
     {
         if (index == none || candidateScore < score) {
             index = candidate;
@@ -70,7 +70,7 @@
             continue;
         }
         drawn.at(found++) = index;
-        best.offer(index, internal::score(state, tracked, request.workClass, now));
+        best.enqueue(index, internal::score(state, tracked, request.workClass, now));
     }
     return best;
 }
@@ -90,7 +90,7 @@
     for (std::size_t offset = 0; offset < workers.size() && scored < maxScored; ++offset) {
         const std::size_t index = (start + offset) % workers.size();
         if (accepts(workers[index])) {
-            best.offer(index, internal::score(state, workers[index], request.workClass, now));
+            best.enqueue(index, internal::score(state, workers[index], request.workClass, now));
             ++scored;
         }
     }
@@ -202,7 +202,7 @@
     return beginCrowded(state, request, now, generator);
 }
 
-void endCall(routing_state &state, const call_choice &choice, const call_observation &seen, time_point now)
+void endCall(routing_state &state, const call_choice &choice, const call_result &seen, time_point now)
 {
     if (!choice.target) {
         return;
@@ -225,12 +225,12 @@
         return open.call == choice.call;
     });
     internal::notePause(tracked, seen.end, now);
-    if (seen.end == call_end::Completed) {
+    if (seen.end == call_outcome::Completed) {
         internal::noteLatency(state, tracked, choice.workClass, seen.latency, now);
     }
     if (choice.isProbe) {
         internal::endProbe(state, tracked, choice.workClass, seen, now);
-    } else if (!choice.isSpill && seen.end == call_end::Completed) {
+    } else if (!choice.isSpill && seen.end == call_outcome::Completed) {
         internal::ejectIfSlow(state, index, choice.workClass, now);
     }
 }
--- a/packages/request/routing/routing.h
+++ b/packages/request/routing/routing.h
@@ -6,7 +6,7 @@
 //   call_choice call = beginCall(state, {work_class::Interactive, tried}, now, generator);
 //   if (!call.target) return refuseNotRun();
 //   ...
-//   endCall(state, call, {call_end::Completed, latency, load_report{running, waiting}}, now);
+//   endCall(state, call, {call_outcome::Completed, latency, load_report{running, waiting}}, now);
 //
 // Latencies are compared only within a class of work and relative to the class median of the workers, so a worker that
 // happens to serve long uploads is not taken for slow. A worker is ejected when 3 of its last 5 calls of one class,
@@ -53,14 +53,14 @@
 inline constexpr milliseconds spillPause{500}; // no spill to a data centre for this long after a refusal there
 
 // How a call ended for the worker.
-enum class call_end : std::uint8_t
+enum class call_outcome : std::uint8_t
 {
     Completed, // the worker responded; its latency counts
     Failed, // the worker responded with a server error; its latency does not count, because errors can be quick
     Refused, // not run: queue full, shed, limit
     Draining, // not run: the node leaves or its worker is down
     NoConnection,
-    Broken, // the connection was lost after the request was sent
+    NoValidResponse, // the connection was lost after the request was sent
     Cancelled, // by the caller, or as the loser of a hedge
 };
 
@@ -95,9 +95,9 @@
 
 // What was seen of a call. `latency` runs from the last byte of the request to the head of the response, so that a
 // caller that sends slowly does not make a worker look slow.
-struct call_observation
+struct call_result
 {
-    call_end end = call_end::Completed;
+    call_outcome end = call_outcome::Completed;
     duration latency{};
     std::optional<load_report> load;
 };
@@ -168,7 +168,7 @@
 call_choice beginCall(routing_state &state, const call_request &request, time_point now, random_generator &generator);
 
 // endCall records what was seen of a call; calls to workers that are forgotten are ignored. Not thread safe.
-void endCall(routing_state &state, const call_choice &choice, const call_observation &seen, time_point now);
+void endCall(routing_state &state, const call_choice &choice, const call_result &seen, time_point now);
 
 // isSaturated tells whether no local worker is believed to have a spare slot (then do not hedge). Not thread safe.
 bool isSaturated(const routing_state &state, time_point now);
--- a/packages/request/routing/routing_test.cc
+++ b/packages/request/routing/routing_test.cc
@@ -34,9 +34,9 @@
     return workers;
 }
 
-call_observation completed(milliseconds latency)
+call_result completed(milliseconds latency)
 {
-    return {call_end::Completed, latency, std::nullopt};
+    return {call_outcome::Completed, latency, std::nullopt};
 }
 
 // Runs calls one at a time, 10 ms apart; `latencyOf` tells how long a worker takes. Returns the calls per node.
@@ -117,7 +117,7 @@
     void end(std::uint32_t choice)
     {
         const auto chosen = m_open.begin() + static_cast<std::ptrdiff_t>(choice % m_open.size());
-        const auto ending = static_cast<call_end>(choice / 64U % 7U);
+        const auto ending = static_cast<call_outcome>(choice / 64U % 7U);
         const load_report load{choice / 16U % 8U, choice / 32U % 8U};
         endCall(m_state, *chosen, {ending, milliseconds(choice / 512U % 300U), load}, m_now);
         m_open.erase(chosen);
@@ -219,7 +219,7 @@
         const bool isFirst = upload.target->nodeId == "node-0";
         endCall(state,
                 upload,
-                isFirst ? completed(milliseconds(900)) : call_observation{call_end::Cancelled, {}, {}},
+                isFirst ? completed(milliseconds(900)) : call_result{call_outcome::Cancelled, {}, {}},
                 now);
         now += milliseconds(10);
     }
@@ -267,7 +267,7 @@
     do {
         call = beginCall(state, {}, now, generator);
     } while (call.target->nodeId != "node-0");
-    endCall(state, call, {call_end::NoConnection, {}, {}}, now);
+    endCall(state, call, {call_outcome::NoConnection, {}, {}}, now);
     CHECK_FALSE(runCalls(state, 5, now, [](const std::string &) {
                     return milliseconds(1);
                 }).contains("node-0"));
--- a/packages/request/run_time/run_time.cc
+++ b/packages/request/run_time/run_time.cc
@@ -4,9 +4,9 @@
 
 namespace pistachioquay {
 
-void noteRun(run_times &times, const std::string &route, double milliseconds, time_point now)
+void recordRunTime(run_time_estimates &times, const std::string &route, double milliseconds, time_point now)
 {
-    run_times::mean &known = times.routes[route];
+    run_time_estimates::mean &known = times.routes[route];
     if (known.samples == 0) {
         known.milliseconds = milliseconds;
     } else {
@@ -18,7 +18,7 @@
     known.lastAt = now;
 }
 
-double expectedRunMs(const run_times &times, const std::string &route, double fallbackMs)
+double expectedRunMs(const run_time_estimates &times, const std::string &route, double fallbackMs)
 {
     const auto found = times.routes.find(route);
     return found == times.routes.end() ? fallbackMs : found->second.milliseconds;
--- a/packages/request/run_time/run_time.h
+++ b/packages/request/run_time/run_time.h
@@ -1,7 +1,7 @@
 // Running estimates of how long requests of each route take on one worker.
 //
-//   run_times times;
-//   noteRun(times, "orders", 84.0, now);
+//   run_time_estimates times;
+//   recordRunTime(times, "orders", 84.0, now);
 //   const double expected = expectedRunMs(times, "orders", fallbackMs);
 //
 // Load pattern: most runs of a route are alike, a few take many times longer, and a worker slows down and recovers
@@ -23,7 +23,7 @@
 inline constexpr double unmeasuredShare = 0.25; // of the time until the target, while no worker's run time is known
 inline constexpr double leastUnmeasuredMs = 5.0;
 
-struct run_times
+struct run_time_estimates
 {
     struct mean
     {
@@ -34,11 +34,11 @@
     std::unordered_map<std::string, mean> routes;
 };
 
-// noteRun records the run time of a request that the worker completed. Not thread safe.
-void noteRun(run_times &times, const std::string &route, double milliseconds, time_point now);
+// recordRunTime records the run time of a request that the worker completed. Not thread safe.
+void recordRunTime(run_time_estimates &times, const std::string &route, double milliseconds, time_point now);
 
 // expectedRunMs returns the mean of the route, or `fallbackMs` if none of its requests ran yet. Thread safe for reads.
-double expectedRunMs(const run_times &times, const std::string &route, double fallbackMs);
+double expectedRunMs(const run_time_estimates &times, const std::string &route, double fallbackMs);
 
 // unmeasuredRunMs returns what to expect of a route that the worker has not run yet. Load pattern: after many nodes
 // restart in a swing, requests reach them late; a guess from what is left of the target would make a long line look
--- a/packages/request/run_time/run_time_test.cc
+++ b/packages/request/run_time/run_time_test.cc
@@ -9,10 +9,10 @@
 
 const time_point start{}; // a clock that begins at zero
 
-void noteMany(run_times &times, int count, double milliseconds)
+void noteMany(run_time_estimates &times, int count, double milliseconds)
 {
     for (int index = 0; index < count; ++index) {
-        noteRun(times, "sign", milliseconds, start);
+        recordRunTime(times, "sign", milliseconds, start);
     }
 }
 
@@ -25,15 +25,15 @@
 
 TEST_CASE("one run that is many times longer hardly moves the estimate")
 {
-    run_times times;
+    run_time_estimates times;
     noteMany(times, 50, 100);
-    noteRun(times, "sign", 5000, start);
+    recordRunTime(times, "sign", 5000, start);
     CHECK(expectedRunMs(times, "sign", 0) < 150);
 }
 
 TEST_CASE("a worker that turned five times slower is known within ten runs")
 {
-    run_times times;
+    run_time_estimates times;
     noteMany(times, 50, 100);
     noteMany(times, 10, 500);
     CHECK(expectedRunMs(times, "sign", 0) > 300);
@@ -41,9 +41,9 @@
 
 TEST_CASE("routes are estimated apart")
 {
-    run_times times;
-    noteRun(times, "sign", 100, start);
-    noteRun(times, "look-up", 10, start);
+    run_time_estimates times;
+    recordRunTime(times, "sign", 100, start);
+    recordRunTime(times, "look-up", 10, start);
     CHECK(expectedRunMs(times, "sign", 0) == 100);
     CHECK(expectedRunMs(times, "look-up", 0) == 10);
 }
--- a/packages/request/waiting/late_rule.h
+++ b/packages/request/waiting/late_admission.h
@@ -8,12 +8,12 @@
 inline constexpr double returnRuns = 1.5; // runs of the line that a return must span to find it shorter
 inline constexpr double returnShare = 1.0 / 3.0; // of its time that a refused caller stays away at most
 
-// isLastChance tells whether a refusal would end a request that can still meet its target: its caller has too little
+// isFinalAttempt tells whether a refusal would end a request that can still meet its target: its caller has too little
 // time to come back to a shorter line. Calls of workers are like that: if one fails, all that its caller's worker has
 // done is lost. Thread safe.
-constexpr bool isLastChance(double targetLeftMs, double timeLeftMs, double lineRunMs)
+constexpr bool isFinalAttempt(double targetLeftMs, double timeLeftMs, double meanActiveRunMs)
 {
-    return targetLeftMs > 0 && timeLeftMs * returnShare < returnRuns * lineRunMs;
+    return targetLeftMs > 0 && timeLeftMs * returnShare < returnRuns * meanActiveRunMs;
 }
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -12,17 +12,17 @@
 
 namespace {
 
-bool canMeetTarget(const waiting_request &request, time_point now)
+bool canMeetTarget(const queued_request &request, time_point now)
 {
     return now + fromMs(request.expectedRunMs) <= request.targetAt;
 }
 
 // Smaller runs earlier. A request that was taken although it is late keeps its place by its arrival.
-auto rankOf(const waiting_request &request)
+auto rankOf(const queued_request &request)
 {
     const time_point due =
         request.isTakenLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
-    return std::tuple(!request.isLastChance, request.priority, due, request.ticket);
+    return std::tuple(!request.isFinalAttempt, request.priority, due, request.ticket);
 }
 
 double remainingMs(const running_request &running, time_point now)
@@ -34,7 +34,7 @@
 // Wait of a request behind the waiting ones for which `isAhead` holds, when each slot takes the next request as soon as
 // it is free.
 template<class IsAhead>
-double waitBehind(const waiting_line &line, time_point now, IsAhead isAhead)
+double waitBehind(const request_queue &line, time_point now, IsAhead isAhead)
 {
     if (line.running.size() < line.slots) {
         return 0;
@@ -46,7 +46,7 @@
     for (std::size_t over = line.running.size(); over > line.slots; --over) {
         freeAt.pop();
     }
-    for (const waiting_request &other : line.waiting) {
+    for (const queued_request &other : line.waiting) {
         if (isAhead(other)) {
             const double start = freeAt.top();
             freeAt.pop();
@@ -56,56 +56,56 @@
     return freeAt.top();
 }
 
-refused_ticket refuse(const waiting_line &line,
-                      const waiting_request &request,
-                      wait_refusal reason,
-                      time_point now,
-                      random_generator &generator)
+refused_request refuse(const request_queue &line,
+                       const queued_request &request,
+                       queue_refusal reason,
+                       time_point now,
+                       random_generator &generator)
 {
     const double wait = expectedWaitMs(line, request.priority, now);
     return {request.ticket, reason, returnDelay(request, wait, now, generator)};
 }
 
 // Whether anything waits beside the request that could use its slot better.
-bool isCrowded(const waiting_line &line, const waiting_request &request, time_point now)
+bool isCrowded(const request_queue &line, const queued_request &request, time_point now)
 {
-    const double wait = waitBehind(line, now, [&](const waiting_request &other) {
+    const double wait = waitBehind(line, now, [&](const queued_request &other) {
         return other.ticket != request.ticket;
     });
     return wait > lateWaitRuns * request.expectedRunMs;
 }
 
-bool isHopeless(const waiting_line &line, const waiting_request &request, time_point now)
+bool isHopeless(const request_queue &line, const queued_request &request, time_point now)
 {
     if (now > latestStart(request)) {
         return true;
     }
-    return !request.isLastChance && !request.isTakenLate && !canMeetTarget(request, now)
+    return !request.isFinalAttempt && !request.isTakenLate && !canMeetTarget(request, now)
         && isCrowded(line, request, now);
 }
 
 } // namespace
 
-std::string_view refusalName(wait_refusal reason)
+std::string_view refusalName(queue_refusal reason)
 {
     switch (reason) {
-    case wait_refusal::None:
+    case queue_refusal::None:
         return "none";
-    case wait_refusal::Draining:
+    case queue_refusal::Draining:
         return "draining";
-    case wait_refusal::WorkerDown:
+    case queue_refusal::WorkerDown:
         return "worker-down";
-    case wait_refusal::NoTime:
+    case queue_refusal::NoTime:
         return "no-time";
-    case wait_refusal::Crowded:
+    case queue_refusal::Crowded:
         return "crowded";
-    case wait_refusal::QueueFull:
+    case queue_refusal::QueueFull:
         return "queue-full";
     }
     return "unknown";
 }
 
-double lineRunMs(const waiting_line &line)
+double meanActiveRunMs(const request_queue &line)
 {
     const double sum = std::accumulate(line.running.begin(),
                                        line.running.end(),
@@ -116,15 +116,15 @@
     return line.running.empty() ? 0.0 : sum / static_cast<double>(line.running.size());
 }
 
-time_point latestStart(const waiting_request &request)
+time_point latestStart(const queued_request &request)
 {
-    return request.endsBy - fromMs(request.expectedRunMs * runMargin);
+    return request.requestDeadline - fromMs(request.expectedRunMs * runMargin);
 }
 
 milliseconds
-returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator)
+returnDelay(const queued_request &request, double expectedWaitMs, time_point now, random_generator &generator)
 {
-    const double third = msBetween(now, request.endsBy) / 3.0;
+    const double third = msBetween(now, request.requestDeadline) / 3.0;
     const double targetLeft = msBetween(now, request.targetAt) - request.expectedRunMs;
     std::uniform_real_distribution<double> spread(1.0 - returnSpread, 1.0);
     const double untilRoom = expectedWaitMs - targetLeft;
@@ -133,53 +133,54 @@
     return milliseconds(static_cast<std::int64_t>(std::max(0.0, std::min(delay, third))));
 }
 
-double expectedWaitMs(const waiting_line &line, std::uint32_t priority, time_point now)
+double expectedWaitMs(const request_queue &line, std::uint32_t priority, time_point now)
 {
-    return waitBehind(line, now, [&](const waiting_request &other) {
-        return other.isLastChance || other.priority <= priority;
+    return waitBehind(line, now, [&](const queued_request &other) {
+        return other.isFinalAttempt || other.priority <= priority;
     });
 }
 
-offer_verdict offer(waiting_line &line, const waiting_request &request, time_point now, random_generator &generator)
+enqueue_result enqueue(request_queue &line, const queued_request &request, time_point now, random_generator &generator)
 {
-    offer_verdict verdict;
-    if (line.closedFor != wait_refusal::None) {
-        verdict.reason = line.closedFor;
+    enqueue_result verdict;
+    if (line.closedReason != queue_refusal::None) {
+        verdict.reason = line.closedReason;
         return verdict;
     }
-    waiting_request offered = request;
+    queued_request offered = request;
     offered.isTakenLate = false;
-    offered.isLastChance =
-        isLastChance(msBetween(now, request.targetAt), msBetween(now, request.endsBy), lineRunMs(line));
+    offered.isFinalAttempt = isFinalAttempt(msBetween(now, request.targetAt),
+                                            msBetween(now, request.requestDeadline),
+                                            meanActiveRunMs(line));
     const auto rank = rankOf(offered);
-    verdict.expectedWaitMs = waitBehind(line, now, [&](const waiting_request &other) {
+    verdict.expectedWaitMs = waitBehind(line, now, [&](const queued_request &other) {
         return rankOf(other) < rank;
     });
     const time_point startsAt = now + fromMs(verdict.expectedWaitMs);
     if (startsAt > latestStart(offered)) {
-        verdict.reason = wait_refusal::NoTime;
-    } else if (!offered.isLastChance && !canMeetTarget(offered, startsAt)) {
+        verdict.reason = queue_refusal::NoTime;
+    } else if (!offered.isFinalAttempt && !canMeetTarget(offered, startsAt)) {
         offered.isTakenLate = true;
-        verdict.reason = isCrowded(line, offered, now) ? wait_refusal::Crowded : wait_refusal::None;
+        verdict.reason = isCrowded(line, offered, now) ? queue_refusal::Crowded : queue_refusal::None;
     }
-    if (verdict.reason == wait_refusal::None && line.waiting.size() >= maxWaiting) {
-        verdict.reason = wait_refusal::QueueFull;
+    if (verdict.reason == queue_refusal::None && line.waiting.size() >= maxWaiting) {
+        verdict.reason = queue_refusal::QueueFull;
     }
-    if (verdict.reason != wait_refusal::None) {
+    if (verdict.reason != queue_refusal::None) {
         verdict.retryAfter = refuse(line, offered, verdict.reason, now, generator).retryAfter;
         return verdict;
     }
     if (line.running.size() < line.slots && line.waiting.empty()) {
         line.running.push_back({offered.ticket, now, offered.expectedRunMs});
-        verdict.kind = offer_kind::Run;
+        verdict.kind = enqueue_outcome::Run;
         return verdict;
     }
     line.waiting.push_back(offered);
-    verdict.kind = offer_kind::Wait;
+    verdict.kind = enqueue_outcome::Wait;
     return verdict;
 }
 
-std::optional<std::uint64_t> startNext(waiting_line &line, time_point now)
+std::optional<std::uint64_t> startNext(request_queue &line, time_point now)
 {
     if (line.waiting.empty() || line.running.size() >= line.slots) {
         return std::nullopt;
@@ -191,11 +192,11 @@
     return ticket;
 }
 
-std::vector<refused_ticket> takeHopeless(waiting_line &line, time_point now, random_generator &generator)
+std::vector<refused_request> removeUnservable(request_queue &line, time_point now, random_generator &generator)
 {
-    std::vector<refused_ticket> refused;
+    std::vector<refused_request> refused;
     for (std::size_t index = 0; index < line.waiting.size();) {
-        const waiting_request request = line.waiting[index];
+        const queued_request request = line.waiting[index];
         if (!isHopeless(line, request, now)) {
             ++index;
             continue;
@@ -203,39 +204,39 @@
         line.waiting.erase(line.waiting.begin() + static_cast<std::ptrdiff_t>(index));
         const bool isTooLate = now > latestStart(request);
         refused.push_back(
-            refuse(line, request, isTooLate ? wait_refusal::NoTime : wait_refusal::Crowded, now, generator));
+            refuse(line, request, isTooLate ? queue_refusal::NoTime : queue_refusal::Crowded, now, generator));
     }
     return refused;
 }
 
-std::vector<refused_ticket> takeAll(waiting_line &line, wait_refusal reason)
+std::vector<refused_request> removeAllQueued(request_queue &line, queue_refusal reason)
 {
-    std::vector<refused_ticket> refused;
-    std::ranges::transform(line.waiting, std::back_inserter(refused), [&](const waiting_request &request) {
-        return refused_ticket{request.ticket, reason, milliseconds{0}};
+    std::vector<refused_request> refused;
+    std::ranges::transform(line.waiting, std::back_inserter(refused), [&](const queued_request &request) {
+        return refused_request{request.ticket, reason, milliseconds{0}};
     });
     line.waiting.clear();
     return refused;
 }
 
-void finish(waiting_line &line, std::uint64_t ticket)
+void finish(request_queue &line, std::uint64_t ticket)
 {
     std::erase_if(line.running, [&](const running_request &running) {
         return running.ticket == ticket;
     });
-    std::erase_if(line.waiting, [&](const waiting_request &waiting) {
+    std::erase_if(line.waiting, [&](const queued_request &waiting) {
         return waiting.ticket == ticket;
     });
 }
 
-std::optional<time_point> nextCheck(const waiting_line &line)
+std::optional<time_point> nextUnservableCheck(const request_queue &line)
 {
     if (line.waiting.empty()) {
         return std::nullopt;
     }
-    const auto dueAt = [](const waiting_request &request) {
+    const auto dueAt = [](const queued_request &request) {
         const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs);
-        const bool isExempt = request.isLastChance || request.isTakenLate;
+        const bool isExempt = request.isFinalAttempt || request.isTakenLate;
         return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
     };
     return dueAt(*std::ranges::min_element(line.waiting, {}, dueAt));
--- a/packages/request/waiting/waiting.h
+++ b/packages/request/waiting/waiting.h
@@ -1,11 +1,11 @@
 // Requests that wait at a node for a slot of its worker: who runs next, who is turned away and when to come back.
 //
-//   const offer_verdict verdict = offer(line, request, now, generator);
-//   if (verdict.kind == offer_kind::Refused) return refuse(verdict.reason, verdict.retryAfter);
+//   const enqueue_result verdict = offer(line, request, now, generator);
+//   if (verdict.kind == enqueue_outcome::Refused) return refuse(verdict.reason, verdict.retryAfter);
 //   ...
 //   finish(line, ticket, now);
 //   for (auto started = startNext(line, now); started; started = startNext(line, now)) wake(*started);
-//   for (const refused_ticket &late : takeHopeless(line, now, generator)) refuse(late);
+//   for (const refused_request &late : removeUnservable(line, now, generator)) refuse(late);
 //
 // Load pattern: demand swings above what the workers can do for seconds, and a response after its target earns little.
 // So
@@ -14,7 +14,8 @@
 // - it is taken while hardly anything waits, since a late response is worth more than none;
 // - among those that wait the more urgent route goes first, so that less urgent work never displaces it, and within a
 //   route the earliest target;
-// - a request with too little time to come back (`isLastChance`), such as the call of a worker, is refused only when it
+// - a request with too little time to come back (`isFinalAttempt`), such as the call of a worker, is refused only when
+// it
 //   cannot end in time: its caller's worker holds a slot while it waits, and all of its work is lost if the call fails.
 //
 // All functions work on one line of one worker and are not thread safe.
@@ -28,7 +29,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
-#include "request/waiting/late_rule.h"
+#include "request/waiting/late_admission.h"
 
 namespace pistachioquay {
 
@@ -38,18 +39,18 @@
 inline constexpr milliseconds minRetryAfter{20}; // shorter pauses only add round trips
 inline constexpr double overdueShare = 0.25; // an overdue run is expected to take this share of its time so far longer
 
-struct waiting_request
+struct queued_request
 {
     std::uint64_t ticket = 0;
     std::uint32_t priority = 0; // of the route: 0 is the most urgent
     time_point arrivedAt;
     time_point targetAt; // a response until then earns its full worth
-    time_point endsBy; // the response is of no use later
+    time_point requestDeadline; // the response is of no use later
     double expectedRunMs = 0;
-    bool isLastChance = false; // set by `offer`: its caller cannot come back in time
+    bool isFinalAttempt = false; // set by `offer`: its caller cannot come back in time
     bool isTakenLate = false; // could not meet its target when it was taken
 
-    friend bool operator==(const waiting_request &, const waiting_request &) = default;
+    friend bool operator==(const queued_request &, const queued_request &) = default;
 };
 
 struct running_request
@@ -61,7 +62,7 @@
     friend bool operator==(const running_request &, const running_request &) = default;
 };
 
-enum class wait_refusal : std::uint8_t
+enum class queue_refusal : std::uint8_t
 {
     None,
     Draining, // the worker leaves, or the node does
@@ -72,73 +73,73 @@
 };
 
 // refusalName returns the lower-case name of a reason for logs and responses. Thread safe.
-std::string_view refusalName(wait_refusal reason);
+std::string_view refusalName(queue_refusal reason);
 
-enum class offer_kind : std::uint8_t
+enum class enqueue_outcome : std::uint8_t
 {
     Run,
     Wait,
     Refused,
 };
 
-struct offer_verdict
+struct enqueue_result
 {
-    offer_kind kind = offer_kind::Refused;
-    wait_refusal reason = wait_refusal::None;
+    enqueue_outcome kind = enqueue_outcome::Refused;
+    queue_refusal reason = queue_refusal::None;
     milliseconds retryAfter{0};
     double expectedWaitMs = 0;
 
-    friend bool operator==(const offer_verdict &, const offer_verdict &) = default;
+    friend bool operator==(const enqueue_result &, const enqueue_result &) = default;
 };
 
-struct refused_ticket
+struct refused_request
 {
     std::uint64_t ticket = 0;
-    wait_refusal reason = wait_refusal::NoTime;
+    queue_refusal reason = queue_refusal::NoTime;
     milliseconds retryAfter{0};
 
-    friend bool operator==(const refused_ticket &, const refused_ticket &) = default;
+    friend bool operator==(const refused_request &, const refused_request &) = default;
 };
 
-struct waiting_line
+struct request_queue
 {
     std::uint32_t slots = 1;
-    wait_refusal closedFor = wait_refusal::None; // why nothing new is taken
-    std::vector<waiting_request> waiting;
+    queue_refusal closedReason = queue_refusal::None; // why nothing new is taken
+    std::vector<queued_request> waiting;
     std::vector<running_request> running;
 };
 
 // offer decides on a new request. Run: it counts as running. Wait: it is in the line until `startNext` or
-// `takeHopeless` names its ticket.
-offer_verdict offer(waiting_line &line, const waiting_request &request, time_point now, random_generator &generator);
+// `removeUnservable` names its ticket.
+enqueue_result enqueue(request_queue &line, const queued_request &request, time_point now, random_generator &generator);
 
 // startNext moves the best waiting request to the running ones if a slot is free.
-std::optional<std::uint64_t> startNext(waiting_line &line, time_point now);
+std::optional<std::uint64_t> startNext(request_queue &line, time_point now);
 
-// takeHopeless removes the waiting requests that can no longer end in time.
-std::vector<refused_ticket> takeHopeless(waiting_line &line, time_point now, random_generator &generator);
+// removeUnservable removes the waiting requests that can no longer end in time.
+std::vector<refused_request> removeUnservable(request_queue &line, time_point now, random_generator &generator);
 
-// takeAll removes all waiting requests for `reason`.
-std::vector<refused_ticket> takeAll(waiting_line &line, wait_refusal reason);
+// removeAllQueued removes all waiting requests for `reason`.
+std::vector<refused_request> removeAllQueued(request_queue &line, queue_refusal reason);
 
 // finish frees the slot of a running request, or removes a waiting one whose caller left.
-void finish(waiting_line &line, std::uint64_t ticket);
+void finish(request_queue &line, std::uint64_t ticket);
 
 // expectedWaitMs returns how long a request with this priority that arrives now is expected to wait.
-double expectedWaitMs(const waiting_line &line, std::uint32_t priority, time_point now);
+double expectedWaitMs(const request_queue &line, std::uint32_t priority, time_point now);
 
-// nextCheck returns when `takeHopeless` is due; empty if nothing waits.
-std::optional<time_point> nextCheck(const waiting_line &line);
+// nextUnservableCheck returns when `removeUnservable` is due; empty if nothing waits.
+std::optional<time_point> nextUnservableCheck(const request_queue &line);
 
 // latestStart returns the last time at which the request can start and still end in time.
-time_point latestStart(const waiting_request &request);
+time_point latestStart(const queued_request &request);
 
-// lineRunMs returns the mean expected run of what runs now; 0 if nothing runs.
-double lineRunMs(const waiting_line &line);
+// meanActiveRunMs returns the mean expected run of what runs now; 0 if nothing runs.
+double meanActiveRunMs(const request_queue &line);
 
 // returnDelay tells a refused caller when to come back: when the line is expected to be short enough for its target,
 // or, if that is missed, within the next third of its time. Returns are spread so that they do not come as a wave.
 milliseconds
-returnDelay(const waiting_request &request, double expectedWaitMs, time_point now, random_generator &generator);
+returnDelay(const queued_request &request, double expectedWaitMs, time_point now, random_generator &generator);
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting_test.cc
+++ b/packages/request/waiting/waiting_test.cc
@@ -12,14 +12,14 @@
 
 const time_point start{}; // a clock that begins at zero
 
-waiting_request requestOf(std::uint64_t ticket, time_point now, int targetMs, int leftMs, double runMs)
+queued_request requestOf(std::uint64_t ticket, time_point now, int targetMs, int leftMs, double runMs)
 {
-    waiting_request request;
+    queued_request request;
     request.ticket = ticket;
     request.priority = 1;
     request.arrivedAt = now;
     request.targetAt = now + milliseconds(targetMs);
-    request.endsBy = now + milliseconds(leftMs);
+    request.requestDeadline = now + milliseconds(leftMs);
     request.expectedRunMs = runMs;
     return request;
 }
@@ -41,10 +41,10 @@
 swing_result replaySwing(double overload, bool refusesLate)
 {
     random_generator generator(7);
-    waiting_line line;
+    request_queue line;
     line.slots = 6;
     swing_result result;
-    std::map<std::uint64_t, waiting_request> open;
+    std::map<std::uint64_t, queued_request> open;
     std::map<std::uint64_t, time_point> ends;
     std::uint64_t ticket = 0;
     const double perMs = overload * line.slots / swingRunMs;
@@ -61,21 +61,21 @@
             finish(line, end->first);
             end = ends.erase(end);
         }
-        for (const refused_ticket &refused : takeHopeless(line, now, generator)) {
+        for (const refused_request &refused : removeUnservable(line, now, generator)) {
             ++result.refused;
             result.longestWaitOfRefused =
                 std::max(result.longestWaitOfRefused, now - open.at(refused.ticket).arrivedAt);
         }
         for (due += perMs; due >= 1; due -= 1) {
-            waiting_request request = requestOf(++ticket, now, swingTargetMs, swingLeftMs, swingRunMs);
+            queued_request request = requestOf(++ticket, now, swingTargetMs, swingLeftMs, swingRunMs);
             if (!refusesLate) {
-                request.targetAt = request.endsBy;
+                request.targetAt = request.requestDeadline;
             }
             open[ticket] = request;
-            const offer_verdict verdict = offer(line, request, now, generator);
-            if (verdict.kind == offer_kind::Refused) {
+            const enqueue_result verdict = enqueue(line, request, now, generator);
+            if (verdict.kind == enqueue_outcome::Refused) {
                 ++result.refused;
-            } else if (verdict.kind == offer_kind::Run) {
+            } else if (verdict.kind == enqueue_outcome::Run) {
                 ends[ticket] = now + milliseconds(100);
             }
         }
@@ -113,35 +113,35 @@
 TEST_CASE("a request that cannot end in time is refused on arrival")
 {
     random_generator generator(1);
-    waiting_line line;
+    request_queue line;
     line.slots = 1;
-    CHECK(offer(line, requestOf(1, start, 300, 400, 500), start, generator).kind == offer_kind::Refused);
-    REQUIRE(offer(line, requestOf(2, start, 900, 1000, 500), start, generator).kind == offer_kind::Run);
-    const offer_verdict late = offer(line, requestOf(3, start, 900, 900, 500), start, generator);
-    CHECK(late.kind == offer_kind::Refused);
-    CHECK(late.reason == wait_refusal::NoTime);
+    CHECK(enqueue(line, requestOf(1, start, 300, 400, 500), start, generator).kind == enqueue_outcome::Refused);
+    REQUIRE(enqueue(line, requestOf(2, start, 900, 1000, 500), start, generator).kind == enqueue_outcome::Run);
+    const enqueue_result late = enqueue(line, requestOf(3, start, 900, 900, 500), start, generator);
+    CHECK(late.kind == enqueue_outcome::Refused);
+    CHECK(late.reason == queue_refusal::NoTime);
     CHECK(late.retryAfter <= milliseconds(300));
 }
 
 TEST_CASE("a late request is taken while hardly anything waits")
 {
     random_generator generator(1);
-    waiting_line line;
+    request_queue line;
     line.slots = 1;
-    const waiting_request late = requestOf(1, start, -100, 1000, 100);
-    CHECK(offer(line, late, start, generator).kind == offer_kind::Run);
-    CHECK(offer(line, requestOf(2, start, -100, 1000, 100), start, generator).reason == wait_refusal::Crowded);
+    const queued_request late = requestOf(1, start, -100, 1000, 100);
+    CHECK(enqueue(line, late, start, generator).kind == enqueue_outcome::Run);
+    CHECK(enqueue(line, requestOf(2, start, -100, 1000, 100), start, generator).reason == queue_refusal::Crowded);
 }
 
 TEST_CASE("a call of a worker goes first and is refused only when it cannot end in time")
 {
     random_generator generator(1);
-    waiting_line line;
+    request_queue line;
     line.slots = 1;
-    REQUIRE(offer(line, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
-    REQUIRE(offer(line, requestOf(2, start, 300, 1000, 100), start, generator).kind == offer_kind::Wait);
-    REQUIRE(offer(line, requestOf(3, start, 50, 250, 30), start, generator).kind == offer_kind::Wait);
-    CHECK(takeHopeless(line, start + milliseconds(60), generator).empty());
+    REQUIRE(enqueue(line, requestOf(1, start, 300, 1000, 100), start, generator).kind == enqueue_outcome::Run);
+    REQUIRE(enqueue(line, requestOf(2, start, 300, 1000, 100), start, generator).kind == enqueue_outcome::Wait);
+    REQUIRE(enqueue(line, requestOf(3, start, 50, 250, 30), start, generator).kind == enqueue_outcome::Wait);
+    CHECK(removeUnservable(line, start + milliseconds(60), generator).empty());
     finish(line, 1);
     CHECK(startNext(line, start + milliseconds(100)) == 3U);
     CHECK_FALSE(startNext(line, start + milliseconds(100)).has_value());
@@ -150,23 +150,23 @@
 TEST_CASE("a caller that has passed its target gets no last chance")
 {
     random_generator generator(1);
-    waiting_line line;
+    request_queue line;
     line.slots = 1;
-    REQUIRE(offer(line, requestOf(1, start, 300, 1000, 100), start, generator).kind == offer_kind::Run);
-    CHECK(offer(line, requestOf(2, start, -10, 250, 30), start, generator).reason == wait_refusal::Crowded);
+    REQUIRE(enqueue(line, requestOf(1, start, 300, 1000, 100), start, generator).kind == enqueue_outcome::Run);
+    CHECK(enqueue(line, requestOf(2, start, -10, 250, 30), start, generator).reason == queue_refusal::Crowded);
 }
 
 TEST_CASE("the more urgent route goes first, and the earliest target within it")
 {
     random_generator generator(1);
-    waiting_line line;
+    request_queue line;
     line.slots = 1;
-    REQUIRE(offer(line, requestOf(1, start, 300, 1000, 10), start, generator).kind == offer_kind::Run);
-    waiting_request lessUrgent = requestOf(2, start, 200, 1000, 10);
+    REQUIRE(enqueue(line, requestOf(1, start, 300, 1000, 10), start, generator).kind == enqueue_outcome::Run);
+    queued_request lessUrgent = requestOf(2, start, 200, 1000, 10);
     lessUrgent.priority = 2;
-    offer(line, lessUrgent, start, generator);
-    offer(line, requestOf(3, start, 290, 1000, 10), start, generator);
-    offer(line, requestOf(4, start, 250, 1000, 10), start, generator);
+    enqueue(line, lessUrgent, start, generator);
+    enqueue(line, requestOf(3, start, 290, 1000, 10), start, generator);
+    enqueue(line, requestOf(4, start, 250, 1000, 10), start, generator);
     std::vector<std::uint64_t> order;
     for (std::uint64_t running = 1; running != 0;) {
         finish(line, running);
@@ -182,7 +182,7 @@
 TEST_CASE("returns of refused callers are spread and within a third of their time")
 {
     random_generator generator(3);
-    const waiting_request request = requestOf(1, start, -10, 900, 100);
+    const queued_request request = requestOf(1, start, -10, 900, 100);
     std::vector<milliseconds> delays(200);
     std::ranges::generate(delays, [&] {
         return returnDelay(request, 800, start, generator);
@@ -195,13 +195,13 @@
 TEST_CASE("a closed line refuses with its reason and gives back what waits")
 {
     random_generator generator(1);
-    waiting_line line;
+    request_queue line;
     line.slots = 1;
-    offer(line, requestOf(1, start, 300, 1000, 10), start, generator);
-    offer(line, requestOf(2, start, 300, 1000, 10), start, generator);
-    line.closedFor = wait_refusal::Draining;
-    CHECK(offer(line, requestOf(3, start, 300, 1000, 10), start, generator).reason == wait_refusal::Draining);
-    const auto refused = takeAll(line, wait_refusal::Draining);
+    enqueue(line, requestOf(1, start, 300, 1000, 10), start, generator);
+    enqueue(line, requestOf(2, start, 300, 1000, 10), start, generator);
+    line.closedReason = queue_refusal::Draining;
+    CHECK(enqueue(line, requestOf(3, start, 300, 1000, 10), start, generator).reason == queue_refusal::Draining);
+    const auto refused = removeAllQueued(line, queue_refusal::Draining);
     REQUIRE(refused.size() == 1);
     CHECK(refused.front().ticket == 2);
 }
--- a/testing/bench/decisions.cc
+++ b/testing/bench/decisions.cc
@@ -46,7 +46,7 @@
     double sentMs = 0;
     call_choice choice;
     std::vector<std::string> tried;
-    try_history history;
+    attempt_history history;
     load_report load; // as the response tells it
     double endedMs = -1; // -1: no response
 };
@@ -191,9 +191,9 @@
     void respond(std::size_t index)
     {
         m_calls[index].endedMs = m_nowMs;
-        observe(m_calls[index], call_end::Completed);
+        observe(m_calls[index], call_outcome::Completed);
     }
-    void observe(const call &each, call_end end)
+    void observe(const call &each, call_outcome end)
     {
         const duration latency = timeOf(m_nowMs) - timeOf(each.sentMs);
         endCall(m_entries.at(each.entry), each.choice, {end, latency, each.load}, timeOf(m_nowMs));
@@ -201,10 +201,10 @@
     void retry(std::size_t index)
     {
         call &each = m_calls[index];
-        observe(each, call_end::Refused);
+        observe(each, call_outcome::Refused);
         each.tried.push_back(std::to_string(each.worker));
-        noteTry(each.history, try_progress::NotRun);
-        const retry_facts facts{true, 2, 0, true, false, false, timeOf(each.deadlineMs)};
+        recordAttempt(each.history, attempt_progress::NotRun);
+        const retry_context facts{true, 2, 0, true, false, false, timeOf(each.deadlineMs)};
         const auto decision = decideRetry(facts, each.history, m_budget, timeOf(m_nowMs), m_others);
         if (decision.verdict == retry_verdict::Retry) {
             after(static_cast<double>(decision.delay.count()), &simulation::dispatch, index);
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -151,8 +151,8 @@
     request.method = "GET";
     request.target = "/readiness";
     request.headers = {{"Host", host}};
-    exchange_control control;
-    loop_client client(m_loop.executor(), {.target = m_nodes.at(node).addresses[Ready]});
+    cancellation_token control;
+    async_http_client client(m_loop.executor(), {.target = m_nodes.at(node).addresses[Ready]});
     const exchange_result got = m_loop.await(client.send(request, {.deadline = steadyNow() + seconds(1)}, control));
     m_loop.run([&] {
         client.closeAll();
@@ -181,8 +181,8 @@
     sent.headers = {{"Host", host},
                     {"Request-Attempt-Id", request.id},
                     {"Deadline-Milliseconds", std::to_string(request.timeLeft.count())}};
-    exchange_control control;
-    loop_client client(m_loop.executor(), {.target = m_nodes.at(node).addresses[Outbound]});
+    cancellation_token control;
+    async_http_client client(m_loop.executor(), {.target = m_nodes.at(node).addresses[Outbound]});
     exchange_result got =
         m_loop.await(client.send(sent, {.deadline = steadyNow() + request.timeLeft + seconds(1)}, control));
     m_loop.run([&] {
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr milliseconds startBound{8000};
-constexpr milliseconds configBound{2000};
+constexpr milliseconds configApplyLimit{2000};
 constexpr milliseconds recoveryBound{15000};
 
 std::vector<node_plan> twoDataCentres()
@@ -105,7 +105,7 @@
                 return mesh.statusOf(name, "/new/1", "new-" + name) == 200;
             });
         },
-        configBound);
+        configApplyLimit);
     CHECK(isEverywhere);
     mesh.publish(7, usualRoutes());
     std::this_thread::sleep_for(milliseconds(500));
@@ -138,7 +138,7 @@
         [&] {
             return mesh.statusOf("b1", "/new/1", "dropped") == 200;
         },
-        configBound));
+        configApplyLimit));
 }
 
 TEST_CASE("a request that may run once runs once when the node beside its worker dies")
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -68,11 +68,11 @@
 
 store_stand_in::store_stand_in()
 {
-    m_server = std::make_unique<loop_server>(m_loop.executor(),
-                                             loop_server_options{.address = {"127.0.0.1", 0}},
-                                             [this](const whole_request &request, caller_presence &) {
-                                                 return answer(request);
-                                             });
+    m_server = std::make_unique<async_http_server>(m_loop.executor(),
+                                                   async_http_server_options{.address = {"127.0.0.1", 0}},
+                                                   [this](const whole_request &request, caller_connection &) {
+                                                       return answer(request);
+                                                   });
     const bool isStarted = m_loop.run([this] {
         return static_cast<bool>(attempt([this] {
             return m_server->start();
--- a/testing/platform/store_stand_in.h
+++ b/testing/platform/store_stand_in.h
@@ -64,7 +64,7 @@
     std::map<std::string, topic_log> m_topics;
     std::atomic<store_mode> m_mode = store_mode::Up;
     std::atomic<std::uint64_t> m_calls = 0;
-    std::unique_ptr<loop_server> m_server;
+    std::unique_ptr<async_http_server> m_server;
 };
 
 } // namespace pistachioquay::testing
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -33,7 +33,8 @@
     : m_options(std::move(options))
     , m_startedMs(unixNowMs())
 {
-    m_node = std::make_unique<loop_client>(m_loop.executor(), loop_client_options{.target = m_options.control});
+    m_node =
+        std::make_unique<async_http_client>(m_loop.executor(), async_http_client_options{.target = m_options.control});
     // A child process between fork and exec may still hold the socket of the worker that had the address before.
     const time_point until = steadyNow() + listenRetry;
     bool isStarted = listen();
@@ -72,11 +73,11 @@
 
 bool worker_stand_in::listen()
 {
-    m_server = std::make_unique<loop_server>(m_loop.executor(),
-                                             loop_server_options{.address = m_options.address},
-                                             [this](const whole_request &request, caller_presence &caller) {
-                                                 return run(request, caller);
-                                             });
+    m_server = std::make_unique<async_http_server>(m_loop.executor(),
+                                                   async_http_server_options{.address = m_options.address},
+                                                   [this](const whole_request &request, caller_connection &caller) {
+                                                       return run(request, caller);
+                                                   });
     return m_loop.run([this] {
         const bool isListening = static_cast<bool>(attempt([this] {
             return m_server->start();
@@ -118,7 +119,7 @@
     request.target = "/instances/" + m_options.id + "/heartbeat";
     request.headers = {{"Host", toText(m_options.control)}, {"Content-Type", "application/json"}};
     request.body = boost::json::serialize(body);
-    exchange_control control;
+    cancellation_token control;
     const exchange_result got = co_await m_node->send(request, {.deadline = steadyNow() + noticeTimeout}, control);
     co_return got.end == exchange_end::Complete &&got.response.status == 200;
 }
@@ -154,7 +155,7 @@
     return false;
 }
 
-awaitable<whole_response> worker_stand_in::run(const whole_request &request, caller_presence &)
+awaitable<whole_response> worker_stand_in::run(const whole_request &request, caller_connection &)
 {
     const std::string id(findHeader(request.headers, "Request-Attempt-Id").value_or(""));
     const auto expected = findHeader(request.headers, "Expected-Instance");
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -76,7 +76,7 @@
 
 private:
     bool listen();
-    awaitable<whole_response> run(const whole_request &request, caller_presence &caller);
+    awaitable<whole_response> run(const whole_request &request, caller_connection &caller);
     awaitable<void> pause(milliseconds length);
     awaitable<void> announceLoop();
     awaitable<bool> announce(std::string state);
@@ -94,8 +94,8 @@
     std::set<net::steady_timer *> m_pauses; // of runs and notices; belongs to the loop
     unsigned m_active = 0; // runs, and the loop of notices; belongs to the loop
     loop_thread m_loop;
-    std::unique_ptr<loop_server> m_server;
-    std::unique_ptr<loop_client> m_node;
+    std::unique_ptr<async_http_server> m_server;
+    std::unique_ptr<async_http_client> m_node;
 };
 
 } // namespace pistachioquay::testing
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -16,10 +16,10 @@
 
 constexpr milliseconds startBound{10000};
 constexpr milliseconds recoveryBound{15000}; // recoveryS of the users' sites
-constexpr milliseconds configBound{2000}; // configApplyMs of the users' sites
+constexpr milliseconds configApplyLimit{2000}; // configApplyMs of the users' sites
 constexpr milliseconds timeLeft{2500}; // of each request
 constexpr milliseconds answerSlack{1500}; // beyond the time left, until a request counts as unanswered
-constexpr milliseconds graceTime{6000}; // gracePeriodS of the users' sites
+constexpr milliseconds gracePeriod{6000}; // gracePeriodS of the users' sites
 constexpr milliseconds drainTime{2000}; // drainTimeoutMs of the users' sites
 constexpr milliseconds programStart{500}; // before the program runs, a signal that it would handle ends the process
 constexpr milliseconds restartPause{200}; // until a process that ended is started again, as the platform does
@@ -114,7 +114,7 @@
         return m_lives[node];
     }
     void callLoop(const std::string &node, std::uint64_t seed);
-    void callOnce(loop_thread &loop, loop_client &client, const std::string &node, random_generator &generator);
+    void callOnce(loop_thread &loop, async_http_client &client, const std::string &node, random_generator &generator);
     void checkAnswer(const seen_answer &seen, const std::string &target, const exchange_result &got);
     void probeVersion(const std::string &node, unsigned version, unsigned status, std::uint64_t boots);
     void strike();
@@ -192,7 +192,8 @@
     random_generator generator(seed);
     loop_thread loop;
     // The connection is kept until the process is gone.
-    loop_client client(loop.executor(), {.target = m_mesh.callerAddress(node), .echoHeader = "Request-Attempt-Id"});
+    async_http_client client(loop.executor(),
+                             {.target = m_mesh.callerAddress(node), .echoHeader = "Request-Attempt-Id"});
     while (m_isCalling) {
         callOnce(loop, client, node, generator);
         std::this_thread::sleep_for(milliseconds(std::uniform_int_distribution<int>(1, 25)(generator)));
@@ -203,7 +204,10 @@
     });
 }
 
-void soak_run::callOnce(loop_thread &loop, loop_client &client, const std::string &node, random_generator &generator)
+void soak_run::callOnce(loop_thread &loop,
+                        async_http_client &client,
+                        const std::string &node,
+                        random_generator &generator)
 {
     const unsigned number = ++m_lastId;
     const unsigned version = m_version;
@@ -223,7 +227,7 @@
     request.headers = {{"Host", "shop.example"},
                        {"Request-Attempt-Id", id},
                        {"Deadline-Milliseconds", std::to_string(timeLeft.count())}};
-    exchange_control control;
+    cancellation_token control;
     const exchange_result got =
         loop.await(client.send(request, {.deadline = steadyNow() + timeLeft + answerSlack}, control));
     const seen_answer seen{id, node, isOnce, got.end == exchange_end::Complete ? got.response.status : 0};
@@ -322,7 +326,7 @@
 {
     const bool isProgramRunning = steadyNow() > lifeOf(node).started + programStart;
     m_mesh.process(node).send(SIGTERM);
-    later(graceTime, [this, node, isProgramRunning] {
+    later(gracePeriod, [this, node, isProgramRunning] {
         const auto end = m_mesh.process(node).waitForExit(milliseconds(1));
         const bool isEarly = !isProgramRunning && end == exit_status{0, SIGTERM};
         if (end != exit_status{0, 0} && !isEarly) {
@@ -468,7 +472,7 @@
                 const std::string id = "end-" + std::to_string(++m_lastId);
                 return m_mesh.send(node, {.id = id, .target = target, .timeLeft = timeLeft}).response.status == 200;
             },
-            recoveryBound + configBound);
+            recoveryBound + configApplyLimit);
         if (!isServed) {
             violated(node + ": does not serve the newest version after the faults");
         }
