--- a/packages/pistachioquay/explain/explain.cc
+++ b/packages/pistachioquay/explain/explain.cc
@@ -56,7 +56,7 @@
     }
 }
 
-std::optional<double> numericValue(const node_line &line, std::string_view key)
+std::optional<double> numericValue(const log_entry &line, std::string_view key)
 {
     const std::string_view text = fieldValue(line, key);
     double number = 0;
@@ -64,54 +64,54 @@
     return failure == std::errc{} ? std::optional(number) : std::nullopt;
 }
 
-std::string textValue(const node_line &line, std::string_view key)
+std::string textValue(const log_entry &line, std::string_view key)
 {
     return std::string(fieldValue(line, key));
 }
 
-bool isEvent(const node_line &line, std::string_view part, std::string_view event)
+bool isEvent(const log_entry &line, std::string_view part, std::string_view event)
 {
     return line.part == part && line.event == event;
 }
 
 // True for entries of request `id` and of the calls that its workers made, whose ids are `id` and a suffix after a dot.
-bool isOfRequestOrItsCalls(const node_line &line, std::string_view id)
+bool isOfRequestOrItsCalls(const log_entry &line, std::string_view id)
 {
     const std::string_view entryId = fieldValue(line, "id");
     return entryId == id || (entryId.starts_with(id) && entryId.substr(id.size()).starts_with('.'));
 }
 
-bool hasRequestId(const node_line &line, std::string_view id)
+bool hasRequestId(const log_entry &line, std::string_view id)
 {
     return fieldValue(line, "id") == id;
 }
 
-bool hasNoRoute(const node_line &endEntry)
+bool hasNoRoute(const log_entry &endEntry)
 {
     return fieldValue(endEntry, "status") == "404" && fieldValue(endEntry, "route") == "-";
 }
 
 // Returns the node of the last attempt in an attempt history like `be-1:handed-back,be-2:unknown`.
-std::string lastAttemptNode(const node_line &endEntry)
+std::string lastAttemptNode(const log_entry &endEntry)
 {
     const std::string_view attempts = fieldValue(endEntry, "nodes");
     const std::string_view last = attempts.substr(attempts.rfind(',') + 1);
     return std::string(last.substr(0, last.find(':')));
 }
 
-std::string explainNoRoute(const node_line &endEntry)
+std::string explainNoRoute(const log_entry &endEntry)
 {
     return "No route of configuration version " + textValue(endEntry, "version") + " matches host "
         + textValue(endEntry, "host") + " and path " + textValue(endEntry, "path") + ".\n";
 }
 
-std::string explainRefusal(const node_line &endEntry, const std::vector<node_line> &lines)
+std::string explainRefusal(const log_entry &endEntry, const std::vector<log_entry> &lines)
 {
     constexpr std::string_view prefix = "not run: "; // start of the response body that the caller received
     std::string reason = textValue(endEntry, "reason");
     reason.erase(0, reason.starts_with(prefix) ? prefix.size() : 0);
     std::string cause = "It was refused and has not run: " + reason + ".\n";
-    for (const node_line &line : lines) {
+    for (const log_entry &line : lines) {
         if (isEvent(line, "inbound", "refused") && hasRequestId(line, fieldValue(endEntry, "id"))) {
             cause += "Node " + line.node + " refused it (" + textValue(line, "reason")
                 + "): " + textValue(line, "running") + " running, " + textValue(line, "waiting")
@@ -122,7 +122,7 @@
     return cause;
 }
 
-std::string describeRun(const node_line &run)
+std::string describeRun(const log_entry &run)
 {
     return "At " + run.node + " worker " + textValue(run, "worker") + " took " + textValue(run, "took_ms")
         + " ms after a wait of " + textValue(run, "waited_ms") + " ms, where " + textValue(run, "expected_ms")
@@ -130,33 +130,33 @@
         + (fieldValue(run, "status") == "0" ? textValue(run, "reason") : "status " + textValue(run, "status")) + ".\n";
 }
 
-bool isRunOfRequest(const node_line &line, const node_line &endEntry)
+bool isRunOfRequest(const log_entry &line, const log_entry &endEntry)
 {
     return isEvent(line, "inbound", "ran") && hasRequestId(line, fieldValue(endEntry, "id"));
 }
 
 // True for the end of a failed call that a worker made while it ran the request.
-bool isFailedWorkerCall(const node_line &line, const node_line &endEntry)
+bool isFailedWorkerCall(const log_entry &line, const log_entry &endEntry)
 {
     return isEvent(line, "outbound", "ended") && !hasRequestId(line, fieldValue(endEntry, "id"))
         && numericValue(line, "status") >= minErrorStatus;
 }
 
-std::string explainLostResponse(const node_line &endEntry, const std::vector<node_line> &lines)
+std::string explainLostResponse(const log_entry &endEntry, const std::vector<log_entry> &lines)
 {
     const bool isTimeout = fieldValue(endEntry, "status") == "504";
     const std::string start = isTimeout
         ? "No response came in its time of " + textValue(endEntry, "time_left_ms") + " ms"
         : "It was sent, and its response was lost";
     std::string runs;
-    for (const node_line &line : lines) {
+    for (const log_entry &line : lines) {
         runs += isRunOfRequest(line, endEntry) ? describeRun(line) : "";
     }
     return start + " (" + textValue(endEntry, "reason") + "), last at node " + lastAttemptNode(endEntry) + ".\n"
         + (runs.empty() ? "No node has logged a run of it: it may have run at a node that died.\n" : runs);
 }
 
-std::string explainResponse(const node_line &endEntry, const std::vector<node_line> &lines)
+std::string explainResponse(const log_entry &endEntry, const std::vector<log_entry> &lines)
 {
     const auto took = numericValue(endEntry, "took_ms");
     const auto target = numericValue(endEntry, "target_left_ms");
@@ -164,7 +164,7 @@
     std::string cause = "The worker responded with status " + textValue(endEntry, "status") + " after "
         + textValue(endEntry, "took_ms") + " ms"
         + (isLate ? ", later than its target of " + textValue(endEntry, "target_left_ms") + " ms" : "") + ".\n";
-    for (const node_line &line : lines) {
+    for (const log_entry &line : lines) {
         if (isRunOfRequest(line, endEntry)) {
             cause += describeRun(line);
         } else if (isFailedWorkerCall(line, endEntry)) {
@@ -175,7 +175,7 @@
     return cause;
 }
 
-std::string explainCause(const node_line &endEntry, const std::vector<node_line> &lines)
+std::string explainCause(const log_entry &endEntry, const std::vector<log_entry> &lines)
 {
     if (hasNoRoute(endEntry)) {
         return explainNoRoute(endEntry);
@@ -190,7 +190,7 @@
                                                          : explainLostResponse(endEntry, lines);
 }
 
-std::string suggestNextStep(const node_line &endEntry)
+std::string suggestNextStep(const log_entry &endEntry)
 {
     if (hasNoRoute(endEntry)) {
         return "Compare `[config] in-force` of " + endEntry.node + " with other nodes at that time.\n";
@@ -204,13 +204,13 @@
 
 } // namespace
 
-std::string_view fieldValue(const node_line &line, std::string_view key)
+std::string_view fieldValue(const log_entry &line, std::string_view key)
 {
     const auto found = std::ranges::find(line.fields, key, &log_field::key);
     return found == line.fields.end() ? std::string_view() : std::string_view(found->value);
 }
 
-std::optional<node_line> parseLogLine(std::string_view text, std::string_view node)
+std::optional<log_entry> parseLogLine(std::string_view text, std::string_view node)
 {
     const auto open = text.find(" [");
     const auto close = text.find("] ", open == std::string_view::npos ? 0 : open);
@@ -219,7 +219,7 @@
     }
     const std::string_view beforePart = text.substr(0, open);
     const std::string_view time = beforePart.substr(beforePart.rfind(' ') + 1); // npos + 1 is 0
-    node_line line;
+    log_entry line;
     const auto [end, failure] = std::from_chars(time.data(), time.data() + time.size(), line.atMs);
     if (failure != std::errc{} || end != time.data() + time.size()) {
         return std::nullopt;
@@ -234,7 +234,7 @@
     return line;
 }
 
-void appendLines(std::vector<node_line> &lines, std::string_view node, std::string_view log)
+void appendLogEntries(std::vector<log_entry> &lines, std::string_view node, std::string_view log)
 {
     while (!log.empty()) {
         const auto lineEnd = std::min(log.find('\n'), log.size());
@@ -245,18 +245,18 @@
     }
 }
 
-explanation explainRequest(std::vector<node_line> lines, std::string_view id)
+explanation explainRequest(std::vector<log_entry> lines, std::string_view id)
 {
     explanation found;
-    std::erase_if(lines, [&](const node_line &line) {
+    std::erase_if(lines, [&](const log_entry &line) {
         return id.empty() || !isOfRequestOrItsCalls(line, id);
     });
-    std::ranges::stable_sort(lines, {}, &node_line::atMs);
+    std::ranges::stable_sort(lines, {}, &log_entry::atMs);
     found.lines = std::move(lines);
     if (found.lines.empty()) {
         return found;
     }
-    const auto endEntry = std::ranges::find_if(found.lines, [&](const node_line &line) {
+    const auto endEntry = std::ranges::find_if(found.lines, [&](const log_entry &line) {
         return isEvent(line, "outbound", "ended") && hasRequestId(line, id);
     });
     if (endEntry == found.lines.end()) {
--- a/packages/pistachioquay/explain/explain.h
+++ b/packages/pistachioquay/explain/explain.h
@@ -1,7 +1,7 @@
 // Finds the log entries of one request in the logs of several nodes and explains in sentences how it ended and why.
 //
-//   std::vector<node_line> lines;
-//   appendLines(lines, "be-1", logText);             // once per node
+//   std::vector<log_entry> lines;
+//   appendLogEntries(lines, "be-1", logText);             // once per node
 //   const explanation found = explainRequest(std::move(lines), "a23a.33e1");
 //   std::cout << found.cause;
 //
@@ -26,7 +26,7 @@
 };
 
 // One parsed entry of a node's log.
-struct node_line
+struct log_entry
 {
     std::int64_t atMs = 0; // Unix time, by the clock of the node
     std::string node; // name before the timestamp, or that of the log if there is none
@@ -35,30 +35,30 @@
     std::vector<log_field> fields;
     std::string text; // the line from its [part] on
 
-    friend auto operator<=>(const node_line &, const node_line &) = default;
+    friend auto operator<=>(const log_entry &, const log_entry &) = default;
 };
 
 // parseLogLine parses `[TEXT] UNIX-MS [part] event key=value ...`, where the last word of the optional TEXT is the name
 // of the node; without TEXT the node is `node`. Empty if the line has another format. Thread safe.
-std::optional<node_line> parseLogLine(std::string_view text, std::string_view node);
+std::optional<log_entry> parseLogLine(std::string_view text, std::string_view node);
 
-// appendLines appends all entries of a log; `node` is the node of entries without a node name. Thread safe for
+// appendLogEntries appends all entries of a log; `node` is the node of entries without a node name. Thread safe for
 // different vectors.
-void appendLines(std::vector<node_line> &lines, std::string_view node, std::string_view log);
+void appendLogEntries(std::vector<log_entry> &lines, std::string_view node, std::string_view log);
 
 // fieldValue returns the value of a key; empty if the entry does not have the key. Thread safe.
-std::string_view fieldValue(const node_line &line, std::string_view key);
+std::string_view fieldValue(const log_entry &line, std::string_view key);
 
 // Result of explainRequest.
 struct explanation
 {
-    std::vector<node_line> lines; // of the request and of the calls that its workers made, sorted by time
+    std::vector<log_entry> lines; // of the request and of the calls that its workers made, sorted by time
     std::string cause; // sentences that end with a newline; empty if no log has an entry of the request
     std::string next; // what to look at next; empty if nothing is missing
 };
 
 // explainRequest explains the outcome of request `id`. Entries are sorted by the clocks of their nodes, so entries of
 // different nodes may be out of order by the difference of these clocks. Thread safe.
-explanation explainRequest(std::vector<node_line> lines, std::string_view id);
+explanation explainRequest(std::vector<log_entry> lines, std::string_view id);
 
 } // namespace pistachioquay
--- a/packages/process/spread/snapshot_duty.cc
+++ b/packages/process/spread/snapshot_schedule.cc
@@ -1,4 +1,4 @@
-#include "process/spread/snapshot_duty.h"
+#include "process/spread/snapshot_schedule.h"
 
 namespace pistachioquay {
 
@@ -16,7 +16,7 @@
 
 } // namespace
 
-bool isSnapshotDue(const snapshot_facts &status, const snapshot_rules &policy, std::uint32_t rank, std::int64_t nowMs)
+bool isSnapshotDue(const snapshot_status &status, const snapshot_policy &policy, std::uint32_t rank, std::int64_t nowMs)
 {
     const bool hasFoldedRecords = status.position > 1;
     const bool isAtLogEnd = status.position >= status.logNext;
--- a/packages/process/spread/snapshot_duty.h
+++ b/packages/process/spread/snapshot_schedule.h
@@ -16,7 +16,7 @@
 namespace pistachioquay {
 
 // What a node has seen of the log, its newest snapshot and the records after that snapshot.
-struct snapshot_facts
+struct snapshot_status
 {
     std::uint64_t position = 0; // next offset that this node folds
     std::uint64_t snapshotPosition = 0; // of the newest snapshot seen in the log; 0 if none was seen
@@ -26,16 +26,16 @@
     std::optional<std::int64_t> snapshotTimeMs; // log time of the newest snapshot
     bool isSnapshotKept = false; // whether the log still retains the newest snapshot
 
-    friend auto operator<=>(const snapshot_facts &, const snapshot_facts &) = default;
+    friend auto operator<=>(const snapshot_status &, const snapshot_status &) = default;
 };
 
 // Limits that isSnapshotDue applies. `retention` is how long the log keeps records (setting `platform.retention_ms`).
-struct snapshot_rules
+struct snapshot_policy
 {
     milliseconds retention{0};
     std::uint64_t maxUncoveredRecords = 500;
 
-    friend auto operator<=>(const snapshot_rules &, const snapshot_rules &) = default;
+    friend auto operator<=>(const snapshot_policy &, const snapshot_policy &) = default;
 };
 
 // isSnapshotDue returns whether the node with `rank` (0 is the first of the live nodes) must write a snapshot now. An
@@ -47,6 +47,9 @@
 // For the first three, each rank waits a further sixteenth of the retention time, or 100 records, so that it writes
 // only if the nodes before it did not. A node that has not folded up to the end of the log never writes, so that an old
 // state never replaces a newer one. Thread safe.
-bool isSnapshotDue(const snapshot_facts &status, const snapshot_rules &policy, std::uint32_t rank, std::int64_t nowMs);
+bool isSnapshotDue(const snapshot_status &status,
+                   const snapshot_policy &policy,
+                   std::uint32_t rank,
+                   std::int64_t nowMs);
 
 } // namespace pistachioquay
--- a/packages/process/spread/spread_test.cc
+++ b/packages/process/spread/spread_test.cc
@@ -4,7 +4,7 @@
 
 #include "base/random.h"
 #include "process/spread/record_buffer.h"
-#include "process/spread/snapshot_duty.h"
+#include "process/spread/snapshot_schedule.h"
 #include "process/spread/startup_gate.h"
 #include "process/spread/version_state.h"
 #include "version/fold/edit_record.h"
@@ -57,7 +57,7 @@
 TEST_CASE("the gate stays closed below the version that peers report for this node")
 {
     startup_gate gate;
-    gate = withPeerNews(gate, {.position = 20, .version = 19}, start);
+    gate = withPeerProgress(gate, {.position = 20, .version = 19}, start);
     gate = advanceGate(gate, {.position = 10, .version = 9}, start + seconds(60));
     CHECK_FALSE(gate.wasOpened);
     gate = advanceGate(gate, {.position = 20, .version = 19}, start + seconds(60));
@@ -66,9 +66,9 @@
 
 TEST_CASE("the gate stays closed for 1 s after the first peer response and takes later reports into account")
 {
-    startup_gate gate = withPeerNews({}, {.position = 10, .version = 9}, start);
+    startup_gate gate = withPeerProgress({}, {.position = 10, .version = 9}, start);
     CHECK_FALSE(advanceGate(gate, {.position = 10, .version = 9}, start + milliseconds(999)).wasOpened);
-    gate = withPeerNews(gate, {.position = 20, .version = 19}, start + milliseconds(999));
+    gate = withPeerProgress(gate, {.position = 20, .version = 19}, start + milliseconds(999));
     CHECK_FALSE(advanceGate(gate, {.position = 10, .version = 9}, start + seconds(5)).wasOpened);
 }
 
@@ -89,8 +89,12 @@
 
 TEST_CASE("a snapshot is due by record age, later for a higher rank, and only for a node at the log's end")
 {
-    const snapshot_rules policy{.retention = milliseconds(100'000)};
-    snapshot_facts status{.position = 50, .snapshotPosition = 40, .logFirst = 1, .logNext = 50, .isSnapshotKept = true};
+    const snapshot_policy policy{.retention = milliseconds(100'000)};
+    snapshot_status status{.position = 50,
+                           .snapshotPosition = 40,
+                           .logFirst = 1,
+                           .logNext = 50,
+                           .isSnapshotKept = true};
     status.oldestUncoveredMs = 0;
     status.snapshotTimeMs = 0;
     CHECK_FALSE(isSnapshotDue(status, policy, 0, 24'999));
@@ -103,12 +107,12 @@
 
 TEST_CASE("a snapshot that the log no longer retains is due at once for a node of any rank")
 {
-    const snapshot_rules policy{.retention = milliseconds(100'000)};
-    snapshot_facts status{.position = 50,
-                          .snapshotPosition = 50,
-                          .logFirst = 50,
-                          .logNext = 50,
-                          .isSnapshotKept = false};
+    const snapshot_policy policy{.retention = milliseconds(100'000)};
+    snapshot_status status{.position = 50,
+                           .snapshotPosition = 50,
+                           .logFirst = 50,
+                           .logNext = 50,
+                           .isSnapshotKept = false};
     CHECK(isSnapshotDue(status, policy, 3, 0));
     status.snapshotPosition = 0;
     CHECK(isSnapshotDue(status, policy, 3, 0));
@@ -116,12 +120,12 @@
 
 TEST_CASE("without new records, a snapshot is due after half of the retention time")
 {
-    const snapshot_rules policy{.retention = milliseconds(100'000)};
-    snapshot_facts status{.position = 50,
-                          .snapshotPosition = 50,
-                          .logFirst = 50,
-                          .logNext = 50,
-                          .isSnapshotKept = true};
+    const snapshot_policy policy{.retention = milliseconds(100'000)};
+    snapshot_status status{.position = 50,
+                           .snapshotPosition = 50,
+                           .logFirst = 50,
+                           .logNext = 50,
+                           .isSnapshotKept = true};
     status.snapshotTimeMs = 0;
     CHECK_FALSE(isSnapshotDue(status, policy, 0, 49'999));
     CHECK(isSnapshotDue(status, policy, 0, 50'000));
@@ -147,7 +151,7 @@
 fold_state foldEdits(std::uint64_t count)
 {
     version_state state;
-    absorbRecords(state, makeEdits(count));
+    applyRecords(state, makeEdits(count));
     return state.folded;
 }
 
@@ -167,16 +171,16 @@
             const std::uint64_t from = generator() % records;
             const std::uint64_t count = 1 + generator() % (records - from);
             if (generator() % 5 == 0) {
-                absorbSnapshot(state, foldEdits(from));
+                applySnapshot(state, foldEdits(from));
             } else {
-                absorbRecords(state, std::span(log).subspan(from, count));
+                applyRecords(state, std::span(log).subspan(from, count));
             }
             const fold_progress after = progressOf(state);
             REQUIRE(after.position >= before.position);
             REQUIRE(after.version >= before.version);
             REQUIRE(state.folded == foldEdits(after.position - 1));
         }
-        absorbRecords(state, log);
+        applyRecords(state, log);
         REQUIRE(state.folded == expected);
     }
 }
@@ -187,7 +191,7 @@
     log.push_back({{3, "garbage"}, 1});
     log.push_back(makeEdit(4, 2, "dc-4"));
     version_state state;
-    const absorb_report report = absorbRecords(state, log);
+    const apply_result report = applyRecords(state, log);
     CHECK(report.versionChanged);
     CHECK(progressOf(state) == fold_progress{5, 4});
     CHECK(state.rejectedRecords == 1);
@@ -196,21 +200,21 @@
 TEST_CASE("a snapshot at a lower position does not replace the state")
 {
     version_state state;
-    absorbRecords(state, makeEdits(5));
-    CHECK(absorbSnapshot(state, foldEdits(4)) == absorb_report{});
+    applyRecords(state, makeEdits(5));
+    CHECK(applySnapshot(state, foldEdits(4)) == apply_result{});
     CHECK(progressOf(state) == fold_progress{6, 5});
 }
 
 TEST_CASE("recordsForPeer includes the record with an unreadable schema that blocks the fold")
 {
     version_state state;
-    absorbRecords(state, makeEdits(2));
+    applyRecords(state, makeEdits(2));
     std::string newer = encodeRecord({hash128{3, 1}, 2, "awa", {addPlace({"dc-3", {}})}});
     newer = sealEnvelope(recordMagic, recordSchema + 1, openEnvelope(recordMagic, recordSchema, newer).body);
     const std::vector<timed_record> blocking = {{{3, newer}, 1}};
-    absorbRecords(state, blocking);
+    applyRecords(state, blocking);
     CHECK(progressOf(state) == fold_progress{3, 2});
-    CHECK(seenProgress(state) == fold_progress{4, 2});
+    CHECK(advertisedProgress(state) == fold_progress{4, 2});
     const auto forPeer = recordsForPeer(state, 3, 1000);
     REQUIRE(forPeer);
     REQUIRE(forPeer->size() == 1);
--- a/packages/process/spread/startup_gate.h
+++ b/packages/process/spread/startup_gate.h
@@ -2,7 +2,7 @@
 // route by an older version than before its restart.
 //
 //   startup_gate gate;
-//   gate = withPeerNews(gate, {.position = 12, .version = 11}, now);
+//   gate = withPeerProgress(gate, {.position = 12, .version = 11}, now);
 //   gate = advanceGate(gate, {.position = 12, .version = 11}, now);
 //   if (gate.wasOpened) startRouting();
 //
@@ -47,9 +47,9 @@
 // withLogEnd stores the end of the log at the first read; later calls change nothing. Thread safe.
 startup_gate withLogEnd(startup_gate gate, std::uint64_t next);
 
-// withPeerNews stores the progress that a peer reports: its own, or the progress that this node reported to it before
-// the restart. Thread safe.
-startup_gate withPeerNews(startup_gate gate, const fold_progress &peer, time_point now);
+// withPeerProgress stores the progress that a peer reports: its own, or the progress that this node reported to it
+// before the restart. Thread safe.
+startup_gate withPeerProgress(startup_gate gate, const fold_progress &peer, time_point now);
 
 // advanceGate returns the gate with `wasOpened` set if a condition for opening holds. Thread safe.
 startup_gate advanceGate(startup_gate gate, const fold_progress &own, time_point now);
--- a/packages/version/routes/routes.h
+++ b/packages/version/routes/routes.h
@@ -1,7 +1,7 @@
 // Route table of one configuration version, looked up by host and path prefix. Tables are immutable: a request keeps a
 // pointer to the table that was current when it arrived, and a new version replaces the shared pointer.
 //
-//   const routed_path *found = findRoute(table, "shop.example:8080", "/orders/7?full=1");
+//   const route_config *found = findRoute(table, "shop.example:8080", "/orders/7?full=1");
 //   const std::string &service = chooseTarget(splits, *found); // by weight, if the route splits its traffic
 #pragma once
 
@@ -17,9 +17,9 @@
 namespace pistachioquay {
 
 // Whether a request may be retried after an attempt that ran, or that may have run.
-enum class repeat_rule : std::uint8_t
+enum class retry_policy : std::uint8_t
 {
-    Repeatable,
+    Retryable,
     AtMostOnce,
 };
 
@@ -34,18 +34,18 @@
 };
 
 // Settings of one route: how requests with its host and path prefix are handled.
-struct routed_path
+struct route_config
 {
     std::string name;
     std::string prefix; // starts and ends with a slash
-    repeat_rule repeat = repeat_rule::AtMostOnce;
+    retry_policy repeat = retry_policy::AtMostOnce;
     milliseconds targetLatency{0}; // a response within this time has its full value
     std::uint32_t priority = 0; // 0 is the most urgent
     milliseconds timeout{0}; // longest time from arrival at a node to the final response
     std::uint32_t maxWorkers = 1; // workers that may receive attempts of one request
     std::vector<weighted_service> targets;
 
-    friend auto operator<=>(const routed_path &, const routed_path &) = default;
+    friend auto operator<=>(const route_config &, const route_config &) = default;
 };
 
 // Limits on the connections and requests of callers.
@@ -63,23 +63,24 @@
 {
     std::uint64_t version = 0; // 0: no configuration received yet
     caller_limits limits;
-    std::unordered_map<std::string, std::map<std::string, routed_path, std::less<>>> hosts; // by host, then prefix
+    std::unordered_map<std::string, std::map<std::string, route_config, std::less<>>> hosts; // by host, then prefix
 
     friend bool operator==(const route_table &, const route_table &) = default;
 };
 
-// hostKey normalizes the value of a `Host` header for lookup: lower case, without port and trailing dot. Thread safe.
-std::string hostKey(std::string_view host);
+// normalizeHost normalizes the value of a `Host` header for lookup: lower case, without port and trailing dot. Thread
+// safe.
+std::string normalizeHost(std::string_view host);
 
 // findRoute returns the route of `host` whose prefix is the longest one that matches the path of `target`; null if none
 // matches. The pointer is valid as long as `table` exists. Thread safe.
-const routed_path *findRoute(const route_table &table, std::string_view host, std::string_view target);
+const route_config *findRoute(const route_table &table, std::string_view host, std::string_view target);
 
 // routeCount returns the number of routes of all hosts. Thread safe.
 std::size_t routeCount(const route_table &table);
 
 // State of the weighted round robin of each route that splits its traffic. Used by one event loop only.
-struct split_state
+struct traffic_split_state
 {
     struct round_robin_state
     {
@@ -91,6 +92,6 @@
 
 // chooseTarget returns the target service of the next request. It uses smooth weighted round robin, so that short
 // sequences of requests follow the weights too. A change of the targets or weights resets the state. Not thread safe.
-const std::string &chooseTarget(split_state &state, const routed_path &route);
+const std::string &chooseTarget(traffic_split_state &state, const route_config &route);
 
 } // namespace pistachioquay
--- a/packages/version/routes/routes_test.cc
+++ b/packages/version/routes/routes_test.cc
@@ -13,7 +13,7 @@
     route_table table;
     table.version = 1;
     for (const std::string &prefix : prefixes) {
-        routed_path route;
+        route_config route;
         route.prefix = prefix;
         route.name = prefix;
         route.targets = {{"orders", 1}};
@@ -24,7 +24,7 @@
 
 std::string matchedRoute(const route_table &table, std::string_view host, std::string_view target)
 {
-    const routed_path *found = findRoute(table, host, target);
+    const route_config *found = findRoute(table, host, target);
     return found == nullptr ? "none" : found->name;
 }
 
@@ -59,10 +59,10 @@
 
 TEST_CASE("a traffic split follows its weights in each batch of 20 requests")
 {
-    routed_path route;
+    route_config route;
     route.name = "split";
     route.targets = {{"old", 90}, {"new", 10}};
-    split_state state;
+    traffic_split_state state;
     for (int batch = 0; batch < 5; ++batch) {
         unsigned toNew = 0;
         for (int index = 0; index < 20; ++index) {
@@ -74,10 +74,10 @@
 
 TEST_CASE("changed weights of a traffic split apply to the next request")
 {
-    routed_path route;
+    route_config route;
     route.name = "split";
     route.targets = {{"old", 90}, {"new", 10}};
-    split_state state;
+    traffic_split_state state;
     chooseTarget(state, route);
     route.targets = {{"old", 0}, {"new", 100}};
     for (int index = 0; index < 10; ++index) {
--- a/packages/version/text_delta/text_delta.cc
+++ b/packages/version/text_delta/text_delta.cc
@@ -85,7 +85,7 @@
     return hash64(newer) == delta.resultHash ? std::optional(std::move(newer)) : std::nullopt;
 }
 
-std::size_t encodedBytes(const text_delta &delta)
+std::size_t estimateEncodedSize(const text_delta &delta)
 {
     return std::accumulate(delta.steps.begin(),
                            delta.steps.end(),
--- a/packages/version/text_delta/text_delta.h
+++ b/packages/version/text_delta/text_delta.h
@@ -52,7 +52,7 @@
 // applyDelta returns the newer text; empty if the delta was not made from `older`. Thread safe.
 std::optional<std::string> applyDelta(std::string_view older, const text_delta &delta);
 
-// encodedBytes estimates the encoded size of the delta in bytes. Thread safe.
-std::size_t encodedBytes(const text_delta &delta);
+// estimateEncodedSize estimates the encoded size of the delta in bytes. Thread safe.
+std::size_t estimateEncodedSize(const text_delta &delta);
 
 } // namespace pistachioquay
--- a/packages/version/text_delta/text_delta_test.cc
+++ b/packages/version/text_delta/text_delta_test.cc
@@ -27,7 +27,7 @@
     const std::string newer = makeConfig(1000, 8, 400);
     const text_delta delta = makeDelta(older, newer);
     CHECK(applyDelta(older, delta) == newer);
-    CHECK(encodedBytes(delta) < newer.size() / 100);
+    CHECK(estimateEncodedSize(delta) < newer.size() / 100);
 }
 
 TEST_CASE("applyDelta rejects another older text and a chunk range out of bounds")
