--- a/packages/process/node/claims_duty.cc
+++ b/packages/process/node/claims_duty.cc
@@ -13,27 +13,27 @@
 namespace {
 
 constexpr std::string_view claimsStream = "claims";
-constexpr std::uint32_t batchRecords = 200;
-constexpr milliseconds longPoll{2000};
-constexpr milliseconds idlePause{500};
-constexpr milliseconds appendPause{2};
-constexpr milliseconds failurePause{200};
+constexpr std::uint32_t maxReadRecords = 200;
+constexpr milliseconds longPollTimeout{2000};
+constexpr milliseconds neededCheckInterval{500};
+constexpr milliseconds queueCheckInterval{2};
+constexpr milliseconds readRetryInterval{200};
 constexpr seconds forgetInterval{60};
 
 } // namespace
 
-claims_duty::claims_duty(log_target target, std::function<bool()> isNeeded)
+claim_service::claim_service(log_target target, std::function<bool()> isNeeded)
     : m_target(std::move(target))
     , m_isNeeded(std::move(isNeeded))
 {
 }
 
-claims_duty::~claims_duty()
+claim_service::~claim_service()
 {
     stop();
 }
 
-void claims_duty::start()
+void claim_service::start()
 {
     m_threads.emplace_back([this](const std::stop_token &stop) {
         runAppends(stop);
@@ -43,7 +43,7 @@
     });
 }
 
-void claims_duty::stop()
+void claim_service::stop()
 {
     std::ranges::for_each(m_threads, [](std::jthread &each) {
         each.request_stop();
@@ -51,7 +51,7 @@
     m_threads.clear();
 }
 
-claim_decision claims_duty::claim(const hash128 &key, time_point deadline)
+claim_decision claim_service::claim(const hash128 &key, time_point deadline)
 {
     std::unique_lock guard(m_mutex);
     const hash128 claim = randomId(m_generator);
@@ -59,8 +59,8 @@
     if (begun.kind != claim_action::Wait) {
         return begun;
     }
-    m_queued.notify_one();
-    m_decided.wait_until(guard, deadline, [&] {
+    m_recordQueued.notify_one();
+    m_resultAdded.wait_until(guard, deadline, [&] {
         return m_results.contains(claim);
     });
     const auto found = m_results.find(claim);
@@ -72,54 +72,55 @@
     return decided;
 }
 
-bool claims_duty::startRun(const hash128 &claim)
+bool claim_service::startRun(const hash128 &claim)
 {
     const std::lock_guard guard(m_mutex);
     return pistachioquay::startRun(m_state, claim, steadyNow());
 }
 
-void claims_duty::endRun(const hash128 &claim)
+void claim_service::endRun(const hash128 &claim)
 {
     const std::lock_guard guard(m_mutex);
     pistachioquay::endRun(m_state, claim);
 }
 
-key_outcome claims_duty::abandonRun(const hash128 &claim)
+key_outcome claim_service::abandonRun(const hash128 &claim)
 {
     const std::lock_guard guard(m_mutex);
-    m_queued.notify_one();
+    m_recordQueued.notify_one();
     return pistachioquay::abandonRun(m_state, claim);
 }
 
-key_outcome claims_duty::abandonUnsentRun(const hash128 &claim)
+key_outcome claim_service::abandonUnsentRun(const hash128 &claim)
 {
     const std::lock_guard guard(m_mutex);
-    m_queued.notify_one();
+    m_recordQueued.notify_one();
     return pistachioquay::abandonUnsentRun(m_state, claim);
 }
 
-void claims_duty::runAppends(const std::stop_token &stop)
+void claim_service::runAppends(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
         if (!appendBatch()) {
-            awaitRecords(stop);
+            waitForQueuedRecords(stop);
         }
     }
 }
 
-// Sleeps while nothing waits, because a poll every 2 ms costs an idle node half a percent of a core.
-void claims_duty::awaitRecords(const std::stop_token &stop)
+// Blocks until a record is queued or in flight: polling every 2 ms would cost an idle node 0.5 % of a core. Then waits
+// for `queueCheckInterval`.
+void claim_service::waitForQueuedRecords(const std::stop_token &stop)
 {
     {
         std::unique_lock guard(m_mutex);
-        m_queued.wait(guard, stop, [&] {
+        m_recordQueued.wait(guard, stop, [&] {
             return !m_state.queue.waiting.empty() || !m_state.queue.inFlight.empty();
         });
     }
-    pauseFor(appendPause, stop);
+    pauseFor(queueCheckInterval, stop);
 }
 
-bool claims_duty::appendBatch()
+bool claim_service::appendBatch()
 {
     claim_batch batch;
     {
@@ -138,18 +139,18 @@
     return true;
 }
 
-void claims_duty::runReads(const std::stop_token &stop)
+void claim_service::runReads(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
         if (!m_isNeeded()) {
-            pauseFor(idlePause, stop);
-        } else if (!readOnce()) {
-            pauseFor(failurePause, stop);
+            pauseFor(neededCheckInterval, stop);
+        } else if (!readBatch()) {
+            pauseFor(readRetryInterval, stop);
         }
     }
 }
 
-bool claims_duty::readOnce()
+bool claim_service::readBatch()
 {
     std::uint64_t position = 1;
     {
@@ -158,17 +159,17 @@
     }
     const time_point startedAt = steadyNow();
     const auto batch = attempt([&] {
-        return readRecords(m_target, claimsStream, position, batchRecords, longPoll);
+        return readRecords(m_target, claimsStream, position, maxReadRecords, longPollTimeout);
     });
     if (!batch) {
-        VLOG(1) << "[claims] Cannot read the stream. " << describe(batch.failure());
+        VLOG(1) << "[claims] Cannot read stream `claims`. " << describe(batch.failure());
         return false;
     }
     applyBatch(*batch, startedAt);
     return true;
 }
 
-void claims_duty::applyBatch(const log_batch &batch, time_point startedAt)
+void claim_service::applyBatch(const log_batch &batch, time_point startedAt)
 {
     const std::lock_guard guard(m_mutex);
     const time_point now = steadyNow();
@@ -178,7 +179,8 @@
     std::vector<claim_decision> actions;
     decode_counters counters;
     for (const log_record &record : batch.records) {
-        // A record that cannot be read holds no claim that anybody runs, because its writer waits to read it back.
+        // A malformed record is applied as an empty one: none of its claims can run, because a node runs a request
+        // only after it has read its claim back.
         const auto claims = attempt([&] {
             return decodeMessage<claim_batch>(record.data, claimsFormat, counters);
         });
@@ -195,12 +197,12 @@
     for (const claim_decision &each : actions) {
         m_results[each.claim] = each;
     }
-    if (now - m_forgottenAt >= forgetInterval) {
+    if (now - m_lastForgetAt >= forgetInterval) {
         forgetOld(m_state, now);
-        m_forgottenAt = now;
+        m_lastForgetAt = now;
     }
-    m_decided.notify_all();
-    m_queued.notify_one();
+    m_resultAdded.notify_all();
+    m_recordQueued.notify_one();
 }
 
 } // namespace pistachioquay
--- a/packages/process/node/config_store.cc
+++ b/packages/process/node/config_store.cc
@@ -25,13 +25,13 @@
     return progressOf(m_state);
 }
 
-fold_progress config_store::seen() const
+fold_progress config_store::progressForPeers() const
 {
     const std::lock_guard guard(m_mutex);
     return seenProgress(m_state);
 }
 
-absorb_report config_store::absorb(std::span<const timed_record> records, time_point now)
+absorb_report config_store::apply(std::span<const timed_record> records, time_point now)
 {
     const std::lock_guard guard(m_mutex);
     const bool wasBlocked = m_state.blockedBy.has_value();
@@ -44,7 +44,7 @@
     return report;
 }
 
-absorb_report config_store::absorb(fold_state snapshot, time_point now)
+absorb_report config_store::apply(fold_state snapshot, time_point now)
 {
     const std::lock_guard guard(m_mutex);
     const absorb_report report = absorbSnapshot(m_state, std::move(snapshot));
@@ -52,7 +52,7 @@
     return report;
 }
 
-void config_store::noteLog(std::uint64_t first, std::uint64_t next, time_point now)
+void config_store::recordLogRange(std::uint64_t first, std::uint64_t next, time_point now)
 {
     const std::lock_guard guard(m_mutex);
     noteLogRange(m_state, first, next);
@@ -60,14 +60,14 @@
     publishLocked(now);
 }
 
-void config_store::notePeer(const fold_progress &heard, time_point now)
+void config_store::recordPeerProgress(const fold_progress &heard, time_point now)
 {
     const std::lock_guard guard(m_mutex);
     m_state.gate = withPeerNews(m_state.gate, heard, now);
     publishLocked(now);
 }
 
-void config_store::noteSnapshotInLog(std::uint64_t position, std::int64_t timeMs, bool isKept)
+void config_store::recordSnapshotInLog(std::uint64_t position, std::int64_t timeMs, bool isKept)
 {
     const std::lock_guard guard(m_mutex);
     noteSnapshot(m_state, position, timeMs, isKept);
@@ -79,14 +79,14 @@
     publishLocked(now);
 }
 
-pull_response config_store::respond(std::uint64_t position) const
+pull_response config_store::buildPullResponse(std::uint64_t position) const
 {
     pull_response response;
     std::unique_lock guard(m_mutex);
-    const fold_progress seen = seenProgress(m_state);
-    response.position = seen.position;
-    response.version = seen.version;
-    if (position >= seen.position) {
+    const fold_progress progress = seenProgress(m_state);
+    response.position = progress.position;
+    response.version = progress.version;
+    if (position >= progress.position) {
         return response;
     }
     auto records = recordsForPeer(m_state, position, maxPulledBytes);
@@ -96,7 +96,7 @@
         }
         return response;
     }
-    // The copy shares the tree, so the encoding runs without the lock.
+    // The copy shares the tree with the state of the store, and is encoded without holding the lock.
     const fold_state copy = m_state.folded;
     guard.unlock();
     response.snapshotParts = encodeSnapshot(copy);
@@ -104,7 +104,7 @@
 }
 
 std::optional<fold_state>
-config_store::dueSnapshot(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const
+config_store::snapshotToWrite(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const
 {
     const std::lock_guard guard(m_mutex);
     if (m_state.blockedBy || !isSnapshotDue(m_state.snapshots, rules, rank, nowMs)) {
--- a/packages/process/node/config_store.h
+++ b/packages/process/node/config_store.h
@@ -1,9 +1,9 @@
-// The versions of a node, shared by its threads. Holds the fold behind a lock and publishes the configuration in force
-// as one immutable value that request threads read without the lock.
+// Configuration state of a node, shared by its threads. A mutex guards the state folded from the log. The configuration
+// in force, by which the node routes, is an immutable value that request threads read without the mutex.
 //
 //   config_store store("be-1");
-//   store.absorb(records, steadyNow());
-//   const auto config = store.config();   // null until the start-up gate has opened
+//   store.apply(records, steadyNow());
+//   const auto config = store.config();   // null until the start-up gate opens and a version is in force
 #pragma once
 
 #include <atomic>
@@ -21,17 +21,17 @@
 
 namespace pistachioquay {
 
-// Copy of what status shows.
+// State of the store for the status response.
 struct store_status
 {
     fold_progress progress;
-    std::uint64_t versionInForce = 0;
-    std::int64_t inForceSinceMs = 0; // wall-clock time of the swap
-    bool isRouting = false;
-    bool isSchemaBlocked = false;
+    std::uint64_t versionInForce = 0; // 0: none
+    std::int64_t inForceSinceMs = 0; // wall-clock time at which that version was applied
+    bool isRouting = false; // the start-up gate has opened
+    bool isSchemaBlocked = false; // the next record has a newer schema than this program reads
     std::uint64_t rejectedRecords = 0;
-    std::uint64_t snapshotPosition = 0;
-    std::uint64_t logNext = 0;
+    std::uint64_t snapshotPosition = 0; // of the newest snapshot seen in the log; 0: none
+    std::uint64_t logNext = 0; // offset of the next append to the log
 
     friend auto operator<=>(const store_status &, const store_status &) = default;
 };
@@ -42,37 +42,44 @@
 public:
     explicit config_store(std::string dataCentre);
 
-    // config returns the configuration in force; null until the node may route.
+    // config returns the configuration in force; null while there is none.
     std::shared_ptr<const compiled_config> config() const;
 
-    // progress returns how far the node has folded.
+    // progress returns how far the node has folded the log.
     fold_progress progress() const;
 
-    // seen returns what the node tells its peers; see `seenProgress`.
-    fold_progress seen() const;
+    // progressForPeers returns the progress that the node announces to its peers; see `seenProgress`.
+    fold_progress progressForPeers() const;
 
-    // absorb folds records or takes over a snapshot, and brings a new version into force.
-    absorb_report absorb(std::span<const timed_record> records, time_point now);
-    absorb_report absorb(fold_state snapshot, time_point now);
+    // apply folds records, or replaces the folded state by a snapshot that is ahead of it. A new version comes into
+    // force if the start-up gate is open.
+    absorb_report apply(std::span<const timed_record> records, time_point now);
+    absorb_report apply(fold_state snapshot, time_point now);
 
-    // noteLog notes the range that the log keeps; notePeer how far a peer has folded; noteSnapshotInLog the newest
-    // snapshot of the log. Each may open the start-up gate.
-    void noteLog(std::uint64_t first, std::uint64_t next, time_point now);
-    void notePeer(const fold_progress &heard, time_point now);
-    void noteSnapshotInLog(std::uint64_t position, std::int64_t timeMs, bool isKept);
+    // recordLogRange records the range of offsets that the log keeps. May open the start-up gate.
+    void recordLogRange(std::uint64_t first, std::uint64_t next, time_point now);
+    // recordPeerProgress records how far a peer has folded the log. May open the start-up gate.
+    void recordPeerProgress(const fold_progress &heard, time_point now);
+    // recordSnapshotInLog records the position and log time of the newest snapshot in the log; `isKept` is false when
+    // the log keeps none.
+    void recordSnapshotInLog(std::uint64_t position, std::int64_t timeMs, bool isKept);
 
-    // tick lets time pass for the start-up gate.
+    // tick opens the start-up gate if only its waiting time was left and has passed.
     void tick(time_point now);
 
-    // respond builds the response to a peer that pulls from `position`.
-    pull_response respond(std::uint64_t position) const;
+    // buildPullResponse returns the records that a peer at `position` lacks, or a snapshot if they are no longer kept.
+    pull_response buildPullResponse(std::uint64_t position) const;
 
-    // dueSnapshot returns the state to write to the log if this node, the reader of `rank`, has to do it now.
-    std::optional<fold_state> dueSnapshot(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const;
+    // snapshotToWrite returns the state to write to the log as a snapshot, if one is due from the reader of rank
+    // `rank`, this node.
+    std::optional<fold_state>
+    snapshotToWrite(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const;
 
     store_status status() const;
 
 private:
+    // publishLocked advances the start-up gate and, once it is open, puts the newest version into force. The caller
+    // holds m_mutex.
     void publishLocked(time_point now);
 
     const std::string m_dataCentre;
--- a/packages/process/node/control.cc
+++ b/packages/process/node/control.cc
@@ -10,11 +10,11 @@
 
 namespace {
 
-using text_source = std::function<std::string()>;
+using body_source = std::function<std::string()>;
 
 int respondJson(const _u_request * /*request*/, _u_response *response, void *source)
 {
-    const std::string body = (*static_cast<text_source *>(source))();
+    const std::string body = (*static_cast<body_source *>(source))();
     u_map_put(response->map_header, "Content-Type", "application/json");
     ulfius_set_binary_body_response(response, MHD_HTTP_OK, body.data(), body.size());
     return U_CALLBACK_COMPLETE;
@@ -66,7 +66,7 @@
 {
     constexpr std::size_t maxBodyBytes = 4096;
     if (ulfius_init_instance(&m_state->instance, m_state->address.port, &m_state->native, nullptr) != U_OK) {
-        return fail(error_kind::Io, "the control port cannot be set up", "check `listen.control`");
+        return fail(error_kind::Io, "cannot set up the control port", "check `listen.control`");
     }
     m_state->instance.max_post_body_size = maxBodyBytes;
     ulfius_add_endpoint_by_val(&m_state->instance, "GET", "/v1", "/status", 0, &respondJson, &m_state->sources.status);
--- a/packages/process/node/control.h
+++ b/packages/process/node/control.h
@@ -1,6 +1,6 @@
-// Control port of a node: status, metrics and service-level figures as JSON over HTTP, served by ulfius.
+// Control port of a node: serves its status and its service-level report as JSON over HTTP, with ulfius.
 //
-//   control_server control(address, {status, figures});
+//   control_server control(address, {status, report});
 //   BOOST_LEAF_CHECK(control.start());
 //
 //   GET /v1/status    versions, members, readers, counters
@@ -16,7 +16,7 @@
 
 namespace pistachioquay {
 
-// Each returns the JSON text of a response; called from several threads at once.
+// Functions that return the JSON body of a response. Each may be called by several threads at once.
 struct control_sources
 {
     std::function<std::string()> status;
--- a/packages/process/node/log_reader.cc
+++ b/packages/process/node/log_reader.cc
@@ -18,14 +18,14 @@
 
 constexpr std::string_view configStream = "config";
 constexpr std::string_view snapshotStream = "snapshots";
-constexpr std::uint32_t batchRecords = 200;
-constexpr std::uint32_t snapshotWatchRecords = 32; // records of `snapshots` read at a time
-constexpr milliseconds longPoll{2000};
-constexpr milliseconds roleCheckInterval{250};
-constexpr milliseconds fullRingPause{20};
-constexpr seconds snapshotWatchInterval{5};
-constexpr milliseconds backOffBase{100};
-constexpr milliseconds backOffCap{5000};
+constexpr std::uint32_t maxReadRecords = 200;
+constexpr std::uint32_t maxPolledSnapshotRecords = 32;
+constexpr milliseconds longPollTimeout{2000};
+constexpr milliseconds roleCheckInterval{250}; // while the node is not a reader
+constexpr milliseconds fullQueueRetryInterval{20};
+constexpr seconds snapshotPollInterval{5};
+constexpr milliseconds baseRetryDelay{100};
+constexpr milliseconds maxRetryDelay{5000};
 
 result<std::vector<std::string>> readSnapshotParts(const log_target &target, std::uint64_t from, std::uint64_t to)
 {
@@ -44,10 +44,13 @@
 
 } // namespace
 
-log_reader::log_reader(log_reader_options options, config_store &store, version_ring &ring, log_reader_sources sources)
+log_reader::log_reader(log_reader_options options,
+                       config_store &store,
+                       version_event_queue &events,
+                       log_reader_sources sources)
     : m_options(std::move(options))
     , m_store(store)
-    , m_ring(ring)
+    , m_events(events)
     , m_sources(std::move(sources))
 {
 }
@@ -64,13 +67,13 @@
             backOff(stop);
             continue;
         }
-        if (m_isLogDown) {
+        if (m_isLogUnreachable) {
             LOG(INFO) << "[log] The platform log responds again.";
         }
-        m_isLogDown = false;
+        m_isLogUnreachable = false;
         m_failures = 0;
-        if (steadyNow() - m_snapshotsWatchedAt >= snapshotWatchInterval) {
-            watchSnapshots();
+        if (steadyNow() - m_snapshotsPolledAt >= snapshotPollInterval) {
+            pollSnapshots();
             writeSnapshotIfDue(*rank);
         }
     }
@@ -78,23 +81,23 @@
 
 bool log_reader::followConfig(const std::stop_token &stop)
 {
-    m_handedOver = std::max(m_handedOver, m_store.progress().position);
+    m_nextOffset = std::max(m_nextOffset, m_store.progress().position);
     const auto batch = attempt([&] {
-        return readRecords(m_options.target, configStream, m_handedOver, batchRecords, longPoll);
+        return readRecords(m_options.target, configStream, m_nextOffset, maxReadRecords, longPollTimeout);
     });
     if (!batch) {
-        if (!m_isLogDown) {
+        if (!m_isLogUnreachable) {
             LOG(WARNING) << "[log] Cannot read the platform log. " << describe(batch.failure());
         }
-        m_isLogDown = true;
+        m_isLogUnreachable = true;
         return false;
     }
-    if (batch->first > m_handedOver) {
-        LOG(WARNING) << "[log] Records before " << batch->first << " have expired. Looking for a snapshot.";
+    if (batch->first > m_nextOffset) {
+        LOG(WARNING) << "[log] Records before offset " << batch->first << " have expired. Looking for a snapshot.";
         return loadNewestSnapshot(stop);
     }
-    m_handedOver = batch->records.empty() ? m_handedOver : batch->records.back().offset + 1;
-    push(log_news{*batch}, stop);
+    m_nextOffset = batch->records.empty() ? m_nextOffset : batch->records.back().offset + 1;
+    enqueueEvent(log_update{*batch}, stop);
     return true;
 }
 
@@ -105,30 +108,33 @@
     };
     auto found = attempt([&]() -> result<std::optional<fold_state>> {
         BOOST_LEAF_AUTO(stream, readLastRecord(m_options.target, snapshotStream));
-        return findSnapshot(stream.first, stream.next, {m_handedOver + 1, UINT64_MAX}, read);
+        return findSnapshot(stream.first, stream.next, {m_nextOffset + 1, UINT64_MAX}, read);
     });
     if (!found) {
         return false;
     }
     if (!*found) {
-        LOG(ERROR)
-            << "[log] No snapshot covers the expired records. Waiting for a peer or the command line to write one.";
+        LOG(ERROR) << "[log] No snapshot covers the expired records. Waiting until a peer or the command-line tool "
+                      "writes one.";
         return false;
     }
     fold_state newest = **std::move(found);
-    LOG(INFO) << "[log] Taking the snapshot at position " << newest.position << ".";
-    m_handedOver = newest.position;
-    push(snapshot_news{std::move(newest)}, stop);
+    LOG(INFO) << "[log] Applying the snapshot at position " << newest.position << ".";
+    m_nextOffset = newest.position;
+    enqueueEvent(snapshot_update{std::move(newest)}, stop);
     return true;
 }
 
-void log_reader::watchSnapshots()
+void log_reader::pollSnapshots()
 {
-    m_snapshotsWatchedAt = steadyNow();
+    m_snapshotsPolledAt = steadyNow();
     const auto batch = attempt([&] {
-        return m_snapshotNext == 0
-            ? readLastRecord(m_options.target, snapshotStream)
-            : readRecords(m_options.target, snapshotStream, m_snapshotNext, snapshotWatchRecords, milliseconds(0));
+        return m_nextSnapshotOffset == 0 ? readLastRecord(m_options.target, snapshotStream)
+                                         : readRecords(m_options.target,
+                                                       snapshotStream,
+                                                       m_nextSnapshotOffset,
+                                                       maxPolledSnapshotRecords,
+                                                       milliseconds(0));
     });
     if (!batch) {
         return;
@@ -139,18 +145,19 @@
         });
         if (part && part->index + 1 == part->count) {
             m_newestSnapshotOffset = record.offset;
-            m_store.noteSnapshotInLog(part->position, record.timeMs, true);
+            m_store.recordSnapshotInLog(part->position, record.timeMs, true);
         }
     }
-    m_snapshotNext = batch->records.empty() ? std::max(m_snapshotNext, batch->next) : batch->records.back().offset + 1;
+    m_nextSnapshotOffset =
+        batch->records.empty() ? std::max(m_nextSnapshotOffset, batch->next) : batch->records.back().offset + 1;
     if (m_newestSnapshotOffset < batch->first) {
-        m_store.noteSnapshotInLog(0, 0, false);
+        m_store.recordSnapshotInLog(0, 0, false);
     }
 }
 
 void log_reader::writeSnapshotIfDue(std::uint32_t rank)
 {
-    const auto due = m_store.dueSnapshot(m_options.rules, rank, unixNowMs());
+    const auto due = m_store.snapshotToWrite(m_options.rules, rank, unixNowMs());
     if (!due) {
         return;
     }
@@ -159,25 +166,25 @@
             return appendRecord(m_options.target, snapshotStream, part);
         });
         if (!appended) {
-            LOG(WARNING) << "[log] The snapshot at position " << due->position << " is not complete. "
+            LOG(WARNING) << "[log] Cannot write all parts of the snapshot at position " << due->position << ". "
                          << describe(appended.failure());
             return;
         }
     }
     LOG(INFO) << "[log] Wrote the snapshot at position " << due->position << ".";
-    watchSnapshots();
+    pollSnapshots();
 }
 
-void log_reader::push(const version_event &event, const std::stop_token &stop)
+void log_reader::enqueueEvent(const version_event &event, const std::stop_token &stop)
 {
-    while (!m_ring.tryPush(event) && !stop.stop_requested()) {
-        pauseFor(fullRingPause, stop);
+    while (!m_events.tryPush(event) && !stop.stop_requested()) {
+        pauseFor(fullQueueRetryInterval, stop);
     }
 }
 
 void log_reader::backOff(const std::stop_token &stop)
 {
-    pauseFor(fullJitter(backOffBase, backOffCap, m_failures, m_generator), stop);
+    pauseFor(fullJitter(baseRetryDelay, maxRetryDelay, m_failures, m_generator), stop);
     ++m_failures;
 }
 
--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -32,29 +32,30 @@
 namespace {
 
 constexpr milliseconds announceInterval{200};
-constexpr milliseconds foldWait{250};
+constexpr milliseconds eventWait{250};
 constexpr seconds logTimeout{3};
-constexpr milliseconds workerCheckWait{100}; // for a dying worker to close its port, after it has cut a connection
-// A node that starts beside others would take itself for a reader before it knows them, and a data centre that restarts
-// as a whole would read the log from every node. So it waits for its peers first.
-constexpr milliseconds joinGrace{1500};
-constexpr milliseconds lonelyGrace{2500};
-constexpr milliseconds lonelyJitter{2500};
-
-member selfOf(const node_settings &settings)
+constexpr milliseconds portCloseWait{100}; // time for a dying worker to close its port after it has closed a connection
+// Before it knows its peers, every starting node would count itself as a reader, and after a restart of a whole data
+// centre every node would read the log. So a node with seeds becomes a reader only after a delay, which is longer and
+// random while no peer has responded.
+constexpr milliseconds minReaderDelay{1500};
+constexpr milliseconds noPeerReaderDelay{2500};
+constexpr milliseconds noPeerReaderJitter{2500};
+
+member ownMember(const node_settings &settings)
 {
-    member self;
-    self.nodeId = settings.nodeId;
-    self.started = static_cast<std::uint64_t>(unixNowMs());
-    self.dataCentre = settings.dataCentre;
-    self.service = settings.service;
-    self.gossip = settings.gossipAddress;
-    self.sync = settings.syncAddress;
-    self.peer = settings.peerAddress;
-    self.control = settings.controlAddress;
-    self.slots = settings.slots;
-    self.schema = recordSchema;
-    return self;
+    member own;
+    own.nodeId = settings.nodeId;
+    own.started = static_cast<std::uint64_t>(unixNowMs());
+    own.dataCentre = settings.dataCentre;
+    own.service = settings.service;
+    own.gossip = settings.gossipAddress;
+    own.sync = settings.syncAddress;
+    own.peer = settings.peerAddress;
+    own.control = settings.controlAddress;
+    own.slots = settings.slots;
+    own.schema = recordSchema;
+    return own;
 }
 
 proxy_options proxyOptionsOf(const node_settings &settings)
@@ -71,29 +72,30 @@
     };
 }
 
-// isReaderEligible tells whether a node that has started at `startedAt` may act as a reader.
-bool isReaderEligible(bool hasSeeds, bool isAnswered, duration sinceStart, duration lonelyWait)
+// isReaderEligible returns whether a node that started `sinceStart` ago may be a reader. `noPeerReaderWait` is the
+// delay while no peer has responded.
+bool isReaderEligible(bool hasSeeds, bool isAnswered, duration sinceStart, duration noPeerReaderWait)
 {
     if (!hasSeeds) {
         return true;
     }
-    return isAnswered ? sinceStart >= joinGrace : sinceStart >= lonelyWait;
+    return isAnswered ? sinceStart >= minReaderDelay : sinceStart >= noPeerReaderWait;
 }
 
 } // namespace
 
-struct node::parts
+struct node::components
 {
-    explicit parts(const node_settings &given)
+    explicit components(const node_settings &given)
         : settings(given)
         , store(given.dataCentre)
-        , pulls(given.nodeId,
-                store,
-                ring,
-                [this](const std::string &encoded) {
-                    takeMembers(encoded);
-                })
-        , health(given.upstream, [this] {
+        , syncClient(given.nodeId,
+                     store,
+                     events,
+                     [this](const std::string &encoded) {
+                         applyMemberList(encoded);
+                     })
+        , workerHealth(given.upstream, [this] {
             announce();
         })
     {
@@ -103,120 +105,122 @@
     void startThreads();
     void stopThreads();
     void announce();
-    void takeMembers(const std::string &encoded);
+    void applyMemberList(const std::string &encoded);
     std::optional<std::uint32_t> readerRank();
     pull_response respondToPull(const pull_request &request);
-    void runFold(const std::stop_token &stop);
-    void foldEvent(version_event event, time_point now);
-    void notePeers(time_point now);
-    void observe(const request_sample &sample);
+    void runEvents(const std::stop_token &stop);
+    void applyEvent(version_event event, time_point now);
+    void recordPeerProgress(time_point now);
+    void recordSample(const request_sample &sample);
     bool servesKeyedRequests() const;
     claim_sources claimSources();
     bool isWorkerPortClosed() const;
     void broadcastReports(const std::vector<crash_report> &reports);
-    status_facts statusFacts() const;
+    status_inputs statusInputs() const;
 
     const node_settings &settings;
     const time_point startedAt = steadyNow();
     random_generator generator = seededFromDevice();
-    const duration lonelyWait = lonelyGrace + fullJitter(lonelyJitter, lonelyJitter, 0, generator);
+    const duration noPeerReaderWait =
+        noPeerReaderDelay + fullJitter(noPeerReaderJitter, noPeerReaderJitter, 0, generator);
     config_store store;
-    version_ring ring{versionRingCapacity};
-    sync_client pulls;
-    worker_health health;
-    metrics figures;
+    version_event_queue events{versionEventQueueCapacity};
+    sync_client syncClient;
+    worker_health workerHealth;
+    metrics requestMetrics;
     std::atomic<bool> isDraining = false;
     std::unique_ptr<gossip_service> gossip;
-    std::unique_ptr<proxy> requests;
-    std::unique_ptr<sync_server> sync;
-    std::unique_ptr<control_server> control;
-    std::unique_ptr<log_reader> reader;
-    std::unique_ptr<rendezvous_duty> rendezvous;
-    std::unique_ptr<claims_duty> claims;
+    std::unique_ptr<proxy> requestProxy;
+    std::unique_ptr<sync_server> syncServer;
+    std::unique_ptr<control_server> controlServer;
+    std::unique_ptr<log_reader> logReader;
+    std::unique_ptr<rendezvous_task> rendezvousTask;
+    std::unique_ptr<claim_service> claimService;
     std::vector<std::jthread> threads;
 };
 
-result<void> node::parts::openPorts()
+result<void> node::components::openPorts()
 {
-    membership_options options{selfOf(settings), settings.seeds};
+    membership_options options{ownMember(settings), settings.seeds};
     BOOST_LEAF_AUTO(listener, listenTcp(settings.syncAddress));
-    sync = std::make_unique<sync_server>(std::move(listener), [this](const pull_request &request) {
+    syncServer = std::make_unique<sync_server>(std::move(listener), [this](const pull_request &request) {
         return respondToPull(request);
     });
     BOOST_LEAF_ASSIGN(gossip, startGossip(std::move(options), [this](const pull &wanted) {
-                          pulls.request({wanted.sync, wanted.position, wanted.kind == pull_kind::MemberList});
+                          syncClient.enqueuePull({wanted.sync, wanted.position, wanted.kind == pull_kind::MemberList});
                       }));
-    claims = std::make_unique<claims_duty>(log_target{settings.platformLog, logTimeout}, [this] {
+    claimService = std::make_unique<claim_service>(log_target{settings.platformLog, logTimeout}, [this] {
         return servesKeyedRequests();
     });
-    requests = std::make_unique<proxy>(proxyOptionsOf(settings),
-                                       proxy_sources{
-                                           .config =
-                                               [this] {
-                                                   return store.config();
-                                               },
-                                           .workers =
-                                               [this] {
-                                                   return gossip->view();
-                                               },
-                                           .isAccepting =
-                                               [this] {
-                                                   return gossip->isAccepting();
-                                               },
-                                           .claims = claimSources(),
-                                           .isWorkerPortClosed =
-                                               [this] {
-                                                   return isWorkerPortClosed();
-                                               },
-                                           .broadcastReports =
-                                               [this](const std::vector<crash_report> &reports) {
-                                                   broadcastReports(reports);
-                                               },
-                                           .observe =
-                                               [this](const request_sample &sample) {
-                                                   observe(sample);
-                                               },
-                                       });
-    BOOST_LEAF_CHECK(requests->start());
-    control = std::make_unique<control_server>(
+    requestProxy = std::make_unique<proxy>(proxyOptionsOf(settings),
+                                           proxy_sources{
+                                               .config =
+                                                   [this] {
+                                                       return store.config();
+                                                   },
+                                               .workers =
+                                                   [this] {
+                                                       return gossip->view();
+                                                   },
+                                               .isAccepting =
+                                                   [this] {
+                                                       return gossip->isAccepting();
+                                                   },
+                                               .claims = claimSources(),
+                                               .isWorkerPortClosed =
+                                                   [this] {
+                                                       return isWorkerPortClosed();
+                                                   },
+                                               .broadcastReports =
+                                                   [this](const std::vector<crash_report> &reports) {
+                                                       broadcastReports(reports);
+                                                   },
+                                               .observe =
+                                                   [this](const request_sample &sample) {
+                                                       recordSample(sample);
+                                                   },
+                                           });
+    BOOST_LEAF_CHECK(requestProxy->start());
+    controlServer = std::make_unique<control_server>(
         settings.controlAddress,
         control_sources{
             .status =
                 [this] {
-                    return statusJson(statusFacts());
+                    return statusJson(statusInputs());
                 },
             .report =
                 [this] {
-                    return reportJson(settings.nodeId, settings.dataCentre, figures.snapshot(steadyNow()));
+                    return reportJson(settings.nodeId, settings.dataCentre, requestMetrics.snapshot(steadyNow()));
                 },
         });
-    return control->start();
+    return controlServer->start();
 }
 
-void node::parts::startThreads()
+void node::components::startThreads()
 {
     const log_target target{settings.platformLog, logTimeout};
     const snapshot_rules rules{.retention = settings.logRetention};
-    reader = std::make_unique<log_reader>(log_reader_options{target, rules}, store, ring, log_reader_sources{[this] {
-                                              return readerRank();
-                                          }});
-    claims->start();
-    rendezvous = std::make_unique<rendezvous_duty>(target, settings.dataCentre, *gossip);
-    sync->start();
+    logReader =
+        std::make_unique<log_reader>(log_reader_options{target, rules}, store, events, log_reader_sources{[this] {
+                                         return readerRank();
+                                     }});
+    claimService->start();
+    rendezvousTask = std::make_unique<rendezvous_task>(target, settings.dataCentre, *gossip);
+    syncServer->start();
     threads.emplace_back([this](const std::stop_token &stop) {
-        runFold(stop);
+        runEvents(stop);
     });
     threads.emplace_back([this](const std::stop_token &stop) {
-        pulls.run(stop);
+        syncClient.run(stop);
     });
     threads.emplace_back([this](const std::stop_token &stop) {
-        reader->run(stop);
+        logReader->run(stop);
     });
     threads.emplace_back([this](const std::stop_token &stop) {
-        rendezvous->run(stop);
+        rendezvousTask->run(stop);
     });
     threads.emplace_back([this](const std::stop_token &stop) {
-        health.run(stop);
+        workerHealth.run(stop);
     });
     threads.emplace_back([this](const std::stop_token &stop) {
         while (!stop.stop_requested()) {
@@ -226,74 +230,75 @@
     });
 }
 
-void node::parts::stopThreads()
+void node::components::stopThreads()
 {
     std::ranges::for_each(threads, [](std::jthread &each) {
         each.request_stop();
     });
     threads.clear();
-    if (sync) {
-        sync->stop();
+    if (syncServer) {
+        syncServer->stop();
     }
-    if (control) {
-        control->stop();
+    if (controlServer) {
+        controlServer->stop();
     }
-    if (requests) {
-        requests->stop();
+    if (requestProxy) {
+        requestProxy->stop();
     }
-    if (claims) {
-        claims->stop();
+    if (claimService) {
+        claimService->stop();
     }
     gossip.reset();
 }
 
-void node::parts::announce()
+void node::components::announce()
 {
-    const fold_progress progress = store.seen();
-    const proxy_status load = requests->status();
-    const member_state worker = health.isReady() ? member_state::Ready : member_state::Starting;
+    const fold_progress progress = store.progressForPeers();
+    const proxy_status load = requestProxy->status();
+    const member_state worker = workerHealth.isReady() ? member_state::Ready : member_state::Starting;
     gossip->setLocal(progress.version, progress.position, worker, {load.running, load.waiting});
 }
 
-void node::parts::takeMembers(const std::string &encoded)
+void node::components::applyMemberList(const std::string &encoded)
 {
     decode_counters counters;
     const auto list = attempt([&] {
         return decodeMessage<member_list>(encoded, memberListFormat, counters);
     });
     if (!list) {
-        LOG(WARNING) << "[gossip] A member list cannot be read. " << describe(list.failure());
+        LOG(WARNING) << "[gossip] Cannot decode a member list. " << describe(list.failure());
         return;
     }
     gossip->onMemberList(*list);
 }
 
-std::optional<std::uint32_t> node::parts::readerRank()
+std::optional<std::uint32_t> node::components::readerRank()
 {
     const bool isAnswered = gossip->status().isAnswered;
-    if (isDraining || !isReaderEligible(!settings.seeds.empty(), isAnswered, steadyNow() - startedAt, lonelyWait)) {
+    if (isDraining
+        || !isReaderEligible(!settings.seeds.empty(), isAnswered, steadyNow() - startedAt, noPeerReaderWait)) {
         return std::nullopt;
     }
     const std::vector<member> readers = gossip->readersOf(readerDuty);
-    const auto self = std::ranges::find(readers, settings.nodeId, &member::nodeId);
-    if (self == readers.end()) {
+    const auto found = std::ranges::find(readers, settings.nodeId, &member::nodeId);
+    if (found == readers.end()) {
         return std::nullopt;
     }
-    return static_cast<std::uint32_t>(std::distance(readers.begin(), self));
+    return static_cast<std::uint32_t>(std::distance(readers.begin(), found));
 }
 
-pull_response node::parts::respondToPull(const pull_request &request)
+pull_response node::components::respondToPull(const pull_request &request)
 {
     pull_response response;
     if (request.wantsRecords) {
-        response = store.respond(request.position);
+        response = store.buildPullResponse(request.position);
     } else {
-        const fold_progress progress = store.seen();
+        const fold_progress progress = store.progressForPeers();
         response.position = progress.position;
         response.version = progress.version;
     }
     if (!request.crashReports.empty()) {
-        requests->mergeReports(request.crashReports);
+        requestProxy->mergeReports(request.crashReports);
     }
     if (request.wantsMembers) {
         response.memberList = encodeMessage(gossip->memberList(), memberListFormat);
@@ -301,58 +306,58 @@
     return response;
 }
 
-void node::parts::runFold(const std::stop_token &stop)
+void node::components::runEvents(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
-        auto event = ring.popFor(foldWait, stop);
+        auto event = events.popFor(eventWait, stop);
         const time_point now = steadyNow();
-        const fold_progress before = store.seen();
+        const fold_progress before = store.progressForPeers();
         if (event) {
-            foldEvent(*std::move(event), now);
+            applyEvent(*std::move(event), now);
         }
-        notePeers(now);
-        if (store.seen() != before) {
+        recordPeerProgress(now);
+        if (store.progressForPeers() != before) {
             announce();
         }
     }
 }
 
-void node::parts::foldEvent(version_event event, time_point now)
+void node::components::applyEvent(version_event event, time_point now)
 {
-    if (const auto *fromLog = std::get_if<log_news>(&event)) {
+    if (const auto *fromLog = std::get_if<log_update>(&event)) {
         std::vector<timed_record> records;
         std::ranges::transform(fromLog->batch.records, std::back_inserter(records), [](const log_record &each) {
             return timed_record{{each.offset, each.data}, each.timeMs};
         });
-        store.absorb(records, now);
-        store.noteLog(fromLog->batch.first, fromLog->batch.next, now);
-    } else if (auto *snapshot = std::get_if<snapshot_news>(&event)) {
-        store.absorb(std::move(snapshot->state), now);
-    } else if (const auto *fromPeer = std::get_if<peer_news>(&event)) {
+        store.apply(records, now);
+        store.recordLogRange(fromLog->batch.first, fromLog->batch.next, now);
+    } else if (auto *snapshot = std::get_if<snapshot_update>(&event)) {
+        store.apply(std::move(snapshot->state), now);
+    } else if (const auto *fromPeer = std::get_if<peer_update>(&event)) {
         snapshot_collector collector;
         for (const std::string &part : fromPeer->response.snapshotParts) {
             if (auto whole = addSnapshotPart(collector, part)) {
-                store.absorb(*std::move(whole), now);
+                store.apply(*std::move(whole), now);
             }
         }
-        store.absorb(fromPeer->response.records, now);
-        store.notePeer({fromPeer->response.position, fromPeer->response.version}, now);
+        store.apply(fromPeer->response.records, now);
+        store.recordPeerProgress({fromPeer->response.position, fromPeer->response.version}, now);
     }
 }
 
-void node::parts::notePeers(time_point now)
+void node::components::recordPeerProgress(time_point now)
 {
     const gossip_status known = gossip->status();
     if (!known.isAnswered) {
         store.tick(now);
         return;
     }
-    store.notePeer({std::max(known.highest.position, known.ownHighest.position),
-                    std::max(known.highest.version, known.ownHighest.version)},
-                   now);
+    store.recordPeerProgress({std::max(known.highest.position, known.ownHighest.position),
+                              std::max(known.highest.version, known.ownHighest.version)},
+                             now);
 }
 
-bool node::parts::servesKeyedRequests() const
+bool node::components::servesKeyedRequests() const
 {
     const auto config = store.config();
     return config && std::ranges::any_of(config->routes, [&](const route &each) {
@@ -360,58 +365,60 @@
            });
 }
 
-bool node::parts::isWorkerPortClosed() const
+bool node::components::isWorkerPortClosed() const
 {
-    return isPortClosed(settings.upstream, steadyNow() + workerCheckWait);
+    return isPortClosed(settings.upstream, steadyNow() + portCloseWait);
 }
 
-// Returns when all other nodes of the own service in the data centre have the reports, or after `maxHoldBack`.
-void node::parts::broadcastReports(const std::vector<crash_report> &reports)
+// Sends crash reports to all other live nodes of this service in the data centre. Returns when all have acknowledged
+// them, or after `maxHoldBack`.
+void node::components::broadcastReports(const std::vector<crash_report> &reports)
 {
     const time_point deadline = steadyNow() + maxHoldBack;
-    std::vector<std::future<bool>> open;
+    std::vector<std::future<bool>> pending;
     for (const member &each : gossip->liveMembers()) {
         if (each.service == settings.service && each.nodeId != settings.nodeId) {
-            open.push_back(std::async(std::launch::async, [this, peer = each.sync, &reports, deadline] {
-                return pulls.push(peer, reports, deadline);
+            pending.push_back(std::async(std::launch::async, [this, peer = each.sync, &reports, deadline] {
+                return syncClient.sendCrashReports(peer, reports, deadline);
             }));
         }
     }
-    const auto missed = std::ranges::count_if(open, [](std::future<bool> &each) {
+    const auto unacknowledged = std::ranges::count_if(pending, [](std::future<bool> &each) {
         return !each.get();
     });
-    if (missed > 0) {
-        LOG(WARNING) << "[proxy] " << missed << " nodes of the service do not know of a crash yet.";
+    if (unacknowledged > 0) {
+        LOG(WARNING) << "[proxy] " << unacknowledged
+                     << " nodes of the service have not acknowledged a crash report in time.";
     }
 }
 
-claim_sources node::parts::claimSources()
+claim_sources node::components::claimSources()
 {
     return {
         .claim =
             [this](const hash128 &key, time_point deadline) {
-                return claims->claim(key, deadline);
+                return claimService->claim(key, deadline);
             },
         .startRun =
             [this](const hash128 &claim) {
-                return claims->startRun(claim);
+                return claimService->startRun(claim);
             },
         .endRun =
             [this](const hash128 &claim) {
-                claims->endRun(claim);
+                claimService->endRun(claim);
             },
         .abandonRun =
             [this](const hash128 &claim) {
-                return claims->abandonRun(claim);
+                return claimService->abandonRun(claim);
             },
         .abandonUnsentRun =
             [this](const hash128 &claim) {
-                return claims->abandonUnsentRun(claim);
+                return claimService->abandonUnsentRun(claim);
             },
     };
 }
 
-void node::parts::observe(const request_sample &sample)
+void node::components::recordSample(const request_sample &sample)
 {
     const auto config = store.config();
     std::vector<named_objective> wanted;
@@ -423,12 +430,12 @@
             }
         }
     }
-    figures.record(sample, wanted, steadyNow());
+    requestMetrics.record(sample, wanted, steadyNow());
 }
 
-status_facts node::parts::statusFacts() const
+status_inputs node::components::statusInputs() const
 {
-    const std::string state = isDraining ? "draining" : (health.isReady() ? "ready" : "starting");
+    const std::string state = isDraining ? "draining" : (workerHealth.isReady() ? "ready" : "starting");
     return {
         .nodeId = settings.nodeId,
         .dataCentre = settings.dataCentre,
@@ -436,26 +443,26 @@
         .state = state,
         .store = store.status(),
         .gossip = gossip->status(),
-        .proxy = requests->status(),
-        .syncBytes = sync->transferredBytes() + pulls.transferredBytes(),
+        .proxy = requestProxy->status(),
+        .syncBytes = syncServer->transferredBytes() + syncClient.transferredBytes(),
     };
 }
 
 node::node(node_settings settings)
     : m_settings(std::move(settings))
-    , m_parts(std::make_unique<parts>(m_settings))
+    , m_components(std::make_unique<components>(m_settings))
 {
 }
 
 node::~node()
 {
-    m_parts->stopThreads();
+    m_components->stopThreads();
 }
 
 result<void> node::start()
 {
-    BOOST_LEAF_CHECK(m_parts->openPorts());
-    m_parts->startThreads();
+    BOOST_LEAF_CHECK(m_components->openPorts());
+    m_components->startThreads();
     LOG(INFO) << "[node] " << m_settings.nodeId << " in " << m_settings.dataCentre << " serves callers at "
               << toText(m_settings.callerAddress) << ".";
     return {};
@@ -463,14 +470,14 @@
 
 void node::shutDown()
 {
-    if (m_parts->isDraining.exchange(true)) {
+    if (m_components->isDraining.exchange(true)) {
         return;
     }
     LOG(INFO) << "[node] Draining for at most " << m_settings.drainTimeout.count() << " ms.";
-    m_parts->gossip->beginDrain();
-    m_parts->requests->drain(m_settings.drainTimeout);
-    m_parts->gossip->leave();
-    m_parts->stopThreads();
+    m_components->gossip->beginDrain();
+    m_components->requestProxy->drain(m_settings.drainTimeout);
+    m_components->gossip->leave();
+    m_components->stopThreads();
     LOG(INFO) << "[node] Stopped.";
 }
 
--- a/packages/process/node/node.h
+++ b/packages/process/node/node.h
@@ -1,12 +1,13 @@
-// One running node: owns the sockets, the threads and the parts, and joins them.
+// One running node: owns its components, sockets and threads, and connects the components to each other.
 //
 //   node running(settings);
 //   BOOST_LEAF_CHECK(running.start());
 //   waitForSignal();
 //   running.shutDown();
 //
-// Threads: gossip, log reader, rendezvous, sync client, fold, worker health, announcements, the sync server's, the
-// control port's, and one for each HTTP connection.
+// Threads: gossip, log reader, rendezvous, sync client, version events (the only one that folds records), worker
+// health, announcements, two for claims, those of the sync server and of the control port, and one for each HTTP
+// connection.
 #pragma once
 
 #include <memory>
@@ -28,14 +29,14 @@
     // nothing is left running.
     result<void> start();
 
-    // shutDown drains: announces it, refuses new work, lets running requests end within the drain timeout of the
-    // settings, and stops all threads. Not thread safe; can be repeated.
+    // shutDown drains the node and stops it: announces the drain, refuses new requests, gives running requests the
+    // drain timeout of the settings to end, and stops all threads. Not thread safe; can be repeated.
     void shutDown();
 
 private:
-    struct parts;
+    struct components;
     node_settings m_settings;
-    std::unique_ptr<parts> m_parts;
+    std::unique_ptr<components> m_components;
 };
 
 } // namespace pistachioquay
--- a/packages/process/node/node_test.cc
+++ b/packages/process/node/node_test.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr milliseconds checkWait{2000}; // far beyond what a dying process needs to close its port
+constexpr milliseconds checkWait{2000}; // far longer than a dying process needs to close its port
 constexpr milliseconds shortCheckWait{60};
 constexpr milliseconds closingDelay{30};
 
--- a/packages/process/node/pause.h
+++ b/packages/process/node/pause.h
@@ -1,4 +1,4 @@
-// Waits that end at once when a thread is asked to stop.
+// Sleeping that ends early when the thread is asked to stop.
 //
 //   while (!stop.stop_requested()) { work(); pauseFor(milliseconds(250), stop); }
 #pragma once
@@ -9,7 +9,7 @@
 
 namespace pistachioquay {
 
-// pauseFor returns after `length`, or as soon as stop is requested. Thread safe.
+// pauseFor blocks for `length`, or until stop is requested. Thread safe.
 void pauseFor(duration length, const std::stop_token &stop);
 
 } // namespace pistachioquay
--- a/packages/process/node/rendezvous.cc
+++ b/packages/process/node/rendezvous.cc
@@ -15,11 +15,12 @@
 namespace {
 
 constexpr std::string_view rendezvousStream = "rendezvous";
-constexpr std::uint32_t readBack = 64; // records; several rounds of 8 data centres
+constexpr std::uint32_t maxReadRecords = 64; // several records of each of 8 data centres
 constexpr std::size_t contactsPerRecord = 5;
-constexpr milliseconds planInterval{500};
+constexpr milliseconds checkInterval{500};
 
-// Spreads the interval by half on each side, so that restarted nodes do not act together.
+// Returns a random time from half to one and a half of the interval, so that nodes that restart together do not read
+// and write at the same time.
 duration jittered(seconds interval, random_generator &generator)
 {
     return interval / 2 + fullJitter(interval, interval, 0, generator);
@@ -27,11 +28,11 @@
 
 } // namespace
 
-rendezvous_plan planRendezvous(const rendezvous_facts &facts, time_point now)
+rendezvous_plan planRendezvous(const rendezvous_status &status, time_point now)
 {
     return {
-        .shouldRead = (facts.isReader || !facts.isAnswered) && now >= facts.nextRead,
-        .shouldWrite = facts.isFirstReader && now >= facts.nextWrite,
+        .shouldRead = (status.isReader || !status.isAnswered) && now >= status.nextRead,
+        .shouldWrite = status.isFirstReader && now >= status.nextWrite,
     };
 }
 
@@ -54,38 +55,38 @@
     return contacts;
 }
 
-rendezvous_duty::rendezvous_duty(log_target target, std::string dataCentre, gossip_service &gossip)
+rendezvous_task::rendezvous_task(log_target target, std::string dataCentre, gossip_service &gossip)
     : m_target(std::move(target))
     , m_dataCentre(std::move(dataCentre))
     , m_gossip(gossip)
 {
 }
 
-void rendezvous_duty::run(const std::stop_token &stop)
+void rendezvous_task::run(const std::stop_token &stop)
 {
-    rendezvous_facts facts;
-    facts.nextRead = steadyNow() + fullJitter(lonelyReadInterval, lonelyReadInterval, 0, m_generator);
-    facts.nextWrite = steadyNow() + fullJitter(lonelyReadInterval, lonelyReadInterval, 0, m_generator);
+    rendezvous_status status;
+    status.nextRead = steadyNow() + fullJitter(noPeerReadInterval, noPeerReadInterval, 0, m_generator);
+    status.nextWrite = steadyNow() + fullJitter(noPeerReadInterval, noPeerReadInterval, 0, m_generator);
     while (!stop.stop_requested()) {
         const auto readers = m_gossip.readersOf(readerDuty);
-        facts.isReader = m_gossip.isReader(readerDuty);
-        facts.isFirstReader = facts.isReader && !readers.empty() && readers.front().gossip == m_gossip.address();
-        facts.isAnswered = m_gossip.status().isAnswered;
-        const rendezvous_plan plan = planRendezvous(facts, steadyNow());
+        status.isReader = m_gossip.isReader(readerDuty);
+        status.isFirstReader = status.isReader && !readers.empty() && readers.front().gossip == m_gossip.address();
+        status.isAnswered = m_gossip.status().isAnswered;
+        const rendezvous_plan plan = planRendezvous(status, steadyNow());
         if (plan.shouldRead) {
-            readRecordsOnce();
-            const seconds interval = facts.isAnswered ? rendezvousReadInterval : lonelyReadInterval;
-            facts.nextRead = steadyNow() + jittered(interval, m_generator);
+            readContacts();
+            const seconds interval = status.isAnswered ? rendezvousReadInterval : noPeerReadInterval;
+            status.nextRead = steadyNow() + jittered(interval, m_generator);
         }
         if (plan.shouldWrite) {
             writeRecord();
-            facts.nextWrite = steadyNow() + jittered(rendezvousWriteInterval, m_generator);
+            status.nextWrite = steadyNow() + jittered(rendezvousWriteInterval, m_generator);
         }
-        pauseFor(planInterval, stop);
+        pauseFor(checkInterval, stop);
     }
 }
 
-void rendezvous_duty::readRecordsOnce()
+void rendezvous_task::readContacts()
 {
     const auto last = attempt([&] {
         return readLastRecord(m_target, rendezvousStream);
@@ -93,16 +94,16 @@
     if (!last || last->records.empty()) {
         return;
     }
-    const std::uint64_t from = last->next > readBack ? last->next - readBack : 1;
+    const std::uint64_t from = last->next > maxReadRecords ? last->next - maxReadRecords : 1;
     const auto batch = attempt([&] {
-        return readRecords(m_target, rendezvousStream, std::max(from, last->first), readBack, milliseconds(0));
+        return readRecords(m_target, rendezvousStream, std::max(from, last->first), maxReadRecords, milliseconds(0));
     });
     if (batch) {
         m_gossip.onRendezvous(newestContacts(batch->records));
     }
 }
 
-void rendezvous_duty::writeRecord()
+void rendezvous_task::writeRecord()
 {
     rendezvous_record record{m_dataCentre, {}};
     std::vector<member> members = m_gossip.liveMembers();
@@ -113,7 +114,7 @@
         return appendRecord(m_target, rendezvousStream, encodeMessage(record, rendezvousFormat));
     });
     if (!appended) {
-        VLOG(1) << "[rendezvous] No record was written. " << describe(appended.failure());
+        VLOG(1) << "[rendezvous] Cannot write a record. " << describe(appended.failure());
     }
 }
 
--- a/packages/process/node/rendezvous.h
+++ b/packages/process/node/rendezvous.h
@@ -1,8 +1,9 @@
-// Stream `rendezvous`: short records that name a few live nodes of each data centre, so that nodes find each other when
-// the seeds in their settings have been replaced, and readers find those of other data centres.
+// Reads and writes stream `rendezvous` of the log: each record holds the gossip addresses of a few live nodes of a data
+// centre. Through it nodes find each other even when none of the seeds in their settings exists any more, and readers
+// find the nodes of other data centres.
 //
-//   rendezvous_duty duty({target, "be-1"}, gossip);
-//   std::jthread thread([&](const std::stop_token &stop) { duty.run(stop); });
+//   rendezvous_task task(target, "be-1", gossip);
+//   std::jthread thread([&](const std::stop_token &stop) { task.run(stop); });
 #pragma once
 
 #include <compare>
@@ -18,14 +19,15 @@
 namespace pistachioquay {
 
 inline constexpr std::uint16_t rendezvousFormat = 1;
-inline constexpr seconds rendezvousWriteInterval{60}; // by one node of a data centre
-inline constexpr seconds rendezvousReadInterval{30}; // by readers
-inline constexpr seconds lonelyReadInterval{3}; // by a node that has not heard from any peer
+inline constexpr seconds rendezvousWriteInterval{60}; // by the first reader of a data centre
+inline constexpr seconds rendezvousReadInterval{30}; // by readers that a peer has responded to
+inline constexpr seconds noPeerReadInterval{3}; // by a node that no peer has responded to
 
+// Contents of one record of stream `rendezvous`.
 struct rendezvous_record
 {
     std::string dataCentre;
-    std::vector<endpoint> gossip;
+    std::vector<endpoint> gossip; // gossip addresses of live nodes
 
     friend auto operator<=>(const rendezvous_record &, const rendezvous_record &) = default;
 
@@ -36,7 +38,7 @@
     }
 };
 
-// What a node does about the stream now.
+// Which operations on the stream are due.
 struct rendezvous_plan
 {
     bool shouldRead = false;
@@ -45,34 +47,35 @@
     friend auto operator<=>(const rendezvous_plan &, const rendezvous_plan &) = default;
 };
 
-// Facts for the plan.
-struct rendezvous_facts
+// State of a node from which its plan follows.
+struct rendezvous_status
 {
     bool isAnswered = false; // a peer has responded
-    bool isReader = false;
-    bool isFirstReader = false;
-    time_point nextRead;
-    time_point nextWrite;
+    bool isReader = false; // of its data centre
+    bool isFirstReader = false; // the reader of rank 0
+    time_point nextRead; // earliest time of the next read
+    time_point nextWrite; // earliest time of the next write
 };
 
-// planRendezvous decides what is due. A node without peers reads, so that it finds some; only the first reader of a
-// data centre writes, so that the log sees one record per data centre and minute. Thread safe.
-rendezvous_plan planRendezvous(const rendezvous_facts &facts, time_point now);
+// planRendezvous returns which operations are due. Readers read, and so does a node that no peer has responded to, to
+// find peers. Only the first reader of a data centre writes, so that the log gets about one record per data centre and
+// minute. Thread safe.
+rendezvous_plan planRendezvous(const rendezvous_status &status, time_point now);
 
-// newestContacts returns the addresses of the newest record of each data centre; unreadable records are passed over.
+// newestContacts returns the addresses in the newest record of each data centre; malformed records are skipped.
 // Thread safe.
 std::vector<endpoint> newestContacts(const std::vector<log_record> &records);
 
-class rendezvous_duty
+class rendezvous_task
 {
 public:
-    rendezvous_duty(log_target target, std::string dataCentre, gossip_service &gossip);
+    rendezvous_task(log_target target, std::string dataCentre, gossip_service &gossip);
 
-    // run works until stop is requested. Called once.
+    // run reads and writes the stream until stop is requested. Called once.
     void run(const std::stop_token &stop);
 
 private:
-    void readRecordsOnce();
+    void readContacts();
     void writeRecord();
 
     log_target m_target;
--- a/packages/process/node/status_json.cc
+++ b/packages/process/node/status_json.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-json_int_t number(std::uint64_t value)
+json_int_t toJsonInteger(std::uint64_t value)
 {
     return static_cast<json_int_t>(value);
 }
@@ -52,11 +52,11 @@
                      "state",
                      std::string(stateName(each.state)).c_str(),
                      "version",
-                     number(each.version),
+                     toJsonInteger(each.version),
                      "position",
-                     number(each.position),
+                     toJsonInteger(each.position),
                      "schema",
-                     number(each.schema));
+                     toJsonInteger(each.schema));
 }
 
 json_t *membersJson(const gossip_status &gossip)
@@ -68,10 +68,10 @@
     return list;
 }
 
-json_t *textsJson(const std::vector<std::string> &texts)
+json_t *stringsJson(const std::vector<std::string> &strings)
 {
     json_t *list = json_array();
-    for (const std::string &each : texts) {
+    for (const std::string &each : strings) {
         json_array_append_new(list, json_string(each.c_str()));
     }
     return list;
@@ -87,17 +87,17 @@
         + gossip.garbled.badChecksum + gossip.garbled.badContent;
     return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:o}",
                      "sent_bytes",
-                     number(gossip.sentBytes),
+                     toJsonInteger(gossip.sentBytes),
                      "received_bytes",
-                     number(gossip.receivedBytes),
+                     toJsonInteger(gossip.receivedBytes),
                      "garbled",
-                     number(garbled),
+                     toJsonInteger(garbled),
                      "suspicions",
-                     number(gossip.counters.suspicions),
+                     toJsonInteger(gossip.counters.suspicions),
                      "deaths",
-                     number(gossip.counters.deaths),
+                     toJsonInteger(gossip.counters.deaths),
                      "pauses",
-                     number(gossip.counters.pauses),
+                     toJsonInteger(gossip.counters.pauses),
                      "link_age_ms",
                      links);
 }
@@ -106,23 +106,23 @@
 {
     json_t *refusals = json_object();
     for (const auto &[kind, count] : proxy.refusals) {
-        json_object_set_new(refusals, kind.c_str(), json_integer(number(count)));
+        json_object_set_new(refusals, kind.c_str(), json_integer(toJsonInteger(count)));
     }
     return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}",
                      "running",
-                     number(proxy.running),
+                     toJsonInteger(proxy.running),
                      "waiting",
-                     number(proxy.waiting),
+                     toJsonInteger(proxy.waiting),
                      "from_callers",
-                     number(proxy.requests),
+                     toJsonInteger(proxy.requests),
                      "from_nodes",
-                     number(proxy.inboundRequests),
+                     toJsonInteger(proxy.inboundRequests),
                      "retries",
-                     number(proxy.retries),
+                     toJsonInteger(proxy.retries),
                      "cancelled",
-                     number(proxy.cancelled),
+                     toJsonInteger(proxy.cancelled),
                      "truncated",
-                     number(proxy.truncated),
+                     toJsonInteger(proxy.truncated),
                      "refusals",
                      refusals);
 }
@@ -131,7 +131,7 @@
 {
     return json_pack("{s:I, s:f, s:f, s:f, s:f, s:f}",
                      "count",
-                     number(summary.count),
+                     toJsonInteger(summary.count),
                      "mean_ms",
                      summary.mean,
                      "p50_ms",
@@ -150,23 +150,23 @@
                      "target_percent",
                      counts.targetPercent,
                      "short_total",
-                     number(counts.shortTotal),
+                     toJsonInteger(counts.shortTotal),
                      "short_bad",
-                     number(counts.shortBad),
+                     toJsonInteger(counts.shortBad),
                      "long_total",
-                     number(counts.longTotal),
+                     toJsonInteger(counts.longTotal),
                      "long_bad",
-                     number(counts.longBad));
+                     toJsonInteger(counts.longBad));
 }
 
-json_t *serviceJson(const service_metrics &figures)
+json_t *serviceJson(const service_metrics &service)
 {
     json_t *latencies = json_object();
-    for (const auto &[name, summary] : figures.latencyByClass) {
+    for (const auto &[name, summary] : service.latencyByClass) {
         json_object_set_new(latencies, name.c_str(), latencyJson(summary));
     }
     json_t *objectives = json_object();
-    for (const auto &[name, counts] : figures.burnByObjective) {
+    for (const auto &[name, counts] : service.burnByObjective) {
         json_object_set_new(objectives, name.c_str(), burnJson(counts));
     }
     return json_pack("{s:o, s:o}", "latency", latencies, "objectives", objectives);
@@ -174,48 +174,48 @@
 
 } // namespace
 
-std::string statusJson(const status_facts &facts)
+std::string statusJson(const status_inputs &inputs)
 {
     json_t *body = json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:b, s:I, s:I, s:I}",
                              "node",
-                             facts.nodeId.c_str(),
+                             inputs.nodeId.c_str(),
                              "data_centre",
-                             facts.dataCentre.c_str(),
+                             inputs.dataCentre.c_str(),
                              "service",
-                             facts.service.c_str(),
+                             inputs.service.c_str(),
                              "state",
-                             facts.state.c_str(),
+                             inputs.state.c_str(),
                              "version",
-                             number(facts.store.versionInForce),
+                             toJsonInteger(inputs.store.versionInForce),
                              "folded_version",
-                             number(facts.store.progress.version),
+                             toJsonInteger(inputs.store.progress.version),
                              "position",
-                             number(facts.store.progress.position),
+                             toJsonInteger(inputs.store.progress.position),
                              "schema",
-                             number(recordSchema),
+                             toJsonInteger(recordSchema),
                              "routing",
-                             facts.store.isRouting ? 1 : 0,
+                             inputs.store.isRouting ? 1 : 0,
                              "schema_blocked",
-                             facts.store.isSchemaBlocked ? 1 : 0,
+                             inputs.store.isSchemaBlocked ? 1 : 0,
                              "rejected_records",
-                             number(facts.store.rejectedRecords),
+                             toJsonInteger(inputs.store.rejectedRecords),
                              "snapshot_position",
-                             number(facts.store.snapshotPosition),
+                             toJsonInteger(inputs.store.snapshotPosition),
                              "log_next",
-                             number(facts.store.logNext));
-    json_object_set_new(body, "in_force_since_ms", json_integer(facts.store.inForceSinceMs));
-    json_object_set_new(body, "sync_bytes", json_integer(number(facts.syncBytes)));
-    json_object_set_new(body, "readers", textsJson(facts.gossip.readers));
-    json_object_set_new(body, "requests", requestsJson(facts.proxy));
-    json_object_set_new(body, "gossip", gossipJson(facts.gossip));
-    json_object_set_new(body, "members", membersJson(facts.gossip));
+                             toJsonInteger(inputs.store.logNext));
+    json_object_set_new(body, "in_force_since_ms", json_integer(inputs.store.inForceSinceMs));
+    json_object_set_new(body, "sync_bytes", json_integer(toJsonInteger(inputs.syncBytes)));
+    json_object_set_new(body, "readers", stringsJson(inputs.gossip.readers));
+    json_object_set_new(body, "requests", requestsJson(inputs.proxy));
+    json_object_set_new(body, "gossip", gossipJson(inputs.gossip));
+    json_object_set_new(body, "members", membersJson(inputs.gossip));
     return dumpAndFree(body);
 }
 
-std::string reportJson(const std::string &nodeId, const std::string &dataCentre, const metrics_snapshot &figures)
+std::string reportJson(const std::string &nodeId, const std::string &dataCentre, const metrics_snapshot &snapshot)
 {
     json_t *services = json_object();
-    for (const auto &[name, each] : figures.services) {
+    for (const auto &[name, each] : snapshot.services) {
         json_object_set_new(services, name.c_str(), serviceJson(each));
     }
     return dumpAndFree(
--- a/packages/process/node/status_json.h
+++ b/packages/process/node/status_json.h
@@ -1,6 +1,6 @@
-// JSON texts of the control port.
+// JSON bodies of the responses of the control port.
 //
-//   const std::string body = statusJson(facts);
+//   const std::string body = statusJson(inputs);
 #pragma once
 
 #include <string>
@@ -12,8 +12,8 @@
 
 namespace pistachioquay {
 
-// What a status response is made of.
-struct status_facts
+// Input of statusJson.
+struct status_inputs
 {
     std::string nodeId;
     std::string dataCentre;
@@ -26,9 +26,9 @@
 };
 
 // statusJson returns the body of GET /v1/status. Thread safe.
-std::string statusJson(const status_facts &facts);
+std::string statusJson(const status_inputs &inputs);
 
 // reportJson returns the body of GET /v1/report. Thread safe.
-std::string reportJson(const std::string &nodeId, const std::string &dataCentre, const metrics_snapshot &figures);
+std::string reportJson(const std::string &nodeId, const std::string &dataCentre, const metrics_snapshot &snapshot);
 
 } // namespace pistachioquay
--- a/packages/process/node/sync_server.cc
+++ b/packages/process/node/sync_server.cc
@@ -12,16 +12,16 @@
 
 namespace {
 
-constexpr milliseconds acceptWait{200};
-constexpr milliseconds requestWait{1000};
-constexpr seconds responseWait{5};
-constexpr std::size_t maxRequestBytes = 1024 * 1024; // crash reports can name 256 requests each
+constexpr milliseconds acceptPollInterval{200};
+constexpr milliseconds requestTimeout{1000};
+constexpr seconds responseTimeout{5};
+constexpr std::size_t maxRequestBytes = 1024 * 1024; // a crash report can hold the ids of 256 requests
 
 result<void> respondBusy(const tcp_stream &stream)
 {
     pull_response busy;
     busy.isBusy = true;
-    return sendFrame(stream, encodeMessage(busy, syncFormat), steadyNow() + requestWait);
+    return sendFrame(stream, encodeMessage(busy, syncFormat), steadyNow() + requestTimeout);
 }
 
 } // namespace
@@ -40,9 +40,9 @@
 void sync_server::start()
 {
     m_threads.emplace_back([this](const std::stop_token &stop) {
-        acceptPulls(stop);
+        acceptConnections(stop);
     });
-    for (std::size_t count = 0; count < syncWorkers; ++count) {
+    for (std::size_t count = 0; count < syncWorkerThreads; ++count) {
         m_threads.emplace_back([this](const std::stop_token &stop) {
             servePulls(stop);
         });
@@ -62,15 +62,15 @@
     return m_bytes;
 }
 
-void sync_server::acceptPulls(const std::stop_token &stop)
+void sync_server::acceptConnections(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
         auto accepted = attempt([&] {
-            return acceptTcp(m_listener, acceptWait);
+            return acceptTcp(m_listener, acceptPollInterval);
         });
         if (!accepted) {
-            LOG_EVERY_N(WARNING, 100) << "[sync] Cannot accept. " << describe(accepted.failure());
-            std::this_thread::sleep_for(acceptWait);
+            LOG_EVERY_N(WARNING, 100) << "[sync] Cannot accept a connection. " << describe(accepted.failure());
+            std::this_thread::sleep_for(acceptPollInterval);
             continue;
         }
         if (!*accepted) {
@@ -89,23 +89,23 @@
 {
     while (!stop.stop_requested()) {
         if (const auto stream = m_queue.pop(stop)) {
-            serveOne(**stream);
+            servePull(**stream);
         }
     }
 }
 
-void sync_server::serveOne(const tcp_stream &stream)
+void sync_server::servePull(const tcp_stream &stream)
 {
     decode_counters counters;
     const auto served = attempt([&]() -> result<void> {
-        BOOST_LEAF_AUTO(frame, receiveFrame(stream, maxRequestBytes, steadyNow() + requestWait));
+        BOOST_LEAF_AUTO(frame, receiveFrame(stream, maxRequestBytes, steadyNow() + requestTimeout));
         BOOST_LEAF_AUTO(request, decodeMessage<pull_request>(frame, syncFormat, counters));
         const std::string response = encodeMessage(m_respond(request), syncFormat);
         m_bytes += frame.size() + response.size();
-        return sendFrame(stream, response, steadyNow() + responseWait);
+        return sendFrame(stream, response, steadyNow() + responseTimeout);
     });
     if (!served) {
-        LOG_EVERY_N(WARNING, 100) << "[sync] A pull failed. " << describe(served.failure());
+        LOG_EVERY_N(WARNING, 100) << "[sync] Cannot serve a pull. " << describe(served.failure());
     }
 }
 
--- a/packages/process/node/sync_server.h
+++ b/packages/process/node/sync_server.h
@@ -1,7 +1,8 @@
-// Sync port of a node: hands records, snapshots and the member list to peers. Takes a bounded number of pulls at once
-// and responds `busy` beyond, so that many peers that restart together do not slow the node down.
+// Server of the sync port of a node: sends records, snapshots and the member list to peers that pull them, and receives
+// crash reports. Accepts a bounded number of pulls at once and responds "busy" to further ones, so that many peers that
+// restart together do not slow the node down.
 //
-//   sync_server server(std::move(listener), {respond});
+//   sync_server server(std::move(listener), respond);
 //   server.start();
 #pragma once
 
@@ -17,8 +18,8 @@
 
 namespace pistachioquay {
 
-inline constexpr std::size_t syncWorkers = 2;
-inline constexpr std::size_t queuedPulls = 16;
+inline constexpr std::size_t syncWorkerThreads = 2;
+inline constexpr std::size_t maxQueuedPulls = 16; // connections that wait for a worker thread
 
 class sync_server
 {
@@ -29,23 +30,23 @@
     sync_server(const sync_server &) = delete;
     sync_server &operator=(const sync_server &) = delete;
 
-    // start runs the accepting thread and the workers. Called once.
+    // start starts the accepting thread and the worker threads. Called once.
     void start();
 
-    // transferredBytes returns the bytes of all frames so far. Thread safe.
+    // transferredBytes returns the bytes of all frames sent and received so far, without "busy" responses. Thread safe.
     std::uint64_t transferredBytes() const;
 
-    // stop ends all threads; pulls that run are finished or time out. Can be repeated.
+    // stop stops all threads after the pulls that they serve have finished or timed out. Can be repeated.
     void stop();
 
 private:
-    void acceptPulls(const std::stop_token &stop);
+    void acceptConnections(const std::stop_token &stop);
     void servePulls(const std::stop_token &stop);
-    void serveOne(const tcp_stream &stream);
+    void servePull(const tcp_stream &stream);
 
     tcp_listener m_listener;
     std::function<pull_response(const pull_request &)> m_respond;
-    bounded_ring<std::shared_ptr<tcp_stream>> m_queue{queuedPulls};
+    bounded_ring<std::shared_ptr<tcp_stream>> m_queue{maxQueuedPulls};
     std::atomic<std::uint64_t> m_bytes = 0;
     std::vector<std::jthread> m_threads;
 };
--- a/packages/process/node/version_events.h
+++ b/packages/process/node/version_events.h
@@ -1,7 +1,7 @@
-// What the log reader and the sync client hand to the fold thread.
+// Events that the log reader and the sync client send to the thread that folds records.
 //
-//   version_ring ring(versionRingCapacity);
-//   ring.tryPush(log_news{batch});
+//   version_event_queue events(versionEventQueueCapacity);
+//   events.tryPush(log_update{batch});
 #pragma once
 
 #include <variant>
@@ -12,33 +12,33 @@
 
 namespace pistachioquay {
 
-// Records read from the log, with the range that it keeps.
-struct log_news
+// Records read from the log, with the range of offsets that it keeps.
+struct log_update
 {
     log_batch batch;
 
-    friend bool operator==(const log_news &, const log_news &) = default;
+    friend bool operator==(const log_update &, const log_update &) = default;
 };
 
 // A snapshot read from the log.
-struct snapshot_news
+struct snapshot_update
 {
     fold_state state;
 
-    friend bool operator==(const snapshot_news &, const snapshot_news &) = default;
+    friend bool operator==(const snapshot_update &, const snapshot_update &) = default;
 };
 
-// What a peer responded to a pull.
-struct peer_news
+// Response of a peer to a pull.
+struct peer_update
 {
     pull_response response;
 
-    friend bool operator==(const peer_news &, const peer_news &) = default;
+    friend bool operator==(const peer_update &, const peer_update &) = default;
 };
 
-using version_event = std::variant<log_news, snapshot_news, peer_news>;
-using version_ring = bounded_ring<version_event>;
+using version_event = std::variant<log_update, snapshot_update, peer_update>;
+using version_event_queue = bounded_ring<version_event>;
 
-inline constexpr std::size_t versionRingCapacity = 16;
+inline constexpr std::size_t versionEventQueueCapacity = 16;
 
 } // namespace pistachioquay
--- a/packages/process/node/worker_health.cc
+++ b/packages/process/node/worker_health.cc
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr milliseconds pollInterval{250};
-constexpr long pollTimeoutS = 1;
-constexpr milliseconds portCheckPause{5}; // between two looks at a port that is still open
+constexpr long pollTimeoutSeconds = 1;
+constexpr milliseconds portCheckInterval{5}; // between two checks of a port that is still open
 constexpr long firstServerError = 500;
 
 bool pollOnce(const std::string &url)
@@ -30,25 +30,25 @@
                                   U_OPT_HTTP_URL,
                                   url.c_str(),
                                   U_OPT_TIMEOUT,
-                                  pollTimeoutS,
+                                  pollTimeoutSeconds,
                                   U_OPT_NONE);
-    const bool isSent = ulfius_send_http_request(&request, &response) == U_OK;
-    const bool hasAnswered = isSent && response.status < firstServerError;
+    const bool hasResponse = ulfius_send_http_request(&request, &response) == U_OK;
+    const bool hasSucceeded = hasResponse && response.status < firstServerError;
     ulfius_clean_request(&request);
     ulfius_clean_response(&response);
-    return hasAnswered;
+    return hasSucceeded;
 }
 
 } // namespace
 
-readiness withPoll(readiness known, bool hasAnswered)
+readiness readinessAfterPoll(readiness current, bool hasSucceeded)
 {
-    if (hasAnswered) {
+    if (hasSucceeded) {
         return {.isReady = true, .failures = 0};
     }
-    ++known.failures;
-    known.isReady = known.isReady && known.failures < failuresUntilUnready;
-    return known;
+    ++current.failures;
+    current.isReady = current.isReady && current.failures < failuresUntilUnready;
+    return current;
 }
 
 bool isPortClosed(const endpoint &address, time_point until)
@@ -60,10 +60,10 @@
         if (!connected) {
             return connected.failure().kind == error_kind::Unavailable;
         }
-        if (steadyNow() + portCheckPause >= until) {
+        if (steadyNow() + portCheckInterval >= until) {
             return false;
         }
-        std::this_thread::sleep_for(portCheckPause);
+        std::this_thread::sleep_for(portCheckInterval);
     }
 }
 
@@ -76,16 +76,16 @@
 void worker_health::run(const std::stop_token &stop)
 {
     const std::string url = "http://" + toText(m_upstream) + "/health";
-    readiness known;
+    readiness current;
     while (!stop.stop_requested()) {
-        const readiness next = withPoll(known, pollOnce(url));
-        if (next.isReady != known.isReady) {
+        const readiness next = readinessAfterPoll(current, pollOnce(url));
+        if (next.isReady != current.isReady) {
             LOG(INFO) << "[worker] The upstream at " << toText(m_upstream)
                       << (next.isReady ? " is ready." : " does not respond.");
             m_isReady = next.isReady;
             m_onChange();
         }
-        known = next;
+        current = next;
         pauseFor(pollInterval, stop);
     }
 }
--- a/packages/process/node/worker_health.h
+++ b/packages/process/node/worker_health.h
@@ -1,7 +1,7 @@
-// Readiness of the own upstream: polls its `GET /health`, only to learn whether it is there. How loaded or how fast it
-// is comes from the node's own observations, because the endpoints of upstreams lag or mislead.
+// Readiness of the upstream of this node: polls its `GET /health`, only to find out whether it responds. The node
+// measures load and speed of the upstream itself, because what upstreams report about them is late or misleading.
 //
-//   worker_health health(upstreamAddress, [&](bool isReady) { ... });
+//   worker_health health(upstreamAddress, [&] { announce(); });
 //   std::jthread thread([&](const std::stop_token &stop) { health.run(stop); });
 #pragma once
 
@@ -14,7 +14,7 @@
 
 namespace pistachioquay {
 
-// Immutable state of the readiness decision.
+// Readiness of the upstream, and the failed polls that count against it.
 struct readiness
 {
     bool isReady = false;
@@ -23,25 +23,26 @@
     friend auto operator<=>(const readiness &, const readiness &) = default;
 };
 
-// Polls that have to fail in a row before a worker counts as not ready, so that one lost poll does not.
+// Failed polls in a row after which the worker is not ready. Above 1, so that one lost poll does not make it unready.
 inline constexpr unsigned failuresUntilUnready = 2;
 
-// withPoll returns the readiness after a poll. Thread safe.
-readiness withPoll(readiness known, bool hasAnswered);
+// readinessAfterPoll returns the readiness after a further poll. Thread safe.
+readiness readinessAfterPoll(readiness current, bool hasSucceeded);
 
-// isPortClosed tells whether nothing listens at the address. A process that dies may close its connections some
-// milliseconds before its listening socket, so an open port is looked at again until `until`. Thread safe.
+// isPortClosed returns whether nothing listens at the address. A dying process may close its connections some
+// milliseconds before its listening socket, so a port that is still open is checked again until `until`. Thread safe.
 bool isPortClosed(const endpoint &address, time_point until);
 
 class worker_health
 {
 public:
+    // `onChange` is called from the polling thread whenever the readiness changes.
     worker_health(endpoint upstream, std::function<void()> onChange);
 
     // run polls until stop is requested. Called once.
     void run(const std::stop_token &stop);
 
-    // isReady tells whether the worker takes requests. Thread safe.
+    // isReady returns whether the worker is ready for requests. Thread safe.
     bool isReady() const;
 
 private:
