--- a/packages/process/node/config_store.h
+++ b/packages/process/node/config_store.h
@@ -48,13 +48,13 @@
     // progress returns how far the node has folded the log.
     fold_progress progress() const;
 
-    // progressForPeers returns the progress that the node announces to its peers; see `seenProgress`.
+    // progressForPeers returns the progress that the node announces to its peers; see `advertisedProgress`.
     fold_progress progressForPeers() const;
 
     // apply folds records, or replaces the folded state by a snapshot that is ahead of it. A new version comes into
     // force if the start-up gate is open.
-    absorb_report apply(std::span<const timed_record> records, time_point now);
-    absorb_report apply(fold_state snapshot, time_point now);
+    apply_result apply(std::span<const timed_record> records, time_point now);
+    apply_result apply(fold_state snapshot, time_point now);
 
     // recordLogRange records the range of offsets that the log keeps. May open the start-up gate.
     void recordLogRange(std::uint64_t first, std::uint64_t next, time_point now);
@@ -73,7 +73,7 @@
     // snapshotToWrite returns the state to write to the log as a snapshot, if one is due from the reader of rank
     // `rank`, this node.
     std::optional<fold_state>
-    snapshotToWrite(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const;
+    snapshotToWrite(const snapshot_policy &rules, std::uint32_t rank, std::int64_t nowMs) const;
 
     store_status status() const;
 
--- a/packages/process/node/log_reader.h
+++ b/packages/process/node/log_reader.h
@@ -20,7 +20,7 @@
 struct log_reader_options
 {
     log_target target;
-    snapshot_rules rules;
+    snapshot_policy rules;
 };
 
 // Function that returns the role of the node. Called from the reader's thread.
