--- a/packages/process/membership/gossip.cc
+++ b/packages/process/membership/gossip.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr milliseconds tickInterval{50};
-constexpr int logEvery = 1'000;
+constexpr int failuresPerLogLine = 1'000;
 
 } // namespace
 
@@ -80,23 +80,23 @@
 
 bool gossip_service::isAccepting() const
 {
-    // The gate is stored before the time of the event, so a recent event implies the gate that goes with it.
+    // publish stores m_gateUntil before m_lastEvent, so a recent m_lastEvent implies that the matching gate is visible.
     const time_point lastEvent{duration(m_lastEvent.load())};
     const time_point gateUntil{duration(m_gateUntil.load())};
     const time_point now = steadyNow();
-    return !m_isLeaving.load() && now - lastEvent <= pauseGap && now >= gateUntil;
+    return !m_isLeaving.load() && now - lastEvent <= pauseThreshold && now >= gateUntil;
 }
 
-bool gossip_service::isReader(std::string_view duty) const
+bool gossip_service::isReader(std::string_view task) const
 {
     const std::lock_guard guard(m_mutex);
-    return pistachioquay::isReader(m_state, duty);
+    return pistachioquay::isReader(m_state, task);
 }
 
-std::vector<member> gossip_service::readersOf(std::string_view duty) const
+std::vector<member> gossip_service::readersOf(std::string_view task) const
 {
     const std::lock_guard guard(m_mutex);
-    return pistachioquay::readersOf(m_state, duty);
+    return pistachioquay::readersOf(m_state, task);
 }
 
 std::vector<member> gossip_service::liveMembers() const
@@ -111,7 +111,7 @@
     return pistachioquay::memberList(m_state, steadyNow());
 }
 
-version_seen gossip_service::highestSeen(std::string_view nodeId) const
+announced_version gossip_service::highestSeen(std::string_view nodeId) const
 {
     const std::lock_guard guard(m_mutex);
     return pistachioquay::highestSeen(m_state, nodeId);
@@ -132,9 +132,9 @@
     for (const auto &[name, link] : m_state.links) {
         status.linkAgeMs.emplace(name, millisBetween(link.lastHeard, now));
     }
-    status.isAnswered = m_state.isAnswered;
-    status.sinceFirstAnswer = m_state.firstAnswer == time_point{} ? duration(0) : now - m_state.firstAnswer;
-    status.garbled = m_state.garbled;
+    status.isAnswered = m_state.hasPeerResponded;
+    status.sinceFirstResponse = m_state.firstResponseAt == time_point{} ? duration(0) : now - m_state.firstResponseAt;
+    status.garbled = m_state.malformed;
     status.counters = m_state.counters;
     status.sentBytes = m_sentBytes.load();
     status.receivedBytes = m_receivedBytes.load();
@@ -147,7 +147,7 @@
     return m_socket.address;
 }
 
-// Runs one decision under the lock, publishes its outcome, and sends outside the lock.
+// Calls `decide` under the lock, publishes the new view and state, and performs the actions outside the lock.
 template<class Decide>
 void gossip_service::run(Decide decide)
 {
@@ -165,7 +165,7 @@
 
 void gossip_service::publish()
 {
-    const time_point gateUntil = m_state.isAnswered ? time_point{} : m_state.gateUntil;
+    const time_point gateUntil = m_state.hasPeerResponded ? time_point{} : m_state.gateUntil;
     m_gateUntil.store(gateUntil.time_since_epoch().count());
     m_isLeaving.store(m_state.self.state >= member_state::Draining);
     m_lastEvent.store(m_state.lastEvent.time_since_epoch().count());
@@ -181,7 +181,7 @@
             m_sentBytes += out.bytes.size();
         } else {
             ++m_sendErrors;
-            LOG_EVERY_N(WARNING, logEvery) << "[gossip] " << describe(sent.failure());
+            LOG_EVERY_N(WARNING, failuresPerLogLine) << "[gossip] " << describe(sent.failure());
         }
     }
     std::ranges::for_each(actions.pulls, m_onPull);
@@ -194,7 +194,7 @@
             return receiveDatagram(m_socket, deadline - steadyNow());
         });
         if (!received) {
-            LOG_EVERY_N(WARNING, logEvery) << "[gossip] " << describe(received.failure());
+            LOG_EVERY_N(WARNING, failuresPerLogLine) << "[gossip] " << describe(received.failure());
             std::this_thread::sleep_until(deadline);
             return;
         }
--- a/packages/process/membership/gossip.h
+++ b/packages/process/membership/gossip.h
@@ -1,8 +1,11 @@
-// Thread edge of membership: owns the UDP socket, one thread, and the state that the pure functions work on.
+// Runs the membership protocol: owns the UDP socket, one thread, and the state that the functions of membership.h work
+// on.
 //
-//   const auto started = attempt([&] { return startGossip(options, [&](const pull &wanted) { pulls.tryPush(wanted); });
-//   }); gossip_service &gossip = **started; gossip.setLocal(version, position, member_state::Ready, load); const
-//   std::shared_ptr<const worker_view> view = gossip.view();
+//   const auto onPull = [&](const pull &request) { pulls.tryPush(request); };
+//   const auto started = attempt([&] { return startGossip(options, onPull); });
+//   gossip_service &gossip = **started;
+//   gossip.setLocal(version, position, member_state::Ready, load);
+//   const std::shared_ptr<const worker_view> view = gossip.view();
 #pragma once
 
 #include <atomic>
@@ -16,17 +19,17 @@
 
 namespace pistachioquay {
 
-// What the status page shows.
+// Status of the gossip service, as the status page reports it.
 struct gossip_status
 {
     std::vector<member> live;
-    std::size_t known = 0; // with dead and left members
+    std::size_t known = 0; // number of members, including this node and dead and left members
     std::vector<std::string> readers;
-    version_seen highest; // that any node of the data centre announced
-    version_seen ownHighest; // that peers remember of the own node id
-    std::map<std::string, std::int64_t> linkAgeMs; // by data centre
-    bool isAnswered = false;
-    duration sinceFirstAnswer{0}; // zero if no peer responded yet
+    announced_version highest; // highest that any node of the data centre announced
+    announced_version ownHighest; // highest announced under this node's id, also by earlier processes
+    std::map<std::string, std::int64_t> linkAgeMs; // time since a data centre was last heard from, by its name
+    bool isAnswered = false; // a peer responded since the start, or since the last pause
+    duration sinceFirstResponse{0}; // zero if no peer has responded yet
     decode_counters garbled;
     membership_counters counters;
     std::uint64_t sentBytes = 0;
@@ -34,11 +37,11 @@
     std::uint64_t sendErrors = 0;
 };
 
-// Runs membership until it is destroyed. All functions are thread safe.
+// Runs the membership protocol until it is destroyed. All functions are thread safe.
 class gossip_service
 {
 public:
-    // A handler is called for each pull, on the thread that caused it; it must not block or call back.
+    // The handler is called for each pull, on the thread that caused it. It must not block or call the service.
     using pull_handler = std::function<void(const pull &)>;
 
     gossip_service(udp_socket socket, const membership_options &options, pull_handler onPull);
@@ -46,25 +49,25 @@
     gossip_service &operator=(const gossip_service &) = delete;
     ~gossip_service();
 
-    // setLocal, beginDrain, leave, onRendezvous and onMemberList call the functions of the same names.
+    // setLocal, beginDrain, leave, onRendezvous and onMemberList call the functions of the same names in membership.h.
     void setLocal(std::uint64_t version, std::uint64_t position, member_state worker, const worker_load &load);
     void beginDrain();
     void leave();
     void onRendezvous(const std::vector<endpoint> &endpoints);
     void onMemberList(const member_list &list);
 
-    // view returns the last published view; never null.
+    // view returns the last published view. It is never null.
     std::shared_ptr<const worker_view> view() const;
-    // isAccepting answers without waiting for the gossip thread.
+    // isAccepting returns whether the node may take new requests. It does not take the lock of the state.
     bool isAccepting() const;
-    // The queries below take the lock of the state for less than a millisecond.
-    bool isReader(std::string_view duty) const;
-    std::vector<member> readersOf(std::string_view duty) const;
+    // The functions below take the lock of the state, for less than a millisecond.
+    bool isReader(std::string_view task) const;
+    std::vector<member> readersOf(std::string_view task) const;
     std::vector<member> liveMembers() const;
     member_list memberList() const;
-    version_seen highestSeen(std::string_view nodeId) const;
+    announced_version highestSeen(std::string_view nodeId) const;
     gossip_status status() const;
-    // address returns the bound address.
+    // address returns the address that the socket is bound to. It takes no lock.
     endpoint address() const;
 
 private:
@@ -81,7 +84,7 @@
     membership_state m_state;
     random_generator m_generator;
     std::atomic<std::shared_ptr<const worker_view>> m_view;
-    std::atomic<time_point::rep> m_gateUntil = 0; // zero: open
+    std::atomic<time_point::rep> m_gateUntil = 0; // isAccepting returns false until then; zero: no limit
     std::atomic<time_point::rep> m_lastEvent = 0;
     std::atomic<bool> m_isLeaving = false;
     std::atomic<std::uint64_t> m_sentBytes = 0;
@@ -90,7 +93,7 @@
     std::jthread m_thread;
 };
 
-// startGossip binds to `options.self.gossip` and starts the thread; port 0 takes a free one. Fails like `bindUdp`.
+// startGossip binds to `options.self.gossip` and starts the thread. Port 0 selects a free port. Fails like `bindUdp`.
 result<std::unique_ptr<gossip_service>> startGossip(membership_options options, gossip_service::pull_handler onPull);
 
 } // namespace pistachioquay
--- a/packages/process/membership/gossip_test.cc
+++ b/packages/process/membership/gossip_test.cc
@@ -1,4 +1,4 @@
-// Guards the thread edge: real sockets on loopback, waits bounded.
+// Tests the gossip service with real sockets on loopback and bounded waits.
 #include <catch2/catch.hpp>
 
 #include <thread>
@@ -47,7 +47,7 @@
 
 } // namespace
 
-TEST_CASE("three nodes find each other over UDP, and a drain leaves the view of the others")
+TEST_CASE("three nodes discover each other over UDP, and a draining node disappears from the views of the others")
 {
     const auto first = startNode("a", {});
     const auto second = startNode("b", {first->address()});
@@ -68,14 +68,14 @@
     CHECK(first->isReader(readerDuty));
 }
 
-TEST_CASE("a node killed without a word leaves the view, and a restart under its id is seen again")
+TEST_CASE("a node that stops without a leave notice leaves the view, and returns after a restart under the same id")
 {
     const auto first = startNode("a", {});
     auto second = startNode("b", {first->address()});
     first->setLocal(0, 0, member_state::Ready, {});
     second->setLocal(7, 9, member_state::Ready, {});
     CHECK(eventually([&] {
-        return readyWorkers(*first) == 2 && first->highestSeen("b") == version_seen{9, 7};
+        return readyWorkers(*first) == 2 && first->highestSeen("b") == announced_version{9, 7};
     }));
     second.reset();
     CHECK(eventually([&] {
@@ -83,7 +83,7 @@
     }));
     second = startNode("b", {first->address()});
     CHECK(eventually([&] {
-        return second->status().ownHighest == version_seen{9, 7};
+        return second->status().ownHighest == announced_version{9, 7};
     }));
     second->setLocal(0, 0, member_state::Ready, {});
     CHECK(eventually([&] {
--- a/packages/process/membership/links.cc
+++ b/packages/process/membership/links.cc
@@ -9,15 +9,15 @@
 
 constexpr milliseconds joinDelay{500};
 constexpr milliseconds floodInterval{1'000};
-constexpr milliseconds slowFloodInterval{5'000}; // with many remote summaries; bounds the bytes of every node
+constexpr milliseconds slowFloodInterval{5'000}; // with many remote summaries; limits the traffic of every node
 constexpr std::size_t floodFanout = 3;
-constexpr std::size_t fewRemotes = 64; // up to this many, every remote summary is spread, needed or not
+constexpr std::size_t maxRemotesForFullFlood = 64; // up to this many, summaries of all services are distributed
 constexpr std::size_t maxLinks = 64;
 constexpr std::size_t maxRemotes = 8'192;
 constexpr std::uint32_t maxSummaryTtlMs = 600'000;
 constexpr std::size_t summaryBudgetBytes = 800;
 
-bool differs(const service_summary &before, const service_summary &after)
+bool differsNoticeably(const service_summary &before, const service_summary &after)
 {
     const std::uint32_t larger = std::max(before.spareSlots, after.spareSlots);
     const std::uint32_t smaller = std::min(before.spareSlots, after.spareSlots);
@@ -25,10 +25,10 @@
     return isSpareChanged || before.readyWorkers != after.readyWorkers || before.nodes != after.nodes;
 }
 
-// Puts summaries into a datagram for another data centre: changed ones first, then those sent longest ago.
+// Adds summaries to a datagram for another data centre: changed ones first, then those sent longest ago.
 void addOwnSummaries(step &context, data_centre_link &link, message &datagram)
 {
-    struct choice
+    struct summary_candidate
     {
         bool isUnchanged;
         time_point sentAt;
@@ -38,23 +38,23 @@
     std::erase_if(link.sent, [&](const auto &entry) {
         return !summaries.contains(entry.first);
     });
-    std::vector<choice> choices;
+    std::vector<summary_candidate> candidates;
     for (const auto &[service, summary] : summaries) {
         const auto sent = link.sent.find(service);
         const bool isNew = sent == link.sent.end();
-        const bool isChanged = isNew || differs(sent->second.first, summary);
-        choices.push_back({!isChanged, isNew ? time_point{} : sent->second.second, &summary});
+        const bool isChanged = isNew || differsNoticeably(sent->second.first, summary);
+        candidates.push_back({!isChanged, isNew ? time_point{} : sent->second.second, &summary});
     }
-    std::ranges::sort(choices, {}, [](const choice &item) {
+    std::ranges::sort(candidates, {}, [](const summary_candidate &item) {
         return std::pair(item.isUnchanged, item.sentAt);
     });
-    std::size_t left = summaryBudgetBytes;
-    for (const choice &next : choices) {
-        const std::size_t bytes = encodedBound(*next.summary);
-        if (bytes > left) {
+    std::size_t bytesLeft = summaryBudgetBytes;
+    for (const summary_candidate &next : candidates) {
+        const std::size_t bytes = maxEncodedBytes(*next.summary);
+        if (bytes > bytesLeft) {
             break;
         }
-        left -= bytes;
+        bytesLeft -= bytes;
         datagram.summaries.push_back(*next.summary);
         link.sent[next.summary->service] = {*next.summary, context.now};
     }
@@ -75,7 +75,7 @@
         return false;
     }
     if (found != state.remotes.end()
-        && (found->second.summary.stamp == summary.stamp || found->second.writtenAt >= writtenAt)) {
+        && (found->second.summary.timestampMs == summary.timestampMs || found->second.writtenAt >= writtenAt)) {
         return false;
     }
     remote_summary &remote = state.remotes[name];
@@ -96,7 +96,7 @@
     return true;
 }
 
-service_summary aged(const remote_summary &remote, time_point now)
+service_summary withCurrentAge(const remote_summary &remote, time_point now)
 {
     service_summary summary = remote.summary;
     summary.ageMs = static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(remote.writtenAt, now)));
@@ -115,18 +115,20 @@
     }
 }
 
-// Whether a summary changed since it was last spread, by this reader or another one, or would expire soon after.
+// Returns whether a newer summary has to be distributed: it differs from the one last distributed by any reader, or
+// more than a third of its time to live has passed since then.
 bool isFloodDue(const remote_summary &remote, time_point now)
 {
     const bool isNew = remote.floodedAt < remote.writtenAt;
     const bool isOld = now - remote.floodedAt > milliseconds(remote.summary.ttlMs / 3);
-    return isNew && (isOld || differs(remote.flooded, remote.summary));
+    return isNew && (isOld || differsNoticeably(remote.flooded, remote.summary));
 }
 
-// Services of which the own data centre has no spare slots left, or soon none.
-bool isNeeded(const std::map<std::string, service_summary> &own,
-              const std::map<std::string, std::uint32_t> &slots,
-              const std::string &service)
+// Returns whether a service may soon need workers of other data centres: in the own one it has no ready worker, or at
+// most a quarter of its slots spare.
+bool needsRemoteCapacity(const std::map<std::string, service_summary> &own,
+                         const std::map<std::string, std::uint32_t> &slots,
+                         const std::string &service)
 {
     const auto found = own.find(service);
     return found == own.end() || found->second.spareSlots * 4 <= slots.at(service);
@@ -170,7 +172,7 @@
         return;
     }
     if (record.dataCentre == state.self.dataCentre) {
-        // Contacts of the own data centre matter only to a node that found no member yet.
+        // Contacts in the own data centre are only used by a node that has found no member yet.
         if (state.liveKeys.empty() && state.members.empty()) {
             state.contacts = record.contacts;
             std::erase(state.contacts, state.self.gossip);
@@ -178,17 +180,17 @@
         }
         return;
     }
-    const time_point heard = context.now - milliseconds(record.ageMs);
+    const time_point lastHeard = context.now - milliseconds(record.ageMs);
     const auto found = state.links.find(record.dataCentre);
     if (found == state.links.end()) {
         if (state.links.size() < maxLinks) {
-            state.links.emplace(record.dataCentre, data_centre_link{record.contacts, heard, {}});
+            state.links.emplace(record.dataCentre, data_centre_link{record.contacts, lastHeard, {}});
         }
         return;
     }
-    if (heard > found->second.lastHeard) {
+    if (lastHeard > found->second.lastHeard) {
         found->second.contacts = record.contacts;
-        found->second.lastHeard = heard;
+        found->second.lastHeard = lastHeard;
     }
 }
 
@@ -213,16 +215,16 @@
 
 void handleSummaries(step &context, const message &datagram)
 {
-    std::vector<service_summary> news;
+    std::vector<service_summary> newSummaries;
     for (const service_summary &summary : datagram.summaries) {
         if (mergeSummary(context, summary)) {
             remote_summary &remote = context.state.remotes.at({summary.service, summary.dataCentre});
             remote.floodedAt = context.now;
             remote.flooded = summary;
-            news.push_back(summary);
+            newSummaries.push_back(summary);
         }
     }
-    sendSummaries(context, news, datagram.from.key);
+    sendSummaries(context, newSummaries, datagram.from.key);
 }
 
 void announceToLinks(step &context)
@@ -257,32 +259,32 @@
     if (context.now < state.next.flood) {
         return;
     }
-    const milliseconds interval = state.remotes.size() <= fewRemotes ? floodInterval : slowFloodInterval;
+    const milliseconds interval = state.remotes.size() <= maxRemotesForFullFlood ? floodInterval : slowFloodInterval;
     state.next.flood = context.now + interval / 2 + jitter(context, interval);
     if (state.remotes.empty() || !isReader(state, readerDuty)) {
         return;
     }
     const auto own = ownSummaries(state, context.now);
     const auto slots = slotsByService(state);
-    const bool isAll = state.remotes.size() <= fewRemotes;
+    const bool isFullFlood = state.remotes.size() <= maxRemotesForFullFlood;
     std::vector<remote_summary *> due;
     for (auto &[name, remote] : state.remotes) {
-        if (isFloodDue(remote, context.now) && (isAll || isNeeded(own, slots, name.first))) {
+        if (isFloodDue(remote, context.now) && (isFullFlood || needsRemoteCapacity(own, slots, name.first))) {
             due.push_back(&remote);
         }
     }
     std::ranges::sort(due, {}, &remote_summary::floodedAt);
-    std::size_t left = summaryBudgetBytes + summaryBudgetBytes / 4;
+    std::size_t bytesLeft = summaryBudgetBytes + summaryBudgetBytes / 4;
     std::vector<service_summary> chosen;
     for (remote_summary *remote : due) {
-        const std::size_t bytes = encodedBound(remote->summary);
-        if (bytes > left) {
+        const std::size_t bytes = maxEncodedBytes(remote->summary);
+        if (bytes > bytesLeft) {
             break;
         }
-        left -= bytes;
+        bytesLeft -= bytes;
         remote->floodedAt = context.now;
         remote->flooded = remote->summary;
-        chosen.push_back(aged(*remote, context.now));
+        chosen.push_back(withCurrentAge(*remote, context.now));
     }
     sendSummaries(context, chosen, 0);
 }
@@ -293,8 +295,8 @@
     const std::size_t expired = std::erase_if(state.remotes, [&](const auto &entry) {
         const remote_summary &remote = entry.second;
         const auto link = state.links.find(remote.summary.dataCentre);
-        const bool isOutOfReach = link != state.links.end() && context.now - link->second.lastHeard > linkLease;
-        return isOutOfReach || context.now - remote.writtenAt > milliseconds(remote.summary.ttlMs);
+        const bool isLinkExpired = link != state.links.end() && context.now - link->second.lastHeard > linkTimeout;
+        return isLinkExpired || context.now - remote.writtenAt > milliseconds(remote.summary.ttlMs);
     });
     context.actions.viewChanged = context.actions.viewChanged || expired > 0;
 }
--- a/packages/process/membership/member.cc
+++ b/packages/process/membership/member.cc
@@ -8,15 +8,15 @@
 
 namespace {
 
-void takeState(member &data, const member_update &update)
+void applyState(member &data, const member_update &update)
 {
     data.revision = update.revision;
     data.state = update.state;
     data.slots = update.slots;
 }
 
-// Takes addresses and service of a process that is newer than the one they are known of.
-bool takeData(known_member &known, const member_update &update)
+// Stores addresses and service if the update has them from a newer process than the stored ones.
+bool applyNewerProcess(known_member &known, const member_update &update)
 {
     const bool isNewer = update.full && update.full->started > known.dataStarted;
     if (!isNewer) {
@@ -26,14 +26,14 @@
     known.data = *update.full;
     known.data.started = std::max(before.started, update.full->started);
     known.data.incarnation = before.incarnation;
-    takeState(known.data, {.revision = before.revision, .state = before.state, .slots = before.slots, .full = {}});
+    applyState(known.data, {.revision = before.revision, .state = before.state, .slots = before.slots, .full = {}});
     known.dataStarted = update.full->started;
     return true;
 }
 
 } // namespace
 
-void raiseTo(version_seen &highest, const version_seen &seen)
+void raiseTo(announced_version &highest, const announced_version &seen)
 {
     highest.position = std::max(highest.position, seen.position);
     highest.version = std::max(highest.version, seen.version);
@@ -76,11 +76,11 @@
         data.started = std::max(data.started, update.started);
         data.incarnation = update.incarnation;
         known.mark = update.mark;
-        takeState(data, update);
+        applyState(data, update);
         isChanged = true;
     } else if (update.incarnation == data.incarnation) {
         if (update.revision > data.revision) {
-            takeState(data, update);
+            applyState(data, update);
             isChanged = true;
         }
         if (update.mark > known.mark) {
@@ -88,7 +88,7 @@
             isChanged = true;
         }
     }
-    return takeData(known, update) || isChanged;
+    return applyNewerProcess(known, update) || isChanged;
 }
 
 bool isLive(const known_member &known)
--- a/packages/process/membership/member.h
+++ b/packages/process/membership/member.h
@@ -1,10 +1,10 @@
-// Members of a data centre and the order of news about them.
+// Members of a data centre and the rules for merging updates about them.
 //
 //   if (mergeUpdate(known, update)) enqueue(update.key);
 //
-// News about one member forms a join semilattice: a higher incarnation replaces everything; within an incarnation the
-// higher revision of the member's own state and the higher mark of observers win. So the order, repetition and loss of
-// datagrams do not change the final belief.
+// Updates about one member form a join semilattice: a higher incarnation replaces everything; within an incarnation the
+// higher revision of the member's own state and the higher mark of observers win. So reordered and repeated datagrams
+// do not change the final state, nor do lost ones whose content arrives later.
 #pragma once
 
 #include <cstdint>
@@ -18,7 +18,7 @@
 
 namespace pistachioquay {
 
-// What a member says about itself. Left is final for its incarnation.
+// State that a member reports about itself. Left is final for its incarnation.
 enum class member_state : std::uint8_t
 {
     Starting,
@@ -27,7 +27,7 @@
     Left,
 };
 
-// What observers say about a member.
+// State of a member as other members observe it.
 enum class member_mark : std::uint8_t
 {
     Alive,
@@ -35,7 +35,7 @@
     Dead,
 };
 
-// Load of a worker as its node measures it.
+// Load of a worker, as measured by its node.
 struct worker_load
 {
     std::uint32_t running = 0;
@@ -54,7 +54,7 @@
 struct member
 {
     std::string nodeId;
-    std::uint64_t started = 0; // start time in ms: identity of the process
+    std::uint64_t started = 0; // start time in ms; identifies the process
     std::uint64_t incarnation = 0; // `started`, raised to refute a suspicion or a death
     std::uint32_t revision = 0; // counts changes of the state within an incarnation
     std::string dataCentre;
@@ -81,12 +81,12 @@
 };
 
 // A configuration position and version.
-struct version_seen
+struct announced_version
 {
     std::uint64_t position = 0;
     std::uint64_t version = 0;
 
-    friend auto operator<=>(const version_seen &, const version_seen &) = default;
+    friend auto operator<=>(const announced_version &, const announced_version &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -95,10 +95,10 @@
     }
 };
 
-// raiseTo raises each part of `highest` to `seen`. Thread safe for separate values.
-void raiseTo(version_seen &highest, const version_seen &seen);
+// raiseTo sets position and version of `highest` each to the maximum of both values. Thread safe for separate values.
+void raiseTo(announced_version &highest, const announced_version &seen);
 
-// News about one member. Without `full` it takes about 25 bytes, because the receiver knows the addresses.
+// An update about one member. Without `full` it takes about 25 bytes; the receiver already has the addresses.
 struct member_update
 {
     std::uint64_t key = 0; // memberKey of the node id
@@ -119,18 +119,18 @@
     }
 };
 
-// What a node believes about another one.
+// The state that a node stores about another member.
 struct known_member
 {
     member data;
-    std::uint64_t dataStarted = 0; // process that `data`'s addresses belong to
+    std::uint64_t dataStarted = 0; // start time of the process that the addresses in `data` belong to
     member_mark mark = member_mark::Alive;
-    version_seen highest; // over all processes that ran under this id
+    announced_version highest; // highest announced by any process that ran under this id
     time_point markedAt; // time of the last change of the mark
-    time_point lastNews; // time of the last direct message, or of the last change
+    time_point lastUpdateAt; // time of the last direct message or of the last change
     time_point readySince; // time at which this process was first seen ready
     time_point loadAt; // time at which the load was reported
-    bool isOwnSuspicion = false; // this node itself missed the member's acknowledgement
+    bool isOwnSuspicion = false; // this node itself received no ack from the member
 
     friend bool operator==(const known_member &, const known_member &) = default;
 };
@@ -138,10 +138,10 @@
 // memberKey returns the 64-bit key of a node id. Thread safe.
 std::uint64_t memberKey(std::string_view nodeId);
 
-// updateOf returns the news that passes `known` on, with the full entry on request. Thread safe.
+// updateOf returns the update that describes `known`, with the full entry if `isFull`. Thread safe.
 member_update updateOf(const known_member &known, bool isFull);
 
-// mergeUpdate joins news into a belief; true if the belief changed. Thread safe for separate beliefs.
+// mergeUpdate merges an update into `known` and returns whether `known` changed. Thread safe for separate members.
 bool mergeUpdate(known_member &known, const member_update &update);
 
 // isLive returns whether the member is neither dead nor left. Thread safe.
--- a/packages/process/membership/membership.cc
+++ b/packages/process/membership/membership.cc
@@ -11,23 +11,23 @@
 namespace {
 
 constexpr milliseconds gossipInterval{200};
-constexpr milliseconds repeatedPing{500}; // to a suspect, so that it hears of the suspicion
-constexpr milliseconds learnedSuspicion{6'000}; // the member that missed the acknowledgement decides before the others
+constexpr milliseconds suspectPingInterval{500}; // so that a suspect learns of the suspicion and can refute it
+constexpr milliseconds reportedSuspicionTime{6'000}; // the member that missed the ack decides first
 constexpr milliseconds expiryInterval{100};
-constexpr milliseconds forgetInterval{60'000};
+constexpr milliseconds tombstoneCheckInterval{60'000};
 constexpr milliseconds joinRetry{500};
-constexpr milliseconds joinRetryCap{5'000};
+constexpr milliseconds maxJoinRetry{5'000};
 constexpr milliseconds contactInterval{30'000};
 constexpr milliseconds readerContactInterval{5'000};
-constexpr milliseconds listInterval{600'000};
-constexpr milliseconds listGap{10'000};
-constexpr milliseconds disagreementTime{5'000}; // news about one change reaches all members in less
+constexpr milliseconds listPullInterval{600'000};
+constexpr milliseconds minListPullInterval{10'000};
+constexpr milliseconds digestMismatchTime{5'000}; // updates about one change reach all members in less
 constexpr std::uint32_t maxDigestRetries = 7;
 constexpr milliseconds deadProbeInterval{2'000};
-constexpr milliseconds deadProbeFast{
-    250}; // while more than a tenth of the members is dead: a partition may have healed
-constexpr milliseconds drainRoundGap{400};
-constexpr std::uint32_t drainRoundCount = 3; // at 20% loss, 0.8% of the members miss all; gossip reaches these
+// Used while more than a tenth of the members is dead, because a partition may have healed.
+constexpr milliseconds fastDeadProbeInterval{250};
+constexpr milliseconds drainRoundInterval{400};
+constexpr std::uint32_t drainRoundCount = 3; // at 20% loss, 0.8% of the members miss all and learn of it by gossip
 constexpr std::size_t indirectCount = 3;
 constexpr std::size_t pingsAfterPause = 3;
 constexpr std::size_t joinFanout = 3;
@@ -46,9 +46,9 @@
     membership_state &state = context.state;
     ++state.counters.pauses;
     ++state.self.incarnation;
-    state.isAnswered = false;
-    state.answerFloor = state.lastSequence;
-    state.gateUntil = context.now + pauseGate;
+    state.hasPeerResponded = false;
+    state.lastSequenceBeforePause = state.lastSequence;
+    state.gateUntil = context.now + resumeGateTime;
     state.probes.clear();
     state.relays.clear();
     state.remotes.clear();
@@ -58,7 +58,7 @@
     }
     state.next.probe = context.now;
     state.next.gossip = context.now;
-    state.next.listPull = std::min(state.next.listPull, std::max(context.now, state.next.listAllowed));
+    state.next.listPull = std::min(state.next.listPull, std::max(context.now, state.next.earliestListPull));
     context.actions.viewChanged = true;
     enqueueSelf(context, false);
 }
@@ -83,7 +83,7 @@
 
 void probeRound(step &context)
 {
-    const std::size_t count = context.state.isAnswered ? 1 : pingsAfterPause;
+    const std::size_t count = context.state.hasPeerResponded ? 1 : pingsAfterPause;
     for (std::size_t sent = 0; sent < count; ++sent) {
         const std::uint64_t key = nextProbeTarget(context);
         if (key != 0) {
@@ -92,7 +92,7 @@
     }
 }
 
-void askOthers(step &context, const probe &missed)
+void sendIndirectProbes(step &context, const probe &missed)
 {
     for (const std::uint64_t helper : randomLive(context, indirectCount, missed.key)) {
         message request = newMessage(context.state, message_kind::PingRequest);
@@ -100,12 +100,12 @@
         request.target = missed.key;
         sendToKey(context, helper, std::move(request));
     }
-    message again = newMessage(context.state, message_kind::Ping);
-    again.sequence = missed.sequence;
-    sendToKey(context, missed.key, std::move(again));
+    message secondPing = newMessage(context.state, message_kind::Ping);
+    secondPing.sequence = missed.sequence;
+    sendToKey(context, missed.key, std::move(secondPing));
 }
 
-void suspect(step &context, std::uint64_t key)
+void suspectMember(step &context, std::uint64_t key)
 {
     const auto found = context.state.members.find(key);
     if (found == context.state.members.end() || found->second.mark != member_mark::Alive || !isLive(found->second)) {
@@ -123,12 +123,12 @@
     for (probe &waiting : probes) {
         const duration age = context.now - waiting.sentAt;
         if (age >= suspectAfter) {
-            suspect(context, waiting.key);
+            suspectMember(context, waiting.key);
             continue;
         }
-        if (age >= indirectAfter && !waiting.isIndirect) {
+        if (age >= indirectProbeDelay && !waiting.isIndirect) {
             waiting.isIndirect = true;
-            askOthers(context, waiting);
+            sendIndirectProbes(context, waiting);
         }
         context.state.probes.push_back(waiting);
     }
@@ -142,21 +142,21 @@
         return found == state.members.end() || found->second.mark != member_mark::Suspect || !isLive(found->second);
     });
     std::vector<std::uint64_t> dead;
-    std::vector<std::uint64_t> repeated;
+    std::vector<std::uint64_t> toPing;
     for (const std::uint64_t key : state.suspects) {
         const known_member &known = state.members.at(key);
         const duration age = context.now - known.markedAt;
-        if (age >= (known.isOwnSuspicion ? suspicionTime : learnedSuspicion)) {
+        if (age >= (known.isOwnSuspicion ? suspicionTimeout : reportedSuspicionTime)) {
             dead.push_back(key);
-        } else if (known.isOwnSuspicion && age % repeatedPing < expiryInterval) {
-            repeated.push_back(key);
+        } else if (known.isOwnSuspicion && age % suspectPingInterval < expiryInterval) {
+            toPing.push_back(key);
         }
     }
     for (const std::uint64_t key : dead) {
         ++state.counters.deaths;
         markMember(context, key, member_mark::Dead);
     }
-    for (const std::uint64_t key : repeated) {
+    for (const std::uint64_t key : toPing) {
         sendPing(context, key);
     }
 }
@@ -171,7 +171,7 @@
     }
 }
 
-// Dead members are pinged now and then, because a healed partition has no other way to show.
+// Pings a random dead member: only a response from a dead member shows that a partition has healed.
 void deadProbeRound(step &context)
 {
     membership_state &state = context.state;
@@ -181,8 +181,8 @@
             dead.push_back(key);
         }
     }
-    const bool isMass = dead.size() * 10 > state.members.size();
-    state.next.deadProbe = context.now + (isMass ? deadProbeFast : deadProbeInterval);
+    const bool isManyDead = dead.size() * 10 > state.members.size();
+    state.next.deadProbe = context.now + (isManyDead ? fastDeadProbeInterval : deadProbeInterval);
     if (!dead.empty()) {
         message ping = newMessage(state, message_kind::Ping);
         ping.sequence = ++state.lastSequence;
@@ -216,7 +216,7 @@
     }
     if (isAlone) {
         state.next.join =
-            context.now + joinRetry / 2 + fullJitter(joinRetry, joinRetryCap, state.joinAttempts++, *context.generator);
+            context.now + joinRetry / 2 + fullJitter(joinRetry, maxJoinRetry, state.joinAttempts++, *context.generator);
     } else {
         state.joinAttempts = 0;
         const milliseconds wait = isReader(state, readerDuty) ? readerContactInterval : contactInterval;
@@ -237,30 +237,32 @@
     }
 }
 
-void listRound(step &context)
+void listPullRound(step &context)
 {
     membership_state &state = context.state;
-    const bool isEarly = state.earlyLists > 0 && !state.liveKeys.empty();
-    state.earlyLists -= isEarly ? 1 : 0;
-    const milliseconds interval = isEarly ? listGap : listInterval;
+    const bool isEarlyPull = state.earlyListPullsLeft > 0 && !state.liveKeys.empty();
+    state.earlyListPullsLeft -= isEarlyPull ? 1 : 0;
+    const milliseconds interval = isEarlyPull ? minListPullInterval : listPullInterval;
     state.next.listPull = context.now + interval * 3 / 4 + jitter(context, interval / 2);
-    state.next.listAllowed = context.now + (isEarly ? listGap / 2 : listGap);
+    state.next.earliestListPull = context.now + (isEarlyPull ? minListPullInterval / 2 : minListPullInterval);
     for (const std::uint64_t key : randomLive(context, 1)) {
         context.actions.pulls.push_back({pull_kind::MemberList, state.members.at(key).data.sync, 0});
     }
 }
 
-// Pulls a list when no peer had the same live members for a while: news was dropped, as after a mass join.
-void compareRound(step &context)
+// Pulls a member list if no peer has reported the same live members for a while. Then updates were dropped, as happens
+// when many members join at once.
+void digestRound(step &context)
 {
     membership_state &state = context.state;
-    const duration patience = std::min<duration>(disagreementTime * (1U << state.digestRetries), listInterval);
-    if (context.now - state.lastAgreed < patience || liveKeys(state).empty()) {
+    const duration mismatchLimit =
+        std::min<duration>(digestMismatchTime * (1U << state.digestRetries), listPullInterval);
+    if (context.now - state.lastDigestMatch < mismatchLimit || liveKeys(state).empty()) {
         return;
     }
-    state.lastAgreed = context.now;
+    state.lastDigestMatch = context.now;
     state.digestRetries = std::min(state.digestRetries + 1, maxDigestRetries);
-    requestList(context, disagreementTime);
+    requestList(context, digestMismatchTime);
 }
 
 void drainRound(step &context)
@@ -288,7 +290,7 @@
 step beginStep(membership_state &state, time_point now, random_generator *generator)
 {
     step context{state, now, generator, {}};
-    const bool isPaused = now - state.lastEvent > pauseGap;
+    const bool isPaused = now - state.lastEvent > pauseThreshold;
     state.lastEvent = now;
     if (isPaused) {
         resumeAfterPause(context);
@@ -309,8 +311,8 @@
     raiseTo(state.ownHighest, {state.self.position, state.self.version});
     state.startedAt = now;
     state.lastEvent = now;
-    state.lastAgreed = now;
-    state.next.listPull = now + listInterval;
+    state.lastDigestMatch = now;
+    state.next.listPull = now + listPullInterval;
     step context{state, now, nullptr, {}};
     enqueueSelf(context, true);
     context.actions.viewChanged = true;
@@ -328,10 +330,10 @@
     }
     if (isDue(next.probe, now, probeInterval - milliseconds(50) + jitter(context, milliseconds(100)))) {
         probeRound(context);
-        compareRound(context);
+        digestRound(context);
     }
-    if (isDue(next.forget, now, forgetInterval)) {
-        forgetOld(context);
+    if (isDue(next.forget, now, tombstoneCheckInterval)) {
+        removeOldTombstones(context);
     }
     if (isDue(next.gossip, now, gossipInterval)) {
         gossipRound(context);
@@ -343,9 +345,9 @@
         deadProbeRound(context);
     }
     if (now >= next.listPull) {
-        listRound(context);
+        listPullRound(context);
     }
-    if (isDue(next.drain, now, drainRoundGap)) {
+    if (isDue(next.drain, now, drainRoundInterval)) {
         drainRound(context);
     }
     if (isDue(next.load, now, loadInterval(state) / 2 + jitter(context, loadInterval(state)))) {
@@ -358,12 +360,13 @@
 
 membership_actions onMemberList(membership_state &state, const member_list &list, time_point now)
 {
-    constexpr std::size_t maxPassedOn = 32; // more are known to most members already, or reach them by their own pulls
+    // Entries of longer lists are known to most members already, or reach them by their own pulls.
+    constexpr std::size_t maxForwardedEntries = 32;
     step context = beginStep(state, now);
-    const bool isPassedOn = list.entries.size() <= maxPassedOn;
+    const bool isForwarded = list.entries.size() <= maxForwardedEntries;
     for (const member_update &update : list.entries) {
         if (update.full && isWellFormed(update)) {
-            applyUpdate(context, update, isPassedOn);
+            applyUpdate(context, update, isForwarded);
         }
     }
     for (const auto &[key, seen] : list.highest) {
@@ -433,7 +436,7 @@
         context.actions.viewChanged = true;
         state.drainRounds = drainRoundCount;
         drainRound(context);
-        state.next.drain = now + drainRoundGap;
+        state.next.drain = now + drainRoundInterval;
     }
     return context.actions;
 }
--- a/packages/process/membership/membership_test.cc
+++ b/packages/process/membership/membership_test.cc
@@ -1,4 +1,5 @@
-// Guards the decisions of membership against lost, crossed, repeated, late and garbled datagrams, with fixed seeds.
+// Tests membership with lost, reordered, repeated, late and corrupted datagrams on a simulated network with fixed
+// seeds.
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -16,7 +17,7 @@
 }
 
 // Starts `count` ready nodes that know each other.
-datagram_network settled(std::size_t count, const network_options &options)
+datagram_network settledNetwork(std::size_t count, const network_options &options)
 {
     datagram_network network({.seed = options.seed});
     for (std::size_t index = 0; index < count; ++index) {
@@ -31,7 +32,7 @@
     return network;
 }
 
-const known_member *beliefOf(const datagram_network &network, std::size_t observer, std::size_t subject)
+const known_member *memberSeenBy(const datagram_network &network, std::size_t observer, std::size_t subject)
 {
     const auto &members = network.nodes[observer].state.members;
     const auto found = members.find(memberKey(network.nodes[subject].options.self.nodeId));
@@ -58,8 +59,8 @@
     return ids;
 }
 
-// Whether every running node believes exactly the running nodes to be alive.
-bool isAgreed(const datagram_network &network)
+// Returns whether every running node has exactly the running nodes as live members.
+bool nodesAgree(const datagram_network &network)
 {
     const std::set<std::string> expected = runningIds(network);
     return std::ranges::all_of(network.nodes, [&](const auto &node) {
@@ -70,47 +71,48 @@
 bool agreesWithin(datagram_network &network, duration length)
 {
     network.run(length, [&] {
-        return network.now.time_since_epoch() % seconds(1) == duration(0) && isAgreed(network);
+        return network.now.time_since_epoch() % seconds(1) == duration(0) && nodesAgree(network);
     });
-    return isAgreed(network);
+    return nodesAgree(network);
 }
 
-// What one observer process believed of one node at the last look.
-struct last_look
+// What one observer process knew of one node at the last check.
+struct observed_member
 {
     std::uint64_t observerStarted = 0;
     std::uint64_t incarnation = 0;
     std::uint64_t leftIncarnation = 0;
     bool isDead = false;
-    version_seen highest;
+    announced_version highest;
 };
 
-using looks = std::map<std::pair<std::size_t, std::size_t>, last_look>;
+using observations = std::map<std::pair<std::size_t, std::size_t>, observed_member>;
 
-bool looksBack(const known_member &known, const last_look &before)
+bool wentBackwards(const known_member &known, const observed_member &before)
 {
     const bool isSame = known.data.incarnation == before.incarnation;
     const bool isRevived = isSame && before.isDead && known.mark != member_mark::Dead;
-    const bool isUnleft = before.leftIncarnation == known.data.incarnation && known.data.state != member_state::Left;
+    const bool isLeaveUndone =
+        before.leftIncarnation == known.data.incarnation && known.data.state != member_state::Left;
     const bool isVersionLower =
         known.highest.position < before.highest.position || known.highest.version < before.highest.version;
-    return known.data.incarnation < before.incarnation || isRevived || isUnleft || isVersionLower;
+    return known.data.incarnation < before.incarnation || isRevived || isLeaveUndone || isVersionLower;
 }
 
-// Counts beliefs that went backwards since the last look.
-std::size_t violations(const datagram_network &network, looks &seen)
+// Counts member states that went backwards since the last check, and nodes that exceeded a size limit.
+std::size_t violations(const datagram_network &network, observations &seen)
 {
     std::size_t count = 0;
     for (std::size_t observer = 0; observer < network.nodes.size(); ++observer) {
         const membership_state &state = network.nodes[observer].state;
-        count += state.pending.size() > maxPending || network.nodes[observer].largestDatagram > 1'200 ? 1 : 0;
+        count += state.pending.size() > maxPendingUpdates || network.nodes[observer].largestDatagram > 1'200 ? 1 : 0;
         for (std::size_t subject = 0; subject < network.nodes.size(); ++subject) {
-            const known_member *known = beliefOf(network, observer, subject);
+            const known_member *known = memberSeenBy(network, observer, subject);
             if (known == nullptr) {
                 continue;
             }
-            last_look &before = seen[{observer, subject}];
-            if (before.observerStarted == state.self.started && looksBack(*known, before)) {
+            observed_member &before = seen[{observer, subject}];
+            if (before.observerStarted == state.self.started && wentBackwards(*known, before)) {
                 ++count;
             }
             const bool isLeft = known->data.state == member_state::Left;
@@ -133,7 +135,7 @@
     case 0:
         network.kill(index);
         break;
-    case 1: // the wall clock of the new process may be behind
+    case 1: // the wall clock of the new process may be behind the old one's
         network.restart(index, node.options.self.started + generator() % 20'000 - 5'000);
         network.setState(index, member_state::Ready);
         break;
@@ -156,7 +158,7 @@
 
 } // namespace
 
-TEST_CASE("news about a member gives one belief in any order and repetition")
+TEST_CASE("updates about a member give the same state in any order and when repeated")
 {
     random_generator generator(11);
     for (int round = 0; round < 5'000; ++round) {
@@ -164,7 +166,7 @@
         for (int count = 0; count < 8; ++count) {
             const std::uint64_t incarnation = 100 + generator() % 4;
             const auto mark = static_cast<member_mark>(generator() % 3);
-            // A revision fixes the state, because only the member itself writes it.
+            // Equal revisions imply equal states, because only the member itself changes them.
             const auto revision = static_cast<std::uint32_t>(generator() % 4);
             const auto state = static_cast<member_state>(revision);
             updates.push_back({1, 100, incarnation, revision, mark, state, revision, std::nullopt});
@@ -174,10 +176,10 @@
         for (const member_update &update : updates) {
             mergeUpdate(first, update);
         }
-        std::vector<member_update> crossed = updates;
-        crossed.insert(crossed.end(), updates.begin(), updates.end());
-        std::ranges::shuffle(crossed, generator);
-        for (const member_update &update : crossed) {
+        std::vector<member_update> reordered = updates;
+        reordered.insert(reordered.end(), updates.begin(), updates.end());
+        std::ranges::shuffle(reordered, generator);
+        for (const member_update &update : reordered) {
             mergeUpdate(second, update);
         }
         REQUIRE(first == second);
@@ -185,19 +187,19 @@
     }
 }
 
-TEST_CASE("no belief goes backwards under any sequence of faults, and all nodes agree after the faults end")
+TEST_CASE("no member state goes backwards during random faults, and all nodes agree after the faults end")
 {
     constexpr std::uint64_t sequences = 1'500;
-    std::size_t garbled = 0;
+    std::size_t badChecksums = 0;
     for (std::uint64_t seed = 1; seed <= sequences; ++seed) {
-        datagram_network network = settled(4,
-                                           {.loss = static_cast<double>(seed % 4) * 0.1,
-                                            .repeat = 0.1,
-                                            .garble = 0.05,
-                                            .minDelay = milliseconds(0),
-                                            .maxDelay = milliseconds(300),
-                                            .seed = seed});
-        looks seen;
+        datagram_network network = settledNetwork(4,
+                                                  {.loss = static_cast<double>(seed % 4) * 0.1,
+                                                   .repeat = 0.1,
+                                                   .garble = 0.05,
+                                                   .minDelay = milliseconds(0),
+                                                   .maxDelay = milliseconds(300),
+                                                   .seed = seed});
+        observations seen;
         std::uint64_t position = 0;
         for (int fault = 0; fault < 8; ++fault) {
             injectFault(network, position);
@@ -205,11 +207,11 @@
             INFO("seed " << seed);
             REQUIRE(violations(network, seen) == 0);
         }
-        // The only seed may be gone for good, so the nodes that are left find each other by `rendezvous`.
+        // The only seed may have stopped for good, so the other nodes find each other through stream `rendezvous`.
         std::vector<endpoint> endpoints;
         for (auto &node : network.nodes) {
             node.island = 0;
-            garbled += node.state.garbled.badChecksum;
+            badChecksums += node.state.malformed.badChecksum;
             endpoints.push_back(node.options.self.gossip);
         }
         for (std::size_t index = 0; index < network.nodes.size(); ++index) {
@@ -222,32 +224,32 @@
         REQUIRE(agreesWithin(network, seconds(90)));
         REQUIRE(violations(network, seen) == 0);
     }
-    CHECK(garbled > sequences);
+    CHECK(badChecksums > sequences);
 }
 
-TEST_CASE("every node knows of a drain within 3 s at 20% loss")
+TEST_CASE("every node learns of a drain within 3 s at 20% loss")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-        datagram_network network = settled(60, {.loss = 0.2, .maxDelay = milliseconds(20), .seed = seed});
+        datagram_network network = settledNetwork(60, {.loss = 0.2, .maxDelay = milliseconds(20), .seed = seed});
         network.drain(7);
         network.run(seconds(3));
         for (std::size_t observer = 0; observer < network.nodes.size(); ++observer) {
             INFO("seed " << seed << " observer " << observer);
-            REQUIRE((observer == 7 || beliefOf(network, observer, 7)->data.state == member_state::Draining));
+            REQUIRE((observer == 7 || memberSeenBy(network, observer, 7)->data.state == member_state::Draining));
         }
         REQUIRE_FALSE(isAccepting(network.nodes[7].state, network.now));
     }
 }
 
-TEST_CASE("a drain is sent to every member three times within a second, without waiting for gossip")
+TEST_CASE("a drain is announced to every member at once and three times within a second")
 {
-    datagram_network network = settled(20, {.seed = 4});
+    datagram_network network = settledNetwork(20, {.seed = 4});
     membership_state &state = network.nodes[3].state;
     std::map<std::string, int> notices;
     const auto count = [&](const membership_actions &actions) {
         for (const datagram &out : actions.sends) {
             const auto read = attempt([&] {
-                return decodeDatagram(out.bytes, state.garbled);
+                return decodeDatagram(out.bytes, state.malformed);
             });
             notices[toText(out.to)] += read && read->from.state == member_state::Draining ? 1 : 0;
         }
@@ -262,9 +264,9 @@
     }));
 }
 
-TEST_CASE("the response to a join tells the highest version of the joining node id")
+TEST_CASE("a join reply returns the highest version announced under the joining node's id")
 {
-    datagram_network network = settled(3, {.seed = 3});
+    datagram_network network = settledNetwork(3, {.seed = 3});
     network.setPosition(2, 31);
     network.run(seconds(2));
     message join;
@@ -279,15 +281,15 @@
                                                   network.generator);
     REQUIRE(actions.sends.size() == 1);
     const auto reply = attempt([&] {
-        return decodeDatagram(actions.sends[0].bytes, network.nodes[0].state.garbled);
+        return decodeDatagram(actions.sends[0].bytes, network.nodes[0].state.malformed);
     });
     REQUIRE(reply);
-    CHECK(reply->highest == version_seen{31, 31});
+    CHECK(reply->highest == announced_version{31, 31});
 }
 
-TEST_CASE("live members refute every suspicion that loss raises")
+TEST_CASE("live members refute every suspicion caused by datagram loss")
 {
-    datagram_network network = settled(40, {.loss = 0.25, .maxDelay = milliseconds(20), .seed = 5});
+    datagram_network network = settledNetwork(40, {.loss = 0.25, .maxDelay = milliseconds(20), .seed = 5});
     network.run(seconds(60));
     network.options = {.seed = 5};
     CHECK(agreesWithin(network, seconds(20)));
@@ -298,10 +300,10 @@
     CHECK(suspicions > 0);
 }
 
-TEST_CASE("a partition inside a data centre heals, whichever way the halves believed each other dead")
+TEST_CASE("a partition inside a data centre heals after both halves marked each other dead")
 {
-    datagram_network network = settled(40, {.seed = 6});
-    network.kill(0); // the only seed, so the halves find each other by pings to dead members
+    datagram_network network = settledNetwork(40, {.seed = 6});
+    network.kill(0); // the only seed, so the halves can find each other only by pings to dead members
     for (std::size_t index = 0; index < 20; ++index) {
         network.nodes[index].island = 1;
     }
@@ -314,9 +316,9 @@
     CHECK(agreesWithin(network, seconds(30)));
 }
 
-TEST_CASE("the survivors agree when half of the nodes are killed at once, and on their mass restart")
+TEST_CASE("the surviving nodes agree after half of the nodes are killed at once, and all agree after these restart")
 {
-    datagram_network network = settled(60, {.seed = 7});
+    datagram_network network = settledNetwork(60, {.seed = 7});
     for (std::size_t index = 1; index < 60; index += 2) {
         network.kill(index);
     }
@@ -327,14 +329,14 @@
     CHECK(agreesWithin(network, seconds(20)));
 }
 
-TEST_CASE("a paused node refuses until a peer responds, and raises its incarnation")
+TEST_CASE("a resumed node accepts no requests until a peer responds or 1 s passes, and raises its incarnation")
 {
-    datagram_network network = settled(10, {.seed = 8});
+    datagram_network network = settledNetwork(10, {.seed = 8});
     const std::uint64_t before = network.nodes[3].state.self.incarnation;
     network.pause(3, seconds(10));
     network.run(milliseconds(9'900));
     CHECK_FALSE(isAccepting(network.nodes[3].state, network.now));
-    CHECK(beliefOf(network, 0, 3)->mark == member_mark::Dead);
+    CHECK(memberSeenBy(network, 0, 3)->mark == member_mark::Dead);
     for (auto &node : network.nodes) {
         node.island = &node == &network.nodes[3] ? 1 : 0;
     }
@@ -344,7 +346,7 @@
     CHECK(isAccepting(network.nodes[3].state, network.now));
     network.nodes[3].island = 0;
     CHECK(agreesWithin(network, seconds(10)));
-    CHECK(beliefOf(network, 0, 3)->data.incarnation > before);
+    CHECK(memberSeenBy(network, 0, 3)->data.incarnation > before);
     network.pause(3, seconds(4));
     network.run(milliseconds(4'200));
     CHECK(isAccepting(network.nodes[3].state, network.now));
@@ -352,21 +354,21 @@
 
 TEST_CASE("a restarted node learns the highest version of its id, even if its clock went back")
 {
-    datagram_network network = settled(10, {.seed = 9});
+    datagram_network network = settledNetwork(10, {.seed = 9});
     network.setPosition(4, 77);
     network.run(seconds(2));
     network.kill(4);
     network.run(seconds(1));
     network.restart(4, 5);
-    CHECK(highestSeen(network.nodes[4].state, nameOf(4)) == version_seen{});
+    CHECK(highestSeen(network.nodes[4].state, nameOf(4)) == announced_version{});
     network.run(seconds(2));
-    CHECK(highestSeen(network.nodes[4].state, nameOf(4)) == version_seen{77, 77});
+    CHECK(highestSeen(network.nodes[4].state, nameOf(4)) == announced_version{77, 77});
     CHECK(agreesWithin(network, seconds(10)));
 }
 
-TEST_CASE("a new position reaches every member once")
+TEST_CASE("a new position reaches every member within 3 s at 20% loss")
 {
-    datagram_network network = settled(60, {.loss = 0.2, .maxDelay = milliseconds(5), .seed = 10});
+    datagram_network network = settledNetwork(60, {.loss = 0.2, .maxDelay = milliseconds(5), .seed = 10});
     network.setPosition(2, 5);
     network.run(seconds(3));
     for (const auto &node : network.nodes) {
@@ -374,11 +376,11 @@
     }
 }
 
-TEST_CASE("readers agree for equal views, and change by one when one leaves")
+TEST_CASE("nodes with equal views choose the same readers, and one reader changes when a reader drains")
 {
-    datagram_network network = settled(30, {.seed = 12});
-    for (int duty = 0; duty < 200; ++duty) {
-        const std::string name = "duty-" + std::to_string(duty);
+    datagram_network network = settledNetwork(30, {.seed = 12});
+    for (int task = 0; task < 200; ++task) {
+        const std::string name = "duty-" + std::to_string(task);
         const auto readers = readersOf(network.nodes[0].state, name);
         REQUIRE(readers.size() == 3);
         for (const auto &node : network.nodes) {
@@ -399,12 +401,12 @@
     CHECK(after[1].nodeId == before[2].nodeId);
 }
 
-TEST_CASE("data centres exchange summaries and positions through their readers, lose each other and heal")
+TEST_CASE("data centres exchange summaries and positions through their readers, drop them in a partition, and recover")
 {
     datagram_network network({.maxDelay = milliseconds(2), .seed = 13});
     for (std::size_t index = 0; index < 15; ++index) {
         const std::string dataCentre = "be-" + std::to_string(index % 3);
-        // The seeds of each data centre include one of another; be-2 is known to nobody in be-0.
+        // The first node of each data centre has one of the next as its seed; no node of be-0 has a seed in be-2.
         const std::vector<std::size_t> seeds =
             index < 3 ? std::vector<std::size_t>{(index + 1) % 3} : std::vector{index % 3};
         network.add(nameOf(index), dataCentre, "orders", seeds);
--- a/packages/process/membership/message.cc
+++ b/packages/process/membership/message.cc
@@ -9,7 +9,7 @@
 
 constexpr std::uint16_t datagramFormat = 1;
 constexpr std::size_t shortUpdateBytes = 40;
-constexpr std::size_t fixedEntryBytes = 110; // numbers and four ports of an entry
+constexpr std::size_t fixedEntryBytes = 110; // the numbers and the four ports of an entry
 constexpr std::size_t fixedSummaryBytes = 40;
 constexpr std::size_t fixedNodeBytes = 20;
 
@@ -71,7 +71,7 @@
         && (!update.full || (update.full->state <= member_state::Left && memberKey(update.full->nodeId) == update.key));
 }
 
-std::size_t encodedBound(const member_update &update)
+std::size_t maxEncodedBytes(const member_update &update)
 {
     if (!update.full) {
         return shortUpdateBytes;
@@ -83,7 +83,7 @@
     return shortUpdateBytes + fixedEntryBytes + names + addresses;
 }
 
-std::size_t encodedBound(const service_summary &summary)
+std::size_t maxEncodedBytes(const service_summary &summary)
 {
     std::size_t bytes = fixedSummaryBytes + summary.dataCentre.size() + summary.service.size();
     for (const summary_node &node : summary.nodes) {
--- a/packages/process/membership/message.h
+++ b/packages/process/membership/message.h
@@ -1,5 +1,5 @@
-// Datagrams of membership. Every datagram carries the sender's own state, so each one is also a heartbeat and an
-// announcement of position and version.
+// Datagrams of the membership protocol. Each one carries the sender's own state, so it also serves as a heartbeat and
+// as an announcement of position and version.
 //
 //   const std::string bytes = encodeBounded(ping);
 //   const auto read = attempt([&] { return decodeDatagram(bytes, counters); });
@@ -19,15 +19,15 @@
 {
     Ping, // asks for an Ack with the same sequence
     Ack,
-    PingRequest, // asks the receiver to ping `target` and to pass the Ack on
-    Gossip, // carries only updates
-    Announce, // the sender's position advanced
-    Join, // the sender looks for members of its data centre and for other data centres
+    PingRequest, // asks the receiver to ping `target` and to forward the Ack
+    Gossip, // carries updates, or the sender's entry, and needs no response
+    Announce, // reports that the sender's position advanced
+    Join, // asks for members of the sender's data centre and for contacts in other data centres
     JoinReply,
-    Load, // the load of the sender's worker, for the readers
-    Link, // between data centres: readers, position and summaries of the sender's data centre
+    Load, // reports the load of the sender's worker to the readers
+    Link, // to another data centre: readers, position and summaries of the sender's data centre
     LinkReply,
-    Summaries, // summaries of other data centres, spread inside one
+    Summaries, // distributes summaries of other data centres inside a data centre
 };
 
 // State of the sender.
@@ -43,7 +43,7 @@
     std::uint64_t version = 0;
     std::uint32_t schema = 0;
     worker_load load;
-    std::uint32_t digest = 0; // of the live members that the sender knows, with itself
+    std::uint32_t digest = 0; // of the live members that the sender knows, including itself
 
     friend bool operator==(const sender_info &, const sender_info &) = default;
 
@@ -54,7 +54,7 @@
     }
 };
 
-// Gossip addresses of a data centre's readers, and how long ago they were heard of.
+// Gossip addresses of a data centre's readers, and the time since the data centre was last heard from.
 struct link_record
 {
     std::string dataCentre;
@@ -70,7 +70,7 @@
     }
 };
 
-// A ready worker that a summary names.
+// A ready worker that is listed in a summary.
 struct summary_node
 {
     std::string nodeId;
@@ -87,14 +87,14 @@
     }
 };
 
-// What a data centre tells others about one of its services.
+// Summary of one service of a data centre, for other data centres.
 struct service_summary
 {
     std::string dataCentre;
     std::string service;
-    std::uint64_t stamp = 0; // time in ms at the reader that wrote it; a higher stamp is newer
-    std::uint32_t ageMs = 0; // age when it was sent
-    std::uint32_t ttlMs = 0; // expires at this age
+    std::uint64_t timestampMs = 0; // time in ms at the reader that wrote it; equal means the same summary
+    std::uint32_t ageMs = 0; // age at the time of sending
+    std::uint32_t ttlMs = 0; // age at which it expires
     std::uint32_t readyWorkers = 0;
     std::uint32_t spareSlots = 0;
     std::vector<summary_node> nodes;
@@ -104,20 +104,20 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(dataCentre, service, stamp, ageMs, ttlMs, readyWorkers, spareSlots, nodes);
+        archive(dataCentre, service, timestampMs, ageMs, ttlMs, readyWorkers, spareSlots, nodes);
     }
 };
 
-// One datagram. Unused parts take one byte each.
+// Content of one datagram. Each unused field takes one byte.
 struct message
 {
     message_kind kind = message_kind::Ping;
     std::uint32_t dataCentre = 0; // dataCentreTag of the sender
     sender_info from;
     std::uint64_t sequence = 0;
-    std::uint64_t target = 0; // PingRequest: whom to ping; Ack: who responded, if not the sender
-    bool wantsEntry = false; // the sender does not know the receiver's full entry
-    version_seen highest; // JoinReply: the highest that the receiver's node id announced
+    std::uint64_t target = 0; // PingRequest: member to ping; Ack: member that responded, 0 for the sender
+    bool wantsEntry = false; // asks the receiver for its full entry, which the sender lacks
+    announced_version highest; // JoinReply: highest announced under the receiver's node id
     std::optional<member> entry; // full entry of the sender
     std::vector<member_update> updates;
     std::vector<link_record> links;
@@ -133,17 +133,18 @@
 // dataCentreTag returns the short tag of a data centre's name. Thread safe.
 std::uint32_t dataCentreTag(std::string_view dataCentre);
 
-// encodeBounded encodes a message in at most maxDatagramBytes; it drops what stands last in the lists. Thread safe.
+// encodeBounded encodes a message in at most maxDatagramBytes. To fit, it drops items from the end of the summaries,
+// then of the links, then of the updates. Thread safe.
 std::string encodeBounded(message datagram);
 
 // decodeDatagram reads a datagram. Thread safe for separate counters. Fails with Corrupt or UnreadableSchema.
 result<message> decodeDatagram(std::string_view bytes, decode_counters &counters);
 
-// isWellFormed returns whether every value of an update is in range and its key fits its entry. Thread safe.
+// isWellFormed returns whether mark and state are in range and the key matches the full entry, if any. Thread safe.
 bool isWellFormed(const member_update &update);
 
-// Upper bound of the bytes that an item takes in a datagram.
-std::size_t encodedBound(const member_update &update);
-std::size_t encodedBound(const service_summary &summary);
+// maxEncodedBytes returns an upper bound of the bytes that an item takes in a datagram.
+std::size_t maxEncodedBytes(const member_update &update);
+std::size_t maxEncodedBytes(const service_summary &summary);
 
 } // namespace pistachioquay
--- a/packages/process/membership/outgoing.cc
+++ b/packages/process/membership/outgoing.cc
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::size_t linksPerDatagram = 2;
-constexpr std::size_t updateBudgetBytes = maxDatagramBytes - 300; // leaves room for the sender's state and its links
-constexpr milliseconds recordRetry{300}; // a pull that was refused is tried again at another sender
+constexpr std::size_t updateBudgetBytes = maxDatagramBytes - 300; // the rest is for the sender's state and links
+constexpr milliseconds recordPullRetry{300}; // minimum wait before a refused pull is retried at another sender
 
 } // namespace
 
@@ -33,23 +33,23 @@
     return datagram;
 }
 
-void addUpdates(step &context, message &datagram, std::uint64_t aboutFirst)
+void addUpdates(step &context, message &datagram, std::uint64_t recipientKey)
 {
     membership_state &state = context.state;
-    std::size_t left = updateBudgetBytes;
+    std::size_t bytesLeft = updateBudgetBytes;
     const auto add = [&](const member_update &update) {
-        const std::size_t bytes = encodedBound(update);
-        if (bytes > left) {
+        const std::size_t bytes = maxEncodedBytes(update);
+        if (bytes > bytesLeft) {
             return false;
         }
-        left -= bytes;
+        bytesLeft -= bytes;
         datagram.updates.push_back(update);
         return true;
     };
-    // A member that is suspect, dead or behind its own earlier incarnation must hear of it in order to refute.
-    const auto about = state.members.find(aboutFirst);
-    if (about != state.members.end() && about->second.mark != member_mark::Alive) {
-        add(updateOf(about->second, false));
+    // A member that is marked suspect or dead must learn of it in order to refute it.
+    const auto recipient = state.members.find(recipientKey);
+    if (recipient != state.members.end() && recipient->second.mark != member_mark::Alive) {
+        add(updateOf(recipient->second, false));
     }
     std::ranges::stable_sort(state.pending, std::ranges::greater(), &pending_update::sendsLeft);
     for (pending_update &item : state.pending) {
@@ -59,7 +59,7 @@
             item.sendsLeft = 0;
             continue;
         }
-        if (!add(updateOf(isSelf ? ownBelief(state) : known->second, item.isFull))) {
+        if (!add(updateOf(isSelf ? ownMember(state) : known->second, item.isFull))) {
             break;
         }
         --item.sendsLeft;
@@ -103,7 +103,7 @@
 void sendToAll(step &context, message_kind kind)
 {
     message datagram = newMessage(context.state, kind);
-    datagram.updates.push_back(updateOf(ownBelief(context.state), false));
+    datagram.updates.push_back(updateOf(ownMember(context.state), false));
     const std::string bytes = encodeBounded(datagram);
     for (const std::uint64_t key : liveKeys(context.state)) {
         context.actions.sends.push_back({context.state.members.at(key).data.gossip, bytes});
@@ -127,7 +127,7 @@
 {
     const milliseconds wait = context.generator == nullptr ? within : jitter(context, within);
     schedule &next = context.state.next;
-    next.listPull = std::min(next.listPull, std::max(context.now + wait, next.listAllowed));
+    next.listPull = std::min(next.listPull, std::max(context.now + wait, next.earliestListPull));
 }
 
 void requestRecords(step &context, const endpoint &sync, std::uint64_t position)
@@ -137,7 +137,7 @@
         return;
     }
     state.pulledPosition = position;
-    state.next.recordPull = context.now + recordRetry + jitter(context, recordRetry);
+    state.next.recordPull = context.now + recordPullRetry + jitter(context, recordPullRetry);
     context.actions.pulls.push_back({pull_kind::Records, sync, position});
 }
 
--- a/packages/process/membership/receive.cc
+++ b/packages/process/membership/receive.cc
@@ -10,9 +10,10 @@
 namespace {
 
 constexpr std::size_t maxRelays = 256;
-constexpr milliseconds listAfterJoin{3'000}; // many may join at once, and the first list lacks the others
+constexpr milliseconds joinListDelay{3'000}; // many nodes may join at once, and the first list lacks the later ones
 
-// Tells the sender what it must refute: a mark, or an incarnation above its own that an earlier process had.
+// Adds the stored state if its incarnation is higher than the sender's, as after a restart with a clock that went back,
+// so that the sender can raise its own. Suspect and dead marks are added by addUpdates and handleJoin.
 void addCorrection(step &context, const message &received, message &reply)
 {
     const auto found = context.state.members.find(received.from.key);
@@ -52,23 +53,23 @@
     sendToKey(context, request.target, std::move(ping));
 }
 
-void noteAnswer(step &context, std::uint64_t sequence)
+void recordPeerResponse(step &context, std::uint64_t sequence)
 {
     membership_state &state = context.state;
-    if (sequence <= state.answerFloor || sequence > state.lastSequence) {
+    if (sequence <= state.lastSequenceBeforePause || sequence > state.lastSequence) {
         return;
     }
-    if (state.firstAnswer == time_point{}) {
-        state.firstAnswer = context.now;
+    if (state.firstResponseAt == time_point{}) {
+        state.firstResponseAt = context.now;
     }
-    state.isAnswered = true;
+    state.hasPeerResponded = true;
 }
 
 void handleAck(step &context, const endpoint &from, const message &ack)
 {
     membership_state &state = context.state;
     const std::uint64_t responder = ack.target != 0 ? ack.target : ack.from.key;
-    noteAnswer(context, ack.sequence);
+    recordPeerResponse(context, ack.sequence);
     std::erase_if(state.probes, [&](const probe &waiting) {
         return waiting.sequence == ack.sequence && waiting.key == responder;
     });
@@ -92,14 +93,14 @@
 void addRandomEntries(step &context, message &reply)
 {
     constexpr std::size_t entriesPerReply = 8;
-    std::size_t left = maxDatagramBytes / 2;
+    std::size_t bytesLeft = maxDatagramBytes / 2;
     for (const std::uint64_t key : randomLive(context, entriesPerReply, reply.target)) {
         const member_update update = updateOf(context.state.members.at(key), true);
-        const std::size_t bytes = encodedBound(update);
-        if (bytes > left) {
+        const std::size_t bytes = maxEncodedBytes(update);
+        if (bytes > bytesLeft) {
             break;
         }
-        left -= bytes;
+        bytesLeft -= bytes;
         reply.updates.push_back(update);
     }
 }
@@ -110,7 +111,7 @@
     reply.sequence = join.sequence;
     reply.entry = context.state.self;
     if (isOwnDataCentre) {
-        reply.highest = internal::seenOf(context.state, join.from.key);
+        reply.highest = internal::highestAnnouncedBy(context.state, join.from.key);
         addCorrection(context, join, reply);
         const auto known = context.state.members.find(join.from.key);
         if (known != context.state.members.end() && known->second.mark != member_mark::Alive) {
@@ -129,22 +130,23 @@
     if (!isOwnDataCentre || !reply.entry) {
         return;
     }
-    noteAnswer(context, reply.sequence);
+    recordPeerResponse(context, reply.sequence);
     raiseTo(context.state.ownHighest, reply.highest);
     schedule &next = context.state.next;
-    if (context.now >= next.listAllowed) {
-        next.listAllowed = context.now + listAfterJoin;
-        requestList(context, listAfterJoin);
+    if (context.now >= next.earliestListPull) {
+        next.earliestListPull = context.now + joinListDelay;
+        requestList(context, joinListDelay);
         context.actions.pulls.push_back({pull_kind::MemberList, reply.entry->sync, 0});
     }
 }
 
-// A member that is marked hears of it from whomever it sends to, not only from those that ping it.
+// Sends the sender its suspect or dead mark, so that it learns of the mark from every member that it sends to. Replies
+// to Ping and Join carry the mark anyway.
 void correctSender(step &context, const endpoint &from, const message &received)
 {
     const auto found = context.state.members.find(received.from.key);
-    const bool isAnsweredAnyway = received.kind == message_kind::Ping || received.kind == message_kind::Join;
-    if (found == context.state.members.end() || isAnsweredAnyway) {
+    const bool isCorrectedByReply = received.kind == message_kind::Ping || received.kind == message_kind::Join;
+    if (found == context.state.members.end() || isCorrectedByReply) {
         return;
     }
     const known_member &known = found->second;
@@ -160,7 +162,7 @@
 {
     context.state.lastHeard = context.now;
     if (received.from.digest == context.state.liveDigest) {
-        context.state.lastAgreed = context.now;
+        context.state.lastDigestMatch = context.now;
         context.state.digestRetries = 0;
     }
     applySender(context, received);
@@ -213,7 +215,7 @@
     membership_state &state, const endpoint &from, std::string_view bytes, time_point now, random_generator &generator)
 {
     step context = beginStep(state, now, &generator);
-    const result<message> read = decodeDatagram(bytes, state.garbled);
+    const result<message> read = decodeDatagram(bytes, state.malformed);
     if (!read || read->from.key == selfKey(state)) {
         return context.actions;
     }
--- a/packages/process/membership/summaries.cc
+++ b/packages/process/membership/summaries.cc
@@ -7,17 +7,17 @@
 namespace {
 
 constexpr milliseconds minLoadInterval{500};
-constexpr milliseconds loadIntervalPerMember{15}; // keeps the reports at a reader at 67 a second
+constexpr milliseconds loadIntervalPerMember{15}; // limits a reader to 67 reports a second
 constexpr std::size_t nodesPerSummary = 3;
 constexpr milliseconds minSummaryTtl{10'000};
 constexpr std::size_t summariesPerDatagram = 6;
 constexpr milliseconds minLinkInterval{1'000};
-constexpr std::int64_t linksPerSecond = 2; // bounds the bytes of a reader, with about 1 KB per link and round
+constexpr std::int64_t linksPerSecond = 2; // limits the traffic of a reader, at about 1 KB per link and round
 
-std::uint32_t spareOf(const member &data)
+std::uint32_t spareSlotsOf(const member &data)
 {
-    const std::uint32_t taken = data.load.running + data.load.waiting;
-    return data.slots > taken ? data.slots - taken : 0;
+    const std::uint32_t usedSlots = data.load.running + data.load.waiting;
+    return data.slots > usedSlots ? data.slots - usedSlots : 0;
 }
 
 struct candidate
@@ -28,7 +28,8 @@
 
 void addNodes(service_summary &summary, std::vector<candidate> &candidates)
 {
-    // Workers with spare slots come first; among these the order is stable, so that the addresses change little.
+    // Workers with spare slots come first. Within each group a hash fixes the order, so that the listed workers seldom
+    // change.
     std::ranges::sort(candidates, [&](const candidate &left, const candidate &right) {
         const bool leftHasSpare = left.spare > 0;
         const bool rightHasSpare = right.spare > 0;
@@ -60,24 +61,25 @@
 
 std::map<std::string, service_summary> ownSummaries(const membership_state &state, time_point now)
 {
-    const duration loadLease = std::max<duration>(seconds(5), loadInterval(state) * 4);
+    const duration maxLoadAge = std::max<duration>(seconds(5), loadInterval(state) * 4);
     std::map<std::string, std::vector<candidate>> services;
     if (state.self.state == member_state::Ready) {
-        services[state.self.service].push_back({&state.self, spareOf(state.self)});
+        services[state.self.service].push_back({&state.self, spareSlotsOf(state.self)});
     }
     for (const auto &[key, known] : state.members) {
         if (isLive(known) && known.data.state == member_state::Ready) {
-            const bool isFresh = known.loadAt != time_point{} && now - known.loadAt < loadLease;
-            services[known.data.service].push_back({&known.data, isFresh ? spareOf(known.data) : 0});
+            const bool isFresh = known.loadAt != time_point{} && now - known.loadAt < maxLoadAge;
+            services[known.data.service].push_back({&known.data, isFresh ? spareSlotsOf(known.data) : 0});
         }
     }
     const auto datagrams = static_cast<std::int64_t>(services.size() / summariesPerDatagram + 1);
     const milliseconds ttl = minSummaryTtl + linkInterval(state) * datagrams;
-    const std::uint64_t stamp = state.self.started + static_cast<std::uint64_t>(millisBetween(state.startedAt, now));
+    const std::uint64_t timestampMs =
+        state.self.started + static_cast<std::uint64_t>(millisBetween(state.startedAt, now));
     std::map<std::string, service_summary> summaries;
     for (auto &[service, candidates] : services) {
         service_summary
-            summary{state.self.dataCentre, service, stamp, 0, static_cast<std::uint32_t>(ttl.count()), 0, 0, {}};
+            summary{state.self.dataCentre, service, timestampMs, 0, static_cast<std::uint32_t>(ttl.count()), 0, 0, {}};
         summary.readyWorkers = static_cast<std::uint32_t>(candidates.size());
         for (const candidate &ready : candidates) {
             summary.spareSlots += ready.spare;
--- a/packages/process/membership/table.cc
+++ b/packages/process/membership/table.cc
@@ -12,18 +12,18 @@
 
 constexpr std::uint32_t sendsPerLog = 3;
 constexpr std::uint32_t minSends = 6;
-constexpr seconds tombstoneTime{24 * 3'600}; // longer than any delayed news about a dead member
-constexpr milliseconds listAfterUnknown{5'000};
-constexpr std::size_t pendingForList = 64; // more updates take longer to pass on than a list takes to pull
-constexpr milliseconds listAfterHeal{5'000};
+constexpr seconds tombstoneTime{24 * 3'600}; // longer than any update about a dead member can be delayed
+constexpr milliseconds unknownMemberListDelay{5'000};
+constexpr std::size_t backlogThreshold = 64; // sending more updates takes longer than pulling a list
+constexpr milliseconds healListDelay{5'000};
 
 bool isReadyNow(const known_member &known)
 {
     return isLive(known) && known.data.state == member_state::Ready;
 }
 
-// The parts of a belief that are compared before and after news.
-struct brief
+// The fields of a known member that are compared before and after an update.
+struct compared_fields
 {
     member_mark mark = member_mark::Alive;
     std::uint64_t incarnation = 0;
@@ -32,7 +32,7 @@
     bool isReady = false;
 };
 
-brief briefOf(const known_member &known)
+compared_fields comparedFieldsOf(const known_member &known)
 {
     return {known.mark, known.data.incarnation, known.data.started, known.dataStarted, isReadyNow(known)};
 }
@@ -40,11 +40,11 @@
 void refute(step &context, const member_update &update)
 {
     member &self = context.state.self;
-    // A node that left corrects only the belief that it did not.
+    // A node that has left refutes only updates that say it has not.
     if (self.state == member_state::Left && (update.state == member_state::Left || update.mark == member_mark::Dead)) {
         return;
     }
-    // An earlier process whose clock was ahead: its start time must not hide this process.
+    // If an earlier process had a clock ahead of this one, its later start time must not make this process look older.
     const bool isNewProcess = update.started > self.started;
     self.started = isNewProcess ? update.started + 1 : self.started;
     self.incarnation = std::max(self.incarnation, update.incarnation) + 1;
@@ -60,7 +60,7 @@
     return static_cast<std::uint32_t>(all);
 }
 
-bool concernsSelf(const member &self, const member_update &update)
+bool needsRefutation(const member &self, const member_update &update)
 {
     if (update.incarnation != self.incarnation) {
         return update.incarnation > self.incarnation;
@@ -68,15 +68,16 @@
     return update.mark != member_mark::Alive || update.revision > self.revision || update.started > self.started;
 }
 
-// Makes room by forgetting the member that has been dead or left for the longest time.
-bool makeRoom(membership_state &state)
+// Ensures that one more member can be added: if the table is full, removes the dead or left member with the oldest
+// update. Returns false if all members are live.
+bool ensureCapacity(membership_state &state)
 {
     if (state.members.size() < maxMembers) {
         return true;
     }
     auto oldest = state.members.end();
     for (auto entry = state.members.begin(); entry != state.members.end(); ++entry) {
-        const bool isOlder = oldest == state.members.end() || entry->second.lastNews < oldest->second.lastNews;
+        const bool isOlder = oldest == state.members.end() || entry->second.lastUpdateAt < oldest->second.lastUpdateAt;
         if (!isLive(entry->second) && isOlder) {
             oldest = entry;
         }
@@ -91,10 +92,10 @@
 known_member *addMember(step &context, const member_update &update)
 {
     if (!update.full) {
-        requestList(context, listAfterUnknown);
+        requestList(context, unknownMemberListDelay);
         return nullptr;
     }
-    if (update.full->dataCentre != context.state.self.dataCentre || !makeRoom(context.state)) {
+    if (update.full->dataCentre != context.state.self.dataCentre || !ensureCapacity(context.state)) {
         ++context.state.counters.dropped;
         return nullptr;
     }
@@ -119,7 +120,7 @@
     return memberKey(state.self.nodeId);
 }
 
-known_member ownBelief(const membership_state &state)
+known_member ownMember(const membership_state &state)
 {
     known_member own;
     own.data = state.self;
@@ -136,21 +137,21 @@
 void enqueue(step &context, std::uint64_t key, bool isFull)
 {
     std::vector<pending_update> &pending = context.state.pending;
-    const auto logOfCount = static_cast<std::uint32_t>(std::bit_width(liveCount(context.state)));
-    const bool isCrowded = pending.size() > pendingForList;
-    const std::uint32_t sends = isCrowded ? minSends : std::max(minSends, sendsPerLog * logOfCount);
+    const auto logOfLiveCount = static_cast<std::uint32_t>(std::bit_width(liveCount(context.state)));
+    const bool isBacklogged = pending.size() > backlogThreshold;
+    const std::uint32_t sends = isBacklogged ? minSends : std::max(minSends, sendsPerLog * logOfLiveCount);
     const auto found = std::ranges::find(pending, key, &pending_update::key);
     if (found != pending.end()) {
         isFull = isFull || found->isFull;
         pending.erase(found);
     }
-    if (pending.size() >= maxPending) {
+    if (pending.size() >= maxPendingUpdates) {
         pending.erase(std::ranges::min_element(pending, {}, &pending_update::sendsLeft));
         ++context.state.counters.dropped;
     }
     pending.push_back({key, sends, isFull});
-    if (pending.size() > pendingForList) {
-        requestList(context, listAfterUnknown);
+    if (pending.size() > backlogThreshold) {
+        requestList(context, unknownMemberListDelay);
     }
 }
 
@@ -159,11 +160,11 @@
     enqueue(context, selfKey(context.state), isFull);
 }
 
-void applyUpdate(step &context, const member_update &update, bool isPassedOn)
+void applyUpdate(step &context, const member_update &update, bool isForwarded)
 {
     membership_state &state = context.state;
     if (update.key == selfKey(state)) {
-        if (concernsSelf(state.self, update)) {
+        if (needsRefutation(state.self, update)) {
             refute(context, update);
         }
         return;
@@ -174,7 +175,7 @@
     if (known == nullptr) {
         return;
     }
-    const brief before = isKnown ? briefOf(*known) : brief{};
+    const compared_fields before = isKnown ? comparedFieldsOf(*known) : compared_fields{};
     const bool isChanged = mergeUpdate(*known, update) || !isKnown;
     if (update.full) {
         raiseTo(known->highest, {update.full->position, update.full->version});
@@ -182,7 +183,7 @@
     if (!isChanged) {
         return;
     }
-    known->lastNews = context.now;
+    known->lastUpdateAt = context.now;
     if (before.mark != known->mark || before.incarnation != known->data.incarnation) {
         known->markedAt = context.now;
         known->isOwnSuspicion = false;
@@ -196,11 +197,11 @@
         known->readySince = context.now;
     }
     if (isKnown && before.mark == member_mark::Dead && isLive(*known)) {
-        requestList(context, listAfterHeal);
+        requestList(context, healListDelay);
     }
     state.isLiveDirty = true;
     context.actions.viewChanged = true;
-    if (isPassedOn) {
+    if (isForwarded) {
         enqueue(context, update.key, !isKnown || before.dataStarted != known->dataStarted);
     }
 }
@@ -226,7 +227,7 @@
     }
     known_member &known = found->second;
     raiseTo(known.highest, {from.position, from.version});
-    known.lastNews = context.now;
+    known.lastUpdateAt = context.now;
     if (known.data.started == from.started) {
         known.data.position = std::max(known.data.position, from.position);
         known.data.version = std::max(known.data.version, from.version);
@@ -250,10 +251,10 @@
     applyUpdate(context, update, true);
 }
 
-void forgetOld(step &context)
+void removeOldTombstones(step &context)
 {
     std::erase_if(context.state.members, [&](const auto &entry) {
-        return !isLive(entry.second) && entry.second.lastNews + tombstoneTime < context.now;
+        return !isLive(entry.second) && entry.second.lastUpdateAt + tombstoneTime < context.now;
     });
 }
 
@@ -292,10 +293,10 @@
     return milliseconds((*context.generator)() % static_cast<std::uint64_t>(upTo.count() + 1));
 }
 
-std::uint64_t rendezvousWeight(std::uint64_t key, std::string_view duty)
+std::uint64_t rendezvousWeight(std::uint64_t key, std::string_view task)
 {
-    // The finalizer of splitmix64: every bit of the key and of the duty changes about half of the bits.
-    std::uint64_t mixed = key ^ hash64(duty);
+    // Finalizer of splitmix64: every bit of the key and of the task's hash changes about half of the result's bits.
+    std::uint64_t mixed = key ^ hash64(task);
     mixed = (mixed ^ (mixed >> 30U)) * 0xbf58'476d'1ce4'e5b9U;
     mixed = (mixed ^ (mixed >> 27U)) * 0x94d0'49bb'1331'11ebU;
     return mixed ^ (mixed >> 31U);
--- a/packages/process/membership/view.cc
+++ b/packages/process/membership/view.cc
@@ -38,10 +38,10 @@
 
 namespace internal {
 
-version_seen seenOf(const membership_state &state, std::uint64_t key)
+announced_version highestAnnouncedBy(const membership_state &state, std::uint64_t key)
 {
     const auto found = state.members.find(key);
-    return found == state.members.end() ? version_seen{} : found->second.highest;
+    return found == state.members.end() ? announced_version{} : found->second.highest;
 }
 
 } // namespace internal
@@ -49,7 +49,7 @@
 member_list memberList(const membership_state &state, time_point now)
 {
     member_list list;
-    list.entries.push_back(updateOf(ownBelief(state), true));
+    list.entries.push_back(updateOf(ownMember(state), true));
     for (const auto &[key, known] : state.members) {
         list.entries.push_back(updateOf(known, true));
         list.highest.emplace(key, known.highest);
@@ -73,15 +73,15 @@
     return live;
 }
 
-std::vector<member> readersOf(const membership_state &state, std::string_view duty)
+std::vector<member> readersOf(const membership_state &state, std::string_view task)
 {
     std::vector<std::pair<std::uint64_t, const member *>> ranked;
     if (state.self.state < member_state::Draining) {
-        ranked.emplace_back(rendezvousWeight(selfKey(state), duty), &state.self);
+        ranked.emplace_back(rendezvousWeight(selfKey(state), task), &state.self);
     }
     for (const auto &[key, known] : state.members) {
         if (isCandidate(known)) {
-            ranked.emplace_back(rendezvousWeight(key, duty), &known.data);
+            ranked.emplace_back(rendezvousWeight(key, task), &known.data);
         }
     }
     const std::size_t count = std::min(readerCount, ranked.size());
@@ -96,14 +96,14 @@
     return readers;
 }
 
-bool isReader(const membership_state &state, std::string_view duty)
+bool isReader(const membership_state &state, std::string_view task)
 {
     if (state.self.state >= member_state::Draining) {
         return false;
     }
-    const std::uint64_t own = rendezvousWeight(selfKey(state), duty);
+    const std::uint64_t own = rendezvousWeight(selfKey(state), task);
     const auto ahead = std::ranges::count_if(state.members, [&](const auto &entry) {
-        return isCandidate(entry.second) && rendezvousWeight(entry.first, duty) > own;
+        return isCandidate(entry.second) && rendezvousWeight(entry.first, task) > own;
     });
     return static_cast<std::size_t>(ahead) < readerCount;
 }
@@ -112,7 +112,7 @@
 {
     worker_view view;
     if (state.self.state == member_state::Ready) {
-        known_member own = ownBelief(state);
+        known_member own = ownMember(state);
         own.readySince = state.readySince;
         view.services[state.self.service].local.push_back(toWorker(own));
     }
@@ -132,20 +132,20 @@
 
 bool isAccepting(const membership_state &state, time_point now)
 {
-    const bool isPaused = now - state.lastEvent > pauseGap;
-    const bool isGated = !state.isAnswered && now < state.gateUntil;
+    const bool isPaused = now - state.lastEvent > pauseThreshold;
+    const bool isGated = !state.hasPeerResponded && now < state.gateUntil;
     return !isPaused && !isGated && state.self.state < member_state::Draining;
 }
 
-version_seen highestSeen(const membership_state &state, std::string_view nodeId)
+announced_version highestSeen(const membership_state &state, std::string_view nodeId)
 {
     const std::uint64_t key = memberKey(nodeId);
-    return key == selfKey(state) ? state.ownHighest : seenOf(state, key);
+    return key == selfKey(state) ? state.ownHighest : highestAnnouncedBy(state, key);
 }
 
-version_seen highestAnnounced(const membership_state &state)
+announced_version highestAnnounced(const membership_state &state)
 {
-    version_seen highest = state.ownHighest;
+    announced_version highest = state.ownHighest;
     for (const auto &[key, known] : state.members) {
         raiseTo(highest, known.highest);
     }
