--- a/packages/pistachioquay/explain/explain.cc
+++ b/packages/pistachioquay/explain/explain.cc
@@ -56,7 +56,7 @@
     }
 }
 
-std::optional<double> numberOf(const node_line &line, std::string_view key)
+std::optional<double> numberOf(const log_entry &line, std::string_view key)
 {
     const std::string_view text = valueOf(line, key);
     double number = 0;
@@ -64,53 +64,53 @@
     return failure == std::errc{} ? std::optional(number) : std::nullopt;
 }
 
-std::string textOf(const node_line &line, std::string_view key)
+std::string textOf(const log_entry &line, std::string_view key)
 {
     return std::string(valueOf(line, key));
 }
 
-bool isEvent(const node_line &line, std::string_view part, std::string_view event)
+bool isEvent(const log_entry &line, std::string_view part, std::string_view event)
 {
     return line.part == part && line.event == event;
 }
 
-bool belongsTo(const node_line &line, std::string_view id)
+bool belongsTo(const log_entry &line, std::string_view id)
 {
     const std::string_view own = valueOf(line, "id");
     return own == id || (own.starts_with(id) && own.substr(id.size()).starts_with('.'));
 }
 
-bool isOfRequest(const node_line &line, std::string_view id)
+bool isOfRequest(const log_entry &line, std::string_view id)
 {
     return valueOf(line, "id") == id;
 }
 
-bool hasNoRoute(const node_line &ended)
+bool hasNoRoute(const log_entry &ended)
 {
     return valueOf(ended, "status") == "404" && valueOf(ended, "route") == "-";
 }
 
 // Name of the last node of a trail like `be-1:handed-back,be-2:unknown`.
-std::string lastNode(const node_line &ended)
+std::string lastNode(const log_entry &ended)
 {
     const std::string_view trail = valueOf(ended, "nodes");
     const std::string_view last = trail.substr(trail.rfind(',') + 1);
     return std::string(last.substr(0, last.find(':')));
 }
 
-std::string explainNoRoute(const node_line &ended)
+std::string explainNoRoute(const log_entry &ended)
 {
     return "No route of configuration version " + textOf(ended, "version") + " matches host " + textOf(ended, "host")
         + " and path " + textOf(ended, "path") + ".\n";
 }
 
-std::string explainRefusal(const node_line &ended, const std::vector<node_line> &lines)
+std::string explainRefusal(const log_entry &ended, const std::vector<log_entry> &lines)
 {
     constexpr std::string_view marker = "not run: "; // begins the response that the caller got
     std::string reason = textOf(ended, "reason");
     reason.erase(0, reason.starts_with(marker) ? marker.size() : 0);
     std::string cause = "It was refused and has not run: " + reason + ".\n";
-    for (const node_line &line : lines) {
+    for (const log_entry &line : lines) {
         if (isEvent(line, "inbound", "refused") && isOfRequest(line, valueOf(ended, "id"))) {
             cause += "Node " + line.node + " refused it (" + textOf(line, "reason") + "): " + textOf(line, "running")
                 + " running, " + textOf(line, "waiting") + " waiting, expected wait " + textOf(line, "expected_wait_ms")
@@ -121,7 +121,7 @@
     return cause;
 }
 
-std::string explainRun(const node_line &ran)
+std::string explainRun(const log_entry &ran)
 {
     return "At " + ran.node + " worker " + textOf(ran, "worker") + " took " + textOf(ran, "took_ms")
         + " ms after a wait of " + textOf(ran, "waited_ms") + " ms, where " + textOf(ran, "expected_ms")
@@ -129,32 +129,32 @@
         + (valueOf(ran, "status") == "0" ? textOf(ran, "reason") : "status " + textOf(ran, "status")) + ".\n";
 }
 
-bool isRunOf(const node_line &line, const node_line &ended)
+bool isRunOf(const log_entry &line, const log_entry &ended)
 {
     return isEvent(line, "inbound", "ran") && isOfRequest(line, valueOf(ended, "id"));
 }
 
 // A call that the request's worker made and that failed.
-bool isFailedCallOf(const node_line &line, const node_line &ended)
+bool isFailedCallOf(const log_entry &line, const log_entry &ended)
 {
     return isEvent(line, "outbound", "ended") && !isOfRequest(line, valueOf(ended, "id"))
         && numberOf(line, "status") >= leastErrorStatus;
 }
 
-std::string explainUnknown(const node_line &ended, const std::vector<node_line> &lines)
+std::string explainUnknown(const log_entry &ended, const std::vector<log_entry> &lines)
 {
     const bool isTimeout = valueOf(ended, "status") == "504";
     const std::string start = isTimeout ? "No response came in its time of " + textOf(ended, "time_left_ms") + " ms"
                                         : "It was sent, and its response was lost";
     std::string runs;
-    for (const node_line &line : lines) {
+    for (const log_entry &line : lines) {
         runs += isRunOf(line, ended) ? explainRun(line) : "";
     }
     return start + " (" + textOf(ended, "reason") + "), last at node " + lastNode(ended) + ".\n"
         + (runs.empty() ? "No node has logged a run of it: it may have run at a node that died.\n" : runs);
 }
 
-std::string explainResponse(const node_line &ended, const std::vector<node_line> &lines)
+std::string explainResponse(const log_entry &ended, const std::vector<log_entry> &lines)
 {
     const auto took = numberOf(ended, "took_ms");
     const auto target = numberOf(ended, "target_left_ms");
@@ -162,7 +162,7 @@
     std::string cause = "The worker responded with status " + textOf(ended, "status") + " after "
         + textOf(ended, "took_ms") + " ms"
         + (isLate ? ", later than its target of " + textOf(ended, "target_left_ms") + " ms" : "") + ".\n";
-    for (const node_line &line : lines) {
+    for (const log_entry &line : lines) {
         if (isRunOf(line, ended)) {
             cause += explainRun(line);
         } else if (isFailedCallOf(line, ended)) {
@@ -173,7 +173,7 @@
     return cause;
 }
 
-std::string causeOf(const node_line &ended, const std::vector<node_line> &lines)
+std::string causeOf(const log_entry &ended, const std::vector<log_entry> &lines)
 {
     if (hasNoRoute(ended)) {
         return explainNoRoute(ended);
@@ -187,7 +187,7 @@
     return valueOf(ended, "outcome") == "response" ? explainResponse(ended, lines) : explainUnknown(ended, lines);
 }
 
-std::string nextOf(const node_line &ended)
+std::string nextOf(const log_entry &ended)
 {
     if (hasNoRoute(ended)) {
         return "Compare `[config] in-force` of " + ended.node + " with other nodes at that time.\n";
@@ -201,13 +201,13 @@
 
 } // namespace
 
-std::string_view valueOf(const node_line &line, std::string_view key)
+std::string_view valueOf(const log_entry &line, std::string_view key)
 {
     const auto found = std::ranges::find(line.fields, key, &line_field::key);
     return found == line.fields.end() ? std::string_view() : std::string_view(found->value);
 }
 
-std::optional<node_line> parseLine(std::string_view text, std::string_view node)
+std::optional<log_entry> parseLine(std::string_view text, std::string_view node)
 {
     const auto open = text.find(" [");
     const auto close = text.find("] ", open == std::string_view::npos ? 0 : open);
@@ -216,7 +216,7 @@
     }
     const std::string_view head = text.substr(0, open);
     const std::string_view time = head.substr(head.rfind(' ') + 1); // npos + 1 is 0
-    node_line line;
+    log_entry line;
     const auto [end, failure] = std::from_chars(time.data(), time.data() + time.size(), line.atMs);
     if (failure != std::errc{} || end != time.data() + time.size()) {
         return std::nullopt;
@@ -231,7 +231,7 @@
     return line;
 }
 
-void appendLines(std::vector<node_line> &lines, std::string_view node, std::string_view log)
+void appendLogEntries(std::vector<log_entry> &lines, std::string_view node, std::string_view log)
 {
     while (!log.empty()) {
         const auto lineEnd = std::min(log.find('\n'), log.size());
@@ -242,18 +242,18 @@
     }
 }
 
-explanation explainRequest(std::vector<node_line> lines, std::string_view id)
+explanation explainRequest(std::vector<log_entry> lines, std::string_view id)
 {
     explanation found;
-    std::erase_if(lines, [&](const node_line &line) {
+    std::erase_if(lines, [&](const log_entry &line) {
         return id.empty() || !belongsTo(line, id);
     });
-    std::ranges::stable_sort(lines, {}, &node_line::atMs);
+    std::ranges::stable_sort(lines, {}, &log_entry::atMs);
     found.lines = std::move(lines);
     if (found.lines.empty()) {
         return found;
     }
-    const auto ended = std::ranges::find_if(found.lines, [&](const node_line &line) {
+    const auto ended = std::ranges::find_if(found.lines, [&](const log_entry &line) {
         return isEvent(line, "outbound", "ended") && isOfRequest(line, id);
     });
     if (ended == found.lines.end()) {
--- a/packages/pistachioquay/explain/explain.h
+++ b/packages/pistachioquay/explain/explain.h
@@ -1,7 +1,7 @@
 // Finds the lines of one request in the logs of many nodes and says in a sentence how it ended and why.
 //
-//   std::vector<node_line> lines;
-//   appendLines(lines, "be-1", logText);             // once for each node
+//   std::vector<log_entry> lines;
+//   appendLogEntries(lines, "be-1", logText);             // once for each node
 //   const explanation found = explainRequest(std::move(lines), "a23a.33e1");
 //   std::cout << found.cause;
 //
@@ -25,7 +25,7 @@
 };
 
 // One line of a node's log.
-struct node_line
+struct log_entry
 {
     std::int64_t atMs = 0; // Unix time by the clock of its node
     std::string node; // from the text before the time, or the name of the log
@@ -34,28 +34,28 @@
     std::vector<line_field> fields;
     std::string text; // the line from its part on
 
-    friend auto operator<=>(const node_line &, const node_line &) = default;
+    friend auto operator<=>(const log_entry &, const log_entry &) = default;
 };
 
 // parseLine reads `[TEXT] UNIX-MS [part] event key=value ...`; empty if the line is none of the program's. `node` is
 // the name for a line that does not start with one. Thread safe.
-std::optional<node_line> parseLine(std::string_view text, std::string_view node);
+std::optional<log_entry> parseLine(std::string_view text, std::string_view node);
 
-// appendLines reads a whole log. Thread safe for different vectors.
-void appendLines(std::vector<node_line> &lines, std::string_view node, std::string_view log);
+// appendLogEntries reads a whole log. Thread safe for different vectors.
+void appendLogEntries(std::vector<log_entry> &lines, std::string_view node, std::string_view log);
 
 // valueOf returns the value of a key; empty if the line lacks it. Thread safe.
-std::string_view valueOf(const node_line &line, std::string_view key);
+std::string_view valueOf(const log_entry &line, std::string_view key);
 
 struct explanation
 {
-    std::vector<node_line> lines; // of the request and of the calls that its workers made, by time
+    std::vector<log_entry> lines; // of the request and of the calls that its workers made, by time
     std::string cause; // in sentences, ends with a line end; empty if there is no line of the request
     std::string next; // what to look at to go on; empty if nothing is missing
 };
 
 // explainRequest finds the lines of request `id`. Clocks of nodes may differ, so the order between nodes is only as
 // good as they are. Thread safe.
-explanation explainRequest(std::vector<node_line> lines, std::string_view id);
+explanation explainRequest(std::vector<log_entry> lines, std::string_view id);
 
 } // namespace pistachioquay
--- a/packages/pistachioquay/explain/explain_test.cc
+++ b/packages/pistachioquay/explain/explain_test.cc
@@ -8,11 +8,11 @@
 
 namespace {
 
-std::vector<node_line> linesOf(std::initializer_list<std::pair<std::string_view, std::string_view>> logs)
+std::vector<log_entry> linesOf(std::initializer_list<std::pair<std::string_view, std::string_view>> logs)
 {
-    std::vector<node_line> lines;
+    std::vector<log_entry> lines;
     for (const auto &[node, log] : logs) {
-        appendLines(lines, node, log);
+        appendLogEntries(lines, node, log);
     }
     return lines;
 }
--- a/packages/pistachioquay/explain_command.cc
+++ b/packages/pistachioquay/explain_command.cc
@@ -8,9 +8,9 @@
 
 command_report explainFromLogs(std::string_view id, std::span<const std::pair<std::string, std::string>> logs)
 {
-    std::vector<node_line> lines;
+    std::vector<log_entry> lines;
     for (const auto &[node, log] : logs) {
-        appendLines(lines, node, log);
+        appendLogEntries(lines, node, log);
     }
     const explanation found = explainRequest(std::move(lines), id);
     if (found.lines.empty()) {
@@ -21,7 +21,7 @@
         return missing;
     }
     command_report report = makeReport(exit_code::Ok, {});
-    for (const node_line &line : found.lines) {
+    for (const log_entry &line : found.lines) {
         report.text += std::to_string(line.atMs) + " " + line.node + " " + line.text + "\n";
     }
     report.text += "\n" + found.cause + found.next;
--- a/packages/pistachioquay/fleet_commands.cc
+++ b/packages/pistachioquay/fleet_commands.cc
@@ -4,7 +4,7 @@
 
 #include "pistachioquay/state_reader.h"
 #include "pistachioquay/status.h"
-#include "process/spread/snapshot_duty.h"
+#include "process/spread/snapshot_schedule.h"
 #include "version/fold/snapshot.h"
 
 namespace pistachioquay {
@@ -107,7 +107,7 @@
 
 result<bool> isDue(cli_access &access, const log_state &latest, milliseconds retention)
 {
-    snapshot_facts facts;
+    snapshot_status facts;
     BOOST_LEAF_AUTO(trace, traceSnapshot(access.log));
     facts.position = latest.state.position;
     facts.snapshotPosition = trace.position;
--- a/packages/process/mesh/dissemination.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -327,7 +327,7 @@
         std::ranges::find(m_recentConfigs, request.haveVersion, &std::pair<std::uint64_t, std::string>::first);
     if (base != m_recentConfigs.end() && base->first < version) {
         message.delta = makeDelta(base->second, text);
-        if (encodedBytes(message.delta) < text.size() / assumedCompressionRatio) {
+        if (estimateEncodedSize(message.delta) < text.size() / assumedCompressionRatio) {
             message.baseVersion = base->first;
             return message;
         }
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -241,7 +241,7 @@
                                              const std::shared_ptr<cancellation_token> &cancellation,
                                              call_reply &reply)
 {
-    const bool isRetryable = message.repeat == repeat_rule::Repeatable;
+    const bool isRetryable = message.repeat == retry_policy::Retryable;
     const time_point firstStartedAt = steadyNow();
     reply.kind = reply_kind::Unknown;
     for (unsigned attempt = 0; attempt < maxWorkerAttempts; ++attempt) {
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -56,7 +56,7 @@
     bool isRetransmission = false; // resent to the same node after the link was lost
     std::string service;
     std::string route;
-    repeat_rule repeat = repeat_rule::AtMostOnce;
+    retry_policy repeat = retry_policy::AtMostOnce;
     std::uint32_t priority = 0;
     // Time until the latency target, after which the response is worth less; negative if it has passed.
     std::int64_t targetLeftMs = 0;
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -122,7 +122,7 @@
     if (request.route == nullptr) {
         return makeFailure(request, 404, "no-route");
     }
-    const routed_path &route = *request.route;
+    const route_config &route = *request.route;
     const auto stated = findHeader(headers, names.timeLeftMs);
     const auto parsed = stated ? parseCount(*stated) : std::nullopt;
     const milliseconds timeLeft = parsed ? milliseconds(*parsed) : defaultTimeLeft;
@@ -212,7 +212,7 @@
 outbound_handler::sendHedged(request_context &request, const shared_attempt &first, const placement_choice &choice)
 {
     hedge_candidate candidate;
-    candidate.isRetryable = request.route->repeat == repeat_rule::Repeatable;
+    candidate.isRetryable = request.route->repeat == retry_policy::Retryable;
     candidate.workersTried = request.workersTried + 1;
     candidate.maxWorkers = request.route->maxWorkers;
     candidate.expectedWaitMs = choice.expectedWaitMs;
@@ -359,7 +359,7 @@
     }
     failed_attempt failed;
     failed.end = attemptOutcome(reply);
-    failed.isRetryable = request.route->repeat == repeat_rule::Repeatable;
+    failed.isRetryable = request.route->repeat == retry_policy::Retryable;
     failed.workersTried = request.workersTried;
     failed.maxWorkers = request.route->maxWorkers;
     failed.timeLeft = request.requestDeadline - now;
@@ -456,7 +456,7 @@
         reply.reason = "unreachable";
         co_return reply;
     case peer_end::LinkLost:
-        if (message.repeat == repeat_rule::AtMostOnce) {
+        if (message.repeat == retry_policy::AtMostOnce) {
             co_return co_await retransmit(attempt, target);
         }
         reply.reason = "link-lost";
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -37,7 +37,7 @@
         caller_connection *caller = nullptr;
         std::string id;
         std::shared_ptr<const route_table> table;
-        const routed_path *route = nullptr;
+        const route_config *route = nullptr;
         std::string service;
         time_point arrivedAt;
         time_point targetAt; // latency target of the route, counted from the caller's first attempt
@@ -96,7 +96,7 @@
     mesh_context &m_context;
     inbound_handler &m_inbound;
     peer_links &m_links;
-    split_state m_splits;
+    traffic_split_state m_splits;
     service_retry_budgets m_retryBudget;
     caller_timeouts m_attemptAges;
     std::size_t m_openRequests = 0;
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -174,7 +174,7 @@
     }
     releaseBandwidth(m_context.linkReservations, message->id);
     const auto cancellation = std::make_shared<cancellation_token>();
-    m_incoming[&link].calls[message->id] = {cancellation, message->repeat == repeat_rule::Repeatable};
+    m_incoming[&link].calls[message->id] = {cancellation, message->repeat == retry_policy::Retryable};
     net::co_spawn(
         m_context.executor,
         [this, cancellation, incoming = link.shared_from_this(), call = std::move(*message)]() mutable
--- a/packages/process/node/config_store.cc
+++ b/packages/process/node/config_store.cc
@@ -28,14 +28,14 @@
 fold_progress config_store::seen() const
 {
     const std::lock_guard guard(m_mutex);
-    return seenProgress(m_state);
+    return advertisedProgress(m_state);
 }
 
-absorb_report config_store::absorb(std::span<const timed_record> records, time_point now)
+apply_result config_store::absorb(std::span<const timed_record> records, time_point now)
 {
     const std::lock_guard guard(m_mutex);
     const bool wasBlocked = m_state.blockedBy.has_value();
-    const absorb_report report = absorbRecords(m_state, records);
+    const apply_result report = applyRecords(m_state, records);
     if (m_state.blockedBy && !wasBlocked) {
         LOG(ERROR) << "[fold] Record " << m_state.folded.position << " has a newer schema; version "
                    << m_state.folded.version << " stays in force. Replace this node by a newer release.";
@@ -44,10 +44,10 @@
     return report;
 }
 
-absorb_report config_store::absorb(fold_state snapshot, time_point now)
+apply_result config_store::absorb(fold_state snapshot, time_point now)
 {
     const std::lock_guard guard(m_mutex);
-    const absorb_report report = absorbSnapshot(m_state, std::move(snapshot));
+    const apply_result report = applySnapshot(m_state, std::move(snapshot));
     publishLocked(now);
     return report;
 }
@@ -55,7 +55,7 @@
 void config_store::noteLog(std::uint64_t first, std::uint64_t next, time_point now)
 {
     const std::lock_guard guard(m_mutex);
-    noteLogRange(m_state, first, next);
+    updateLogRange(m_state, first, next);
     m_state.gate = withLogEnd(m_state.gate, next);
     publishLocked(now);
 }
@@ -63,14 +63,14 @@
 void config_store::notePeer(const fold_progress &heard, time_point now)
 {
     const std::lock_guard guard(m_mutex);
-    m_state.gate = withPeerNews(m_state.gate, heard, now);
+    m_state.gate = withPeerProgress(m_state.gate, heard, now);
     publishLocked(now);
 }
 
 void config_store::noteSnapshotInLog(std::uint64_t position, std::int64_t timeMs, bool isKept)
 {
     const std::lock_guard guard(m_mutex);
-    noteSnapshot(m_state, position, timeMs, isKept);
+    updateNewestSnapshot(m_state, position, timeMs, isKept);
 }
 
 void config_store::tick(time_point now)
@@ -83,7 +83,7 @@
 {
     pull_response response;
     std::unique_lock guard(m_mutex);
-    const fold_progress seen = seenProgress(m_state);
+    const fold_progress seen = advertisedProgress(m_state);
     response.position = seen.position;
     response.version = seen.version;
     if (position >= seen.position) {
@@ -104,7 +104,7 @@
 }
 
 std::optional<fold_state>
-config_store::dueSnapshot(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const
+config_store::dueSnapshot(const snapshot_policy &rules, std::uint32_t rank, std::int64_t nowMs) const
 {
     const std::lock_guard guard(m_mutex);
     if (m_state.blockedBy || !isSnapshotDue(m_state.snapshots, rules, rank, nowMs)) {
@@ -131,7 +131,7 @@
 
 void config_store::publishLocked(time_point now)
 {
-    m_state.gate = advanceGate(m_state.gate, seenProgress(m_state), now);
+    m_state.gate = advanceGate(m_state.gate, advertisedProgress(m_state), now);
     if (!m_state.gate.wasOpened) {
         return;
     }
--- a/packages/process/node/config_store.h
+++ b/packages/process/node/config_store.h
@@ -48,12 +48,12 @@
     // progress returns how far the node has folded.
     fold_progress progress() const;
 
-    // seen returns what the node tells its peers; see `seenProgress`.
+    // seen returns what the node tells its peers; see `advertisedProgress`.
     fold_progress seen() const;
 
     // absorb folds records or takes over a snapshot, and brings a new version into force.
-    absorb_report absorb(std::span<const timed_record> records, time_point now);
-    absorb_report absorb(fold_state snapshot, time_point now);
+    apply_result absorb(std::span<const timed_record> records, time_point now);
+    apply_result absorb(fold_state snapshot, time_point now);
 
     // noteLog notes the range that the log keeps; notePeer how far a peer has folded; noteSnapshotInLog the newest
     // snapshot of the log. Each may open the start-up gate.
@@ -68,7 +68,7 @@
     pull_response respond(std::uint64_t position) const;
 
     // dueSnapshot returns the state to write to the log if this node, the reader of `rank`, has to do it now.
-    std::optional<fold_state> dueSnapshot(const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs) const;
+    std::optional<fold_state> dueSnapshot(const snapshot_policy &rules, std::uint32_t rank, std::int64_t nowMs) const;
 
     store_status status() const;
 
--- a/packages/process/node/log_reader.h
+++ b/packages/process/node/log_reader.h
@@ -20,7 +20,7 @@
 struct log_reader_options
 {
     log_target target;
-    snapshot_rules rules;
+    snapshot_policy rules;
 };
 
 // How the reader learns about its role. Called from the reader's thread.
--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -196,7 +196,7 @@
 void node::parts::startThreads()
 {
     const log_target target{settings.platformLog, logTimeout};
-    const snapshot_rules rules{.retention = settings.logRetention};
+    const snapshot_policy rules{.retention = settings.logRetention};
     reader = std::make_unique<log_reader>(log_reader_options{target, rules}, store, ring, log_reader_sources{[this] {
                                               return readerRank();
                                           }});
--- a/packages/process/spread/snapshot_duty.cc
+++ b/packages/process/spread/snapshot_schedule.cc
@@ -1,4 +1,4 @@
-#include "process/spread/snapshot_duty.h"
+#include "process/spread/snapshot_schedule.h"
 
 namespace pistachioquay {
 
@@ -16,7 +16,7 @@
 
 } // namespace
 
-bool isSnapshotDue(const snapshot_facts &facts, const snapshot_rules &rules, std::uint32_t rank, std::int64_t nowMs)
+bool isSnapshotDue(const snapshot_status &facts, const snapshot_policy &rules, std::uint32_t rank, std::int64_t nowMs)
 {
     const bool hasState = facts.position > 1;
     const bool isAtEnd = facts.position >= facts.logNext;
--- a/packages/process/spread/spread_test.cc
+++ b/packages/process/spread/spread_test.cc
@@ -4,7 +4,7 @@
 
 #include "base/random.h"
 #include "process/spread/record_buffer.h"
-#include "process/spread/snapshot_duty.h"
+#include "process/spread/snapshot_schedule.h"
 #include "process/spread/startup_gate.h"
 #include "process/spread/version_state.h"
 #include "version/fold/edit_record.h"
@@ -57,7 +57,7 @@
 TEST_CASE("a node that heard of its own newer version does not route at an older one")
 {
     startup_gate gate;
-    gate = withPeerNews(gate, {.position = 20, .version = 19}, start);
+    gate = withPeerProgress(gate, {.position = 20, .version = 19}, start);
     gate = advanceGate(gate, {.position = 10, .version = 9}, start + seconds(60));
     CHECK_FALSE(gate.wasOpened);
     gate = advanceGate(gate, {.position = 20, .version = 19}, start + seconds(60));
@@ -66,9 +66,9 @@
 
 TEST_CASE("a node listens to further peers before it trusts the first one")
 {
-    startup_gate gate = withPeerNews({}, {.position = 10, .version = 9}, start);
+    startup_gate gate = withPeerProgress({}, {.position = 10, .version = 9}, start);
     CHECK_FALSE(advanceGate(gate, {.position = 10, .version = 9}, start + milliseconds(999)).wasOpened);
-    gate = withPeerNews(gate, {.position = 20, .version = 19}, start + milliseconds(999));
+    gate = withPeerProgress(gate, {.position = 20, .version = 19}, start + milliseconds(999));
     CHECK_FALSE(advanceGate(gate, {.position = 10, .version = 9}, start + seconds(5)).wasOpened);
 }
 
@@ -89,8 +89,8 @@
 
 TEST_CASE("snapshots are written in time, by one node, and only at the log's end")
 {
-    const snapshot_rules rules{.retention = milliseconds(100'000)};
-    snapshot_facts facts{.position = 50, .snapshotPosition = 40, .logFirst = 1, .logNext = 50, .isSnapshotKept = true};
+    const snapshot_policy rules{.retention = milliseconds(100'000)};
+    snapshot_status facts{.position = 50, .snapshotPosition = 40, .logFirst = 1, .logNext = 50, .isSnapshotKept = true};
     facts.oldestUncoveredMs = 0;
     facts.snapshotTimeMs = 0;
     CHECK_FALSE(isSnapshotDue(facts, rules, 0, 24'999));
@@ -103,12 +103,12 @@
 
 TEST_CASE("a snapshot that expired during an outage is written again at once by any node")
 {
-    const snapshot_rules rules{.retention = milliseconds(100'000)};
-    snapshot_facts facts{.position = 50,
-                         .snapshotPosition = 50,
-                         .logFirst = 50,
-                         .logNext = 50,
-                         .isSnapshotKept = false};
+    const snapshot_policy rules{.retention = milliseconds(100'000)};
+    snapshot_status facts{.position = 50,
+                          .snapshotPosition = 50,
+                          .logFirst = 50,
+                          .logNext = 50,
+                          .isSnapshotKept = false};
     CHECK(isSnapshotDue(facts, rules, 3, 0));
     facts.snapshotPosition = 0;
     CHECK(isSnapshotDue(facts, rules, 3, 0));
@@ -116,8 +116,12 @@
 
 TEST_CASE("a quiet tree is written again before its only snapshot expires")
 {
-    const snapshot_rules rules{.retention = milliseconds(100'000)};
-    snapshot_facts facts{.position = 50, .snapshotPosition = 50, .logFirst = 50, .logNext = 50, .isSnapshotKept = true};
+    const snapshot_policy rules{.retention = milliseconds(100'000)};
+    snapshot_status facts{.position = 50,
+                          .snapshotPosition = 50,
+                          .logFirst = 50,
+                          .logNext = 50,
+                          .isSnapshotKept = true};
     facts.snapshotTimeMs = 0;
     CHECK_FALSE(isSnapshotDue(facts, rules, 0, 49'999));
     CHECK(isSnapshotDue(facts, rules, 0, 50'000));
@@ -143,7 +147,7 @@
 fold_state foldedTo(std::uint64_t count)
 {
     version_state state;
-    absorbRecords(state, editsOf(count));
+    applyRecords(state, editsOf(count));
     return state.folded;
 }
 
@@ -163,16 +167,16 @@
             const std::uint64_t from = generator() % records;
             const std::uint64_t count = 1 + generator() % (records - from);
             if (generator() % 5 == 0) {
-                absorbSnapshot(state, foldedTo(from));
+                applySnapshot(state, foldedTo(from));
             } else {
-                absorbRecords(state, std::span(log).subspan(from, count));
+                applyRecords(state, std::span(log).subspan(from, count));
             }
             const fold_progress after = progressOf(state);
             REQUIRE(after.position >= before.position);
             REQUIRE(after.version >= before.version);
             REQUIRE(state.folded == foldedTo(after.position - 1));
         }
-        absorbRecords(state, log);
+        applyRecords(state, log);
         REQUIRE(state.folded == whole);
     }
 }
@@ -183,7 +187,7 @@
     log.push_back({{3, "garbage"}, 1});
     log.push_back(editAt(4, 2, "dc-4"));
     version_state state;
-    const absorb_report report = absorbRecords(state, log);
+    const apply_result report = applyRecords(state, log);
     CHECK(report.versionChanged);
     CHECK(progressOf(state) == fold_progress{5, 4});
     CHECK(state.rejectedRecords == 1);
@@ -192,21 +196,21 @@
 TEST_CASE("a snapshot that is behind never replaces a newer state")
 {
     version_state state;
-    absorbRecords(state, editsOf(5));
-    CHECK(absorbSnapshot(state, foldedTo(4)) == absorb_report{});
+    applyRecords(state, editsOf(5));
+    CHECK(applySnapshot(state, foldedTo(4)) == apply_result{});
     CHECK(progressOf(state) == fold_progress{6, 5});
 }
 
 TEST_CASE("a peer gets the record that blocks a node, and so learns that it is blocked too")
 {
     version_state state;
-    absorbRecords(state, editsOf(2));
+    applyRecords(state, editsOf(2));
     std::string newer = encodeRecord({hash128{3, 1}, 2, "awa", {addPlace({"dc-3", {}})}});
     newer = sealEnvelope(recordMagic, recordSchema + 1, openEnvelope(recordMagic, recordSchema, newer).body);
     const std::vector<timed_record> blocking = {{{3, newer}, 1}};
-    absorbRecords(state, blocking);
+    applyRecords(state, blocking);
     CHECK(progressOf(state) == fold_progress{3, 2});
-    CHECK(seenProgress(state) == fold_progress{4, 2});
+    CHECK(advertisedProgress(state) == fold_progress{4, 2});
     const auto forPeer = recordsForPeer(state, 3, 1000);
     REQUIRE(forPeer);
     REQUIRE(forPeer->size() == 1);
--- a/packages/process/spread/startup_gate.cc
+++ b/packages/process/spread/startup_gate.cc
@@ -12,7 +12,7 @@
     return gate;
 }
 
-startup_gate withPeerNews(startup_gate gate, const fold_progress &heard, time_point now)
+startup_gate withPeerProgress(startup_gate gate, const fold_progress &heard, time_point now)
 {
     if (!gate.firstPeerAt) {
         gate.firstPeerAt = now;
--- a/packages/process/spread/startup_gate.h
+++ b/packages/process/spread/startup_gate.h
@@ -2,7 +2,7 @@
 // routes nothing until it has caught up with what it can learn.
 //
 //   startup_gate gate;
-//   gate = withPeerNews(gate, {.position = 12, .version = 11}, now);
+//   gate = withPeerProgress(gate, {.position = 12, .version = 11}, now);
 //   gate = advanceGate(gate, {.position = 12, .version = 11}, now);
 //   if (gate.wasOpened) startRouting();
 //
@@ -44,8 +44,8 @@
 // withLogEnd notes the end of the log at the first successful read. Thread safe.
 startup_gate withLogEnd(startup_gate gate, std::uint64_t next);
 
-// withPeerNews notes how far a peer has folded, or what a peer remembers of this node's earlier life. Thread safe.
-startup_gate withPeerNews(startup_gate gate, const fold_progress &heard, time_point now);
+// withPeerProgress notes how far a peer has folded, or what a peer remembers of this node's earlier life. Thread safe.
+startup_gate withPeerProgress(startup_gate gate, const fold_progress &heard, time_point now);
 
 // advanceGate returns the gate with `wasOpened` set if a condition for opening holds. Thread safe.
 startup_gate advanceGate(startup_gate gate, const fold_progress &own, time_point now);
--- a/packages/process/spread/version_state.cc
+++ b/packages/process/spread/version_state.cc
@@ -48,7 +48,7 @@
     return {state.folded.position, state.folded.version};
 }
 
-fold_progress seenProgress(const version_state &state)
+fold_progress advertisedProgress(const version_state &state)
 {
     return {state.folded.position + (state.blockedBy ? 1 : 0), state.folded.version};
 }
@@ -64,10 +64,10 @@
     return records;
 }
 
-absorb_report absorbRecords(version_state &state, std::span<const timed_record> records)
+apply_result applyRecords(version_state &state, std::span<const timed_record> records)
 {
     const fold_progress before = progressOf(state);
-    absorb_report report;
+    apply_result report;
     for (const timed_record &each : records) {
         if (each.record.offset < state.folded.position) {
             continue;
@@ -86,7 +86,7 @@
     return report;
 }
 
-absorb_report absorbSnapshot(version_state &state, fold_state snapshot)
+apply_result applySnapshot(version_state &state, fold_state snapshot)
 {
     const fold_progress before = progressOf(state);
     if (snapshot.position <= before.position || snapshot.version < before.version) {
@@ -99,15 +99,15 @@
     return {.positionChanged = true, .versionChanged = state.folded.version != before.version};
 }
 
-void noteLogRange(version_state &state, std::uint64_t first, std::uint64_t next)
+void updateLogRange(version_state &state, std::uint64_t first, std::uint64_t next)
 {
     state.snapshots.logFirst = std::max(state.snapshots.logFirst, first);
     state.snapshots.logNext = std::max(state.snapshots.logNext, next);
 }
 
-void noteSnapshot(version_state &state, std::uint64_t position, std::int64_t timeMs, bool isKept)
+void updateNewestSnapshot(version_state &state, std::uint64_t position, std::int64_t timeMs, bool isKept)
 {
-    snapshot_facts &facts = state.snapshots;
+    snapshot_status &facts = state.snapshots;
     facts.isSnapshotKept = isKept;
     if (isKept && position >= facts.snapshotPosition) {
         facts.snapshotPosition = position;
--- a/packages/version/routes/routes.cc
+++ b/packages/version/routes/routes.cc
@@ -6,7 +6,7 @@
 
 namespace pistachioquay {
 
-std::string hostKey(std::string_view host)
+std::string normalizeHost(std::string_view host)
 {
     host = host.substr(0, host.find(':'));
     if (host.ends_with('.')) {
@@ -19,9 +19,9 @@
     return key;
 }
 
-const routed_path *findRoute(const route_table &table, std::string_view host, std::string_view target)
+const route_config *findRoute(const route_table &table, std::string_view host, std::string_view target)
 {
-    const auto found = table.hosts.find(hostKey(host));
+    const auto found = table.hosts.find(normalizeHost(host));
     if (found == table.hosts.end()) {
         return nullptr;
     }
@@ -46,12 +46,12 @@
                            });
 }
 
-const std::string &chooseTarget(split_state &state, const routed_path &route)
+const std::string &chooseTarget(traffic_split_state &state, const route_config &route)
 {
     if (route.targets.size() == 1) {
         return route.targets.front().service;
     }
-    split_state::position &position = state.routes[route.name];
+    traffic_split_state::position &position = state.routes[route.name];
     if (position.targets != route.targets) {
         position = {route.targets, std::vector<std::int64_t>(route.targets.size(), 0)};
     }
--- a/packages/version/routes/routes_test.cc
+++ b/packages/version/routes/routes_test.cc
@@ -12,7 +12,7 @@
     route_table table;
     table.version = 1;
     for (const std::string &prefix : prefixes) {
-        routed_path route;
+        route_config route;
         route.prefix = prefix;
         route.name = prefix;
         route.targets = {{"orders", 1}};
@@ -23,7 +23,7 @@
 
 std::string routeOf(const route_table &table, std::string_view host, std::string_view target)
 {
-    const routed_path *found = findRoute(table, host, target);
+    const route_config *found = findRoute(table, host, target);
     return found == nullptr ? "none" : found->name;
 }
 
@@ -58,10 +58,10 @@
 
 TEST_CASE("every span of requests follows the weights of a split")
 {
-    routed_path route;
+    route_config route;
     route.name = "split";
     route.targets = {{"old", 90}, {"new", 10}};
-    split_state state;
+    traffic_split_state state;
     for (int span = 0; span < 5; ++span) {
         unsigned toNew = 0;
         for (int index = 0; index < 20; ++index) {
@@ -73,10 +73,10 @@
 
 TEST_CASE("changed weights hold from the next request on")
 {
-    routed_path route;
+    route_config route;
     route.name = "split";
     route.targets = {{"old", 90}, {"new", 10}};
-    split_state state;
+    traffic_split_state state;
     chooseTarget(state, route);
     route.targets = {{"old", 0}, {"new", 100}};
     for (int index = 0; index < 10; ++index) {
--- a/packages/version/text_delta/text_delta.cc
+++ b/packages/version/text_delta/text_delta.cc
@@ -83,7 +83,7 @@
     return hash64(text) == delta.resultHash ? std::optional(std::move(text)) : std::nullopt;
 }
 
-std::size_t encodedBytes(const text_delta &delta)
+std::size_t estimateEncodedSize(const text_delta &delta)
 {
     return std::accumulate(delta.steps.begin(), delta.steps.end(), stepOverhead, [](std::size_t sum, const auto &step) {
         return sum + stepOverhead + step.added.size();
--- a/packages/version/text_delta/text_delta.h
+++ b/packages/version/text_delta/text_delta.h
@@ -51,7 +51,7 @@
 // applyDelta returns the newer text; empty if the delta does not fit `older`. Thread safe.
 std::optional<std::string> applyDelta(std::string_view older, const text_delta &delta);
 
-// encodedBytes returns about how many bytes the delta takes on the wire. Thread safe.
-std::size_t encodedBytes(const text_delta &delta);
+// estimateEncodedSize returns about how many bytes the delta takes on the wire. Thread safe.
+std::size_t estimateEncodedSize(const text_delta &delta);
 
 } // namespace pistachioquay
--- a/packages/version/text_delta/text_delta_test.cc
+++ b/packages/version/text_delta/text_delta_test.cc
@@ -26,7 +26,7 @@
     const std::string newer = configWith(1000, 8, 400);
     const text_delta delta = makeDelta(older, newer);
     CHECK(applyDelta(older, delta) == newer);
-    CHECK(encodedBytes(delta) < newer.size() / 100);
+    CHECK(estimateEncodedSize(delta) < newer.size() / 100);
 }
 
 TEST_CASE("a delta is not applied to another text")
