--- a/packages/process/membership/gossip.cc
+++ b/packages/process/membership/gossip.cc
@@ -124,7 +124,7 @@
     gossip_status status;
     status.live = pistachioquay::liveMembers(m_state);
     status.known = m_state.members.size() + 1;
-    for (const member &reader : pistachioquay::readersOf(m_state, readerDuty)) {
+    for (const member &reader : pistachioquay::readersOf(m_state, configReaderTask)) {
         status.readers.push_back(reader.nodeId);
     }
     status.highest = highestAnnounced(m_state);
--- a/packages/process/membership/gossip_test.cc
+++ b/packages/process/membership/gossip_test.cc
@@ -65,7 +65,7 @@
         return readyWorkers(*first) == 2 && readyWorkers(*second) == 2;
     }));
     CHECK(first->status().live.size() == 3);
-    CHECK(first->isReader(readerDuty));
+    CHECK(first->isReader(configReaderTask));
 }
 
 TEST_CASE("a node that stops without a leave notice leaves the view, and returns after a restart under the same id")
--- a/packages/process/membership/links.cc
+++ b/packages/process/membership/links.cc
@@ -159,7 +159,7 @@
 link_record ownLink(const membership_state &state)
 {
     link_record record{state.self.dataCentre, 0, {}};
-    for (const member &reader : readersOf(state, readerDuty)) {
+    for (const member &reader : readersOf(state, configReaderTask)) {
         record.contacts.push_back(reader.gossip);
     }
     return record;
@@ -242,7 +242,7 @@
         return;
     }
     state.next.link = context.now + linkInterval(state) / 2 + jitter(context, linkInterval(state));
-    if (state.links.empty() || !isReader(state, readerDuty)) {
+    if (state.links.empty() || !isReader(state, configReaderTask)) {
         return;
     }
     for (auto &[name, link] : state.links) {
@@ -261,7 +261,7 @@
     }
     const milliseconds interval = state.remotes.size() <= maxRemotesForFullFlood ? floodInterval : slowFloodInterval;
     state.next.flood = context.now + interval / 2 + jitter(context, interval);
-    if (state.remotes.empty() || !isReader(state, readerDuty)) {
+    if (state.remotes.empty() || !isReader(state, configReaderTask)) {
         return;
     }
     const auto own = ownSummaries(state, context.now);
--- a/packages/process/membership/membership.cc
+++ b/packages/process/membership/membership.cc
@@ -219,7 +219,7 @@
             context.now + joinRetry / 2 + fullJitter(joinRetry, maxJoinRetry, state.joinAttempts++, *context.generator);
     } else {
         state.joinAttempts = 0;
-        const milliseconds wait = isReader(state, readerDuty) ? readerContactInterval : contactInterval;
+        const milliseconds wait = isReader(state, configReaderTask) ? readerContactInterval : contactInterval;
         state.next.join = context.now + wait / 2 + jitter(context, wait);
     }
 }
@@ -230,7 +230,7 @@
         return;
     }
     message load = newMessage(context.state, message_kind::Load);
-    for (const member &reader : readersOf(context.state, readerDuty)) {
+    for (const member &reader : readersOf(context.state, configReaderTask)) {
         if (reader.nodeId != context.state.self.nodeId) {
             sendTo(context, reader.gossip, load);
         }
@@ -278,7 +278,7 @@
     for (const std::uint64_t key : randomLive(context, announceFanout)) {
         sendToKey(context, key, newMessage(context.state, message_kind::Announce));
     }
-    if (isReader(context.state, readerDuty)) {
+    if (isReader(context.state, configReaderTask)) {
         announceToLinks(context);
     }
 }
--- a/packages/process/membership/membership.h
+++ b/packages/process/membership/membership.h
@@ -40,7 +40,7 @@
 inline constexpr std::size_t maxMembers = 8'192; // including dead and left ones; bounds the memory
 inline constexpr std::size_t maxPendingUpdates = 256; // queued updates; list pulls deliver what is dropped
 inline constexpr std::size_t readerCount = 3;
-inline constexpr std::string_view readerDuty = "config";
+inline constexpr std::string_view configReaderTask = "config";
 
 struct membership_options
 {
--- a/packages/process/membership/membership_test.cc
+++ b/packages/process/membership/membership_test.cc
@@ -388,7 +388,7 @@
             REQUIRE(isReader(node.state, name) == isOne);
         }
     }
-    const auto before = readersOf(network.nodes[0].state, readerDuty);
+    const auto before = readersOf(network.nodes[0].state, configReaderTask);
     const std::string leaving = before[1].nodeId;
     for (std::size_t index = 0; index < network.nodes.size(); ++index) {
         if (network.nodes[index].options.self.nodeId == leaving) {
@@ -396,7 +396,7 @@
         }
     }
     network.run(seconds(3));
-    const auto after = readersOf(network.nodes[0].state, readerDuty);
+    const auto after = readersOf(network.nodes[0].state, configReaderTask);
     CHECK(after[0].nodeId == before[0].nodeId);
     CHECK(after[1].nodeId == before[2].nodeId);
 }
--- a/packages/process/node/claims_duty.cc
+++ b/packages/process/node/claim_service.cc
@@ -1,4 +1,4 @@
-#include "process/node/claims_duty.h"
+#include "process/node/claim_service.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -13,7 +13,7 @@
 #include "connection/wire/codec.h"
 #include "process/membership/gossip.h"
 #include "process/metrics/metrics.h"
-#include "process/node/claims_duty.h"
+#include "process/node/claim_service.h"
 #include "process/node/config_store.h"
 #include "process/node/control.h"
 #include "process/node/log_reader.h"
@@ -279,7 +279,7 @@
         || !isReaderEligible(!settings.seeds.empty(), isAnswered, steadyNow() - startedAt, noPeerReaderWait)) {
         return std::nullopt;
     }
-    const std::vector<member> readers = gossip->readersOf(readerDuty);
+    const std::vector<member> readers = gossip->readersOf(configReaderTask);
     const auto found = std::ranges::find(readers, settings.nodeId, &member::nodeId);
     if (found == readers.end()) {
         return std::nullopt;
--- a/packages/process/node/rendezvous.cc
+++ b/packages/process/node/rendezvous.cc
@@ -68,8 +68,8 @@
     status.nextRead = steadyNow() + fullJitter(noPeerReadInterval, noPeerReadInterval, 0, m_generator);
     status.nextWrite = steadyNow() + fullJitter(noPeerReadInterval, noPeerReadInterval, 0, m_generator);
     while (!stop.stop_requested()) {
-        const auto readers = m_gossip.readersOf(readerDuty);
-        status.isReader = m_gossip.isReader(readerDuty);
+        const auto readers = m_gossip.readersOf(configReaderTask);
+        status.isReader = m_gossip.isReader(configReaderTask);
         status.isFirstReader = status.isReader && !readers.empty() && readers.front().gossip == m_gossip.address();
         status.isAnswered = m_gossip.status().isAnswered;
         const rendezvous_plan plan = planRendezvous(status, steadyNow());
