Follow the renamed types in comments and private names of request, mesh, fleet and loop

The headers of waiting, once and ledger still said offer, Answer and Ended for enqueue, Respond and Completed; the use at the top of http_server.h and one constant of the dissemination had torn lines.

Private names follow their types: budgets (service_retry_budgets), decisions (claim_decision), merged (merge_result), limits (server_limits), cancellation (cancellation_token), m_callerTimeouts, m_retryBudgets. No string and no code besides names changed.

The tests of waiting, placement, ledger, once, loop, fleet and resend pass; pq_mesh_node builds and has no test of its own.

--- a/packages/connection/loop/http_client_test.cc
+++ b/packages/connection/loop/http_client_test.cc
@@ -51,8 +51,8 @@
         request.target = "/a";
         request.headers = {{"Host", "x"}, {idHeader, id}};
         request.body = std::move(body);
-        cancellation_token control;
-        return m_loop.await(m_client->send(request, {.deadline = steadyNow() + timeout}, control));
+        cancellation_token cancellation;
+        return m_loop.await(m_client->send(request, {.deadline = steadyNow() + timeout}, cancellation));
     }
 
     client_counts counts()
--- a/packages/connection/loop/http_server.cc
+++ b/packages/connection/loop/http_server.cc
@@ -78,7 +78,7 @@
     {
     }
 
-    server_limits bounds() const
+    server_limits limits() const
     {
         return options.bounds ? options.bounds() : server_limits{};
     }
@@ -155,7 +155,7 @@
     }
     const time_point idleSince = steadyNow();
     for (;;) {
-        const auto timeout = std::chrono::duration_cast<duration>(m_server->bounds().idleTimeout * idleTimeoutFactor);
+        const auto timeout = std::chrono::duration_cast<duration>(m_server->limits().idleTimeout * idleTimeoutFactor);
         m_stream.expires_at(idleSince + timeout);
         const auto [failure, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(8192), awaitResult);
         m_buffer.commit(bytes);
@@ -164,7 +164,7 @@
         }
         // The idle timeout may have been raised while the connection was idle.
         const auto currentTimeout =
-            std::chrono::duration_cast<duration>(m_server->bounds().idleTimeout * idleTimeoutFactor);
+            std::chrono::duration_cast<duration>(m_server->limits().idleTimeout * idleTimeoutFactor);
         if (failure != beast::error::timeout || currentTimeout <= timeout) {
             co_return false;
         }
@@ -173,10 +173,10 @@
 
 awaitable<bool> server_connection::readRequest(parser_type &parser)
 {
-    const server_limits bounds = m_server->bounds();
-    parser.header_limit(static_cast<std::uint32_t>(bounds.headerBytes));
-    parser.body_limit(bounds.bodyBytes);
-    m_stream.expires_after(bounds.headerTimeout);
+    const server_limits limits = m_server->limits();
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+    m_stream.expires_after(limits.headerTimeout);
     auto [headFailure, headBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, awaitResult);
     if (headFailure) {
         if (isProtocolError(headFailure)) {
@@ -185,7 +185,7 @@
         co_return false;
     }
     if (const auto length = parser.content_length()) {
-        if (*length > bounds.bodyBytes) {
+        if (*length > limits.bodyBytes) {
             co_await rejectRequest(413);
             co_return false;
         }
@@ -202,7 +202,7 @@
         co_await http::async_write(m_stream, interim, awaitResult);
     }
     while (!parser.is_done()) {
-        m_stream.expires_after(bounds.idleTimeout);
+        m_stream.expires_after(limits.idleTimeout);
         auto [failure, bytes] = co_await http::async_read_some(m_stream, m_buffer, parser, awaitResult);
         if (failure) {
             if (isProtocolError(failure)) {
--- a/packages/connection/loop/http_server.h
+++ b/packages/connection/loop/http_server.h
@@ -1,10 +1,10 @@
 // HTTP/1.1 server on an event loop. It reads each request completely, within size and time limits, before it calls the
 // handler.
 //
-//   async_http_server server(executor, options, [&](const whole_request &request, caller_connection &caller) ->
-//   awaitable<whole_response> {
-//       co_return textReply(200, "ready");
-//   });
+//   async_http_server server(
+//       executor, options, [&](const whole_request &request, caller_connection &caller) -> awaitable<whole_response> {
+//           co_return textReply(200, "ready");
+//       });
 //   const auto started = attempt([&] { return server.start(); });
 //
 // While a handler runs, the server watches the connection, and `caller` reports when it is closed. The response is sent
--- a/packages/connection/loop/http_server_test.cc
+++ b/packages/connection/loop/http_server_test.cc
@@ -18,12 +18,12 @@
 class echo_server
 {
 public:
-    explicit echo_server(server_limits bounds = {})
+    explicit echo_server(server_limits limits = {})
         : m_server(m_loop.executor(),
                    {.address = {"127.0.0.1", 0},
                     .bounds =
-                        [bounds] {
-                            return bounds;
+                        [limits] {
+                            return limits;
                         }},
                    [this](const whole_request &request, caller_connection &caller) {
                        return respond(request, caller);
--- a/packages/connection/loop/loop_fixture.h
+++ b/packages/connection/loop/loop_fixture.h
@@ -1,7 +1,7 @@
 // Runs an event loop on its own thread. For test programs only.
 //
 //   loop_thread loop;
-//   const exchange_result got = loop.await(client.send(request, options, control));
+//   const exchange_result got = loop.await(client.send(request, options, cancellation));
 #pragma once
 
 #include <future>
--- a/packages/process/fleet/fleet.cc
+++ b/packages/process/fleet/fleet.cc
@@ -58,30 +58,30 @@
 
 merge_result mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now)
 {
-    merge_result report;
+    merge_result merged;
     if (record.nodeId == fleet.selfId) {
-        report.isOwnStartOutdated = record.started > ownStarted;
-        return report;
+        merged.isOwnStartOutdated = record.started > ownStarted;
+        return merged;
     }
     const auto found = fleet.nodes.find(record.nodeId);
     if (found == fleet.nodes.end() && fleet.nodes.size() >= maxNodes) {
-        return report;
+        return merged;
     }
     if (found != fleet.nodes.end() && !isNewer(record, found->second.record)) {
-        return report;
+        return merged;
     }
-    report.wasApplied = true;
-    report.isNew = found == fleet.nodes.end() || found->second.record.process != record.process;
-    report.hasWorkerChanged = report.isNew || found->second.record.worker != record.worker
+    merged.wasApplied = true;
+    merged.isNew = found == fleet.nodes.end() || found->second.record.process != record.process;
+    merged.hasWorkerChanged = merged.isNew || found->second.record.worker != record.worker
         || found->second.record.isLeaving != record.isLeaving || found->second.record.service != record.service;
     known_node &node = fleet.nodes[record.nodeId];
     node.record = record;
     node.lastHeardAt = now;
     node.warmUpUntil = now + milliseconds(record.warmUpRemainingMs);
-    if (report.hasWorkerChanged) {
+    if (merged.hasWorkerChanged) {
         node.sendsLeft = changeSends(fleet);
     }
-    return report;
+    return merged;
 }
 
 std::vector<node_record> chooseUpdates(fleet_state &fleet, std::size_t count, random_generator &generator)
--- a/packages/process/fleet/fleet_test.cc
+++ b/packages/process/fleet/fleet_test.cc
@@ -141,7 +141,7 @@
             mergeRecord(fleets[index], record, 1, start);
         });
     }
-    gossip_statistics report;
+    gossip_statistics statistics;
     double knownNodes = 0;
     double nearNodes = 0;
     double datagrams = 0;
@@ -156,24 +156,24 @@
                     mergeRecord(fleets[target], record, 1, now);
                 }
                 ++datagrams;
-                report.crossShare += own[target].dataCentre == own[index].dataCentre ? 0 : 1;
+                statistics.crossShare += own[target].dataCentre == own[index].dataCentre ? 0 : 1;
             }
         }
         for (std::size_t index = 0; round > warmUpRounds && index < count; ++index) {
             for (const auto &[id, node] : fleets[index].nodes) {
                 ++knownNodes;
-                report.silentShare += isSilent(fleets[index], node, now) ? 1 : 0;
+                statistics.silentShare += isSilent(fleets[index], node, now) ? 1 : 0;
                 if (node.record.dataCentre == own[index].dataCentre) {
                     ++nearNodes;
-                    report.meanAgeMs += msBetween(node.lastHeardAt, now);
+                    statistics.meanAgeMs += msBetween(node.lastHeardAt, now);
                 }
             }
         }
     }
-    report.silentShare /= knownNodes;
-    report.meanAgeMs /= nearNodes;
-    report.crossShare /= datagrams;
-    return report;
+    statistics.silentShare /= knownNodes;
+    statistics.meanAgeMs /= nearNodes;
+    statistics.crossShare /= datagrams;
+    return statistics;
 }
 
 } // namespace
@@ -181,11 +181,11 @@
 TEST_CASE("in a large fleet most live nodes are not silent, and most datagrams stay in their data centre")
 {
     for (const unsigned count : {12U, 82U, 300U}) {
-        const gossip_statistics report = simulateGossip(count);
-        INFO(count << " nodes: silent " << report.silentShare << ", age in the own data centre " << report.meanAgeMs
-                   << " ms, datagrams to other data centres " << report.crossShare);
-        CHECK(report.silentShare < 0.5);
-        CHECK(report.crossShare < 0.5);
+        const gossip_statistics statistics = simulateGossip(count);
+        INFO(count << " nodes: silent " << statistics.silentShare << ", age in the own data centre "
+                   << statistics.meanAgeMs << " ms, datagrams to other data centres " << statistics.crossShare);
+        CHECK(statistics.silentShare < 0.5);
+        CHECK(statistics.crossShare < 0.5);
     }
 }
 
--- a/packages/process/mesh/dissemination.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -44,8 +44,8 @@
     return compressed;
 }
 
-constexpr std::size_t assumedCompressionRatio =
-    8; // a delta is sent only if it is smaller than the compressed text by this estimate
+// A delta is sent only if it is smaller than the compressed text by this estimate.
+constexpr std::size_t assumedCompressionRatio = 8;
 constexpr std::size_t maxRecentConfigs = 6; // versions that a delta can be based on
 
 std::optional<std::string> decompressText(const config_message &message)
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -128,7 +128,7 @@
     const milliseconds timeLeft = parsed ? milliseconds(*parsed) : defaultTimeLeft;
     request.service = chooseTarget(m_splits, route);
     request.targetAt =
-        request.arrivedAt + route.targetLatency - timeSinceFirstAttempt(m_attemptAges, route.name, timeLeft);
+        request.arrivedAt + route.targetLatency - timeSinceFirstAttempt(m_callerTimeouts, route.name, timeLeft);
     request.requestDeadline = request.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
     request.placement.route = route.name;
     request.placement.priority = route.priority;
@@ -146,7 +146,7 @@
         refused.closesConnection = true;
         return refused;
     }
-    countRequest(m_retryBudget, request.service, retryLimits(), request.arrivedAt);
+    countRequest(m_retryBudgets, request.service, retryLimits(), request.arrivedAt);
     return std::nullopt;
 }
 
@@ -288,7 +288,7 @@
     const placement_choice choice = choosePlacement(request);
     request.placement.excluded = excluded;
     if (!choice.nodeId || !maySendHedge({choice.expectedWaitMs, choice.expectedRunMs, request.placement.timeLeftMs})
-        || !tryAcquireServiceHedge(m_retryBudget, request.service, retryLimits(), steadyNow())) {
+        || !tryAcquireServiceHedge(m_retryBudgets, request.service, retryLimits(), steadyNow())) {
         return nullptr;
     }
     m_context.metrics.count("hedges_total");
@@ -373,7 +373,7 @@
     if (failed.end == attempt_outcome::NotRun) {
         return true; // no worker has received it, so the attempt does not use the retry budget
     }
-    const bool isAllowed = tryAcquireServiceRetry(m_retryBudget, request.service, retryLimits(), now);
+    const bool isAllowed = tryAcquireServiceRetry(m_retryBudgets, request.service, retryLimits(), now);
     m_context.metrics.count(isAllowed ? "resends_total" : "resends_denied_total");
     return isAllowed;
 }
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -97,8 +97,8 @@
     inbound_handler &m_inbound;
     peer_links &m_links;
     traffic_split_state m_splits;
-    service_retry_budgets m_retryBudget;
-    caller_timeouts m_attemptAges;
+    service_retry_budgets m_retryBudgets;
+    caller_timeouts m_callerTimeouts;
     std::size_t m_openRequests = 0;
 };
 
--- a/packages/request/ledger/ledger.h
+++ b/packages/request/ledger/ledger.h
@@ -4,7 +4,7 @@
 //   switch (table.begin(id, now)) {
 //   case deduplication_state::New: ...          // the id was not received before
 //   case deduplication_state::Open: ...         // the request is queued or running: respond when it ends
-//   case deduplication_state::Ended: ...        // it has completed; its response is kept for `responseRetention`
+//   case deduplication_state::Completed: ...    // it has completed; its response is kept for `responseRetention`
 //   case deduplication_state::Void: ...         // the sender was told that it has not run, so it must never run
 //   }
 //
--- a/packages/request/once/once.cc
+++ b/packages/request/once/once.cc
@@ -59,7 +59,7 @@
 void resolveWaiting(at_most_once_state &state,
                     const hash128 &claim,
                     time_point now,
-                    std::vector<claim_decision> &actions)
+                    std::vector<claim_decision> &decisions)
 {
     local_claim &local = state.localClaims.at(claim);
     state.pendingByKey.erase(local.key);
@@ -67,28 +67,28 @@
     if (holder == nullptr || holder->claim != claim) {
         const key_outcome outcome = holder == nullptr ? key_outcome::Unknown : outcomeOfHolder(state, holder->claim);
         local.phase = claim_phase::Abandoned;
-        actions.push_back({claim_action::Respond, claim, outcome});
+        decisions.push_back({claim_action::Respond, claim, outcome});
         return;
     }
     local.phase = claim_phase::Granted;
     if (isTooLate(local, now)) {
-        actions.push_back({claim_action::Respond, claim, abandonRun(state, claim)});
+        decisions.push_back({claim_action::Respond, claim, abandonRun(state, claim)});
     } else {
-        actions.push_back({claim_action::Run, claim, key_outcome::NotRun});
+        decisions.push_back({claim_action::Run, claim, key_outcome::NotRun});
     }
 }
 
 void resolveClaim(at_most_once_state &state,
                   const claim_record &record,
                   time_point now,
-                  std::vector<claim_decision> &actions)
+                  std::vector<claim_decision> &decisions)
 {
     const local_claim *local = findLocal(state, record.claim);
     if (local == nullptr || record.kind != claim_kind::Claim) {
         return;
     }
     if (local->phase == claim_phase::Waiting) {
-        resolveWaiting(state, record.claim, now, actions);
+        resolveWaiting(state, record.claim, now, decisions);
     } else if (local->phase == claim_phase::Abandoned && holdsKey(state, record.key, record.claim)) {
         enqueueRelease(state, record.key, record.claim);
     }
@@ -117,7 +117,7 @@
                  std::int64_t timeMs,
                  std::span<const claim_record> records,
                  time_point now,
-                 std::vector<claim_decision> &actions)
+                 std::vector<claim_decision> &decisions)
 {
     const bool isNew = offset == state.index.position;
     if (!applyClaims(state.index, offset, timeMs, records)) {
@@ -125,7 +125,7 @@
     }
     if (isNew) {
         for (const claim_record &record : records) {
-            resolveClaim(state, record, now, actions);
+            resolveClaim(state, record, now, decisions);
         }
     }
     return true;
--- a/packages/request/once/once.h
+++ b/packages/request/once/once.h
@@ -3,9 +3,9 @@
 // log. It runs the request only after it has read that claim back and the claim holds the key.
 //
 //   claim_decision begun = beginClaim(state, key, claim, deadline, now);   // after the quarantine checks
-//   if (begun.kind == claim_action::Answer) return respond(begun.outcome);
+//   if (begun.kind == claim_action::Respond) return respond(begun.outcome);
 //   ...  append beginAppend(state.queue, now), read the stream, and for each record:
-//   applyRecord(state, offset, timeMs, records, now, actions);   // Run: go on to admission; otherwise respond
+//   applyRecord(state, offset, timeMs, records, now, decisions);   // Run: go on to admission; otherwise respond
 //   if (!startRun(state, claim, now)) return respond(abandonRun(state, claim));   // just before the first byte
 //   endRun(state, claim);   // the worker responded or died
 //
@@ -95,14 +95,15 @@
 claim_decision
 beginClaim(at_most_once_state &state, const hash128 &key, const hash128 &claim, time_point deadline, time_point now);
 
-// applyRecord applies one record of the log and appends the resulting decisions on requests of this node to `actions`.
-// Returns false if records are missing: call `restartReplay` and read again from the oldest record. Not thread safe.
+// applyRecord applies one record of the log and appends the resulting decisions on requests of this node to
+// `decisions`. Returns false if records are missing: call `restartReplay` and read again from the oldest record. Not
+// thread safe.
 bool applyRecord(at_most_once_state &state,
                  std::int64_t offset,
                  std::int64_t timeMs,
                  std::span<const claim_record> records,
                  time_point now,
-                 std::vector<claim_decision> &actions);
+                 std::vector<claim_decision> &decisions);
 
 // restartReplay discards the replayed state; the next record that it expects is `first`, the oldest offset that the log
 // retains. Keeps the claims of this node. Not thread safe.
--- a/packages/request/once/once_test.cc
+++ b/packages/request/once/once_test.cc
@@ -136,21 +136,21 @@
 
     void read(node_model &node, std::uint32_t choice)
     {
-        std::vector<claim_decision> actions;
+        std::vector<claim_decision> decisions;
         std::size_t remaining = 1U + choice % 16U;
         std::int64_t offset = node.state.index.position;
         for (; offset <= static_cast<std::int64_t>(m_log.size()) && remaining > 0; ++offset, --remaining) {
             const log_record &record = m_log.at(static_cast<std::size_t>(offset - 1));
-            RC_ASSERT(applyRecord(node.state, offset, record.timeMs, record.records, m_now, actions));
+            RC_ASSERT(applyRecord(node.state, offset, record.timeMs, record.records, m_now, decisions));
         }
         if (offset > static_cast<std::int64_t>(m_log.size())) {
             recordCaughtUp(node.state, m_now);
         }
-        for (const claim_decision &action : actions) {
-            if (action.kind == claim_action::Run) {
-                node.ready.push_back(action.claim);
+        for (const claim_decision &decision : decisions) {
+            if (decision.kind == claim_action::Run) {
+                node.ready.push_back(decision.claim);
             } else {
-                checkOutcome(node, action.claim, action.outcome);
+                checkOutcome(node, decision.claim, decision.outcome);
             }
         }
     }
@@ -230,10 +230,10 @@
         const std::vector<claim_record> records(batch.begin(), batch.end());
         random_generator generator(1);
         endAppend(state.queue, true, now, generator);
-        std::vector<claim_decision> actions;
-        applyRecord(state, ++offset, startMs + millisBetween(start, now), records, now, actions);
+        std::vector<claim_decision> decisions;
+        applyRecord(state, ++offset, startMs + millisBetween(start, now), records, now, decisions);
         recordCaughtUp(state, now);
-        return actions;
+        return decisions;
     }
 };
 
@@ -261,8 +261,8 @@
     single_node node;
     REQUIRE(beginClaim(node.state, key, first, start + seconds(1), start).kind == claim_action::Wait);
     CHECK_FALSE(startRun(node.state, first, start));
-    const auto actions = node.flush(start);
-    CHECK(actions == std::vector<claim_decision>{{claim_action::Run, first, key_outcome::NotRun}});
+    const auto decisions = node.flush(start);
+    CHECK(decisions == std::vector<claim_decision>{{claim_action::Run, first, key_outcome::NotRun}});
     CHECK(startRun(node.state, first, start));
     CHECK_FALSE(startRun(node.state, first, start));
     CHECK(beginClaim(node.state, key, second, start + seconds(1), start).outcome == key_outcome::Running);
@@ -287,11 +287,11 @@
     beginClaim(node.state, key, first, start + seconds(1), start);
     node.flush(start);
     single_node restarted;
-    std::vector<claim_decision> actions;
+    std::vector<claim_decision> decisions;
     const std::vector<claim_record> records = {{claim_kind::Claim, key, first}};
-    applyRecord(restarted.state, 1, startMs, records, start, actions);
+    applyRecord(restarted.state, 1, startMs, records, start, decisions);
     recordCaughtUp(restarted.state, start + seconds(5));
-    CHECK(actions.empty());
+    CHECK(decisions.empty());
     CHECK(outcomeFor(restarted.state, key, start) == key_outcome::Unknown);
     CHECK(beginClaim(restarted.state, key, second, start + seconds(9), start).outcome == key_outcome::Unknown);
 }
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -37,13 +37,13 @@
                            });
 }
 
-bool tryAcquireShare(service_retry_budgets &budget,
+bool tryAcquireShare(service_retry_budgets &budgets,
                      const std::string &service,
                      const retry_budget_limits &limits,
                      double share,
                      time_point now)
 {
-    retry_window &window = budget.services[service];
+    retry_window &window = budgets.services[service];
     retry_counts &bucket = currentBucket(window, limits, now);
     const retry_counts total = totalOf(window);
     const double ownFixedRetries = static_cast<double>(limits.fixedRetries) / std::max<std::uint32_t>(limits.nodes, 1);
@@ -57,28 +57,28 @@
 
 } // namespace
 
-void countRequest(service_retry_budgets &budget,
+void countRequest(service_retry_budgets &budgets,
                   const std::string &service,
                   const retry_budget_limits &limits,
                   time_point now)
 {
-    ++currentBucket(budget.services[service], limits, now).requests;
+    ++currentBucket(budgets.services[service], limits, now).requests;
 }
 
-bool tryAcquireServiceRetry(service_retry_budgets &budget,
+bool tryAcquireServiceRetry(service_retry_budgets &budgets,
                             const std::string &service,
                             const retry_budget_limits &limits,
                             time_point now)
 {
-    return tryAcquireShare(budget, service, limits, 1.0, now);
+    return tryAcquireShare(budgets, service, limits, 1.0, now);
 }
 
-bool tryAcquireServiceHedge(service_retry_budgets &budget,
+bool tryAcquireServiceHedge(service_retry_budgets &budgets,
                             const std::string &service,
                             const retry_budget_limits &limits,
                             time_point now)
 {
-    return tryAcquireShare(budget, service, limits, hedgeShare, now);
+    return tryAcquireShare(budgets, service, limits, hedgeShare, now);
 }
 
 bool mayRetryElsewhere(const failed_attempt &attempt)
--- a/packages/request/resend/resend.h
+++ b/packages/request/resend/resend.h
@@ -1,8 +1,8 @@
 // Decides whether a request that failed at one worker may be retried on another one, and limits these retries by a
 // budget for each service.
 //
-//   countRequest(budget, "orders", limits, now);                      // for each request of a caller
-//   if (mayRetryElsewhere(attempt) && tryAcquireServiceRetry(budget, "orders", limits, now)) sendToOtherWorker();
+//   countRequest(budgets, "orders", limits, now);                      // for each request of a caller
+//   if (mayRetryElsewhere(attempt) && tryAcquireServiceRetry(budgets, "orders", limits, now)) sendToOtherWorker();
 //
 // Load pattern: when workers fail or shed load, every retry adds load to those that still work. All nodes together may
 // therefore retry only a share of the requests of a service in each window. A node uses the allowance of its own
@@ -58,20 +58,20 @@
 };
 
 // countRequest counts a request of a caller to the service. Not thread safe.
-void countRequest(service_retry_budgets &budget,
+void countRequest(service_retry_budgets &budgets,
                   const std::string &service,
                   const retry_budget_limits &limits,
                   time_point now);
 
 // tryAcquireServiceRetry consumes one retry of the allowance; false if none is left. Not thread safe.
-bool tryAcquireServiceRetry(service_retry_budgets &budget,
+bool tryAcquireServiceRetry(service_retry_budgets &budgets,
                             const std::string &service,
                             const retry_budget_limits &limits,
                             time_point now);
 
 // tryAcquireServiceHedge consumes one retry of the allowance for a hedge; false once `hedgeShare` of the allowance is
 // used, so that the rest stays available for retries of failed requests. Not thread safe.
-bool tryAcquireServiceHedge(service_retry_budgets &budget,
+bool tryAcquireServiceHedge(service_retry_budgets &budgets,
                             const std::string &service,
                             const retry_budget_limits &limits,
                             time_point now);
--- a/packages/request/resend/resend_test.cc
+++ b/packages/request/resend/resend_test.cc
@@ -28,11 +28,11 @@
     const retry_budget_limits limits = limitsOf(nodes);
     unsigned retries = 0;
     for (std::uint32_t node = 0; node < nodes; ++node) {
-        service_retry_budgets budget;
+        service_retry_budgets budgets;
         for (unsigned index = 0; index < requestsPerNode; ++index) {
             const time_point now = start + milliseconds(index * 20);
-            countRequest(budget, "orders", limits, now);
-            retries += tryAcquireServiceRetry(budget, "orders", limits, now) ? 1U : 0U;
+            countRequest(budgets, "orders", limits, now);
+            retries += tryAcquireServiceRetry(budgets, "orders", limits, now) ? 1U : 0U;
         }
     }
     CHECK(retries <= 0.2 * nodes * requestsPerNode + 64);
@@ -42,23 +42,23 @@
 TEST_CASE("the budget counts only the requests of the last window")
 {
     const retry_budget_limits limits = limitsOf(64);
-    service_retry_budgets budget;
-    countRequest(budget, "orders", limits, start);
-    CHECK_FALSE(tryAcquireServiceRetry(budget, "orders", limits, start));
+    service_retry_budgets budgets;
+    countRequest(budgets, "orders", limits, start);
+    CHECK_FALSE(tryAcquireServiceRetry(budgets, "orders", limits, start));
     for (int index = 0; index < 10; ++index) {
-        countRequest(budget, "orders", limits, start);
+        countRequest(budgets, "orders", limits, start);
     }
-    CHECK(tryAcquireServiceRetry(budget, "orders", limits, start));
-    CHECK_FALSE(tryAcquireServiceRetry(budget, "orders", limits, start + seconds(11)));
+    CHECK(tryAcquireServiceRetry(budgets, "orders", limits, start));
+    CHECK_FALSE(tryAcquireServiceRetry(budgets, "orders", limits, start + seconds(11)));
 }
 
 TEST_CASE("each service has its own retry budget")
 {
     const retry_budget_limits limits = limitsOf(1);
-    service_retry_budgets budget;
-    while (tryAcquireServiceRetry(budget, "orders", limits, start)) {
+    service_retry_budgets budgets;
+    while (tryAcquireServiceRetry(budgets, "orders", limits, start)) {
     }
-    CHECK(tryAcquireServiceRetry(budget, "designs", limits, start));
+    CHECK(tryAcquireServiceRetry(budgets, "designs", limits, start));
 }
 
 TEST_CASE("a request that is not retryable is retried only if it has not run")
@@ -97,16 +97,16 @@
 TEST_CASE("hedges leave a part of the budget for retries of failed requests")
 {
     const retry_budget_limits limits = limitsOf(1);
-    service_retry_budgets budget;
+    service_retry_budgets budgets;
     for (int index = 0; index < 100; ++index) {
-        countRequest(budget, "orders", limits, start);
+        countRequest(budgets, "orders", limits, start);
     }
     unsigned hedges = 0;
-    while (tryAcquireServiceHedge(budget, "orders", limits, start)) {
+    while (tryAcquireServiceHedge(budgets, "orders", limits, start)) {
         ++hedges;
     }
     unsigned retries = 0;
-    while (tryAcquireServiceRetry(budget, "orders", limits, start)) {
+    while (tryAcquireServiceRetry(budgets, "orders", limits, start)) {
         ++retries;
     }
     CHECK(hedges > 0);
--- a/packages/request/waiting/waiting.h
+++ b/packages/request/waiting/waiting.h
@@ -1,7 +1,7 @@
 // Queue of the requests that wait at a node for a slot of its worker: which request runs next, which ones are refused,
 // and after what delay a refused caller should retry.
 //
-//   const enqueue_result result = offer(queue, request, now, generator);
+//   const enqueue_result result = enqueue(queue, request, now, generator);
 //   if (result.kind == enqueue_outcome::Refused) return refuse(result.reason, result.retryAfter);
 //   ...
 //   finish(queue, ticket);
@@ -48,7 +48,7 @@
     time_point targetAt; // a response by then has its full value
     time_point requestDeadline; // deadline: a later response is of no use
     double expectedRunMs = 0;
-    bool isFinalAttempt = false; // set by `offer`: its caller has no time left for a retry
+    bool isFinalAttempt = false; // set by `enqueue`: its caller has no time left for a retry
     bool isAdmittedLate = false; // could not meet its target when it was admitted
 
     friend bool operator==(const queued_request &, const queued_request &) = default;
@@ -110,7 +110,7 @@
     std::vector<running_request> running;
 };
 
-// offer runs, queues or refuses a new request. Run: it has a slot now. Wait: it stays queued until `startNext` or
+// enqueue runs, queues or refuses a new request. Run: it has a slot now. Wait: it stays queued until `startNext` or
 // `removeUnservable` returns its ticket.
 enqueue_result
 enqueue(request_queue &queue, const queued_request &request, time_point now, random_generator &generator);
