--- a/packages/pistachioquayd/main.cc
+++ b/packages/pistachioquayd/main.cc
@@ -1,4 +1,4 @@
-// Daemon beside one upstream.
+// The daemon pistachioquayd: a node of the mesh that runs beside one upstream and routes requests to and from it.
 
 #include <iostream>
 #include <string>
@@ -40,7 +40,8 @@
 {
     const std::string path = platform::settingsPath();
     if (path.empty()) {
-        std::cerr << "pistachioquayd: no settings file is named; run it where the platform sets its environment\n";
+        std::cerr << "pistachioquayd: PISTACHIOQUAY_NODE_FILE is unset or empty; it must hold the path of the settings "
+                     "file\n";
         return exitSettings;
     }
     return onlyChecks ? platform::checkSettings(path) : platform::runNode(path);
--- a/packages/pistachioquayd/no_settings_node.cc
+++ b/packages/pistachioquayd/no_settings_node.cc
@@ -1,4 +1,4 @@
-// Stands in for settings_node.cc in builds that only run on the platform.
+// Replaces settings_node.cc in builds with PQ_SETTINGS_NODE=OFF, which run only on the platform.
 #include "pistachioquayd/settings_node.h"
 
 #include <iostream>
@@ -9,7 +9,8 @@
 
 int runSettingsNode(const std::string & /*settingsPath*/, bool /*onlyChecks*/)
 {
-    std::cerr << "pistachioquayd: this build only runs with --platform; build it with -DPQ_SETTINGS_NODE=ON\n";
+    std::cerr << "pistachioquayd: this build supports only --platform; rebuild with -DPQ_SETTINGS_NODE=ON to use "
+                 "--settings\n";
     return exitSettings;
 }
 
--- a/packages/pistachioquayd/settings_node.cc
+++ b/packages/pistachioquayd/settings_node.cc
@@ -21,18 +21,18 @@
 
 int runNode(const node_settings &settings)
 {
-    const sigset_t ends = blockEndSignals();
-    node running(settings);
+    const sigset_t shutdownSignals = blockEndSignals();
+    node settingsNode(settings);
     const auto started = attempt([&] {
-        return running.start();
+        return settingsNode.start();
     });
     if (!started) {
         std::cerr << "pistachioquayd: " << describe(started.failure()) << '\n';
         return exitFailure;
     }
-    int received = 0;
-    sigwait(&ends, &received);
-    running.shutDown();
+    int receivedSignal = 0;
+    sigwait(&shutdownSignals, &receivedSignal);
+    settingsNode.shutDown();
     return 0;
 }
 
--- a/packages/pistachioquayd/settings_node.h
+++ b/packages/pistachioquayd/settings_node.h
@@ -1,17 +1,17 @@
-// Runs a node with a settings file of its own, apart from the platform.
+// Runs a node from a TOML settings file, without the platform.
 //
 //   return runSettingsNode("node.toml", false);
 //
-// A build with PQ_SETTINGS_NODE=OFF leaves this node and its libraries out, and only says so: on a VM of the platform
-// they would cost time at each start, and memory.
+// A build with PQ_SETTINGS_NODE=OFF omits this node and its libraries, because on a VM of the platform they would
+// cost memory and startup time. In such a build, runSettingsNode prints an error and returns exitSettings.
 #pragma once
 
 #include <string>
 
 namespace pistachioquay {
 
-// runSettingsNode runs until SIGTERM or SIGINT and returns the exit code; with `onlyChecks` it returns after the
-// checks.
+// runSettingsNode runs the node until SIGTERM or SIGINT and returns the exit code of the process. With `onlyChecks`, it
+// validates the settings and returns without starting the node.
 int runSettingsNode(const std::string &settingsPath, bool onlyChecks);
 
 } // namespace pistachioquay
