Reword the fixtures and tests of testing/platform

Test titles spoke of nodes that stand still, a store that is away and a refusal that says when to come back; they now state what is checked. Comments of the stand-ins say what each mode and function does; the example in worker_stand_in.h called functions that do not exist. Private names are now terms of the field: hangDuration, idsRunMoreThanOnce, heartbeatLoop, announcedAddress, silentDelay, serving_mesh, startTimeout, recoveryTimeout.

--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -27,7 +27,7 @@
 
 const std::string host = "shop.example";
 
-boost::json::value ruleOf(const route_plan &route)
+boost::json::value ruleJson(const route_plan &route)
 {
     return {
         {"name", "r" + route.prefix},
@@ -70,7 +70,7 @@
     return m_nodes.at(node).addresses[Outbound];
 }
 
-std::string platform_mesh::settingsOf(const node_state &node) const
+std::string platform_mesh::settingsText(const node_state &node) const
 {
     const auto text = [&](address_index index) {
         return "\"" + toText(node.addresses[index]) + "\"\n";
@@ -92,8 +92,8 @@
 {
     node_state &state = m_nodes.at(node);
     const std::string path = m_folder.file(node + ".toml");
-    std::ofstream(path) << settingsOf(state);
-    // The process inherits the variable; nodes are started one at a time.
+    std::ofstream(path) << settingsText(state);
+    // The child process inherits the variable. Nodes are started one at a time, so each gets its own path.
     ::setenv("PISTACHIOQUAY_NODE_FILE", path.c_str(), 1);
     state.process = requireValue([&] {
         return startProcess(
@@ -111,7 +111,7 @@
     options.dataCentre = state.plan.dataCentre;
     options.address = state.addresses[Worker];
     options.control = state.addresses[Control];
-    options.announced = state.workerRelay ? state.workerRelay->address() : endpoint{};
+    options.announcedAddress = state.workerRelay ? state.workerRelay->address() : endpoint{};
     state.worker = std::make_unique<worker_stand_in>(options);
 }
 
@@ -125,7 +125,7 @@
     boost::json::array rules;
     std::set<std::string> services;
     for (const route_plan &route : routes) {
-        rules.push_back(ruleOf(route));
+        rules.push_back(ruleJson(route));
         services.insert(route.service);
     }
     boost::json::array clusters;
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -1,4 +1,4 @@
-// Nodes of the mesh as real processes on the stand-ins of the platform.
+// Runs nodes of the mesh as real processes, with stand-ins for the platform's store and workers.
 //
 //   platform_mesh mesh({{"a1", "orders", "dc-1"}, {"b1", "orders", "dc-2"}});
 //   mesh.publish(1, routesTo("orders"));
@@ -18,6 +18,7 @@
 
 namespace pistachioquay::testing {
 
+// A node to start: its name, the service of its worker, and its data centre.
 struct node_plan
 {
     std::string name;
@@ -35,6 +36,7 @@
     unsigned maxAttempts = 3;
 };
 
+// A request that a test sends to a node in the role of a caller.
 struct caller_request
 {
     std::string id;
@@ -44,17 +46,18 @@
     milliseconds timeLeft{4000};
 };
 
+// How the exchange of a caller_request ended, and its response.
 struct caller_result
 {
     exchange_end end = exchange_end::Lost;
     whole_response response;
 };
 
-// How nodes reach their workers and the store.
+// How nodes connect to their workers and to the store.
 enum class wiring : std::uint8_t
 {
     Direct,
-    Relayed, // by relays that can harm the connections
+    Relayed, // through fault relays, which can disturb the connections
 };
 
 class platform_mesh
@@ -74,10 +77,11 @@
     {
         return m_nodes.at(node).process;
     }
+    // names returns the names of all nodes.
     std::vector<std::string> names() const;
-    // callerAddress is where the callers of a node send their requests.
+    // callerAddress returns the outbound address of a node, to which its callers send their requests.
     endpoint callerAddress(const std::string &node) const;
-    // Relays of a node; only with `wiring::Relayed`.
+    // storeRelay and workerRelay return the fault relays of a node. They exist only with `wiring::Relayed`.
     fault_relay &storeRelay(const std::string &node)
     {
         return *m_nodes.at(node).storeRelay;
@@ -87,18 +91,20 @@
         return *m_nodes.at(node).workerRelay;
     }
 
-    // publish writes a configuration as the operator does.
+    // publish writes a configuration to the store, as the operator does.
     void publish(unsigned version, const std::vector<route_plan> &routes);
-    // startNode starts the process of a node; startWorker and stopWorker do the same for the worker beside it.
+    // startNode starts the process of a node.
     void startNode(const std::string &node);
+    // startWorker and stopWorker start and stop the worker stand-in beside a node; startWorker replaces a running one.
     void startWorker(const std::string &node, const std::string &workerId);
     void stopWorker(const std::string &node);
-    // isReady asks a node whether it takes callers; waitReady waits for all running ones.
+    // isReady sends GET /readiness to a node and returns whether it answered 200.
     bool isReady(const std::string &node);
+    // waitReady waits until all running nodes are ready; false after `atMost`.
     bool waitReady(milliseconds atMost);
-    // send sends one request of a caller to a node, on a connection of its own.
+    // send sends one request to the outbound address of a node, on a new connection.
     caller_result send(const std::string &node, const caller_request &request);
-    // log returns what a node has logged.
+    // log returns the log output of a node so far.
     std::string log(const std::string &node) const
     {
         return readFile(m_folder.file(node + ".log"));
@@ -117,7 +123,7 @@
         std::unique_ptr<worker_stand_in> worker;
     };
 
-    std::string settingsOf(const node_state &node) const;
+    std::string settingsText(const node_state &node) const;
 
     temp_folder m_folder;
     store_stand_in m_store;
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -1,5 +1,5 @@
-// Guards the promises of the mesh on the platform with real processes: nodes that die, leave or stand still, a store
-// that is away, and requests that may run only once.
+// Tests the mesh on the platform with real processes: nodes that crash, drain or are suspended, an unavailable store,
+// and requests that may run only once.
 #include <catch2/catch.hpp>
 
 #include <future>
@@ -11,34 +11,34 @@
 
 namespace {
 
-constexpr milliseconds startBound{8000};
+constexpr milliseconds startTimeout{8000};
 constexpr milliseconds configApplyLimit{2000};
-constexpr milliseconds recoveryBound{15000};
+constexpr milliseconds recoveryTimeout{15000};
 
 std::vector<node_plan> twoDataCentres()
 {
     return {{"a1", "orders", "dc-1"}, {"a2", "shop", "dc-1"}, {"b1", "orders", "dc-2"}};
 }
 
-std::vector<route_plan> usualRoutes()
+std::vector<route_plan> defaultRoutes()
 {
     return {{"/orders/", "orders"}, {"/sign/", "orders", "unsafe"}, {"/shop/", "shop"}};
 }
 
-// A mesh with a configuration in force and requests that are served from every node.
-class served_mesh : public platform_mesh
+// A mesh whose nodes have all applied a configuration and route requests to both services.
+class serving_mesh : public platform_mesh
 {
 public:
-    explicit served_mesh(const std::vector<node_plan> &nodes = twoDataCentres())
+    explicit serving_mesh(const std::vector<node_plan> &nodes = twoDataCentres())
         : platform_mesh(nodes)
     {
-        publish(5, usualRoutes());
-        if (!waitReady(startBound)) {
-            throw std::runtime_error("the mesh is not ready in time");
+        publish(5, defaultRoutes());
+        if (!waitReady(startTimeout)) {
+            throw std::runtime_error("the nodes did not become ready in time");
         }
         for (const std::string &name : names()) {
-            if (!waitServed(name, startBound)) {
-                throw std::runtime_error("requests at " + name + " are not served in time");
+            if (!waitUntilServing(name, startTimeout)) {
+                throw std::runtime_error("node " + name + " did not serve requests in time");
             }
         }
     }
@@ -48,7 +48,7 @@
         return send(node, {.id = id, .target = target}).response.status;
     }
 
-    bool waitServed(const std::string &node, milliseconds atMost)
+    bool waitUntilServing(const std::string &node, milliseconds atMost)
     {
         return waitUntil(
             [&] {
@@ -58,7 +58,7 @@
             atMost);
     }
 
-    std::string nodeThatRan(const std::string &id)
+    std::string nodeThatRanRequest(const std::string &id)
     {
         for (const std::string &name : names()) {
             if (worker(name).seen(id).runs > 0) {
@@ -76,14 +76,14 @@
 
 TEST_CASE("requests reach a worker of their service from every node")
 {
-    served_mesh mesh;
+    serving_mesh mesh;
     for (const std::string &name : mesh.names()) {
         const std::string id = "calm-" + name;
         const caller_result got = mesh.send(name, {.id = id, .target = "/orders/7?x=1"});
         CHECK(got.response.status == 200);
         CHECK(findHeader(got.response.headers, "Request-Attempt-Id") == id);
         CHECK(findHeader(got.response.headers, "Server-Signature").has_value());
-        const std::string ran = mesh.nodeThatRan(id);
+        const std::string ran = mesh.nodeThatRanRequest(id);
         REQUIRE_FALSE(ran.empty());
         CHECK(mesh.worker(ran).options().service == "orders");
         const seen_request seen = mesh.worker(ran).seen(id);
@@ -93,21 +93,21 @@
     CHECK(mesh.statusOf("a1", "/unknown/7", "u-1") == 404);
 }
 
-TEST_CASE("a version is in force on every node within its bound, and an older one never follows")
+TEST_CASE("every node applies a new version within the limit, and no older or malformed version replaces it")
 {
-    served_mesh mesh;
-    std::vector<route_plan> routes = usualRoutes();
+    serving_mesh mesh;
+    std::vector<route_plan> routes = defaultRoutes();
     routes.push_back({"/new/", "shop"});
     mesh.publish(9, routes);
-    const bool isEverywhere = waitUntil(
+    const bool isAppliedEverywhere = waitUntil(
         [&] {
             return std::ranges::all_of(mesh.names(), [&](const std::string &name) {
                 return mesh.statusOf(name, "/new/1", "new-" + name) == 200;
             });
         },
         configApplyLimit);
-    CHECK(isEverywhere);
-    mesh.publish(7, usualRoutes());
+    CHECK(isAppliedEverywhere);
+    mesh.publish(7, defaultRoutes());
     std::this_thread::sleep_for(milliseconds(500));
     CHECK(mesh.statusOf("a1", "/new/1", "still") == 200);
     mesh.store().put("keyed.op", "config", "{\"version\":12,\"listeners\":7}");
@@ -115,22 +115,22 @@
     CHECK(mesh.statusOf("a1", "/new/1", "still-2") == 200);
 }
 
-TEST_CASE("a node that starts while the store is away serves what its peers know")
+TEST_CASE("a node that starts while the store is unavailable gets the configuration from its peers and serves")
 {
-    served_mesh mesh;
+    serving_mesh mesh;
     mesh.process("a1").kill();
-    const store_mode away = GENERATE(store_mode::Silent, store_mode::Busy);
-    mesh.store().setMode(away);
+    const store_mode unavailable = GENERATE(store_mode::Silent, store_mode::Busy);
+    mesh.store().setMode(unavailable);
     CHECK(mesh.statusOf("b1", "/shop/1", "away-1") == 200);
     mesh.startNode("a1");
-    // Its peers reach it with their datagrams; the store cannot tell it of them.
-    CHECK(mesh.waitServed("a1", recoveryBound));
+    // The store cannot give the node the directory of its peers; the peers contact the node with their datagrams.
+    CHECK(mesh.waitUntilServing("a1", recoveryTimeout));
 }
 
-TEST_CASE("history that the store drops does not hide a version")
+TEST_CASE("nodes apply a version after the store has dropped the history of its topic")
 {
-    served_mesh mesh;
-    std::vector<route_plan> routes = usualRoutes();
+    serving_mesh mesh;
+    std::vector<route_plan> routes = defaultRoutes();
     routes.push_back({"/new/", "shop"});
     mesh.publish(9, routes);
     mesh.store().forget("keyed.op");
@@ -141,9 +141,9 @@
         configApplyLimit));
 }
 
-TEST_CASE("a request that may run once runs once when the node beside its worker dies")
+TEST_CASE("an unsafe request runs only once when the node beside its worker is killed")
 {
-    served_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
     auto sending = std::async(std::launch::async, [&] {
         return mesh.send("a1", {.id = "sign-1", .target = "/sign/1?run=800", .method = "POST", .body = "x"});
     });
@@ -157,37 +157,37 @@
     CHECK(got.end == exchange_end::Complete);
     CHECK((got.response.status == 502 || got.response.status == 504));
     mesh.startNode("b1");
-    REQUIRE(mesh.waitServed("a1", recoveryBound));
+    REQUIRE(mesh.waitUntilServing("a1", recoveryTimeout));
     CHECK(mesh.worker("b1").seen("sign-1").runs == 1);
 }
 
-TEST_CASE("a request that may be repeated is served elsewhere when the node beside its worker dies")
+TEST_CASE("a safe request succeeds when the node beside the worker that runs it is killed")
 {
-    served_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
     auto sending = std::async(std::launch::async, [&] {
         return mesh.send("a1", {.id = "read-1", .target = "/orders/1?run=500"});
     });
     REQUIRE(waitUntil(
         [&] {
-            return !mesh.nodeThatRan("read-1").empty();
+            return !mesh.nodeThatRanRequest("read-1").empty();
         },
         milliseconds(3000)));
-    mesh.process(mesh.nodeThatRan("read-1")).kill();
+    mesh.process(mesh.nodeThatRanRequest("read-1")).kill();
     CHECK(sending.get().response.status == 200);
 }
 
-TEST_CASE("a refusal says that nothing ran, and when to come back")
+TEST_CASE("a request without an available worker gets 503 with Retry-After")
 {
-    served_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
     mesh.stopWorker("b1");
     const caller_result got = mesh.send("a1", {.id = "none-1", .target = "/sign/1", .method = "POST", .body = "x"});
     CHECK(got.response.status == 503);
     CHECK(findHeader(got.response.headers, "Retry-After").has_value());
 }
 
-TEST_CASE("a draining worker gets nothing after its bound, and the others serve")
+TEST_CASE("a draining worker gets no requests after the drain limit, and the other workers serve")
 {
-    served_mesh mesh;
+    serving_mesh mesh;
     REQUIRE(mesh.worker("a1").drain(milliseconds(4000)));
     const time_point acknowledged = steadyNow();
     for (int index = 0; index < 100; ++index) {
@@ -197,9 +197,9 @@
     CHECK(mesh.worker("b1").totalRuns() >= 90);
 }
 
-TEST_CASE("a node that is told to stop answers what it has, exits with 0, and its worker's work moves on")
+TEST_CASE("a node that gets SIGTERM answers its running requests and exits with 0, and other nodes keep serving")
 {
-    served_mesh mesh;
+    serving_mesh mesh;
     auto sending = std::async(std::launch::async, [&] {
         return mesh.send("a1", {.id = "stop-1", .target = "/shop/1?run=1500"});
     });
@@ -219,9 +219,9 @@
     CHECK(mesh.statusOf("a2", "/orders/1", "stop-2") == 200);
 }
 
-TEST_CASE("a node that stands still holds up no request that may be repeated")
+TEST_CASE("safe requests are served while a node is suspended")
 {
-    served_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
     mesh.process("b1").send(SIGSTOP);
     unsigned served = 0;
     for (int index = 0; index < 10; ++index) {
@@ -231,11 +231,11 @@
     CHECK(served == 10);
 }
 
-TEST_CASE("lookups meet their target while a worker hangs with good health")
+TEST_CASE("safe requests meet their target latency while a worker hangs but sends healthy heartbeats")
 {
-    served_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
     mesh.worker("b1").hang();
-    constexpr milliseconds targetLatency{1000}; // of the stand-in's routes
+    constexpr milliseconds targetLatency{1000}; // as in the routes that platform_mesh publishes
     for (int index = 0; index < 20; ++index) {
         const time_point sentAt = steadyNow();
         CHECK(mesh.statusOf("a1", "/orders/1", "hang-" + std::to_string(index)) == 200);
@@ -244,9 +244,9 @@
     CHECK(mesh.worker("b1").totalRuns() > 0);
 }
 
-TEST_CASE("a failed request is found in the logs by its id")
+TEST_CASE("the logs of both nodes contain the id of a failed request")
 {
-    served_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
     mesh.send("a1", {.id = "lost-1", .target = "/sign/1?lose=1", .method = "POST", .body = "x"});
     const bool isLogged = waitUntil(
         [&] {
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr milliseconds pollInterval{5}; // of reads that wait
-constexpr seconds silence{60}; // longer than any caller waits
-constexpr std::size_t lengthBytes = 4;
+constexpr milliseconds pollInterval{5}; // of reads that wait for a new record
+constexpr seconds silentDelay{60}; // longer than any client waits for an answer
+constexpr std::size_t lengthPrefixBytes = 4;
 
 std::string bigEndian(std::uint64_t value, unsigned bytes)
 {
@@ -41,7 +41,7 @@
     return text;
 }
 
-// Value of a query parameter; empty if there is none.
+// Returns the value of a query parameter, or an empty string if the target does not have it.
 std::string parameter(const std::string &target, const std::string &name)
 {
     const auto query = target.find('?');
@@ -79,7 +79,7 @@
         }));
     });
     if (!isStarted) {
-        throw std::runtime_error("the stand-in of the store found no free port");
+        throw std::runtime_error("the stand-in of the store cannot listen on a free port of 127.0.0.1");
     }
 }
 
@@ -142,10 +142,10 @@
 {
     const std::uint64_t offset = topic.end();
     std::string_view rest = body;
-    while (rest.size() >= lengthBytes) {
-        const std::size_t length = readBigEndian(rest.substr(0, lengthBytes));
-        appendRecord(topic, std::string(rest.substr(lengthBytes, length)));
-        rest.remove_prefix(std::min(rest.size(), lengthBytes + length));
+    while (rest.size() >= lengthPrefixBytes) {
+        const std::size_t length = readBigEndian(rest.substr(0, lengthPrefixBytes));
+        appendRecord(topic, std::string(rest.substr(lengthPrefixBytes, length)));
+        rest.remove_prefix(std::min(rest.size(), lengthPrefixBytes + length));
     }
     return jsonReply(200, {{"offset", offset}, {"endOffset", topic.end()}});
 }
@@ -163,7 +163,7 @@
     std::string body = bigEndian(topic.end(), 8) + bigEndian(topic.first, 8);
     for (std::uint64_t offset = from; offset < topic.end(); ++offset) {
         const std::string &record = topic.records[offset - topic.first];
-        body += bigEndian(record.size(), lengthBytes) + record;
+        body += bigEndian(record.size(), lengthPrefixBytes) + record;
     }
     co_return textReply(200, std::move(body), "application/octet-stream");
 }
@@ -184,7 +184,7 @@
         co_return textReply(503, "busy\n");
     }
     if (m_mode == store_mode::Silent) {
-        net::steady_timer pause(m_loop.executor(), silence);
+        net::steady_timer pause(m_loop.executor(), silentDelay);
         co_await pause.async_wait(awaitResult);
     }
     topic_log &topic = m_topics[parameter(request.target, "topic")];
--- a/testing/platform/store_stand_in.h
+++ b/testing/platform/store_stand_in.h
@@ -1,4 +1,5 @@
-// Stand-in for the platform's store: topics of records over its published protocol, with outages.
+// Stand-in for the platform's store: serves topics of records over the store's published protocol and simulates
+// outages.
 //
 //   store_stand_in store;
 //   store.put("keyed.op", "config", text);
@@ -16,12 +17,13 @@
 
 namespace pistachioquay::testing {
 
+// How the stand-in handles the calls that it receives.
 enum class store_mode : std::uint8_t
 {
     Up,
-    Busy, // answers 503: nothing was done
-    Silent, // does not answer
-    LosesAnswers, // does what it is told and closes the connection without an answer
+    Busy, // answers 503 without executing the call
+    Silent, // sends no answer
+    LosesAnswers, // executes the call and closes the connection without an answer
 };
 
 // All functions are thread safe.
@@ -34,20 +36,22 @@
     store_stand_in &operator=(const store_stand_in &) = delete;
 
     endpoint address() const;
-    // put appends a record to a keyed topic, as the operator does.
+    // put appends a record to a keyed topic, as the operator does when it publishes.
     void put(const std::string &topic, const std::string &key, const std::string &value);
-    // forget drops the records of a topic but the newest of each key, so that readers at older offsets get 410.
+    // forget drops the history of a topic, so that reads from older offsets get 410. The newest value of each key stays
+    // available through /log-newest.
     void forget(const std::string &topic);
     void setMode(store_mode mode);
-    // calls returns how many calls arrived.
+    // calls returns the number of calls received.
     std::uint64_t calls() const;
 
 private:
     struct topic_log
     {
-        std::uint64_t first = 0;
-        std::vector<std::string> records; // raw, from offset `first` on
+        std::uint64_t first = 0; // offset of the oldest record kept
+        std::vector<std::string> records; // encoded as stored: key length, key, value
         std::map<std::string, std::pair<std::string, std::uint64_t>> newest; // value and offset by key
+        // end returns the offset of the next record to be appended.
         std::uint64_t end() const
         {
             return first + records.size();
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -13,11 +13,11 @@
 
 namespace {
 
-constexpr milliseconds defaultRun{2};
-constexpr milliseconds noticeTimeout{1000};
-constexpr milliseconds listenRetry{2000};
+constexpr milliseconds defaultRunDuration{2};
+constexpr milliseconds heartbeatTimeout{1000};
+constexpr milliseconds listenRetryTimeout{2000};
 
-std::uint64_t numberIn(const std::string &target, const std::string &name)
+std::uint64_t queryNumber(const std::string &target, const std::string &name)
 {
     const auto at = target.find(name + "=");
     if (at == std::string::npos) {
@@ -35,8 +35,9 @@
 {
     m_node =
         std::make_unique<async_http_client>(m_loop.executor(), async_http_client_options{.target = m_options.control});
-    // A child process between fork and exec may still hold the socket of the worker that had the address before.
-    const time_point until = steadyNow() + listenRetry;
+    // A child process between fork and exec may still hold the listening socket of an earlier worker at this address,
+    // so a failed listen is retried.
+    const time_point until = steadyNow() + listenRetryTimeout;
     bool isStarted = listen();
     while (!isStarted && steadyNow() < until) {
         std::this_thread::sleep_for(milliseconds(20));
@@ -53,18 +54,18 @@
         m_isStopped = true;
         m_server->stop();
         m_node->closeAll();
-        std::ranges::for_each(m_pauses, [](net::steady_timer *timer) {
+        std::ranges::for_each(m_sleepTimers, [](net::steady_timer *timer) {
             timer->cancel();
         });
         return 0;
     });
-    // What is suspended uses the client and the server, so it ends before they do.
+    // Suspended coroutines use the client and the server, so they must end before those are destroyed.
     const auto isIdle = [this] {
         return m_loop.run([this] {
-            return m_active == 0;
+            return m_activeCoroutines == 0;
         });
     };
-    const time_point until = steadyNow() + 2 * noticeTimeout;
+    const time_point until = steadyNow() + 2 * heartbeatTimeout;
     while (!isIdle() && steadyNow() < until) {
         std::this_thread::sleep_for(milliseconds(1));
     }
@@ -86,7 +87,7 @@
             net::co_spawn(
                 m_loop.executor(),
                 [this] {
-                    return announceLoop();
+                    return heartbeatLoop();
                 },
                 net::detached);
         }
@@ -94,19 +95,19 @@
     });
 }
 
-// Waits for the length, or until the stand-in is stopped.
+// Suspends the coroutine for `length`, or until the stand-in is stopped.
 awaitable<void> worker_stand_in::pause(milliseconds length)
 {
     net::steady_timer timer(m_loop.executor(), m_isStopped ? milliseconds(0) : length);
-    m_pauses.insert(&timer);
+    m_sleepTimers.insert(&timer);
     co_await timer.async_wait(awaitResult);
-    m_pauses.erase(&timer);
+    m_sleepTimers.erase(&timer);
 }
 
 awaitable<bool> worker_stand_in::announce(std::string state)
 {
     const boost::json::value body = {
-        {"address", toText(m_options.announced.port > 0 ? m_options.announced : m_options.address)},
+        {"address", toText(m_options.announcedAddress.port > 0 ? m_options.announcedAddress : m_options.address)},
         {"born", m_startedMs},
         {"information",
          {{"service", m_options.service},
@@ -120,13 +121,13 @@
     request.headers = {{"Host", toText(m_options.control)}, {"Content-Type", "application/json"}};
     request.body = boost::json::serialize(body);
     cancellation_token control;
-    const exchange_result got = co_await m_node->send(request, {.deadline = steadyNow() + noticeTimeout}, control);
+    const exchange_result got = co_await m_node->send(request, {.deadline = steadyNow() + heartbeatTimeout}, control);
     co_return got.end == exchange_end::Complete &&got.response.status == 200;
 }
 
-awaitable<void> worker_stand_in::announceLoop()
+awaitable<void> worker_stand_in::heartbeatLoop()
 {
-    ++m_active;
+    ++m_activeCoroutines;
     while (!m_isStopped) {
         std::string state;
         {
@@ -136,7 +137,7 @@
         co_await announce(state);
         co_await pause(m_options.noticeInterval);
     }
-    --m_active;
+    --m_activeCoroutines;
 }
 
 bool worker_stand_in::drain(milliseconds atMost)
@@ -181,14 +182,14 @@
         seen.startedAt = m_lastStart = steadyNow();
     }
     ++m_running;
-    const std::uint64_t runMs = numberIn(request.target, "run");
-    const milliseconds usual = runMs > 0 ? milliseconds(runMs) : defaultRun;
-    ++m_active;
-    co_await pause(isHanging ? hangTime : usual);
-    --m_active;
+    const std::uint64_t runMs = queryNumber(request.target, "run");
+    const milliseconds runDuration = runMs > 0 ? milliseconds(runMs) : defaultRunDuration;
+    ++m_activeCoroutines;
+    co_await pause(isHanging ? hangDuration : runDuration);
+    --m_activeCoroutines;
     --m_running;
-    const std::uint64_t failure = numberIn(request.target, "fail");
-    response.status = numberIn(request.target, "lose") > 0 ? 0 : failure > 0 ? static_cast<unsigned>(failure) : 200;
+    const std::uint64_t failure = queryNumber(request.target, "fail");
+    response.status = queryNumber(request.target, "lose") > 0 ? 0 : failure > 0 ? static_cast<unsigned>(failure) : 200;
     response.headers.push_back({"Server-Signature", "stand-in." + m_options.id});
     response.headers.push_back(
         {"Server-Load", std::to_string(m_running) + ",0," + std::to_string(m_options.slots) + ",100"});
@@ -232,7 +233,7 @@
     });
 }
 
-std::vector<std::string> worker_stand_in::doubledRuns() const
+std::vector<std::string> worker_stand_in::idsRunMoreThanOnce() const
 {
     const std::lock_guard guard(m_mutex);
     std::vector<std::string> ids;
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -1,13 +1,14 @@
-// Stand-in for a worker of the users' platform: it announces itself to the node beside it, runs requests in a number of
-// slots, and counts its runs by request id.
+// Stand-in for a worker of the users' platform: it sends heartbeats to the node beside it, simulates running requests
+// in a number of slots, and counts the runs of each request id.
 //
 //   worker_stand_in worker({.id = "w-1", .service = "orders", .address = address, .control = nodeControl});
 //   ...
-//   worker.drain();
-//   CHECK(worker.runs("r-1") == 1);
+//   worker.drain(milliseconds(4000));
+//   CHECK(worker.seen("r-1").runs == 1);
 //
-// The query of a request sets what happens: `run=MS` how long it runs, `fail=STATUS` a failure, `lose=1` a run whose
-// connection is closed without a response. A worker that is told to hang runs every request for `hangTime`.
+// The query of a request selects its outcome: `run=MS` sets the duration of the run, `fail=STATUS` the status of the
+// response, and `lose=1` closes the connection after the run without a response. After hang(), every request runs for
+// `hangDuration`.
 #pragma once
 
 #include <map>
@@ -22,7 +23,7 @@
 
 namespace pistachioquay::testing {
 
-inline constexpr milliseconds hangTime{2500};
+inline constexpr milliseconds hangDuration{2500};
 
 struct worker_options
 {
@@ -30,13 +31,13 @@
     std::string service;
     std::string dataCentre;
     endpoint address;
-    endpoint control; // of the node beside it
-    endpoint announced; // where the node reaches it; the address itself if it has no port
+    endpoint control; // control address of the node beside the worker
+    endpoint announcedAddress; // address sent in heartbeats; `address` is sent instead if the port is 0
     unsigned slots = 4;
     milliseconds noticeInterval{300};
 };
 
-// What a worker has seen of one request id.
+// The runs of one request id, and the details of the latest run.
 struct seen_request
 {
     unsigned runs = 0;
@@ -56,19 +57,20 @@
     worker_stand_in(const worker_stand_in &) = delete;
     worker_stand_in &operator=(const worker_stand_in &) = delete;
 
-    // drain announces that the worker leaves, and returns when the node has acknowledged it; false after `atMost`.
+    // drain announces the state `draining` until the node acknowledges it; returns false if it has not after `atMost`.
     bool drain(milliseconds atMost);
-    // hang makes all further runs hang; `isHanging` false ends that.
+    // hang makes every later run take `hangDuration`; hang(false) restores the usual duration.
     void hang(bool isHanging = true);
-    // seen returns what is known of a request id.
+    // seen returns the record of a request id; one with 0 runs if it never ran.
     seen_request seen(const std::string &id) const;
-    // lastStart returns when the last run began.
+    // lastStart returns the time at which the latest run started.
     time_point lastStart() const;
-    // runsById returns how often each id ran.
+    // runsById returns the number of runs of each request id.
     std::map<std::string, unsigned> runsById() const;
-    // totalRuns returns the number of runs of all ids, and doubledRuns that of the ids that ran more than once.
+    // totalRuns returns the number of runs of all request ids together.
     unsigned totalRuns() const;
-    std::vector<std::string> doubledRuns() const;
+    // idsRunMoreThanOnce returns the request ids that ran more than once.
+    std::vector<std::string> idsRunMoreThanOnce() const;
     const worker_options &options() const
     {
         return m_options;
@@ -78,12 +80,12 @@
     bool listen();
     awaitable<whole_response> run(const whole_request &request, caller_connection &caller);
     awaitable<void> pause(milliseconds length);
-    awaitable<void> announceLoop();
+    awaitable<void> heartbeatLoop();
     awaitable<bool> announce(std::string state);
 
     worker_options m_options;
     std::int64_t m_startedMs;
-    mutable std::mutex m_mutex; // guards the four below
+    mutable std::mutex m_mutex; // guards the next four members
     std::map<std::string, seen_request> m_seen;
     time_point m_lastStart;
     std::string m_state = "ready";
@@ -91,8 +93,8 @@
     unsigned m_running = 0;
     std::uint64_t m_sequence = 0;
     bool m_isStopped = false;
-    std::set<net::steady_timer *> m_pauses; // of runs and notices; belongs to the loop
-    unsigned m_active = 0; // runs, and the loop of notices; belongs to the loop
+    std::set<net::steady_timer *> m_sleepTimers; // of suspended runs and the heartbeat loop; used only in the loop
+    unsigned m_activeCoroutines = 0; // suspended runs, and the heartbeat loop; used only in the loop
     loop_thread m_loop;
     std::unique_ptr<async_http_server> m_server;
     std::unique_ptr<async_http_client> m_node;
