Mend what a second reading of the wording found

Refused and rejected were used for one idea in the mesh: a request that is not run for load, deadline or drain is refused, as in the other libraries; rejected is left for malformed input and for what a worker turns down itself. Renamed: makeRejection -> makeRefusal, isOverloadRejection, overloadRejections and maxOverloadRejections -> ...Refusal(s), isRejectingCallers -> isRefusingCallers, rejectQueued -> refuseQueued; locals and fields `facts` -> `context` and `rules` -> `policy` beside their renamed types.

--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -86,7 +86,7 @@
     // During the shutdown, a call for the own worker is accepted only if it is expected to end well before this time.
     time_point drainDeadline;
     bool isInboundClosed = false; // the own worker gets no new calls
-    bool isRejectingCallers = false; // new requests of callers are rejected as well
+    bool isRefusingCallers = false; // new requests of callers are refused as well
     bool isStopped = false; // background tasks end
 
     void log(const log_line &line) const
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -385,7 +385,7 @@
 
 void inbound_handler::dispatchQueued(time_point now)
 {
-    rejectQueued(removeUnservable(m_queue, now, m_context.generator));
+    refuseQueued(removeUnservable(m_queue, now, m_context.generator));
     for (auto ticket = startNext(m_queue, now); ticket; ticket = startNext(m_queue, now)) {
         const auto found = m_waitingCalls.find(*ticket);
         if (found == m_waitingCalls.end()) {
@@ -398,7 +398,7 @@
     scheduleQueueCheck();
 }
 
-void inbound_handler::rejectQueued(const std::vector<refused_request> &refused)
+void inbound_handler::refuseQueued(const std::vector<refused_request> &refused)
 {
     for (const refused_request &request : refused) {
         const auto found = m_waitingCalls.find(request.ticket);
@@ -438,11 +438,11 @@
         m_queue.closedReason = isAcceptingRequests(worker) ? queue_refusal::None : queue_refusal::WorkerDown;
     }
     if (worker.isUnreachable) {
-        rejectQueued(removeAllQueued(m_queue, queue_refusal::WorkerDown));
+        refuseQueued(removeAllQueued(m_queue, queue_refusal::WorkerDown));
         m_workerClient.closeAll();
     }
     if (worker.isLeaving && now - worker.leavingSince > m_context.options.drainTime / 2) {
-        rejectQueued(removeAllQueued(m_queue, queue_refusal::Draining));
+        refuseQueued(removeAllQueued(m_queue, queue_refusal::Draining));
     }
     refreshWorkers(m_context, m_context.options.service, now);
     dispatchQueued(now);
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -61,7 +61,7 @@
             , ended(executor)
         {
         }
-        async_event decided; // the queue has granted a slot or rejected the call, or the call was cancelled
+        async_event decided; // the queue has granted a slot or refused the call, or the call was cancelled
         async_event ended; // retransmissions wait for it to return the same reply
         bool isGranted = false;
         refused_request refusal;
@@ -87,7 +87,7 @@
     void recordWorkerLoad(const whole_response &response, time_point now);
     void recordOutcome(bool isFailure);
     void dispatchQueued(time_point now);
-    void rejectQueued(const std::vector<refused_request> &refused);
+    void refuseQueued(const std::vector<refused_request> &refused);
     void scheduleQueueCheck();
     call_reply makeNotRunReply(const std::string &id, std::string_view reason) const;
     void recordConnectFailure(exchange_end end, const std::string &detail);
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -28,7 +28,7 @@
 constexpr milliseconds inboundAcceptTime{900};
 constexpr milliseconds shutdownPollInterval{20};
 constexpr milliseconds shutdownIdleTime{60}; // without open requests, after which a stopping node exits
-constexpr milliseconds exitMargin{250}; // left of the grace time when a node exits with requests still open
+constexpr milliseconds exitMargin{250}; // left of the grace period when a node exits with requests still open
 
 } // namespace
 
@@ -155,7 +155,7 @@
         pause.expires_after(shutdownPollInterval);
         co_await pause.async_wait(awaitResult);
         const time_point now = steadyNow();
-        context.isRejectingCallers = now - startedAt > callerAcceptTime;
+        context.isRefusingCallers = now - startedAt > callerAcceptTime;
         if (!context.isInboundClosed && now - startedAt > inboundAcceptTime) {
             context.isInboundClosed = true;
             inbound.onWorkerChange(now);
@@ -164,7 +164,7 @@
         if (outbound.openCount() > 0 || inbound.openCount() > 0) {
             lastBusyAt = now;
         }
-        if (context.isRejectingCallers && now - lastBusyAt > shutdownIdleTime) {
+        if (context.isRefusingCallers && now - lastBusyAt > shutdownIdleTime) {
             break;
         }
     }
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -98,7 +98,7 @@
     // isReady returns whether callers on this VM may send requests: a configuration is applied and no shutdown has
     // begun.
     bool isReady() const;
-    // shutDown removes the node from the mesh, waits for its open requests within the grace time, and calls `done`.
+    // shutDown removes the node from the mesh, waits for its open requests within the grace period, and calls `done`.
     void shutDown(std::function<void()> done);
     // metricsText returns the counters and histograms in the Prometheus text format.
     std::string metricsText() const;
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -92,7 +92,7 @@
 enum class reply_kind : std::uint8_t
 {
     Response, // the worker responded
-    NotRun, // the node rejected the call: it has not run and never will
+    NotRun, // the node refused the call: it has not run and never will
     RejectedByWorker, // the worker reported that it has not run the request
     Unknown, // the call may have run
 };
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -15,7 +15,7 @@
 constexpr milliseconds defaultTimeLeft{10000}; // of a request without the header that states it
 constexpr unsigned maxNodesTried = 8; // for one request
 constexpr unsigned maxHandBacks = 2; // of one request; later attempts set no wait limit
-constexpr unsigned maxOverloadRejections = 3; // of one request by nodes; then its caller gets the rejection
+constexpr unsigned maxOverloadRefusals = 3; // of one request by nodes; then its caller gets the refusal
 constexpr std::size_t requestHeadBytes = 400; // approximate size of a request or a response without its body
 constexpr std::int64_t noWorkerRetryMs = 300; // Retry-After while no worker of the service or no configuration is known
 constexpr std::int64_t linkFullRetryMs = 150; // Retry-After while the receiver's link is reserved by other uploads
@@ -49,7 +49,7 @@
     return attempt_outcome::Unknown;
 }
 
-bool isOverloadRejection(const call_reply &reply)
+bool isOverloadRefusal(const call_reply &reply)
 {
     return reply.reason == "crowded" || reply.reason == "no-time" || reply.reason == "queue-full";
 }
@@ -113,7 +113,7 @@
     request.id = std::string(findHeader(headers, names.requestId).value_or(""));
     request.table = m_context.config.table;
     if (request.table->version == 0) {
-        return makeRejection(request, "no-configuration", noWorkerRetryMs);
+        return makeRefusal(request, "no-configuration", noWorkerRetryMs);
     }
     if (request.id.empty()) {
         return makeFailure(request, 400, "no-request-id");
@@ -135,14 +135,14 @@
     request.placement.bytes = request.received->body.size();
     request.placement.targetMs = static_cast<double>(route.targetLatency.count());
     request.placement.fallbackRunMs = request.placement.targetMs * fallbackRunShare;
-    // Calls that the own worker makes while it runs a request are still served during a shutdown: rejecting one would
+    // Calls that the own worker makes while it runs a request are still served during a shutdown: refusing one would
     // fail that request. A request that has too little time left to be retried is taken for such a call.
     const bool mayBeFromWorker = m_inbound.runningCount() > 0
         && isFinalAttempt(msBetween(request.arrivedAt, request.targetAt),
                           msBetween(request.arrivedAt, request.requestDeadline),
                           m_inbound.report(request.arrivedAt).meanActiveRunMs);
-    if (m_context.isRejectingCallers && !mayBeFromWorker) {
-        whole_response refused = makeRejection(request, "stopping", stoppingRetryMs);
+    if (m_context.isRefusingCallers && !mayBeFromWorker) {
+        whole_response refused = makeRefusal(request, "stopping", stoppingRetryMs);
         refused.closesConnection = true;
         return refused;
     }
@@ -351,7 +351,7 @@
 {
     const time_point now = steadyNow();
     if (reply.kind == reply_kind::NotRun) {
-        request.overloadRejections += isOverloadRejection(reply) ? 1 : 0;
+        request.overloadRefusals += isOverloadRefusal(reply) ? 1 : 0;
         request.retryAfterMs =
             request.retryAfterMs == 0 ? reply.retryAfterMs : std::min(request.retryAfterMs, reply.retryAfterMs);
     } else {
@@ -367,7 +367,7 @@
     if (!mayRetryElsewhere(failed)) {
         return false;
     }
-    if (request.overloadRejections >= maxOverloadRejections) {
+    if (request.overloadRefusals >= maxOverloadRefusals) {
         return false;
     }
     if (failed.end == attempt_outcome::NotRun) {
@@ -512,10 +512,10 @@
         if (reply.kind == reply_kind::RejectedByWorker) {
             std::uniform_real_distribution<double> draw(0, 1);
             const milliseconds wait = rejectionRetryAfter(request.expectedRunMs, draw(m_context.generator));
-            return makeRejection(request, reply.reason, wait.count());
+            return makeRefusal(request, reply.reason, wait.count());
         }
         const std::int64_t retryAfterMs = request.retryAfterMs > 0 ? request.retryAfterMs : reply.retryAfterMs;
-        return makeRejection(request, reply.reason, retryAfterMs > 0 ? retryAfterMs : noWorkerRetryMs);
+        return makeRefusal(request, reply.reason, retryAfterMs > 0 ? retryAfterMs : noWorkerRetryMs);
     }
     case reply_kind::Unknown:
         return makeFailure(request, steadyNow() >= request.requestDeadline ? 504 : 502, reply.reason);
@@ -524,7 +524,7 @@
 }
 
 whole_response
-outbound_handler::makeRejection(const request_context &request, std::string_view reason, std::int64_t retryAfterMs)
+outbound_handler::makeRefusal(const request_context &request, std::string_view reason, std::int64_t retryAfterMs)
 {
     whole_response response = textReply(503, "not run: " + std::string(reason) + "\n");
     response.headers.push_back({"Retry-After", retryAfterText(retryAfterMs)});
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -46,8 +46,8 @@
         placement_request placement;
         std::uint32_t workersTried = 0; // workers that the request may have reached
         std::uint32_t handBacks = 0; // how often a node has handed the request back
-        std::uint32_t overloadRejections = 0; // how often a node has rejected the request for lack of capacity
-        std::int64_t retryAfterMs = 0; // shortest delay that a rejecting node has returned
+        std::uint32_t overloadRefusals = 0; // how often a node has refused the request for lack of capacity
+        std::int64_t retryAfterMs = 0; // shortest delay that a refusing node has returned
         double expectedRunMs = 0;
         std::string attemptHistory; // `node:outcome` of each attempt, comma-separated; logged as `nodes`
     };
@@ -88,7 +88,7 @@
     bool mayRetry(request_context &request, const call_reply &reply);
     void recordReply(const request_context &request, const std::string &nodeId, const call_reply &reply);
     whole_response finalResponse(const request_context &request, const call_reply &reply);
-    whole_response makeRejection(const request_context &request, std::string_view reason, std::int64_t retryAfterMs);
+    whole_response makeRefusal(const request_context &request, std::string_view reason, std::int64_t retryAfterMs);
     whole_response makeFailure(const request_context &request, unsigned status, std::string_view reason);
     void logRequestEnd(const request_context &request, const whole_response &response, std::string_view outcome);
     retry_budget_limits retryLimits() const;
--- a/packages/process/node/claim_service.h
+++ b/packages/process/node/claim_service.h
@@ -1,5 +1,5 @@
-// Claims the keys of non-idempotent requests in stream `claims` of the log. Does the input and output and the locking
-// for the state of request/once/once.h: one thread appends batches of claim records, another reads the stream, and the
+// Claims the keys of non-idempotent requests in stream `claims` of the log. Performs the I/O and the locking for
+// the state of request/once/once.h: one thread appends batches of claim records, another reads the stream, and the
 // threads that handle requests block until their claim is decided.
 //
 //   claim_service claims(target, [&] { return servesKeyedRequests(); });
--- a/packages/process/node/config_store.cc
+++ b/packages/process/node/config_store.cc
@@ -104,10 +104,10 @@
 }
 
 std::optional<fold_state>
-config_store::snapshotToWrite(const snapshot_policy &rules, std::uint32_t rank, std::int64_t nowMs) const
+config_store::snapshotToWrite(const snapshot_policy &policy, std::uint32_t rank, std::int64_t nowMs) const
 {
     const std::lock_guard guard(m_mutex);
-    if (m_state.blockedBy || !isSnapshotDue(m_state.snapshots, rules, rank, nowMs)) {
+    if (m_state.blockedBy || !isSnapshotDue(m_state.snapshots, policy, rank, nowMs)) {
         return std::nullopt;
     }
     return m_state.folded;
--- a/packages/process/node/config_store.h
+++ b/packages/process/node/config_store.h
@@ -73,7 +73,7 @@
     // snapshotToWrite returns the state to write to the log as a snapshot, if one is due from the reader of rank
     // `rank`, this node.
     std::optional<fold_state>
-    snapshotToWrite(const snapshot_policy &rules, std::uint32_t rank, std::int64_t nowMs) const;
+    snapshotToWrite(const snapshot_policy &policy, std::uint32_t rank, std::int64_t nowMs) const;
 
     store_status status() const;
 
--- a/packages/process/node/log_reader.cc
+++ b/packages/process/node/log_reader.cc
@@ -157,7 +157,7 @@
 
 void log_reader::writeSnapshotIfDue(std::uint32_t rank)
 {
-    const auto due = m_store.snapshotToWrite(m_options.rules, rank, unixNowMs());
+    const auto due = m_store.snapshotToWrite(m_options.policy, rank, unixNowMs());
     if (!due) {
         return;
     }
--- a/packages/process/node/log_reader.h
+++ b/packages/process/node/log_reader.h
@@ -1,7 +1,7 @@
 // Reads the platform log while the node is a reader of its data centre: follows stream `config` by long polls, polls
 // stream `snapshots`, and writes a snapshot when one is due from this node. Runs on one thread.
 //
-//   log_reader reader({target, rules}, store, events, sources);
+//   log_reader reader({target, policy}, store, events, sources);
 //   std::jthread thread([&](const std::stop_token &stop) { reader.run(stop); });
 #pragma once
 
@@ -20,7 +20,7 @@
 struct log_reader_options
 {
     log_target target;
-    snapshot_policy rules;
+    snapshot_policy policy;
 };
 
 // Function that returns the role of the node. Called from the reader's thread.
--- a/packages/process/node/node.cc
+++ b/packages/process/node/node.cc
@@ -199,9 +199,9 @@
 void node::components::startThreads()
 {
     const log_target target{settings.platformLog, logTimeout};
-    const snapshot_policy rules{.retention = settings.logRetention};
+    const snapshot_policy policy{.retention = settings.logRetention};
     logReader =
-        std::make_unique<log_reader>(log_reader_options{target, rules}, store, events, log_reader_sources{[this] {
+        std::make_unique<log_reader>(log_reader_options{target, policy}, store, events, log_reader_sources{[this] {
                                          return readerRank();
                                      }});
     claimService->start();
--- a/packages/request/proxy/dispatch.cc
+++ b/packages/request/proxy/dispatch.cc
@@ -30,12 +30,12 @@
 }
 
 retry_decision
-call_dispatch::decide(const std::string &service, retry_context facts, attempt_history &history, time_point now)
+call_dispatch::decide(const std::string &service, retry_context context, attempt_history &history, time_point now)
 {
     const std::lock_guard guard(m_mutex);
     service_state &state = m_services[service];
-    facts.isSaturated = isSaturated(state.routing, now);
-    return decideRetry(facts, history, state.budget, now, m_generator);
+    context.isSaturated = isSaturated(state.routing, now);
+    return decideRetry(context, history, state.budget, now, m_generator);
 }
 
 } // namespace pistachioquay::internal
--- a/packages/request/proxy/dispatch.h
+++ b/packages/request/proxy/dispatch.h
@@ -29,8 +29,8 @@
                       time_point now);
     // end records the outcome of a call with `endCall`.
     void end(const std::string &service, const call_choice &choice, const call_result &seen, time_point now);
-    // decide returns whether to retry a failed attempt, with `decideRetry`; it sets `isSaturated` of the facts itself.
-    retry_decision decide(const std::string &service, retry_context facts, attempt_history &history, time_point now);
+    // decide returns whether to retry a failed attempt, with `decideRetry`. It sets `isSaturated` of `context` itself.
+    retry_decision decide(const std::string &service, retry_context context, attempt_history &history, time_point now);
 
 private:
     struct service_state
--- a/packages/request/proxy/inbound.cc
+++ b/packages/request/proxy/inbound.cc
@@ -51,7 +51,7 @@
     bool m_isBodyBuffered;
     std::uint64_t m_ticket = 0; // of the slot; 0: none
     bool m_hasResponse = false;
-    std::optional<hash128> m_claim; // of a request with an Idempotency-Key, once the claim was won
+    std::optional<hash128> m_claim; // of a request with an Idempotency-Key, once the claim holds the key
     bool m_isClaimRunning = false; // `startRun` succeeded; `endRun` or `abandonUnsentRun` is due
     bool m_isCrashTracked = false; // registered with the crash guard
     std::string m_body;
--- a/packages/request/proxy/outbound.cc
+++ b/packages/request/proxy/outbound.cc
@@ -381,13 +381,13 @@
     if (m_isCallerDisconnected || m_isQuarantined) {
         return false;
     }
-    retry_context facts;
-    facts.isIdempotent = m_outgoing.isIdempotent;
-    facts.retries = m_route->applied.retries;
-    facts.inheritedAttempts = m_received.attempt;
-    facts.isBodyReplayable = !m_isBodyConsumed;
-    facts.deadline = m_deadline;
-    const retry_decision decision = m_shared.dispatch.decide(m_route->service, facts, m_history, steadyNow());
+    retry_context context;
+    context.isIdempotent = m_outgoing.isIdempotent;
+    context.retries = m_route->applied.retries;
+    context.inheritedAttempts = m_received.attempt;
+    context.isBodyReplayable = !m_isBodyConsumed;
+    context.deadline = m_deadline;
+    const retry_decision decision = m_shared.dispatch.decide(m_route->service, context, m_history, steadyNow());
     return decision.verdict == retry_verdict::Retry && waitBeforeRetry(decision.delay);
 }
 
--- a/packages/request/quarantine/quarantine.h
+++ b/packages/request/quarantine/quarantine.h
@@ -4,7 +4,7 @@
 //   switch (mayRun(state, running, request, unixMs)) { ... }               // before each run on the node's worker
 //   const crash_report report = reportCrash(state, id, running, unixMs);   // the worker died
 //   hold_back hold = beginHoldBack(otherNodesOfService, now);              // then send the report to them
-//   const auto changed = recordCompleted(state, request, unixMs);            // the worker responded: gossip `changed`
+//   const auto changed = recordCompleted(state, request, unixMs);          // the worker responded: gossip `changed`
 //   mergeReports(state, reports, unixMs);                                  // from other nodes
 //
 // Rule:
--- a/packages/request/retry/retry.h
+++ b/packages/request/retry/retry.h
@@ -1,7 +1,7 @@
 // Decides whether a failed attempt is retried, and which outcome the caller gets if it is not.
 //
 //   countRequest(budget, now);                                                // once for each request of the service
-//   recordAttempt(history, progress);                                           // after each failed attempt
+//   recordAttempt(history, progress);                                         // after each failed attempt
 //   const retry_decision decision = decideRetry(context, history, budget, now, generator);
 //   if (decision.verdict == retry_verdict::Retry) waitAndSendToOtherWorker(decision.delay);
 //   else if (history.mayHaveRun) respondUnknown(); else respondNotRun();
@@ -120,7 +120,7 @@
 std::uint32_t attemptHeader(const retry_context &context, const attempt_history &history);
 
 // decideRetry decides whether to retry after a failed attempt that recordAttempt has added to `history`. If the retry
-// needs the budget, decideRetry takes it from there and increments `history.budgeted`. Not thread safe.
+// needs the budget, decideRetry takes it from there and increments `history.budgetedRetries`. Not thread safe.
 retry_decision decideRetry(const retry_context &context,
                            attempt_history &history,
                            retry_budget &budget,
--- a/packages/version/text_delta/text_delta.h
+++ b/packages/version/text_delta/text_delta.h
@@ -4,8 +4,8 @@
 //   const std::optional<std::string> text = applyDelta(older, delta);   // empty: wrong older text
 //
 // Texts are split into chunks after each `}`, so that a changed route adds about its own size to the delta, wherever it
-// is in the text. A delta contains the hash of its result, so that applyDelta detects a
-// wrong older text and returns nothing.
+// is in the text. A delta contains the hash of its result, so that applyDelta detects a wrong older
+// text and returns nothing.
 #pragma once
 
 #include <cstdint>
