Review: stand-in workers drop the requests of closed connections

PROTOCOL.md: most workers drop a request when its connection closes. Without that, requests whose client had left kept the slots of the stand-in.

--- a/review/standins.py
+++ b/review/standins.py
@@ -248,7 +248,7 @@
                 line, headers = head
                 method, target, _ = line.split(" ")
                 body = await read_body(reader, headers)
-                answer = await self.answer(method, target, headers, body)
+                answer = await self.unless_closed(reader, self.answer(method, target, headers, body))
                 if answer is None:
                     writer.transport.abort()
                     return
@@ -263,6 +263,16 @@
             self.tasks.discard(asyncio.current_task())
             writer.close()
 
+    @staticmethod
+    async def unless_closed(reader, run):
+        """Drops the request when its connection closes."""
+        task = asyncio.create_task(run)
+        while not task.done():
+            await asyncio.wait([task], timeout=0.02)
+            if reader.at_eof() and not task.done():
+                task.cancel()
+        return None if task.cancelled() else task.result()
+
     async def answer(self, method, target, headers, body):
         fields = lower_keys(headers)
         load = ("Server-Load", f"{self.running},0,{self.slots},100")
