Review case 3: count only requests that machines in touch have sent on

The restarted machine is in touch again contactMs after its start, so earlier requests are not counted.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,6 +12,7 @@
 
 LATE_S = 2.5  # how late the last report of the worker arrives
 DOWN_S = 0.5  # from the kill of the node to its start
+CONTACT_S = 3.0  # contactMs: a machine that was started is in touch after this time
 SERVES_ON_S = 7.0  # how long the worker serves after its leave was acknowledged
 
 
@@ -48,6 +49,7 @@
         ledger.process.wait()
         await asyncio.sleep(DOWN_S)
         ledger.start()
+    in_touch_from = max(standins.DRAIN_MS / 1000, time.monotonic() + CONTACT_S - left if trouble else 0)
     await asyncio.sleep(sent + LATE_S - time.monotonic())
     mesh.record.add("report-arrives", worker=worker.id, late_s=round(time.monotonic() - sent, 3),
                     acknowledged=await worker.post("heartbeat", report))
@@ -57,10 +59,11 @@
     await asyncio.sleep(0.5)
     load.cancel()
     answers = await asyncio.gather(*tasks)
-    late = {request_id: at - left for request_id, at in worker.runs if at - left > standins.DRAIN_MS / 1000}
+    # Counted are only requests that the restarted machine has sent on while in touch again.
+    late = {request_id: at - left for request_id, at in worker.runs if at - left > in_touch_from}
     lost = [answer for answer in answers if answer.request_id in late and answer.status != 200]
     mesh.record.add("summary", requests=len(answers), served=sum(answer.status == 200 for answer in answers),
-                    later_than_drain_timeout=len(late), last_s=round(max(late.values(), default=0), 3),
+                    counted_from_s=round(in_touch_from, 3), later_than_drain_timeout=len(late), last_s=round(max(late.values(), default=0), 3),
                     of_these_ended_without_the_worker_s_answer=len(lost))
     return len(late) > 0
 
