Review: the scripts end their processes after any failure

A worker of case 5 that was still starting made Mesh.stop fail, which left three processes of one run behind and would have turned an exception of a script into exit 1. Processes are ended first now, and any exception gives exit 2.

--- a/review/standins.py
+++ b/review/standins.py
@@ -177,6 +177,7 @@
         self.running = 0
         self.runs = []  # (request id, monotonic time of the start)
         self.beats = None
+        self.server = None
         self.writers = set()
         self.tasks = set()
 
@@ -189,7 +190,8 @@
         """Ends the worker like a crash: all its connections are reset."""
         if self.beats:
             self.beats.cancel()
-        self.server.close()
+        if self.server:
+            self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
         for task in list(self.tasks):
@@ -524,12 +526,13 @@
 
     async def stop(self):
         for node in self.nodes:
-            for worker in node.workers:
-                await worker.stop()
             if node.process and node.process.poll() is None:
                 node.process.kill()
             if node.process:
                 node.process.wait()
+        for node in self.nodes:
+            for worker in node.workers:
+                await worker.stop()
 
 
 def main(folder, plan, case):
@@ -549,9 +552,10 @@
                     for node in mesh.nodes:
                         shutil.copy(node.log, os.environ["KEEP_LOGS"])
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes that were started, too
     try:
         broken = asyncio.run(guarded())
-    except (CannotRun, OSError, asyncio.TimeoutError) as failure:
+    except Exception as failure:  # a mistake of the case must not look like a broken rule
         record.add("cannot-run", why=repr(failure))
         print("the case could not run:", repr(failure))
         sys.exit(2)
