Hold the departure of a worker outside its node before acknowledging it

Cause: the departure was kept in the memory of one process. The next process took the first heartbeat of any worker for the start of that worker, and nothing that it could read told otherwise. The log could not tell this from a worker that was mistaken for a new process; "[worker] notice" now says "departed", and "[worker] recovered" from where the earlier departures are known.

Change: a leave or draining notice is acknowledged once the platform's store holds it, or two other nodes do while the store does not respond; otherwise it gets 503 and the worker repeats it. A restarted node recovers the departures from the store and the other nodes before its worker gets requests. A departure names a process by id and start, so a worker that starts again is a new one. The format of messages between nodes is now 5.

--- a/packages/process/fleet/fleet.cc
+++ b/packages/process/fleet/fleet.cc
@@ -68,7 +68,9 @@
         record.runMs.size() <= maxRecordRoutes && std::ranges::all_of(record.runMs, [&](const auto &route) {
             return route.first.size() <= maxNameBytes;
         });
-    return hasNames && hasAddresses && hasRoutes && record.worker <= worker_state::Down
+    const bool hasDepartures = record.departures.size() <= maxDepartures
+        && std::ranges::all_of(record.departures, isName, &worker_departure::workerId);
+    return hasNames && hasAddresses && hasRoutes && hasDepartures && record.worker <= worker_state::Down
         && record.started < maxStartOrder;
 }
 
@@ -95,6 +97,12 @@
     merged.hasWorkerChanged = merged.isNew || found->second.record.worker != record.worker
         || found->second.record.isLeaving != record.isLeaving || found->second.record.service != record.service;
     known_node &node = fleet.nodes[record.nodeId];
+    if (found != fleet.nodes.end() && merged.isNew) {
+        node.hasPredecessor = true;
+        for (const worker_departure &departure : node.record.departures) {
+            recordDeparture(node.predecessorDepartures, departure, now);
+        }
+    }
     node.record = record;
     node.lastHeardAt = now;
     node.warmUpUntil = now + milliseconds(record.warmUpRemainingMs);
@@ -177,6 +185,20 @@
     return heard.empty() ? silent : heard;
 }
 
+std::vector<worker_departure> departuresHeldFor(const fleet_state &fleet, const std::string &nodeId, time_point now)
+{
+    const auto found = fleet.nodes.find(nodeId);
+    if (found == fleet.nodes.end()) {
+        return {};
+    }
+    departure_list held = found->second.predecessorDepartures;
+    removeOldDepartures(held, now);
+    for (const worker_departure &departure : found->second.record.departures) {
+        recordDeparture(held, departure, now);
+    }
+    return plainDepartures(held);
+}
+
 std::vector<std::string> removeSilentNodes(fleet_state &fleet, time_point now)
 {
     const milliseconds limit = std::max<milliseconds>(minRemovalSilence, silenceLimit(fleet) * removalSilenceLimits);
--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -25,6 +25,7 @@
 #include "base/endpoint.h"
 #include "base/random.h"
 #include "connection/wire/codec.h"
+#include "process/worker_life/departure.h"
 #include "request/placement/placement.h"
 
 namespace pistachioquay {
@@ -71,6 +72,7 @@
     std::uint64_t configVersion = 0;
     worker_report report;
     std::map<std::string, double> runMs; // mean run time of the worker by route
+    std::vector<worker_departure> departures; // of the worker's processes; other nodes hold them for the node
 
     friend bool operator==(const node_record &, const node_record &) = default;
 
@@ -78,7 +80,7 @@
     void serialize(Archive &archive)
     {
         archive(nodeId, started, revision, process, dataCentre, service, peer, gossip);
-        archive(worker, isLeaving, slots, linkBytesPerMs, warmUpRemainingMs, configVersion, report, runMs);
+        archive(worker, isLeaving, slots, linkBytesPerMs, warmUpRemainingMs, configVersion, report, runMs, departures);
     }
 };
 
@@ -89,6 +91,8 @@
     time_point lastHeardAt; // when a newer record arrived, or the node last responded
     time_point warmUpUntil;
     std::uint32_t sendsLeft = 0; // remaining datagrams in which a change is sent first
+    bool hasPredecessor = false; // an earlier process of the node was known as well
+    departure_list predecessorDepartures; // which earlier processes of the node had published
 };
 
 struct fleet_state
@@ -145,6 +149,10 @@
 // isSilent returns whether a node has not been heard of for longer than `silenceLimit`.
 bool isSilent(const fleet_state &fleet, const known_node &node, time_point now);
 
+// departuresHeldFor returns the departures that this node holds for another one: those of its record and of earlier
+// processes of the node.
+std::vector<worker_departure> departuresHeldFor(const fleet_state &fleet, const std::string &nodeId, time_point now);
+
 // removeSilentNodes removes nodes that have not been heard of for `removalSilenceLimits` limits and at least
 // `minRemovalSilence`, and returns their ids.
 std::vector<std::string> removeSilentNodes(fleet_state &fleet, time_point now);
--- a/packages/process/fleet/fleet_test.cc
+++ b/packages/process/fleet/fleet_test.cc
@@ -268,3 +268,27 @@
     fleet_state fleet = fleetWith({});
     CHECK_FALSE(mergeRecord(fleet, recordOf("self", UINT64_MAX, 0), 40, start).isOwnStartOutdated);
 }
+
+// The successor of a killed node learns from other nodes which workers had left.
+TEST_CASE("the departures that a node published are held for its next process")
+{
+    node_record before = recordOf("a", 10, 5);
+    before.departures = {{"w1", 1000, 5000}};
+    fleet_state fleet = fleetWith({before});
+    CHECK(departuresHeldFor(fleet, "a", start) == before.departures);
+    CHECK_FALSE(fleet.nodes.at("a").hasPredecessor);
+    mergeRecord(fleet, recordOf("a", 11, 0), 1, start);
+    CHECK(fleet.nodes.at("a").hasPredecessor);
+    CHECK(departuresHeldFor(fleet, "a", start) == before.departures);
+    CHECK(departuresHeldFor(fleet, "a", start + departureRetention + seconds(1)).empty());
+    CHECK(departuresHeldFor(fleet, "unknown", start).empty());
+}
+
+TEST_CASE("a record with more departures than a node keeps is implausible")
+{
+    node_record record = recordOf("a", 10, 5);
+    record.departures.assign(maxDepartures, {"w1", 1000, 5000});
+    CHECK(isPlausible(record));
+    record.departures.push_back({"w2", 1000, 5000});
+    CHECK_FALSE(isPlausible(record));
+}
--- a/packages/process/mesh/dissemination.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds startPollInterval{10};
 constexpr unsigned readJitterMs = 100; // keeps several nodes from retrying at the same time
 constexpr milliseconds standbyInterval{100}; // time between checks whether this node must read the platform
+constexpr milliseconds holderAskInterval{100}; // time between requests to other nodes to confirm a departure
+constexpr milliseconds holdPollInterval{5};
 constexpr milliseconds pullTimeout{300}; // the same version is then requested from another node
 constexpr int compressionLevel = 6; // zlib's default trade-off between time and size
 constexpr std::uint64_t maxUncompressedBytes = 64UL * 1024 * 1024; // size of a received configuration
@@ -76,6 +78,8 @@
     , m_startOrder(static_cast<std::uint64_t>(unixNowMs()))
     , m_startedAt(steadyNow())
 {
+    m_recovery.startedAt = m_startedAt;
+    m_context.worker.isRecovering = true;
 }
 
 result<void> dissemination_tasks::open()
@@ -137,6 +141,7 @@
     record.worker = worker.workerId.empty() ? worker_state::Absent
         : worker.isLeaving                  ? worker_state::Draining
         : worker.isUnreachable              ? worker_state::Down
+        : worker.isRecovering               ? worker_state::Absent
                                             : worker_state::Ready;
     record.isLeaving = m_context.isInboundClosed;
     record.slots = worker.slots;
@@ -145,6 +150,7 @@
         static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisBetween(now, worker.warmUpUntil)));
     record.configVersion = m_context.config.table->version;
     record.report = m_inbound.report(now);
+    record.departures = plainDepartures(worker.departures);
     for (const auto &[route, mean] : m_inbound.runTimes().routes) {
         if (now - mean.lastAt < runTimeExpiry) {
             record.runMs[route] = mean.milliseconds;
@@ -153,13 +159,22 @@
     return record;
 }
 
-void dissemination_tasks::send(const endpoint &to, bool wantsReply, bool isReaderAnnouncement, std::size_t recordCount)
+void dissemination_tasks::send(const endpoint &to, const datagram_plan &plan)
 {
+    const time_point now = steadyNow();
     gossip_message message;
-    message.sender = ownRecord(steadyNow());
-    message.wantsReply = wantsReply;
-    message.isReaderAnnouncement = isReaderAnnouncement;
-    message.others = chooseUpdates(m_context.fleet, recordCount, m_context.generator);
+    message.sender = ownRecord(now);
+    message.wantsReply = plan.wantsReply;
+    message.isReaderAnnouncement = plan.isReaderAnnouncement;
+    message.others = chooseUpdates(m_context.fleet, plan.recordCount, m_context.generator);
+    if (plan.receiver != nullptr) {
+        const std::string &receiverId = plan.receiver->nodeId;
+        const auto known = m_context.fleet.nodes.find(receiverId);
+        message.receiverDepartures = departuresHeldFor(m_context.fleet, receiverId, now);
+        // The known record is still that of an earlier process if the receiver's clock was set back.
+        message.knewPredecessor = known != m_context.fleet.nodes.end()
+            && (known->second.hasPredecessor || known->second.record.process != plan.receiver->process);
+    }
     std::string bytes = encodeMessage(message, meshFormatVersion);
     while (bytes.size() > maxDatagramBytes && !message.others.empty()) {
         message.others.pop_back();
@@ -175,7 +190,7 @@
 void dissemination_tasks::announce()
 {
     for (const auto &[id, node] : m_context.fleet.nodes) {
-        send(node.record.gossip, false, false, 0);
+        send(node.record.gossip, {});
     }
 }
 
@@ -183,7 +198,7 @@
 {
     for (const auto &[id, node] : m_context.fleet.nodes) {
         if (node.record.dataCentre == m_context.options.dataCentre) {
-            send(node.record.gossip, false, true, 0);
+            send(node.record.gossip, {.isReaderAnnouncement = true});
         }
     }
 }
@@ -231,9 +246,10 @@
     if (message->isReaderAnnouncement && sender.dataCentre == m_context.options.dataCentre) {
         m_storeReadAt = now;
     }
+    applyHeldDepartures(*message, now);
     pullIfNewer(sender);
     if (message->wantsReply) {
-        send(sender.gossip, false, false, recordsPerDatagram);
+        send(sender.gossip, {.recordCount = recordsPerDatagram, .receiver = &sender});
     }
 }
 
@@ -262,7 +278,7 @@
                           .add("revision", record.revision));
         refreshWorkers(m_context, record.service, now);
         if (merged.isNew) {
-            send(record.gossip, false, false, 0);
+            send(record.gossip, {.receiver = &record});
         }
     }
     recordReport(m_context.placement, record.service, record.nodeId, record.report, now);
@@ -457,20 +473,30 @@
         co_return std::nullopt;
     }
     std::vector<node_record> records;
+    std::vector<worker_departure> ownDepartures;
     for (const std::string &bytes : *values) {
-        const auto record = attempt([&] {
-            return decodeMessage<node_record>(bytes, meshFormatVersion, m_decodeCounters);
+        const auto entry = attempt([&] {
+            return decodeMessage<directory_entry>(bytes, meshFormatVersion, m_decodeCounters);
         });
-        if (record && isPlausible(*record)) {
-            records.push_back(*record);
-        } else if (record) {
+        if (!entry) {
+            m_context.log(log_line("spread", "garbled-address").add("error", entry.failure().message));
+        } else if (const auto *stored = std::get_if<stored_departure>(&*entry)) {
+            if (stored->nodeId == m_context.options.nodeId && stored->departure.workerId.size() <= maxNameBytes) {
+                ownDepartures.push_back(stored->departure);
+            }
+        } else if (const auto &record = std::get<node_record>(*entry); isPlausible(record)) {
+            records.push_back(record);
+        } else {
             m_context.metrics.count("node_records_implausible_total");
             m_context.log(log_line("spread", "implausible-address")
-                              .add("node", std::string_view(record->nodeId).substr(0, maxNameBytes)));
-        } else {
-            m_context.log(log_line("spread", "garbled-address").add("error", record.failure().message));
+                              .add("node", std::string_view(record.nodeId).substr(0, maxNameBytes)));
         }
     }
+    if (!m_recovery.storeReadAt) {
+        const time_point now = steadyNow();
+        m_recovery.storeReadAt = now;
+        recoverFrom(ownDepartures, now);
+    }
     co_return records;
 }
 
@@ -486,7 +512,9 @@
     }
     node_record record = ownRecord(steadyNow());
     record.runMs.clear();
-    co_return co_await m_context.platform.publishNodeRecord(record.nodeId, encodeMessage(record, meshFormatVersion));
+    record.departures.clear(); // have entries of their own
+    co_return co_await m_context.platform.publishNodeRecord(record.nodeId,
+                                                            encodeMessage(directory_entry(record), meshFormatVersion));
 }
 
 // Contacts the published nodes that are unknown or silent, to exchange records.
@@ -500,7 +528,7 @@
         return record.nodeId != m_context.options.nodeId && !isHeard;
     });
     for (const node_record &record : unknown) {
-        send(record.gossip, true, false, 0);
+        send(record.gossip, {.wantsReply = true});
     }
 }
 
@@ -526,6 +554,130 @@
     }
 }
 
+awaitable<bool> dissemination_tasks::holdDeparture(worker_departure departure)
+{
+    const time_point startedAt = steadyNow();
+    std::shared_ptr<departure_hold> &entry = m_holds[departureKey(m_context.options.nodeId, departure)];
+    const bool isFirst = !entry;
+    if (isFirst) {
+        entry = std::make_shared<departure_hold>();
+        net::co_spawn(
+            m_context.executor,
+            [this, departure, hold = entry] {
+                return storeDeparture(departure, hold);
+            },
+            net::detached);
+    }
+    const std::shared_ptr<departure_hold> hold = entry;
+    net::steady_timer pause(m_context.executor);
+    time_point askAt = startedAt + holderAskInterval;
+    for (;;) {
+        const time_point now = steadyNow();
+        const auto nodesKnown = std::ranges::count_if(m_context.fleet.nodes, [&](const auto &item) {
+            return !isSilent(m_context.fleet, item.second, now);
+        });
+        const hold_decision decision = decideHold(*hold, static_cast<std::size_t>(nodesKnown), now - startedAt);
+        if (decision != hold_decision::Wait) {
+            const bool isHeld = decision == hold_decision::Acknowledge;
+            if (isFirst || !isHeld) { // a worker repeats the notice of its departure as long as it runs
+                m_context.metrics.count(isHeld ? "departures_held_total" : "departures_not_held_total");
+                m_context.log(log_line("worker", isHeld ? "departure-held" : "departure-not-held")
+                                  .add("worker", departure.workerId)
+                                  .add("started", departure.startedMs)
+                                  .add("stored", hold->isStored)
+                                  .add("holders", hold->holders.size())
+                                  .add("took_ms", millisBetween(startedAt, now)));
+            }
+            co_return isHeld;
+        }
+        if (now >= askAt) {
+            for (const endpoint &peer : choosePeers(m_context.fleet, gossipFanout, now, m_context.generator)) {
+                send(peer, {.wantsReply = true});
+            }
+            askAt = now + holderAskInterval;
+        }
+        pause.expires_after(holdPollInterval);
+        co_await pause.async_wait(awaitResult);
+    }
+}
+
+// Writes a departure to the platform's store, until the store confirms it or it is removed.
+awaitable<void> dissemination_tasks::storeDeparture(worker_departure departure, std::shared_ptr<departure_hold> hold)
+{
+    const std::string key = departureKey(m_context.options.nodeId, departure);
+    const std::string bytes =
+        encodeMessage(directory_entry(stored_departure{m_context.options.nodeId, departure}), meshFormatVersion);
+    net::steady_timer pause(m_context.executor);
+    while (!m_context.isStopped && m_holds.contains(key)) {
+        hold->isStored = co_await m_context.platform.publishNodeRecord(key, bytes);
+        if (hold->isStored) {
+            break;
+        }
+        pause.expires_after(joinRetryInterval + milliseconds(m_context.generator() % 250));
+        co_await pause.async_wait(awaitResult);
+    }
+}
+
+// Applies what another node holds for this one.
+void dissemination_tasks::applyHeldDepartures(const gossip_message &message, time_point now)
+{
+    for (const worker_departure &departure : message.receiverDepartures) {
+        const auto found = m_holds.find(departureKey(m_context.options.nodeId, departure));
+        if (found == m_holds.end()) {
+            continue;
+        }
+        std::vector<std::string> &holders = found->second->holders;
+        if (std::ranges::find(holders, message.sender.nodeId) == holders.end()) {
+            holders.push_back(message.sender.nodeId);
+        }
+    }
+    if (message.knewPredecessor && mayStillRecover(m_recovery, now)) {
+        m_recovery.hasPeerAnswer = true;
+        recoverFrom(message.receiverDepartures, now);
+    }
+}
+
+void dissemination_tasks::recoverFrom(const std::vector<worker_departure> &departures, time_point now)
+{
+    const std::size_t knownBefore = m_context.worker.departures.size();
+    const bool isWorkerLeaving = recoverDepartures(m_context.worker, departures, now);
+    if (m_context.worker.departures.size() > knownBefore) {
+        m_context.log(log_line("worker", "departures-recovered")
+                          .add("departures", m_context.worker.departures.size())
+                          .add("known_worker", m_context.worker.workerId)
+                          .add("leaving", isWorkerLeaving));
+    }
+    if (isWorkerLeaving) {
+        m_inbound.onWorkerChange(now);
+        announce();
+    }
+}
+
+void dissemination_tasks::maintainDepartures(time_point now)
+{
+    worker_liveness &worker = m_context.worker;
+    if (worker.isRecovering && isRecovered(m_recovery, now)) {
+        worker.isRecovering = false;
+        m_context.log(log_line("worker", "recovered")
+                          .add("from", m_recovery.storeReadAt ? "store" : "nodes")
+                          .add("departures", worker.departures.size())
+                          .add("worker", worker.workerId)
+                          .add("took_ms", millisBetween(m_startedAt, now)));
+        m_inbound.onWorkerChange(now);
+        announce();
+    }
+    for (const worker_departure &departure : removeOldDepartures(worker.departures, now)) {
+        const std::string key = departureKey(m_context.options.nodeId, departure);
+        m_holds.erase(key);
+        net::co_spawn(
+            m_context.executor,
+            [this, key]() -> awaitable<void> {
+                co_await m_context.platform.publishNodeRecord(key, {});
+            },
+            net::detached);
+    }
+}
+
 awaitable<void> dissemination_tasks::unpublishRecord()
 {
     co_await m_context.platform.publishNodeRecord(m_context.options.nodeId, {});
@@ -538,7 +690,7 @@
         co_await m_gossipTimer.async_wait(awaitResult);
         const time_point now = steadyNow();
         for (const endpoint &peer : choosePeers(m_context.fleet, gossipFanout, now, m_context.generator)) {
-            send(peer, false, false, recordsPerDatagram);
+            send(peer, {.wantsReply = m_context.worker.isRecovering, .recordCount = recordsPerDatagram});
         }
         for (const std::string &id : removeSilentNodes(m_context.fleet, now)) {
             m_context.log(log_line("spread", "node-forgotten").add("node", id));
--- a/packages/process/mesh/dissemination.h
+++ b/packages/process/mesh/dissemination.h
@@ -7,6 +7,8 @@
 #pragma once
 
 #include <deque>
+#include <map>
+#include <memory>
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -33,12 +35,26 @@
     void applyPeerConfig(const config_message &message);
     // configFor returns the answer to another node's request for the configuration.
     config_message configFor(const config_request &request);
+    // holdDeparture has a departure of the worker held by the platform's store or by other nodes, so that it outlives
+    // this process. Returns false if nobody has confirmed it in time; the attempts at the store go on.
+    awaitable<bool> holdDeparture(worker_departure departure);
+    // maintainDepartures ends the recovery of departures after the start, and removes old departures.
+    void maintainDepartures(time_point now);
     // unpublishRecord removes the own address record from the platform.
     awaitable<void> unpublishRecord();
     // stop closes the datagram port and wakes the gossip task, which ends if the node is stopped.
     void stop();
 
 private:
+    // What a datagram carries besides the own record.
+    struct datagram_plan
+    {
+        bool wantsReply = false;
+        bool isReaderAnnouncement = false;
+        std::size_t recordCount = 0; // records of other nodes
+        const node_record *receiver = nullptr; // set in replies: adds what this node holds for the receiver
+    };
+
     awaitable<void> receiveLoop();
     awaitable<void> gossipLoop();
     awaitable<void> readLoop();
@@ -47,7 +63,10 @@
     void onDatagram(std::string_view bytes, const endpoint &from);
     void applyMergeResult(const node_record &record, const merge_result &merged, time_point now);
     void pullIfNewer(const node_record &record);
-    void send(const endpoint &to, bool wantsReply, bool isReaderAnnouncement, std::size_t recordCount);
+    void send(const endpoint &to, const datagram_plan &plan);
+    awaitable<void> storeDeparture(worker_departure departure, std::shared_ptr<departure_hold> hold);
+    void recoverFrom(const std::vector<worker_departure> &departures, time_point now);
+    void applyHeldDepartures(const gossip_message &message, time_point now);
     void announceStoreRead();
     void raiseStartOrder(std::uint64_t above);
     void applyConfig(std::string bytes, std::string_view source);
@@ -75,6 +94,8 @@
     std::uint64_t m_pulledVersion = 0;
     bool m_isStoreReached = false;
     decode_counters m_decodeCounters;
+    departure_recovery m_recovery;
+    std::map<std::string, std::shared_ptr<departure_hold>> m_holds; // by key of the departure in the store
 };
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -136,6 +136,7 @@
         }
         const time_point now = steadyNow();
         links.checkLiveness(now);
+        dissemination.maintainDepartures(now);
         if (recordSilence(context.worker, allowedSilence, now)) {
             context.log(log_line("worker", "silent")
                             .add("worker", context.worker.workerId)
@@ -219,12 +220,14 @@
     return {};
 }
 
-notice_verdict mesh_node::onWorkerNotice(const worker_notice &notice)
+awaitable<bool> mesh_node::onWorkerNotice(worker_notice notice)
 {
     const time_point now = steadyNow();
     internal::mesh_context &context = m_impl->context;
+    const bool wasDeparted = isDeparted(context.worker.departures, notice);
     const notice_verdict verdict = applyNotice(context.worker, notice, now);
-    if (verdict == notice_verdict::Changed) {
+    const bool isDeparture = notice.kind != notice_kind::Ready;
+    if (verdict == notice_verdict::Changed || (isDeparture && !wasDeparted)) {
         m_impl->inbound.onWorkerChange(now);
         m_impl->dissemination.announce();
     }
@@ -237,9 +240,13 @@
                         .add("known_worker", context.worker.workerId)
                         .add("known_sequence", context.worker.sequence)
                         .add("leaving", context.worker.isLeaving)
+                        .add("departed", wasDeparted)
                         .add("slots", context.worker.slots));
     }
-    return verdict;
+    if (!isDeparture) {
+        co_return true;
+    }
+    co_return co_await m_impl->dissemination.holdDeparture(departureOf(notice));
 }
 
 bool mesh_node::isReady() const
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -3,7 +3,7 @@
 //
 //   mesh_node node(executor, options, platform);
 //   const auto started = attempt([&] { return node.start(); });
-//   node.onWorkerNotice(notice);                              // from the worker on the node's VM
+//   if (co_await node.onWorkerNotice(notice)) ...             // from the worker on the node's VM
 //   node.shutDown([&] { loop.stop(); });
 //
 // The platform is accessed through the functions of `mesh_platform` and the header names of `mesh_headers`, so that
@@ -75,10 +75,11 @@
     std::function<awaitable<config_read>(std::uint64_t position, milliseconds wait)> readConfig;
     // Decodes the text of a configuration. Fails with Corrupt.
     std::function<result<route_table>(std::string_view bytes)> decodeConfig;
-    // Publishes the address record of this node, by which starting nodes find it; an empty value removes it. Returns
-    // false if the platform was not reached.
+    // Publishes an entry of the directory of nodes under a key: the address record by which starting nodes find this
+    // one, or a departure of its worker. An empty value removes the entry. Returns false if the platform was not
+    // reached.
     std::function<awaitable<bool>(std::string key, std::string value)> publishNodeRecord;
-    // Reads the address records that nodes have published; empty optional: the platform was not reached.
+    // Reads the entries that nodes have published; empty optional: the platform was not reached.
     std::function<awaitable<std::optional<std::vector<std::string>>>()> readNodeRecords;
     // Writes a log line.
     std::function<void(const class log_line &)> log;
@@ -95,8 +96,9 @@
 
     // start opens the ports and joins the mesh. Fails with Unavailable if an address is in use.
     result<void> start();
-    // onWorkerNotice applies a heartbeat or a leave notice of the worker.
-    notice_verdict onWorkerNotice(const worker_notice &notice);
+    // onWorkerNotice applies a heartbeat or a leave notice of the worker. Returns whether it may be acknowledged: false
+    // if the worker has to repeat it, because nobody outside this process holds its departure yet.
+    awaitable<bool> onWorkerNotice(worker_notice notice);
     // isReady returns whether callers on this VM may send requests: a configuration is applied and no shutdown has
     // begun.
     bool isReady() const;
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -4,8 +4,11 @@
 #pragma once
 
 #include <string>
+#include <variant>
 #include <vector>
 
+#include <cereal/types/variant.hpp>
+
 #include "connection/loop/http_server.h"
 #include "connection/wire/codec.h"
 #include "process/fleet/fleet.h"
@@ -32,7 +35,7 @@
     archive(response.status, response.headers, response.body);
 }
 
-inline constexpr std::uint16_t meshFormatVersion = 4; // format of all messages between nodes
+inline constexpr std::uint16_t meshFormatVersion = 5; // format of all messages between nodes
 
 // Type of a frame on a link between two nodes.
 enum class frame_kind : std::uint8_t
@@ -184,12 +187,31 @@
     bool wantsReply = false; // asks for the receiver's record, which the sender lacks or has not heard of lately
     bool isReaderAnnouncement = false; // the sender has just read the platform for its data centre
     std::vector<node_record> others; // records of other nodes that are passed on
+    // Set in replies: what the sender holds for the receiver, and whether it knew an earlier process of the receiver.
+    std::vector<worker_departure> receiverDepartures;
+    bool knewPredecessor = false;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(sender, wantsReply, isReaderAnnouncement, others, receiverDepartures, knewPredecessor);
+    }
+};
+
+// A departure as the platform's store keeps it, among the address records of the nodes.
+struct stored_departure
+{
+    std::string nodeId; // beside which the worker ran
+    worker_departure departure;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(sender, wantsReply, isReaderAnnouncement, others);
+        archive(nodeId, departure);
     }
 };
 
+// An entry of the directory that the nodes keep in the platform's store.
+using directory_entry = std::variant<node_record, stored_departure>;
+
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -18,7 +18,10 @@
 
 notice_verdict startProcess(worker_liveness &worker, const worker_notice &notice, time_point now)
 {
-    worker = {};
+    worker_liveness started;
+    started.isRecovering = worker.isRecovering;
+    started.departures = std::move(worker.departures);
+    worker = std::move(started);
     worker.workerId = notice.workerId;
     worker.startedMs = notice.startedMs.value_or(0);
     worker.firstReceivedMs = notice.receivedMs;
@@ -61,10 +64,14 @@
     if (notice.startedMs.value_or(0) > notice.receivedMs + maxStartAheadMs) {
         return notice_verdict::Stale;
     }
+    const bool hasDeparted = isDeparted(worker.departures, notice);
+    if (notice.kind != notice_kind::Ready && !hasDeparted) {
+        recordDeparture(worker.departures, departureOf(notice), now);
+    }
     if (!isSameProcess(worker, notice)) {
         const bool isOlder = notice.startedMs.value_or(0) < worker.startedMs;
         const bool isLeaveOfOther = notice.kind == notice_kind::Left && worker.workerId != notice.workerId;
-        if (!worker.workerId.empty() && (isOlder || isLeaveOfOther)) {
+        if (hasDeparted || (!worker.workerId.empty() && (isOlder || isLeaveOfOther))) {
             return notice_verdict::Stale;
         }
         return startProcess(worker, notice, now);
@@ -100,9 +107,22 @@
     return !worker.workerId.empty() && now - worker.lastHeardAt > allowed && recordUnreachable(worker);
 }
 
+bool recoverDepartures(worker_liveness &worker, const std::vector<worker_departure> &departures, time_point now)
+{
+    bool isWorkerLeaving = false;
+    for (const worker_departure &departure : departures) {
+        recordDeparture(worker.departures, departure, now);
+        worker_notice known;
+        known.workerId = worker.workerId;
+        known.startedMs = worker.startedMs;
+        isWorkerLeaving = isWorkerLeaving || isDeparted({{departure, now}}, known);
+    }
+    return isWorkerLeaving && beginLeaving(worker, now) == notice_verdict::Changed;
+}
+
 bool isAcceptingRequests(const worker_liveness &worker)
 {
-    return !worker.workerId.empty() && !worker.isLeaving && !worker.isUnreachable;
+    return !worker.workerId.empty() && !worker.isLeaving && !worker.isUnreachable && !worker.isRecovering;
 }
 
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -5,7 +5,7 @@
 //
 // Notices can arrive seconds late, even after a newer process of the worker has announced itself. Processes are ordered
 // by their start time, and the notices of one process by their sequence number. A process that has announced that it
-// leaves never gets requests again.
+// leaves never gets requests again, also if its node restarts in between (see departure.h).
 //
 // Not thread safe unless noted: the functions work on a state that belongs to one event loop.
 #pragma once
@@ -16,6 +16,7 @@
 #include <string_view>
 
 #include "base/clock.h"
+#include "process/worker_life/departure.h"
 
 namespace pistachioquay {
 
@@ -60,6 +61,8 @@
     std::uint32_t slots = 0;
     bool isLeaving = false;
     bool isUnreachable = false; // connections to it fail, or it is silent
+    bool isRecovering = false; // the node has restarted and does not know yet which processes have left
+    departure_list departures; // also of earlier processes of the worker
     time_point warmUpUntil;
     time_point lastHeardAt;
     time_point leavingSince;
@@ -71,7 +74,8 @@
 // writer's notice with such a start would make all later ones of the worker look old.
 inline constexpr std::int64_t maxStartAheadMs = 60 * 1000;
 
-// applyNotice records what a notice announces, unless the notice is stale or its start lies in the future.
+// applyNotice records what a notice announces, unless the notice is stale or its start lies in the future. A departure
+// is recorded even if the notice is stale: it is acknowledged, so its process must not get requests later.
 notice_verdict applyNotice(worker_liveness &worker, const worker_notice &notice, time_point now);
 
 // recordUnreachable records that the worker could not be reached; the next heartbeat that is not stale resets this.
@@ -82,8 +86,12 @@
 // if it was reachable before.
 bool recordSilence(worker_liveness &worker, milliseconds allowed, time_point now);
 
-// isAcceptingRequests returns whether the worker may get new requests: it has announced itself, is not leaving and is
-// reachable.
+// recoverDepartures adds departures that others have held for the node. Returns true if the worker that has announced
+// itself meanwhile is one of them and thus leaves.
+bool recoverDepartures(worker_liveness &worker, const std::vector<worker_departure> &departures, time_point now);
+
+// isAcceptingRequests returns whether the worker may get new requests: it has announced itself, is not leaving, is
+// reachable, and the node knows that it has not left before.
 bool isAcceptingRequests(const worker_liveness &worker);
 
 } // namespace pistachioquay
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -202,6 +202,73 @@
     CHECK(mesh.worker("b1").totalRuns() >= 90);
 }
 
+// A leave that only the memory of a process held was undone by its restart: delayed heartbeats made the worker ready.
+TEST_CASE("a worker that has left gets no requests after its node restarts, whatever heartbeats arrive late")
+{
+    struct outage
+    {
+        store_mode atLeave;
+        store_mode atRestart;
+    };
+    const auto [atLeave, atRestart] = GENERATE(outage{store_mode::Up, store_mode::Up},
+                                               outage{store_mode::Silent, store_mode::Up},
+                                               outage{store_mode::Up, store_mode::Silent},
+                                               outage{store_mode::LosesAnswers, store_mode::Busy});
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-2"}});
+    const std::string early = mesh.worker("a2").takeHeartbeat();
+    const std::string later = mesh.worker("a2").takeHeartbeat();
+    mesh.store().setMode(atLeave);
+    REQUIRE(mesh.worker("a2").leave(milliseconds(4000)));
+    mesh.process("a2").kill();
+    mesh.store().setMode(atRestart);
+    const unsigned runsBefore = mesh.worker("a2").totalRuns();
+    mesh.startNode("a2");
+    REQUIRE(waitUntil(
+        [&] {
+            return mesh.worker("a2").deliver(early);
+        },
+        startTimeout));
+    REQUIRE(waitUntil(
+        [&] {
+            return mesh.log("a2").rfind("[worker] recovered") != std::string::npos;
+        },
+        recoveryTimeout));
+    CHECK(mesh.worker("a2").deliver(later));
+    for (int index = 0; index < 60; ++index) {
+        CHECK(mesh.statusOf("a1", "/orders/1", "left-" + std::to_string(index)) == 200);
+    }
+    CHECK(mesh.worker("a2").totalRuns() == runsBefore);
+    // A worker that starts in its place is another process and gets requests.
+    mesh.startWorker("a2", "w-a2");
+    CHECK(waitUntil(
+        [&] {
+            mesh.statusOf("a1", "/orders/1", "again");
+            return mesh.worker("a2").totalRuns() > 0;
+        },
+        recoveryTimeout));
+}
+
+TEST_CASE("a worker that serves on gets requests again after its node restarts, also without the store")
+{
+    const store_mode mode = GENERATE(store_mode::Up, store_mode::Silent);
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
+    mesh.store().setMode(mode);
+    mesh.process("b1").kill();
+    mesh.startNode("b1");
+    CHECK(mesh.waitUntilServing("a1", recoveryTimeout));
+}
+
+TEST_CASE("a node that reaches neither the store nor another node does not acknowledge a leave, and stops sending")
+{
+    serving_mesh mesh({{"a1", "orders", "dc-1"}, {"b1", "shop", "dc-2"}});
+    mesh.process("b1").kill();
+    mesh.store().setMode(store_mode::Silent);
+    CHECK_FALSE(mesh.worker("a1").leave(milliseconds(1000)));
+    CHECK(mesh.statusOf("a1", "/orders/1", "left-alone") == 503);
+    mesh.store().setMode(store_mode::Up);
+    CHECK(mesh.worker("a1").leave(milliseconds(4000)));
+}
+
 TEST_CASE("a node that gets SIGTERM answers its running requests and exits with 0, and other nodes keep serving")
 {
     serving_mesh mesh;
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -104,7 +104,7 @@
     m_sleepTimers.erase(&timer);
 }
 
-awaitable<bool> worker_stand_in::announce(std::string state)
+std::string worker_stand_in::heartbeatBody(const std::string &state)
 {
     const boost::json::value body = {
         {"address", toText(m_options.announcedAddress.port > 0 ? m_options.announcedAddress : m_options.address)},
@@ -115,16 +115,26 @@
           {"zone", m_options.dataCentre},
           {"slots", m_options.slots}}},
         {"status", {{"state", state}, {"sequence", m_sequence++}, {"coldRemainingMs", 0}}}};
+    return boost::json::serialize(body);
+}
+
+awaitable<bool> worker_stand_in::post(std::string action, std::string body)
+{
     whole_request request;
     request.method = "POST";
-    request.target = "/instances/" + m_options.id + "/heartbeat";
+    request.target = "/instances/" + m_options.id + "/" + action;
     request.headers = {{"Host", toText(m_options.control)}, {"Content-Type", "application/json"}};
-    request.body = boost::json::serialize(body);
+    request.body = std::move(body);
     cancellation_token control;
     const exchange_result got = co_await m_node->send(request, {.deadline = steadyNow() + heartbeatTimeout}, control);
     co_return got.end == exchange_end::Complete &&got.response.status == 200;
 }
 
+awaitable<bool> worker_stand_in::announce(std::string state)
+{
+    co_return co_await post("heartbeat", heartbeatBody(state));
+}
+
 awaitable<void> worker_stand_in::heartbeatLoop()
 {
     ++m_activeCoroutines;
@@ -134,21 +144,19 @@
             const std::lock_guard guard(m_mutex);
             state = m_state;
         }
-        co_await announce(state);
+        if (!m_hasLeft) {
+            co_await announce(state);
+        }
         co_await pause(m_options.noticeInterval);
     }
     --m_activeCoroutines;
 }
 
-bool worker_stand_in::drain(milliseconds atMost)
+bool worker_stand_in::repeatUntilAcknowledged(milliseconds atMost, const std::function<bool()> &send)
 {
-    {
-        const std::lock_guard guard(m_mutex);
-        m_state = "draining";
-    }
     const time_point until = steadyNow() + atMost;
     while (steadyNow() < until) {
-        if (m_loop.await(announce("draining"))) {
+        if (send()) {
             return true;
         }
         std::this_thread::sleep_for(milliseconds(20));
@@ -156,6 +164,40 @@
     return false;
 }
 
+bool worker_stand_in::drain(milliseconds atMost)
+{
+    {
+        const std::lock_guard guard(m_mutex);
+        m_state = "draining";
+    }
+    return repeatUntilAcknowledged(atMost, [this] {
+        return m_loop.await(announce("draining"));
+    });
+}
+
+bool worker_stand_in::leave(milliseconds atMost)
+{
+    m_loop.run([this] {
+        m_hasLeft = true;
+        return 0;
+    });
+    return repeatUntilAcknowledged(atMost, [this] {
+        return m_loop.await(post("leave", boost::json::serialize(boost::json::value{{"born", m_startedMs}})));
+    });
+}
+
+std::string worker_stand_in::takeHeartbeat()
+{
+    return m_loop.run([this] {
+        return heartbeatBody("ready");
+    });
+}
+
+bool worker_stand_in::deliver(const std::string &heartbeat)
+{
+    return m_loop.await(post("heartbeat", heartbeat));
+}
+
 awaitable<whole_response> worker_stand_in::run(const whole_request &request, caller_connection &)
 {
     const std::string id(findHeader(request.headers, "Request-Attempt-Id").value_or(""));
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -11,6 +11,7 @@
 // `hangDuration`.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -59,6 +60,13 @@
 
     // drain announces the state `draining` until the node acknowledges it; returns false if it has not after `atMost`.
     bool drain(milliseconds atMost);
+    // leave stops the heartbeats, while the worker serves on, and sends a leave notice until the node acknowledges it;
+    // returns false if it has not after `atMost`.
+    bool leave(milliseconds atMost);
+    // takeHeartbeat returns a heartbeat of the current state that is not sent. deliver sends it, as if it had been
+    // delayed on its way, and returns whether the node acknowledged it.
+    std::string takeHeartbeat();
+    bool deliver(const std::string &heartbeat);
     // hang makes every later run take `hangDuration`; hang(false) restores the usual duration.
     void hang(bool isHanging = true);
     // seen returns the record of a request id; one with 0 runs if it never ran.
@@ -82,6 +90,9 @@
     awaitable<void> pause(milliseconds length);
     awaitable<void> heartbeatLoop();
     awaitable<bool> announce(std::string state);
+    std::string heartbeatBody(const std::string &state);
+    awaitable<bool> post(std::string action, std::string body);
+    bool repeatUntilAcknowledged(milliseconds atMost, const std::function<bool()> &send);
 
     worker_options m_options;
     std::int64_t m_startedMs;
@@ -90,6 +101,7 @@
     time_point m_lastStart;
     std::string m_state = "ready";
     bool m_isHanging = false;
+    bool m_hasLeft = false; // used only in the loop
     unsigned m_running = 0;
     std::uint64_t m_sequence = 0;
     bool m_isStopped = false;
