Apply a draining notice that a later heartbeat has overtaken

Cause: the notice was dropped as stale by its sequence number. Shutting down is never taken back, so the order of heartbeats does not matter for it.

Measured: "a draining heartbeat that a later heartbeat has overtaken still counts" and "no process gets requests after its departure, in any order of notices and restarts of the node" failed before this change and pass with it.

--- a/packages/process/worker_life/departure_test.cc
+++ b/packages/process/worker_life/departure_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "process/worker_life/worker_life.h"
+#include "testing/property.h"
 
 using namespace pistachioquay;
 
@@ -78,6 +79,35 @@
     CHECK(isAcceptingRequests(worker));
 }
 
+TEST_CASE("no process gets requests after its departure, in any order of notices and restarts of the node")
+{
+    const auto replay = [](const std::vector<std::uint32_t> &words) {
+        worker_liveness worker;
+        std::vector<worker_departure> acknowledged;
+        for (const std::uint32_t word : words) {
+            const std::uint32_t step = word % 8;
+            if (step == 7) {
+                worker = restartedNode();
+            } else if (step == 6) {
+                endRecovery(worker, acknowledged);
+            } else {
+                const auto kind = static_cast<notice_kind>(step % 3);
+                const std::string id = word / 8 % 2 == 0 ? "w1" : "w2";
+                const worker_notice notice = noticeOf(kind, id, 1000 + word / 16 % 2, word / 32 % 8);
+                applyNotice(worker, notice, start);
+                if (kind != notice_kind::Ready) {
+                    acknowledged.push_back(departureOf(notice));
+                }
+            }
+            const bool hasLeft = std::ranges::any_of(acknowledged, [&](const worker_departure &departure) {
+                return departure.workerId == worker.workerId && departure.startedMs == worker.startedMs;
+            });
+            RC_ASSERT(!hasLeft || !isAcceptingRequests(worker));
+        }
+    };
+    CHECK(holds("departures are kept", 5000, replay));
+}
+
 // Load pattern: all workers of a service are replaced one after the other while the store is unavailable.
 TEST_CASE("a departure is acknowledged when the store holds it, or when other nodes do and the store does not respond")
 {
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -69,32 +69,32 @@
         recordDeparture(worker.departures, departureOf(notice), now);
     }
     if (!isSameProcess(worker, notice)) {
-        const bool isOlder = notice.startedMs.value_or(0) < worker.startedMs;
         const bool isLeaveOfOther = notice.kind == notice_kind::Left && worker.workerId != notice.workerId;
+        const bool isOlder = notice.startedMs.value_or(0) < worker.startedMs;
         if (hasDeparted || (!worker.workerId.empty() && (isOlder || isLeaveOfOther))) {
             return notice_verdict::Stale;
         }
         return startProcess(worker, notice, now);
     }
     worker.startedMs = notice.startedMs.value_or(worker.startedMs);
+    // A departure is never taken back, so it also counts if a later heartbeat has overtaken it.
+    const notice_verdict leaving =
+        notice.kind == notice_kind::Ready ? notice_verdict::Unchanged : beginLeaving(worker, now);
     if (notice.kind == notice_kind::Left) {
-        return beginLeaving(worker, now);
+        return leaving;
     }
     if (notice.sequence && *notice.sequence <= worker.sequence) {
-        return notice_verdict::Stale;
+        return leaving == notice_verdict::Changed ? leaving : notice_verdict::Stale;
     }
     worker.sequence = notice.sequence.value_or(worker.sequence);
     worker.lastHeardAt = now;
     worker.warmUpUntil = now + notice.warmUpRemaining;
-    notice_verdict verdict = notice_verdict::Unchanged;
     if (worker.isUnreachable || worker.slots != notice.slots) {
         worker.isUnreachable = false;
         worker.slots = notice.slots;
-        verdict = notice_verdict::Changed;
+        return notice_verdict::Changed;
     }
-    return notice.kind == notice_kind::Draining && beginLeaving(worker, now) == notice_verdict::Changed
-        ? notice_verdict::Changed
-        : verdict;
+    return leaving;
 }
 
 bool recordUnreachable(worker_liveness &worker)
--- a/packages/process/worker_life/worker_life_test.cc
+++ b/packages/process/worker_life/worker_life_test.cc
@@ -59,6 +59,14 @@
     CHECK_FALSE(isAcceptingRequests(worker));
 }
 
+TEST_CASE("a draining heartbeat that a later heartbeat has overtaken still counts")
+{
+    worker_liveness worker;
+    applyNotice(worker, noticeOf("w1", 1000, 5), start);
+    CHECK(applyNotice(worker, noticeOf("w1", 1000, 4, notice_kind::Draining), start) == notice_verdict::Changed);
+    CHECK_FALSE(isAcceptingRequests(worker));
+}
+
 TEST_CASE("a leave notice applies without a sequence number, and only to its own process")
 {
     worker_liveness worker;
