Keep a leave that arrives before the first heartbeat of its process

Cause: the leave was acknowledged, but ignored as one of another worker, and the late heartbeat made the worker ready. Since departures are remembered by process, a heartbeat after the leave is stale; in addition, a leave with a later start time now ends the known process, which the newer one has replaced.

Measured: "a leave that arrives before the first heartbeat of its process is kept" failed in one section without this change and passes with it.

--- a/packages/process/worker_life/departure_test.cc
+++ b/packages/process/worker_life/departure_test.cc
@@ -79,6 +79,29 @@
     CHECK(isAcceptingRequests(worker));
 }
 
+// A replaced worker left before its first heartbeat had arrived; the leave was acknowledged and ignored as that of
+// another worker, and the heartbeat then made the worker ready.
+TEST_CASE("a leave that arrives before the first heartbeat of its process is kept")
+{
+    worker_liveness worker;
+    applyNotice(worker, noticeOf(notice_kind::Ready, "w1", 1000, 4), start);
+    SECTION("from a newer process, which has replaced the known one")
+    {
+        CHECK(applyNotice(worker, noticeOf(notice_kind::Left, "w2", 2000, 0), start) == notice_verdict::Changed);
+        applyNotice(worker, noticeOf(notice_kind::Ready, "w2", 2000, 0), start);
+        CHECK_FALSE(isAcceptingRequests(worker));
+    }
+    SECTION("without the start time of its process")
+    {
+        worker_notice leave = noticeOf(notice_kind::Left, "w2", 0, 0);
+        leave.startedMs.reset();
+        CHECK(applyNotice(worker, leave, start) == notice_verdict::Stale);
+        CHECK(isAcceptingRequests(worker));
+        CHECK(applyNotice(worker, noticeOf(notice_kind::Ready, "w2", 2000, 0), start) == notice_verdict::Stale);
+        CHECK(worker.workerId == "w1");
+    }
+}
+
 TEST_CASE("no process gets requests after its departure, in any order of notices and restarts of the node")
 {
     const auto replay = [](const std::vector<std::uint32_t> &words) {
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -69,7 +69,9 @@
         recordDeparture(worker.departures, departureOf(notice), now);
     }
     if (!isSameProcess(worker, notice)) {
-        const bool isLeaveOfOther = notice.kind == notice_kind::Left && worker.workerId != notice.workerId;
+        // A leave notice without a later start time can be one of an earlier process that was delayed.
+        const bool isNewer = notice.startedMs.value_or(0) > worker.startedMs;
+        const bool isLeaveOfOther = notice.kind == notice_kind::Left && !isNewer;
         const bool isOlder = notice.startedMs.value_or(0) < worker.startedMs;
         if (hasDeparted || (!worker.workerId.empty() && (isOlder || isLeaveOfOther))) {
             return notice_verdict::Stale;
