Apply notices of a worker whose VM had its clock set back

The heartbeats and the departure of a running worker were ignored, though acknowledged, after the clock of its VM had been set back by more than a minute: its start then lay in the future.

Change: only a process that is not known yet must have a plausible start time.

Measured: "a departure applies although the clock of the VM was set back after the start of the worker" failed before and passes.

--- a/packages/process/worker_life/departure_test.cc
+++ b/packages/process/worker_life/departure_test.cc
@@ -102,6 +102,16 @@
     }
 }
 
+TEST_CASE("a departure applies although the clock of the VM was set back after the start of the worker")
+{
+    worker_liveness worker;
+    applyNotice(worker, noticeOf(notice_kind::Ready, "w1", 100'000, 1), start);
+    worker_notice draining = noticeOf(notice_kind::Draining, "w1", 100'000, 2);
+    draining.receivedMs = 1000;
+    CHECK(applyNotice(worker, draining, start) == notice_verdict::Changed);
+    CHECK_FALSE(isAcceptingRequests(worker));
+}
+
 TEST_CASE("no process gets requests after its departure, in any order of notices and restarts of the node")
 {
     const auto replay = [](const std::vector<std::uint32_t> &words) {
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -61,9 +61,6 @@
 
 notice_verdict applyNotice(worker_liveness &worker, const worker_notice &notice, time_point now)
 {
-    if (notice.startedMs.value_or(0) > notice.receivedMs + maxStartAheadMs) {
-        return notice_verdict::Stale;
-    }
     const bool hasDeparted = isDeparted(worker.departures, notice);
     if (notice.kind != notice_kind::Ready && !hasDeparted) {
         recordDeparture(worker.departures, departureOf(notice), now);
@@ -73,7 +70,8 @@
         const bool isNewer = notice.startedMs.value_or(0) > worker.startedMs;
         const bool isLeaveOfOther = notice.kind == notice_kind::Left && !isNewer;
         const bool isOlder = notice.startedMs.value_or(0) < worker.startedMs;
-        if (hasDeparted || (!worker.workerId.empty() && (isOlder || isLeaveOfOther))) {
+        const bool isImplausible = notice.startedMs.value_or(0) > notice.receivedMs + maxStartAheadMs;
+        if (hasDeparted || isImplausible || (!worker.workerId.empty() && (isOlder || isLeaveOfOther))) {
             return notice_verdict::Stale;
         }
         return startProcess(worker, notice, now);
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -70,8 +70,9 @@
     friend bool operator==(const worker_liveness &, const worker_liveness &) = default;
 };
 
-// A process cannot have started long after its notice arrived, apart from clocks that differ by seconds. Another
-// writer's notice with such a start would make all later ones of the worker look old.
+// An unknown process cannot have started long after its notice arrived, apart from clocks that differ by seconds.
+// Another writer's notice with such a start would make all later ones of the worker look old. The known process is
+// exempt: its VM's clock can be set back while it runs.
 inline constexpr std::int64_t maxStartAheadMs = 60 * 1000;
 
 // applyNotice records what a notice announces, unless the notice is stale or its start lies in the future. A departure
