Do not send a request again to a worker that has begun to leave

Cause: the state of the worker was looked at when the call was queued, but not before the second attempt on a new connection.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -285,10 +285,11 @@
         exchange_result result = co_await m_workerClient.send(request, options, *exchangeCancellation);
         cancellation->onCancel(nullptr);
         const double tookMs = msBetween(startedAt, steadyNow());
-        const bool mayRetry = isRetryable && result.end == exchange_end::Lost && result.wasReused;
+        const bool mayRepeat = result.end == exchange_end::Lost
+            && mayRepeatOnWorker({isRetryable, result.wasReused, isAcceptingRequests(m_context.worker)});
         evaluateWorkerResponse(message, std::move(result), tookMs, reply);
         // The worker may have received the request although the connection was lost, so the second one is a retry.
-        if (!mayRetry || attempt + 1 == maxWorkerAttempts
+        if (!mayRepeat || attempt + 1 == maxWorkerAttempts
             || !tryAcquireServiceRetry(m_context.retryBudgets, message.service, retryLimits(m_context), steadyNow())) {
             break;
         }
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -130,6 +130,11 @@
     return false;
 }
 
+bool mayRepeatOnWorker(const lost_attempt &attempt)
+{
+    return attempt.isRetryable && attempt.wasReused && attempt.isAccepting;
+}
+
 milliseconds rejectionRetryAfter(double expectedRunMs, double draw)
 {
     const double wait = expectedRunMs * (rejectionRetryRuns + rejectionJitterRuns * draw);
--- a/packages/request/resend/resend.h
+++ b/packages/request/resend/resend.h
@@ -122,6 +122,20 @@
 // time left. Requests that have not reached a worker are not limited by `maxWorkers`. Thread safe.
 bool mayRetryElsewhere(const failed_attempt &attempt);
 
+// An attempt at a worker whose connection closed without a response.
+struct lost_attempt
+{
+    bool isRetryable = false;
+    bool wasReused = false; // the connection had carried earlier requests, and may have been closed before this one
+    bool isAccepting = false; // the worker still gets requests: it has not begun to leave meanwhile
+
+    friend auto operator<=>(const lost_attempt &, const lost_attempt &) = default;
+};
+
+// mayRepeatOnWorker returns whether the request may be sent once more to the same worker, on a new connection. Thread
+// safe.
+bool mayRepeatOnWorker(const lost_attempt &attempt);
+
 // rejectionRetryAfter returns the delay after which a caller should retry when a worker rejected its request and the
 // node may not retry it. Load pattern: the workers of a service reject requests at random although they have capacity,
 // and more than the budget can retry. An early retry is as likely to succeed as a late one, so the delay is short
--- a/packages/request/resend/resend_test.cc
+++ b/packages/request/resend/resend_test.cc
@@ -227,6 +227,14 @@
     CHECK(mayRetryElsewhere(attempt));
 }
 
+TEST_CASE("a request goes once more to the same worker only on a connection that may have been closed before it")
+{
+    CHECK(mayRepeatOnWorker({true, true, true}));
+    CHECK_FALSE(mayRepeatOnWorker({false, true, true}));
+    CHECK_FALSE(mayRepeatOnWorker({true, false, true}));
+    CHECK_FALSE(mayRepeatOnWorker({true, true, false}));
+}
+
 TEST_CASE("retries are limited by the maximum number of workers of the route and by the time left")
 {
     failed_attempt attempt;
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -269,6 +269,27 @@
     CHECK(mesh.worker("a1").leave(milliseconds(4000)));
 }
 
+// The second attempt after a lost answer did not look at the state of the worker, only the first one did.
+TEST_CASE("a request is not sent again to a worker that has begun to leave since the first attempt")
+{
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
+    for (int index = 0; index < 30; ++index) { // requests from which the retry budget grows
+        CHECK(mesh.statusOf("b1", "/orders/1", "before-" + std::to_string(index)) == 200);
+        CHECK(mesh.statusOf("a1", "/orders/1", "far-" + std::to_string(index)) == 200);
+    }
+    auto sending = std::async(std::launch::async, [&] {
+        return mesh.send("a1", {.id = "again-1", .target = "/orders/1?run=2300&lose=1"});
+    });
+    REQUIRE(waitUntil(
+        [&] {
+            return mesh.worker("b1").seen("again-1").runs == 1;
+        },
+        milliseconds(3000)));
+    REQUIRE(mesh.worker("b1").drain(milliseconds(1000)));
+    sending.get();
+    CHECK(mesh.worker("b1").seen("again-1").runs == 1);
+}
+
 TEST_CASE("a node that gets SIGTERM answers its running requests and exits with 0, and other nodes keep serving")
 {
     serving_mesh mesh;
