Keep "may have run" after a refused second attempt

Callers were told 503, "not run", for a request that a worker had begun to run: its connection closed, and the second attempt on a new connection was refused.

Cause: the outcome of the later attempt at a worker replaced that of the earlier one. The node that called looked for such outcomes in the text of its log line.

Change: outcomes of attempts are combined by one rule (`combineOutcomes`), and the calling node keeps whether the request may have run as state of the request.

Measured: "a request whose answer was lost is not said to be unrun because its second attempt found the worker gone" failed before (503) and passes (502).

--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -22,6 +22,21 @@
 
 namespace internal {
 
+attempt_outcome attemptOutcome(const call_reply &reply)
+{
+    switch (reply.kind) {
+    case reply_kind::Response:
+        return attempt_outcome::FailedResponse;
+    case reply_kind::NotRun:
+        return attempt_outcome::NotRun;
+    case reply_kind::RejectedByWorker:
+        return attempt_outcome::RejectedByWorker;
+    case reply_kind::Unknown:
+        return attempt_outcome::Unknown;
+    }
+    return attempt_outcome::Unknown;
+}
+
 namespace {
 
 constexpr milliseconds workerRefreshInterval{250};
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -98,6 +98,9 @@
     }
 };
 
+// attemptOutcome returns what a reply says about the run of its request.
+attempt_outcome attemptOutcome(const call_reply &reply);
+
 // failureReporter returns a function that logs and counts the failure of a duty of the node.
 failure_reporter failureReporter(mesh_context &context);
 
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -287,7 +287,11 @@
         const double tookMs = msBetween(startedAt, steadyNow());
         const bool mayRepeat = result.end == exchange_end::Lost
             && mayRepeatOnWorker({isRetryable, result.wasReused, isAcceptingRequests(m_context.worker)});
+        const attempt_outcome earlier = attempt > 0 ? attemptOutcome(reply) : attempt_outcome::NotRun;
         evaluateWorkerResponse(message, std::move(result), tookMs, reply);
+        if (combineOutcomes(earlier, attemptOutcome(reply)) == attempt_outcome::Unknown) {
+            reply.kind = reply_kind::Unknown;
+        }
         // The worker may have received the request although the connection was lost, so the second one is a retry.
         if (!mayRepeat || attempt + 1 == maxWorkerAttempts
             || !tryAcquireServiceRetry(m_context.retryBudgets, message.service, retryLimits(m_context), steadyNow())) {
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -35,21 +35,6 @@
     return buffer.data();
 }
 
-attempt_outcome attemptOutcome(const call_reply &reply)
-{
-    switch (reply.kind) {
-    case reply_kind::Response:
-        return attempt_outcome::FailedResponse;
-    case reply_kind::NotRun:
-        return attempt_outcome::NotRun;
-    case reply_kind::RejectedByWorker:
-        return attempt_outcome::RejectedByWorker;
-    case reply_kind::Unknown:
-        return attempt_outcome::Unknown;
-    }
-    return attempt_outcome::Unknown;
-}
-
 bool isOverloadRefusal(const call_reply &reply)
 {
     return reply.reason == "crowded" || reply.reason == "no-time" || reply.reason == "queue-full";
@@ -334,6 +319,7 @@
     }
     const time_point now = steadyNow();
     attempt->cancellation->cancel();
+    request.mayHaveRun = true;
     recordRunTimeLowerBound(m_context.placement,
                             request.service,
                             attempt->nodeId,
@@ -347,6 +333,7 @@
 void outbound_handler::recordAttemptEnd(request_context &request, const request_attempt &attempt)
 {
     recordReply(request, attempt.nodeId, *attempt.reply);
+    request.mayHaveRun = request.mayHaveRun || mayHaveRun(attemptOutcome(*attempt.reply));
     const bool wasHandedBack = isHandedBack(*attempt.reply);
     if (wasHandedBack) {
         ++request.handBacks; // the node is not excluded: its report now shows the longer queue
@@ -518,9 +505,7 @@
         return reply.response;
     case reply_kind::NotRun:
     case reply_kind::RejectedByWorker: {
-        const bool mayHaveRun = request.attemptHistory.find(":unknown") != std::string::npos
-            || request.attemptHistory.find(":response") != std::string::npos;
-        if (mayHaveRun) {
+        if (request.mayHaveRun) {
             return makeFailure(request, 502, reply.reason);
         }
         if (reply.kind == reply_kind::RejectedByWorker) {
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -48,6 +48,7 @@
         std::shared_ptr<cancellation_token> cancellation; // cancels all attempts
         placement_request placement;
         std::uint32_t workersTried = 0; // workers that the request may have reached
+        bool mayHaveRun = false; // in any attempt
         double causedShare = 0; // probability that the own worker makes the request in a run that is a repeat
         std::uint32_t handBacks = 0; // how often a node has handed the request back
         std::uint32_t overloadRefusals = 0; // how often a node has refused the request for lack of capacity
--- a/packages/request/resend/resend.cc
+++ b/packages/request/resend/resend.cc
@@ -130,6 +130,16 @@
     return false;
 }
 
+bool mayHaveRun(attempt_outcome outcome)
+{
+    return outcome == attempt_outcome::Unknown || outcome == attempt_outcome::FailedResponse;
+}
+
+attempt_outcome combineOutcomes(attempt_outcome earlier, attempt_outcome later)
+{
+    return mayHaveRun(earlier) && !mayHaveRun(later) ? attempt_outcome::Unknown : later;
+}
+
 bool mayRepeatOnWorker(const lost_attempt &attempt)
 {
     return attempt.isRetryable && attempt.wasReused && attempt.isAccepting;
--- a/packages/request/resend/resend.h
+++ b/packages/request/resend/resend.h
@@ -106,6 +106,13 @@
     Unknown, // it may have run
 };
 
+// mayHaveRun returns whether a request may have run, or has, after an attempt with this outcome. Thread safe.
+bool mayHaveRun(attempt_outcome outcome);
+
+// combineOutcomes returns the outcome of two attempts together: a refusal of the later one does not undo that the
+// request may have run in the earlier one. Thread safe.
+attempt_outcome combineOutcomes(attempt_outcome earlier, attempt_outcome later);
+
 struct failed_attempt
 {
     attempt_outcome end = attempt_outcome::Unknown;
--- a/packages/request/resend/resend_test.cc
+++ b/packages/request/resend/resend_test.cc
@@ -227,6 +227,19 @@
     CHECK(mayRetryElsewhere(attempt));
 }
 
+// A refused connect of a second attempt turned "the answer was lost" into "not run".
+TEST_CASE("a later refusal does not hide that a request may have run")
+{
+    using enum attempt_outcome;
+    CHECK(combineOutcomes(Unknown, NotRun) == Unknown);
+    CHECK(combineOutcomes(Unknown, RejectedByWorker) == Unknown);
+    CHECK(combineOutcomes(FailedResponse, NotRun) == Unknown);
+    CHECK(combineOutcomes(NotRun, NotRun) == NotRun);
+    CHECK(combineOutcomes(RejectedByWorker, NotRun) == NotRun);
+    CHECK(combineOutcomes(Unknown, FailedResponse) == FailedResponse);
+    CHECK(combineOutcomes(NotRun, Unknown) == Unknown);
+}
+
 TEST_CASE("a request goes once more to the same worker only on a connection that may have been closed before it")
 {
     CHECK(mayRepeatOnWorker({true, true, true}));
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -290,6 +290,25 @@
     CHECK(mesh.worker("b1").seen("again-1").runs == 1);
 }
 
+TEST_CASE("a request whose answer was lost is not said to be unrun because its second attempt found the worker gone")
+{
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
+    for (int index = 0; index < 30; ++index) { // requests from which the retry budget grows
+        CHECK(mesh.statusOf("b1", "/orders/1", "before-" + std::to_string(index)) == 200);
+        CHECK(mesh.statusOf("a1", "/orders/1", "far-" + std::to_string(index)) == 200);
+    }
+    auto sending = std::async(std::launch::async, [&] {
+        return mesh.send("a1", {.id = "gone-1", .target = "/orders/1?run=1000"});
+    });
+    REQUIRE(waitUntil(
+        [&] {
+            return mesh.worker("b1").seen("gone-1").runs == 1;
+        },
+        milliseconds(3000)));
+    mesh.stopWorker("b1");
+    CHECK(sending.get().response.status == 502);
+}
+
 TEST_CASE("a node that gets SIGTERM answers its running requests and exits with 0, and other nodes keep serving")
 {
     serving_mesh mesh;
