Do not take a response without a request id for an answer

Cause: only a response with another id was skipped; one without any counted as the answer. A repeated refusal that carries its id was handled already: it is skipped, or its connection is not reused.

Change: such a response makes the exchange Lost, and its connection is closed.

Measured: "a repeated refusal of an earlier request does not answer the next one" failed in the section without an id and passes.

--- a/packages/connection/loop/http_client.cc
+++ b/packages/connection/loop/http_client.cc
@@ -220,7 +220,11 @@
         const bool keepsAlive = parser->get().keep_alive() && !parser->need_eof();
         whole_response response = fromBeast(parser->release());
         const auto echoed = findHeader(response.headers, m_options.echoHeader);
-        if (!expectedEcho.empty() && echoed && *echoed != expectedEcho) {
+        if (!expectedEcho.empty() && !echoed) {
+            result.detail = "response without a request id";
+            co_return;
+        }
+        if (!expectedEcho.empty() && *echoed != expectedEcho) {
             if (keepsAlive) {
                 continue;
             }
--- a/packages/connection/loop/http_client_test.cc
+++ b/packages/connection/loop/http_client_test.cc
@@ -147,6 +147,66 @@
     CHECK(second.response.body == "two");
 }
 
+// A worker that repeats an earlier refusal makes callers repeat requests that it has run.
+TEST_CASE("a repeated refusal of an earlier request does not answer the next one")
+{
+    const std::string refusal = "HTTP/1.1 503 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
+    const std::string withId = refusal + "X-Request-Id: 1\r\n\r\n";
+    const std::string withoutId = refusal + "\r\n";
+    SECTION("that arrives before the next request is sent")
+    {
+        std::atomic<bool> isRepeated = false;
+        raw_server server([&](raw_connection &peer, int index) {
+            peer.receiveUntil("\r\n\r\n");
+            if (index == 0) {
+                peer.send(withId);
+                std::this_thread::sleep_for(milliseconds(50));
+                peer.send(withId);
+                isRepeated = true;
+            } else {
+                peer.send(responseTo("2", "two"));
+            }
+            peer.receiveSome();
+        });
+        test_client client(server.address());
+        CHECK(client.send("1").response.status == 503);
+        while (!isRepeated) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+        CHECK(client.send("2").response.body == "two");
+        CHECK(client.counts().discarded == 1);
+    }
+    SECTION("that arrives in place of the answer or before it")
+    {
+        const bool isAnswered = GENERATE(true, false);
+        raw_server server([&](raw_connection &peer, int) {
+            peer.receiveUntil("\r\n\r\n");
+            peer.send(withId);
+            peer.receiveUntil("\r\n\r\n");
+            peer.send(withId + (isAnswered ? responseTo("2", "two") : ""));
+        });
+        test_client client(server.address());
+        CHECK(client.send("1").response.status == 503);
+        const exchange_result second = client.send("2");
+        CHECK(second.end == (isAnswered ? exchange_end::Complete : exchange_end::Lost));
+        CHECK(second.response.body == (isAnswered ? "two" : ""));
+    }
+    SECTION("that names no request")
+    {
+        raw_server server([&](raw_connection &peer, int) {
+            peer.receiveUntil("\r\n\r\n");
+            peer.send(responseTo("1", "one"));
+            peer.receiveUntil("\r\n\r\n");
+            peer.send(withoutId + responseTo("2", "two"));
+            peer.receiveSome();
+        });
+        test_client client(server.address());
+        CHECK(client.send("1").response.body == "one");
+        CHECK(client.send("2").end == exchange_end::Lost);
+    }
+}
+
 TEST_CASE("an invalid response, or a close without a response, makes the exchange Lost")
 {
     raw_server server([](raw_connection &peer, int index) {
