Skip interim responses of workers

An interim response (1xx) was taken for the final answer of a worker: the call ended as an unsigned response, and a worker that goes on with them was cut off without being noticed as such (found while testing the report on endless bytes).

Measured: "an interim response is not taken for the answer, and without end it makes the exchange Lost" failed before and passes.

--- a/packages/connection/loop/http_client.cc
+++ b/packages/connection/loop/http_client.cc
@@ -20,7 +20,8 @@
 
 namespace {
 
-constexpr unsigned maxSkippedResponses = 3; // responses to earlier requests that one exchange skips
+constexpr unsigned maxSkippedResponses = 3; // responses to earlier requests, and interim ones, that an exchange skips
+constexpr unsigned firstFinalStatus = 200; // responses below are interim
 constexpr std::size_t maxUnparsedBytes = 128UL * 1024; // bounds the memory of a head or a chunk header without end
 constexpr milliseconds keepAliveMargin{1000}; // a connection is closed this long before the target's Keep-Alive timeout
 constexpr milliseconds unackedTimeout{2000}; // TCP closes the connection if sent bytes stay unacknowledged
@@ -219,6 +220,9 @@
         }
         const bool keepsAlive = parser->get().keep_alive() && !parser->need_eof();
         whole_response response = fromBeast(parser->release());
+        if (response.status < firstFinalStatus) {
+            continue;
+        }
         const auto echoed = findHeader(response.headers, m_options.echoHeader);
         if (!expectedEcho.empty() && !echoed) {
             result.detail = "response without a request id";
@@ -236,7 +240,7 @@
         active.isReusable = keepsAlive && *isWritten && active.buffer.size() == 0 && skipped == 0;
         co_return;
     }
-    result.detail = "too many responses to other requests";
+    result.detail = "too many interim responses or responses to other requests";
 }
 
 awaitable<exchange_end> async_http_client::probe(time_point deadline)
--- a/packages/connection/loop/http_client_test.cc
+++ b/packages/connection/loop/http_client_test.cc
@@ -207,6 +207,21 @@
     }
 }
 
+TEST_CASE("an interim response is not taken for the answer, and without end it makes the exchange Lost")
+{
+    raw_server server([](raw_connection &peer, int index) {
+        peer.receiveUntil("\r\n\r\n");
+        peer.send("HTTP/1.1 102 Processing\r\n\r\n");
+        for (int count = 0; index == 1 && count < 100; ++count) {
+            peer.send("HTTP/1.1 102 Processing\r\n\r\n");
+        }
+        peer.send(responseTo("1", "one"));
+    });
+    test_client client(server.address());
+    CHECK(client.send("1").response.body == "one");
+    CHECK(client.send("1").end == exchange_end::Lost);
+}
+
 TEST_CASE("an invalid response, or a close without a response, makes the exchange Lost")
 {
     raw_server server([](raw_connection &peer, int index) {
