Accept no request on a stopping node that cannot be answered before it exits

Cause: a request that may be a call of the own worker was accepted until the exit, whatever its deadline. Calls of other nodes were judged by an estimate of their run.

Change: process/stopping decides by the deadline of the request and the time of the exit. Only retryable requests of the first 2.3 s may exceed it, if they are expected to end far earlier.

--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -15,6 +15,7 @@
 #include "process/fleet/fleet.h"
 #include "process/mesh/mesh.h"
 #include "process/mesh/messages.h"
+#include "process/stopping/stopping.h"
 #include "request/link_room/link_room.h"
 #include "request/placement/placement.h"
 #include "request/quarantine/crash_tracker.h"
@@ -90,10 +91,8 @@
     link_reservations linkReservations; // bandwidth of the own link that large bodies have reserved
     mesh_metrics metrics;
     bool isStopping = false; // the shutdown has begun
-    // During the shutdown, a call for the own worker is accepted only if it is expected to end well before this time.
-    time_point drainDeadline;
+    stop_times stop; // valid if `isStopping`
     bool isInboundClosed = false; // the own worker gets no new calls
-    bool isRefusingCallers = false; // new requests of callers are refused as well
     bool isStopped = false; // background tasks end
 
     void log(const log_line &line) const
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -166,11 +166,9 @@
     request.requestDeadline = now + milliseconds(message.timeLeftMs);
     request.expectedRunMs = expectedRunMs(m_runTimes, message.route, fallbackMs);
     request.typicalRunMs = static_cast<double>(message.typicalRunMs);
-    if (m_context.isStopping) {
-        const auto doubledRun = std::chrono::duration<double, std::milli>(2 * request.expectedRunMs);
-        if (now + std::chrono::duration_cast<duration>(doubledRun) > m_context.drainDeadline) {
-            co_return makeNotRunReply(message.id, "draining");
-        }
+    const late_request late{now, request.requestDeadline};
+    if (m_context.isStopping && !endsInTime(m_context.stop, late)) {
+        co_return makeNotRunReply(message.id, "draining");
     }
     const bool isRepeat = message.repeatShare >= 1.0;
     if (isRepeat && isOverdrawn(m_context.retryBudgets, retryLimits(m_context), now)) {
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -24,10 +24,7 @@
 constexpr std::size_t descriptorReserve = 400; // kept for links, the worker, the platform and files
 constexpr double maxMissedNotices = 2.5; // notice intervals after which a worker counts as silent
 constexpr milliseconds maxNoticeDelay{1000}; // added to these intervals: notices may arrive late
-// During a shutdown, requests of callers are accepted for this long, within which callers see two failed readiness
-// checks.
-constexpr milliseconds callerAcceptTime{2300};
-// Calls for the own worker are accepted for a shorter time, so that they end well before the process does.
+// During a shutdown, calls of other nodes for the own worker are accepted for a shorter time than requests of callers.
 constexpr milliseconds inboundAcceptTime{900};
 constexpr milliseconds shutdownPollInterval{20};
 constexpr milliseconds shutdownIdleTime{60}; // without open requests, after which a stopping node exits
@@ -160,15 +157,13 @@
 
 awaitable<void> mesh_node::impl::drainAndStop(std::function<void()> done)
 {
-    const time_point startedAt = steadyNow();
-    const time_point exitDeadline = startedAt + context.options.gracePeriod - exitMargin;
+    const time_point startedAt = context.stop.startedAt;
     net::steady_timer pause(context.executor);
     time_point lastBusyAt = startedAt;
-    while (steadyNow() < exitDeadline) {
+    while (steadyNow() < context.stop.exitAt) {
         pause.expires_after(shutdownPollInterval);
         co_await pause.async_wait(awaitResult);
         const time_point now = steadyNow();
-        context.isRefusingCallers = now - startedAt > callerAcceptTime;
         if (!context.isInboundClosed && now - startedAt > inboundAcceptTime) {
             context.isInboundClosed = true;
             inbound.onWorkerChange(now);
@@ -177,7 +172,7 @@
         if (outbound.openCount() > 0 || inbound.openCount() > 0) {
             lastBusyAt = now;
         }
-        if (context.isRefusingCallers && now - lastBusyAt > shutdownIdleTime) {
+        if (now - startedAt > callerAcceptTime && now - lastBusyAt > shutdownIdleTime) {
             break;
         }
     }
@@ -274,7 +269,8 @@
         return;
     }
     context.isStopping = true;
-    context.drainDeadline = steadyNow() + callerAcceptTime;
+    const time_point now = steadyNow();
+    context.stop = {now, now + context.options.gracePeriod - exitMargin};
     context.log(log_line("node", "stopping")
                     .add("open_requests", m_impl->outbound.openCount())
                     .add("open_calls", m_impl->inbound.openCount()));
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -127,7 +127,12 @@
     const double timeLeftMs = msBetween(request.arrivedAt, request.requestDeadline);
     const bool mayBeFromWorker = m_inbound.runningCount() > 0
         && isFinalAttempt(msBetween(request.arrivedAt, request.targetAt), timeLeftMs, m_inbound.meanRunMs());
-    if (m_context.isRefusingCallers && !mayBeFromWorker) {
+    const late_request late{request.arrivedAt,
+                            request.requestDeadline,
+                            route.targetLatency,
+                            route.repeat == retry_policy::Retryable,
+                            mayBeFromWorker};
+    if (m_context.isStopping && !mayAcceptWhileStopping(m_context.stop, late)) {
         whole_response refused = makeRefusal(request, "stopping", stoppingRetryMs);
         refused.closesConnection = true;
         return refused;
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -452,6 +452,48 @@
     CHECK(mesh.statusOf("a2", "/orders/1", "stop-2") == 200);
 }
 
+// Requests that came late in the grace were accepted as calls of the worker, and cut at its end.
+TEST_CASE("a request that a stopping node passes on is answered, however late in the grace it comes")
+{
+    serving_mesh mesh({{"a1", "orders", "dc-1"}, {"b1", "shop", "dc-2"}});
+    mesh.publish(9, {{"/orders/", "orders"}, {"/sign/", "orders", "unsafe", 9000}, {"/pay/", "shop", "unsafe"}});
+    REQUIRE(waitUntil(
+        [&] {
+            return mesh.log("a1").find("in-force version=9") != std::string::npos;
+        },
+        configApplyLimit));
+    auto longRun = std::async(std::launch::async, [&] {
+        return mesh.send(
+            "a1",
+            {.id = "long", .target = "/sign/1?run=7000", .method = "POST", .timeLeft = milliseconds(9000)});
+    });
+    REQUIRE(waitUntil(
+        [&] {
+            return mesh.worker("a1").seen("long").runs == 1;
+        },
+        milliseconds(3000)));
+    REQUIRE(mesh.process("a1").send(SIGTERM));
+    std::vector<std::future<caller_result>> late;
+    for (int index = 0; index < 120; ++index) {
+        late.push_back(std::async(std::launch::async, [&mesh, index] {
+            return mesh.send("a1",
+                             {.id = "late-" + std::to_string(index),
+                              .target = "/pay/1?run=300",
+                              .method = "POST",
+                              .timeLeft = milliseconds(350)});
+        }));
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    longRun.get(); // outlasts the grace period, so that later requests may be calls of the run
+    for (std::size_t index = 0; index < late.size(); ++index) {
+        const caller_result got = late.at(index).get();
+        const std::string id = "late-" + std::to_string(index);
+        INFO(id);
+        CHECK((got.end == exchange_end::Complete || mesh.worker("b1").seen(id).runs == 0));
+    }
+    CHECK(mesh.process("a1").waitForExit(milliseconds(6000)) == exit_status{0, 0});
+}
+
 TEST_CASE("safe requests are served while a node is suspended")
 {
     serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
