--- a/testing/harness/raw_socket.h
+++ b/testing/harness/raw_socket.h
@@ -119,17 +119,18 @@
     unique_fd m_fd;
 };
 
-// Accepts connections on a free port and runs the script for each on its own thread. `index` counts connections from 0.
+// Accepts connections on a free port, or on the given address, and runs the script for each on its own thread. `index`
+// counts connections from 0.
 class raw_server
 {
 public:
     using script = std::function<void(raw_connection &, int)>;
 
-    explicit raw_server(script onConnection)
+    explicit raw_server(script onConnection, const endpoint &address = {"127.0.0.1", 0})
         : m_script(std::move(onConnection))
     {
-        auto opened = attempt([] {
-            return openListenSocket({"127.0.0.1", 0});
+        auto opened = attempt([&] {
+            return openListenSocket(address);
         });
         m_listening = std::move(*opened);
         m_acceptor = std::jthread([this](const std::stop_token &stop) {
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -70,6 +70,11 @@
     return m_nodes.at(node).addresses[Outbound];
 }
 
+endpoint platform_mesh::workerAddress(const std::string &node) const
+{
+    return m_nodes.at(node).addresses[Worker];
+}
+
 std::vector<endpoint> platform_mesh::tcpAddresses(const std::string &node) const
 {
     const address_lease &addresses = m_nodes.at(node).addresses;
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -81,6 +81,8 @@
     std::vector<std::string> names() const;
     // callerAddress returns the outbound address of a node, to which its callers send their requests.
     endpoint callerAddress(const std::string &node) const;
+    // workerAddress returns the address at which a node expects its worker.
+    endpoint workerAddress(const std::string &node) const;
     // tcpAddresses returns all addresses on which a node accepts connections, and datagramAddress the one on which it
     // receives datagrams.
     std::vector<endpoint> tcpAddresses(const std::string &node) const;
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -494,6 +494,57 @@
     CHECK(mesh.process("a1").waitForExit(milliseconds(6000)) == exit_status{0, 0});
 }
 
+namespace {
+
+// Returns the largest resident memory of a process so far, in bytes; 0 if it cannot be read.
+std::size_t peakMemoryBytes(const child_process &process)
+{
+    const std::string status = readFile("/proc/" + std::to_string(process.pid()) + "/status");
+    const auto at = status.find("VmHWM:");
+    return at == std::string::npos ? 0 : std::stoul(status.substr(at + 6)) * 1024;
+}
+
+} // namespace
+
+TEST_CASE("workers that send bytes without end take no node down, and others are served")
+{
+    constexpr std::size_t memoryLimit = 260UL * 1024 * 1024; // as in the settings of the nodes
+    const std::string start = GENERATE(as<std::string>{},
+                                       "HTTP/1.1 200 OK\r\nX-Head: ",
+                                       "HTTP/1.1 200 OK\r\n\r\n",
+                                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+                                       "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n");
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-1"}, {"b2", "orders", "dc-2"}});
+    mesh.stopWorker("b1"); // its heartbeats still make its successor ready
+    raw_server endless(
+        [&](raw_connection &peer, int) {
+            peer.receiveUntil("\r\n\r\n");
+            peer.send(start);
+            const std::string block(256UL * 1024, 'x');
+            for (int sent = 0; sent < 1000 && peer.send(block); ++sent) {
+            }
+        },
+        mesh.workerAddress("b1"));
+    std::vector<std::future<caller_result>> sending;
+    for (int index = 0; index < 24; ++index) {
+        sending.push_back(std::async(std::launch::async, [&mesh, index] {
+            return mesh.send("a1", {.id = "endless-" + std::to_string(index), .target = "/orders/1"});
+        }));
+    }
+    for (std::future<caller_result> &each : sending) {
+        const caller_result got = each.get();
+        CHECK(got.end == exchange_end::Complete);
+        CHECK((got.response.status == 200 || got.response.status >= 500));
+    }
+    CHECK(endless.connections() > 0);
+    for (const std::string &name : mesh.names()) {
+        CHECK(mesh.process(name).isRunning());
+        CHECK(peakMemoryBytes(mesh.process(name)) > 0);
+        CHECK(peakMemoryBytes(mesh.process(name)) < memoryLimit);
+        CHECK(mesh.statusOf(name, "/shop/1", "shop-" + name) == 200);
+    }
+}
+
 TEST_CASE("safe requests are served while a node is suspended")
 {
     serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-1"}});
