--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -310,14 +310,16 @@
         if (combineOutcomes(earlier, attemptOutcome(reply)) == attempt_outcome::Unknown) {
             reply.kind = reply_kind::Unknown;
         }
-        // The worker may have received the request although the connection was lost, so the second one is a retry. Its
-        // connect also tells whether the worker has crashed; without it, a connect of its own does.
-        if (isLost && !mayRepeat && co_await hasWorkerCrashed()) {
-            reply.reason = "worker-crashed";
+        // The worker may have received the request although the connection was lost, so the second attempt is a retry.
+        // Its connect also tells whether the worker has crashed.
+        if (mayRepeat) {
+            continue;
         }
-        if (!mayRepeat) {
-            break;
+        if (isLost) {
+            const bool hasCrashed = co_await hasWorkerCrashed();
+            reply.reason = hasCrashed ? "worker-crashed" : reply.reason;
         }
+        break;
     }
     m_context.log(log_line("inbound", "ran")
                       .add("id", message.id)
