--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -525,8 +525,10 @@
             }
         },
         mesh.workerAddress("b1"));
+    constexpr std::size_t requests = 24;
     std::vector<std::future<caller_result>> sending;
-    for (int index = 0; index < 24; ++index) {
+    sending.reserve(requests);
+    for (std::size_t index = 0; index < requests; ++index) {
         sending.push_back(std::async(std::launch::async, [&mesh, index] {
             return mesh.send("a1", {.id = "endless-" + std::to_string(index), .target = "/orders/1"});
         }));
