Take a leave without a start time for that of the departure that is known

A leave notice without the start of its process was refused with 503 until the store was back, although other nodes held the departure that the worker had reported as draining before.

Cause: the departure was looked for by id and start time, so the leave was a second one. As the process was known to have left, it was not recorded either, and no other node could confirm it.

--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -254,7 +254,7 @@
     if (!isDeparture) {
         co_return true;
     }
-    co_return co_await m_impl->dissemination.holdDeparture(departureOf(notice));
+    co_return co_await m_impl->dissemination.holdDeparture(departureOf(context.worker.departures, notice));
 }
 
 bool mesh_node::isReady() const
--- a/packages/process/worker_life/departure.cc
+++ b/packages/process/worker_life/departure.cc
@@ -24,9 +24,14 @@
 
 } // namespace
 
-worker_departure departureOf(const worker_notice &notice)
+worker_departure departureOf(const departure_list &departures, const worker_notice &notice)
 {
-    return {notice.workerId, notice.startedMs.value_or(0), notice.receivedMs};
+    const auto known = std::ranges::find_if(departures, [&](const kept_departure &kept) {
+        return hasSent(kept.departure, notice);
+    });
+    return known != departures.end()
+        ? known->departure
+        : worker_departure{notice.workerId, notice.startedMs.value_or(0), notice.receivedMs};
 }
 
 bool isSameDeparture(const worker_departure &left, const worker_departure &right)
--- a/packages/process/worker_life/departure.h
+++ b/packages/process/worker_life/departure.h
@@ -64,8 +64,9 @@
 
 using departure_list = std::vector<kept_departure>; // oldest first
 
-// departureOf returns the departure that a notice of a worker that shuts down announces. Thread safe.
-worker_departure departureOf(const worker_notice &notice);
+// departureOf returns the departure that a notice of a worker that shuts down announces: the known one of its process,
+// or a new one. A leave notice may lack the start time that an earlier `draining` heartbeat has told.
+worker_departure departureOf(const departure_list &departures, const worker_notice &notice);
 
 // isSameDeparture returns whether two departures are of the same process. Thread safe.
 bool isSameDeparture(const worker_departure &left, const worker_departure &right);
--- a/packages/process/worker_life/departure_test.cc
+++ b/packages/process/worker_life/departure_test.cc
@@ -102,6 +102,17 @@
     }
 }
 
+TEST_CASE("a leave without a start time is that of the process that has announced its shutdown before")
+{
+    worker_liveness worker;
+    applyNotice(worker, noticeOf(notice_kind::Draining, "w1", 1000, 4), start);
+    worker_notice leave = noticeOf(notice_kind::Left, "w1", 0, 0);
+    leave.startedMs.reset();
+    applyNotice(worker, leave, start);
+    CHECK(worker.departures.size() == 1);
+    CHECK(departureOf(worker.departures, leave).startedMs == 1000);
+}
+
 TEST_CASE("a departure applies although the clock of the VM was set back after the start of the worker")
 {
     worker_liveness worker;
@@ -129,7 +140,7 @@
                 const worker_notice notice = noticeOf(kind, id, 1000 + word / 16 % 2, word / 32 % 8);
                 applyNotice(worker, notice, start);
                 if (kind != notice_kind::Ready) {
-                    acknowledged.push_back(departureOf(notice));
+                    acknowledged.push_back(departureOf({}, notice));
                 }
             }
             const bool hasLeft = std::ranges::any_of(acknowledged, [&](const worker_departure &departure) {
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -63,7 +63,7 @@
 {
     const bool hasDeparted = isDeparted(worker.departures, notice);
     if (notice.kind != notice_kind::Ready && !hasDeparted) {
-        recordDeparture(worker.departures, departureOf(notice), now);
+        recordDeparture(worker.departures, departureOf(worker.departures, notice), now);
     }
     if (!isSameProcess(worker, notice)) {
         // A leave notice without a later start time can be one of an earlier process that was delayed.
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -248,6 +248,15 @@
         recoveryTimeout));
 }
 
+// The leave was taken for a second departure, which no node could hold, and was refused until the store was back.
+TEST_CASE("a leave without a start time is acknowledged without the store if the worker has reported draining before")
+{
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-2"}});
+    mesh.store().setMode(store_mode::Silent);
+    REQUIRE(mesh.worker("a2").drain(milliseconds(2000)));
+    CHECK(mesh.worker("a2").leave(milliseconds(2000), false));
+}
+
 TEST_CASE("a worker that serves on gets requests again after its node restarts, also without the store")
 {
     const store_mode mode = GENERATE(store_mode::Up, store_mode::Silent);
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -175,14 +175,16 @@
     });
 }
 
-bool worker_stand_in::leave(milliseconds atMost)
+bool worker_stand_in::leave(milliseconds atMost, bool tellsStart)
 {
     m_loop.run([this] {
         m_hasLeft = true;
         return 0;
     });
-    return repeatUntilAcknowledged(atMost, [this] {
-        return m_loop.await(post("leave", boost::json::serialize(boost::json::value{{"born", m_startedMs}})));
+    const std::string body =
+        tellsStart ? boost::json::serialize(boost::json::value{{"born", m_startedMs}}) : std::string("{}");
+    return repeatUntilAcknowledged(atMost, [this, &body] {
+        return m_loop.await(post("leave", body));
     });
 }
 
