Mend a comment of the quarantine that the formatter had torn

It also still said that a suspect must have been one when it began, where crashes in sequence count since. Comment only; the formatter's check passes.

--- a/packages/request/quarantine/quarantine.h
+++ b/packages/request/quarantine/quarantine.h
@@ -11,12 +11,11 @@
 //
 // 1. All requests in flight when a worker dies are suspects of that crash. A suspect is cleared when a request with its
 //    fingerprint completes with a response.
-// 2. A node runs a suspect of `isolateFrom` crashes or more only while it runs no other suspect (`mayRun`). If the
-// worker
-//    then dies, the crash report marks the suspect as isolated. It must have been a suspect when it began: two copies
-//    of a request that run when several workers end together are one piece of evidence, not two. With `isolateFrom` 1,
-//    the second crash identifies its cause. With 2 it is the third one, but the requests that were cut by the crash of
-//    a busy worker run side by side elsewhere, and may be cut there by another cause.
+// 2. A node runs a suspect of `isolateFrom` crashes or more only while it runs no other suspect (`mayRun`). If its
+//    worker then dies, the crash report marks the suspect as isolated. Only crashes in sequence count (`crashesOf`):
+//    two copies of a request that run when several workers end together are one piece of evidence, not two. With
+//    `isolateFrom` 1, the second crash identifies its cause. With 2 it is the third one, but the requests that were cut
+//    by the crash of a busy worker run side by side elsewhere, and may be cut there by another cause.
 // 3. A crash C identifies its isolated suspect as the cause if that suspect is also an uncleared suspect of another
 //    crash, and no other suspect of C is. Another crash counts for a suspect only if it happened before C (or at most
 //    `clockMarginMs` after C, because clocks differ) or if the suspect was isolated in it. The identified request is
