Split the dissemination of the mesh by duty

Datagrams and records, configuration versions, the directory in the store, and departures of the worker are now classes of their own (gossip_channel, config_spread, node_directory, departure_keeper); dissemination_tasks joins them.

--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -58,7 +58,7 @@
         context.placement.trafficCostPerKb = context.options.trafficCostPerKb;
         context.crashes.quarantine.rules = crashRules;
         context.announceCrash = [this](const crash_report &report) {
-            dissemination.announceCrash(report);
+            dissemination.gossip.announceCrash(report);
         };
         context.linkReservations.bytesPerMs = context.options.linkBytesPerMs;
     }
@@ -70,10 +70,10 @@
             return inbound.handleCall(std::move(message), std::move(cancellation));
         };
         events.onConfig = [this](const config_message &message) {
-            dissemination.applyPeerConfig(message);
+            dissemination.configs.applyPeerConfig(message);
         };
         events.onConfigRequest = [this](const config_request &request) {
-            return dissemination.configFor(request);
+            return dissemination.configs.configFor(request);
         };
         events.onSuspect = [this](const endpoint &address) {
             markUnresponsive(address, suspectBackoff);
@@ -140,13 +140,13 @@
         }
         const time_point now = steadyNow();
         links.checkLiveness(now);
-        dissemination.maintainDepartures(now);
+        dissemination.departures.maintain(now);
         if (recordSilence(context.worker, allowedSilence, now)) {
             context.log(log_line("worker", "silent")
                             .add("worker", context.worker.workerId)
                             .add("silent_ms", millisBetween(context.worker.lastHeardAt, now)));
             inbound.onWorkerChange(now);
-            dissemination.announce();
+            dissemination.gossip.announce();
         }
         const bool isDrainDue = context.worker.isLeaving && inbound.waitingCount() > 0;
         if (isDrainDue) {
@@ -167,7 +167,7 @@
         if (!context.isInboundClosed && now - startedAt > inboundAcceptTime) {
             context.isInboundClosed = true;
             inbound.onWorkerChange(now);
-            dissemination.announce();
+            dissemination.gossip.announce();
         }
         if (outbound.openCount() > 0 || inbound.openCount() > 0) {
             lastBusyAt = now;
@@ -183,7 +183,7 @@
                     .add("took_ms", millisBetween(startedAt, steadyNow())));
     callers.stop();
     links.stop();
-    dissemination.stop();
+    dissemination.gossip.stop();
     maintenanceTimer.cancel();
     pause.expires_after(milliseconds(20));
     co_await pause.async_wait(awaitResult);
@@ -199,7 +199,7 @@
 
 result<void> mesh_node::start()
 {
-    BOOST_LEAF_CHECK(m_impl->dissemination.open());
+    BOOST_LEAF_CHECK(m_impl->dissemination.gossip.open());
     BOOST_LEAF_CHECK(m_impl->links.listen());
     BOOST_LEAF_CHECK(m_impl->callers.start());
     m_impl->dissemination.start();
@@ -237,7 +237,7 @@
     }
     if (verdict == notice_verdict::Changed || (isDeparture && !wasDeparted)) {
         m_impl->inbound.onWorkerChange(now);
-        m_impl->dissemination.announce();
+        m_impl->dissemination.gossip.announce();
     }
     if (verdict != notice_verdict::Unchanged) {
         context.log(log_line("worker", "notice")
@@ -254,7 +254,7 @@
     if (!isDeparture) {
         co_return true;
     }
-    co_return co_await m_impl->dissemination.holdDeparture(departureOf(context.worker.departures, notice));
+    co_return co_await m_impl->dissemination.departures.hold(departureOf(context.worker.departures, notice));
 }
 
 bool mesh_node::isReady() const
@@ -278,7 +278,7 @@
     net::co_spawn(
         context.executor,
         [this] {
-            return m_impl->dissemination.unpublishRecord();
+            return m_impl->dissemination.directory.unpublishRecord();
         },
         net::detached);
     net::co_spawn(
