--- a/packages/process/fleet/fleet.cc
+++ b/packages/process/fleet/fleet.cc
@@ -70,7 +70,8 @@
         });
     const bool hasDepartures = record.departures.size() <= maxDepartures
         && std::ranges::all_of(record.departures, isName, &worker_departure::workerId);
-    return hasNames && hasAddresses && hasRoutes && hasDepartures && record.worker <= worker_state::Down
+    const bool hasVersion = record.workerVersion.size() <= maxNameBytes;
+    return hasNames && hasAddresses && hasVersion && hasRoutes && hasDepartures && record.worker <= worker_state::Down
         && record.started < maxStartOrder;
 }
 
--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -66,6 +66,7 @@
     endpoint gossip; // receives gossip datagrams
     worker_state worker = worker_state::Absent;
     bool isLeaving = false; // the node shuts down
+    std::string workerVersion; // of the worker's software
     std::uint32_t slots = 0;
     std::uint32_t linkBytesPerMs = 0; // rate of the VM's link
     std::uint32_t warmUpRemainingMs = 0; // remaining time for which the worker is slow after its start
@@ -80,7 +81,7 @@
     void serialize(Archive &archive)
     {
         archive(nodeId, started, revision, process, dataCentre, service, peer, gossip);
-        archive(worker, isLeaving, slots, linkBytesPerMs, warmUpRemainingMs, configVersion, report, runMs, departures);
+        archive(worker, isLeaving, workerVersion, slots, linkBytesPerMs, warmUpRemainingMs, configVersion, report, runMs, departures);
     }
 };
 
--- a/packages/process/mesh/dissemination.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -21,6 +21,8 @@
         departures.applyHeld(message, now);
         configs.pullIfNewer(message.sender);
     };
+    events.onFreshnessQuery = [](const freshness_query &, const endpoint &, time_point) {};
+    events.onFreshnessAnswer = [](const freshness_answer &, const endpoint &, time_point) {};
     return events;
 }
 
--- a/packages/process/mesh/gossip.cc
+++ b/packages/process/mesh/gossip.cc
@@ -16,6 +16,15 @@
 constexpr std::uint32_t maxCrashesBefore = 1000; // of a suspect in a report of another node
 constexpr std::size_t suspectsPerDatagram = 40; // of crash reports, about 20 bytes each
 
+// Joins function objects into one that `std::visit` calls by the type of the value.
+template<class... Functions>
+struct overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+template<class... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
 } // namespace
 
 gossip_channel::gossip_channel(mesh_context &context, inbound_handler &inbound, gossip_events events)
@@ -121,11 +130,21 @@
         message.knewPredecessor = known != m_context.fleet.nodes.end()
             && (known->second.hasPredecessor || known->second.record.process != plan.receiver->process);
     }
-    std::string bytes = encodeMessage(message, meshFormatVersion);
+    std::string bytes = encodeMessage(mesh_datagram(message), meshFormatVersion);
     while (bytes.size() > maxDatagramBytes && !message.others.empty()) {
         message.others.pop_back();
-        bytes = encodeMessage(message, meshFormatVersion);
+        bytes = encodeMessage(mesh_datagram(message), meshFormatVersion);
     }
+    sendBytes(to, bytes);
+}
+
+void gossip_channel::sendDatagram(const endpoint &to, const mesh_datagram &datagram)
+{
+    sendBytes(to, encodeMessage(datagram, meshFormatVersion));
+}
+
+void gossip_channel::sendBytes(const endpoint &to, std::string_view bytes)
+{
     boost::system::error_code failure;
     const auto address = net::ip::make_address(to.ip, failure);
     // A datagram that cannot be sent now is treated as lost: the next gossip round sends the changes again.
@@ -187,28 +206,44 @@
 
 void gossip_channel::onDatagram(std::string_view bytes, const endpoint &from)
 {
-    const auto message = attempt([&] {
-        return decodeMessage<gossip_message>(bytes, meshFormatVersion, m_decodeCounters);
+    const auto datagram = attempt([&] {
+        return decodeMessage<mesh_datagram>(bytes, meshFormatVersion, m_decodeCounters);
     });
-    if (!message) {
+    if (!datagram) {
         m_context.metrics.count("datagrams_garbled_total");
         m_context.log(
-            log_line("spread", "garbled-datagram").add("from", toText(from)).add("error", message.failure().message));
+            log_line("spread", "garbled-datagram").add("from", toText(from)).add("error", datagram.failure().message));
         return;
     }
     const time_point now = steadyNow();
-    const node_record &sender = message->sender;
+    std::visit(overloaded{
+                   [&](const gossip_message &message) {
+                       onGossip(message, now);
+                   },
+                   [&](const freshness_query &query) {
+                       m_events.onFreshnessQuery(query, from, now);
+                   },
+                   [&](const freshness_answer &answer) {
+                       m_events.onFreshnessAnswer(answer, from, now);
+                   },
+               },
+               *datagram);
+}
+
+void gossip_channel::onGossip(const gossip_message &message, time_point now)
+{
+    const node_record &sender = message.sender;
     recordDataCentreContact(m_context.placement, sender.dataCentre);
     applyMergeResult(sender, mergeRecord(m_context.fleet, sender, m_startOrder, now), now);
-    for (const node_record &record : message->others) {
+    for (const node_record &record : message.others) {
         applyMergeResult(record, mergeRecord(m_context.fleet, record, m_startOrder, now), now);
     }
-    mergeCrashReports(*message, now);
-    m_events.onMessage(*message, now);
+    mergeCrashReports(message, now);
+    m_events.onMessage(message, now);
     // Of two nodes whose crash reports differ, the one that notices sends its own and asks for those of the other.
-    const bool isOtherDigest = message->crashDigest != m_context.crashes.quarantine.digest;
-    const bool asksForReports = isOtherDigest && message->crashReports.empty() && !message->wantsReply;
-    if (message->wantsReply || asksForReports) {
+    const bool isOtherDigest = message.crashDigest != m_context.crashes.quarantine.digest;
+    const bool asksForReports = isOtherDigest && message.crashReports.empty() && !message.wantsReply;
+    if (message.wantsReply || asksForReports) {
         datagram_plan reply{.wantsReply = asksForReports, .recordCount = recordsPerDatagram, .receiver = &sender};
         if (isOtherDigest) {
             reply.crashReports = chooseCrashReports();
--- a/packages/process/mesh/gossip.h
+++ b/packages/process/mesh/gossip.h
@@ -14,10 +14,12 @@
 
 namespace pistachioquay::internal {
 
-// Callbacks for what arrives in datagrams beside records and crash reports.
+// Callbacks for what arrives in datagrams beside records and crash reports. `from` is the address to answer.
 struct gossip_events
 {
     std::function<void(const gossip_message &, time_point now)> onMessage; // after its records are merged
+    std::function<void(const freshness_query &, const endpoint &from, time_point now)> onFreshnessQuery;
+    std::function<void(const freshness_answer &, const endpoint &from, time_point now)> onFreshnessAnswer;
 };
 
 // What a datagram carries besides the own record.
@@ -44,6 +46,8 @@
     void stop();
     // send sends a datagram with the own record to a node.
     void send(const endpoint &to, const datagram_plan &plan);
+    // sendDatagram sends any datagram. One that cannot be sent now is treated as lost.
+    void sendDatagram(const endpoint &to, const mesh_datagram &datagram);
     // announce sends the own record to all nodes at once, for a change that cannot wait for the gossip rounds.
     void announce();
     // announceStoreRead tells the nodes of the own data centre that this node has read the platform for them.
@@ -65,6 +69,8 @@
     awaitable<void> receiveLoop();
     awaitable<void> gossipLoop();
     void onDatagram(std::string_view bytes, const endpoint &from);
+    void onGossip(const gossip_message &message, time_point now);
+    void sendBytes(const endpoint &to, std::string_view bytes);
     void applyMergeResult(const node_record &record, const merge_result &merged, time_point now);
     std::vector<crash_report> chooseCrashReports();
     void mergeCrashReports(const gossip_message &message, time_point now);
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -36,7 +36,7 @@
     archive(response.status, response.headers, response.body);
 }
 
-inline constexpr std::uint16_t meshFormatVersion = 5; // format of all messages between nodes
+inline constexpr std::uint16_t meshFormatVersion = 6; // format of all messages between nodes
 
 // Type of a frame on a link between two nodes.
 enum class frame_kind : std::uint8_t
@@ -71,6 +71,7 @@
     double repeatShare = 0;
     std::int64_t longestWaitMs = 0; // the node hands the call back if it would queue for longer; 0: no limit
     std::string callerService;
+    std::string account; // name of the client account; empty: none
     whole_request request;
 
     template<class Archive>
@@ -89,6 +90,7 @@
                 repeatShare,
                 longestWaitMs,
                 callerService,
+                account,
                 request);
     }
 };
@@ -218,6 +220,36 @@
     }
 };
 
+// Asks a node how old its proof is that it has the newest configuration.
+struct freshness_query
+{
+    std::uint64_t id = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id);
+    }
+};
+
+// The answer: at most `proofAgeMs` ago, no version newer than `version` was acknowledged.
+struct freshness_answer
+{
+    std::uint64_t id = 0; // of the query
+    bool hasProof = false;
+    std::uint64_t version = 0;
+    std::int64_t proofAgeMs = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, hasProof, version, proofAgeMs);
+    }
+};
+
+// The payload of a datagram.
+using mesh_datagram = std::variant<gossip_message, freshness_query, freshness_answer>;
+
 // A departure as the platform's store keeps it, among the address records of the nodes.
 struct stored_departure
 {
--- a/packages/version/routes/routes.h
+++ b/packages/version/routes/routes.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "version/accounts/accounts.h"
 
 namespace pistachioquay {
 
@@ -43,6 +44,7 @@
     std::uint32_t priority = 0; // 0 is the most urgent
     milliseconds timeout{0}; // longest time from arrival at a node to the final response
     std::uint32_t maxWorkers = 1; // workers that may receive attempts of one request
+    bool allowsAnonymous = false; // needs no key, even if the configuration has accounts
     std::vector<weighted_service> targets;
 
     friend auto operator<=>(const route_config &, const route_config &) = default;
@@ -63,6 +65,7 @@
 {
     std::uint64_t version = 0; // 0: no configuration received yet
     caller_limits limits;
+    account_table accounts;
     std::unordered_map<std::string, std::map<std::string, route_config, std::less<>>> hosts; // by host, then prefix
 
     friend bool operator==(const route_table &, const route_table &) = default;
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -636,7 +636,7 @@
     record.report.linkLoad = odd;
     record.report.meanActiveRunMs = odd;
     record.runMs["/orders/"] = odd;
-    return encodeMessage(message, meshFormatVersion);
+    return encodeMessage(mesh_datagram(message), meshFormatVersion);
 }
 
 void sendDatagrams(const endpoint &target, const std::vector<std::string> &datagrams)
