Tell calls of workers from requests of callers, probe outdated run times, serve light flows under overload

Under overload a node took every request whose caller had too little time for a retry for a call of a worker: it ran first and was never refused. The origin of a route is now learned from the services on whose VMs its requests begin; the old rule applies only while it is unknown.

A request may now probe an estimate older than a second on an idle worker.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -113,6 +113,7 @@
     reply = co_await runNewCall(message, cancellation);
     reply.id = message.id;
     reply.report = report(steadyNow());
+    reply.origin = originOf(m_origins, message.route);
     if (const auto known = m_runTimes.routes.find(message.route); known != m_runTimes.routes.end()) {
         reply.runMs = known->second.milliseconds;
     }
@@ -166,6 +167,13 @@
     request.requestDeadline = now + milliseconds(message.timeLeftMs);
     request.expectedRunMs = expectedRunMs(m_runTimes, message.route, fallbackMs);
     request.typicalRunMs = static_cast<double>(message.typicalRunMs);
+    const bool seemsTooSlow = now > latestStart(request);
+    request.isProbe = seemsTooSlow && tryProbe(m_runTimes, message.route, now);
+    recordOrigin(m_origins, message.route, message.callerService, now);
+    request.origin = originOf(m_origins, message.route);
+    const std::string &flow = message.account.empty() ? message.route : message.account;
+    recordOffered(m_flows, flow, now);
+    request.isUnderserved = isUnderserved(m_flows, flow);
     const late_request late{now, request.requestDeadline};
     if (m_context.isStopping && !endsInTime(m_context.stop, late)) {
         co_return makeNotRunReply(message.id, "draining");
@@ -181,6 +189,7 @@
     call_reply reply;
     reply.id = message.id;
     if (co_await awaitSlot(message, request, open, cancellation, reply)) {
+        recordServed(m_flows, flow, steadyNow());
         reply.waitedMs = millisBetween(now, steadyNow());
         m_runningRepeats += message.repeatShare;
         co_await runOnWorker(message, request.requestDeadline, cancellation, reply);
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -11,6 +11,7 @@
 
 #include "connection/loop/http_client.h"
 #include "process/mesh/context.h"
+#include "request/fair_share/fair_share.h"
 #include "request/ledger/ledger.h"
 #include "request/run_time/run_time.h"
 #include "request/waiting/waiting.h"
@@ -114,6 +115,8 @@
     async_http_client m_workerClient;
     request_queue m_queue;
     run_time_estimates m_runTimes;
+    call_origins m_origins;
+    flow_shares m_flows;
     deduplication_table<call_reply> m_deduplication;
     std::unordered_map<std::uint64_t, std::shared_ptr<open_call>> m_waitingCalls; // by ticket
     std::unordered_map<std::string, std::shared_ptr<open_call>> m_openCalls; // by id
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -12,6 +12,7 @@
 #include "connection/loop/http_server.h"
 #include "connection/wire/codec.h"
 #include "process/fleet/fleet.h"
+#include "request/call_origin/call_origin.h"
 #include "request/quarantine/quarantine.h"
 #include "version/routes/routes.h"
 #include "version/text_delta/text_delta.h"
@@ -122,13 +123,14 @@
     std::int64_t retryAfterMs = 0;
     std::int64_t waitedMs = 0; // in the request queue of the node
     double runMs = 0; // mean run time of the route at the worker; 0 if not known
+    request_origin origin = request_origin::Unknown; // of the requests of the route, as the node sees it
     worker_report report;
     whole_response response;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, kind, reason, retryAfterMs, waitedMs, runMs, report, response);
+        archive(id, kind, reason, retryAfterMs, waitedMs, runMs, origin, report, response);
     }
 };
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -119,6 +119,8 @@
     request.requestDeadline = request.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
     request.placement.route = route.name;
     request.placement.priority = route.priority;
+    const auto origin = m_origins.find(route.name);
+    request.placement.origin = origin == m_origins.end() ? request_origin::Unknown : origin->second;
     request.placement.bytes = request.received->body.size();
     request.placement.targetMs = static_cast<double>(route.targetLatency.count());
     request.placement.fallbackRunMs = request.placement.targetMs * fallbackRunShare;
@@ -410,6 +412,10 @@
         recordNodeResponse(m_context.fleet, nodeId, now);
         recordReport(m_context.placement, request.service, nodeId, reply.report, now);
     }
+    if (reply.origin != request_origin::Unknown && reply.origin <= request_origin::Worker
+        && (m_origins.size() < maxOriginRoutes || m_origins.contains(request.route->name))) {
+        m_origins[request.route->name] = reply.origin;
+    }
     if (reply.kind == reply_kind::Response) {
         recordResponseSize(m_context.placement, request.route->name, reply.response.body.size());
     }
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -104,6 +104,7 @@
     peer_links &m_links;
     traffic_split_state m_splits;
     caller_timeouts m_callerTimeouts;
+    std::unordered_map<std::string, request_origin> m_origins; // by route, as the nodes beside the workers see it
     std::size_t m_openRequests = 0;
 };
 
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -131,7 +131,9 @@
     scored.score += request.targetMs * lateCostTargets * lateProbability(scored.wait, scored.run, request.targetLeftMs);
     const bool isLate = scored.wait + scored.run * onTimeRunMargin > request.targetLeftMs;
     const double retryMs = retryRunMs(worker.report.meanActiveRunMs, scored.run, typicalMs);
-    const bool isFinal = isFinalAttempt(request.targetLeftMs, request.timeLeftMs, retryMs);
+    const bool isFinal = request.origin == request_origin::Unknown
+        ? isFinalAttempt(request.targetLeftMs, request.timeLeftMs, retryMs)
+        : request.origin == request_origin::Worker;
     scored.isRefusalExpected = !isFinal && isLate && scored.wait > maxLateWaitRuns * scored.run;
     scored.score += worker.report.failureShare * failurePenalty * std::max(request.targetMs, scored.run);
     return scored;
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -43,6 +43,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "request/call_origin/call_origin.h"
 #include "request/waiting/late_admission.h"
 
 namespace pistachioquay {
@@ -155,6 +156,7 @@
 {
     std::string route;
     std::uint32_t priority = 0;
+    request_origin origin = request_origin::Unknown;
     std::size_t bytes = 0;
     double fallbackRunMs = 100; // run time to assume while none is known for the route
     double targetMs = 0; // target latency of the route
--- a/packages/request/run_time/run_time.cc
+++ b/packages/request/run_time/run_time.cc
@@ -24,6 +24,20 @@
     return found == times.routes.end() ? fallbackMs : found->second.milliseconds;
 }
 
+bool tryProbe(run_time_estimates &times, const std::string &route, time_point now)
+{
+    const auto found = times.routes.find(route);
+    if (found == times.routes.end()) {
+        return false;
+    }
+    run_time_estimates::mean &known = found->second;
+    if (now - known.lastAt < estimateFreshFor || now - known.lastProbeAt < estimateFreshFor) {
+        return false;
+    }
+    known.lastProbeAt = now;
+    return true;
+}
+
 double unmeasuredRunMs(double typicalMs, double targetLeftMs)
 {
     return typicalMs > 0 ? typicalMs : std::max(minUnmeasuredMs, targetLeftMs * unmeasuredShare);
--- a/packages/request/run_time/run_time.h
+++ b/packages/request/run_time/run_time.h
@@ -21,6 +21,8 @@
 inline constexpr double runTimeWeight = 0.12; // weight of a new run; averages over about eight runs
 inline constexpr double outlierFactor = 4.0; // longest counted run time, as multiple of the mean
 
+inline constexpr milliseconds estimateFreshFor{1000}; // the time for which workers slow down is often about a second
+
 inline constexpr double unmeasuredShare = 0.25; // assumed run time as share of the time left until the target
 inline constexpr double minUnmeasuredMs = 5.0;
 
@@ -31,6 +33,7 @@
         double milliseconds = 0;
         std::uint32_t samples = 0;
         time_point lastAt;
+        time_point lastProbeAt;
     };
     std::unordered_map<std::string, mean> routes;
 };
@@ -43,6 +46,12 @@
 // safe for reads.
 double expectedRunMs(const run_time_estimates &times, const std::string &route, double fallbackMs);
 
+// tryProbe returns whether a request of the route may run although the estimate says that it cannot end in time: the
+// estimate is older than `estimateFreshFor`, and no other probe has started in this time. Load pattern: a worker that
+// was slow for seconds refuses all requests of a route with a short timeout, so that no run corrects the estimate; a
+// probe a second finds out when the worker is fast again. Not thread safe.
+bool tryProbe(run_time_estimates &times, const std::string &route, time_point now);
+
 // unmeasuredRunMs returns the run time to assume for a route that the worker has not run yet: the run time at the other
 // workers (`typicalMs`, 0 if unknown) or else a share of the time left until the target. Load pattern: when many nodes
 // restart under overload, requests reach them late; an estimate from the time left would make a long queue look short,
--- a/packages/request/run_time/run_time_test.cc
+++ b/packages/request/run_time/run_time_test.cc
@@ -55,3 +55,17 @@
     CHECK(unmeasuredRunMs(0, 1000) == 250);
     CHECK(unmeasuredRunMs(0, -10) == minUnmeasuredMs);
 }
+
+// Guards against a worker that was slow once and refuses all requests of a route from then on.
+TEST_CASE("an estimate without recent runs allows one probe in each period")
+{
+    run_time_estimates times;
+    CHECK_FALSE(tryProbe(times, "orders", start));
+    recordRunTime(times, "orders", 900, start);
+    CHECK_FALSE(tryProbe(times, "orders", start + estimateFreshFor / 2));
+    CHECK(tryProbe(times, "orders", start + estimateFreshFor));
+    CHECK_FALSE(tryProbe(times, "orders", start + estimateFreshFor + estimateFreshFor / 2));
+    CHECK(tryProbe(times, "orders", start + 2 * estimateFreshFor));
+    recordRunTime(times, "orders", 80, start + 2 * estimateFreshFor);
+    CHECK_FALSE(tryProbe(times, "orders", start + 2 * estimateFreshFor + milliseconds(1)));
+}
--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -77,12 +77,23 @@
     return wait > maxLateWaitRuns * request.expectedRunMs;
 }
 
+// Returns whether a new request counts as a call of a worker.
+bool isTakenForCall(const request_queue &queue, const queued_request &request, time_point now)
+{
+    if (request.origin != request_origin::Unknown) {
+        return request.origin == request_origin::Worker;
+    }
+    return isFinalAttempt(msBetween(now, request.targetAt),
+                          msBetween(now, request.requestDeadline),
+                          retryRunMs(meanActiveRunMs(queue), request.expectedRunMs, request.typicalRunMs));
+}
+
 bool isUnservable(const request_queue &queue, const queued_request &request, time_point now)
 {
     if (now > latestStart(request)) {
         return true;
     }
-    return !request.isFinalAttempt && !request.isAdmittedLate && !canMeetTarget(request, now)
+    return !request.isFinalAttempt && !request.isUnderserved && !request.isAdmittedLate && !canMeetTarget(request, now)
         && hasCompetingWork(queue, request, now);
 }
 
@@ -151,18 +162,16 @@
     }
     queued_request candidate = request;
     candidate.isAdmittedLate = false;
-    candidate.isFinalAttempt =
-        isFinalAttempt(msBetween(now, request.targetAt),
-                       msBetween(now, request.requestDeadline),
-                       retryRunMs(meanActiveRunMs(queue), request.expectedRunMs, request.typicalRunMs));
+    candidate.isFinalAttempt = isTakenForCall(queue, request, now);
     const auto rank = dispatchOrder(candidate);
     result.expectedWaitMs = waitBehindMs(queue, now, [&](const queued_request &other) {
         return dispatchOrder(other) < rank;
     });
     const time_point startsAt = now + fromMs(result.expectedWaitMs);
-    if (startsAt > latestStart(candidate)) {
+    const bool mayRunAtOnce = queue.running.size() < queue.slots && queue.waiting.empty();
+    if (startsAt > latestStart(candidate) && !(candidate.isProbe && mayRunAtOnce)) {
         result.reason = queue_refusal::NoTime;
-    } else if (!candidate.isFinalAttempt && !canMeetTarget(candidate, startsAt)) {
+    } else if (!candidate.isFinalAttempt && !candidate.isUnderserved && !canMeetTarget(candidate, startsAt)) {
         candidate.isAdmittedLate = true;
         result.reason = hasCompetingWork(queue, candidate, now) ? queue_refusal::WouldMissTarget : queue_refusal::None;
     }
@@ -173,7 +182,7 @@
         result.retryAfter = refusalOf(queue, candidate, result.reason, now, generator).retryAfter;
         return result;
     }
-    if (queue.running.size() < queue.slots && queue.waiting.empty()) {
+    if (mayRunAtOnce) {
         queue.running.push_back({candidate.ticket, now, candidate.expectedRunMs});
         result.kind = enqueue_outcome::Run;
         return result;
@@ -242,7 +251,7 @@
     }
     const auto dueAt = [](const queued_request &request) {
         const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs * onTimeRunMargin);
-        const bool isExempt = request.isFinalAttempt || request.isAdmittedLate;
+        const bool isExempt = request.isFinalAttempt || request.isUnderserved || request.isAdmittedLate;
         return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
     };
     return dueAt(*std::ranges::min_element(queue.waiting, {}, dueAt));
--- a/packages/request/waiting/waiting.h
+++ b/packages/request/waiting/waiting.h
@@ -15,9 +15,12 @@
 // - it is admitted if it can start almost at once, since a late response has more value than none;
 // - requests of the more urgent route run first, so that less urgent work never displaces them, and within a route
 //   those with the earliest target;
-// - a request whose caller has no time left for a retry (`isFinalAttempt`), such as a call made by a worker, is refused
-//   only if it cannot finish before its deadline: the calling worker holds a slot while it waits, and its work is lost
-//   if the call fails.
+// - a call made by a worker is refused only if it cannot finish before its deadline, and runs before other work: the
+//   calling worker holds a slot while it waits, and its work is lost if the call fails. While the origin of a route is
+//   unknown, a request whose caller has no time left for a retry (`isFinalAttempt`) is taken for such a call;
+// - a request whose expected run time is out of date (`isProbe`) runs if the worker has a free slot: otherwise a worker
+//   that was slow once would refuse all requests of a route, and never learn that it is fast again;
+// - a request of a light flow that is hardly served (`isUnderserved`) is admitted although it would be late.
 //
 // All functions operate on the queue of one worker and are not thread safe.
 #pragma once
@@ -30,6 +33,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "request/call_origin/call_origin.h"
 #include "request/waiting/late_admission.h"
 
 namespace pistachioquay {
@@ -49,6 +53,9 @@
     time_point requestDeadline; // deadline: a later response is of no use
     double expectedRunMs = 0;
     double typicalRunMs = 0; // of the route at other workers; 0: not known
+    request_origin origin = request_origin::Unknown;
+    bool isProbe = false; // its expected run time is out of date: it runs if that delays no other request
+    bool isUnderserved = false; // its flow is light and hardly served: admitted although it would be late
     bool isFinalAttempt = false; // set by `enqueue`: its caller has no time left for a retry
     bool isAdmittedLate = false; // could not meet its target when it was admitted
 
--- a/packages/request/waiting/waiting_test.cc
+++ b/packages/request/waiting/waiting_test.cc
@@ -228,3 +228,65 @@
     call.typicalRunMs = 25;
     CHECK(enqueue(queue, call, start, generator).kind == enqueue_outcome::Wait);
 }
+
+// Guards against a worker that was slow for seconds and then refuses a route with a short timeout for good.
+TEST_CASE("a probe of an outdated estimate runs on an idle worker, but does not wait on a busy one")
+{
+    random_generator generator(1);
+    request_queue queue;
+    queue.slots = 2;
+    queued_request request = requestOf(1, start, 300, 1000, 912);
+    const enqueue_result refused = enqueue(queue, request, start, generator);
+    CHECK(refused.kind == enqueue_outcome::Refused);
+    CHECK(refused.reason == queue_refusal::NoTime);
+    request.isProbe = true;
+    CHECK(enqueue(queue, request, start, generator).kind == enqueue_outcome::Run);
+    queue.slots = 1;
+    request.ticket = 2;
+    CHECK(enqueue(queue, request, start, generator).kind == enqueue_outcome::Refused);
+}
+
+// Guards against overload that spreads from one service to its callers: refused calls fail the requests that made them.
+TEST_CASE("calls of workers run before requests of callers, whatever time they have left")
+{
+    random_generator generator(1);
+    request_queue queue;
+    queue.slots = 1;
+    REQUIRE(enqueue(queue, requestOf(1, start, 1200, 3000, 400), start, generator).kind == enqueue_outcome::Run);
+    queued_request caller = requestOf(2, start, 1200, 1300, 400);
+    caller.origin = request_origin::Caller;
+    REQUIRE(enqueue(queue, caller, start, generator).kind == enqueue_outcome::Wait);
+    queued_request call = requestOf(3, start, -10, 3000, 90); // its target has passed, its caller still waits
+    call.origin = request_origin::Worker;
+    REQUIRE(enqueue(queue, call, start, generator).kind == enqueue_outcome::Wait);
+    finish(queue, 1);
+    CHECK(startNext(queue, start + milliseconds(1)) == 3);
+}
+
+TEST_CASE("a request of a caller with little time left is refused like others if it would be late")
+{
+    random_generator generator(1);
+    request_queue queue;
+    queue.slots = 1;
+    REQUIRE(enqueue(queue, requestOf(1, start, 1200, 3000, 900), start, generator).kind == enqueue_outcome::Run);
+    queued_request request = requestOf(2, start, 700, 1600, 400);
+    request.origin = request_origin::Caller;
+    CHECK(enqueue(queue, request, start, generator).reason == queue_refusal::WouldMissTarget);
+    request.origin = request_origin::Unknown; // taken for a call: its caller could not retry
+    CHECK(enqueue(queue, request, start, generator).kind == enqueue_outcome::Wait);
+}
+
+// Guards against routes with few requests that an overloaded worker never serves.
+TEST_CASE("a request of an underserved flow is admitted although it would be late")
+{
+    random_generator generator(1);
+    request_queue queue;
+    queue.slots = 1;
+    REQUIRE(enqueue(queue, requestOf(1, start, 1200, 3000, 900), start, generator).kind == enqueue_outcome::Run);
+    queued_request request = requestOf(2, start, 700, 5000, 400);
+    request.origin = request_origin::Caller;
+    CHECK(enqueue(queue, request, start, generator).reason == queue_refusal::WouldMissTarget);
+    request.isUnderserved = true;
+    CHECK(enqueue(queue, request, start, generator).kind == enqueue_outcome::Wait);
+    CHECK(removeUnservable(queue, start + milliseconds(600), generator).empty());
+}
