Keep requests in their data centre while the others have no room either

A node now remembers for each service, data centre and class of request which share was accepted there and how long those waited; what it refused or waited is forgotten within a second.

--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -416,6 +416,11 @@
         && (m_origins.size() < maxOriginRoutes || m_origins.contains(request.route->name))) {
         m_origins[request.route->name] = reply.origin;
     }
+    const bool isOutOfRoom = reply.kind == reply_kind::NotRun && (isOverloadRefusal(reply) || isHandedBack(reply));
+    if (isOutOfRoom || reply.kind == reply_kind::Response) {
+        const auto waitedMs = isOutOfRoom ? std::nullopt : std::optional(static_cast<double>(reply.waitedMs));
+        recordRoom(m_context.placement, request.service, nodeId, request.placement, waitedMs, now);
+    }
     if (reply.kind == reply_kind::Response) {
         recordResponseSize(m_context.placement, request.route->name, reply.response.body.size());
     }
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -51,15 +51,47 @@
     return *middle;
 }
 
-double waitMs(const candidate_worker &worker, std::uint32_t priority, double runMs, time_point now)
+std::size_t priorityIndex(std::uint32_t priority)
 {
-    const std::size_t index = std::min<std::size_t>(priority, reportedPriorities - 1);
-    const double age = msBetween(worker.reportAt, now);
-    const double weight = std::exp2(-age / reportHalfLifeMs);
+    return std::min<std::size_t>(priority, reportedPriorities - 1);
+}
+
+double reportWeight(const candidate_worker &worker, time_point now)
+{
+    return std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
+}
+
+// Returns the expected wait at a worker. As its report ages, the wait approaches `otherwiseMs`.
+double waitMs(const candidate_worker &worker, std::uint32_t priority, double runMs, double otherwiseMs, time_point now)
+{
+    const double weight = reportWeight(worker, now);
     const double slots = std::max<std::uint32_t>(worker.entry.slots, 1);
     const double occupied = worker.report.running * weight + worker.sentSinceReport;
     const double ownQueue = std::max(0.0, occupied - slots) * runMs / slots;
-    return worker.report.waitMs.at(index) * weight + ownQueue;
+    return worker.report.waitMs.at(priorityIndex(priority)) * weight + otherwiseMs * (1.0 - weight) + ownQueue;
+}
+
+std::size_t roomClass(const placement_request &request)
+{
+    return request.origin == request_origin::Worker ? reportedPriorities : priorityIndex(request.priority);
+}
+
+// Returns the estimate at a later time: what was refused and waited is forgotten by and by.
+room_estimate faded(const room_estimate &estimate, time_point now)
+{
+    const double weight = std::exp2(-msBetween(estimate.updatedAt, now) / roomHalfLifeMs);
+    return {1.0 - (1.0 - estimate.acceptedShare) * weight, estimate.waitMs * weight, now};
+}
+
+// Returns what is known about the room for a request in another data centre; the default if nothing is.
+room_estimate roomIn(const placement_state &state,
+                     const std::string &service,
+                     const std::string &dataCentre,
+                     const placement_request &request,
+                     time_point now)
+{
+    const auto found = state.room.find({service, dataCentre});
+    return found == state.room.end() ? room_estimate{} : faded(found->second.at(roomClass(request)), now);
 }
 
 double contentionMs(const candidate_worker &worker, double runMs)
@@ -118,6 +150,7 @@
                       const candidate_worker &worker,
                       const placement_request &request,
                       double typicalMs,
+                      double dataCentreWaitMs,
                       time_point now)
 {
     const bool isWarmingUp = worker.entry.warmUpUntil > now;
@@ -125,7 +158,7 @@
     scored.run = freshRunMs(worker, request.route, now).value_or(typicalMs * (isWarmingUp ? warmUpRunFactor : 1.0));
     const double slowdownWeight = std::exp2(-msBetween(worker.reportAt, now) / reportHalfLifeMs);
     scored.run *= 1.0 + (worker.report.slowdown - 1.0) * slowdownWeight * 0.5;
-    scored.wait = waitMs(worker, request.priority, scored.run, now);
+    scored.wait = waitMs(worker, request.priority, scored.run, dataCentreWaitMs, now);
     scored.score = scored.wait + noiseFilteredRunMs(scored.run, typicalMs) + contentionMs(worker, scored.run);
     scored.score += networkCostMs(state, worker, request, now);
     scored.score += request.targetMs * lateCostTargets * lateProbability(scored.wait, scored.run, request.targetLeftMs);
@@ -196,6 +229,12 @@
         }
     }
     placement.workers = std::move(updated);
+    std::erase_if(state.room, [&](const auto &item) {
+        return item.first.first == service
+            && std::ranges::none_of(placement.workers, [&](const candidate_worker &worker) {
+                   return worker.entry.dataCentre == item.first.second;
+               });
+    });
 }
 
 worker_report plausibleReport(const worker_report &report)
@@ -285,6 +324,34 @@
         && now - found->second.lastSilentAt < unreachableDuration;
 }
 
+void recordRoom(placement_state &state,
+                const std::string &service,
+                const std::string &nodeId,
+                const placement_request &request,
+                std::optional<double> waitedMs,
+                time_point now)
+{
+    const candidate_worker *worker = findWorker(state, service, nodeId);
+    if (worker == nullptr || worker->entry.dataCentre == state.dataCentre) {
+        return;
+    }
+    room_estimate &estimate = state.room[{service, worker->entry.dataCentre}].at(roomClass(request));
+    estimate = faded(estimate, now);
+    estimate.acceptedShare += roomOutcomeWeight * ((waitedMs ? 1.0 : 0.0) - estimate.acceptedShare);
+    if (waitedMs) {
+        estimate.waitMs += roomOutcomeWeight * (std::clamp(*waitedMs, 0.0, maxReportedMs) - estimate.waitMs);
+    }
+}
+
+bool isDataCentreFull(const placement_state &state,
+                      const std::string &service,
+                      const std::string &dataCentre,
+                      const placement_request &request,
+                      time_point now)
+{
+    return roomIn(state, service, dataCentre, request, now).acceptedShare < fullAcceptedShare;
+}
+
 double lateProbability(double waitMs, double runMs, double targetLeftMs)
 {
     const double runsLeft = (targetLeftMs - waitMs) / std::max(runMs, 1.0);
@@ -302,12 +369,26 @@
         return {};
     }
     const double typicalMs = typicalRunMs(found->second, request, now);
+    const bool hasLocalWorkers = std::ranges::any_of(found->second.workers, [&](const candidate_worker &worker) {
+        return worker.entry.dataCentre == state.dataCentre && worker.backoffUntil <= now;
+    });
+    std::vector<std::pair<std::string_view, room_estimate>> rooms; // there are few data centres and many workers
+    const auto roomOf = [&](const std::string &dataCentre) {
+        const auto known = std::ranges::find(rooms, dataCentre, &std::pair<std::string_view, room_estimate>::first);
+        if (known != rooms.end()) {
+            return known->second;
+        }
+        return rooms.emplace_back(dataCentre, roomIn(state, service, dataCentre, request, now)).second;
+    };
     std::vector<scored_worker> scored;
     for (const candidate_worker &worker : found->second.workers) {
+        const std::string &dataCentre = worker.entry.dataCentre;
+        const room_estimate room = roomOf(dataCentre);
+        const bool isFull = hasLocalWorkers && room.acceptedShare < fullAcceptedShare;
         const bool isAvailable =
-            worker.backoffUntil <= now && !isDataCentreUnreachable(state, worker.entry.dataCentre, now);
+            worker.backoffUntil <= now && !isFull && !isDataCentreUnreachable(state, dataCentre, now);
         if (isAvailable && !request.excluded.contains(worker.entry.nodeId)) {
-            scored.push_back(scoreOf(state, worker, request, typicalMs, now));
+            scored.push_back(scoreOf(state, worker, request, typicalMs, room.waitMs, now));
         }
     }
     if (scored.empty()) {
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -24,6 +24,11 @@
 //   excess of a data centre leaves it;
 // - the transfer time of a body on the links of both VMs counts, and grows with their load: a fast worker behind a slow
 //   link does not get all uploads;
+// - reports from other data centres are older than those from the own one. As such a report ages, the wait at its
+// worker
+//   approaches what this node's requests have lately waited in that data centre, rather than none;
+// - a data centre that has just refused most requests of a service for lack of room gets no more of them for a moment
+//   (`isDataCentreFull`), so that the node where the caller entered refuses at once what no data centre can serve;
 // - when several nodes of another data centre are silent and none of its nodes has been heard from since, the data
 //   centre counts as unreachable: its workers are not tried one by one, each until its timeout;
 // - a worker whose requests fail gets a penalty in proportion to its failure rate, and a worker that was draining or
@@ -75,6 +80,9 @@
 inline constexpr milliseconds runTimeExpiry{6000}; // run times that were not updated for this long are ignored
 inline constexpr std::size_t silentNodesUntilUnreachable = 2; // silent nodes that make a data centre unreachable
 inline constexpr milliseconds unreachableDuration{3000}; // reachable again if no further node falls silent
+inline constexpr double roomOutcomeWeight = 0.25; // weight of one request in the share that a data centre accepts
+inline constexpr double fullAcceptedShare = 0.4; // a data centre that accepts a smaller share counts as full
+inline constexpr double roomHalfLifeMs = 500.0; // time after which half of what was refused is forgotten
 inline constexpr double handBackCostMs = 4.0; // round trip and processing at both nodes
 inline constexpr double minHandBackRuns = 0.15; // waits up to this share of a run are accepted
 // Reports and run times come from other nodes; values beyond these bounds are wrong and are replaced.
@@ -140,6 +148,19 @@
     time_point lastSilentAt;
 };
 
+// Requests that compete for room: calls of workers, and requests of callers by the priority as it is reported.
+inline constexpr std::size_t roomClasses = reportedPriorities + 1;
+
+// What became of the recent requests of one class in another data centre.
+struct room_estimate
+{
+    double acceptedShare = 1;
+    double waitMs = 0; // mean wait of those that were accepted
+    time_point updatedAt;
+
+    friend auto operator<=>(const room_estimate &, const room_estimate &) = default;
+};
+
 struct placement_state
 {
     std::string nodeId; // of the own node
@@ -150,6 +171,8 @@
     std::unordered_map<std::string, double> responseBytes; // mean by route
     std::unordered_map<std::string, service_placement> services;
     std::unordered_map<std::string, data_centre_status> dataCentreStatus; // by data centre
+    // Room for the requests of a service in other data centres, by service and data centre.
+    std::map<std::pair<std::string, std::string>, std::array<room_estimate, roomClasses>> room;
 };
 
 struct placement_request
@@ -219,6 +242,22 @@
 // isDataCentreUnreachable returns whether a data centre counts as unreachable.
 bool isDataCentreUnreachable(const placement_state &state, const std::string &dataCentre, time_point now);
 
+// recordRoom records how long a request waited at a node of another data centre; empty: it was refused for lack of
+// room.
+void recordRoom(placement_state &state,
+                const std::string &service,
+                const std::string &nodeId,
+                const placement_request &request,
+                std::optional<double> waitedMs,
+                time_point now);
+
+// isDataCentreFull returns whether a data centre has lately refused most requests like this one for lack of room.
+bool isDataCentreFull(const placement_state &state,
+                      const std::string &service,
+                      const std::string &dataCentre,
+                      const placement_request &request,
+                      time_point now);
+
 // lateProbability returns the probability from 0 to 1 that a request misses its target after the given wait.
 double lateProbability(double waitMs, double runMs, double targetLeftMs);
 
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -583,3 +583,72 @@
     CHECK(local.sentElsewhere > 0.1); // the data centre with most callers has room for less than half of them
     CHECK(local.onTime >= 0.9);
 }
+
+// Guards against requests that cross to data centres which are as loaded as the own one: their reports are old, and
+// each crossing is paid for and refused there.
+TEST_CASE("under an overload of all data centres, requests do not cross to workers with old reports")
+{
+    random_generator generator(5);
+    placement_state state;
+    state.nodeId = "a-1";
+    state.dataCentre = "a";
+    setWorkers(state, "orders", {{"a-2", 1, "a", 6}, {"a-3", 1, "a", 6}, {"b-1", 1, "b", 6}, {"c-1", 1, "c", 6}});
+    const time_point now = start + seconds(10);
+    worker_report crowded;
+    crowded.running = 6;
+    crowded.waiting = 12;
+    crowded.waitMs.fill(300);
+    crowded.meanActiveRunMs = 100;
+    for (const char *node : {"b-1", "c-1"}) {
+        recordReport(state, "orders", node, crowded, now - seconds(4));
+    }
+    for (const char *node : {"a-2", "a-3"}) {
+        recordReport(state, "orders", node, crowded, now);
+    }
+    placement_request request;
+    request.route = "orders";
+    request.origin = request_origin::Worker;
+    request.targetMs = 400;
+    request.targetLeftMs = 400;
+    request.timeLeftMs = 2000;
+    REQUIRE(chooseWorker(state, "orders", request, now, generator).nodeId > "b"); // they seem to be idle by now
+    for (int index = 0; index < 10; ++index) {
+        recordRoom(state, "orders", "b-1", request, 300, now);
+        recordRoom(state, "orders", "c-1", request, 300, now);
+    }
+    for (int index = 0; index < 50; ++index) {
+        const placement_choice choice = chooseWorker(state, "orders", request, now, generator);
+        REQUIRE(choice.nodeId);
+        CHECK(choice.nodeId->starts_with("a-"));
+    }
+}
+
+TEST_CASE("a data centre that refuses most requests of a service is left out for a moment, and tried again later")
+{
+    placement_state state;
+    state.nodeId = "a-1";
+    state.dataCentre = "a";
+    setWorkers(state, "orders", {{"a-2", 1, "a", 6}, {"b-1", 1, "b", 6}});
+    placement_request request;
+    request.priority = 1;
+    for (int index = 0; index < 8; ++index) {
+        recordRoom(state, "orders", "b-1", request, std::nullopt, start);
+        recordRoom(state, "orders", "a-2", request, std::nullopt, start);
+    }
+    CHECK(isDataCentreFull(state, "orders", "b", request, start));
+    CHECK_FALSE(isDataCentreFull(state, "orders", "a", request, start)); // the own one refuses for itself
+    CHECK_FALSE(isDataCentreFull(state, "history", "b", request, start));
+    placement_request urgent = request;
+    urgent.priority = 0;
+    CHECK_FALSE(isDataCentreFull(state, "orders", "b", urgent, start));
+    placement_request call = request;
+    call.origin = request_origin::Worker;
+    CHECK_FALSE(isDataCentreFull(state, "orders", "b", call, start));
+    CHECK_FALSE(isDataCentreFull(state, "orders", "b", request, start + seconds(3)));
+
+    random_generator generator(5);
+    request.excluded = {"a-2"};
+    CHECK_FALSE(chooseWorker(state, "orders", request, start, generator).nodeId);
+    setWorkers(state, "orders", {{"b-1", 1, "b", 6}});
+    CHECK(chooseWorker(state, "orders", request, start, generator).nodeId); // nobody else could serve it
+}
