Pace large frames between nodes, and refuse downloads that the link cannot carry in time

Large replies, bodies and configurations are sent in parts by the schedule of the VM's link, small frames at once; calls of routes with large responses use the link for bodies, configurations have a connection of their own. The worker's node books the expected response of a call and refuses it as `link-booked` if it would miss its target; reports carry the wait of large responses, which placement counts. A response that cannot arrive in time is replaced by a small failure.

--- a/packages/connection/pacing/link_pacer.cc
+++ b/packages/connection/pacing/link_pacer.cc
@@ -125,7 +125,7 @@
     const double wanted = std::min(nextChunkBytes(pacer), maxAllowance(pacer));
     const double missing = std::max(0.0, wanted - allowanceAt(pacer, now));
     // The next chunk may be larger than the smallest one, or its connection may not accept it yet.
-    return std::max<duration>(fromMs(missing / refillBytesPerMs(pacer)), chunkTime / 2);
+    return std::max<duration>(fromMs(missing / refillBytesPerMs(pacer)), chunkTime);
 }
 
 std::vector<std::uint64_t> removeUndeliverable(link_pacer &pacer, time_point now)
--- a/packages/connection/pacing/link_pacer.h
+++ b/packages/connection/pacing/link_pacer.h
@@ -34,7 +34,7 @@
 inline constexpr double pacedShare = 0.85; // of the rate for large payloads; the rest is for headers and datagrams
 inline constexpr milliseconds chunkTime{8}; // transfer time of a chunk; shorter ones cost more wake-ups
 inline constexpr std::size_t minChunkBytes = 4UL * 1024; // below this the headers of a chunk outweigh it
-inline constexpr std::size_t maxChunkBytes = 64UL * 1024;
+inline constexpr std::size_t maxChunkBytes = 256UL * 1024; // bounds the copy that a chunk takes
 // Bodies are mostly smaller. A link that carries this much within `maxLinkQueue` needs no pacing.
 inline constexpr double usualBodyBytes = 1024.0 * 1024.0;
 
--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -22,6 +22,11 @@
 
 namespace internal {
 
+link_state linkState(const mesh_context &context, time_point now)
+{
+    return {drainBytesPerMs(context.pacer, now), static_cast<double>(queuedBytes(context.pacer))};
+}
+
 attempt_outcome attemptOutcome(const call_reply &reply)
 {
     switch (reply.kind) {
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -12,10 +12,12 @@
 #include "base/milliseconds.h"
 #include "base/random.h"
 #include "connection/loop/duty.h"
+#include "connection/pacing/link_pacer.h"
 #include "process/fleet/fleet.h"
 #include "process/mesh/mesh.h"
 #include "process/mesh/messages.h"
 #include "process/stopping/stopping.h"
+#include "request/link_room/link_booking.h"
 #include "request/link_room/link_room.h"
 #include "request/placement/placement.h"
 #include "request/quarantine/crash_tracker.h"
@@ -89,6 +91,8 @@
     std::function<void(const crash_report &)> announceCrash; // sends a report to all nodes
     link_meter linkMeter;
     link_reservations linkReservations; // bandwidth of the own link that large bodies have reserved
+    link_pacer pacer; // of the own link
+    link_bookings linkBookings; // capacity of the own link for responses of the own worker
     mesh_metrics metrics;
     bool isStopping = false; // the shutdown has begun
     stop_times stop; // valid if `isStopping`
@@ -101,6 +105,9 @@
     }
 };
 
+// linkState returns how much the own link has to send, and how fast.
+link_state linkState(const mesh_context &context, time_point now);
+
 // attemptOutcome returns what a reply says about the run of its request.
 attempt_outcome attemptOutcome(const call_reply &reply);
 
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -175,6 +175,11 @@
         m_context.metrics.count("inbound_refused_total{reason=\"retry-budget\"}");
         co_return makeNotRunReply(message.id, "retry-budget");
     }
+    if (message.hasCrossedLink) {
+        if (auto refused = refuseForLink(message, request, now)) {
+            co_return std::move(*refused);
+        }
+    }
     const auto open = std::make_shared<open_call>(m_context.executor);
     open->id = message.id;
     m_openCalls[message.id] = open;
@@ -187,6 +192,7 @@
         m_runningRepeats -= message.repeatShare;
     }
     finish(m_queue, request.ticket);
+    releaseBooking(m_context.linkBookings, message.id);
     dispatchQueued(steadyNow());
     m_openCalls.erase(message.id);
     open->reply = reply;
@@ -194,6 +200,37 @@
     co_return reply;
 }
 
+// Refuses a call whose response would be late because of the link; otherwise books the capacity for it.
+std::optional<call_reply>
+inbound_handler::refuseForLink(const call_message &message, const queued_request &request, time_point now)
+{
+    const link_state link = linkState(m_context, now);
+    const booking_request wanted{message.id,
+                                 message.route,
+                                 expectedWaitMs(m_queue, request.priority, now),
+                                 request.expectedRunMs,
+                                 request.targetAt,
+                                 request.requestDeadline};
+    const booking_decision decision = book(m_context.linkBookings, wanted, link, now);
+    if (decision.isBooked) {
+        return std::nullopt;
+    }
+    call_reply reply = makeNotRunReply(message.id, linkBookedReason);
+    reply.retryAfterMs = decision.retryAfterMs;
+    m_context.metrics.count("inbound_refused_total{reason=\"" + reply.reason + "\"}");
+    m_context.log(log_line("inbound", "refused")
+                      .add("id", message.id)
+                      .add("route", message.route)
+                      .add("reason", reply.reason)
+                      .add("transfer_ms", decision.transferMs)
+                      .add("queued_bytes", link.queuedBytes)
+                      .add("booked_bytes", m_context.linkBookings.bookedBytes)
+                      .add("drain_bytes_per_ms", link.drainBytesPerMs)
+                      .add("target_left_ms", message.targetLeftMs)
+                      .add("retry_after_ms", reply.retryAfterMs));
+    return reply;
+}
+
 awaitable<bool> inbound_handler::awaitSlot(const call_message &message,
                                            const queued_request &request,
                                            const std::shared_ptr<open_call> &open,
@@ -374,6 +411,7 @@
     recordOutcome(result.response.status >= 500);
     if (isSuccess(result.response.status)) {
         recordRunTime(m_runTimes, message.route, tookMs, now);
+        recordMeanBytes(m_context.linkBookings, message.route, result.response.body.size());
         m_context.metrics.observe("worker_run_ms", tookMs);
     }
     reply.response = std::move(result.response);
@@ -527,6 +565,7 @@
     report.slowdown = 1.0 + (m_slowdown - 1.0) * std::exp2(-msBetween(m_slowdownAt, now) / slowdownHalfLifeMs);
     report.linkLoad = std::max(m_context.linkMeter.load(m_context.options.linkBytesPerMs, now),
                                reservedShare(m_context.linkReservations));
+    report.transferWaitMs = transferWaitMs(m_context.linkBookings, linkState(m_context, now));
     return report;
 }
 
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -61,6 +61,8 @@
             dissemination.gossip.announceCrash(report);
         };
         context.linkReservations.bytesPerMs = context.options.linkBytesPerMs;
+        context.pacer.bytesPerMs = context.options.linkBytesPerMs;
+        context.pacer.updatedAt = steadyNow();
     }
 
     internal::peer_events events()
@@ -169,7 +171,8 @@
             inbound.onWorkerChange(now);
             dissemination.gossip.announce();
         }
-        if (outbound.openCount() > 0 || inbound.openCount() > 0) {
+        const bool isSending = !context.pacer.transfers.empty();
+        if (outbound.openCount() > 0 || inbound.openCount() > 0 || isSending) {
             lastBusyAt = now;
         }
         if (now - startedAt > callerAcceptTime && now - lastBusyAt > shutdownIdleTime) {
@@ -315,6 +318,9 @@
     text += line("config_version", context.config.table->version);
     text += line("config_age_ms", millisBetween(context.config.appliedAt, steadyNow()));
     text += line("nodes_known", context.fleet.nodes.size());
+    text += line("link_backlog_ms", transferWaitMs(context.linkBookings, linkState(context, steadyNow())));
+    text += line("link_queued_bytes", queuedBytes(context.pacer));
+    text += line("link_booked_bytes", context.linkBookings.bookedBytes);
     text += line("worker_running", m_impl->inbound.runningCount());
     text += line("worker_waiting", m_impl->inbound.waitingCount());
     text += line("worker_reachable", context.worker.isUnreachable ? 0 : 1);
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -50,6 +50,7 @@
     Config,
     Reserve,
     Reserved,
+    Part, // of a large frame, see `frame_part`
 };
 
 // A request for the worker of the receiving node.
@@ -72,6 +73,7 @@
     std::int64_t longestWaitMs = 0; // the node hands the call back if it would queue for longer; 0: no limit
     std::string callerService;
     std::string account; // name of the client account; empty: none
+    bool hasCrossedLink = false; // not sent: set by the receiving node, unlike for requests of its own callers
     whole_request request;
 
     template<class Archive>
@@ -98,6 +100,9 @@
 // Reason of the reply to a call that was handed back: it would have queued for longer than `longestWaitMs`.
 inline constexpr std::string_view handedBackReason = "handed-back";
 
+// Reason of the reply to a call whose response would be late because of the link of the worker's VM.
+inline constexpr std::string_view linkBookedReason = "link-booked";
+
 // Reason of the reply to a call that no worker may run: it is quarantined, because it has crashed workers.
 inline constexpr std::string_view quarantinedReason = "quarantined";
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -37,7 +37,8 @@
 
 bool isOverloadRefusal(const call_reply &reply)
 {
-    return reply.reason == "crowded" || reply.reason == "no-time" || reply.reason == "queue-full";
+    return reply.reason == "crowded" || reply.reason == "no-time" || reply.reason == "queue-full"
+        || reply.reason == linkBookedReason;
 }
 
 bool isHandedBack(const call_reply &reply)
@@ -490,6 +491,11 @@
         }
         reply.reason = "link-lost";
         co_return reply;
+    case peer_end::Undelivered:
+        reply.kind = reply_kind::NotRun;
+        reply.reason = "link-full";
+        reply.retryAfterMs = linkFullRetryMs;
+        co_return reply;
     case peer_end::TimedOut:
         reply.reason = "timed-out";
         co_return reply;
@@ -526,11 +532,11 @@
     co_return reply;
 }
 
-whole_response outbound_handler::finalResponse(const request_context &request, const call_reply &reply)
+whole_response outbound_handler::finalResponse(const request_context &request, call_reply &reply)
 {
     switch (reply.kind) {
     case reply_kind::Response:
-        return reply.response;
+        return std::move(reply.response);
     case reply_kind::NotRun:
     case reply_kind::RejectedByWorker: {
         if (request.mayHaveRun) {
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -94,7 +94,7 @@
     // crashSuspicion returns whether the request is suspected of crashing workers.
     suspicion crashSuspicion(const request_context &request) const;
     void recordReply(const request_context &request, const std::string &nodeId, const call_reply &reply);
-    whole_response finalResponse(const request_context &request, const call_reply &reply);
+    whole_response finalResponse(const request_context &request, call_reply &reply);
     whole_response makeRefusal(const request_context &request, std::string_view reason, std::int64_t retryAfterMs);
     whole_response makeFailure(const request_context &request, unsigned status, std::string_view reason);
     void logRequestEnd(const request_context &request, const whole_response &response, std::string_view outcome);
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -18,8 +18,6 @@
 constexpr milliseconds silentAfter{1000}; // without received bytes while a reply is due: the link is closed
 constexpr milliseconds configReplyTimeout{600}; // longest wait for the first bytes of a configuration
 constexpr seconds maxLinkIdle{30}; // an unused link is closed after this time
-// Larger bodies use a separate link, so that they do not delay the frames of other requests.
-constexpr std::size_t largeBodyBytes = 16UL * 1024;
 
 std::uint8_t frameCode(frame_kind kind)
 {
@@ -32,6 +30,13 @@
     return encodeMessage(message, meshFormatVersion);
 }
 
+// Returns the time that a message states, within a day of now: it comes from another node.
+milliseconds boundedMs(std::int64_t stated)
+{
+    constexpr std::int64_t maxMs = 24LL * 3600 * 1000;
+    return milliseconds(std::clamp(stated, -maxMs, maxMs));
+}
+
 } // namespace
 
 std::string_view endName(peer_end end)
@@ -41,6 +46,8 @@
         return "replied";
     case peer_end::NotSent:
         return "not-sent";
+    case peer_end::Undelivered:
+        return "undelivered";
     case peer_end::LinkLost:
         return "link-lost";
     case peer_end::TimedOut:
@@ -55,6 +62,7 @@
     : m_context(context)
     , m_events(std::move(events))
     , m_acceptor(context.executor)
+    , m_sender(context)
 {
 }
 
@@ -105,6 +113,7 @@
         }
         link_handlers handlers;
         handlers.onFrame = [this](frame_link &link, std::uint8_t kind, std::string_view payload) {
+            m_context.linkMeter.recordBytes(payload.size(), 0, steadyNow());
             serveFrame(link, kind, payload);
         };
         handlers.onClosed = [this](frame_link &link, std::string_view) {
@@ -131,7 +140,12 @@
     if (found == m_incoming.end()) {
         return;
     }
-    m_context.linkMeter.recordBytes(payload.size(), 0, steadyNow());
+    if (kind == frameCode(frame_kind::Part)) {
+        if (auto whole = addReceivedPart(found->second.parts, link, payload)) {
+            serveFrame(link, whole->kind, whole->payload);
+        }
+        return;
+    }
     if (kind == frameCode(frame_kind::Call)) {
         serveCall(link, payload);
     } else if (kind == frameCode(frame_kind::Reserve)) {
@@ -151,7 +165,14 @@
             return decodeMessage<config_request>(payload, meshFormatVersion, m_decodeCounters);
         });
         if (request) {
-            link.send(frameCode(frame_kind::Config), encode(m_events.onConfigRequest(*request)));
+            const time_point now = steadyNow();
+            transfer_terms terms;
+            terms.kind = transfer_class::Configuration;
+            terms.targetAt = now + m_context.options.configApplyLimit;
+            m_sender.send(link.shared_from_this(),
+                          frame_kind::Config,
+                          encode(m_events.onConfigRequest(*request)),
+                          std::move(terms));
         }
     } else if (kind == frameCode(frame_kind::Cancel)) {
         const auto message = attempt([&] {
@@ -165,6 +186,11 @@
         if (call != found->second.calls.end()) {
             call->second.cancellation->cancel();
         }
+        const auto reply = found->second.replies.find(message->id);
+        if (reply != found->second.replies.end()) {
+            m_sender.cancel(reply->second);
+            found->second.replies.erase(reply);
+        }
     }
 }
 
@@ -179,6 +205,7 @@
         return;
     }
     releaseBandwidth(m_context.linkReservations, message->id);
+    message->hasCrossedLink = true;
     const auto cancellation = std::make_shared<cancellation_token>();
     m_incoming[&link].calls[message->id] = {cancellation, message->repeat == retry_policy::Retryable};
     net::co_spawn(
@@ -186,20 +213,59 @@
         [this, cancellation, incoming = link.shared_from_this(), call = std::move(*message)]() mutable
         -> awaitable<void> {
             const std::string id = call.id;
+            transfer_terms terms;
+            terms.targetAt = steadyNow() + boundedMs(call.targetLeftMs);
+            terms.deadline = steadyNow() + boundedMs(call.timeLeftMs);
             const call_reply reply = co_await m_events.onCall(std::move(call), cancellation);
-            if (incoming->isOpen()) {
-                const std::string bytes = encode(reply);
-                m_context.linkMeter.recordBytes(0, bytes.size(), steadyNow());
-                incoming->send(frameCode(frame_kind::Reply), bytes);
-            }
             const auto found = m_incoming.find(incoming.get());
             if (found != m_incoming.end()) {
                 found->second.calls.erase(id);
             }
+            if (incoming->isOpen()) {
+                sendReply(incoming, reply, std::move(terms));
+            }
         },
         net::detached);
 }
 
+void peer_links::sendReply(const std::shared_ptr<frame_link> &link, const call_reply &reply, transfer_terms terms)
+{
+    terms.onEnd = [this, raw = link.get(), link = std::weak_ptr(link), id = reply.id](transfer_end end) {
+        if (const auto found = m_incoming.find(raw); found != m_incoming.end()) {
+            found->second.replies.erase(id);
+        }
+        const auto open = link.lock();
+        if (end == transfer_end::Undeliverable && open) {
+            // The request has run, but its response does not arrive in time: the caller learns this now.
+            call_reply undelivered;
+            undelivered.id = id;
+            undelivered.reason = "response-undelivered";
+            open->send(frameCode(frame_kind::Reply), encode(undelivered));
+        }
+    };
+    const std::uint64_t ticket = m_sender.send(link, frame_kind::Reply, encode(reply), std::move(terms));
+    const auto found = m_incoming.find(link.get());
+    if (ticket != 0 && found != m_incoming.end()) {
+        found->second.replies[reply.id] = ticket;
+    }
+}
+
+std::optional<assembled_frame>
+peer_links::addReceivedPart(part_assembly &parts, frame_link &link, std::string_view payload)
+{
+    const auto part = attempt([&] {
+        return decodeMessage<frame_part>(payload, meshFormatVersion, m_decodeCounters);
+    });
+    assembled_frame frame{assembly_state::Invalid, 0, {}};
+    if (part && part->kind != frameCode(frame_kind::Part)) {
+        frame = addPart(parts, *part, maxFrameBytes);
+    }
+    if (frame.state == assembly_state::Invalid) {
+        link.close("malformed frame");
+    }
+    return frame.state == assembly_state::Complete ? std::optional(std::move(frame)) : std::nullopt;
+}
+
 awaitable<std::shared_ptr<frame_link>> peer_links::linkTo(link_key key)
 {
     {
@@ -219,6 +285,7 @@
     }
     link_handlers handlers;
     handlers.onFrame = [this, key](frame_link &link, std::uint8_t kind, std::string_view payload) {
+        m_context.linkMeter.recordBytes(payload.size(), 0, steadyNow());
         onFrame(key, link, kind, payload);
     };
     handlers.onClosed = [this, key](frame_link &, std::string_view reason) {
@@ -240,7 +307,12 @@
 
 void peer_links::onFrame(const link_key &key, frame_link &link, std::uint8_t kind, std::string_view payload)
 {
-    m_context.linkMeter.recordBytes(payload.size(), 0, steadyNow());
+    if (kind == frameCode(frame_kind::Part)) {
+        if (auto whole = addReceivedPart(m_outgoing[key].parts, link, payload)) {
+            onFrame(key, link, whole->kind, whole->payload);
+        }
+        return;
+    }
     if (kind == frameCode(frame_kind::Reply)) {
         auto reply = attempt([&] {
             return decodeMessage<call_reply>(payload, meshFormatVersion, m_decodeCounters);
@@ -282,6 +354,7 @@
                       .add("peer", toText(key.first))
                       .add("reason", reason)
                       .add("open_calls", state.calls.size()));
+    state.parts = {};
     failPendingCalls(state);
 }
 
@@ -297,7 +370,7 @@
 peer_links::call(endpoint target, const call_message &message, time_point deadline, cancellation_token &cancellation)
 {
     peer_result result;
-    const link_key key{target, isLarge(message.request.body.size())};
+    const link_key key{target, purposeOf(message)};
     const std::shared_ptr<frame_link> link = co_await linkTo(key);
     if (!link || cancellation.isCancelled()) {
         result.end = link ? peer_end::Cancelled : peer_end::NotSent;
@@ -305,9 +378,16 @@
     }
     const auto pending = std::make_shared<pending_call>(m_context.executor);
     m_outgoing[key].calls[message.id] = pending;
-    const std::string bytes = encode(message);
-    m_context.linkMeter.recordBytes(0, bytes.size(), steadyNow());
-    link->send(frameCode(frame_kind::Call), bytes);
+    transfer_terms terms;
+    terms.targetAt = steadyNow() + milliseconds(message.targetLeftMs);
+    terms.deadline = deadline;
+    terms.onEnd = [pending](transfer_end end) {
+        pending->isUndelivered = end == transfer_end::Undeliverable;
+        if (pending->isUndelivered) {
+            pending->done.notify();
+        }
+    };
+    const std::uint64_t ticket = m_sender.send(link, frame_kind::Call, encode(message), std::move(terms));
     cancellation.onCancel([pending] {
         pending->done.notify();
     });
@@ -324,6 +404,11 @@
         result.end = peer_end::LinkLost;
         co_return result;
     }
+    m_sender.cancel(ticket);
+    if (pending->isUndelivered) {
+        result.end = peer_end::Undelivered;
+        co_return result;
+    }
     link->send(frameCode(frame_kind::Cancel), encode(cancel_message{message.id}));
     result.end = cancellation.isCancelled() ? peer_end::Cancelled : peer_end::TimedOut;
     co_return result;
@@ -331,13 +416,23 @@
 
 bool peer_links::isLarge(std::size_t bytes)
 {
-    return bytes > largeBodyBytes;
+    return bytes > largeFrameBytes;
+}
+
+// Calls with large responses use the link of the bodies, because a reply returns on the link of its call.
+peer_links::link_purpose peer_links::purposeOf(const call_message &message) const
+{
+    const auto mean = m_context.placement.responseBytes.find(message.route);
+    const bool isLargeResponse = isPaced(m_context.pacer) && mean != m_context.placement.responseBytes.end()
+        && mean->second > static_cast<double>(largeFrameBytes);
+    const bool isLargeBody = isLarge(message.request.body.size());
+    return isLargeBody || isLargeResponse ? link_purpose::Bodies : link_purpose::Requests;
 }
 
 awaitable<peer_end>
 peer_links::reserve(endpoint target, const std::string &id, std::size_t bytes, cancellation_token &cancellation)
 {
-    const link_key key{target, false};
+    const link_key key{target, link_purpose::Requests};
     const std::shared_ptr<frame_link> link = co_await linkTo(key);
     if (!link || cancellation.isCancelled()) {
         co_return link ? peer_end::Cancelled : peer_end::TimedOut;
@@ -362,7 +457,7 @@
 
 awaitable<void> peer_links::requestConfig(endpoint target, std::uint64_t haveVersion)
 {
-    if (const std::shared_ptr<frame_link> link = co_await linkTo({target, true})) {
+    if (const std::shared_ptr<frame_link> link = co_await linkTo({target, link_purpose::Configurations})) {
         const time_point sentAt = steadyNow();
         link->send(frameCode(frame_kind::ConfigRequest), encode(config_request{haveVersion}));
         net::steady_timer replyTimer(m_context.executor, configReplyTimeout);
--- a/packages/process/mesh/peer_links.h
+++ b/packages/process/mesh/peer_links.h
@@ -10,7 +10,9 @@
 
 #include "connection/loop/frame_link.h"
 #include "connection/loop/http_client.h"
+#include "connection/pacing/part_assembly.h"
 #include "process/mesh/context.h"
+#include "process/mesh/paced_sender.h"
 
 namespace pistachioquay::internal {
 
@@ -19,6 +21,7 @@
 {
     Replied,
     NotSent, // no link could be opened
+    Undelivered, // the VM's link was too busy to send the call before its deadline
     LinkLost, // the link was lost between the call and its reply
     TimedOut,
     Cancelled,
@@ -81,6 +84,7 @@
         }
         async_event done; // answered, lost or cancelled
         bool isLost = false;
+        bool isUndelivered = false;
         std::optional<call_reply> reply;
         std::optional<bool> isGranted;
     };
@@ -93,14 +97,27 @@
         std::unordered_map<std::string, std::shared_ptr<pending_call>> calls; // by id
         time_point lastUsed;
         time_point lastPing;
+        part_assembly parts;
     };
-    using link_key = std::pair<endpoint, bool>; // address, and whether it is the separate link for large bodies
+    // What a link to a node is used for. Bodies, and configurations, have connections of their own, since a connection
+    // whose receiver falls behind delays all frames on it.
+    enum class link_purpose : std::uint8_t
+    {
+        Requests,
+        Bodies, // large ones, of requests or of expected responses
+        Configurations,
+    };
+    using link_key = std::pair<endpoint, link_purpose>;
 
     awaitable<std::shared_ptr<frame_link>> linkTo(link_key key);
     awaitable<void> acceptLoop();
     void onFrame(const link_key &key, frame_link &link, std::uint8_t kind, std::string_view payload);
     void onClosed(const link_key &key, std::string_view reason);
     void serveFrame(frame_link &link, std::uint8_t kind, std::string_view payload);
+    // addReceivedPart adds a part to `parts` and returns its frame once it is complete; closes the link if it is false.
+    std::optional<assembled_frame> addReceivedPart(part_assembly &parts, frame_link &link, std::string_view payload);
+    void sendReply(const std::shared_ptr<frame_link> &link, const call_reply &reply, transfer_terms terms);
+    link_purpose purposeOf(const call_message &message) const;
     void serveCall(frame_link &link, std::string_view payload);
     void failPendingCalls(outgoing_link &state);
 
@@ -119,9 +136,12 @@
     {
         std::shared_ptr<frame_link> link;
         std::unordered_map<std::string, served_call> calls;
+        std::unordered_map<std::string, std::uint64_t> replies; // tickets of large replies that are being sent
+        part_assembly parts;
     };
     std::map<frame_link *, incoming_link> m_incoming;
     decode_counters m_decodeCounters;
+    paced_sender m_sender;
 };
 
 } // namespace pistachioquay::internal
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -88,9 +88,12 @@
     const double queued = worker.bytesSinceReport * weight;
     double cost = transferMs(bytes, state.linkBytesPerMs, state.linkLoad)
         + transferMs(bytes + queued, worker.entry.linkBytesPerMs, worker.report.linkLoad * weight);
+    const auto response = state.responseBytes.find(request.route);
+    const double responseBytes = response == state.responseBytes.end() ? 0.0 : response->second;
+    if (responseBytes > largeResponseMeanBytes) {
+        cost += worker.report.transferWaitMs * weight + transferMs(responseBytes, worker.entry.linkBytesPerMs, 0);
+    }
     if (worker.entry.dataCentre != state.dataCentre) {
-        const auto response = state.responseBytes.find(request.route);
-        const double responseBytes = response == state.responseBytes.end() ? 0.0 : response->second;
         const double kilobytes = (bytes + responseBytes) / 1024.0;
         const double share = otherDataCentreShare + state.trafficCostPerKb * kilobytes;
         cost += request.targetMs * std::min(share, maxOtherDataCentreShare);
@@ -208,6 +211,7 @@
     plausible.failureShare = bounded(report.failureShare, 0, 1, 0);
     plausible.slowdown = bounded(report.slowdown, 1 / maxSlowdown, maxSlowdown, 1);
     plausible.linkLoad = bounded(report.linkLoad, 0, 1, 0);
+    plausible.transferWaitMs = bounded(report.transferWaitMs, 0, maxReportedMs, 0);
     plausible.meanActiveRunMs = bounded(report.meanActiveRunMs, 0, maxReportedMs, 0);
     return plausible;
 }
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -61,6 +61,8 @@
 inline constexpr double onTimeRuns = 2.0;
 inline constexpr double lateRuns = 0.4;
 inline constexpr double minLinkShare = 0.08; // share of a link's rate that a transfer gets at any load
+// Responses of routes with a larger mean wait for the link of their VM, smaller ones do not.
+inline constexpr double largeResponseMeanBytes = 16.0 * 1024.0;
 inline constexpr double reportHalfLifeMs = 400.0; // time after which a report has half its weight
 inline constexpr double tieShare = 0.1; // scores within this share of the best count as equal
 // Means of about eight runs differ from the typical run time by these shares through noise alone. The lower bound is
@@ -91,13 +93,23 @@
     double slowdown = 1.0; // current run times relative to the usual ones
     double linkLoad = 0; // used share of the VM's link rate
     double meanActiveRunMs = 0; // mean expected run time of the running requests
+    double transferWaitMs = 0; // that a large response waits for the VM's link
 
     friend auto operator<=>(const worker_report &, const worker_report &) = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad, meanActiveRunMs);
+        archive(running,
+                waiting,
+                waitMs[0],
+                waitMs[1],
+                waitMs[2],
+                failureShare,
+                slowdown,
+                linkLoad,
+                meanActiveRunMs,
+                transferWaitMs);
     }
 };
 
