--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -96,9 +96,10 @@
     const std::string port = std::to_string(node.addresses[Datagrams].port);
     return "[self]\nnodeName = \"" + node.plan.name + "\"\nipAddress = \"127.0.0.1\"\nzone = \"" + node.plan.dataCentre
         + "\"\nservice = \"" + node.plan.service + "\"\napplicationAddress = " + worker
-        + "[self.limits]\nmemoryMb = 260\nfileDescriptors = 1000\nlinkBandwidthMbps = 1000.0\n"
-        + "[network]\ninternalPortRange = [" + port + "," + port + "]\n[network.listenAddresses]\ninbound = "
-        + text(Inbound) + "outbound = " + text(Outbound) + "ready = " + text(Ready) + "control = " + text(Control)
+        + "[self.limits]\nmemoryMb = 260\nfileDescriptors = 1000\nlinkBandwidthMbps = "
+        + std::to_string(node.plan.linkMbps) + "\n[network]\ninternalPortRange = [" + port + "," + port
+        + "]\n[network.listenAddresses]\ninbound = " + text(Inbound) + "outbound = " + text(Outbound)
+        + "ready = " + text(Ready) + "control = " + text(Control)
         + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(store) + "\"\n"
         + "[terms.bounds]\ndrainTimeoutMs = 2000\ngracePeriodS = 6\nconfigApplyMs = 2000\nretryBudgetRatio = 0.2\n"
         + "budgetWindowS = 10\nbudgetExtraRetries = 64\n";
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -24,6 +24,9 @@
     std::string name;
     std::string service;
     std::string dataCentre;
+    double linkMbps = 1000; // of its VM, as the settings state it; the link itself is not slowed
+
+    friend bool operator==(const node_plan &, const node_plan &) = default;
 };
 
 // One route of a test configuration, under host `shop.example`.
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -238,6 +238,9 @@
     co_await pause(isHanging ? hangDuration : runDuration);
     --m_activeCoroutines;
     --m_running;
+    if (const std::uint64_t bytes = queryNumber(request.target, "bytes"); bytes > 0) {
+        response.body.assign(bytes, 'b');
+    }
     const std::uint64_t failure = queryNumber(request.target, "fail");
     response.status = queryNumber(request.target, "lose") > 0 ? 0 : failure > 0 ? static_cast<unsigned>(failure) : 200;
     response.headers.push_back({"Server-Signature", "stand-in." + m_options.id});
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -7,8 +7,8 @@
 //   CHECK(worker.seen("r-1").runs == 1);
 //
 // The query of a request selects its outcome: `run=MS` sets the duration of the run, `fail=STATUS` the status of the
-// response, `lose=1` closes the connection after the run without a response, and `crash=1` ends the worker. After
-// hang(), every request runs for `hangDuration`.
+// response, `bytes=N` the size of its body, `lose=1` closes the connection after the run without a response, and
+// `crash=1` ends the worker. After hang(), every request runs for `hangDuration`.
 #pragma once
 
 #include <atomic>
