Let the queue and the placement follow what the worker runs well

The node beside a worker runs as many requests as it has learned that the worker runs well, and tells other nodes this number and how run times grow with the load. The load header moves from mesh/inbound to mesh/worker_load.

--- a/packages/pistachioquayd/main.cc
+++ b/packages/pistachioquayd/main.cc
@@ -20,7 +20,7 @@
 
 Usage:
   pistachioquayd --settings FILE [--check]
-  pistachioquayd --platform [--check] [--traffic-cost=SHARE]
+  pistachioquayd --platform [--check] [--traffic-cost=SHARE] [--fixed-slots]
   pistachioquayd (-h | --help)
   pistachioquayd --version
 
@@ -29,6 +29,7 @@
   --platform       Run on the platform, with the settings file that its environment names.
   --traffic-cost=SHARE  Cost of one KiB between data centres, as the share of the target latency that callers would rather
                    wait than send it; 0 makes all data centres equal [default: 0.4].
+  --fixed-slots    Run as many requests at once as the upstream reports slots; do not learn how many it runs well.
   --check          Check the settings and exit.
   -h --help        Show this text.
   --version        Show the version.
@@ -49,7 +50,7 @@
     return isNumber && value >= 0 && value <= 1000 ? std::optional(value) : std::nullopt;
 }
 
-int runOnPlatform(bool onlyChecks, const std::string &trafficCostText)
+int runOnPlatform(bool onlyChecks, const std::string &trafficCostText, bool hasFixedSlots)
 {
     const auto trafficCost = parseTrafficCost(trafficCostText);
     if (!trafficCost) {
@@ -63,7 +64,7 @@
                      "file\n";
         return exitSettings;
     }
-    return onlyChecks ? platform::checkSettings(path) : platform::runNode(path, *trafficCost);
+    return onlyChecks ? platform::checkSettings(path) : platform::runNode(path, {*trafficCost, !hasFixedSlots});
 }
 
 } // namespace
@@ -75,6 +76,7 @@
                                           true,
                                           "pistachioquayd " PISTACHIOQUAY_VERSION);
     const bool onlyChecks = arguments.at("--check").asBool();
-    return arguments.at("--platform").asBool() ? runOnPlatform(onlyChecks, arguments.at("--traffic-cost").asString())
-                                               : runSettingsNode(arguments.at("--settings").asString(), onlyChecks);
+    return arguments.at("--platform").asBool()
+        ? runOnPlatform(onlyChecks, arguments.at("--traffic-cost").asString(), arguments.at("--fixed-slots").asBool())
+        : runSettingsNode(arguments.at("--settings").asString(), onlyChecks);
 }
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -1,7 +1,6 @@
 #include "process/mesh/inbound.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <ranges>
 
@@ -18,30 +17,10 @@
 constexpr std::size_t bufferedMemoryDivisor = 4; // share of the memory for all responses that arrive
 constexpr double outcomeWeight = 0.08; // weight of one request in the moving average of failures
 constexpr double hungRunFactor = 3.0; // a run that is cancelled after this many expected run times counts as failed
-constexpr double slowdownHalfLifeMs = 300.0; // a reported slowdown changes many times a second
 constexpr unsigned maxWorkerAttempts = 2; // a second one if the reused connection turned out to be closed
 constexpr milliseconds probeTimeout{200}; // of the connect that tells a crashed worker from a lost response
 constexpr milliseconds probePollInterval{1};
 constexpr milliseconds minQueueCheckInterval{5}; // time between checks for requests that cannot be served
-constexpr std::uint32_t defaultSlots = 4; // assumed until the worker has reported its slots
-
-// Returns the fields of the load header (running, waiting, slots and, if given, the slowdown in percent); empty if one
-// is not a number.
-std::vector<double> parseNumbers(std::string_view text)
-{
-    std::vector<double> numbers;
-    while (!text.empty()) {
-        const auto comma = std::min(text.find(','), text.size());
-        double value = 0;
-        const auto parsed = std::from_chars(text.data(), text.data() + comma, value);
-        if (parsed.ec != std::errc{}) {
-            return {};
-        }
-        numbers.push_back(value);
-        text.remove_prefix(std::min(comma + 1, text.size()));
-    }
-    return numbers;
-}
 
 // Returns the message with each number within its range: it comes from another node.
 call_message bounded(call_message message)
@@ -69,9 +48,10 @@
                       .echoHeader = context.options.headers.requestId,
                       .maxResponseBytes = context.options.memoryBytes / responseMemoryDivisor,
                       .maxBufferedBytes = context.options.memoryBytes / bufferedMemoryDivisor})
+    , m_workerLoad(context)
     , m_queueTimer(context.executor)
 {
-    m_queue.slots = defaultSlots;
+    m_queue.slots = m_workerLoad.usableSlots();
     m_queue.closedReason = queue_refusal::WorkerDown;
 }
 
@@ -183,7 +163,9 @@
     if (co_await awaitSlot(message, request, open, cancellation, reply)) {
         reply.waitedMs = millisBetween(now, steadyNow());
         m_runningRepeats += message.repeatShare;
+        const run_start started = m_workerLoad.beginRun(steadyNow());
         co_await runOnWorker(message, request.requestDeadline, cancellation, reply);
+        m_workerLoad.endRun(started, message.route, reply, cancellation->isCancelled(), steadyNow());
         m_runningRepeats -= message.repeatShare;
     }
     finish(m_queue, request.ticket);
@@ -356,7 +338,7 @@
         recordOutcome(true);
         return;
     }
-    recordWorkerLoad(result.response, now);
+    m_workerLoad.recordResponse(result.response, now);
     const bool isSigned = findHeader(result.response.headers, names.signature).has_value();
     const bool isOtherWorker = result.response.status == 421;
     if (findHeader(result.response.headers, names.notRun) || isOtherWorker) {
@@ -496,19 +478,6 @@
     }
 }
 
-void inbound_handler::recordWorkerLoad(const whole_response &response, time_point now)
-{
-    const auto header = findHeader(response.headers, m_context.options.headers.load);
-    if (!header) {
-        return;
-    }
-    const std::vector<double> numbers = parseNumbers(*header);
-    if (numbers.size() >= 4 && numbers[3] > 0) {
-        m_slowdown = std::clamp(numbers[3] / 100.0, 1 / maxSlowdown, maxSlowdown);
-        m_slowdownAt = now;
-    }
-}
-
 void inbound_handler::recordOutcome(bool isFailure)
 {
     m_failureShare += outcomeWeight * ((isFailure ? 1.0 : 0.0) - m_failureShare);
@@ -524,7 +493,7 @@
     }
     report.meanActiveRunMs = meanActiveRunMs(m_queue);
     report.failureShare = m_failureShare;
-    report.slowdown = 1.0 + (m_slowdown - 1.0) * std::exp2(-msBetween(m_slowdownAt, now) / slowdownHalfLifeMs);
+    m_workerLoad.fillReport(report, now);
     report.linkLoad = std::max(m_context.linkMeter.load(m_context.options.linkBytesPerMs, now),
                                reservedShare(m_context.linkReservations));
     return report;
@@ -532,6 +501,7 @@
 
 void inbound_handler::dispatchQueued(time_point now)
 {
+    m_queue.slots = m_workerLoad.slots(m_queue.waiting.size(), now);
     refuseQueued(removeUnservable(m_queue, now, m_context.generator));
     for (auto ticket = startNext(m_queue, now); ticket; ticket = startNext(m_queue, now)) {
         const auto found = m_waitingCalls.find(*ticket);
@@ -578,7 +548,7 @@
 void inbound_handler::onWorkerChange(time_point now)
 {
     const worker_liveness &worker = m_context.worker;
-    m_queue.slots = worker.slots > 0 ? worker.slots : defaultSlots;
+    m_workerLoad.onWorkerChange(now);
     if (worker.isLeaving || m_context.isInboundClosed) {
         m_queue.closedReason = queue_refusal::Draining;
     } else {
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -11,6 +11,7 @@
 
 #include "connection/loop/http_client.h"
 #include "process/mesh/context.h"
+#include "process/mesh/worker_load.h"
 #include "request/ledger/ledger.h"
 #include "request/run_time/run_time.h"
 #include "request/waiting/waiting.h"
@@ -61,6 +62,10 @@
         return m_queue.running.empty() ? 0.0
                                        : std::min(1.0, m_runningRepeats / static_cast<double>(m_queue.running.size()));
     }
+    const worker_load &workerLoad() const
+    {
+        return m_workerLoad;
+    }
     const client_counts &connectionCounts() const
     {
         return m_workerClient.counts();
@@ -98,7 +103,6 @@
     whole_request makeWorkerRequest(const call_message &message, time_point requestDeadline, time_point now) const;
     void evaluateWorkerResponse(const call_message &message, exchange_result result, double tookMs, call_reply &reply);
     void recordCancelledRun(const call_message &message, double tookMs, time_point now);
-    void recordWorkerLoad(const whole_response &response, time_point now);
     void recordOutcome(bool isFailure);
     void dispatchQueued(time_point now);
     void refuseQueued(const std::vector<refused_request> &refused);
@@ -114,14 +118,13 @@
     async_http_client m_workerClient;
     request_queue m_queue;
     run_time_estimates m_runTimes;
+    worker_load m_workerLoad;
     deduplication_table<call_reply> m_deduplication;
     std::unordered_map<std::uint64_t, std::shared_ptr<open_call>> m_waitingCalls; // by ticket
     std::unordered_map<std::string, std::shared_ptr<open_call>> m_openCalls; // by id
     std::uint64_t m_lastTicket = 0;
     double m_runningRepeats = 0; // sum of `repeatShare` of the running calls
     double m_failureShare = 0;
-    double m_slowdown = 1.0; // as the worker last reported it
-    time_point m_slowdownAt;
     bool m_isProbing = false;
     exchange_end m_lastProbe = exchange_end::Complete;
     net::steady_timer m_queueTimer;
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -317,6 +317,9 @@
     text += line("nodes_known", context.fleet.nodes.size());
     text += line("worker_running", m_impl->inbound.runningCount());
     text += line("worker_waiting", m_impl->inbound.waitingCount());
+    text += line("worker_slots_reported", m_impl->inbound.workerLoad().capacity().reportedSlots);
+    text += line("worker_slots_usable", m_impl->inbound.workerLoad().usableSlots());
+    text += line("worker_load_slope", loadSlope(m_impl->inbound.workerLoad().capacity()));
     text += line("worker_reachable", context.worker.isUnreachable ? 0 : 1);
     text += line("worker_heard_age_ms", millisBetween(context.worker.lastHeardAt, steadyNow()));
     text += line("worker_connections_opened_total", m_impl->inbound.connectionCounts().opened);
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -54,6 +54,7 @@
     milliseconds gracePeriod{6000}; // from the stop signal until the process is killed
     milliseconds configApplyLimit{2000}; // within which a published version must be applied
     double trafficCostPerKb = defaultTrafficCostPerKb; // of traffic between data centres, see `placement_state`
+    bool learnsCapacity = true; // of the worker; otherwise as many requests run as it reports slots
     retry_budget_limits resends; // `nodes` is set from the number of known nodes
     mesh_headers headers;
 };
--- a/packages/request/capacity/capacity.cc
+++ b/packages/request/capacity/capacity.cc
@@ -272,7 +272,7 @@
     fresh.running = capacity.running;
     fresh.runningMs = capacity.runningMs;
     fresh.runningMsAt = capacity.runningMsAt;
-    fresh.warmUpUntil = warmUpUntil;
+    fresh.warmUpUntil = std::max(warmUpUntil, now);
     fresh.lastAtLimit = now;
     capacity = std::move(fresh);
 }
--- a/packages/request/capacity/capacity.h
+++ b/packages/request/capacity/capacity.h
@@ -174,8 +174,8 @@
 // limit that equals the reported slots stays equal.
 void setReportedSlots(worker_capacity &capacity, std::uint32_t slots, time_point now);
 
-// resetCapacity forgets what was learned, after the worker was replaced. Runs that have begun stay counted. Runs that
-// begin before `warmUpUntil` are not learned from.
+// resetCapacity forgets what was learned, after the worker was replaced. Runs that have begun stay counted, but are
+// not learned from, as those that begin before `warmUpUntil`.
 void resetCapacity(worker_capacity &capacity, time_point warmUpUntil, time_point now);
 
 // beginRun counts a run that begins.
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -51,22 +51,33 @@
     return *middle;
 }
 
+// Returns the number of requests that run at once on the worker.
+double runnableOn(const candidate_worker &worker)
+{
+    const std::uint32_t slots = std::max<std::uint32_t>(worker.entry.slots, 1);
+    return worker.report.usableSlots > 0 ? std::min(worker.report.usableSlots, slots) : slots;
+}
+
 double waitMs(const candidate_worker &worker, std::uint32_t priority, double runMs, time_point now)
 {
     const std::size_t index = std::min<std::size_t>(priority, reportedPriorities - 1);
     const double age = msBetween(worker.reportAt, now);
     const double weight = std::exp2(-age / reportHalfLifeMs);
-    const double slots = std::max<std::uint32_t>(worker.entry.slots, 1);
+    const double slots = runnableOn(worker);
     const double occupied = worker.report.running * weight + worker.sentSinceReport;
     const double ownQueue = std::max(0.0, occupied - slots) * runMs / slots;
     return worker.report.waitMs.at(index) * weight + ownQueue;
 }
 
+// Returns the delay of all requests on the worker by a further one. With n requests running on s slots each takes
+// `idle` * (1 + slope * n / s), so a further one delays the n others by `idle` * slope / s each; `runMs` was measured
+// under load and contains the delay of the request itself.
 double contentionMs(const candidate_worker &worker, double runMs)
 {
     const double slots = std::max<std::uint32_t>(worker.entry.slots, 1);
     const double used = std::min(1.0, (worker.report.running + worker.sentSinceReport) / slots);
-    return runMs * contentionShare * used * used;
+    const double slope = worker.report.loadSlope;
+    return slope > 0 ? runMs * slope * used / (1.0 + slope * used) : runMs * contentionShare * used * used;
 }
 
 // Returns the transfer time of `bytes` on a link of which the share `load` is in use.
@@ -208,6 +219,7 @@
     plausible.failureShare = bounded(report.failureShare, 0, 1, 0);
     plausible.slowdown = bounded(report.slowdown, 1 / maxSlowdown, maxSlowdown, 1);
     plausible.linkLoad = bounded(report.linkLoad, 0, 1, 0);
+    plausible.loadSlope = bounded(report.loadSlope, 0, maxReportedLoadSlope, 0);
     plausible.meanActiveRunMs = bounded(report.meanActiveRunMs, 0, maxReportedMs, 0);
     return plausible;
 }
