Learn capacity with fewer trials; keep the constant contention share of the placement

A trial of a lower limit cost throughput on workers that run all slots well: it ends early when it loses throughput, and is repeated less often.

pq_capacity_test and pq_placement_test pass.

--- a/packages/process/mesh/worker_load.cc
+++ b/packages/process/mesh/worker_load.cc
@@ -118,7 +118,6 @@
     report.slowdown = slowdown(now);
     if (m_context.options.learnsCapacity) {
         report.usableSlots = m_capacity.limit;
-        report.loadSlope = loadSlope(m_capacity);
     }
 }
 
--- a/packages/request/capacity/capacity.cc
+++ b/packages/request/capacity/capacity.cc
@@ -13,15 +13,20 @@
 constexpr double typicalWeight = 0.01; // of a run in the typical run of its route, slower than a change of the worker
 constexpr std::uint32_t minRouteSamples = 6; // runs of a route before its runs are compared with the typical one
 constexpr double levelWeight = 0.05; // of a run in the level and in the mean run time
-constexpr double loadRetention = 0.99; // of the fit over load for each run, so that it follows changes
+constexpr double loadRetention = 0.998; // of the fit over load for each run, so that it follows changes
 constexpr double minLoadWeight = 30.0; // runs that the fit over load needs
-constexpr double minLoadVariance = 0.01; // of the used share of the slots in it
+constexpr double minLoadVariance = 0.004; // of the used share of the slots in it
+// Runs that would show `usualLoadSlope` and are counted with the others: a few runs, which differ for other reasons, do
+// not make a worker look better or worse than an equal one.
+constexpr double usualRuns = 200.0;
+constexpr double usualVariance = 0.02; // of the used share of the slots in them
 constexpr double minTrialRuns = 10.0; // runs that a round of a trial needs
 constexpr double minTrialVariance = 0.002; // of the logarithm of the mean number of running requests in it
 constexpr double retention = 0.97; // of the runs at the limit for each further one: about the last thirty
 // Time for which a limit is in force in a trial, in typical run times: the runs of the other limit end in the first
 // one.
 constexpr double phaseRuns = 2.0;
+constexpr double earlyEndRuns = 1.0; // after which a trial that costs throughput may end
 // Bounds of the typical run time in a trial, so that a round neither ends between two events nor outlasts a change of
 // the load.
 constexpr double minUnitMs = 20.0;
@@ -136,9 +141,6 @@
 // Returns whether a trial of a lower limit is due. Workers that run well at any load get one seldom.
 bool isLowerDue(const worker_capacity &capacity, time_point now)
 {
-    if (lowerLimit(capacity) >= capacity.limit) {
-        return false;
-    }
     const bool isPrompted = loadSlope(capacity) >= promptingSlope || capacity.failureShare >= promptingFailureShare;
     return now >= capacity.nextUnpromptedAt || (isPrompted && now >= capacity.lower.nextAt);
 }
@@ -165,23 +167,23 @@
     if (!isLong || now < capacity.warmUpUntil || capacity.meanRunMs <= 0) {
         return;
     }
-    if (isSlow(capacity, now)) {
-        // The worker has changed: what earlier trials have shown no longer holds.
-        capacity.slowSince = now;
+    const bool hasSlowed = isSlow(capacity, now);
+    if (hasSlowed) {
+        capacity.slowSince = now; // the next trial for this reason is not before it has lasted for as long again
         capacity.lower = {now};
-        capacity.nextUnpromptedAt = now;
     }
+    const std::uint32_t lower = lowerLimit(capacity);
     if (capacity.limit < capacity.reportedSlots && now >= capacity.higher.nextAt) {
         beginTrial(capacity, higherLimit(capacity), now);
-    } else if (isLowerDue(capacity, now)) {
-        beginTrial(capacity, lowerLimit(capacity), now);
+    } else if (lower < capacity.limit && (hasSlowed || isLowerDue(capacity, now))) {
+        beginTrial(capacity, lower, now);
     }
 }
 
 void extendPause(trial_pause &pause, milliseconds longest, time_point now)
 {
     pause.nextAt = now + pause.length;
-    pause.length = std::min(pause.length * 2, longest);
+    pause.length = std::min(pause.length * trialPauseGrowth, longest);
 }
 
 limit_change changeLimit(worker_capacity &capacity, std::uint32_t to, double elasticity)
@@ -212,6 +214,14 @@
     return time->slope - success->slope * runs.successes.weight / runs.successes.y;
 }
 
+// Returns whether the runs of a lower limit already show that it completes less.
+bool isInVain(const worker_capacity &capacity)
+{
+    const auto elasticity = elasticityOf(capacity.lastRuns);
+    return capacity.trial->isTriedInForce && capacity.trial->tried < capacity.limit && elasticity
+        && *elasticity < vainElasticity;
+}
+
 // Ends a round of the trial: another round, the tried limit, or the limit as it was.
 std::optional<limit_change> endRound(worker_capacity &capacity, time_point now)
 {
@@ -327,7 +337,8 @@
         capacity.lastAtLimit = now;
     }
     if (capacity.trial) {
-        if (msBetween(capacity.trial->phaseStartedAt, now) < phaseRuns * capacity.trial->unitMs) {
+        const double elapsedRuns = msBetween(capacity.trial->phaseStartedAt, now) / capacity.trial->unitMs;
+        if (elapsedRuns < phaseRuns && !(elapsedRuns >= earlyEndRuns && isInVain(capacity))) {
             return std::nullopt;
         }
         if (capacity.trial->isTriedInForce) {
@@ -351,13 +362,19 @@
 
 double loadSlope(const worker_capacity &capacity)
 {
-    const auto fit = fitLine(capacity.load, minLoadWeight, minLoadVariance);
-    if (!fit) {
+    const line_sums &sums = capacity.load;
+    if (!fitLine(sums, minLoadWeight, minLoadVariance)) {
         return 0;
     }
+    const double meanX = sums.x / sums.weight;
+    const double meanY = sums.y / sums.weight;
+    // At the mean of the runs, the usual line has the same run time.
+    const double usual = meanY * usualLoadSlope / (1 + usualLoadSlope * meanX);
+    const double usualSpread = usualRuns * usualVariance;
+    const double slope = (sums.xy - meanX * sums.y + usualSpread * usual) / (sums.xx - meanX * sums.x + usualSpread);
+    const double atZero = meanY - slope * meanX;
     // A line that is not positive at the idle worker grows without bound.
-    const double slope = fit->atZero > 0 ? fit->slope / fit->atZero : maxLoadSlope;
-    return std::clamp(slope, minLoadSlope, maxLoadSlope);
+    return std::clamp(atZero > 0 ? slope / atZero : maxLoadSlope, minLoadSlope, maxLoadSlope);
 }
 
 } // namespace pistachioquay
--- a/packages/request/capacity/capacity.h
+++ b/packages/request/capacity/capacity.h
@@ -42,20 +42,25 @@
 // Of two limits the lower one is kept from this elasticity on. It is less than 1 so that the lower one is kept also if
 // both give the same throughput and the measurement varies.
 inline constexpr double equalThroughputElasticity = 0.9;
+inline constexpr double vainElasticity = 0.45; // below it a trial of a lower limit ends early: it loses throughput
 inline constexpr unsigned agreeingRounds = 2; // a disturbance of one round of a trial does not lower the limit
 // From here on one round lowers the limit: half as many running requests would have to be three times as fast by
 // chance.
 inline constexpr double clearElasticity = 1.6;
-inline constexpr milliseconds minTrialPause{2000}; // between trials in one direction; doubles with each in vain
-inline constexpr milliseconds maxLowerPause{16'000};
+inline constexpr milliseconds minTrialPause{2000}; // between trials in one direction; grows with each in vain
+inline constexpr int trialPauseGrowth = 4;
+// A trial of a lower limit that is rejected has cost throughput. A change of the worker ends the pause.
+inline constexpr milliseconds maxLowerPause{60'000};
 inline constexpr milliseconds maxHigherPause{4000}; // a worker that has recovered is used again within this time
-inline constexpr milliseconds unpromptedTrialInterval{20'000}; // of trials of a lower limit without a sign for it
+inline constexpr milliseconds unpromptedTrialInterval{60'000}; // of trials of a lower limit without a sign for it
 inline constexpr milliseconds unusedLimitExpiry{10'000}; // a limit that was not reached for this long is raised
-inline constexpr double promptingSlope = 1.0; // a worker that takes twice as long when full gives reason for a trial
+// A worker that takes twice as long when full gives reason for a trial.
+inline constexpr double promptingSlope = 1.0;
 inline constexpr double promptingFailureShare = 0.1; // so does this share of failed runs
 inline constexpr double promptingRatio = 1.3; // and so do runs of this multiple of the typical ones
 inline constexpr milliseconds promptingDuration{800}; // if they last for this long, longer than a passing disturbance
 inline constexpr std::size_t maxCapacityRoutes = 4096; // bounds the memory; runs of further routes are not counted
+inline constexpr double usualLoadSlope = 0.25; // assumed until runs show another one
 inline constexpr double maxLoadSlope = 4.0;
 inline constexpr double minLoadSlope = 0.01; // reported for a worker whose run times do not grow; 0 means not known
 
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -69,15 +69,11 @@
     return worker.report.waitMs.at(index) * weight + ownQueue;
 }
 
-// Returns the delay of all requests on the worker by a further one. With n requests running on s slots each takes
-// `idle` * (1 + slope * n / s), so a further one delays the n others by `idle` * slope / s each; `runMs` was measured
-// under load and contains the delay of the request itself.
 double contentionMs(const candidate_worker &worker, double runMs)
 {
     const double slots = std::max<std::uint32_t>(worker.entry.slots, 1);
     const double used = std::min(1.0, (worker.report.running + worker.sentSinceReport) / slots);
-    const double slope = worker.report.loadSlope;
-    return slope > 0 ? runMs * slope * used / (1.0 + slope * used) : runMs * contentionShare * used * used;
+    return runMs * contentionShare * used * used;
 }
 
 // Returns the transfer time of `bytes` on a link of which the share `load` is in use.
@@ -219,7 +215,6 @@
     plausible.failureShare = bounded(report.failureShare, 0, 1, 0);
     plausible.slowdown = bounded(report.slowdown, 1 / maxSlowdown, maxSlowdown, 1);
     plausible.linkLoad = bounded(report.linkLoad, 0, 1, 0);
-    plausible.loadSlope = bounded(report.loadSlope, 0, maxReportedLoadSlope, 0);
     plausible.meanActiveRunMs = bounded(report.meanActiveRunMs, 0, maxReportedMs, 0);
     return plausible;
 }
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -8,8 +8,7 @@
 // Load pattern: the workers of a service differ in speed, slow down for a second because of noisy neighbours, and
 // receive requests from many nodes at once, each of which has load reports of a different age. Therefore
 // - the expected time at a worker is its reported wait plus the run time of the route there;
-// - a request on a worker whose run times grow with the load delays the others there, which counts as cost
-//   (`loadSlope`); requests beyond those that the worker runs well (`usableSlots`) wait;
+// - requests beyond those that the worker runs well (`usableSlots`) wait there;
 // - a response after the target has little value, so the probability of one counts as `lateCostTargets` targets: a
 //   longer wait matters little as long as the target is met, and much when it is missed;
 // - a worker that is expected to refuse the request, because it would finish late there behind others, is only used if
@@ -81,8 +80,7 @@
 // Reports and run times come from other nodes; values beyond these bounds are wrong and are replaced.
 inline constexpr double maxReportedMs = 3600.0 * 1000.0;
 inline constexpr double maxSlowdown = 100.0;
-inline constexpr double contentionShare = 0.25; // slowdown of each run on a full worker whose `loadSlope` is not known
-inline constexpr double maxReportedLoadSlope = 10.0; // run times that grow faster are taken as this
+inline constexpr double contentionShare = 0.25; // slowdown of each run on a worker with all slots in use
 
 // Load report of a node about its worker.
 struct worker_report
@@ -95,8 +93,6 @@
     double linkLoad = 0; // used share of the VM's link rate
     double meanActiveRunMs = 0; // mean expected run time of the running requests
     std::uint32_t usableSlots = 0; // requests that the worker runs well at once; 0: not known
-    // Growth of run times from an idle worker to one with all slots in use, as share of the former; 0: not known.
-    double loadSlope = 0;
 
     friend auto operator<=>(const worker_report &, const worker_report &) = default;
 
@@ -104,7 +100,7 @@
     void serialize(Archive &archive)
     {
         archive(running, waiting, waitMs[0], waitMs[1], waitMs[2], failureShare, slowdown, linkLoad, meanActiveRunMs);
-        archive(usableSlots, loadSlope);
+        archive(usableSlots);
     }
 };
 
