--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -60,6 +60,7 @@
     // Within which a key that was taken away must be dead, at nodes without news too; empty: no proof is needed.
     std::optional<milliseconds> revocationLimit;
     double trafficCostPerKb = defaultTrafficCostPerKb; // of traffic between data centres, see `placement_state`
+    bool learnsCapacity = true; // of the worker; otherwise as many requests run as it reports slots
     retry_budget_limits resends; // `nodes` is set from the number of known nodes
     mesh_headers headers;
 };
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -51,6 +51,13 @@
     return *middle;
 }
 
+// Returns the number of requests that run at once on the worker.
+double runnableOn(const candidate_worker &worker)
+{
+    const std::uint32_t slots = std::max<std::uint32_t>(worker.entry.slots, 1);
+    return worker.report.usableSlots > 0 ? std::min(worker.report.usableSlots, slots) : slots;
+}
+
 std::size_t priorityIndex(std::uint32_t priority)
 {
     return std::min<std::size_t>(priority, reportedPriorities - 1);
@@ -65,7 +72,7 @@
 double waitMs(const candidate_worker &worker, std::uint32_t priority, double runMs, double otherwiseMs, time_point now)
 {
     const double weight = reportWeight(worker, now);
-    const double slots = std::max<std::uint32_t>(worker.entry.slots, 1);
+    const double slots = runnableOn(worker);
     const double occupied = worker.report.running * weight + worker.sentSinceReport;
     const double ownQueue = std::max(0.0, occupied - slots) * runMs / slots;
     return worker.report.waitMs.at(priorityIndex(priority)) * weight + otherwiseMs * (1.0 - weight) + ownQueue;
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -8,6 +8,7 @@
 // Load pattern: the workers of a service differ in speed, slow down for a second because of noisy neighbours, and
 // receive requests from many nodes at once, each of which has load reports of a different age. Therefore
 // - the expected time at a worker is its reported wait plus the run time of the route there;
+// - requests beyond those that the worker runs well (`usableSlots`) wait there;
 // - a response after the target has little value, so the probability of one counts as `lateCostTargets` targets: a
 //   longer wait matters little as long as the target is met, and much when it is missed;
 // - a worker that is expected to refuse the request, because it would finish late there behind others, is only used if
@@ -103,6 +104,7 @@
     double linkLoad = 0; // used share of the VM's link rate
     double meanActiveRunMs = 0; // mean expected run time of the running requests
     double transferWaitMs = 0; // that a large response waits for the VM's link
+    std::uint32_t usableSlots = 0; // requests that the worker runs well at once; 0: not known
 
     friend auto operator<=>(const worker_report &, const worker_report &) = default;
 
@@ -118,7 +120,8 @@
                 slowdown,
                 linkLoad,
                 meanActiveRunMs,
-                transferWaitMs);
+                transferWaitMs,
+                usableSlots);
     }
 };
 
