--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -91,6 +91,7 @@
     std::function<void(const crash_report &)> announceCrash; // sends a report to all nodes
     link_meter linkMeter;
     link_reservations linkReservations; // bandwidth of the own link that large bodies have reserved
+    body_memory bodyMemory; // for large bodies that other nodes send
     link_pacer pacer; // of the own link
     link_bookings linkBookings; // capacity of the own link for responses of the own worker
     mesh_metrics metrics;
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -61,6 +61,7 @@
             dissemination.gossip.announceCrash(report);
         };
         context.linkReservations.bytesPerMs = context.options.linkBytesPerMs;
+        context.bodyMemory.memoryBytes = context.options.memoryBytes;
         context.pacer.bytesPerMs = context.options.linkBytesPerMs;
         context.pacer.updatedAt = steadyNow();
     }
--- a/packages/process/mesh/paced_sender.h
+++ b/packages/process/mesh/paced_sender.h
@@ -18,7 +18,7 @@
 
 // Frames up to this size are sent at once, and larger ones in parts if the VM's link is paced. Bodies above it use the
 // separate links for large bodies.
-inline constexpr std::size_t largeFrameBytes = 16UL * 1024;
+inline constexpr std::size_t largeFrameBytes = largeResponseBytes;
 
 // How the sending of a large frame ended.
 enum class transfer_end : std::uint8_t
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -153,8 +153,13 @@
             return decodeMessage<reservation_message>(payload, meshFormatVersion, m_decodeCounters);
         });
         if (request) {
-            const bool isGranted =
-                reserveBandwidth(m_context.linkReservations, request->id, request->bytes, steadyNow());
+            const time_point now = steadyNow();
+            const bool isGranted = reserveMemory(m_context.bodyMemory, request->id, request->bytes, now)
+                && reserveBandwidth(m_context.linkReservations, request->id, request->bytes, now);
+            if (!isGranted) {
+                releaseMemory(m_context.bodyMemory, request->id);
+                m_context.metrics.count("reservations_denied_total");
+            }
             link.send(frameCode(frame_kind::Reserved),
                       encode(reservation_message{request->id, request->bytes, isGranted}));
         }
@@ -205,6 +210,9 @@
         return;
     }
     releaseBandwidth(m_context.linkReservations, message->id);
+    if (isLarge(message->request.body.size())) {
+        holdMemory(m_context.bodyMemory, message->id, message->request.body.size());
+    }
     message->hasCrossedLink = true;
     const auto cancellation = std::make_shared<cancellation_token>();
     m_incoming[&link].calls[message->id] = {cancellation, message->repeat == retry_policy::Retryable};
@@ -217,6 +225,7 @@
             terms.targetAt = steadyNow() + boundedMs(call.targetLeftMs);
             terms.deadline = steadyNow() + boundedMs(call.timeLeftMs);
             const call_reply reply = co_await m_events.onCall(std::move(call), cancellation);
+            releaseMemory(m_context.bodyMemory, id);
             const auto found = m_incoming.find(incoming.get());
             if (found != m_incoming.end()) {
                 found->second.calls.erase(id);
--- a/packages/request/link_room/link_booking.cc
+++ b/packages/request/link_room/link_booking.cc
@@ -30,7 +30,7 @@
 
 bool isLargeRoute(const link_bookings &bookings, const std::string &route)
 {
-    return meanBytesOf(bookings, route) > largeResponseBytes;
+    return meanBytesOf(bookings, route) > static_cast<double>(largeResponseBytes);
 }
 
 booking_decision book(link_bookings &bookings, const booking_request &request, const link_state &link, time_point now)
--- a/packages/request/link_room/link_booking.h
+++ b/packages/request/link_room/link_booking.h
@@ -24,7 +24,7 @@
 
 namespace pistachioquay {
 
-inline constexpr double largeResponseBytes = 16.0 * 1024.0; // smaller responses are sent at once and not booked
+inline constexpr std::size_t largeResponseBytes = 16UL * 1024; // up to this size they are sent at once and not booked
 inline constexpr double meanSizeWeight = 0.05; // weight of one response in the mean size of its route
 inline constexpr double sizeSpread = 0.5; // of the responses of a route, as share of their mean
 inline constexpr double marginDeviations = 2.0; // margin for larger responses: about one in forty exceeds it
--- a/packages/request/link_room/link_room.h
+++ b/packages/request/link_room/link_room.h
@@ -8,6 +8,9 @@
 // saturated: the bodies queue on it for seconds, and all other messages behind them. A sender therefore asks first, and
 // the receiving node grants only as much as its link can transfer within `reservableTime`.
 //
+// Load pattern: uploads of tens of megabytes arrive for all slots of a worker at once, and the node beside it runs out
+// of memory. It grants only as many as fit into `bodyMemoryShare` of its memory, with the copies that it makes of each.
+//
 // All functions operate on the state of one event loop and are not thread safe.
 #pragma once
 
@@ -22,6 +25,10 @@
 inline constexpr milliseconds reservableTime{150}; // total reservations, as transfer time of the link
 inline constexpr milliseconds reservationTimeout{1500}; // a body that has not arrived by then loses its reservation
 
+inline constexpr double bodyMemoryShare = 0.5; // of the node's memory, for large bodies with their copies
+// The message, the request for the worker, and the bytes that are written to it.
+inline constexpr std::uint64_t copiesOfBody = 3;
+
 struct link_reservations
 {
     struct reservation
@@ -40,6 +47,23 @@
 // releaseBandwidth ends a reservation.
 void releaseBandwidth(link_reservations &link, const std::string &id);
 
+// Memory for the large bodies that other nodes send, from their reservation until their request has ended.
+struct body_memory
+{
+    std::uint64_t memoryBytes = 0; // of the node; 0 if unknown: everything is granted
+    std::map<std::string, link_reservations::reservation> bodies; // by request id
+};
+
+// reserveMemory returns whether a body fits into the memory beside those that are held, and reserves it if so. The
+// reservation ends after `reservationTimeout` unless the body arrives.
+bool reserveMemory(body_memory &memory, const std::string &id, std::uint64_t bytes, time_point now);
+
+// holdMemory records that a body has arrived, with or without a reservation, and is held until `releaseMemory`.
+void holdMemory(body_memory &memory, const std::string &id, std::uint64_t bytes);
+
+// releaseMemory ends a reservation or records that a body is freed.
+void releaseMemory(body_memory &memory, const std::string &id);
+
 // reservedShare returns the reserved share of the link; may exceed 1 for a single large body.
 double reservedShare(const link_reservations &link);
 
--- a/packages/request/link_room/link_room_test.cc
+++ b/packages/request/link_room/link_room_test.cc
@@ -47,3 +47,17 @@
     CHECK(reserveBandwidth(link, "b", 60'000'000, start));
     CHECK(reservedShare(link) == 0);
 }
+
+TEST_CASE("large bodies are granted only while they fit into the memory with their copies, until they are freed")
+{
+    constexpr std::uint64_t mebibyte = 1024UL * 1024;
+    body_memory memory{260 * mebibyte, {}};
+    CHECK(reserveMemory(memory, "a", 20 * mebibyte, start));
+    CHECK(reserveMemory(memory, "b", 20 * mebibyte, start));
+    CHECK_FALSE(reserveMemory(memory, "c", 20 * mebibyte, start));
+    holdMemory(memory, "a", 20 * mebibyte);
+    CHECK(reserveMemory(memory, "c", 20 * mebibyte, start + reservationTimeout)); // b has not arrived
+    CHECK_FALSE(reserveMemory(memory, "d", 20 * mebibyte, start + reservationTimeout));
+    releaseMemory(memory, "a");
+    CHECK(reserveMemory(memory, "d", 20 * mebibyte, start + reservationTimeout));
+}
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -7,6 +7,7 @@
 #include <ranges>
 
 #include "base/milliseconds.h"
+#include "request/link_room/link_booking.h"
 
 namespace pistachioquay {
 
@@ -90,7 +91,7 @@
         + transferMs(bytes + queued, worker.entry.linkBytesPerMs, worker.report.linkLoad * weight);
     const auto response = state.responseBytes.find(request.route);
     const double responseBytes = response == state.responseBytes.end() ? 0.0 : response->second;
-    if (responseBytes > largeResponseMeanBytes) {
+    if (responseBytes > static_cast<double>(largeResponseBytes)) {
         cost += worker.report.transferWaitMs * weight + transferMs(responseBytes, worker.entry.linkBytesPerMs, 0);
     }
     if (worker.entry.dataCentre != state.dataCentre) {
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -61,8 +61,6 @@
 inline constexpr double onTimeRuns = 2.0;
 inline constexpr double lateRuns = 0.4;
 inline constexpr double minLinkShare = 0.08; // share of a link's rate that a transfer gets at any load
-// Responses of routes with a larger mean wait for the link of their VM, smaller ones do not.
-inline constexpr double largeResponseMeanBytes = 16.0 * 1024.0;
 inline constexpr double reportHalfLifeMs = 400.0; // time after which a report has half its weight
 inline constexpr double tieShare = 0.1; // scores within this share of the best count as equal
 // Means of about eight runs differ from the typical run time by these shares through noise alone. The lower bound is
--- a/packages/request/placement/placement_test.cc
+++ b/packages/request/placement/placement_test.cc
@@ -272,6 +272,7 @@
     report.slowdown = odd;
     report.linkLoad = odd;
     report.meanActiveRunMs = odd;
+    report.transferWaitMs = odd;
     recordReport(state, service, "odd", report, start);
     recordWorkerRunTime(state, service, "odd", "sign", odd, start);
     recordWorkerRunTime(state, service, "good", "sign", 100, start);
@@ -583,3 +584,19 @@
     CHECK(local.sentElsewhere > 0.1); // the data centre with most callers has room for less than half of them
     CHECK(local.onTime >= 0.9);
 }
+
+TEST_CASE("a download goes to the worker whose link is free, and a small response is not affected")
+{
+    placement_state state = stateWith({workerOf("a", "dc-1", 1375), workerOf("b", "dc-1", 1375)});
+    worker_report booked;
+    booked.transferWaitMs = 500;
+    booked.running = 1;
+    worker_report busy;
+    busy.running = 3;
+    recordReport(state, service, "a", booked, start);
+    recordReport(state, service, "b", busy, start);
+    CHECK(sendMany(state, 1, requestOf()).contains("a"));
+    recordReport(state, service, "a", booked, start);
+    recordResponseSize(state, "sign", 90'000);
+    CHECK(sendMany(state, 1, requestOf()).contains("b"));
+}
--- a/testing/platform/process/link_process_test.cc
+++ b/testing/platform/process/link_process_test.cc
@@ -35,7 +35,9 @@
 void loadLink(platform_mesh &mesh, time_point until, download_counts &counts)
 {
     std::vector<std::future<void>> callers;
-    for (int caller = 0; caller < 12; ++caller) {
+    constexpr int callerCount = 12;
+    callers.reserve(callerCount);
+    for (int caller = 0; caller < callerCount; ++caller) {
         callers.push_back(std::async(std::launch::async, [&, caller] {
             for (int index = 0; steadyNow() < until; ++index) {
                 const std::string id = "d-" + std::to_string(caller) + "-" + std::to_string(index);
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -635,6 +635,7 @@
     record.report.failureShare = odd;
     record.report.linkLoad = odd;
     record.report.meanActiveRunMs = odd;
+    record.report.transferWaitMs = odd;
     record.runMs["/orders/"] = odd;
     return encodeMessage(mesh_datagram(message), meshFormatVersion);
 }
