--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -5,21 +5,6 @@
 
 namespace pistachioquay {
 
-std::string_view replyName(reply_kind kind)
-{
-    switch (kind) {
-    case reply_kind::Response:
-        return "response";
-    case reply_kind::NotRun:
-        return "not-run";
-    case reply_kind::RejectedByWorker:
-        return "rejected-by-worker";
-    case reply_kind::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 namespace internal {
 
 link_state linkState(const mesh_context &context, time_point now)
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <ranges>
 
+#include "process/mesh/link_admission.h"
+
 namespace pistachioquay::internal {
 
 namespace {
@@ -43,18 +45,6 @@
     return numbers;
 }
 
-// Returns the message with each number within its range: it comes from another node.
-call_message bounded(call_message message)
-{
-    constexpr std::int64_t maxLeftMs = 24LL * 3600 * 1000;
-    message.targetLeftMs = std::clamp(message.targetLeftMs, -maxLeftMs, maxLeftMs);
-    message.timeLeftMs = std::clamp<std::int64_t>(message.timeLeftMs, 1, maxLeftMs);
-    message.typicalRunMs = std::clamp<std::int64_t>(message.typicalRunMs, 0, maxLeftMs);
-    message.longestWaitMs = std::clamp<std::int64_t>(message.longestWaitMs, 0, maxLeftMs);
-    message.repeatShare = message.repeatShare > 0 ? std::min(message.repeatShare, 1.0) : 0.0; // also if not a number
-    return message;
-}
-
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -176,7 +166,8 @@
         co_return makeNotRunReply(message.id, "retry-budget");
     }
     if (message.hasCrossedLink) {
-        if (auto refused = refuseForLink(message, request, now)) {
+        const double waitMs = expectedWaitMs(m_queue, request.priority, now);
+        if (auto refused = refuseForLink(m_context, message, request, waitMs, now)) {
             co_return std::move(*refused);
         }
     }
@@ -200,37 +191,6 @@
     co_return reply;
 }
 
-// Refuses a call whose response would be late because of the link; otherwise books the capacity for it.
-std::optional<call_reply>
-inbound_handler::refuseForLink(const call_message &message, const queued_request &request, time_point now)
-{
-    const link_state link = linkState(m_context, now);
-    const booking_request wanted{message.id,
-                                 message.route,
-                                 expectedWaitMs(m_queue, request.priority, now),
-                                 request.expectedRunMs,
-                                 request.targetAt,
-                                 request.requestDeadline};
-    const booking_decision decision = book(m_context.linkBookings, wanted, link, now);
-    if (decision.isBooked) {
-        return std::nullopt;
-    }
-    call_reply reply = makeNotRunReply(message.id, linkBookedReason);
-    reply.retryAfterMs = decision.retryAfterMs;
-    m_context.metrics.count("inbound_refused_total{reason=\"" + reply.reason + "\"}");
-    m_context.log(log_line("inbound", "refused")
-                      .add("id", message.id)
-                      .add("route", message.route)
-                      .add("reason", reply.reason)
-                      .add("transfer_ms", decision.transferMs)
-                      .add("queued_bytes", link.queuedBytes)
-                      .add("booked_bytes", m_context.linkBookings.bookedBytes)
-                      .add("drain_bytes_per_ms", link.drainBytesPerMs)
-                      .add("target_left_ms", message.targetLeftMs)
-                      .add("retry_after_ms", reply.retryAfterMs));
-    return reply;
-}
-
 awaitable<bool> inbound_handler::awaitSlot(const call_message &message,
                                            const queued_request &request,
                                            const std::shared_ptr<open_call> &open,
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -86,7 +86,6 @@
     awaitable<call_reply> joinOpenCall(const std::string &id, time_point until);
     awaitable<call_reply> runNewCall(const call_message &message,
                                      const std::shared_ptr<cancellation_token> &cancellation);
-    std::optional<call_reply> refuseForLink(const call_message &message, const queued_request &request, time_point now);
     awaitable<bool> awaitSlot(const call_message &message,
                               const queued_request &request,
                               const std::shared_ptr<open_call> &open,
--- /dev/null
+++ b/packages/process/mesh/messages.cc
@@ -0,0 +1,33 @@
+#include "process/mesh/messages.h"
+
+#include <algorithm>
+
+namespace pistachioquay {
+
+std::string_view replyName(reply_kind kind)
+{
+    switch (kind) {
+    case reply_kind::Response:
+        return "response";
+    case reply_kind::NotRun:
+        return "not-run";
+    case reply_kind::RejectedByWorker:
+        return "rejected-by-worker";
+    case reply_kind::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+call_message bounded(call_message message)
+{
+    constexpr std::int64_t maxLeftMs = 24LL * 3600 * 1000;
+    message.targetLeftMs = std::clamp(message.targetLeftMs, -maxLeftMs, maxLeftMs);
+    message.timeLeftMs = std::clamp<std::int64_t>(message.timeLeftMs, 1, maxLeftMs);
+    message.typicalRunMs = std::clamp<std::int64_t>(message.typicalRunMs, 0, maxLeftMs);
+    message.longestWaitMs = std::clamp<std::int64_t>(message.longestWaitMs, 0, maxLeftMs);
+    message.repeatShare = message.repeatShare > 0 ? std::min(message.repeatShare, 1.0) : 0.0; // also if not a number
+    return message;
+}
+
+} // namespace pistachioquay
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -97,6 +97,9 @@
     }
 };
 
+// bounded returns the message with each number within its range: it comes from another node. Thread safe.
+call_message bounded(call_message message);
+
 // Reason of the reply to a call that was handed back: it would have queued for longer than `longestWaitMs`.
 inline constexpr std::string_view handedBackReason = "handed-back";
 
--- a/packages/process/mesh/peer_links.cc
+++ b/packages/process/mesh/peer_links.cc
@@ -30,13 +30,6 @@
     return encodeMessage(message, meshFormatVersion);
 }
 
-// Returns the time that a message states, within a day of now: it comes from another node.
-milliseconds boundedMs(std::int64_t stated)
-{
-    constexpr std::int64_t maxMs = 24LL * 3600 * 1000;
-    return milliseconds(std::clamp(stated, -maxMs, maxMs));
-}
-
 } // namespace
 
 std::string_view endName(peer_end end)
@@ -213,6 +206,7 @@
     if (isLarge(message->request.body.size())) {
         holdMemory(m_context.bodyMemory, message->id, message->request.body.size());
     }
+    *message = bounded(std::move(*message));
     message->hasCrossedLink = true;
     const auto cancellation = std::make_shared<cancellation_token>();
     m_incoming[&link].calls[message->id] = {cancellation, message->repeat == retry_policy::Retryable};
@@ -222,8 +216,8 @@
         -> awaitable<void> {
             const std::string id = call.id;
             transfer_terms terms;
-            terms.targetAt = steadyNow() + boundedMs(call.targetLeftMs);
-            terms.deadline = steadyNow() + boundedMs(call.timeLeftMs);
+            terms.targetAt = steadyNow() + milliseconds(call.targetLeftMs);
+            terms.deadline = steadyNow() + milliseconds(call.timeLeftMs);
             const call_reply reply = co_await m_events.onCall(std::move(call), cancellation);
             releaseMemory(m_context.bodyMemory, id);
             const auto found = m_incoming.find(incoming.get());
