Check keys of client accounts where requests enter, and refuse keys without a proof of freshness

Keys were not looked at: requests with any key ran, the worker saw the key and whatever account the caller had named, and a key that was taken away went on at nodes without news.

The entry node looks the key up once a request is read, and again before an attempt if the version has changed. Unknown, missing and ambiguous keys get 401; calls carry the account and its priority; key and account headers of callers are removed at both ends. With strictRevocation in the settings, keys are accepted only with a proof younger than revokeMs: an own read of the store from the time at which it was sent, or another node's answer from the time at which it was asked less the age that it states. Otherwise 503 `key-not-provable`; routes without keys go on. Reads for proofs back off if the newest version cannot be decoded, which no read can prove.

--- a/packages/process/mesh/config_spread.cc
+++ b/packages/process/mesh/config_spread.cc
@@ -156,11 +156,12 @@
     return message;
 }
 
-void config_spread::applyConfig(std::string bytes, std::string_view source)
+// Applies a decodable text if its version is newer than the applied one. Returns whether it is decodable.
+bool config_spread::applyConfig(std::string bytes, std::string_view source)
 {
     const std::uint64_t hash = hash64(bytes);
     if (hash == m_rejectedHash) {
-        return;
+        return false;
     }
     const auto decoded = attempt([&] {
         return m_context.platform.decodeConfig(bytes);
@@ -172,10 +173,10 @@
                           .add("source", source)
                           .add("error", describe(decoded.failure()))
                           .add("kept_version", m_context.config.table->version));
-        return;
+        return false;
     }
     if (decoded->version <= m_context.config.table->version) {
-        return;
+        return true;
     }
     m_context.log(log_line("config", "in-force")
                       .add("version", decoded->version)
@@ -191,6 +192,26 @@
         m_recentConfigs.pop_front();
     }
     m_context.metrics.count("config_applied_total");
+    return true;
+}
+
+// Records a read of the platform that was sent at `sentAt` and has succeeded. Returns whether it proves that no newer
+// version exists than the applied one.
+bool config_spread::recordRead(config_read read, boot_time sentAt)
+{
+    m_logPosition = read.position;
+    m_storeReadAt = steadyNow();
+    if (read.hasNewConfig) {
+        m_isNewestReadable = applyConfig(std::move(read.bytes), "platform");
+    }
+    // A newer version that this node cannot decode may have taken keys away.
+    const bool isProof = read.isComplete && m_isNewestReadable;
+    if (isProof && m_context.freshness.limit) {
+        recordStoreProof(m_context.freshness, sentAt);
+    }
+    m_versionAtLastRead = m_context.config.table->version;
+    m_behindSince.reset();
+    return isProof;
 }
 
 // Returns how many nodes of the data centre come before this one as the reader of the platform. VMs with the fastest
@@ -212,8 +233,10 @@
 awaitable<void> config_spread::readLoop()
 {
     net::steady_timer pause(m_context.executor);
-    const milliseconds wait = longPollWait(m_context.options.configApplyLimit);
-    unsigned failures = 0; // consecutive reads without an answer
+    const std::optional<milliseconds> keyLimit = m_context.freshness.limit;
+    const milliseconds configWait = longPollWait(m_context.options.configApplyLimit);
+    const milliseconds longestWait = keyLimit ? std::min(configWait, proofReadWait(*keyLimit)) : configWait;
+    unsigned failures = 0; // consecutive reads without an answer, or without a proof that was needed
     bool hasRead = false; // a starting node reads once, even if another node is the reader
     // A node that joins a running mesh usually gets the configuration from other nodes first.
     for (milliseconds waited{0}; waited < peerConfigWait && m_context.config.table->version == 0;
@@ -229,7 +252,9 @@
         reader.behindFor = now - m_behindSince.value_or(now);
         reader.sinceReaderAnnouncement = now - std::max(m_storeReadAt, m_startedAt);
         reader.bound = m_context.options.configApplyLimit;
-        if (hasRead && !shouldRead(reader)) {
+        const boot_time sentAt = bootNow();
+        const bool isForProof = shouldReadForProof(m_context.freshness, reader.rank, sentAt);
+        if (hasRead && !isForProof && !shouldRead(reader)) {
             pause.expires_after(standbyInterval);
             co_await pause.async_wait(awaitResult);
             continue;
@@ -237,27 +262,26 @@
         // If the applied version came from another node, the log still holds older versions after the last position.
         // Only the newest is needed, which position 0 returns.
         const bool isPositionOld = m_context.config.table->version != m_versionAtLastRead;
+        // A read for a proof is not to wait: its proof is as old as the read.
+        const milliseconds wait = isForProof ? milliseconds{0} : longestWait;
         config_read read = co_await m_context.platform.readConfig(isPositionOld ? 0 : m_logPosition, wait);
         if (read.isReached != m_isStoreReached) {
             m_isStoreReached = read.isReached;
             m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_logPosition));
         }
-        if (!read.isReached) {
-            const milliseconds retryPause = readBackoff(++failures, reader.rank);
+        bool isUseful = read.isReached;
+        if (read.isReached) {
+            hasRead = true;
+            isUseful = recordRead(std::move(read), sentAt) || !isForProof;
+            m_gossip.announceStoreRead();
+        }
+        // A read for a proof that brings none, since the newest version cannot be decoded, would repeat at once.
+        failures = isUseful ? 0 : failures + 1;
+        if (failures > 0) {
+            const milliseconds retryPause = readBackoff(failures, reader.rank);
             pause.expires_after(retryPause + milliseconds(m_context.generator() % readJitterMs));
             co_await pause.async_wait(awaitResult);
-            continue;
-        }
-        hasRead = true;
-        failures = 0;
-        m_logPosition = read.position;
-        m_storeReadAt = steadyNow();
-        if (read.hasNewConfig) {
-            applyConfig(std::move(read.bytes), "platform");
         }
-        m_versionAtLastRead = m_context.config.table->version;
-        m_behindSince.reset();
-        m_gossip.announceStoreRead();
     }
 }
 
--- a/packages/process/mesh/config_spread.h
+++ b/packages/process/mesh/config_spread.h
@@ -34,8 +34,9 @@
 
 private:
     awaitable<void> readLoop();
-    void applyConfig(std::string bytes, std::string_view source);
+    bool applyConfig(std::string bytes, std::string_view source);
     std::optional<std::string> configText(const config_message &message) const;
+    bool recordRead(config_read read, boot_time sentAt);
     std::size_t readerRank(time_point now) const;
 
     mesh_context &m_context;
@@ -44,6 +45,7 @@
     std::uint64_t m_logPosition = 0; // in the platform's configuration log
     std::deque<std::pair<std::uint64_t, std::string>> m_recentConfigs; // version and text, newest last
     std::uint64_t m_rejectedHash = 0; // of the last text that was not decodable
+    bool m_isNewestReadable = true; // the newest text that was read from the platform is decodable
     time_point m_storeReadAt; // when this data centre was last known to have read the platform
     time_point m_startedAt;
     std::uint64_t m_versionAtLastRead = 0; // applied version when this node last read the platform
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -13,6 +13,7 @@
 #include "base/random.h"
 #include "connection/loop/duty.h"
 #include "process/fleet/fleet.h"
+#include "process/freshness/freshness.h"
 #include "process/mesh/mesh.h"
 #include "process/mesh/messages.h"
 #include "process/stopping/stopping.h"
@@ -84,6 +85,7 @@
     std::unordered_map<std::string, time_point> workersRefreshedAt; // by service
     service_retry_budgets retryBudgets;
     active_config config;
+    freshness_state freshness; // of `config`
     worker_liveness worker;
     crash_tracker crashes; // of the own worker, and crash reports of all nodes
     std::function<void(const crash_report &)> announceCrash; // sends a report to all nodes
--- a/packages/process/mesh/dissemination.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -7,6 +7,7 @@
     , configs(context, gossip, links)
     , departures(context, inbound, gossip)
     , directory(context, gossip, departures)
+    , freshness(context, gossip)
     , m_context(context)
 {
 }
@@ -17,12 +18,17 @@
     events.onMessage = [this](const gossip_message &message, time_point now) {
         if (message.isReaderAnnouncement && message.sender.dataCentre == m_context.options.dataCentre) {
             configs.recordReaderAnnouncement(now);
+            freshness.recordReader(message.sender);
         }
         departures.applyHeld(message, now);
         configs.pullIfNewer(message.sender);
     };
-    events.onFreshnessQuery = [](const freshness_query &, const endpoint &, time_point) {};
-    events.onFreshnessAnswer = [](const freshness_answer &, const endpoint &, time_point) {};
+    events.onFreshnessQuery = [this](const freshness_query &query, const endpoint &from, time_point) {
+        freshness.onQuery(query, from);
+    };
+    events.onFreshnessAnswer = [this](const freshness_answer &answer, const endpoint &, time_point) {
+        freshness.onAnswer(answer);
+    };
     return events;
 }
 
@@ -31,6 +37,7 @@
     gossip.start();
     configs.start();
     directory.start();
+    freshness.start();
 }
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/dissemination.h
+++ b/packages/process/mesh/dissemination.h
@@ -8,6 +8,7 @@
 
 #include "process/mesh/config_spread.h"
 #include "process/mesh/departure_keeper.h"
+#include "process/mesh/freshness_keeper.h"
 #include "process/mesh/gossip.h"
 #include "process/mesh/node_directory.h"
 
@@ -26,6 +27,7 @@
     config_spread configs;
     departure_keeper departures;
     node_directory directory;
+    freshness_keeper freshness;
 
 private:
     gossip_events events();
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <ranges>
 
+#include "process/mesh/caller_keys.h"
+
 namespace pistachioquay::internal {
 
 namespace {
@@ -148,6 +150,9 @@
     if (message.service != m_context.options.service) {
         co_return makeNotRunReply(message.id, "other-service");
     }
+    if (!isPlausibleAccount(message.account)) {
+        co_return makeNotRunReply(message.id, "implausible-account");
+    }
     const crash_tracker &crashes = m_context.crashes;
     if (!crashes.quarantine.reports.empty()
         && quarantinedFor(crashes.quarantine,
@@ -267,6 +272,12 @@
               std::to_string(std::max<std::int64_t>(1, millisBetween(now, requestDeadline))));
     setHeader(request.headers, names.expectedWorker, m_context.worker.workerId);
     setHeader(request.headers, names.callerService, message.callerService);
+    if (m_context.config.table->accounts.areKeysRequired || !message.account.empty()) {
+        eraseKeyHeaders(request.headers, names); // the node where the caller entered may know no accounts yet
+    }
+    if (!message.account.empty()) {
+        setHeader(request.headers, names.account, message.account);
+    }
     return request;
 }
 
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -56,6 +56,7 @@
         context.placement.dataCentre = context.options.dataCentre;
         context.placement.linkBytesPerMs = context.options.linkBytesPerMs;
         context.placement.trafficCostPerKb = context.options.trafficCostPerKb;
+        context.freshness = {.limit = context.options.revocationLimit, .startedAt = bootNow()};
         context.crashes.quarantine.rules = crashRules;
         context.announceCrash = [this](const crash_report &report) {
             dissemination.gossip.announceCrash(report);
@@ -314,6 +315,12 @@
     }
     text += line("config_version", context.config.table->version);
     text += line("config_age_ms", millisBetween(context.config.appliedAt, steadyNow()));
+    if (context.freshness.limit) {
+        const boot_time now = bootNow();
+        const auto age = proofAge(context.freshness, now);
+        text += line("key_proof_age_ms", age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1);
+        text += line("keys_provable", isProven(context.freshness, now) ? 1 : 0);
+    }
     text += line("nodes_known", context.fleet.nodes.size());
     text += line("worker_running", m_impl->inbound.runningCount());
     text += line("worker_waiting", m_impl->inbound.waitingCount());
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
     std::string notRun; // set by a worker that has not run the request
     std::string load; // a worker's running and waiting requests, slots, and slowdown in percent
     std::string signature; // proves that a response comes from a worker
+    std::string authorization; // sent by callers: the scheme and the key of a client account
+    std::string authorizationScheme;
+    std::string account; // name of the client account on whose behalf a request runs, for the worker
 };
 
 // Settings of a node.
@@ -53,6 +57,8 @@
     milliseconds drainTime{2000}; // after a worker announces that it leaves, until it must get no more work
     milliseconds gracePeriod{6000}; // from the stop signal until the process is killed
     milliseconds configApplyLimit{2000}; // within which a published version must be applied
+    // Within which a key that was taken away must be dead, at nodes without news too; empty: no proof is needed.
+    std::optional<milliseconds> revocationLimit;
     double trafficCostPerKb = defaultTrafficCostPerKb; // of traffic between data centres, see `placement_state`
     retry_budget_limits resends; // `nodes` is set from the number of known nodes
     mesh_headers headers;
@@ -63,6 +69,7 @@
 {
     bool isReached = false; // the platform answered
     bool hasNewConfig = false; // the platform has a configuration after the position
+    bool isComplete = false; // covers all configurations that were written before the read was sent
     std::string bytes; // text of the configuration, as the operator wrote it
     std::uint64_t position = 0; // where the next read continues
 };
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "process/mesh/caller_keys.h"
+
 namespace pistachioquay::internal {
 
 namespace {
@@ -118,7 +120,10 @@
         request.arrivedAt + route.targetLatency - timeSinceFirstAttempt(m_callerTimeouts, route.name, timeLeft);
     request.requestDeadline = request.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
     request.placement.route = route.name;
-    request.placement.priority = route.priority;
+    if (auto refused = applyKey(request, *request.table, isProven(m_context.freshness, bootNow()))) {
+        return refused;
+    }
+    request.keyTable = request.table;
     request.placement.bytes = request.received->body.size();
     request.placement.targetMs = static_cast<double>(route.targetLatency.count());
     request.placement.fallbackRunMs = request.placement.targetMs * fallbackRunShare;
@@ -158,6 +163,38 @@
     return std::nullopt;
 }
 
+std::optional<whole_response>
+outbound_handler::applyKey(request_context &request, const route_table &table, bool isProven)
+{
+    const mesh_headers &names = m_context.options.headers;
+    const route_config &route = *request.route;
+    const key_decision key =
+        checkKey(table.accounts, route.allowsAnonymous, request.received->headers, names, isProven);
+    if (key.verdict == key_verdict::Rejected) {
+        m_context.metrics.count("rejected_keys_total");
+        whole_response response = makeFailure(request, 401, "unknown-key");
+        response.headers.push_back({"WWW-Authenticate", names.authorizationScheme});
+        return response;
+    }
+    if (key.verdict == key_verdict::Unproven) {
+        return makeRefusal(request, "key-not-provable", proofRetryAfter(m_context.freshness).count());
+    }
+    request.account = key.account != nullptr ? key.account->name : std::string();
+    request.placement.priority =
+        key.account != nullptr ? key.account->priority.value_or(route.priority) : route.priority;
+    return std::nullopt;
+}
+
+std::optional<whole_response> outbound_handler::applyKeyChange(request_context &request)
+{
+    if (request.keyTable == m_context.config.table) {
+        return std::nullopt;
+    }
+    request.keyTable = m_context.config.table;
+    // The request was read while its key was provable, so only a version that took the key away speaks against it.
+    return applyKey(request, *request.keyTable, true);
+}
+
 awaitable<whole_response> outbound_handler::forward(request_context &request)
 {
     call_reply last;
@@ -165,6 +202,14 @@
     last.reason = "no-worker";
     last.retryAfterMs = noWorkerRetryMs;
     for (unsigned tried = 0; tried < maxNodesTried; ++tried) {
+        auto refused = applyKeyChange(request);
+        if (refused && !request.mayHaveRun) {
+            logRequestEnd(request, *refused, "refused");
+            co_return std::move(*refused);
+        }
+        if (refused) {
+            break; // the outcome of an earlier attempt counts
+        }
         const placement_choice choice = choosePlacement(request);
         if (!choice.nodeId) {
             break;
@@ -431,12 +476,16 @@
     message.service = request.service;
     message.route = request.route->name;
     message.repeat = request.route->repeat;
-    message.priority = request.route->priority;
+    message.priority = request.placement.priority;
     message.targetLeftMs = millisBetween(now, request.targetAt);
     message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, request.requestDeadline));
     message.repeatShare = request.workersTried > 0 ? 1.0 : request.causedShare;
     message.callerService = m_context.options.service;
+    message.account = request.account;
     message.request = *request.received;
+    if (request.keyTable->accounts.areKeysRequired) {
+        eraseKeyHeaders(message.request.headers, m_context.options.headers);
+    }
     return message;
 }
 
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -39,8 +39,10 @@
         const whole_request *received = nullptr; // as the caller sent it
         caller_connection *caller = nullptr;
         std::string id;
-        std::shared_ptr<const route_table> table;
+        std::shared_ptr<const route_table> table; // by which the request was admitted
+        std::shared_ptr<const route_table> keyTable; // by which its key was last checked
         const route_config *route = nullptr;
+        std::string account; // client account on whose behalf the request runs; empty: none
         std::string service;
         time_point arrivedAt;
         time_point targetAt; // latency target of the route, counted from the caller's first attempt
@@ -71,6 +73,10 @@
     using shared_attempt = std::shared_ptr<request_attempt>;
 
     std::optional<whole_response> admit(request_context &request);
+    // applyKey sets the account and the priority of the request by `table`; returns the refusal if there is one.
+    std::optional<whole_response> applyKey(request_context &request, const route_table &table, bool isProven);
+    // applyKeyChange does the same if the configuration has changed since the request was admitted.
+    std::optional<whole_response> applyKeyChange(request_context &request);
     awaitable<whole_response> forward(request_context &request);
     placement_choice choosePlacement(request_context &request);
     shared_attempt makeAttempt(request_context &request, const placement_choice &choice) const;
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -34,13 +34,15 @@
         {"kind", route.kind},
         {"targetLatencyMs", 1000},
         {"priority", 1},
+        {"allowAnonymous", route.allowsAnonymous},
         {"match", {{"pathPrefix", route.prefix}}},
         {"action", {{"service", route.service}, {"timeoutMs", route.timeoutMs}, {"maxAttempts", route.maxAttempts}}}};
 }
 
 } // namespace
 
-platform_mesh::platform_mesh(const std::vector<node_plan> &nodes, wiring links)
+platform_mesh::platform_mesh(const std::vector<node_plan> &nodes, wiring links, std::string bounds)
+    : m_bounds(std::move(bounds))
 {
     for (const node_plan &plan : nodes) {
         node_state &node = m_nodes[plan.name];
@@ -101,7 +103,7 @@
         + text(Inbound) + "outbound = " + text(Outbound) + "ready = " + text(Ready) + "control = " + text(Control)
         + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(store) + "\"\n"
         + "[terms.bounds]\ndrainTimeoutMs = 2000\ngracePeriodS = 6\nconfigApplyMs = 2000\nretryBudgetRatio = 0.2\n"
-        + "budgetWindowS = 10\nbudgetExtraRetries = 64\n";
+        + "budgetWindowS = 10\nbudgetExtraRetries = 64\n" + m_bounds;
 }
 
 void platform_mesh::startNode(const std::string &node)
@@ -136,7 +138,9 @@
     m_nodes.at(node).worker.reset();
 }
 
-void platform_mesh::publish(unsigned version, const std::vector<route_plan> &routes)
+void platform_mesh::publish(unsigned version,
+                            const std::vector<route_plan> &routes,
+                            const std::optional<std::vector<account_plan>> &accounts)
 {
     boost::json::array rules;
     std::set<std::string> services;
@@ -154,10 +158,18 @@
                                        {"idleTimeoutMs", 15000}};
     boost::json::array listeners;
     listeners.push_back({{"host", host}, {"rules", rules}});
-    const boost::json::value document = {{"version", version},
-                                         {"limits", limits},
-                                         {"listeners", listeners},
-                                         {"clusters", clusters}};
+    boost::json::object document = {{"version", version},
+                                    {"limits", limits},
+                                    {"listeners", listeners},
+                                    {"clusters", clusters}};
+    if (accounts) {
+        boost::json::array &tenants = document["tenants"].emplace_array();
+        for (const account_plan &account : *accounts) {
+            tenants.push_back({{"name", account.name},
+                               {"apiKeys", boost::json::array(account.keys.begin(), account.keys.end())},
+                               {"priority", account.priority}});
+        }
+    }
     m_store.put("keyed.op", "config", boost::json::serialize(document));
 }
 
@@ -197,6 +209,7 @@
     sent.headers = {{"Host", host},
                     {"Request-Attempt-Id", request.id},
                     {"Deadline-Milliseconds", std::to_string(request.timeLeft.count())}};
+    sent.headers.insert(sent.headers.end(), request.headers.begin(), request.headers.end());
     cancellation_token control;
     async_http_client client(m_loop.executor(), {.target = m_nodes.at(node).addresses[Outbound]});
     exchange_result got =
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,15 @@
     std::string kind = "safe"; // safe, unsafe or upload
     unsigned timeoutMs = 3000;
     unsigned maxAttempts = 3;
+    bool allowsAnonymous = false;
+};
+
+// A client account of a test configuration.
+struct account_plan
+{
+    std::string name;
+    std::vector<std::string> keys;
+    unsigned priority = 1;
 };
 
 // A request that a test sends to a node in the role of a caller.
@@ -44,6 +54,7 @@
     std::string method = "GET";
     std::string body;
     milliseconds timeLeft{4000};
+    header_list headers; // in addition to those that every request has
 };
 
 // How the exchange of a caller_request ended, and its response.
@@ -63,7 +74,8 @@
 class platform_mesh
 {
 public:
-    explicit platform_mesh(const std::vector<node_plan> &nodes, wiring links = wiring::Direct);
+    // `bounds` holds further lines of the settings below `terms.bounds`.
+    explicit platform_mesh(const std::vector<node_plan> &nodes, wiring links = wiring::Direct, std::string bounds = {});
 
     store_stand_in &store()
     {
@@ -97,8 +109,10 @@
         return *m_nodes.at(node).workerRelay;
     }
 
-    // publish writes a configuration to the store, as the operator does.
-    void publish(unsigned version, const std::vector<route_plan> &routes);
+    // publish writes a configuration to the store, as the operator does. Without `accounts` it has no client accounts.
+    void publish(unsigned version,
+                 const std::vector<route_plan> &routes,
+                 const std::optional<std::vector<account_plan>> &accounts = std::nullopt);
     // startNode starts the process of a node.
     void startNode(const std::string &node);
     // startWorker and stopWorker start and stop the worker stand-in beside a node; startWorker replaces a running one.
@@ -131,6 +145,7 @@
 
     std::string settingsText(const node_state &node) const;
 
+    std::string m_bounds;
     temp_folder m_folder;
     store_stand_in m_store;
     loop_thread m_loop;
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -222,6 +222,7 @@
         seen_request &seen = m_seen[id];
         ++seen.runs;
         seen.callerService = findHeader(request.headers, "Caller-Service").value_or("");
+        seen.headers = request.headers;
         seen.expectedWorker = expected.value_or("");
         seen.startedAt = m_lastStart = steadyNow();
     }
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -45,6 +45,7 @@
     unsigned runs = 0;
     std::string callerService;
     std::string expectedWorker;
+    header_list headers;
     time_point startedAt;
 
     friend bool operator==(const seen_request &, const seen_request &) = default;
