Check a key that a new version concerns by that version's route

A request that was admitted before a version brought client accounts was refused with 401 before it was sent, if the route of its own version did not say that it needs no key, although the new version says so. The route of the new version decides now.

No test brings the case itself about.

--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -120,7 +120,7 @@
         request.arrivedAt + route.targetLatency - timeSinceFirstAttempt(m_callerTimeouts, route.name, timeLeft);
     request.requestDeadline = request.arrivedAt + std::min<milliseconds>(timeLeft, route.timeout);
     request.placement.route = route.name;
-    if (auto refused = applyKey(request, *request.table, isProven(m_context.freshness, bootNow()))) {
+    if (auto refused = applyKey(request, request.table->accounts, route, isProven(m_context.freshness, bootNow()))) {
         return refused;
     }
     request.keyTable = request.table;
@@ -163,13 +163,13 @@
     return std::nullopt;
 }
 
-std::optional<whole_response>
-outbound_handler::applyKey(request_context &request, const route_table &table, bool isProven)
+std::optional<whole_response> outbound_handler::applyKey(request_context &request,
+                                                         const account_table &accounts,
+                                                         const route_config &route,
+                                                         bool isProven)
 {
     const mesh_headers &names = m_context.options.headers;
-    const route_config &route = *request.route;
-    const key_decision key =
-        checkKey(table.accounts, route.allowsAnonymous, request.received->headers, names, isProven);
+    const key_decision key = checkKey(accounts, route.allowsAnonymous, request.received->headers, names, isProven);
     if (key.verdict == key_verdict::Rejected) {
         m_context.metrics.count("rejected_keys_total");
         whole_response response = makeFailure(request, 401, "unknown-key");
@@ -191,8 +191,10 @@
         return std::nullopt;
     }
     request.keyTable = m_context.config.table;
+    const std::string_view host = findHeader(request.received->headers, "Host").value_or("");
+    const route_config *route = findRoute(*request.keyTable, host, request.received->target);
     // The request was read while its key was provable, so only a version that took the key away speaks against it.
-    return applyKey(request, *request.keyTable, true);
+    return applyKey(request, request.keyTable->accounts, route != nullptr ? *route : *request.route, true);
 }
 
 awaitable<whole_response> outbound_handler::forward(request_context &request)
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -73,8 +73,9 @@
     using shared_attempt = std::shared_ptr<request_attempt>;
 
     std::optional<whole_response> admit(request_context &request);
-    // applyKey sets the account and the priority of the request by `table`; returns the refusal if there is one.
-    std::optional<whole_response> applyKey(request_context &request, const route_table &table, bool isProven);
+    // applyKey sets the account and the priority of the request; returns the refusal if there is one.
+    std::optional<whole_response>
+    applyKey(request_context &request, const account_table &accounts, const route_config &route, bool isProven);
     // applyKeyChange does the same if the configuration has changed since the request was admitted.
     std::optional<whole_response> applyKeyChange(request_context &request);
     awaitable<whole_response> forward(request_context &request);
