--- a/packages/process/fleet/fleet.cc
+++ b/packages/process/fleet/fleet.cc
@@ -31,7 +31,8 @@
             node.record.dataCentre,
             node.record.slots,
             node.warmUpUntil,
-            static_cast<double>(node.record.linkBytesPerMs)};
+            static_cast<double>(node.record.linkBytesPerMs),
+            node.record.workerVersion};
 }
 
 } // namespace
@@ -71,8 +72,8 @@
     const bool hasDepartures = record.departures.size() <= maxDepartures
         && std::ranges::all_of(record.departures, isName, &worker_departure::workerId);
     const bool hasVersion = record.workerVersion.size() <= maxNameBytes;
-    return hasNames && hasAddresses && hasVersion && hasRoutes && hasDepartures && record.worker <= worker_state::Down
-        && record.started < maxStartOrder;
+    return hasNames && hasAddresses && hasVersion && isPlausible(record.evidence) && hasRoutes && hasDepartures
+        && record.worker <= worker_state::Down && record.started < maxStartOrder;
 }
 
 merge_result mergeRecord(fleet_state &fleet, const node_record &record, std::uint64_t ownStarted, time_point now)
@@ -96,7 +97,8 @@
     merged.wasApplied = true;
     merged.isNew = found == fleet.nodes.end() || found->second.record.process != record.process;
     merged.hasWorkerChanged = merged.isNew || found->second.record.worker != record.worker
-        || found->second.record.isLeaving != record.isLeaving || found->second.record.service != record.service;
+        || found->second.record.isLeaving != record.isLeaving || found->second.record.service != record.service
+        || found->second.record.workerVersion != record.workerVersion;
     known_node &node = fleet.nodes[record.nodeId];
     if (found != fleet.nodes.end() && merged.isNew) {
         node.hasPredecessor = true;
--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -25,6 +25,7 @@
 #include "base/endpoint.h"
 #include "base/random.h"
 #include "connection/wire/codec.h"
+#include "process/rollout/evidence.h"
 #include "process/worker_life/departure.h"
 #include "request/placement/placement.h"
 
@@ -74,6 +75,7 @@
     worker_report report;
     std::map<std::string, double> runMs; // mean run time of the worker by route
     std::vector<worker_departure> departures; // of the worker's processes; other nodes hold them for the node
+    worker_evidence evidence; // of the worker in a roll-out of its service
 
     friend bool operator==(const node_record &, const node_record &) = default;
 
@@ -81,7 +83,17 @@
     void serialize(Archive &archive)
     {
         archive(nodeId, started, revision, process, dataCentre, service, peer, gossip);
-        archive(worker, isLeaving, workerVersion, slots, linkBytesPerMs, warmUpRemainingMs, configVersion, report, runMs, departures);
+        archive(worker,
+                isLeaving,
+                workerVersion,
+                slots,
+                linkBytesPerMs,
+                warmUpRemainingMs,
+                configVersion,
+                report,
+                runMs,
+                departures,
+                evidence);
     }
 };
 
@@ -107,7 +119,8 @@
 struct merge_result
 {
     bool isNew = false; // the node or its process was unknown
-    bool hasWorkerChanged = false; // the state or service of its worker, or whether the node leaves; also if `isNew`
+    bool hasWorkerChanged =
+        false; // the state, service or version of its worker, or whether the node leaves; also if `isNew`
     bool wasApplied = false; // the record was newer than the known one and has replaced it
     bool isImplausible = false; // the record was ignored, see `isPlausible`
     bool isOwnStartOutdated = false; // the record has the own id and a later start: raise the own `started` above it
--- a/packages/process/mesh/config_spread.cc
+++ b/packages/process/mesh/config_spread.cc
@@ -58,10 +58,11 @@
 
 } // namespace
 
-config_spread::config_spread(mesh_context &context, gossip_channel &gossip, peer_links &links)
+config_spread::config_spread(mesh_context &context, gossip_channel &gossip, peer_links &links, rollout_keeper &rollouts)
     : m_context(context)
     , m_gossip(gossip)
     , m_links(links)
+    , m_rollouts(rollouts)
     , m_startedAt(steadyNow())
 {
 }
@@ -252,6 +253,7 @@
         failures = 0;
         m_logPosition = read.position;
         m_storeReadAt = steadyNow();
+        m_rollouts.applyOrders(read.rolloutOrders, m_storeReadAt);
         if (read.hasNewConfig) {
             applyConfig(std::move(read.bytes), "platform");
         }
--- a/packages/process/mesh/config_spread.h
+++ b/packages/process/mesh/config_spread.h
@@ -1,7 +1,7 @@
 // Spreads the versions of the configuration: reads them from the platform if this node is the reader of its data
 // centre, and otherwise requests them from other nodes. Private to the mesh library.
 //
-//   config_spread configs(context, gossip, links);
+//   config_spread configs(context, gossip, links, rollouts);
 //   configs.start();
 //   configs.pullIfNewer(record);                  // for each record of another node
 #pragma once
@@ -11,6 +11,7 @@
 #include "process/mesh/context.h"
 #include "process/mesh/gossip.h"
 #include "process/mesh/peer_links.h"
+#include "process/mesh/rollout_keeper.h"
 #include "process/store_reading/store_reading.h"
 
 namespace pistachioquay::internal {
@@ -19,7 +20,7 @@
 class config_spread
 {
 public:
-    config_spread(mesh_context &context, gossip_channel &gossip, peer_links &links);
+    config_spread(mesh_context &context, gossip_channel &gossip, peer_links &links, rollout_keeper &rollouts);
 
     // start starts reading the platform on the loop.
     void start();
@@ -41,6 +42,7 @@
     mesh_context &m_context;
     gossip_channel &m_gossip;
     peer_links &m_links;
+    rollout_keeper &m_rollouts;
     std::uint64_t m_logPosition = 0; // in the platform's configuration log
     std::deque<std::pair<std::uint64_t, std::string>> m_recentConfigs; // version and text, newest last
     std::uint64_t m_rejectedHash = 0; // of the last text that was not decodable
--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -42,6 +42,25 @@
 constexpr milliseconds workerRefreshInterval{250};
 constexpr double rateTimeConstantMs = 500.0; // time constant of the exponential decay of the byte rates
 
+// Removes the workers whose version may get no requests, and marks those on trial.
+std::vector<worker_entry>
+selectByVersion(mesh_context &context, const std::string &service, std::vector<worker_entry> workers, time_point now)
+{
+    std::vector<observed_worker> observed;
+    std::ranges::transform(workers, std::back_inserter(observed), [&](const worker_entry &worker) {
+        return observed_worker{worker.nodeId, worker.version, worker.warmUpUntil <= now};
+    });
+    const std::vector<worker_pool> pools = assignPools(context.rollouts, service, observed, now);
+    std::vector<worker_entry> selected;
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        if (pools[index] != worker_pool::Held) {
+            workers[index].isOnTrial = pools[index] == worker_pool::Trial;
+            selected.push_back(std::move(workers[index]));
+        }
+    }
+    return selected;
+}
+
 } // namespace
 
 void link_meter::recordBytes(std::size_t bytesIn, std::size_t bytesOut, time_point now)
@@ -90,6 +109,17 @@
     return limits;
 }
 
+bool isVersionRefused(const mesh_context &context)
+{
+    const auto found = context.rollouts.services.find(context.options.service);
+    if (found == context.rollouts.services.end()) {
+        return false;
+    }
+    const rollout_record &record = found->second.record;
+    const bool isTakenBack = record.phase == rollout_phase::RollingBack || record.phase == rollout_phase::RolledBack;
+    return isTakenBack && context.worker.version == record.targetVersion;
+}
+
 void refreshWorkers(mesh_context &context, const std::string &service, time_point now)
 {
     std::vector<worker_entry> workers = readyWorkers(context.fleet, service, now);
@@ -99,7 +129,11 @@
                            context.options.dataCentre,
                            context.worker.slots,
                            context.worker.warmUpUntil,
-                           context.options.linkBytesPerMs});
+                           context.options.linkBytesPerMs,
+                           context.worker.version});
+    }
+    if (context.rollouts.limits) {
+        workers = selectByVersion(context, service, std::move(workers), now);
     }
     setWorkers(context.placement, service, std::move(workers));
     context.workersRefreshedAt[service] = now;
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -15,6 +15,7 @@
 #include "process/fleet/fleet.h"
 #include "process/mesh/mesh.h"
 #include "process/mesh/messages.h"
+#include "process/rollout/rollout.h"
 #include "process/stopping/stopping.h"
 #include "request/link_room/link_room.h"
 #include "request/placement/placement.h"
@@ -71,6 +72,15 @@
     time_point appliedAt;
 };
 
+// What the node counts about its own worker while a roll-out of its service runs.
+struct rollout_counting
+{
+    bool isActive = false; // the outcomes of runs are counted
+    std::string workerVersion; // of the worker that the evidence is about
+    worker_evidence evidence;
+    std::map<std::string, double> typicalRunMs; // by route, at the workers of the other versions
+};
+
 // State of one node that its components read and change. Not thread safe: belongs to one loop.
 struct mesh_context
 {
@@ -87,6 +97,8 @@
     worker_liveness worker;
     crash_tracker crashes; // of the own worker, and crash reports of all nodes
     std::function<void(const crash_report &)> announceCrash; // sends a report to all nodes
+    rollout_state rollouts;
+    rollout_counting counting;
     link_meter linkMeter;
     link_reservations linkReservations; // bandwidth of the own link that large bodies have reserved
     mesh_metrics metrics;
@@ -116,6 +128,9 @@
 // retryLimits returns the retry limits of all nodes together, with the number of nodes that are known.
 retry_budget_limits retryLimits(const mesh_context &context);
 
+// isVersionRefused returns whether the own worker gets no calls because its version was taken back.
+bool isVersionRefused(const mesh_context &context);
+
 // refreshWorkers updates the placement of a service to the workers that are ready now, including the own one.
 void refreshWorkers(mesh_context &context, const std::string &service, time_point now);
 
--- a/packages/process/mesh/dissemination.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -4,7 +4,8 @@
 
 dissemination_tasks::dissemination_tasks(mesh_context &context, inbound_handler &inbound, peer_links &links)
     : gossip(context, inbound, events())
-    , configs(context, gossip, links)
+    , rollouts(context, inbound, gossip)
+    , configs(context, gossip, links, rollouts)
     , departures(context, inbound, gossip)
     , directory(context, gossip, departures)
     , m_context(context)
@@ -14,6 +15,9 @@
 gossip_events dissemination_tasks::events()
 {
     gossip_events events;
+    events.onRollouts = [this](const std::vector<rollout_record> &records, time_point now) {
+        rollouts.applyRecords(records, now);
+    };
     events.onMessage = [this](const gossip_message &message, time_point now) {
         if (message.isReaderAnnouncement && message.sender.dataCentre == m_context.options.dataCentre) {
             configs.recordReaderAnnouncement(now);
--- a/packages/process/mesh/dissemination.h
+++ b/packages/process/mesh/dissemination.h
@@ -10,6 +10,7 @@
 #include "process/mesh/departure_keeper.h"
 #include "process/mesh/gossip.h"
 #include "process/mesh/node_directory.h"
+#include "process/mesh/rollout_keeper.h"
 
 namespace pistachioquay::internal {
 
@@ -23,6 +24,7 @@
     void start();
 
     gossip_channel gossip;
+    rollout_keeper rollouts;
     config_spread configs;
     departure_keeper departures;
     node_directory directory;
--- a/packages/process/mesh/gossip.cc
+++ b/packages/process/mesh/gossip.cc
@@ -93,6 +93,8 @@
         : worker.isRecovering               ? worker_state::Absent
                                             : worker_state::Ready;
     record.isLeaving = m_context.isInboundClosed;
+    record.workerVersion = worker.version;
+    record.evidence = m_context.counting.evidence;
     record.slots = worker.slots;
     record.linkBytesPerMs = static_cast<std::uint32_t>(m_context.options.linkBytesPerMs);
     record.warmUpRemainingMs =
@@ -122,6 +124,7 @@
                            [&](const crash_report &report) {
                                return aged_crash_report{report, crashClockMs(now) - report.crashedAtMs};
                            });
+    message.rollouts = recordsToSend(m_context.rollouts, now);
     if (plan.receiver != nullptr) {
         const std::string &receiverId = plan.receiver->nodeId;
         const auto known = m_context.fleet.nodes.find(receiverId);
@@ -234,6 +237,7 @@
 {
     const node_record &sender = message.sender;
     recordDataCentreContact(m_context.placement, sender.dataCentre);
+    m_events.onRollouts(message.rollouts, now); // before workers of their versions become known
     applyMergeResult(sender, mergeRecord(m_context.fleet, sender, m_startOrder, now), now);
     for (const node_record &record : message.others) {
         applyMergeResult(record, mergeRecord(m_context.fleet, record, m_startOrder, now), now);
--- a/packages/process/mesh/gossip.h
+++ b/packages/process/mesh/gossip.h
@@ -17,6 +17,7 @@
 // Callbacks for what arrives in datagrams beside records and crash reports. `from` is the address to answer.
 struct gossip_events
 {
+    std::function<void(const std::vector<rollout_record> &, time_point now)> onRollouts; // before records are merged
     std::function<void(const gossip_message &, time_point now)> onMessage; // after its records are merged
     std::function<void(const freshness_query &, const endpoint &from, time_point now)> onFreshnessQuery;
     std::function<void(const freshness_answer &, const endpoint &from, time_point now)> onFreshnessAnswer;
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -148,6 +148,10 @@
     if (message.service != m_context.options.service) {
         co_return makeNotRunReply(message.id, "other-service");
     }
+    if (isVersionRefused(m_context)) {
+        m_context.metrics.count("inbound_refused_total{reason=\"version-taken-back\"}");
+        co_return makeNotRunReply(message.id, "version-taken-back");
+    }
     const crash_tracker &crashes = m_context.crashes;
     if (!crashes.quarantine.reports.empty()
         && quarantinedFor(crashes.quarantine,
@@ -354,6 +358,7 @@
     }
     if (result.end != exchange_end::Complete) {
         recordOutcome(true);
+        countEvidence(message, true, tookMs);
         return;
     }
     recordWorkerLoad(result.response, now);
@@ -363,15 +368,20 @@
         reply.kind = reply_kind::RejectedByWorker;
         reply.reason = isOtherWorker ? "other-worker" : "worker-rejected";
         recordOutcome(true);
+        if (!isOtherWorker) {
+            countEvidence(message, true, tookMs);
+        }
         return;
     }
     if (!isSigned) {
         reply.reason = "unsigned-response";
         recordOutcome(true);
+        countEvidence(message, true, tookMs);
         return;
     }
     reply.kind = reply_kind::Response;
     recordOutcome(result.response.status >= 500);
+    countEvidence(message, result.response.status >= 500, tookMs);
     if (isSuccess(result.response.status)) {
         recordRunTime(m_runTimes, message.route, tookMs, now);
         m_context.metrics.observe("worker_run_ms", tookMs);
@@ -391,6 +401,25 @@
     if (tookMs > hungRunFactor * expected) {
         recordOutcome(true);
     }
+    // A run that was cancelled early says nothing about the worker; one that had already taken long does.
+    const auto typical = m_context.counting.typicalRunMs.find(message.route);
+    if (typical != m_context.counting.typicalRunMs.end() && tookMs > slowRunFactor * typical->second) {
+        countEvidence(message, false, tookMs);
+    }
+}
+
+// Counts the outcome of a run for the roll-out of the service. The run time is compared without the part that the
+// worker attributes to its neighbours.
+void inbound_handler::countEvidence(const call_message &message, bool isFailure, double tookMs)
+{
+    rollout_counting &counting = m_context.counting;
+    if (!counting.isActive) {
+        return;
+    }
+    const double ownMs = tookMs / std::max(1.0, report(steadyNow()).slowdown);
+    const auto typical = counting.typicalRunMs.find(message.route);
+    const bool isSlow = typical != counting.typicalRunMs.end() && ownMs > slowRunFactor * typical->second;
+    countOutcome(counting.evidence, message.route, {isFailure, isSlow && !isFailure});
 }
 
 // Registers the run of a request at the worker; false, with the reason in `reply`, if a crash speaks against it.
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -60,6 +60,7 @@
         context.announceCrash = [this](const crash_report &report) {
             dissemination.gossip.announceCrash(report);
         };
+        context.rollouts.limits = context.options.rollouts;
         context.linkReservations.bytesPerMs = context.options.linkBytesPerMs;
     }
 
@@ -141,6 +142,7 @@
         const time_point now = steadyNow();
         links.checkLiveness(now);
         dissemination.departures.maintain(now);
+        dissemination.rollouts.maintain(now);
         if (recordSilence(context.worker, allowedSilence, now)) {
             context.log(log_line("worker", "silent")
                             .add("worker", context.worker.workerId)
@@ -320,6 +322,7 @@
     text += line("worker_reachable", context.worker.isUnreachable ? 0 : 1);
     text += line("worker_heard_age_ms", millisBetween(context.worker.lastHeardAt, steadyNow()));
     text += line("worker_connections_opened_total", m_impl->inbound.connectionCounts().opened);
+    text += m_impl->dissemination.rollouts.metricsText();
     text += line("requests_open", m_impl->outbound.openCount());
     text += line("caller_connections_open", m_impl->callers.counts().open);
     return text;
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -12,11 +12,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/error.h"
 #include "connection/loop/http_server.h"
+#include "process/rollout/rollout.h"
 #include "process/worker_life/worker_life.h"
 #include "request/placement/placement.h"
 #include "request/resend/resend.h"
@@ -54,6 +56,7 @@
     milliseconds gracePeriod{6000}; // from the stop signal until the process is killed
     milliseconds configApplyLimit{2000}; // within which a published version must be applied
     double trafficCostPerKb = defaultTrafficCostPerKb; // of traffic between data centres, see `placement_state`
+    std::optional<rollout_limits> rollouts; // empty: no roll-outs, and versions of workers have no effect
     retry_budget_limits resends; // `nodes` is set from the number of known nodes
     mesh_headers headers;
 };
@@ -65,6 +68,24 @@
     bool hasNewConfig = false; // the platform has a configuration after the position
     std::string bytes; // text of the configuration, as the operator wrote it
     std::uint64_t position = 0; // where the next read continues
+    std::vector<rollout_order> rolloutOrders; // orders read with it, oldest first
+};
+
+// The recorded state of a service's roll-out, which the operator reads too.
+struct rollout_status
+{
+    std::string service;
+    std::string targetVersion;
+    rollout_phase phase = rollout_phase::Trial; // Trial stands for running; RolledBack and Completed for the ends
+
+    friend auto operator<=>(const rollout_status &, const rollout_status &) = default;
+};
+
+// Result of one read of the recorded state.
+struct rollout_status_read
+{
+    std::optional<rollout_status> status; // empty: none is recorded
+    std::uint64_t position = 0; // of the next record; a write succeeds only if nothing was recorded since
 };
 
 // The platform functions that a node needs. All are called on the loop.
@@ -81,6 +102,11 @@
     std::function<awaitable<bool>(std::string key, std::string value)> publishNodeRecord;
     // Reads the entries that nodes have published; empty optional: the platform was not reached.
     std::function<awaitable<std::optional<std::vector<std::string>>>()> readNodeRecords;
+    // Reads the recorded state of a service's roll-out; empty optional: the platform was not reached.
+    std::function<awaitable<std::optional<rollout_status_read>>(std::string service)> readRolloutStatus;
+    // Records the state of a roll-out if nothing was recorded after `position`. Returns false if it was not confirmed:
+    // something was recorded, or the response was lost and the state may have been recorded even so.
+    std::function<awaitable<bool>(rollout_status status, std::uint64_t position)> writeRolloutStatus;
     // Writes a log line.
     std::function<void(const class log_line &)> log;
 };
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -12,6 +12,7 @@
 #include "connection/loop/http_server.h"
 #include "connection/wire/codec.h"
 #include "process/fleet/fleet.h"
+#include "process/rollout/rollout.h"
 #include "request/quarantine/quarantine.h"
 #include "version/routes/routes.h"
 #include "version/text_delta/text_delta.h"
@@ -211,12 +212,13 @@
     bool knewPredecessor = false;
     std::uint64_t crashDigest = 0; // of all crash reports that the sender has
     std::vector<aged_crash_report> crashReports; // some of them
+    std::vector<rollout_record> rollouts; // all that the sender knows
 
     template<class Archive>
     void serialize(Archive &archive)
     {
         archive(sender, wantsReply, isReaderAnnouncement, others, receiverDepartures, knewPredecessor);
-        archive(crashDigest, crashReports);
+        archive(crashDigest, crashReports, rollouts);
     }
 };
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -164,12 +164,20 @@
     last.kind = reply_kind::NotRun;
     last.reason = "no-worker";
     last.retryAfterMs = noWorkerRetryMs;
+    request.placement.isOnTrial = drawTrial(m_context.rollouts, request.service, m_context.generator);
     for (unsigned tried = 0; tried < maxNodesTried; ++tried) {
-        const placement_choice choice = choosePlacement(request);
+        placement_choice choice = choosePlacement(request);
+        if (!choice.nodeId && request.placement.isOnTrial) {
+            returnTrial(m_context.rollouts, request.service);
+            request.placement.isOnTrial = false;
+            choice = choosePlacement(request);
+        }
         if (!choice.nodeId) {
             break;
         }
-        const shared_attempt attempt = co_await sendHedged(request, makeAttempt(request, choice), choice);
+        const shared_attempt first = makeAttempt(request, choice);
+        request.placement.isOnTrial = false; // a hedge or a retry goes to a version that is known
+        const shared_attempt attempt = co_await sendHedged(request, first, choice);
         recordAttemptEnd(request, *attempt);
         call_reply &reply = *attempt->reply;
         const bool isWorse = last.kind == reply_kind::Response && reply.kind != reply_kind::Response;
@@ -417,7 +425,7 @@
         recordWorkerRunTime(m_context.placement, request.service, nodeId, request.route->name, reply.runMs, now);
     }
     if (reply.reason == "unreachable" || reply.reason == "worker-down" || reply.reason == "draining"
-        || reply.reason == "link-lost") {
+        || reply.reason == "link-lost" || reply.reason == "version-taken-back") {
         startBackoff(m_context.placement, request.service, nodeId, now);
     }
 }
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -27,6 +27,7 @@
     worker.firstReceivedMs = notice.receivedMs;
     worker.sequence = notice.sequence.value_or(0);
     worker.slots = notice.slots;
+    worker.version = notice.version;
     worker.isLeaving = notice.kind != notice_kind::Ready;
     worker.leavingSince = now;
     worker.warmUpUntil = now + notice.warmUpRemaining;
@@ -89,9 +90,10 @@
     worker.sequence = notice.sequence.value_or(worker.sequence);
     worker.lastHeardAt = now;
     worker.warmUpUntil = now + notice.warmUpRemaining;
-    if (worker.isUnreachable || worker.slots != notice.slots) {
+    if (worker.isUnreachable || worker.slots != notice.slots || worker.version != notice.version) {
         worker.isUnreachable = false;
         worker.slots = notice.slots;
+        worker.version = notice.version;
         return notice_verdict::Changed;
     }
     return leaving;
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -35,6 +35,7 @@
     std::optional<std::int64_t> startedMs; // start of the worker's process by the wall clock of the VM
     std::optional<std::uint64_t> sequence; // of this notice; absent in a leave notice
     std::uint32_t slots = 0;
+    std::string version; // of the worker's software; empty if not stated
     milliseconds warmUpRemaining{0}; // remaining time for which the worker is slow after its start
     std::int64_t receivedMs = 0; // arrival of the notice by the wall clock of the VM
 
@@ -59,6 +60,7 @@
     std::int64_t firstReceivedMs = 0; // arrival of the first notice of the process by the wall clock of the VM
     std::uint64_t sequence = 0;
     std::uint32_t slots = 0;
+    std::string version; // of the worker's software; empty if not stated
     bool isLeaving = false;
     bool isUnreachable = false; // connections to it fail, or it is silent
     bool isRecovering = false; // the node has restarted and does not know yet which processes have left
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -302,8 +302,8 @@
     const double typicalMs = typicalRunMs(found->second, request, now);
     std::vector<scored_worker> scored;
     for (const candidate_worker &worker : found->second.workers) {
-        const bool isAvailable =
-            worker.backoffUntil <= now && !isDataCentreUnreachable(state, worker.entry.dataCentre, now);
+        const bool isAvailable = worker.entry.isOnTrial == request.isOnTrial && worker.backoffUntil <= now
+            && !isDataCentreUnreachable(state, worker.entry.dataCentre, now);
         if (isAvailable && !request.excluded.contains(worker.entry.nodeId)) {
             scored.push_back(scoreOf(state, worker, request, typicalMs, now));
         }
--- a/packages/request/placement/placement.h
+++ b/packages/request/placement/placement.h
@@ -110,6 +110,8 @@
     std::uint32_t slots = 1;
     time_point warmUpUntil;
     double linkBytesPerMs = 0; // rate of the VM's link; 0 if unknown
+    std::string version; // of the worker's software
+    bool isOnTrial = false; // gets only requests on trial
 
     friend auto operator<=>(const worker_entry &, const worker_entry &) = default;
 };
@@ -161,6 +163,7 @@
     double targetLeftMs = 0; // time left until the target; negative if it has passed
     double timeLeftMs = 0; // time left until the deadline
     std::set<std::string> excluded; // nodes that were already tried
+    bool isOnTrial = false; // goes to a worker on trial; all other requests go to the others
 };
 
 struct placement_choice
