--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -1,6 +1,7 @@
 #include "process/mesh/context.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace pistachioquay {
@@ -109,6 +110,46 @@
     return limits;
 }
 
+namespace {
+
+bool isSlowRun(const rollout_counting &counting, const std::string &route, double tookMs)
+{
+    const auto typical = counting.typicalRunMs.find(route);
+    return typical != counting.typicalRunMs.end() && tookMs > slowRunFactor * typical->second;
+}
+
+} // namespace
+
+std::vector<double> parseNumbers(std::string_view text)
+{
+    std::vector<double> numbers;
+    while (!text.empty()) {
+        const auto comma = std::min(text.find(','), text.size());
+        double value = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + comma, value);
+        if (parsed.ec != std::errc{}) {
+            return {};
+        }
+        numbers.push_back(value);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return numbers;
+}
+
+void countRun(rollout_counting &counting, const std::string &route, bool isFailure, double tookMs)
+{
+    if (counting.isActive) {
+        countOutcome(counting.evidence, route, {isFailure, !isFailure && isSlowRun(counting, route, tookMs)});
+    }
+}
+
+void countCancelledRun(rollout_counting &counting, const std::string &route, double tookMs)
+{
+    if (isSlowRun(counting, route, tookMs)) {
+        countRun(counting, route, false, tookMs);
+    }
+}
+
 bool isVersionRefused(const mesh_context &context)
 {
     const auto found = context.rollouts.services.find(context.options.service);
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -81,6 +81,11 @@
     std::map<std::string, double> typicalRunMs; // by route, at the workers of the other versions
 };
 
+// countRun counts the outcome of a run at the own worker while counting is active, and countCancelledRun that of a run
+// that was cancelled: one that was cancelled early says nothing about the worker.
+void countRun(rollout_counting &counting, const std::string &route, bool isFailure, double tookMs);
+void countCancelledRun(rollout_counting &counting, const std::string &route, double tookMs);
+
 // State of one node that its components read and change. Not thread safe: belongs to one loop.
 struct mesh_context
 {
@@ -128,6 +133,10 @@
 // retryLimits returns the retry limits of all nodes together, with the number of nodes that are known.
 retry_budget_limits retryLimits(const mesh_context &context);
 
+// parseNumbers returns the fields of the load header (running, waiting, slots and, if given, the slowdown in percent);
+// empty if one is not a number. Thread safe.
+std::vector<double> parseNumbers(std::string_view text);
+
 // isVersionRefused returns whether the own worker gets no calls because its version was taken back.
 bool isVersionRefused(const mesh_context &context);
 
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -1,7 +1,6 @@
 #include "process/mesh/inbound.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <ranges>
 
@@ -25,24 +24,6 @@
 constexpr milliseconds minQueueCheckInterval{5}; // time between checks for requests that cannot be served
 constexpr std::uint32_t defaultSlots = 4; // assumed until the worker has reported its slots
 
-// Returns the fields of the load header (running, waiting, slots and, if given, the slowdown in percent); empty if one
-// is not a number.
-std::vector<double> parseNumbers(std::string_view text)
-{
-    std::vector<double> numbers;
-    while (!text.empty()) {
-        const auto comma = std::min(text.find(','), text.size());
-        double value = 0;
-        const auto parsed = std::from_chars(text.data(), text.data() + comma, value);
-        if (parsed.ec != std::errc{}) {
-            return {};
-        }
-        numbers.push_back(value);
-        text.remove_prefix(std::min(comma + 1, text.size()));
-    }
-    return numbers;
-}
-
 // Returns the message with each number within its range: it comes from another node.
 call_message bounded(call_message message)
 {
@@ -149,7 +130,6 @@
         co_return makeNotRunReply(message.id, "other-service");
     }
     if (isVersionRefused(m_context)) {
-        m_context.metrics.count("inbound_refused_total{reason=\"version-taken-back\"}");
         co_return makeNotRunReply(message.id, "version-taken-back");
     }
     const crash_tracker &crashes = m_context.crashes;
@@ -357,8 +337,7 @@
         return;
     }
     if (result.end != exchange_end::Complete) {
-        recordOutcome(true);
-        countEvidence(message, true, tookMs);
+        recordRun(message, true, tookMs);
         return;
     }
     recordWorkerLoad(result.response, now);
@@ -367,21 +346,16 @@
     if (findHeader(result.response.headers, names.notRun) || isOtherWorker) {
         reply.kind = reply_kind::RejectedByWorker;
         reply.reason = isOtherWorker ? "other-worker" : "worker-rejected";
-        recordOutcome(true);
-        if (!isOtherWorker) {
-            countEvidence(message, true, tookMs);
-        }
+        recordRun(message, true, tookMs);
         return;
     }
     if (!isSigned) {
         reply.reason = "unsigned-response";
-        recordOutcome(true);
-        countEvidence(message, true, tookMs);
+        recordRun(message, true, tookMs);
         return;
     }
     reply.kind = reply_kind::Response;
-    recordOutcome(result.response.status >= 500);
-    countEvidence(message, result.response.status >= 500, tookMs);
+    recordRun(message, result.response.status >= 500, tookMs);
     if (isSuccess(result.response.status)) {
         recordRunTime(m_runTimes, message.route, tookMs, now);
         m_context.metrics.observe("worker_run_ms", tookMs);
@@ -401,25 +375,15 @@
     if (tookMs > hungRunFactor * expected) {
         recordOutcome(true);
     }
-    // A run that was cancelled early says nothing about the worker; one that had already taken long does.
-    const auto typical = m_context.counting.typicalRunMs.find(message.route);
-    if (typical != m_context.counting.typicalRunMs.end() && tookMs > slowRunFactor * typical->second) {
-        countEvidence(message, false, tookMs);
-    }
+    countCancelledRun(m_context.counting, message.route, tookMs / report(now).slowdown);
 }
 
-// Counts the outcome of a run for the roll-out of the service. The run time is compared without the part that the
-// worker attributes to its neighbours.
-void inbound_handler::countEvidence(const call_message &message, bool isFailure, double tookMs)
+// Records the outcome of a run, also for the roll-out of the service. The run time is compared there without the part
+// that the worker attributes to its neighbours.
+void inbound_handler::recordRun(const call_message &message, bool isFailure, double tookMs)
 {
-    rollout_counting &counting = m_context.counting;
-    if (!counting.isActive) {
-        return;
-    }
-    const double ownMs = tookMs / std::max(1.0, report(steadyNow()).slowdown);
-    const auto typical = counting.typicalRunMs.find(message.route);
-    const bool isSlow = typical != counting.typicalRunMs.end() && ownMs > slowRunFactor * typical->second;
-    countOutcome(counting.evidence, message.route, {isFailure, isSlow && !isFailure});
+    recordOutcome(isFailure);
+    countRun(m_context.counting, message.route, isFailure, tookMs / report(steadyNow()).slowdown);
 }
 
 // Registers the run of a request at the worker; false, with the reason in `reply`, if a crash speaks against it.
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -100,7 +100,7 @@
     void recordCancelledRun(const call_message &message, double tookMs, time_point now);
     void recordWorkerLoad(const whole_response &response, time_point now);
     void recordOutcome(bool isFailure);
-    void countEvidence(const call_message &message, bool isFailure, double tookMs);
+    void recordRun(const call_message &message, bool isFailure, double tookMs);
     void dispatchQueued(time_point now);
     void refuseQueued(const std::vector<refused_request> &refused);
     void scheduleQueueCheck();
--- a/packages/process/mesh/rollout_keeper.cc
+++ b/packages/process/mesh/rollout_keeper.cc
@@ -309,9 +309,9 @@
     for (const auto &[service, rollout] : m_context.rollouts.services) {
         const rollout_record &record = rollout.record;
         const auto line = [&](std::string_view name, const std::string &labels, const std::string &value) {
-            text.append("pistachioquay_rollout_").append(name);
-            text.append("{service=\"" + service + "\",version=\"" + record.targetVersion + "\"" + labels + "} ");
-            text.append(value + "\n");
+            text.append("pistachioquay_rollout_").append(name).append("{service=\"").append(record.service);
+            text.append("\",version=\"").append(record.targetVersion).append("\"").append(labels);
+            text.append("} ").append(value).append("\n");
         };
         line("phase", ",phase=\"" + std::string(phaseName(record.phase)) + "\",reason=\"" + record.reason + "\"", "1");
         line("duration_ms", "", std::to_string(record.durationMs));
--- a/packages/process/rollout/evidence.cc
+++ b/packages/process/rollout/evidence.cc
@@ -14,12 +14,14 @@
 constexpr std::size_t maxEvidenceNameBytes = 256; // longest name of a route or a version
 // Error probabilities of the sequential test, as logarithms of the likelihood ratio that decides.
 const double badThreshold = std::log(1000.0); // a good version is convicted in one of 1000 tests
-const double otherWorkersThreshold = std::log(20.0); // without the worker that speaks most against the version
+const double otherWorkersThreshold = std::log(8.0); // without the worker that speaks most against the version
 const double goodThreshold = -std::log(20.0); // a bad version is acquitted in one of 20 tests
-const double leaningThreshold = std::log(100.0); // score that counts against a version when its time is nearly up
+const double leaningThreshold = std::log(20.0); // score that counts against a version when its time is nearly up
+const double doubtThreshold = std::log(3.0); // score from which a route is in doubt
 constexpr std::uint32_t minWorkerRuns = 10; // runs from which the share of a single worker says something
 constexpr double otherWorkersQuantile = 0.8; // shares of the other workers up to which a share is usual
 constexpr double priorRuns = 50.0; // weight of the usual share while the other versions have few runs
+constexpr std::string_view allRoutes = "all routes"; // a small share of failures shows first in their sum
 constexpr double maxUsualShare = 0.9; // above it no test can tell versions apart
 
 // What is counted as bad, and by how much a bad version exceeds the usual share.
@@ -111,9 +113,12 @@
     std::map<std::string, route_tallies> routes;
     for (const observed_worker &worker : workers) {
         for (const route_evidence &each : worker.evidence.routes) {
-            route_tallies &route = routes[each.route];
-            tally &counted = (worker.version == targetVersion ? route.target : route.others)[worker.nodeId];
-            counted = counted + tally{static_cast<double>(each.runs), static_cast<double>(each.*kind.count)};
+            const tally counted{static_cast<double>(each.runs), static_cast<double>(each.*kind.count)};
+            for (const std::string &name : {each.route, std::string(allRoutes)}) {
+                route_tallies &route = routes[name];
+                tally &sum = (worker.version == targetVersion ? route.target : route.others)[worker.nodeId];
+                sum = sum + counted;
+            }
         }
     }
     return routes;
@@ -180,14 +185,16 @@
                 judged.reason = std::string(kind.name) + " on " + route;
                 judged.badScore = score;
             }
-            acquittal += logRatio(pooled, usual, kind.excess.front());
-            judged.runs += kind.count == &route_evidence::failures ? static_cast<std::uint64_t>(pooled.runs) : 0;
-            judged.badRuns += static_cast<std::uint64_t>(pooled.bad);
+            if (route == allRoutes) {
+                acquittal = logRatio(pooled, usual, kind.excess.front());
+                judged.runs = static_cast<std::uint64_t>(pooled.runs);
+                judged.badRuns += static_cast<std::uint64_t>(pooled.bad);
+            }
         }
         isGood = isGood && acquittal < goodThreshold;
     }
-    // A route with a score above 0 is more likely bad than not, even if the others outweigh it.
-    if (judged.verdict != rollout_verdict::Bad && isGood && judged.badScore <= 0) {
+    // A single route that is likely bad is not outweighed by the others.
+    if (judged.verdict != rollout_verdict::Bad && isGood && judged.badScore < doubtThreshold) {
         judged.verdict = rollout_verdict::Good;
     }
     return judged;
--- a/packages/process/rollout/evidence.h
+++ b/packages/process/rollout/evidence.h
@@ -5,10 +5,10 @@
 //   if (judged.verdict == rollout_verdict::Bad) ...
 //
 // Load pattern: a new version fails half of its requests or one in twenty, or takes several times as long, on all
-// routes or on one, while single workers of any version fail or are slow for reasons of their own. For each route, the
-// share of bad outcomes is tested by a sequential probability ratio test (A. Wald, "Sequential Tests of Statistical
-// Hypotheses", 1945) against the share of the other versions at the same time; the alternative is a mixture of several
-// shares. One worker never convicts a version that has several.
+// routes or on one, while single workers of any version fail or are slow for reasons of their own. For each route, and
+// for all together, the share of bad outcomes is tested by a sequential probability ratio test (A. Wald, "Sequential
+// Tests of Statistical Hypotheses", 1945) against the share of the other versions at the same time; the alternative is
+// a mixture of several shares. One worker never convicts a version that has several.
 //
 // Thread safe.
 #pragma once
--- a/packages/process/rollout/rollout.h
+++ b/packages/process/rollout/rollout.h
@@ -39,7 +39,7 @@
 // Steps of a roll-out as shares of its duration. The step to `shiftingShare` is short enough that the exposure of a
 // version that turns bad in it stays within a tenth of the requests.
 inline constexpr double earliestShift = 0.5; // versions that turn bad late show it before
-inline constexpr double latestTrial = 0.65; // then a version without a verdict is judged by what it leans to
+inline constexpr double latestTrial = 0.6; // then a version without a verdict is judged by what it leans to
 inline constexpr double shiftingTime = 0.1;
 inline constexpr double latestCompletion = 0.9; // then the old workers are no longer waited for
 inline constexpr milliseconds settleTime{1500}; // until a phase has reached all nodes, and their last requests
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -101,7 +101,7 @@
         + text(Inbound) + "outbound = " + text(Outbound) + "ready = " + text(Ready) + "control = " + text(Control)
         + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(store) + "\"\n"
         + "[terms.bounds]\ndrainTimeoutMs = 2000\ngracePeriodS = 6\nconfigApplyMs = 2000\nretryBudgetRatio = 0.2\n"
-        + "budgetWindowS = 10\nbudgetExtraRetries = 64\n";
+        + "budgetWindowS = 10\nbudgetExtraRetries = 64\n" + (node.plan.version.empty() ? "" : "exposureShare = 0.1\n");
 }
 
 void platform_mesh::startNode(const std::string &node)
@@ -127,6 +127,8 @@
     options.dataCentre = state.plan.dataCentre;
     options.address = state.addresses[Worker];
     options.control = state.addresses[Control];
+    options.version = state.plan.version.empty() ? options.version : state.plan.version;
+    options.failEvery = state.plan.failEvery;
     options.announcedAddress = state.workerRelay ? state.workerRelay->address() : endpoint{};
     state.worker = std::make_unique<worker_stand_in>(options);
 }
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -18,12 +18,14 @@
 
 namespace pistachioquay::testing {
 
-// A node to start: its name, the service of its worker, and its data centre.
+// A node to start: its name, the service of its worker, and its data centre. A node with a version has roll-outs.
 struct node_plan
 {
     std::string name;
     std::string service;
     std::string dataCentre;
+    std::string version; // of its worker's software; empty: v1, in a deployment without roll-outs
+    unsigned failEvery = 0; // each such run of its worker fails; 0: none
 };
 
 // One route of a test configuration, under host `shop.example`.
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -155,6 +155,15 @@
     });
 }
 
+std::string store_stand_in::newestValue(const std::string &topic, const std::string &key)
+{
+    return m_loop.run([&] {
+        const topic_log &log = m_topics[topic];
+        const auto found = log.newest.find(key);
+        return found == log.newest.end() ? std::string() : found->second.first;
+    });
+}
+
 whole_response store_stand_in::append(topic_log &topic, const std::string &body)
 {
     const std::uint64_t offset = topic.end();
@@ -210,7 +219,10 @@
     topic_log &topic = m_topics[parameter(request.target, "topic")];
     const std::string_view path = pathOf(request.target);
     whole_response response = textReply(404, "unknown call\n");
-    if (path == "/log-append") {
+    const auto expectedEnd = parseCount(parameter(request.target, "at"));
+    if (path == "/log-append" && expectedEnd && *expectedEnd != topic.end()) {
+        response = jsonReply(412, {{"endOffset", topic.end()}});
+    } else if (path == "/log-append") {
         response = append(topic, request.body);
     } else if (path == "/log-newest") {
         response = newest(topic, parameter(request.target, "after"));
--- a/testing/platform/store_stand_in.h
+++ b/testing/platform/store_stand_in.h
@@ -42,6 +42,8 @@
     // available through /log-newest.
     void forget(const std::string &topic);
     void setMode(store_mode mode);
+    // newestValue returns the newest value of a key; empty if there is none.
+    std::string newestValue(const std::string &topic, const std::string &key);
     // calls returns the number of calls received.
     std::uint64_t calls() const;
 
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -111,7 +111,7 @@
         {"born", m_startedMs},
         {"information",
          {{"service", m_options.service},
-          {"version", "v1"},
+          {"version", m_options.version},
           {"zone", m_options.dataCentre},
           {"slots", m_options.slots}}},
         {"status", {{"state", state}, {"sequence", m_sequence++}, {"coldRemainingMs", 0}}}};
@@ -238,7 +238,8 @@
     co_await pause(isHanging ? hangDuration : runDuration);
     --m_activeCoroutines;
     --m_running;
-    const std::uint64_t failure = queryNumber(request.target, "fail");
+    const bool isFailing = m_options.failEvery > 0 && ++m_runCount % m_options.failEvery == 0;
+    const std::uint64_t failure = isFailing ? 500 : queryNumber(request.target, "fail");
     response.status = queryNumber(request.target, "lose") > 0 ? 0 : failure > 0 ? static_cast<unsigned>(failure) : 200;
     response.headers.push_back({"Server-Signature", "stand-in." + m_options.id});
     response.headers.push_back(
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -36,6 +36,8 @@
     endpoint control; // control address of the node beside the worker
     endpoint announcedAddress; // address sent in heartbeats; `address` is sent instead if the port is 0
     unsigned slots = 4;
+    std::string version = "v1"; // of its software
+    unsigned failEvery = 0; // each such run fails with status 500; 0: none
     milliseconds noticeInterval{300};
 };
 
@@ -110,6 +112,7 @@
     bool m_hasLeft = false; // used only in the loop
     std::atomic<bool> m_hasCrashed = false;
     unsigned m_running = 0;
+    unsigned m_runCount = 0;
     std::uint64_t m_sequence = 0;
     bool m_isStopped = false;
     std::set<net::steady_timer *> m_sleepTimers; // of suspended runs and the heartbeat loop; used only in the loop
