Mend a false roll-back for a rare route whose requests outlast its timeout

Change: a 504 can only count as slow; a route on which the other versions have run less is not compared. The test of one bad route gives the other versions runs of that route too, as they have in use.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -355,7 +355,11 @@
         return;
     }
     reply.kind = reply_kind::Response;
-    recordRun(message, result.response.status >= 500, tookMs);
+    recordOutcome(result.response.status >= 500);
+    // A 504 tells that the caller's time was up, as on a route whose runs outlast its timeout: it can only count as
+    // slow.
+    const bool isFailure = result.response.status >= 500 && result.response.status != 504;
+    countRun(m_context.counting, message.route, isFailure, tookMs / report(now).slowdown);
     if (isSuccess(result.response.status)) {
         recordRunTime(m_runTimes, message.route, tookMs, now);
         m_context.metrics.observe("worker_run_ms", tookMs);
--- a/packages/process/rollout/evidence.cc
+++ b/packages/process/rollout/evidence.cc
@@ -173,6 +173,16 @@
                     judged.suspects.push_back(node);
                 }
             }
+            // A route on which the other versions have run less says nothing: all of its requests may end so.
+            const auto others = std::accumulate(counted.others.begin(),
+                                                counted.others.end(),
+                                                tally{},
+                                                [](const tally &sum, const auto &item) {
+                                                    return sum + item.second;
+                                                });
+            if (route != allRoutes && others.runs < pooled.runs) {
+                continue;
+            }
             const double score = mixtureLogRatio(pooled, usual, kind.excess);
             const bool isShared =
                 targetWorkers <= 1 || mixtureLogRatio(pooled - worst, usual, kind.excess) > otherWorkersThreshold;
