--- a/packages/process/mesh/config_spread.cc
+++ b/packages/process/mesh/config_spread.cc
@@ -58,10 +58,11 @@
 
 } // namespace
 
-config_spread::config_spread(mesh_context &context, gossip_channel &gossip, peer_links &links)
+config_spread::config_spread(mesh_context &context, gossip_channel &gossip, peer_links &links, rollout_keeper &rollouts)
     : m_context(context)
     , m_gossip(gossip)
     , m_links(links)
+    , m_rollouts(rollouts)
     , m_startedAt(steadyNow())
 {
 }
@@ -272,6 +273,7 @@
         bool isUseful = read.isReached;
         if (read.isReached) {
             hasRead = true;
+            m_rollouts.applyOrders(read.rolloutOrders, steadyNow());
             isUseful = recordRead(std::move(read), sentAt) || !isForProof;
             m_gossip.announceStoreRead();
         }
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -123,6 +123,9 @@
     if (!isPlausibleAccount(message.account)) {
         co_return makeNotRunReply(message.id, "implausible-account");
     }
+    if (isVersionRefused(m_context)) {
+        co_return makeNotRunReply(message.id, "version-taken-back");
+    }
     const crash_tracker &crashes = m_context.crashes;
     if (!crashes.quarantine.reports.empty()
         && quarantinedFor(crashes.quarantine,
@@ -351,7 +354,7 @@
         return;
     }
     if (result.end != exchange_end::Complete) {
-        recordOutcome(true);
+        recordRun(message, true, tookMs);
         return;
     }
     m_workerLoad.recordResponse(result.response, now);
@@ -360,16 +363,20 @@
     if (findHeader(result.response.headers, names.notRun) || isOtherWorker) {
         reply.kind = reply_kind::RejectedByWorker;
         reply.reason = isOtherWorker ? "other-worker" : "worker-rejected";
-        recordOutcome(true);
+        recordRun(message, true, tookMs);
         return;
     }
     if (!isSigned) {
         reply.reason = "unsigned-response";
-        recordOutcome(true);
+        recordRun(message, true, tookMs);
         return;
     }
     reply.kind = reply_kind::Response;
     recordOutcome(result.response.status >= 500);
+    // A 504 tells that the caller's time was up, as on a route whose runs outlast its timeout: it can only count as
+    // slow.
+    const bool isFailure = result.response.status >= 500 && result.response.status != 504;
+    countRun(m_context.counting, message.route, isFailure, tookMs / report(now).slowdown);
     if (isSuccess(result.response.status)) {
         recordRunTime(m_runTimes, message.route, tookMs, now);
         recordMeanBytes(m_context.linkBookings, message.route, result.response.body.size());
@@ -390,6 +397,15 @@
     if (tookMs > hungRunFactor * expected) {
         recordOutcome(true);
     }
+    countCancelledRun(m_context.counting, message.route, tookMs / report(now).slowdown);
+}
+
+// Records the outcome of a run, also for the roll-out of the service. The run time is compared there without the part
+// that the worker attributes to its neighbours.
+void inbound_handler::recordRun(const call_message &message, bool isFailure, double tookMs)
+{
+    recordOutcome(isFailure);
+    countRun(m_context.counting, message.route, isFailure, tookMs / report(steadyNow()).slowdown);
 }
 
 // Registers the run of a request at the worker; false, with the reason in `reply`, if a crash speaks against it.
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -105,6 +105,7 @@
     void evaluateWorkerResponse(const call_message &message, exchange_result result, double tookMs, call_reply &reply);
     void recordCancelledRun(const call_message &message, double tookMs, time_point now);
     void recordOutcome(bool isFailure);
+    void recordRun(const call_message &message, bool isFailure, double tookMs);
     void dispatchQueued(time_point now);
     void refuseQueued(const std::vector<refused_request> &refused);
     void scheduleQueueCheck();
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -382,7 +382,8 @@
     }
     const double typicalMs = typicalRunMs(found->second, request, now);
     const bool hasLocalWorkers = std::ranges::any_of(found->second.workers, [&](const candidate_worker &worker) {
-        return worker.entry.dataCentre == state.dataCentre && worker.backoffUntil <= now;
+        return worker.entry.dataCentre == state.dataCentre && worker.entry.isOnTrial == request.isOnTrial
+            && worker.backoffUntil <= now;
     });
     std::vector<std::pair<std::string_view, room_estimate>> rooms; // there are few data centres and many workers
     const auto roomOf = [&](const std::string &dataCentre) {
@@ -397,8 +398,7 @@
         const std::string &dataCentre = worker.entry.dataCentre;
         const room_estimate room = roomOf(dataCentre);
         const bool isFull = hasLocalWorkers && room.acceptedShare < fullAcceptedShare;
-        const bool isAvailable =
-            worker.backoffUntil <= now && !isFull && !isDataCentreUnreachable(state, dataCentre, now);
+        const bool isAvailable = worker.entry.isOnTrial == request.isOnTrial && worker.backoffUntil <= now && !isFull && !isDataCentreUnreachable(state, dataCentre, now);
         if (isAvailable && !request.excluded.contains(worker.entry.nodeId)) {
             scored.push_back(scoreOf(state, worker, request, typicalMs, room.waitMs, now));
         }
