Keep client accounts within their allowances over all nodes

Cause: nothing limits the requests of a client account. Change: each node delegates its part of every allowance to a desk of its data centre, which grants tokens; a node takes one token for each request before it is forwarded, and answers 429 if the account is over its allowance. The lookup of the account is a stub until keys are decoded.

--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -88,6 +88,7 @@
     service_retry_budgets retryBudgets;
     active_config config;
     freshness_state freshness; // of `config`
+    std::size_t directoryNodes = 0; // nodes in the last directory that was read; 0: none was read yet
     worker_liveness worker;
     crash_tracker crashes; // of the own worker, and crash reports of all nodes
     std::function<void(const crash_report &)> announceCrash; // sends a report to all nodes
--- a/packages/process/mesh/dissemination.cc
+++ b/packages/process/mesh/dissemination.cc
@@ -2,13 +2,17 @@
 
 namespace pistachioquay::internal {
 
-dissemination_tasks::dissemination_tasks(mesh_context &context, inbound_handler &inbound, peer_links &links)
+dissemination_tasks::dissemination_tasks(mesh_context &context,
+                                         inbound_handler &inbound,
+                                         peer_links &links,
+                                         allowance_keeper &allowances)
     : gossip(context, inbound, events())
     , configs(context, gossip, links)
     , departures(context, inbound, gossip)
     , directory(context, gossip, departures)
     , freshness(context, gossip)
     , m_context(context)
+    , m_allowances(allowances)
 {
 }
 
@@ -29,6 +33,12 @@
     events.onFreshnessAnswer = [this](const freshness_answer &answer, const endpoint &, time_point) {
         freshness.onAnswer(answer);
     };
+    events.onAllowanceAsk = [this](const allowance_ask &ask, const endpoint &from) {
+        m_allowances.onAsk(ask, from);
+    };
+    events.onAllowanceAnswer = [this](const allowance_answer &answer) {
+        m_allowances.onAnswer(answer);
+    };
     return events;
 }
 
--- a/packages/process/mesh/dissemination.h
+++ b/packages/process/mesh/dissemination.h
@@ -1,11 +1,12 @@
 // Disseminates the state of the mesh between nodes: joins the parts that each spread one kind of state. Private to the
 // mesh library.
 //
-//   dissemination_tasks dissemination(context, inbound, links);
+//   dissemination_tasks dissemination(context, inbound, links, allowances);
 //   BOOST_LEAF_CHECK(dissemination.gossip.open());
 //   dissemination.start();                        // until `gossip.stop`
 #pragma once
 
+#include "process/mesh/allowances.h"
 #include "process/mesh/config_spread.h"
 #include "process/mesh/departure_keeper.h"
 #include "process/mesh/freshness_keeper.h"
@@ -18,7 +19,10 @@
 class dissemination_tasks
 {
 public:
-    dissemination_tasks(mesh_context &context, inbound_handler &inbound, peer_links &links);
+    dissemination_tasks(mesh_context &context,
+                        inbound_handler &inbound,
+                        peer_links &links,
+                        allowance_keeper &allowances);
 
     // start starts the background tasks of all parts on the loop.
     void start();
@@ -33,6 +37,7 @@
     gossip_events events();
 
     mesh_context &m_context;
+    allowance_keeper &m_allowances;
 };
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/gossip.cc
+++ b/packages/process/mesh/gossip.cc
@@ -226,6 +226,12 @@
                    [&](const freshness_answer &answer) {
                        m_events.onFreshnessAnswer(answer, from, now);
                    },
+                   [&](const allowance_ask &ask) {
+                       m_events.onAllowanceAsk(ask, from);
+                   },
+                   [&](const allowance_answer &answer) {
+                       m_events.onAllowanceAnswer(answer);
+                   },
                },
                *datagram);
 }
--- a/packages/process/mesh/gossip.h
+++ b/packages/process/mesh/gossip.h
@@ -20,6 +20,8 @@
     std::function<void(const gossip_message &, time_point now)> onMessage; // after its records are merged
     std::function<void(const freshness_query &, const endpoint &from, time_point now)> onFreshnessQuery;
     std::function<void(const freshness_answer &, const endpoint &from, time_point now)> onFreshnessAnswer;
+    std::function<void(const allowance_ask &, const endpoint &from)> onAllowanceAsk;
+    std::function<void(const allowance_answer &)> onAllowanceAnswer;
 };
 
 // What a datagram carries besides the own record.
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "process/mesh/allowances.h"
 #include "process/mesh/context.h"
 #include "process/mesh/dissemination.h"
 #include "process/mesh/inbound.h"
@@ -38,8 +39,12 @@
         : context{executor, std::move(options), std::move(platform)}
         , inbound(context)
         , links(context, events())
-        , outbound(context, inbound, links)
-        , dissemination(context, inbound, links)
+        , allowances(context,
+                     [this](const endpoint &to, const mesh_datagram &datagram) {
+                         dissemination.gossip.sendDatagram(to, datagram);
+                     })
+        , outbound(context, inbound, links, allowances)
+        , dissemination(context, inbound, links, allowances)
         , callers(executor,
                   serverOptions(),
                   [this](const whole_request &request, caller_connection &caller) {
@@ -125,6 +130,7 @@
     internal::mesh_context context;
     internal::inbound_handler inbound;
     internal::peer_links links;
+    internal::allowance_keeper allowances;
     internal::outbound_handler outbound;
     internal::dissemination_tasks dissemination;
     async_http_server callers;
@@ -188,6 +194,7 @@
     callers.stop();
     links.stop();
     dissemination.gossip.stop();
+    allowances.stop();
     maintenanceTimer.cancel();
     pause.expires_after(milliseconds(20));
     co_await pause.async_wait(awaitResult);
@@ -207,6 +214,7 @@
     BOOST_LEAF_CHECK(m_impl->links.listen());
     BOOST_LEAF_CHECK(m_impl->callers.start());
     m_impl->dissemination.start();
+    m_impl->allowances.start();
     spawnDuty(
         m_impl->context.executor,
         "maintenance",
@@ -335,7 +343,7 @@
     text += line("worker_connections_opened_total", m_impl->inbound.connectionCounts().opened);
     text += line("requests_open", m_impl->outbound.openCount());
     text += line("caller_connections_open", m_impl->callers.counts().open);
-    return text;
+    return text + m_impl->allowances.metricsText();
 }
 
 } // namespace pistachioquay
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -19,6 +19,7 @@
 #include "base/error.h"
 #include "connection/loop/http_server.h"
 #include "process/worker_life/worker_life.h"
+#include "request/allowance/desk.h"
 #include "request/placement/placement.h"
 #include "request/resend/resend.h"
 #include "version/routes/routes.h"
@@ -61,6 +62,7 @@
     std::optional<milliseconds> revocationLimit;
     double trafficCostPerKb = defaultTrafficCostPerKb; // of traffic between data centres, see `placement_state`
     retry_budget_limits resends; // `nodes` is set from the number of known nodes
+    allowance_rules allowances; // bound on the requests of a client account
     mesh_headers headers;
 };
 
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -12,6 +12,7 @@
 #include "connection/loop/http_server.h"
 #include "connection/wire/codec.h"
 #include "process/fleet/fleet.h"
+#include "request/allowance/exchange.h"
 #include "request/call_origin/call_origin.h"
 #include "request/quarantine/quarantine.h"
 #include "version/routes/routes.h"
@@ -255,7 +256,7 @@
 };
 
 // The payload of a datagram.
-using mesh_datagram = std::variant<gossip_message, freshness_query, freshness_answer>;
+using mesh_datagram = std::variant<gossip_message, freshness_query, freshness_answer, allowance_ask, allowance_answer>;
 
 // A departure as the platform's store keeps it, among the address records of the nodes.
 struct stored_departure
--- a/packages/process/mesh/node_directory.cc
+++ b/packages/process/mesh/node_directory.cc
@@ -56,6 +56,7 @@
                               .add("node", std::string_view(record.nodeId).substr(0, maxNameBytes)));
         }
     }
+    m_context.directoryNodes = std::max<std::size_t>(1, records.size());
     m_departures.recordStoreRead(ownDepartures, steadyNow());
     co_return records;
 }
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -55,10 +55,14 @@
 
 } // namespace
 
-outbound_handler::outbound_handler(mesh_context &context, inbound_handler &inbound, peer_links &links)
+outbound_handler::outbound_handler(mesh_context &context,
+                                   inbound_handler &inbound,
+                                   peer_links &links,
+                                   allowance_keeper &allowances)
     : m_context(context)
     , m_inbound(inbound)
     , m_links(links)
+    , m_allowances(allowances)
 {
 }
 
@@ -80,7 +84,7 @@
     caller.onDisconnect([cancellation = request.cancellation] {
         cancellation->cancel();
     });
-    whole_response response = co_await forward(request);
+    whole_response response = co_await forwardWithinAllowance(request);
     caller.onDisconnect(nullptr);
     m_context.linkMeter.recordBytes(0, response.body.size() + requestHeadBytes, steadyNow());
     m_context.metrics.observe("request_ms", msBetween(request.arrivedAt, steadyNow()));
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 
+#include "process/mesh/allowances.h"
 #include "process/mesh/context.h"
 #include "process/mesh/inbound.h"
 #include "process/mesh/peer_links.h"
@@ -19,7 +20,7 @@
 class outbound_handler
 {
 public:
-    outbound_handler(mesh_context &context, inbound_handler &inbound, peer_links &links);
+    outbound_handler(mesh_context &context, inbound_handler &inbound, peer_links &links, allowance_keeper &allowances);
 
     // serve returns the response to one request of a caller. Every request gets a response, also after a failure.
     awaitable<whole_response> serve(const whole_request &received, caller_connection &caller);
@@ -77,6 +78,9 @@
     std::optional<whole_response> applyKey(request_context &request, const route_table &table, bool isProven);
     // applyKeyChange does the same if the configuration has changed since the request was admitted.
     std::optional<whole_response> applyKeyChange(request_context &request);
+    // forwardWithinAllowance forwards the request if its account may send one; otherwise returns the refusal.
+    awaitable<whole_response> forwardWithinAllowance(request_context &request);
+    static const client_account *accountOf(const request_context &request);
     awaitable<whole_response> forward(request_context &request);
     placement_choice choosePlacement(request_context &request);
     shared_attempt makeAttempt(request_context &request, const placement_choice &choice) const;
@@ -108,6 +112,7 @@
     mesh_context &m_context;
     inbound_handler &m_inbound;
     peer_links &m_links;
+    allowance_keeper &m_allowances;
     traffic_split_state m_splits;
     caller_timeouts m_callerTimeouts;
     std::unordered_map<std::string, request_origin> m_origins; // by route, as the nodes beside the workers see it
