Refuse requests of an account over its allowance with 429

Cause: the account of a request is known now, but its allowance was not checked. Change: a request with a key takes a token of its account before it is forwarded, and returns it if it ended without having reached a worker.

--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -187,6 +187,7 @@
         return makeRefusal(request, "key-not-provable", proofRetryAfter(m_context.freshness).count());
     }
     request.account = key.account != nullptr ? key.account->name : std::string();
+    request.clientAccount = key.account;
     request.placement.priority =
         key.account != nullptr ? key.account->priority.value_or(route.priority) : route.priority;
     return std::nullopt;
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -44,6 +44,7 @@
         std::shared_ptr<const route_table> keyTable; // by which its key was last checked
         const route_config *route = nullptr;
         std::string account; // client account on whose behalf the request runs; empty: none
+        const client_account *clientAccount = nullptr; // the same in `keyTable`; null: none
         std::string service;
         time_point arrivedAt;
         time_point targetAt; // latency target of the route, counted from the caller's first attempt
@@ -80,7 +81,6 @@
     std::optional<whole_response> applyKeyChange(request_context &request);
     // forwardWithinAllowance forwards the request if its account may send one; otherwise returns the refusal.
     awaitable<whole_response> forwardWithinAllowance(request_context &request);
-    static const client_account *accountOf(const request_context &request);
     awaitable<whole_response> forward(request_context &request);
     placement_choice choosePlacement(request_context &request);
     shared_attempt makeAttempt(request_context &request, const placement_choice &choice) const;
--- a/packages/process/mesh/outbound_allowance.cc
+++ b/packages/process/mesh/outbound_allowance.cc
@@ -11,19 +11,12 @@
 
 } // namespace
 
-// Returns the account whose key the request carries; null if it needs no key.
-const client_account *outbound_handler::accountOf(const request_context & /*request*/)
-{
-    return nullptr;
-}
-
 awaitable<whole_response> outbound_handler::forwardWithinAllowance(request_context &request)
 {
-    const client_account *account = accountOf(request);
-    if (account == nullptr) {
+    if (request.clientAccount == nullptr) {
         co_return co_await forward(request);
     }
-    const token_outcome token = co_await m_allowances.acquire(*account, *request.cancellation);
+    const token_outcome token = co_await m_allowances.acquire(*request.clientAccount, *request.cancellation);
     if (token.result == token_result::Granted) {
         whole_response response = co_await forward(request);
         if (!request.mayHaveRun && request.workersTried == 0) {
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -168,7 +168,9 @@
         for (const account_plan &account : *accounts) {
             tenants.push_back({{"name", account.name},
                                {"apiKeys", boost::json::array(account.keys.begin(), account.keys.end())},
-                               {"priority", account.priority}});
+                               {"priority", account.priority},
+                               {"ratePerS", account.ratePerS},
+                               {"burst", account.burst}});
         }
     }
     m_store.put("keyed.op", "config", boost::json::serialize(document));
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -47,6 +47,8 @@
     std::string name;
     std::vector<std::string> keys;
     unsigned priority = 1;
+    double ratePerS = 0; // 0: no limit
+    double burst = 0;
 };
 
 // A request that a test sends to a node in the role of a caller.
--- a/testing/platform/process/account_process_test.cc
+++ b/testing/platform/process/account_process_test.cc
@@ -157,6 +157,34 @@
     }
 }
 
+// Guards against nodes that each allow an account its whole allowance, and against an account that uses up the
+// allowance of another one.
+TEST_CASE("an account over its allowance gets 429 with Retry-After, summed over all nodes, and the others get 200")
+{
+    account_mesh mesh;
+    mesh.publish(6, routes(), {{{"acme", {firstKey}, 0, 10, 4}, {"other", {secondKey}, 2, 1000, 1000}}});
+    std::this_thread::sleep_for(milliseconds(4000)); // the version is in force, and the rights are delegated
+    std::map<unsigned, unsigned> statuses;
+    const auto until = steadyNow() + milliseconds(5000);
+    while (steadyNow() < until) {
+        for (const std::string &node : mesh.names()) {
+            const caller_result got = mesh.sendWithKey(node, "/orders/1", firstKey);
+            ++statuses[got.response.status];
+            if (got.response.status == 429) {
+                const std::string retryAfter(findHeader(got.response.headers, "Retry-After").value_or("0"));
+                CHECK(std::stod(retryAfter) >= 0.05);
+            }
+            CHECK(mesh.statusOf(node, "/orders/1", secondKey) == 200);
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+    }
+    CHECK(statuses[200] > 40);
+    CHECK(statuses[200] <= 10 * 5 + 4 + 2); // two desks hold a whole token at least
+    CHECK(statuses[429] > 50);
+    CHECK(statuses.size() == 2);
+    CHECK((mesh.log("a1") + mesh.log("b1")).find("account-over") != std::string::npos);
+}
+
 // Guards against a storm of reads: none of them can bring a proof while the newest version may have taken keys away.
 TEST_CASE("while the newest version cannot be decoded, keys are refused after the limit, at few calls to the store")
 {
