--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -20,6 +20,7 @@
 #include "connection/loop/http_server.h"
 #include "process/rollout/rollout.h"
 #include "process/worker_life/worker_life.h"
+#include "request/allowance/desk.h"
 #include "request/placement/placement.h"
 #include "request/resend/resend.h"
 #include "version/routes/routes.h"
@@ -64,6 +65,7 @@
     bool learnsCapacity = true; // of the worker; otherwise as many requests run as it reports slots
     std::optional<rollout_limits> rollouts; // empty: no roll-outs, and versions of workers have no effect
     retry_budget_limits resends; // `nodes` is set from the number of known nodes
+    allowance_rules allowances; // bound on the requests of a client account
     mesh_headers headers;
 };
 
