--- a/packages/process/mesh/allowances_test.cc
+++ b/packages/process/mesh/allowances_test.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr milliseconds settleTime{1600}; // delegations start a second after the start
+constexpr milliseconds deskSettleTime{1600}; // delegations start a second after the start
 const client_account limited{"limited", std::nullopt, 50, 10};
 
 // Two nodes of one data centre, whose keepers exchange datagrams on one loop.
@@ -76,7 +76,7 @@
             each->context.config.table = std::make_shared<route_table>(table);
             each->keeper.start();
         }
-        loop.run_for(settleTime);
+        loop.run_for(deskSettleTime);
     }
     // acquire asks for `count` tokens at once; returns the number of requests by result.
     std::map<token_result, int> acquire(node &at, int count)
@@ -121,7 +121,7 @@
     mesh.start({limited});
     mesh.isCut = true;
     mesh.acquire(*mesh.a, 1); // finds that the desk does not answer
-    mesh.loop.run_for(settleTime);
+    mesh.loop.run_for(deskSettleTime);
     for (auto *each : {mesh.a.get(), mesh.b.get()}) {
         std::map<token_result, int> results = mesh.acquire(*each, 60);
         CHECK(results[token_result::Granted] >= 5);
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -11,8 +11,8 @@
 
 #include "connection/loop/http_client.h"
 #include "process/mesh/context.h"
-#include "request/fair_share/fair_share.h"
 #include "process/mesh/worker_load.h"
+#include "request/fair_share/fair_share.h"
 #include "request/ledger/ledger.h"
 #include "request/run_time/run_time.h"
 #include "request/waiting/waiting.h"
--- a/packages/process/rollout/rollout.h
+++ b/packages/process/rollout/rollout.h
@@ -42,8 +42,8 @@
 inline constexpr double latestTrial = 0.6; // then a version without a verdict is judged by what it leans to
 inline constexpr double shiftingTime = 0.1;
 inline constexpr double latestCompletion = 0.9; // then the old workers are no longer waited for
-// Share of bad runs from which a version is taken back when it already gets all requests. There is nothing to compare it
-// with at the same time then, and the load is another.
+// Share of bad runs from which a version is taken back when it already gets all requests. There is nothing to compare
+// it with at the same time then, and the load is another.
 inline constexpr double shiftedBadShare = 0.2;
 inline constexpr milliseconds settleTime{1500}; // until a phase has reached all nodes, and their last requests
 inline constexpr milliseconds decisionStagger{300}; // between two nodes that may decide the same: one gossip round trip
--- a/packages/request/placement/placement.cc
+++ b/packages/request/placement/placement.cc
@@ -398,7 +398,8 @@
         const std::string &dataCentre = worker.entry.dataCentre;
         const room_estimate room = roomOf(dataCentre);
         const bool isFull = hasLocalWorkers && room.acceptedShare < fullAcceptedShare;
-        const bool isAvailable = worker.entry.isOnTrial == request.isOnTrial && worker.backoffUntil <= now && !isFull && !isDataCentreUnreachable(state, dataCentre, now);
+        const bool isAvailable = worker.entry.isOnTrial == request.isOnTrial && worker.backoffUntil <= now && !isFull
+            && !isDataCentreUnreachable(state, dataCentre, now);
         if (isAvailable && !request.excluded.contains(worker.entry.nodeId)) {
             scored.push_back(scoreOf(state, worker, request, typicalMs, room.waitMs, now));
         }
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -104,8 +104,8 @@
         + "ready = " + text(Ready) + "control = " + text(Control)
         + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(store) + "\"\n"
         + "[terms.bounds]\ndrainTimeoutMs = 2000\ngracePeriodS = 6\nconfigApplyMs = 2000\nretryBudgetRatio = 0.2\n"
-        + "budgetWindowS = 10\nbudgetExtraRetries = 64\n"
-        + (node.plan.version.empty() ? "" : "exposureShare = 0.1\n") + m_bounds;
+        + "budgetWindowS = 10\nbudgetExtraRetries = 64\n" + (node.plan.version.empty() ? "" : "exposureShare = 0.1\n")
+        + m_bounds;
 }
 
 void platform_mesh::startNode(const std::string &node)
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -25,9 +25,9 @@
     std::string name;
     std::string service;
     std::string dataCentre;
-    double linkMbps = 1000; // of its VM, as the settings state it; the link itself is not slowed
     std::string version; // of its worker's software; empty: v1, in a deployment without roll-outs
     unsigned failEvery = 0; // each such run of its worker fails; 0: none
+    double linkMbps = 1000; // of its VM, as the settings state it; the link itself is not slowed
 
     friend bool operator==(const node_plan &, const node_plan &) = default;
 };
--- a/testing/platform/process/link_process_test.cc
+++ b/testing/platform/process/link_process_test.cc
@@ -59,7 +59,8 @@
 TEST_CASE("downloads that fill the link of a VM delay neither small responses nor a new version")
 {
     // a1 has the faster link, so it reads the store, and s1 gets new versions over the link that is full.
-    platform_mesh mesh({{"a1", "orders", "dc-1", slowLinkMbps}, {"s1", "shop", "dc-1", slowLinkMbps - 1}});
+    platform_mesh mesh({{.name = "a1", .service = "orders", .dataCentre = "dc-1", .linkMbps = slowLinkMbps},
+                        {.name = "s1", .service = "shop", .dataCentre = "dc-1", .linkMbps = slowLinkMbps - 1}});
     const std::vector<route_plan> routes = {{"/orders/", "orders"}, {"/small/", "orders"}};
     mesh.publish(1, routes);
     REQUIRE(mesh.waitReady(startTimeout));
