--- a/testing/platform/process/rollout_process_test.cc
+++ b/testing/platform/process/rollout_process_test.cc
@@ -71,7 +71,9 @@
         for (const std::string &name : names()) {
             std::istringstream text(log(name));
             for (std::string line; std::getline(text, line);) {
-                lines += line.find("rollout") == std::string::npos ? std::string() : name + ": " + line + "\n";
+                if (line.find("rollout") != std::string::npos) {
+                    lines.append(name).append(": ").append(line).append("\n");
+                }
             }
         }
         return lines;
