--- a/packages/process/mesh/messages.cc
+++ b/packages/process/mesh/messages.cc
@@ -30,4 +30,9 @@
     return message;
 }
 
+bool isFinal(const call_reply &reply)
+{
+    return reply.kind == reply_kind::Response && reply.response.status < 500;
+}
+
 } // namespace pistachioquay
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -144,6 +144,9 @@
     }
 };
 
+// isFinal returns whether a reply is a response that the caller gets: one that is no server error. Thread safe.
+bool isFinal(const call_reply &reply);
+
 // Cancels a call: its caller has left, its time is up, or another attempt was faster.
 struct cancel_message
 {
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,7 +12,6 @@
 
 namespace {
 
-constexpr milliseconds replySlack{150}; // wait after the deadline for the reply of the worker's node
 constexpr milliseconds defaultTimeLeft{10000}; // assumed if the request does not state it
 constexpr milliseconds maxTimeLeft{24 * 3600 * 1000}; // larger values of the header count as this
 constexpr unsigned maxNodesTried = 8; // nodes that one request is sent to
@@ -21,21 +19,8 @@
 constexpr unsigned maxOverloadRefusals = 3; // refusals by nodes until the caller gets the refusal
 constexpr std::size_t requestHeadBytes = 400; // approximate size of a request or a response without its body
 constexpr std::int64_t noWorkerRetryMs = 300; // Retry-After while no worker of the service or no configuration is known
-constexpr std::int64_t linkFullRetryMs = 150; // Retry-After while the receiver's link is reserved by other uploads
 constexpr std::int64_t stoppingRetryMs = 600; // Retry-After of a stopping node, until its replacement accepts requests
 constexpr double fallbackRunShare = 0.25; // assumed run time of an unmeasured route, as share of its latency target
-constexpr milliseconds retransmitInterval{100}; // pause between attempts to reach the node again
-constexpr milliseconds retransmitWindow{1500}; // then the outcome of the request is reported as unknown
-
-std::string retryAfterText(std::int64_t milliseconds)
-{
-    std::array<char, 32> buffer{};
-    std::snprintf(buffer.data(),
-                  buffer.size(),
-                  "%.3f",
-                  static_cast<double>(std::max<std::int64_t>(milliseconds, 1)) / 1000.0);
-    return buffer.data();
-}
 
 bool isOverloadRefusal(const call_reply &reply)
 {
@@ -48,11 +33,6 @@
     return reply.kind == reply_kind::NotRun && reply.reason == handedBackReason;
 }
 
-bool isFinal(const call_reply &reply)
-{
-    return reply.kind == reply_kind::Response && reply.response.status < 500;
-}
-
 } // namespace
 
 outbound_handler::outbound_handler(mesh_context &context,
@@ -279,136 +259,6 @@
     return attempt;
 }
 
-awaitable<outbound_handler::shared_attempt>
-outbound_handler::sendHedged(request_context &request, const shared_attempt &first, const placement_choice &choice)
-{
-    hedge_candidate candidate;
-    candidate.isRetryable = request.route->repeat == retry_policy::Retryable;
-    candidate.workersTried = request.workersTried + 1;
-    candidate.maxWorkers = request.route->maxWorkers;
-    candidate.expectedWaitMs = choice.expectedWaitMs;
-    candidate.expectedRunMs = choice.expectedRunMs;
-    candidate.typicalRunMs = choice.typicalRunMs;
-    candidate.targetLeftMs = request.placement.targetLeftMs;
-    candidate.timeLeftMs = request.placement.timeLeftMs;
-    // A second copy of a suspect could crash a second worker before the first one tells.
-    const auto delay = crashSuspicion(request) == suspicion::None ? hedgeDelay(candidate) : std::nullopt;
-    request.cancellation->onCancel([first] {
-        first->cancellation->cancel();
-    });
-    if (request.cancellation->isCancelled()) {
-        first->cancellation->cancel();
-    }
-    if (!delay) {
-        first->reply = co_await sendAttempt(*first);
-        request.cancellation->onCancel(nullptr);
-        co_return first;
-    }
-    const auto changed = std::make_shared<async_event>(m_context.executor);
-    startAttempt(first, changed);
-    co_await changed->waitUntil(first->sentAt + *delay);
-    const bool isSlow = !first->reply && !request.cancellation->isCancelled();
-    const shared_attempt second = isSlow ? makeHedge(request, *first) : nullptr;
-    if (second) {
-        startAttempt(second, changed);
-    }
-    co_return co_await waitForFirstFinalReply(request, first, second, changed);
-}
-
-// Waits for the first reply that can be returned to the caller, or for the end of both attempts. `second` may be null.
-awaitable<outbound_handler::shared_attempt>
-outbound_handler::waitForFirstFinalReply(request_context &request,
-                                         const shared_attempt &first,
-                                         const shared_attempt &second,
-                                         const std::shared_ptr<async_event> &changed)
-{
-    std::vector<shared_attempt> attempts{first};
-    if (second) {
-        attempts.push_back(second);
-    }
-    request.cancellation->onCancel([attempts] {
-        for (const shared_attempt &attempt : attempts) {
-            attempt->cancellation->cancel();
-        }
-    });
-    const auto isEnded = [](const shared_attempt &attempt) {
-        return attempt->reply.has_value();
-    };
-    const auto isWinner = [](const shared_attempt &attempt) {
-        return attempt->reply && isFinal(*attempt->reply);
-    };
-    while (std::ranges::none_of(attempts, isWinner) && !std::ranges::all_of(attempts, isEnded)) {
-        changed->reset();
-        co_await changed->waitUntil(request.requestDeadline + replySlack * 2);
-    }
-    request.cancellation->onCancel(nullptr);
-    const auto winner = std::ranges::find_if(attempts, isWinner);
-    const shared_attempt chosen = winner != attempts.end() ? *winner : first;
-    for (const shared_attempt &attempt : attempts) {
-        if (attempt != chosen) {
-            cancelSlower(request, attempt);
-        }
-    }
-    co_return chosen;
-}
-
-// Creates a second attempt at another worker; null if none has a free slot or the retry budget is used up.
-outbound_handler::shared_attempt outbound_handler::makeHedge(request_context &request, const request_attempt &first)
-{
-    const std::set<std::string> excluded = request.placement.excluded;
-    request.placement.excluded.insert(first.nodeId);
-    const placement_choice choice = choosePlacement(request);
-    request.placement.excluded = excluded;
-    if (!choice.nodeId || !maySendHedge({choice.expectedWaitMs, choice.expectedRunMs, request.placement.timeLeftMs})
-        || !tryAcquireServiceHedge(m_context.retryBudgets, request.service, retryLimits(m_context), steadyNow())) {
-        return nullptr;
-    }
-    m_context.metrics.count("hedges_total");
-    m_context.log(log_line("outbound", "copy-sent")
-                      .add("id", request.id)
-                      .add("route", request.route->name)
-                      .add("first", first.nodeId)
-                      .add("second", *choice.nodeId)
-                      .add("after_ms", msBetween(first.sentAt, steadyNow()))
-                      .add("expected_wait_ms", choice.expectedWaitMs)
-                      .add("expected_run_ms", choice.expectedRunMs));
-    shared_attempt hedge = makeAttempt(request, choice);
-    hedge->message.repeatShare = 1.0;
-    return hedge;
-}
-
-void outbound_handler::startAttempt(const shared_attempt &attempt, const std::shared_ptr<async_event> &changed)
-{
-    net::co_spawn(
-        m_context.executor,
-        [this, attempt, changed]() -> awaitable<void> {
-            attempt->reply = co_await sendAttempt(*attempt);
-            changed->notify();
-        },
-        net::detached);
-}
-
-// Cancels an attempt after another one got the final reply, and records how slow its worker was.
-void outbound_handler::cancelSlower(request_context &request, const shared_attempt &attempt)
-{
-    if (attempt->reply) {
-        recordAttemptEnd(request, *attempt);
-        request.workersTried += attempt->reply->kind == reply_kind::NotRun ? 0 : 1;
-        return;
-    }
-    const time_point now = steadyNow();
-    attempt->cancellation->cancel();
-    request.mayHaveRun = true;
-    recordRunTimeLowerBound(m_context.placement,
-                            request.service,
-                            attempt->nodeId,
-                            request.route->name,
-                            msBetween(attempt->sentAt, now),
-                            now);
-    ++request.workersTried;
-    request.attemptHistory += (request.attemptHistory.empty() ? "" : ",") + attempt->nodeId + ":slower";
-}
-
 void outbound_handler::recordAttemptEnd(request_context &request, const request_attempt &attempt)
 {
     recordReply(request, attempt.nodeId, *attempt.reply);
@@ -516,170 +366,4 @@
     return message;
 }
 
-awaitable<call_reply> outbound_handler::sendAttempt(const request_attempt &attempt)
-{
-    if (attempt.nodeId == m_context.options.nodeId) {
-        co_return co_await m_inbound.handleCall(attempt.message, attempt.cancellation);
-    }
-    const auto found = m_context.fleet.nodes.find(attempt.nodeId);
-    if (found == m_context.fleet.nodes.end()) {
-        call_reply gone;
-        gone.kind = reply_kind::NotRun;
-        gone.reason = "unreachable";
-        co_return gone;
-    }
-    const known_node node = found->second;
-    co_return co_await sendRemote(attempt, node);
-}
-
-awaitable<call_reply> outbound_handler::sendRemote(const request_attempt &attempt, const known_node &node)
-{
-    const call_message &message = attempt.message;
-    const endpoint target = node.record.peer;
-    if (peer_links::isLarge(message.request.body.size())) {
-        const peer_end reservation =
-            co_await m_links.reserve(target, message.id, message.request.body.size(), *attempt.cancellation);
-        if (reservation != peer_end::Replied) {
-            call_reply refused;
-            refused.id = message.id;
-            refused.kind = reply_kind::NotRun;
-            refused.reason =
-                reservation == peer_end::LinkLost || reservation == peer_end::TimedOut ? "unreachable" : "link-full";
-            refused.retryAfterMs = linkFullRetryMs;
-            co_return refused;
-        }
-    }
-    peer_result result =
-        co_await m_links.call(target, message, attempt.requestDeadline + replySlack, *attempt.cancellation);
-    call_reply reply;
-    reply.id = message.id;
-    switch (result.end) {
-    case peer_end::Replied:
-        co_return std::move(result.reply);
-    case peer_end::NotSent:
-        reply.kind = reply_kind::NotRun;
-        reply.reason = "unreachable";
-        co_return reply;
-    case peer_end::LinkLost:
-        if (message.repeat == retry_policy::AtMostOnce) {
-            co_return co_await retransmit(attempt, target);
-        }
-        reply.reason = "link-lost";
-        co_return reply;
-    case peer_end::Undelivered:
-        reply.kind = reply_kind::NotRun;
-        reply.reason = "link-full";
-        reply.retryAfterMs = linkFullRetryMs;
-        co_return reply;
-    case peer_end::TimedOut:
-        reply.reason = "timed-out";
-        co_return reply;
-    case peer_end::Cancelled:
-        reply.reason = "cancelled";
-        co_return reply;
-    }
-    co_return reply;
-}
-
-// Resends a request that must run at most once to the same process of the same node, which detects whether it has
-// already received it.
-awaitable<call_reply> outbound_handler::retransmit(const request_attempt &attempt, const endpoint &target)
-{
-    call_message message = attempt.message;
-    message.isRetransmission = true;
-    call_reply reply;
-    reply.id = message.id;
-    reply.reason = "link-lost";
-    const time_point until = std::min(attempt.requestDeadline, steadyNow() + retransmitWindow);
-    while (steadyNow() < until && !attempt.cancellation->isCancelled()) {
-        message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(steadyNow(), attempt.requestDeadline));
-        peer_result result =
-            co_await m_links.call(target, message, attempt.requestDeadline + replySlack, *attempt.cancellation);
-        if (result.end == peer_end::Replied) {
-            co_return std::move(result.reply);
-        }
-        if (result.end == peer_end::TimedOut || result.end == peer_end::Cancelled) {
-            break;
-        }
-        net::steady_timer pause(m_context.executor, retransmitInterval);
-        co_await pause.async_wait(awaitResult);
-    }
-    co_return reply;
-}
-
-whole_response outbound_handler::finalResponse(const request_context &request, call_reply &reply)
-{
-    switch (reply.kind) {
-    case reply_kind::Response:
-        return std::move(reply.response);
-    case reply_kind::NotRun:
-    case reply_kind::RejectedByWorker: {
-        if (request.mayHaveRun) {
-            return makeFailure(request, 502, reply.reason);
-        }
-        if (reply.kind == reply_kind::RejectedByWorker) {
-            std::uniform_real_distribution<double> draw(0, 1);
-            const milliseconds wait = rejectionRetryAfter(request.expectedRunMs, draw(m_context.generator));
-            return makeRefusal(request, reply.reason, wait.count());
-        }
-        const std::int64_t retryAfterMs = request.retryAfterMs > 0 ? request.retryAfterMs : reply.retryAfterMs;
-        return makeRefusal(request, reply.reason, retryAfterMs > 0 ? retryAfterMs : noWorkerRetryMs);
-    }
-    case reply_kind::Unknown:
-        return makeFailure(request, steadyNow() >= request.requestDeadline ? 504 : 502, reply.reason);
-    }
-    return makeFailure(request, 502, reply.reason);
-}
-
-whole_response
-outbound_handler::makeRefusal(const request_context &request, std::string_view reason, std::int64_t retryAfterMs)
-{
-    whole_response response = textReply(503, "not run: " + std::string(reason) + "\n");
-    response.headers.push_back({"Retry-After", retryAfterText(retryAfterMs)});
-    if (!request.id.empty()) {
-        response.headers.push_back({m_context.options.headers.requestId, request.id});
-    }
-    m_context.metrics.count("refused_total{reason=\"" + std::string(reason) + "\"}");
-    return response;
-}
-
-whole_response outbound_handler::makeFailure(const request_context &request, unsigned status, std::string_view reason)
-{
-    whole_response response = textReply(status, std::string(reason) + "\n");
-    if (!request.id.empty()) {
-        response.headers.push_back({m_context.options.headers.requestId, request.id});
-    }
-    m_context.metrics.count("failed_total{reason=\"" + std::string(reason) + "\"}");
-    return response;
-}
-
-void outbound_handler::logRequestEnd(const request_context &request,
-                                     const whole_response &response,
-                                     std::string_view outcome)
-{
-    const time_point now = steadyNow();
-    m_context.metrics.count("responses_total{status=\"" + std::to_string(response.status) + "\"}");
-    log_line line("outbound", "ended");
-    line.add("id", request.id)
-        .add("route", request.route != nullptr ? std::string_view(request.route->name) : std::string_view("-"))
-        .add("service", request.service)
-        .add("status", response.status)
-        .add("outcome", outcome)
-        .add("version", request.table ? request.table->version : 0)
-        .add("took_ms", msBetween(request.arrivedAt, now))
-        .add("from", request.received->sender);
-    if (request.route != nullptr) {
-        line.add("target_left_ms", millisBetween(request.arrivedAt, request.targetAt))
-            .add("time_left_ms", millisBetween(request.arrivedAt, request.requestDeadline))
-            .add("nodes", request.attemptHistory);
-    } else {
-        line.add("path", request.received->target)
-            .add("host", findHeader(request.received->headers, "Host").value_or(""));
-    }
-    if (response.status >= 500) {
-        line.add("reason", std::string_view(response.body).substr(0, response.body.find('\n')).substr(0, 60));
-    }
-    m_context.log(line);
-}
-
 } // namespace pistachioquay::internal
