--- a/packages/process/mesh/allowances.cc
+++ b/packages/process/mesh/allowances.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ctime>
 
 #include "base/hash.h"
 
@@ -22,9 +21,7 @@
 // last longer at a desk whose VM was suspended.
 time_point allowanceNow()
 {
-    timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return time_point(seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    return time_point(std::chrono::duration_cast<duration>(bootNow().time_since_epoch()));
 }
 
 std::unordered_map<std::uint64_t, allowance_limit> limitsOf(const account_table &table)
