--- a/packages/request/waiting/waiting.cc
+++ b/packages/request/waiting/waiting.cc
@@ -17,13 +17,21 @@
     return now + fromMs(request.expectedRunMs * onTimeRunMargin) <= request.targetAt;
 }
 
-// Sort key: the smallest runs first. A request that was admitted late is ordered by its arrival time instead of its
-// target.
+// Returns the time by which the queue orders requests of one priority: the target, or the arrival if the target has no
+// meaning for a request that is admitted although it would miss it. A request of an underserved flow goes before the
+// others: behind their targets it would wait until its deadline.
+time_point dueAt(const queued_request &request)
+{
+    if (request.isUnderserved) {
+        return request.arrivedAt;
+    }
+    return request.isAdmittedLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
+}
+
+// Sort key: the smallest runs first.
 auto dispatchOrder(const queued_request &request)
 {
-    const time_point due =
-        request.isAdmittedLate ? request.arrivedAt + fromMs(2 * request.expectedRunMs) : request.targetAt;
-    return std::tuple(!request.isFinalAttempt, request.priority, due, request.ticket);
+    return std::tuple(!request.isFinalAttempt, request.priority, dueAt(request), request.ticket);
 }
 
 double remainingMs(const running_request &running, time_point now)
@@ -249,12 +257,12 @@
     if (queue.waiting.empty()) {
         return std::nullopt;
     }
-    const auto dueAt = [](const queued_request &request) {
+    const auto checkAt = [](const queued_request &request) {
         const time_point lastOnTime = request.targetAt - fromMs(request.expectedRunMs * onTimeRunMargin);
         const bool isExempt = request.isFinalAttempt || request.isUnderserved || request.isAdmittedLate;
         return isExempt ? latestStart(request) : std::min(latestStart(request), lastOnTime);
     };
-    return dueAt(*std::ranges::min_element(queue.waiting, {}, dueAt));
+    return checkAt(*std::ranges::min_element(queue.waiting, {}, checkAt));
 }
 
 } // namespace pistachioquay
--- a/packages/request/waiting/waiting_test.cc
+++ b/packages/request/waiting/waiting_test.cc
@@ -290,3 +290,20 @@
     CHECK(enqueue(queue, request, start, generator).kind == enqueue_outcome::Wait);
     CHECK(removeUnservable(queue, start + milliseconds(600), generator).empty());
 }
+
+// Guards against an underserved request that is admitted, but waits behind a lasting stream of others until its
+// deadline.
+TEST_CASE("a request of an underserved flow runs before others of its priority")
+{
+    random_generator generator(1);
+    request_queue queue;
+    queue.slots = 1;
+    REQUIRE(enqueue(queue, requestOf(1, start, 1200, 3000, 90), start, generator).kind == enqueue_outcome::Run);
+    REQUIRE(enqueue(queue, requestOf(2, start, 400, 3000, 90), start, generator).kind == enqueue_outcome::Wait);
+    queued_request request = requestOf(3, start + milliseconds(1), 800, 900, 90);
+    request.origin = request_origin::Caller;
+    request.isUnderserved = true;
+    REQUIRE(enqueue(queue, request, start + milliseconds(1), generator).kind == enqueue_outcome::Wait);
+    finish(queue, 1);
+    CHECK(startNext(queue, start + milliseconds(90)) == 3);
+}
