Remove what the merged parts wrote twice

The parser of the load header goes back to its only user, worker_load. Refusals by a node are made by one makeNotRunReply, also at the admission for the link. The name of a request's account is taken from the account. Nodes and the decoder of the configuration share the bound and the check of account names. The expected wait for the link is computed only for routes whose responses are booked; book() ignored it for all others.

Behaviour stays as it is.

--- a/packages/process/mesh/caller_keys.cc
+++ b/packages/process/mesh/caller_keys.cc
@@ -1,14 +1,11 @@
 #include "process/mesh/caller_keys.h"
 
-#include <algorithm>
-
 #include "connection/http/message.h"
 
 namespace pistachioquay::internal {
 
 namespace {
 
-constexpr std::size_t maxAccountBytes = 256; // of an account's name
 constexpr std::int64_t proofRetryDivisor = 10; // of the limit: time between two queries of a node for a proof
 constexpr milliseconds defaultProofRetry{500}; // without a limit, which never refuses a request for a proof
 
@@ -37,10 +34,7 @@
 
 bool isPlausibleAccount(std::string_view name)
 {
-    return name.size() <= maxAccountBytes && std::ranges::none_of(name, [](char letter) {
-               const auto byte = static_cast<unsigned char>(letter);
-               return byte < 0x20 || byte == 0x7f;
-           });
+    return name.size() <= maxAccountNameBytes && !hasControlCharacters(name);
 }
 
 milliseconds proofRetryAfter(const freshness_state &freshness)
--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -1,7 +1,6 @@
 #include "process/mesh/context.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
 namespace pistachioquay {
@@ -110,22 +109,6 @@
 
 } // namespace
 
-std::vector<double> parseNumbers(std::string_view text)
-{
-    std::vector<double> numbers;
-    while (!text.empty()) {
-        const auto comma = std::min(text.find(','), text.size());
-        double value = 0;
-        const auto parsed = std::from_chars(text.data(), text.data() + comma, value);
-        if (parsed.ec != std::errc{}) {
-            return {};
-        }
-        numbers.push_back(value);
-        text.remove_prefix(std::min(comma + 1, text.size()));
-    }
-    return numbers;
-}
-
 void countRun(rollout_counting &counting, const std::string &route, bool isFailure, double tookMs)
 {
     if (counting.isActive) {
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -144,10 +144,6 @@
 // retryLimits returns the retry limits of all nodes together, with the number of nodes that are known.
 retry_budget_limits retryLimits(const mesh_context &context);
 
-// parseNumbers returns the fields of the load header (running, waiting, slots and, if given, the slowdown in percent);
-// empty if one is not a number. Thread safe.
-std::vector<double> parseNumbers(std::string_view text);
-
 // isVersionRefused returns whether the own worker gets no calls because its version was taken back.
 bool isVersionRefused(const mesh_context &context);
 
--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -44,15 +44,6 @@
     m_queue.closedReason = queue_refusal::WorkerDown;
 }
 
-call_reply inbound_handler::makeNotRunReply(const std::string &id, std::string_view reason) const
-{
-    call_reply reply;
-    reply.id = id;
-    reply.kind = reply_kind::NotRun;
-    reply.reason = std::string(reason);
-    return reply;
-}
-
 awaitable<call_reply> inbound_handler::handleCall(call_message message,
                                                   std::shared_ptr<cancellation_token> cancellation)
 {
@@ -158,7 +149,7 @@
         m_context.metrics.count("inbound_refused_total{reason=\"retry-budget\"}");
         co_return makeNotRunReply(message.id, "retry-budget");
     }
-    if (message.hasCrossedLink) {
+    if (message.hasCrossedLink && isLargeRoute(m_context.linkBookings, message.route)) {
         const double waitMs = expectedWaitMs(m_queue, request.priority, now);
         if (auto refused = refuseForLink(m_context, message, request, waitMs, now)) {
             co_return std::move(*refused);
--- a/packages/process/mesh/inbound.h
+++ b/packages/process/mesh/inbound.h
@@ -109,7 +109,6 @@
     void dispatchQueued(time_point now);
     void refuseQueued(const std::vector<refused_request> &refused);
     void scheduleQueueCheck();
-    call_reply makeNotRunReply(const std::string &id, std::string_view reason) const;
     void recordConnectFailure(exchange_end end, const std::string &detail);
     void recordRunEnd(const std::string &id, reply_kind kind, bool isLost);
     bool tryBeginRun(const call_message &message, call_reply &reply);
--- a/packages/process/mesh/link_admission.cc
+++ b/packages/process/mesh/link_admission.cc
@@ -16,10 +16,7 @@
     if (decision.isBooked) {
         return std::nullopt;
     }
-    call_reply reply;
-    reply.id = message.id;
-    reply.kind = reply_kind::NotRun;
-    reply.reason = std::string(linkBookedReason);
+    call_reply reply = makeNotRunReply(message.id, linkBookedReason);
     reply.retryAfterMs = decision.retryAfterMs;
     context.metrics.count("inbound_refused_total{reason=\"" + reply.reason + "\"}");
     context.log(log_line("inbound", "refused")
--- a/packages/process/mesh/messages.cc
+++ b/packages/process/mesh/messages.cc
@@ -30,6 +30,15 @@
     return message;
 }
 
+call_reply makeNotRunReply(const std::string &id, std::string_view reason)
+{
+    call_reply reply;
+    reply.id = id;
+    reply.kind = reply_kind::NotRun;
+    reply.reason = std::string(reason);
+    return reply;
+}
+
 bool isFinal(const call_reply &reply)
 {
     return reply.kind == reply_kind::Response && reply.response.status < 500;
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -144,6 +144,9 @@
     }
 };
 
+// makeNotRunReply returns the reply of a node that refuses a call. Thread safe.
+call_reply makeNotRunReply(const std::string &id, std::string_view reason);
+
 // isFinal returns whether a reply is a response that the caller gets: one that is no server error. Thread safe.
 bool isFinal(const call_reply &reply);
 
--- a/packages/process/mesh/outbound.cc
+++ b/packages/process/mesh/outbound.cc
@@ -166,7 +166,6 @@
     if (key.verdict == key_verdict::Unproven) {
         return makeRefusal(request, "key-not-provable", proofRetryAfter(m_context.freshness).count());
     }
-    request.account = key.account != nullptr ? key.account->name : std::string();
     request.clientAccount = key.account;
     request.placement.priority =
         key.account != nullptr ? key.account->priority.value_or(route.priority) : route.priority;
@@ -358,7 +357,7 @@
     message.timeLeftMs = std::max<std::int64_t>(1, millisBetween(now, request.requestDeadline));
     message.repeatShare = request.workersTried > 0 ? 1.0 : request.causedShare;
     message.callerService = m_context.options.service;
-    message.account = request.account;
+    message.account = request.clientAccount != nullptr ? request.clientAccount->name : std::string();
     message.request = *request.received;
     if (request.keyTable->accounts.areKeysRequired) {
         eraseKeyHeaders(message.request.headers, m_context.options.headers);
--- a/packages/process/mesh/outbound.h
+++ b/packages/process/mesh/outbound.h
@@ -43,7 +43,6 @@
         std::shared_ptr<const route_table> table; // by which the request was admitted
         std::shared_ptr<const route_table> keyTable; // by which its key was last checked
         const route_config *route = nullptr;
-        std::string account; // client account on whose behalf the request runs; empty: none
         const client_account *clientAccount = nullptr; // the same in `keyTable`; null: none
         std::string service;
         time_point arrivedAt;
--- a/packages/process/mesh/worker_load.cc
+++ b/packages/process/mesh/worker_load.cc
@@ -1,6 +1,7 @@
 #include "process/mesh/worker_load.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <vector>
 
@@ -12,6 +13,24 @@
 constexpr std::uint32_t defaultSlots = 4; // assumed until the worker has reported its slots
 constexpr milliseconds limitLogInterval{1000}; // at most one line about the limit in this time
 
+// Returns the fields of the load header (running, waiting, slots and, if given, the slowdown in percent); empty if one
+// is not a number.
+std::vector<double> parseNumbers(std::string_view text)
+{
+    std::vector<double> numbers;
+    while (!text.empty()) {
+        const auto comma = std::min(text.find(','), text.size());
+        double value = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + comma, value);
+        if (parsed.ec != std::errc{}) {
+            return {};
+        }
+        numbers.push_back(value);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return numbers;
+}
+
 run_end runEndOf(const call_reply &reply, bool isCancelled)
 {
     switch (reply.kind) {
--- a/packages/version/accounts/accounts.cc
+++ b/packages/version/accounts/accounts.cc
@@ -1,5 +1,6 @@
 #include "version/accounts/accounts.h"
 
+#include <algorithm>
 #include <random>
 
 #include <xxhash.h>
@@ -19,6 +20,14 @@
 
 } // namespace
 
+bool hasControlCharacters(std::string_view text)
+{
+    return std::ranges::any_of(text, [](char letter) {
+        const auto byte = static_cast<unsigned char>(letter);
+        return byte < 0x20 || byte == 0x7f;
+    });
+}
+
 hash128 hashKey(std::string_view key)
 {
     const XXH128_hash_t hash = XXH3_128bits_withSeed(key.data(), key.size(), processSecret());
--- a/packages/version/accounts/accounts.h
+++ b/packages/version/accounts/accounts.h
@@ -19,6 +19,8 @@
 
 namespace pistachioquay {
 
+inline constexpr std::size_t maxAccountNameBytes = 256; // longest name of an account
+
 // An account of a client and its allowance, which holds for all nodes together.
 struct client_account
 {
@@ -47,6 +49,9 @@
     friend bool operator==(const account_table &, const account_table &) = default;
 };
 
+// hasControlCharacters returns whether a text cannot be sent as the value of a header. Thread safe.
+bool hasControlCharacters(std::string_view text);
+
 // hashKey returns the hash under which a table holds a key. Thread safe.
 hash128 hashKey(std::string_view key);
 
