--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -40,14 +41,14 @@
 
 
 def free_ports(count, host="127.0.0.1"):
-    """Returns ports that are free for TCP and UDP now."""
+    """Returns ports that are free for TCP and UDP now, below those that the system gives to clients."""
     held, ports = [], []
     while len(ports) < count:
+        port = random.randrange(10000, 32000)
         tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind((host, 0))
-        port = tcp.getsockname()[1]
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
+            tcp.bind((host, port))
             udp.bind((host, port))
         except OSError:
             tcp.close()
@@ -436,7 +437,8 @@
                 got = await self.get(node, host, path)
                 good = good + 1 if got and got[0] == 200 else 0
                 if now() > until:
-                    raise Unfit(f"{path} is not served through {node}")
+                    ended = [name for name, each in self.nodes.items() if not each.is_running()]
+                    raise Unfit(f"{path} is not served through {node}; ended: {ended}; last answer: {got}")
                 await asyncio.sleep(0.1)
 
     async def get(self, node, host, path, method="GET", body=b"", deadline_ms=2000, extra=()):
