--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -442,8 +442,13 @@
                 await asyncio.sleep(0.1)
 
     async def get(self, node, host, path, method="GET", body=b"", deadline_ms=2000, extra=()):
-        return await exchange("127.0.0.1", self.nodes[node].outbound,
-                              request(host, path, new_id(), method, body, deadline_ms, extra), deadline_ms / 1000 + 1)
+        """Sends a request on a new connection to a node; returns (status, headers, body), or None without an answer."""
+        request_id = new_id()
+        self.record.line(f"client at {node} sends {request_id} {method} {path}, {len(body)} bytes")
+        got = await exchange("127.0.0.1", self.nodes[node].outbound,
+                             request(host, path, request_id, method, body, deadline_ms, extra), deadline_ms / 1000 + 1)
+        self.record.line(f"client at {node} gets {got[0] if got else 'no answer'} for {request_id}")
+        return got
 
 
 class Unfit(Exception):
