--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -404,7 +404,7 @@
         self.store = Store()
         self.nodes, self.workers = {}, {}
 
-    async def __aenter__(self):
+    async def start(self):
         self.folder_owner = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = self.folder_owner.name
         await self.store.start()
@@ -416,6 +416,13 @@
             await node.start()
         for worker in self.workers.values():
             await worker.start()
+
+    async def __aenter__(self):
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_):
@@ -495,10 +502,12 @@
     async def bounded():
         record = Record(folder)
         record.line("with the disruption" if DISTURBED else "without the disruption")
+        for number in (signal.SIGTERM, signal.SIGINT):  # ends what was started before this process ends
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(limit_s):
                 kept = await case(record)
-        except Exception as failure:  # whatever went wrong in the case itself is no answer about the rule
+        except (Exception, asyncio.CancelledError) as failure:  # whatever went wrong in the case itself is no answer about the rule
             record.line(f"could not run: {failure!r}")
             return 2
         record.line("the rule held" if kept else "THE RULE WAS BROKEN")
