HTTP client: an invalid status ends the exchange

Callers saw: behind bytes with status 000, or behind a 101 that nobody asked for, the next response on the connection was passed on as the answer; statuses from 600 on were passed on themselves.

Cause: every status below 200 counted as an interim response and was skipped, and no status was too large.

Change: a status outside 100 to 599, and 101, which only a request with Upgrade can have, make the exchange Lost (RFC 9110, 15 and 15.2.2). Such a head is noticed at once: a 000 without a length no longer waits for the end of the connection.

A 000 alone ended as Lost before as well.

--- a/packages/connection/loop/http_client.cc
+++ b/packages/connection/loop/http_client.cc
@@ -21,7 +21,9 @@
 namespace {
 
 constexpr unsigned maxSkippedResponses = 3; // responses to earlier requests, and interim ones, that an exchange skips
-constexpr unsigned firstFinalStatus = 200; // responses below are interim
+constexpr unsigned firstInterimStatus = 100;
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastFinalStatus = 599;
 constexpr std::size_t maxUnparsedBytes = 128UL * 1024; // bounds the memory of a head or a chunk header without end
 constexpr milliseconds keepAliveMargin{1000}; // a connection is closed this long before the target's Keep-Alive timeout
 constexpr milliseconds unackedTimeout{2000}; // TCP closes the connection if sent bytes stay unacknowledged
@@ -43,6 +45,20 @@
         || writeFailure == net::error::bad_descriptor;
 }
 
+// Returns why no request of this client can have a response with this head; empty if one can. What follows such a head
+// on the connection cannot be attributed to a request either.
+std::string_view headDefect(const http::response_header<> &head)
+{
+    const unsigned status = head.result_int();
+    if (status < firstInterimStatus || status > lastFinalStatus) {
+        return "response with an invalid status";
+    }
+    if (head.result() == http::status::switching_protocols) {
+        return "response that switches the protocol unasked";
+    }
+    return {};
+}
+
 // Returns the N of `timeout=N` in the Keep-Alive header, if there is one.
 std::optional<seconds> keepAliveTimeout(const header_list &headers)
 {
@@ -202,7 +218,9 @@
 {
     std::size_t reserved = 0;
     beast::error_code failure;
-    while (!parser.is_done() && !failure) {
+    bool isHeadChecked = false;
+    std::string_view defect;
+    while (!parser.is_done() && !failure && defect.empty()) {
         const auto [readFailure, bytes] = co_await http::async_read_some(conn.stream, conn.buffer, parser, awaitResult);
         failure = readFailure;
         const std::size_t bodyBytes = parser.get().body().size();
@@ -211,13 +229,18 @@
         if (!failure && m_bufferedBytes > m_options.maxBufferedBytes) {
             failure = http::error::body_limit;
         }
+        if (!failure && parser.is_header_done() && !std::exchange(isHeadChecked, true)) {
+            defect = headDefect(parser.get());
+        }
     }
     m_bufferedBytes -= reserved;
     if (failure) {
         result.end = failure == beast::error::timeout ? exchange_end::TimedOut : exchange_end::Lost;
         result.detail = failure.message();
+    } else if (!defect.empty()) {
+        result.detail = defect;
     }
-    co_return !failure;
+    co_return !failure && defect.empty();
 }
 
 // Writes the request and reads the response concurrently.
