HTTP client: a transfer coding other than chunks ends the exchange

Callers would see: a response with Transfer-Encoding: gzip, or gzip before the chunks, was passed on with the coded bytes as its body and without the header that names the coding, so the body was not that of the worker.

Cause: the parser looks for chunks only, and the framing headers are dropped on the way.

Change: the client sends no TE, so a response may only be chunked; any other or repeated coding makes the exchange Lost.

--- a/packages/connection/loop/http_client.cc
+++ b/packages/connection/loop/http_client.cc
@@ -56,6 +56,11 @@
     if (head.result() == http::status::switching_protocols) {
         return "response that switches the protocol unasked";
     }
+    // The client accepts no other coding, and undoes none.
+    const auto codings = head.count(http::field::transfer_encoding);
+    if (codings > 1 || (codings == 1 && !beast::iequals(head[http::field::transfer_encoding], "chunked"))) {
+        return "response with an unsupported transfer coding";
+    }
     return {};
 }
 
--- a/packages/connection/loop/http_client_test.cc
+++ b/packages/connection/loop/http_client_test.cc
@@ -327,6 +327,11 @@
         "HTTP/1.1 200 OK\r\n" + id + length + "Content-Length: 1\r\n\r\nok",
         "HTTP/1.1 200 OK\r\n" + id + length + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n" + length + "\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: gzip\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked, identity\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + id
+            + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\nx\r\nok\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\n" + id + "Transfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n");
     const std::string body = GENERATE(as<std::string>(), "", "order");
