libcurl client: refuse a response whose head HTTP does not allow

Cause: libcurl hands each line to its user without checking it, and the client checked none of them either.

Change: the client reads the status line itself (HTTP/1.0 or 1.1, 100 to 599 without 101) and ends the call as Malformed if a name is no token or a value holds a control character. A proxy may refuse folded lines with 502 (RFC 9112, 5.2).

--- a/packages/connection/http/client.cc
+++ b/packages/connection/http/client.cc
@@ -12,6 +12,7 @@
 
 constexpr std::size_t responseBufferBytes = 32UL * 1024;
 constexpr milliseconds longestPoll{1000};
+constexpr unsigned firstFinalStatus = 200; // responses below are interim
 
 struct slist_deleter
 {
@@ -57,6 +58,27 @@
             last == std::string_view::npos ? std::string{} : std::string(value.substr(first, last - first + 1))};
 }
 
+// Returns the status of a status line; empty if the line is none of HTTP/1.0 or 1.1, or if no request of this client
+// can have this status.
+std::optional<unsigned> parseStatusLine(std::string_view line)
+{
+    constexpr unsigned leastStatus = 100;
+    constexpr unsigned greatestStatus = 599;
+    constexpr unsigned switchingProtocols = 101; // the client sends no `Upgrade`
+    constexpr std::size_t versionLength = std::string_view("HTTP/1.1 ").size();
+    constexpr std::size_t statusLength = 3;
+    if (!line.starts_with("HTTP/1.1 ") && !line.starts_with("HTTP/1.0 ")) {
+        return std::nullopt;
+    }
+    const std::string_view rest = line.substr(versionLength);
+    const auto status = parseCount(rest.substr(0, statusLength));
+    const bool isOneWord = rest.size() == statusLength || (rest.size() > statusLength && rest[statusLength] == ' ');
+    if (!status || !isOneWord || *status < leastStatus || *status > greatestStatus || *status == switchingProtocols) {
+        return std::nullopt;
+    }
+    return static_cast<unsigned>(*status);
+}
+
 milliseconds timeLeft(time_point until, time_point now)
 {
     return std::chrono::ceil<milliseconds>(until - now);
@@ -66,8 +88,15 @@
 
 std::string_view failureName(call_failure failure)
 {
-    static constexpr std::array<std::string_view, 8> names =
-        {"none", "connection failed", "truncated", "undelimited", "deadline passed", "stalled", "cancelled", "busy"};
+    static constexpr std::array<std::string_view, 9> names = {"none",
+                                                              "connection failed",
+                                                              "truncated",
+                                                              "undelimited",
+                                                              "malformed",
+                                                              "deadline passed",
+                                                              "stalled",
+                                                              "cancelled",
+                                                              "busy"};
     return names.at(static_cast<std::size_t>(failure));
 }
 
@@ -105,6 +134,7 @@
 
     void start();
     void setUpload();
+    bool addHeadLine(std::string_view line);
     void endHead();
     void resume();
     template<class Condition>
@@ -165,24 +195,36 @@
 std::size_t http_call::state::onHeader(char *data, std::size_t size, std::size_t count, void *self)
 {
     auto &call = *static_cast<state *>(self);
-    const std::string_view line = withoutLineEnd({data, size * count});
-    if (call.hasHead) {
-        return size * count; // trailer
-    }
+    const bool isAccepted = call.hasHead // the rest are trailers
+        || call.addHeadLine(withoutLineEnd({data, size * count}));
+    return isAccepted ? size * count : 0; // 0 ends the call
+}
+
+// Adds a line of the head; returns false if the call has to end.
+bool http_call::state::addHeadLine(std::string_view line)
+{
+    constexpr unsigned expectationFailed = 417;
     if (line.starts_with("HTTP/")) {
-        long status = 0;
-        curl_easy_getinfo(call.link->easy, CURLINFO_RESPONSE_CODE, &status);
-        call.head = response_head{static_cast<unsigned>(status), {}, std::nullopt};
-        call.hasStatus = status >= 200;
+        const auto status = parseStatusLine(line);
+        if (!status) {
+            failure = call_failure::Malformed;
+            return false;
+        }
+        head = response_head{*status, {}, std::nullopt};
+        hasStatus = *status >= firstFinalStatus;
         // After 417 libcurl sends the request again without `Expect`; ending the call here prevents that.
-        return status == 417 && call.request.head.expectsContinue ? 0 : size * count;
+        return *status != expectationFailed || !request.head.expectsContinue;
     }
     if (!line.empty()) {
-        call.head.headers.push_back(parseHeaderLine(line));
-    } else if (call.hasStatus) {
-        call.endHead();
+        head.headers.push_back(parseHeaderLine(line));
+        const header_field &added = head.headers.back();
+        if (line.find(':') == std::string_view::npos || !isHeaderName(added.name) || !isHeaderValue(added.value)) {
+            failure = call_failure::Malformed;
+        }
+    } else if (hasStatus) {
+        endHead();
     }
-    return size * count;
+    return failure != call_failure::Malformed;
 }
 
 void http_call::state::endHead()
--- a/packages/connection/http/client_test.cc
+++ b/packages/connection/http/client_test.cc
@@ -72,7 +72,12 @@
 
 TEST_CASE("a response whose end cannot be checked is refused", "[http]")
 {
-    raw_server server = serverOf("HTTP/1.1 200 OK\r\n\r\nperhaps cut");
+    const std::string head = GENERATE(as<std::string>(),
+                                      "HTTP/1.1 200 OK\r\n",
+                                      "HTTP/1.0 200 OK\r\n",
+                                      "HTTP/1.1 200 OK\r\nConnection: close\r\n");
+    CAPTURE(head);
+    raw_server server = serverOf(head + "\r\nperhaps cut");
     client_pool pool({});
     http_call call(pool, requestTo(server.address(), "GET"), noWatch);
     call.provideLast({});
@@ -81,6 +86,103 @@
     CHECK(call.progress() == call_progress::PartialResponse);
 }
 
+TEST_CASE("a response whose status or head HTTP does not allow is refused", "[http]")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string length = "Content-Length: 2\r\n";
+    const std::string response = GENERATE_COPY(as<std::string>(),
+                                               "HTTP/1.1 000 OK\r\n" + length + "\r\nok",
+                                               "HTTP/1.1 099 OK\r\n" + length + "\r\nok",
+                                               "HTTP/1.1 20 OK\r\n" + length + "\r\nok",
+                                               "HTTP/1.1 2000 OK\r\n" + length + "\r\nok",
+                                               "HTTP/1.1 600 OK\r\n" + length + "\r\nok",
+                                               "HTTP/1.1 999 OK\r\n" + length + "\r\nok",
+                                               "HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + length + "\r\nok",
+                                               "HTTP/0.9 200 OK\r\n" + length + "\r\nok",
+                                               "HTTP/2.0 200 OK\r\n" + length + "\r\nok",
+                                               "no head at all",
+                                               ok + "X Odd: 1\r\n" + length + "\r\nok",
+                                               ok + "X-Odd : 1\r\n" + length + "\r\nok",
+                                               ok + "X\x01Odd: 1\r\n" + length + "\r\nok",
+                                               ok + "X\x7fOdd: 1\r\n" + length + "\r\nok",
+                                               ok + std::string("X\0Odd: 1\r\n", 10) + length + "\r\nok",
+                                               ok + "X-Odd: a\x01z\r\n" + length + "\r\nok",
+                                               ok + "X-Odd: a\rz\r\n" + length + "\r\nok",
+                                               ok + "no colon\r\n" + length + "\r\nok",
+                                               ok + ": no name\r\n" + length + "\r\nok",
+                                               ok + "Content-Length: -2\r\n\r\nok");
+    const std::string body = GENERATE(as<std::string>(), "", "order");
+    CAPTURE(response, body);
+    raw_server server([&](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n" + body);
+        peer.send(response);
+    });
+    client_pool pool({});
+    http_call call(pool, requestTo(server.address(), body.empty() ? "GET" : "POST", body.size()), noWatch);
+    call.provideLast(body);
+    CHECK(call.awaitHead() == nullptr);
+    CHECK(call.progress() != call_progress::Complete);
+    CHECK(call.progress() != call_progress::NoConnection);
+}
+
+TEST_CASE("a response that ends early, wherever it does, is not taken as whole", "[http]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n";
+    const std::string response =
+        GENERATE_COPY(as<std::string>(),
+                      head + "Content-Length: 6\r\n\r\nanswer",
+                      head + "Transfer-Encoding: chunked\r\n\r\n3\r\nans\r\n3;x=y\r\nwer\r\n0\r\nX-Sum: 1\r\n\r\n",
+                      "HTTP/1.1 103 Early Hints\r\nX-Odd: 1\r\n\r\n" + head + "Content-Length: 6\r\n\r\nanswer");
+    // libcurl does not wait for the last byte of a chunked response, the line feed behind its trailers.
+    const std::size_t lastLineFeed = response.ends_with("\n") ? 1 : 0;
+    const bool isReset = GENERATE(false, true);
+    const std::string body = GENERATE(as<std::string>(), "", "order");
+    CAPTURE(response, isReset, body);
+    raw_server server([&](raw_connection &peer, int index) {
+        peer.receiveUntil("\r\n\r\n" + body);
+        peer.send(response.substr(0, static_cast<std::size_t>(index)));
+        if (isReset) {
+            peer.reset();
+        }
+    });
+    client_pool pool({});
+    const client_request request = requestTo(server.address(), body.empty() ? "GET" : "POST", body.size());
+    for (std::size_t sentBytes = 0; sentBytes < response.size() - lastLineFeed; ++sentBytes) {
+        CAPTURE(sentBytes);
+        const call_progress progress = runCall(pool, request, body);
+        CHECK((progress == call_progress::SentNoResponse || progress == call_progress::PartialResponse));
+    }
+}
+
+TEST_CASE("a response that is whole is complete, and its trailers are no headers", "[http]")
+{
+    const std::string head = " OK\r\nX-Odd: 1\r\n";
+    const auto [method, response, body] = GENERATE_COPY(table<std::string, std::string, std::string>(
+        {{"GET", "HTTP/1.1 200" + head + "Content-Length: 6\r\n\r\nanswer", "answer"},
+         {"GET", "HTTP/1.0 200" + head + "Content-Length: 6\r\n\r\nanswer", "answer"},
+         {"GET", "HTTP/1.1 200" + head + "Content-Length: 6\r\nContent-Length: 6\r\n\r\nanswer", "answer"},
+         {"GET", "HTTP/1.1 200" + head + "Content-Length: 0\r\n\r\n", ""},
+         {"GET", "HTTP/1.1 200" + head + "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n", "answer"},
+         {"GET", "HTTP/1.1 200" + head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Sum: 1\r\n\r\n", ""},
+         {"GET", "HTTP/1.1 204" + head + "\r\n", ""},
+         {"GET", "HTTP/1.1 304" + head + "Content-Length: 6\r\n\r\n", ""},
+         {"HEAD", "HTTP/1.1 200" + head + "Content-Length: 6\r\n\r\n", ""},
+         {"HEAD", "HTTP/1.1 200" + head + "Transfer-Encoding: chunked\r\n\r\n", ""},
+         {"HEAD", "HTTP/1.1 200" + head + "\r\n", ""},
+         {"GET", "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200" + head + "Content-Length: 6\r\n\r\nanswer", "answer"}}));
+    CAPTURE(method, response);
+    raw_server server = serverOf(response);
+    client_pool pool({});
+    http_call call(pool, requestTo(server.address(), method), noWatch);
+    call.provideLast({});
+    const response_head *const got = call.awaitHead();
+    REQUIRE(got != nullptr);
+    CHECK(readAll(call) == std::pair<std::string, read_state>(body, read_state::End));
+    CHECK(call.progress() == call_progress::Complete);
+    CHECK(findHeader(got->headers, "X-Odd") == "1");
+    CHECK_FALSE(findHeader(got->headers, "X-Sum").has_value());
+}
+
 TEST_CASE("a call that reached nobody says so, and one that was sent does not", "[http]")
 {
     client_pool pool({});
--- a/packages/connection/http/message.cc
+++ b/packages/connection/http/message.cc
@@ -83,6 +83,24 @@
     return std::ranges::equal(left, right, {}, lower, lower);
 }
 
+bool isHeaderName(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::ranges::all_of(text, [&](char letter) {
+        return (letter >= '0' && letter <= '9') || (lower(letter) >= 'a' && lower(letter) <= 'z')
+            || marks.find(letter) != std::string_view::npos;
+    });
+}
+
+bool isHeaderValue(std::string_view text)
+{
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    return std::ranges::all_of(text, [](unsigned char letter) {
+        return (letter >= firstPrintable && letter != deleteCharacter) || letter == '\t';
+    });
+}
+
 std::optional<std::string_view> findHeader(const header_list &headers, std::string_view name)
 {
     const auto found = std::ranges::find_if(headers, [&](const header_field &field) {
--- a/packages/connection/http/message.h
+++ b/packages/connection/http/message.h
@@ -86,6 +86,12 @@
 // isSameHeaderName compares header names without regard to case. Thread safe.
 bool isSameHeaderName(std::string_view left, std::string_view right);
 
+// isHeaderName returns whether `text` is a token, as RFC 9110 requires of the name of a header. Thread safe.
+bool isHeaderName(std::string_view text);
+
+// isHeaderValue returns whether `text` has no control characters other than tabs. Thread safe.
+bool isHeaderValue(std::string_view text);
+
 // findHeader returns the value of the first header with this name. Thread safe. The view lives as long as `headers`.
 std::optional<std::string_view> findHeader(const header_list &headers, std::string_view name);
 
--- a/packages/request/proxy/proxy_test.cc
+++ b/packages/request/proxy/proxy_test.cc
@@ -201,6 +201,30 @@
     CHECK(fromWorker.body.find("crossed-response") != std::string::npos);
 }
 
+TEST_CASE("a response that HTTP does not allow, or whose head ends early, becomes a 502", "[proxy]")
+{
+    const std::string response = GENERATE(as<std::string>(),
+                                          "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+                                          "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok",
+                                          "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+                                          "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+                                          "HTTP/1.1 200 OK\r\nX-Odd: a\r\n folded: 1\r\nContent-Length: 2\r\n\r\nok",
+                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+                                          "HTTP/1.1 200 OK\r\nContent-Le");
+    CAPTURE(response);
+    raw_server upstream([&](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+        peer.send(response);
+    });
+    test_mesh mesh;
+    const auto node = mesh.addNode("n1", upstream.address());
+    const caller_response got = mesh.call("POST", "/write");
+    CHECK(got.status == 502);
+    CHECK(got.header("X-Pq-Outcome") == "unknown");
+    CHECK(got.progress == call_progress::Complete);
+    CHECK(upstream.connections() == 1);
+}
+
 TEST_CASE("a caller that closes its connection cancels the call at the worker and frees the slot", "[proxy]")
 {
     std::promise<void> arrived;
