libcurl client: refuse a response whose lengths or codings contradict each other

Cause: the client looked for a Content-Length and any Transfer-Encoding, while libcurl decided the end of the body by rules of its own.

Change: the head must announce one length, or chunks as the only coding, and not both; otherwise the call ends as Malformed before any body is passed on (RFC 9112, 6.3). Two equal lengths stay valid. A 204, 304 or answer to HEAD needs neither.

--- a/packages/connection/http/client.cc
+++ b/packages/connection/http/client.cc
@@ -79,6 +79,40 @@
     return static_cast<unsigned>(*status);
 }
 
+// How the head of a response delimits its body.
+struct response_framing
+{
+    std::optional<std::uint64_t> length;
+    bool isChunked = false;
+    call_failure failure = call_failure::None;
+};
+
+// Returns the framing that the headers announce. libcurl takes the last of several lengths and undoes other transfer
+// codings than chunks; both would pass on another body than the one that the headers describe.
+response_framing framingOf(const header_list &headers)
+{
+    response_framing framing;
+    bool hasCoding = false;
+    for (const header_field &field : headers) {
+        if (isSameHeaderName(field.name, "transfer-encoding")) {
+            framing.isChunked = isSameHeaderName(field.value, "chunked");
+            const bool isOnlyCoding = framing.isChunked && !std::exchange(hasCoding, true);
+            framing.failure = isOnlyCoding ? framing.failure : call_failure::Malformed;
+        } else if (isSameHeaderName(field.name, "content-length")) {
+            const auto length = parseCount(field.value);
+            const bool isConsistent = length && framing.length.value_or(*length) == *length;
+            framing.failure = isConsistent ? framing.failure : call_failure::Malformed;
+            framing.length = length;
+        }
+    }
+    if (framing.failure == call_failure::None && framing.isChunked && framing.length) {
+        framing.failure = call_failure::Malformed;
+    } else if (framing.failure == call_failure::None && !framing.isChunked && !framing.length) {
+        framing.failure = call_failure::Undelimited;
+    }
+    return framing;
+}
+
 milliseconds timeLeft(time_point until, time_point now)
 {
     return std::chrono::ceil<milliseconds>(until - now);
@@ -229,16 +263,13 @@
 
 void http_call::state::endHead()
 {
-    hasHead = true;
-    const auto length = findHeader(head.headers, "content-length");
-    const bool isChunked = findHeader(head.headers, "transfer-encoding").has_value();
-    if (isBodiless(request.head.method, head.status)) {
-        head.bodyLength = length ? parseCount(*length) : 0;
-    } else if (!isChunked && length) {
-        head.bodyLength = parseCount(*length);
-    } else if (!isChunked) {
-        failure = call_failure::Undelimited;
+    const response_framing framing = framingOf(head.headers);
+    const bool hasNoBody = isBodiless(request.head.method, head.status);
+    head.bodyLength = hasNoBody && !framing.length ? 0 : framing.length;
+    if (framing.failure == call_failure::Malformed || !hasNoBody) {
+        failure = framing.failure;
     }
+    hasHead = failure != call_failure::Malformed;
 }
 
 std::size_t http_call::state::onReceive(char *data, std::size_t size, std::size_t count, void *self)
--- a/packages/connection/http/client.h
+++ b/packages/connection/http/client.h
@@ -35,7 +35,7 @@
     Connection, // refused, reset, or closed before a response
     Truncated, // the response ended before its announced end
     Undelimited, // the response announces neither a length nor chunks, so its end cannot be checked
-    Malformed, // HTTP/1.1 does not allow the head of the response
+    Malformed, // HTTP/1.1 does not allow the head of the response, or its body has a transfer coding beside chunks
     DeadlinePassed,
     Stalled, // the target took no bytes of the body for the stall time
     Cancelled, // the caller is gone or the server stops
--- a/packages/request/proxy/proxy_test.cc
+++ b/packages/request/proxy/proxy_test.cc
@@ -203,14 +203,17 @@
 
 TEST_CASE("a response that HTTP does not allow, or whose head ends early, becomes a 502", "[proxy]")
 {
-    const std::string response = GENERATE(as<std::string>(),
-                                          "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
-                                          "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok",
-                                          "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok",
-                                          "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok",
-                                          "HTTP/1.1 200 OK\r\nX-Odd: a\r\n folded: 1\r\nContent-Length: 2\r\n\r\nok",
-                                          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
-                                          "HTTP/1.1 200 OK\r\nContent-Le");
+    const std::string response =
+        GENERATE(as<std::string>(),
+                 "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nX-Odd: a\r\n folded: 1\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Le");
     CAPTURE(response);
     raw_server upstream([&](raw_connection &peer, int) {
         peer.receiveUntil("\r\n\r\n");
