Test tools: a response whose head ends early is not whole

Cause: libcurl reports success for a connection that is closed within the head of a response. The HTTP calls of the tests then took it for whole, with status and an empty body, and the load generator believed an X-Pq-Outcome: not-run out of such a head; a test could have passed on a broken response.

Change: both note whether the empty line behind the head has arrived.

--- a/testing/harness/harness_test.cc
+++ b/testing/harness/harness_test.cc
@@ -8,6 +8,7 @@
 
 #include "testing/harness/cluster.h"
 #include "testing/harness/http.h"
+#include "testing/harness/raw_socket.h"
 
 using namespace pistachioquay;
 
@@ -143,3 +144,20 @@
     CHECK(headerOf(answer, "x-pq-request-id") == "r1");
     CHECK(answer.body.find(R"("bytes":4)") != std::string::npos);
 }
+
+TEST_CASE("an HTTP call whose response ends early, wherever it does, is not whole")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n";
+    const std::string response = GENERATE_COPY(as<std::string>(),
+                                               head + "Connection: close\r\n\r\n",
+                                               head + "Content-Length: 2\r\n\r\nok",
+                                               "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 0\r\n\r\n");
+    testing::raw_server server([&](testing::raw_connection &peer, int index) {
+        peer.receiveUntil("\r\n\r\n");
+        peer.send(response.substr(0, static_cast<std::size_t>(index)));
+    });
+    for (std::size_t sentBytes = 0; sentBytes <= response.size(); ++sentBytes) {
+        CAPTURE(response, sentBytes);
+        CHECK(httpGet(server.address(), "/").isWhole == (sentBytes == response.size()));
+    }
+}
--- a/testing/harness/http.cc
+++ b/testing/harness/http.cc
@@ -6,6 +6,7 @@
 
 #include <curl/curl.h>
 
+#include "testing/harness/head_watch.h"
 #include "testing/harness/process.h"
 
 namespace pistachioquay {
@@ -24,15 +25,24 @@
     }
 };
 
+// What a call has received so far.
+struct reception
+{
+    http_answer answer;
+    head_watch head;
+};
+
 std::size_t onBody(char *data, std::size_t, std::size_t size, void *target)
 {
-    static_cast<http_answer *>(target)->body.append(data, size);
+    static_cast<reception *>(target)->answer.body.append(data, size);
     return size;
 }
 
 std::size_t onHeader(char *data, std::size_t, std::size_t size, void *target)
 {
+    auto &received = *static_cast<reception *>(target);
     const std::string_view line(data, size);
+    addHeadLine(received.head, line);
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos) {
         return size;
@@ -43,7 +53,7 @@
     });
     const std::size_t start = std::min(line.find_first_not_of(" \t", colon + 1), line.size());
     const std::size_t end = line.find_last_not_of("\r\n \t");
-    static_cast<http_answer *>(target)->headers[name] = end < start ? "" : line.substr(start, end + 1 - start);
+    received.answer.headers[name] = end < start ? "" : line.substr(start, end + 1 - start);
     return size;
 }
 
@@ -62,7 +72,8 @@
 
 http_answer httpCall(const test_call &call)
 {
-    http_answer answer;
+    reception received;
+    http_answer &answer = received.answer;
     const std::unique_ptr<CURL, curl_deleter> handle(curl_easy_init());
     curl_slist *list = nullptr;
     for (const auto &[name, value] : call.headers) {
@@ -78,17 +89,17 @@
     curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
     curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &onBody);
-    curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &answer);
+    curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &received);
     curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, &onHeader);
-    curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &answer);
+    curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &received);
     setMethod(handle.get(), call);
     const time_point sentAt = steadyNow();
     const CURLcode code = curl_easy_perform(handle.get());
     answer.time = milliseconds(millisBetween(sentAt, steadyNow()));
     curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &answer.status);
-    answer.isWhole = code == CURLE_OK;
-    answer.failure = answer.isWhole ? "" : curl_easy_strerror(code);
-    return answer;
+    answer.isWhole = code == CURLE_OK && isWholeHead(received.head, answer.status);
+    answer.failure = answer.isWhole ? "" : code == CURLE_OK ? "the head ends early" : curl_easy_strerror(code);
+    return std::move(received.answer);
 }
 
 http_answer httpGet(const endpoint &address, std::string_view path, const http_headers &headers)
--- a/testing/load/generator.cc
+++ b/testing/load/generator.cc
@@ -11,6 +11,7 @@
 #include <sys/timerfd.h>
 #include <unistd.h>
 
+#include "testing/harness/head_watch.h"
 #include "testing/load/response_check.h"
 
 namespace pistachioquay {
@@ -49,6 +50,7 @@
     std::size_t index = 0;
     int sends = 0;
     received_response received;
+    head_watch head;
 };
 
 // Requests of one target.
@@ -68,6 +70,7 @@
 {
     constexpr std::string_view name = "X-Pq-Outcome:";
     const std::string_view line(data, size);
+    addHeadLine(static_cast<transfer *>(context)->head, line);
     if (line.size() > name.size() && strncasecmp(data, name.data(), name.size()) == 0) {
         const std::size_t start = std::min(line.find_first_not_of(' ', name.size()), line.size());
         const std::size_t end = std::min(line.find_first_of("\r\n", start), line.size());
@@ -210,6 +213,7 @@
         m_free.pop_back();
         chosen.sends = 0;
         chosen.received = {};
+        chosen.head = {};
         curl_easy_reset(chosen.handle.get());
         return chosen;
     }
@@ -331,7 +335,7 @@
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &done.received.status);
         result.status = done.received.status;
         const load_class &wanted = m_plan.classes[result.planned.classIndex];
-        if (code == CURLE_OK) {
+        if (code == CURLE_OK && isWholeHead(done.head, done.received.status)) {
             result.outcome = classify(done.received, {result.id, wanted.requestBytes, wanted.responseBytes});
         } else if (done.sends == 0 && code == CURLE_COULDNT_CONNECT) {
             result.outcome = request_outcome::NoConnection;
--- a/testing/load/load_test.cc
+++ b/testing/load/load_test.cc
@@ -6,6 +6,7 @@
 #include "testing/harness/cluster.h"
 #include "testing/harness/http.h"
 #include "testing/harness/json.h"
+#include "testing/harness/raw_socket.h"
 #include "testing/load/generator.h"
 #include "testing/load/report.h"
 #include "testing/load/response_check.h"
@@ -244,6 +245,22 @@
     CHECK(figures.noConnection == figures.sent);
 }
 
+TEST_CASE("a response whose head ends early is a failed request, whatever the head says")
+{
+    testing::raw_server server([](testing::raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+        peer.send("HTTP/1.1 503 Busy\r\nX-Pq-Outcome: not-run\r\n");
+    });
+    load_plan plan = makePlan();
+    plan.targets = {server.address()};
+    plan.steps = {{20, milliseconds(500)}};
+    const std::vector<request_result> results = runPlan(plan);
+    REQUIRE_FALSE(results.empty());
+    CHECK(std::ranges::all_of(results, [](const request_result &result) {
+        return result.outcome == request_outcome::Failed;
+    }));
+}
+
 TEST_CASE("a request whose response is lost on a kept connection is not sent again")
 {
     const temp_folder folder;
