Log client: a refusal whose head ends early leaves the append open

Cause: libcurl reports success for a connection that is closed within the head, and ulfius's client passes that on. Nothing in its result tells a whole head from a part.

Change: the log client calls the log through http_call, which knows whether the head has ended and whether the body is whole. That also replaces the connection that was opened before each call only to tell a refused one, and timeouts are exact now. Reads may still end with their connection; http_call gets an option for that, for requests without a body only.

--- a/packages/connection/http/client.cc
+++ b/packages/connection/http/client.cc
@@ -266,7 +266,8 @@
     const response_framing framing = framingOf(head.headers);
     const bool hasNoBody = isBodiless(request.head.method, head.status);
     head.bodyLength = hasNoBody && !framing.length ? 0 : framing.length;
-    if (framing.failure == call_failure::Malformed || !hasNoBody) {
+    const bool isAccepted = hasNoBody || request.acceptsUndelimited;
+    if (framing.failure == call_failure::Malformed || !isAccepted) {
         failure = framing.failure;
     }
     hasHead = failure != call_failure::Malformed;
--- a/packages/connection/http/client.h
+++ b/packages/connection/http/client.h
@@ -25,7 +25,8 @@
     NoConnection, // not one byte of the request was sent: it did not run
     SentNoResponse, // sent at least in part; nothing of a final response arrived: it may have run
     PartialResponse, // a response began and was not completed
-    Complete, // the whole response arrived, checked by its length or its last chunk
+    Complete, // the whole response arrived, checked by its length, its last chunk or, if accepted, a close without
+              // reset
 };
 
 // Why a call ended without a whole response.
@@ -53,6 +54,9 @@
     time_point deadline;
     milliseconds connectTimeout{1000};
     seconds stallTimeout{5};
+    // Whether a response may announce neither a length nor chunks and end with its connection. Only for requests
+    // without a body: the write of one can hide a reset from the read.
+    bool acceptsUndelimited = false;
 };
 
 // Bounds of a pool.
--- a/packages/connection/http/client_test.cc
+++ b/packages/connection/http/client_test.cc
@@ -86,6 +86,32 @@
     CHECK(call.progress() == call_progress::PartialResponse);
 }
 
+TEST_CASE("a response whose end cannot be checked is whole, if accepted, unless the connection is reset", "[http]")
+{
+    const bool isReset = GENERATE(false, true);
+    std::atomic<bool> isHeadReceived = false;
+    raw_server server([&](raw_connection &peer, int) {
+        peer.receiveUntil("\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\n\r\nanswer");
+        const time_point until = steadyNow() + seconds(10);
+        while (!isHeadReceived && steadyNow() < until) {
+            std::this_thread::yield();
+        }
+        if (isReset) {
+            peer.reset();
+        }
+    });
+    client_pool pool({});
+    client_request request = requestTo(server.address(), "GET");
+    request.acceptsUndelimited = true;
+    http_call call(pool, request, noWatch);
+    call.provideLast({});
+    REQUIRE(call.awaitHead() != nullptr);
+    isHeadReceived = true;
+    CHECK(readAll(call).second == (isReset ? read_state::Cut : read_state::End));
+    CHECK(call.progress() == (isReset ? call_progress::PartialResponse : call_progress::Complete));
+}
+
 TEST_CASE("a response whose status or head HTTP does not allow is refused", "[http]")
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
--- a/packages/connection/log_client/log_client.h
+++ b/packages/connection/log_client/log_client.h
@@ -44,8 +44,7 @@
     friend bool operator==(const log_batch &, const log_batch &) = default;
 };
 
-// Where the log is, and how long a call may take besides the wait of a long poll. The HTTP client counts timeouts in
-// whole seconds, so `timeout` is rounded up to the next second; only the connection attempt is exact.
+// Where the log is, and how long a call may take besides the wait of a long poll.
 struct log_target
 {
     endpoint address;
@@ -53,10 +52,10 @@
 };
 
 // appendRecord appends one record and returns its offset. Thread safe; blocks for at most the timeout. Errors:
-//   Unavailable      not appended: connection refused, log down (503) or rate limit (429)
+//   Unavailable      not appended: no connection, log down (503) or rate limit (429)
 //   InvalidArgument  not appended: record too large, stream name malformed, or append rejected by the log (4xx)
 //   Timeout          maybe appended: no response in time
-//   Io               maybe appended: connection lost after it was made, or another status
+//   Io               maybe appended: connection lost after it was made, response not whole, or another status
 //   Corrupt          maybe appended: the response is not understood
 result<std::uint64_t> appendRecord(const log_target &target, std::string_view stream, std::string_view data);
 
--- a/packages/connection/log_client/log_client_test.cc
+++ b/packages/connection/log_client/log_client_test.cc
@@ -7,6 +7,7 @@
 #include "connection/log_client/log_client.h"
 #include "testing/harness/cluster.h"
 #include "testing/harness/http.h"
+#include "testing/harness/raw_socket.h"
 #include "testing/property.h"
 
 using namespace pistachioquay;
@@ -237,6 +238,28 @@
     CHECK(*append(log.target(), "two") == 2);
 }
 
+TEST_CASE("a response that ends early, wherever it does, leaves the append open")
+{
+    const std::string response = GENERATE(as<std::string>(),
+                                          "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"offset\": 1}",
+                                          "HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n",
+                                          "HTTP/1.1 403 Forbidden\r\nContent-Length: 2\r\n\r\nno");
+    const bool isReset = GENERATE(false, true);
+    std::size_t sentBytes = 0;
+    testing::raw_server server([&](testing::raw_connection &peer, int) {
+        if (!peer.receiveUntil("\r\n\r\nrecord").empty()) { // else the client has only tried to connect
+            peer.send(response.substr(0, sentBytes));
+            if (isReset) {
+                peer.reset();
+            }
+        }
+    });
+    for (; sentBytes < response.size(); ++sentBytes) {
+        CAPTURE(response, isReset, sentBytes);
+        checkMaybeAppended(append({server.address(), milliseconds(5000)}, "record"), error_kind::Io);
+    }
+}
+
 TEST_CASE("a log that is killed while it works leaves the append open")
 {
     started_log log;
