Worker health: a health check counts only if its answer is whole

Cause: as in the log client: libcurl reports success for a connection that is closed within the head, and ulfius passes that on.

Change: the poll goes through http_call and reads the answer to its end. An answer that ends with its connection still counts.

Evidence: "a worker is ready only if it answers its health check completely" failed for 3 of 10 answers before, and passes now.

--- a/packages/process/node/worker_health.cc
+++ b/packages/process/node/worker_health.cc
@@ -1,11 +1,12 @@
 #include "process/node/worker_health.h"
 
+#include <array>
 #include <thread>
 #include <utility>
 
 #include <glog/logging.h>
-#include <ulfius.h>
 
+#include "connection/http/client.h"
 #include "connection/wire/socket.h"
 #include "process/node/pause.h"
 
@@ -14,29 +15,29 @@
 namespace {
 
 constexpr milliseconds pollInterval{250};
-constexpr long pollTimeoutSeconds = 1;
+constexpr milliseconds pollTimeout{1000};
 constexpr milliseconds portCheckInterval{5}; // between two checks of a port that is still open
-constexpr long firstServerError = 500;
+constexpr unsigned firstServerError = 500;
+constexpr std::size_t readBytes = 4096;
 
-bool pollOnce(const std::string &url)
+bool pollOnce(client_pool &pool, const endpoint &upstream)
 {
-    _u_request request;
-    _u_response response;
-    ulfius_init_request(&request);
-    ulfius_init_response(&response);
-    ulfius_set_request_properties(&request,
-                                  U_OPT_HTTP_VERB,
-                                  "GET",
-                                  U_OPT_HTTP_URL,
-                                  url.c_str(),
-                                  U_OPT_TIMEOUT,
-                                  pollTimeoutSeconds,
-                                  U_OPT_NONE);
-    const bool hasResponse = ulfius_send_http_request(&request, &response) == U_OK;
-    const bool hasSucceeded = hasResponse && response.status < firstServerError;
-    ulfius_clean_request(&request);
-    ulfius_clean_response(&response);
-    return hasSucceeded;
+    client_request request{.target = upstream, .deadline = steadyNow() + pollTimeout};
+    request.head = {.method = "GET", .target = "/health", .headers = {{"Host", toText(upstream)}}};
+    request.acceptsUndelimited = true;
+    const caller_watch noWatch;
+    http_call call(pool, std::move(request), noWatch);
+    call.provideLast({});
+    const response_head *const head = call.awaitHead();
+    if (head == nullptr || head->status >= firstServerError) {
+        return false;
+    }
+    std::array<char, readBytes> buffer{};
+    read_result piece = call.read(buffer);
+    while (piece.state == read_state::Data) {
+        piece = call.read(buffer);
+    }
+    return piece.state == read_state::End;
 }
 
 } // namespace
@@ -75,10 +76,10 @@
 
 void worker_health::run(const std::stop_token &stop)
 {
-    const std::string url = "http://" + toText(m_upstream) + "/health";
+    client_pool pool({.keepsConnections = false});
     readiness current;
     while (!stop.stop_requested()) {
-        const readiness next = readinessAfterPoll(current, pollOnce(url));
+        const readiness next = readinessAfterPoll(current, pollOnce(pool, m_upstream));
         if (next.isReady != current.isReady) {
             LOG(INFO) << "[worker] The upstream at " << toText(m_upstream)
                       << (next.isReady ? " is ready." : " does not respond.");
