HTTP server: a forwarded answer to HEAD does not announce an empty body

Callers saw: every answer to a HEAD that came from a worker said Content-Length: 0, whatever length the worker had announced.

Cause: the framing headers are dropped on the way and set anew from the body, which an answer to HEAD does not have.

Change: such an answer carries no Content-Length, which HTTP allows (RFC 9110, 8.6). Answers of the node itself, whose body is known, keep theirs.

--- a/packages/connection/loop/http_server.cc
+++ b/packages/connection/loop/http_server.cc
@@ -395,6 +395,9 @@
 awaitable<bool> server_connection::write(open_exchange &exchange, bool keepsOpen)
 {
     auto message = toBeast(std::move(*exchange.response), exchange.version, keepsOpen);
+    if (exchange.isHead && message.body().empty()) {
+        message.erase(http::field::content_length); // a GET may have a body, whose length is not known here
+    }
     http::response_serializer<http::string_body> serializer(message);
     serializer.split(exchange.isHead);
     while (exchange.isHead ? !serializer.is_header_done() : !serializer.is_done()) {
--- a/packages/connection/loop/http_server_test.cc
+++ b/packages/connection/loop/http_server_test.cc
@@ -16,7 +16,7 @@
 // Server on a free port. It responds with the method, target and body of the request. GET requests may overlap. The
 // target /throw makes the handler throw; /odd returns a status that HTTP cannot express; /wait makes it wait until the
 // caller disconnects, for at most 5 s; /meet makes it wait until two handlers run, for at most 1 s; /late makes it wait
-// for 200 ms; /last closes the connection.
+// for 200 ms; /last closes the connection; /empty has a response without a body.
 class echo_server
 {
 public:
@@ -142,6 +142,9 @@
             caller.onDisconnect(nullptr);
         }
         whole_response response = textReply(200, request.method + " " + request.target + " " + request.body);
+        if (request.target == "/empty") {
+            response.body.clear();
+        }
         response.closesConnection = request.target == "/last";
         response.status = request.target == "/odd" ? 4711 : 200;
         co_return response;
@@ -181,6 +184,24 @@
 
 } // namespace
 
+TEST_CASE("a response to HEAD announces no length that it does not know, and no body follows it")
+{
+    echo_server server;
+    raw_connection client(server.address());
+    // The handler returns a body for the first request and none for the second.
+    CHECK(client.send("HEAD /known HTTP/1.1\r\nHost: x\r\n\r\n"));
+    const std::string known = client.receiveUntil("\r\n\r\n");
+    CHECK(known.find("Content-Length: 12\r\n") != std::string::npos);
+    CHECK(known.ends_with("\r\n\r\n"));
+    CHECK(client.send("HEAD /empty HTTP/1.1\r\nHost: x\r\n\r\n"));
+    const std::string unknown = client.receiveUntil("\r\n\r\n");
+    CHECK(unknown.starts_with("HTTP/1.1 200"));
+    CHECK(unknown.find("Content-Length") == std::string::npos);
+    CHECK(unknown.ends_with("\r\n\r\n"));
+    CHECK(client.send("GET /empty HTTP/1.1\r\nHost: x\r\n\r\n"));
+    CHECK(client.receiveUntil("\r\n\r\n").find("Content-Length: 0\r\n") != std::string::npos);
+}
+
 TEST_CASE("request bodies with Content-Length and with chunked encoding arrive complete")
 {
     echo_server server;
