--- a/packages/connection/loop/frame_link_test.cc
+++ b/packages/connection/loop/frame_link_test.cc
@@ -1,6 +1,8 @@
 // Guards against frames that are truncated, oversized or out of order.
 #include <catch2/catch.hpp>
 
+#include <atomic>
+
 #include <mutex>
 #include <stdexcept>
 #include <vector>
@@ -96,6 +98,40 @@
     }
 }
 
+TEST_CASE("a frame that ends early, wherever it does, is not delivered, and the link closes")
+{
+    const std::string whole("\0\0\0\2\1ok", 7);
+    const std::string cut("\0\0\0\6\1answer", 11);
+    const bool isReset = GENERATE(false, true);
+    std::atomic<bool> isFirstReceived = false;
+    raw_server server([&](raw_connection &peer, int index) {
+        peer.send(whole + cut.substr(0, static_cast<std::size_t>(index)));
+        const time_point until = steadyNow() + longestWait;
+        while (!isFirstReceived && steadyNow() < until) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        if (isReset) {
+            peer.reset();
+        }
+    });
+    loop_thread loop;
+    for (std::size_t sentBytes = 0; sentBytes < cut.size(); ++sentBytes) {
+        CAPTURE(isReset, sentBytes);
+        isFirstReceived = false;
+        received_frames received;
+        const auto link = connectTo(loop, server.address(), received);
+        REQUIRE(link);
+        REQUIRE(waitFor(received, [&] {
+            return !received.frames.empty();
+        }));
+        isFirstReceived = true;
+        CHECK(waitFor(received, [&] {
+            return !received.closeReason.empty();
+        }));
+        CHECK(received.frames == std::vector<std::pair<int, std::string>>{{1, "ok"}});
+    }
+}
+
 TEST_CASE("connecting to a closed port returns no link")
 {
     const refusing_port closed;
