Log why a run has no whole response

Cause: `[inbound] ran` said only reason=lost, so an operator could not tell a reset worker from one whose head HTTP does not allow.

--- a/packages/process/mesh/inbound.cc
+++ b/packages/process/mesh/inbound.cc
@@ -267,6 +267,7 @@
 {
     const bool isRetryable = message.repeat == retry_policy::Retryable;
     const time_point firstStartedAt = steadyNow();
+    std::string detail; // why the last attempt has no response
     reply.kind = reply_kind::Unknown;
     for (unsigned attempt = 0; attempt < maxWorkerAttempts; ++attempt) {
         const time_point startedAt = steadyNow();
@@ -294,6 +295,7 @@
         const bool mayRepeat = isLost && attempt + 1 < maxWorkerAttempts
             && mayRepeatOnWorker({isRetryable, result.wasReused, isAcceptingRequests(m_context.worker)})
             && tryAcquireServiceRetry(m_context.retryBudgets, message.service, retryLimits(m_context), steadyNow());
+        detail = result.detail;
         const attempt_outcome earlier = attempt > 0 ? attemptOutcome(reply) : attempt_outcome::NotRun;
         evaluateWorkerResponse(message, std::move(result), tookMs, reply);
         recordRunEnd(message.id, reply.kind, isLost);
@@ -311,17 +313,21 @@
         }
         break;
     }
-    m_context.log(log_line("inbound", "ran")
-                      .add("id", message.id)
-                      .add("route", message.route)
-                      .add("worker", m_context.worker.workerId)
-                      .add("outcome", replyName(reply.kind))
-                      .add("reason", reply.reason)
-                      .add("status", reply.response.status)
-                      .add("waited_ms", reply.waitedMs)
-                      .add("took_ms", msBetween(firstStartedAt, steadyNow()))
-                      .add("expected_ms", expectedRunMs(m_runTimes, message.route, 0))
-                      .add("time_left_ms", message.timeLeftMs));
+    log_line ran("inbound", "ran");
+    ran.add("id", message.id)
+        .add("route", message.route)
+        .add("worker", m_context.worker.workerId)
+        .add("outcome", replyName(reply.kind))
+        .add("reason", reply.reason)
+        .add("status", reply.response.status)
+        .add("waited_ms", reply.waitedMs)
+        .add("took_ms", msBetween(firstStartedAt, steadyNow()))
+        .add("expected_ms", expectedRunMs(m_runTimes, message.route, 0))
+        .add("time_left_ms", message.timeLeftMs);
+    if (!detail.empty()) {
+        ran.add("detail", detail);
+    }
+    m_context.log(ran);
 }
 
 void inbound_handler::evaluateWorkerResponse(const call_message &message,
--- a/testing/platform/process/broken_answer_process_test.cc
+++ b/testing/platform/process/broken_answer_process_test.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr milliseconds startTimeout{8000};
+constexpr milliseconds logTimeout{3000};
 constexpr std::size_t uploadBytes = 20UL * 1024 * 1024; // does not fit into the socket buffers of a connection
 
 // The value of a header in the head of a raw request.
@@ -70,6 +71,16 @@
         return m_mesh.send("a1", {.id = id, .target = target, .method = method, .body = std::move(body)});
     }
 
+    // hasLogged waits until the log of the worker's node contains `text`; false if it does not in time.
+    bool hasLogged(const std::string &text)
+    {
+        return waitUntil(
+            [&] {
+                return m_mesh.log("b1").find(text) != std::string::npos;
+            },
+            logTimeout);
+    }
+
     // requests returns the number of requests that have reached the worker.
     int requests() const
     {
@@ -107,6 +118,7 @@
         checkIsBadGateway(mesh.send("/file/1", "POST", std::string(uploadBytes, 'a')));
         CHECK(mesh.requests() == attempt);
     }
+    CHECK(mesh.hasLogged("detail=\"connection reset within a response without a length\""));
 }
 
 TEST_CASE("a response with an invalid status or field name, or whose head ends early, reaches no caller")
