--- a/packages/connection/loop/http_client_test.cc
+++ b/packages/connection/loop/http_client_test.cc
@@ -392,6 +392,7 @@
         {{"GET", "HTTP/1.1 200" + head + "Content-Length: 6\r\n\r\nanswer", "answer"},
          {"GET", "HTTP/1.0 200" + head + "Content-Length: 6\r\n\r\nanswer", "answer"},
          {"GET", "HTTP/1.1 200" + head + "Content-Length: 6\r\nContent-Length: 6\r\n\r\nanswer", "answer"},
+         {"GET", "HTTP/1.1 200" + head + "X-Odd: a\r\n folded\r\nContent-Length: 6\r\n\r\nanswer", "answer"},
          {"GET", "HTTP/1.1 200" + head + "Content-Length: 0\r\n\r\n", ""},
          {"GET", "HTTP/1.1 200" + head + "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n", "answer"},
          {"GET", "HTTP/1.1 200" + head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ""},
