Test with real nodes that broken responses during an upload reach no caller

The process test covered one form there, a 200 without a length; status 000 and heads that end early were sent to requests without a large body only.

The new case sends twelve forms, each while the node writes an upload of 20 MB, with a reset at once and after 20 and 150 ms. Callers get 502 without a worker's signature for all of them, and each upload runs once.

--- a/testing/platform/process/broken_answer_process_test.cc
+++ b/testing/platform/process/broken_answer_process_test.cc
@@ -2,7 +2,11 @@
 // request may have run.
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
 
 #include "testing/harness/raw_socket.h"
 #include "testing/platform/platform_mesh.h"
@@ -153,3 +157,41 @@
     checkIsBadGateway(mesh.send("/sign/1", "POST", "order"));
     CHECK(mesh.requests() == before + 1);
 }
+
+// Each form comes while the node still writes an upload that does not fit into the buffers of the connection, and ends
+// with a reset, as that of a worker that closes its connection before it has read the request.
+TEST_CASE("a broken response that comes during an upload reaches no caller")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> forms = {
+        {"HTTP/1.1 000 OK\r\n", "Content-Length: 2\r\n\r\nok"},
+        {"HTTP/1.1 000 OK\r\n", "\r\nok"},
+        {"HTTP/1.1 000 OK\r\n", "Content-Length: 2\r\n\r\nok" + ok + "Content-Length: 2\r\n\r\nok"},
+        {ok, "Content-Length: 100\r\n\r\npart"},
+        {ok, chunked + "4\r\npart\r\n"},
+        {ok, chunked + "4\r\npa"},
+        {ok, chunked + "4\r\npart\r\n0\r\n"},
+        {ok, "\r\npart"},
+        {ok, "\r\n"},
+        {ok, "Content-Le"},
+        {ok, "Content-Length: 4\r\n"},
+        {"HTTP/1.1 503 Busy\r\n", "Not-Executed: 1\r\n"}};
+    std::atomic<std::size_t> form = 0;
+    std::atomic<int> pauseMs = 0;
+    broken_worker_mesh mesh([&](raw_connection &peer, const std::string &id) {
+        const auto &[line, rest] = forms.at(form);
+        peer.send(line + "Request-Attempt-Id: " + id + "\r\nServer-Signature: s.1\r\n" + rest);
+        std::this_thread::sleep_for(milliseconds(pauseMs.load()));
+        peer.reset();
+    });
+    int sent = 0;
+    for (form = 0; form < forms.size(); ++form) {
+        for (const int pause : {0, 20, 150}) {
+            pauseMs = pause;
+            CAPTURE(forms.at(form).first, forms.at(form).second, pause);
+            checkIsBadGateway(mesh.send("/file/1", "POST", std::string(uploadBytes, 'a')));
+            CHECK(mesh.requests() == ++sent);
+        }
+    }
+}
