--- a/packages/process/mesh/departure_keeper.cc
+++ b/packages/process/mesh/departure_keeper.cc
@@ -23,6 +23,7 @@
 {
     m_recovery.startedAt = m_startedAt;
     m_context.worker.isRecovering = true;
+    m_context.worker.nodeStart = {m_startedAt, m_context.options.noticeInterval};
 }
 
 void departure_keeper::recordStoreRead(const std::vector<worker_departure> &stored, time_point now)
--- a/packages/process/mesh/gossip.cc
+++ b/packages/process/mesh/gossip.cc
@@ -90,8 +90,8 @@
     record.worker = worker.workerId.empty() ? worker_state::Absent
         : worker.isLeaving                  ? worker_state::Draining
         : worker.isUnreachable              ? worker_state::Down
-        : worker.isRecovering               ? worker_state::Absent
-                                            : worker_state::Ready;
+        : isAcceptingRequests(worker)       ? worker_state::Ready
+                                            : worker_state::Absent;
     record.isLeaving = m_context.isInboundClosed;
     record.workerVersion = worker.version;
     record.evidence = m_context.counting.evidence;
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -237,7 +237,7 @@
     return {};
 }
 
-awaitable<bool> mesh_node::onWorkerNotice(worker_notice notice)
+awaitable<notice_response> mesh_node::onWorkerNotice(worker_notice notice)
 {
     const time_point now = steadyNow();
     internal::mesh_context &context = m_impl->context;
@@ -264,12 +264,20 @@
                         .add("known_sequence", context.worker.sequence)
                         .add("leaving", context.worker.isLeaving)
                         .add("departed", wasDeparted)
+                        .add("unconfirmed", context.worker.isUnconfirmed)
                         .add("slots", context.worker.slots));
     }
+    if (before.isUnconfirmed && !isOtherProcess && !context.worker.isUnconfirmed) {
+        context.log(log_line("worker", "confirmed")
+                        .add("worker", notice.workerId)
+                        .add("at_reply_address", notice.isAtReplyAddress)
+                        .add("took_ms", millisBetween(before.firstHeartbeat.receivedAt, now)));
+    }
     if (!isDeparture) {
-        co_return true;
+        co_return notice_response{.isAcknowledged = true, .isUnconfirmed = context.worker.isUnconfirmed};
     }
-    co_return co_await m_impl->dissemination.departures.hold(departureOf(context.worker.departures, notice));
+    const bool isHeld = co_await m_impl->dissemination.departures.hold(departureOf(context.worker.departures, notice));
+    co_return notice_response{.isAcknowledged = isHeld};
 }
 
 bool mesh_node::isReady() const
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -3,7 +3,7 @@
 //
 //   mesh_node node(executor, options, platform);
 //   const auto started = attempt([&] { return node.start(); });
-//   if (co_await node.onWorkerNotice(notice)) ...             // from the worker on the node's VM
+//   const notice_response response = co_await node.onWorkerNotice(notice); // from the worker on the node's VM
 //   node.shutDown([&] { loop.stop(); });
 //
 // The platform is accessed through the functions of `mesh_platform` and the header names of `mesh_headers`, so that
@@ -120,6 +120,15 @@
     std::function<void(const class log_line &)> log;
 };
 
+// The response to a notice of the worker.
+struct notice_response
+{
+    bool isAcknowledged = false; // false: the worker has to repeat it, because nobody else holds its departure yet
+    bool isUnconfirmed = false; // name a reply address to the worker, see `worker_notice::isAtReplyAddress`
+
+    friend bool operator==(const notice_response &, const notice_response &) = default;
+};
+
 // Not thread safe: belongs to one loop.
 class mesh_node
 {
@@ -131,9 +140,8 @@
 
     // start opens the ports and joins the mesh. Fails with Unavailable if an address is in use.
     result<void> start();
-    // onWorkerNotice applies a heartbeat or a leave notice of the worker. Returns whether it may be acknowledged: false
-    // if the worker has to repeat it, because nobody outside this process holds its departure yet.
-    awaitable<bool> onWorkerNotice(worker_notice notice);
+    // onWorkerNotice applies a heartbeat or a leave notice of the worker.
+    awaitable<notice_response> onWorkerNotice(worker_notice notice);
     // isReady returns whether callers on this VM may send requests: a configuration is applied and no shutdown has
     // begun.
     bool isReady() const;
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -16,10 +16,19 @@
     return worker.workerId == notice.workerId && notice.startedMs.value_or(worker.startedMs) == worker.startedMs;
 }
 
+bool wasSentSinceStart(const worker_liveness &worker, const worker_notice &notice, time_point now)
+{
+    const std::uint64_t sequence = notice.sequence.value_or(worker.firstHeartbeat.sequence);
+    // A response to an earlier heartbeat has named the reply address. Without one, another process has named it.
+    const bool isReply = notice.isAtReplyAddress && sequence > worker.firstHeartbeat.sequence;
+    return isReply || !worker.nodeStart || isSentSinceStart(*worker.nodeStart, worker.firstHeartbeat, sequence, now);
+}
+
 notice_verdict startProcess(worker_liveness &worker, const worker_notice &notice, time_point now)
 {
     worker_liveness started;
     started.isRecovering = worker.isRecovering;
+    started.nodeStart = worker.nodeStart;
     started.departures = std::move(worker.departures);
     worker = std::move(started);
     worker.workerId = notice.workerId;
@@ -30,6 +39,8 @@
     worker.version = notice.version;
     worker.isLeaving = notice.kind != notice_kind::Ready;
     worker.leavingSince = now;
+    worker.firstHeartbeat = {worker.sequence, now};
+    worker.isUnconfirmed = !wasSentSinceStart(worker, notice, now);
     worker.warmUpUntil = now + notice.warmUpRemaining;
     worker.lastHeardAt = now;
     return notice_verdict::Changed;
@@ -90,7 +101,9 @@
     worker.sequence = notice.sequence.value_or(worker.sequence);
     worker.lastHeardAt = now;
     worker.warmUpUntil = now + notice.warmUpRemaining;
-    if (worker.isUnreachable || worker.slots != notice.slots || worker.version != notice.version) {
+    const bool isConfirmedNow = worker.isUnconfirmed && wasSentSinceStart(worker, notice, now);
+    worker.isUnconfirmed = worker.isUnconfirmed && !isConfirmedNow;
+    if (isConfirmedNow || worker.isUnreachable || worker.slots != notice.slots || worker.version != notice.version) {
         worker.isUnreachable = false;
         worker.slots = notice.slots;
         worker.version = notice.version;
@@ -124,7 +137,8 @@
 
 bool isAcceptingRequests(const worker_liveness &worker)
 {
-    return !worker.workerId.empty() && !worker.isLeaving && !worker.isUnreachable && !worker.isRecovering;
+    return !worker.workerId.empty() && !worker.isLeaving && !worker.isUnreachable && !worker.isRecovering
+        && !worker.isUnconfirmed;
 }
 
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -5,7 +5,7 @@
 //
 // Notices can arrive seconds late, even after a newer process of the worker has announced itself. Processes are ordered
 // by their start time, and the notices of one process by their sequence number. A process that has announced that it
-// leaves never gets requests again, also if its node restarts in between (see departure.h).
+// leaves never gets requests again, also if its node restarts in between (see departure.h and confirmation.h).
 //
 // Not thread safe unless noted: the functions work on a state that belongs to one event loop.
 #pragma once
@@ -16,6 +16,7 @@
 #include <string_view>
 
 #include "base/clock.h"
+#include "process/worker_life/confirmation.h"
 #include "process/worker_life/departure.h"
 
 namespace pistachioquay {
@@ -38,6 +39,7 @@
     std::string version; // of the worker's software; empty if not stated
     milliseconds warmUpRemaining{0}; // remaining time for which the worker is slow after its start
     std::int64_t receivedMs = 0; // arrival of the notice by the wall clock of the VM
+    bool isAtReplyAddress = false; // it arrived at an address that only this process of the node has named
 
     friend bool operator==(const worker_notice &, const worker_notice &) = default;
 };
@@ -64,6 +66,9 @@
     bool isLeaving = false;
     bool isUnreachable = false; // connections to it fail, or it is silent
     bool isRecovering = false; // the node has restarted and does not know yet which processes have left
+    bool isUnconfirmed = false; // all its heartbeats so far may have been sent before `nodeStart`
+    std::optional<node_start> nodeStart; // empty: no notice of before the start of the node can arrive
+    first_heartbeat firstHeartbeat; // of the process
     departure_list departures; // also of earlier processes of the worker
     time_point warmUpUntil;
     time_point lastHeardAt;
@@ -93,8 +98,8 @@
 // itself meanwhile is one of them and thus leaves.
 bool recoverDepartures(worker_liveness &worker, const std::vector<worker_departure> &departures, time_point now);
 
-// isAcceptingRequests returns whether the worker may get new requests: it has announced itself, is not leaving, is
-// reachable, and the node knows that it has not left before.
+// isAcceptingRequests returns whether the worker may get new requests: it has announced itself since the start of the
+// node, is not leaving, is reachable, and the node knows that it has not left before.
 bool isAcceptingRequests(const worker_liveness &worker);
 
 } // namespace pistachioquay
--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -257,8 +257,34 @@
     return addresses;
 }
 
-address_lease::address_lease(std::size_t count)
-    : m_addresses(freeAddresses(count))
+std::vector<endpoint> adjacentFreeAddresses(std::size_t count)
+{
+    own_ports &ports = ownPorts();
+    const std::lock_guard guard(ports.mutex);
+    const auto isFree = [&](std::uint16_t port) {
+        return !ports.given.contains(port) && isBindable(port, SOCK_STREAM) && isBindable(port, SOCK_DGRAM);
+    };
+    std::vector<endpoint> addresses;
+    for (std::uint16_t offset = 0; addresses.size() < count && offset < portsOfProgram; ++offset) {
+        const auto port = static_cast<std::uint16_t>(ports.lowest + offset);
+        if (isFree(port)) {
+            addresses.push_back({loopback, port});
+        } else {
+            addresses.clear();
+        }
+    }
+    if (addresses.size() < count) {
+        throw std::runtime_error("this test program has no " + std::to_string(count)
+                                 + " consecutive ports left in its range; hold them with address_lease");
+    }
+    for (const endpoint &address : addresses) {
+        ports.given.insert(address.port);
+    }
+    return addresses;
+}
+
+address_lease::address_lease(std::vector<endpoint> addresses)
+    : m_addresses(std::move(addresses))
 {
 }
 
--- a/testing/harness/process.h
+++ b/testing/harness/process.h
@@ -103,6 +103,9 @@
 // has used up its range.
 std::vector<endpoint> freeAddresses(std::size_t count);
 
+// adjacentFreeAddresses returns such addresses with consecutive ports. Thread safe.
+std::vector<endpoint> adjacentFreeAddresses(std::size_t count);
+
 // freeAddress returns one such address. Thread safe.
 endpoint freeAddress();
 
@@ -110,7 +113,11 @@
 class address_lease
 {
 public:
-    explicit address_lease(std::size_t count);
+    explicit address_lease(std::size_t count)
+        : address_lease(freeAddresses(count))
+    {
+    }
+    explicit address_lease(std::vector<endpoint> addresses); // of freeAddresses or adjacentFreeAddresses
     address_lease(const address_lease &) = delete;
     address_lease(address_lease &&) noexcept = default;
     address_lease &operator=(const address_lease &) = delete;
--- a/testing/platform/platform_mesh.cc
+++ b/testing/platform/platform_mesh.cc
@@ -22,7 +22,6 @@
     Ready,
     Control,
     Worker,
-    Datagrams,
 };
 
 const std::string host = "shop.example";
@@ -85,7 +84,7 @@
 
 endpoint platform_mesh::datagramAddress(const std::string &node) const
 {
-    return m_nodes.at(node).addresses[Datagrams];
+    return m_nodes.at(node).internal[0];
 }
 
 std::string platform_mesh::settingsText(const node_state &node) const
@@ -95,11 +94,12 @@
     };
     const std::string worker = node.workerRelay ? "\"" + toText(node.workerRelay->address()) + "\"\n" : text(Worker);
     const endpoint store = node.storeRelay ? node.storeRelay->address() : m_store.address();
-    const std::string port = std::to_string(node.addresses[Datagrams].port);
+    const std::string firstPort = std::to_string(node.internal[0].port);
+    const std::string lastPort = std::to_string(node.internal[internalPortCount - 1].port);
     return "[self]\nnodeName = \"" + node.plan.name + "\"\nipAddress = \"127.0.0.1\"\nzone = \"" + node.plan.dataCentre
         + "\"\nservice = \"" + node.plan.service + "\"\napplicationAddress = " + worker
         + "[self.limits]\nmemoryMb = 260\nfileDescriptors = 1000\nlinkBandwidthMbps = "
-        + std::to_string(node.plan.linkMbps) + "\n[network]\ninternalPortRange = [" + port + "," + port
+        + std::to_string(node.plan.linkMbps) + "\n[network]\ninternalPortRange = [" + firstPort + "," + lastPort
         + "]\n[network.listenAddresses]\ninbound = " + text(Inbound) + "outbound = " + text(Outbound)
         + "ready = " + text(Ready) + "control = " + text(Control)
         + "[platform]\nheartbeatIntervalMs = 300\n[platform.platform]\naddress = \"" + toText(store) + "\"\n"
@@ -121,7 +121,7 @@
     });
 }
 
-void platform_mesh::startWorker(const std::string &node, const std::string &workerId)
+void platform_mesh::startWorker(const std::string &node, const std::string &workerId, bool followsReplyAddress)
 {
     node_state &state = m_nodes.at(node);
     state.worker.reset();
@@ -133,6 +133,7 @@
     options.control = state.addresses[Control];
     options.version = state.plan.version.empty() ? options.version : state.plan.version;
     options.failEvery = state.plan.failEvery;
+    options.followsReplyAddress = followsReplyAddress;
     options.announcedAddress = state.workerRelay ? state.workerRelay->address() : endpoint{};
     state.worker = std::make_unique<worker_stand_in>(options);
 }
--- a/testing/platform/platform_mesh.h
+++ b/testing/platform/platform_mesh.h
@@ -123,7 +123,7 @@
     // startNode starts the process of a node.
     void startNode(const std::string &node);
     // startWorker and stopWorker start and stop the worker stand-in beside a node; startWorker replaces a running one.
-    void startWorker(const std::string &node, const std::string &workerId);
+    void startWorker(const std::string &node, const std::string &workerId, bool followsReplyAddress = true);
     void stopWorker(const std::string &node);
     // isReady sends GET /readiness to a node and returns whether it answered 200.
     bool isReady(const std::string &node);
@@ -138,12 +138,14 @@
     }
 
 private:
-    static constexpr std::size_t addressCount = 6; // inbound, outbound, ready, control, worker, datagrams
+    static constexpr std::size_t addressCount = 5; // inbound, outbound, ready, control, worker
+    static constexpr std::size_t internalPortCount = 8; // datagrams, and the reply addresses of the node's processes
 
     struct node_state
     {
         node_plan plan;
         address_lease addresses{addressCount};
+        address_lease internal{adjacentFreeAddresses(internalPortCount)};
         child_process process;
         std::unique_ptr<fault_relay> storeRelay;
         std::unique_ptr<fault_relay> workerRelay;
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -2,9 +2,12 @@
 // and requests that may run only once.
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <future>
+#include <iterator>
 #include <limits>
 #include <random>
+#include <thread>
 
 #include "base/random.h"
 #include "process/mesh/messages.h"
@@ -255,6 +258,81 @@
         recoveryTimeout));
 }
 
+// review/8: the leave was acknowledged while the store was away, and all nodes that held it were killed. A heartbeat of
+// before the leave then made the worker ready again.
+TEST_CASE("a worker that has left gets no requests after all nodes were killed, whatever heartbeats arrive late")
+{
+    enum class store_return : std::uint8_t
+    {
+        BeforeKill,
+        BeforeStart,
+        AfterStart,
+    };
+    const auto [storeReturn, kills] = GENERATE(std::pair(store_return::BeforeKill, 1),
+                                               std::pair(store_return::BeforeStart, 1),
+                                               std::pair(store_return::AfterStart, 1),
+                                               std::pair(store_return::BeforeStart, 2));
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-2"}});
+    std::vector<std::string> lateHeartbeats;
+    std::generate_n(std::back_inserter(lateHeartbeats), 4, [&] {
+        return mesh.worker("a2").takeHeartbeat();
+    });
+    const auto deliver = [&](const std::string &heartbeat) {
+        return waitUntil(
+            [&] {
+                return mesh.worker("a2").deliver(heartbeat);
+            },
+            startTimeout);
+    };
+    mesh.store().setMode(store_mode::Silent);
+    REQUIRE(mesh.worker("a2").leave(milliseconds(4000)));
+    const unsigned runsBefore = mesh.worker("a2").totalRuns();
+    if (storeReturn == store_return::BeforeKill) {
+        mesh.store().setMode(store_mode::Up);
+    }
+    for (int kill = 0; kill < kills; ++kill) {
+        for (const std::string &name : mesh.names()) {
+            mesh.process(name).kill();
+        }
+        if (storeReturn == store_return::BeforeStart) {
+            mesh.store().setMode(store_mode::Up);
+        }
+        for (const std::string &name : mesh.names()) {
+            mesh.startNode(name);
+        }
+        REQUIRE(deliver(lateHeartbeats[0]));
+    }
+    mesh.store().setMode(store_mode::Up);
+    REQUIRE(deliver(lateHeartbeats[1]));
+    REQUIRE(mesh.waitReady(recoveryTimeout));
+    REQUIRE(mesh.waitUntilServing("a1", recoveryTimeout));
+    REQUIRE(deliver(lateHeartbeats[2]));
+    std::this_thread::sleep_for(milliseconds(1000));
+    REQUIRE(deliver(lateHeartbeats[3]));
+    for (int index = 0; index < 60; ++index) {
+        CHECK(mesh.statusOf("a1", "/orders/1", "forgotten-" + std::to_string(index)) == 200);
+    }
+    CHECK(mesh.worker("a2").totalRuns() == runsBefore);
+    mesh.startWorker("a2", "w-a2");
+    CHECK(waitUntil(
+        [&] {
+            mesh.statusOf("a1", "/orders/1", "again");
+            return mesh.worker("a2").totalRuns() > 0;
+        },
+        recoveryTimeout));
+}
+
+TEST_CASE("a worker that ignores the reply address gets requests after its node restarts")
+{
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
+    mesh.startWorker("b1", "w-b1", false);
+    mesh.process("b1").kill();
+    mesh.startNode("b1");
+    CHECK(mesh.waitUntilServing("a1", recoveryTimeout));
+    const std::string log = mesh.log("b1");
+    CHECK(log.find("at_reply_address=true", log.rfind("[node] started")) == std::string::npos);
+}
+
 // The leave was taken for a second departure, which no node could hold, and was refused until the store was back.
 TEST_CASE("a leave without a start time is acknowledged without the store if the worker has reported draining before")
 {
--- a/testing/platform/worker_stand_in.cc
+++ b/testing/platform/worker_stand_in.cc
@@ -6,9 +6,12 @@
 #include <thread>
 
 #include <boost/asio/detached.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include "testing/harness/process.h"
+
 namespace pistachioquay::testing {
 
 namespace {
@@ -54,6 +57,9 @@
         m_isStopped = true;
         m_server->stop();
         m_node->closeAll();
+        if (m_replyTo) {
+            m_replyTo->closeAll();
+        }
         std::ranges::for_each(m_sleepTimers, [](net::steady_timer *timer) {
             timer->cancel();
         });
@@ -118,7 +124,8 @@
     return boost::json::serialize(body);
 }
 
-awaitable<bool> worker_stand_in::post(std::string action, std::string body)
+awaitable<std::optional<whole_response>>
+worker_stand_in::postTo(async_http_client &node, std::string action, std::string body)
 {
     whole_request request;
     request.method = "POST";
@@ -126,13 +133,45 @@
     request.headers = {{"Host", toText(m_options.control)}, {"Content-Type", "application/json"}};
     request.body = std::move(body);
     cancellation_token control;
-    const exchange_result got = co_await m_node->send(request, {.deadline = steadyNow() + heartbeatTimeout}, control);
-    co_return got.end == exchange_end::Complete &&got.response.status == 200;
+    const exchange_result got = co_await node.send(request, {.deadline = steadyNow() + heartbeatTimeout}, control);
+    const bool isAcknowledged = got.end == exchange_end::Complete && got.response.status == 200;
+    co_return isAcknowledged ? std::optional(got.response) : std::nullopt;
+}
+
+awaitable<bool> worker_stand_in::post(std::string action, std::string body)
+{
+    const auto response = co_await postTo(*m_node, std::move(action), std::move(body));
+    co_return response.has_value();
+}
+
+// Sends the next heartbeats to the address that the response names, if it names one.
+void worker_stand_in::followReplyAddress(const whole_response &response)
+{
+    boost::system::error_code failure;
+    const boost::json::value body = boost::json::parse(response.body, failure);
+    const boost::json::value *address =
+        !failure && body.is_object() ? body.as_object().if_contains("heartbeatAddress") : nullptr;
+    if (!m_options.followsReplyAddress || address == nullptr) {
+        return;
+    }
+    const endpoint target = requireValue([&] {
+        return parseEndpoint(std::string(address->as_string()));
+    });
+    m_replyTo = target == m_options.control
+        ? nullptr
+        : std::make_shared<async_http_client>(m_loop.executor(), async_http_client_options{.target = target});
 }
 
 awaitable<bool> worker_stand_in::announce(std::string state)
 {
-    co_return co_await post("heartbeat", heartbeatBody(state));
+    const std::shared_ptr<async_http_client> replyTo = m_replyTo;
+    const auto response = co_await postTo(replyTo ? *replyTo : *m_node, "heartbeat", heartbeatBody(state));
+    if (response) {
+        followReplyAddress(*response);
+    } else {
+        m_replyTo.reset();
+    }
+    co_return response.has_value();
 }
 
 awaitable<void> worker_stand_in::heartbeatLoop()
--- a/testing/platform/worker_stand_in.h
+++ b/testing/platform/worker_stand_in.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -39,6 +40,7 @@
     std::string version = "v1"; // of its software
     unsigned failEvery = 0; // each such run fails with status 500; 0: none
     milliseconds noticeInterval{300};
+    bool followsReplyAddress = true; // sends its heartbeats to the address that the node names in its responses
 };
 
 // The runs of one request id, and the details of the latest run.
@@ -101,6 +103,8 @@
     awaitable<bool> announce(std::string state);
     std::string heartbeatBody(const std::string &state);
     awaitable<bool> post(std::string action, std::string body);
+    awaitable<std::optional<whole_response>> postTo(async_http_client &node, std::string action, std::string body);
+    void followReplyAddress(const whole_response &response);
     bool repeatUntilAcknowledged(milliseconds atMost, const std::function<bool()> &send);
 
     worker_options m_options;
@@ -121,6 +125,7 @@
     loop_thread m_loop;
     std::unique_ptr<async_http_server> m_server;
     std::unique_ptr<async_http_client> m_node;
+    std::shared_ptr<async_http_client> m_replyTo; // for heartbeats; empty: the control address. Used only in the loop
 };
 
 } // namespace pistachioquay::testing
