Worker life: confirm a worker by repeated heartbeats where the store responds at once

Callers saw: after a kill of all nodes, no worker got requests for one more heartbeat interval than before, since each waits for a heartbeat at the reply address.

Cause: the reply address reaches the worker with the response to its first heartbeat, and the next one is an interval later.

Change: if the store responds within 1 s of the start, a departure can only be lost after an outage that ended just before. The node then rejects the first heartbeats. A running worker repeats a rejected heartbeat at once, and three repetitions in step with the rejections confirm it. Otherwise the reply address decides, as before.

--- a/packages/process/mesh/departure_keeper.cc
+++ b/packages/process/mesh/departure_keeper.cc
@@ -23,13 +23,14 @@
 {
     m_recovery.startedAt = m_startedAt;
     m_context.worker.isRecovering = true;
-    m_context.worker.nodeStart = {m_startedAt, m_context.options.noticeInterval};
+    m_context.worker.nodeStart = node_start{m_startedAt, m_context.options.noticeInterval, std::nullopt};
 }
 
 void departure_keeper::recordStoreRead(const std::vector<worker_departure> &stored, time_point now)
 {
     if (!m_recovery.storeReadAt) {
         m_recovery.storeReadAt = now;
+        m_context.worker.nodeStart->storeReadAt = now;
         recoverFrom(stored, now);
     }
 }
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -271,10 +271,19 @@
         context.log(log_line("worker", "confirmed")
                         .add("worker", notice.workerId)
                         .add("at_reply_address", notice.isAtReplyAddress)
-                        .add("took_ms", millisBetween(before.firstHeartbeat.receivedAt, now)));
+                        .add("repeats", context.worker.heartbeats.repeats)
+                        .add("took_ms", millisBetween(before.heartbeats.firstAt, now)));
     }
     if (!isDeparture) {
-        co_return notice_response{.isAcknowledged = true, .isUnconfirmed = context.worker.isUnconfirmed};
+        const worker_liveness &worker = context.worker;
+        const bool isRepeatNeeded = worker.isUnconfirmed && !worker.isLeaving && verdict != notice_verdict::Stale
+            && shouldRepeatHeartbeat(*worker.nodeStart, worker.heartbeats, now);
+        const notice_response response{.isAcknowledged = !isRepeatNeeded, .isUnconfirmed = worker.isUnconfirmed};
+        if (isRepeatNeeded) {
+            net::steady_timer pause(context.executor, minRepeatDelay);
+            co_await pause.async_wait(awaitResult);
+        }
+        co_return response;
     }
     const bool isHeld = co_await m_impl->dissemination.departures.hold(departureOf(context.worker.departures, notice));
     co_return notice_response{.isAcknowledged = isHeld};
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -123,7 +123,7 @@
 // The response to a notice of the worker.
 struct notice_response
 {
-    bool isAcknowledged = false; // false: the worker has to repeat it, because nobody else holds its departure yet
+    bool isAcknowledged = false; // false: the worker has to repeat it
     bool isUnconfirmed = false; // name a reply address to the worker, see `worker_notice::isAtReplyAddress`
 
     friend bool operator==(const notice_response &, const notice_response &) = default;
--- a/packages/process/worker_life/confirmation.h
+++ b/packages/process/worker_life/confirmation.h
@@ -7,37 +7,61 @@
 //
 //   - arrived at the reply address: one that only this process has named, in the response to an earlier heartbeat, or
 //   - passes isSentSinceStart, for workers that ignore the reply address.
+//
+// Both take at least as long as the worker waits between two heartbeats. If the store responds right after the start, a
+// departure can only be lost if it was acknowledged in an outage that ended just before. The node then rejects the
+// first heartbeats: a running worker repeats a rejected heartbeat at once, and `heartbeatsToConfirm` of them confirm
+// it, since fewer can be late at the same time.
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "base/clock.h"
 
 namespace pistachioquay {
 
 inline constexpr milliseconds maxHeartbeatDelay{10'000}; // between the sending and the arrival of a heartbeat
+inline constexpr milliseconds maxPromptStoreRead{1000}; // after the start
+// Time between a rejected heartbeat and its repetition. Heartbeats that follow each other faster are no repetitions,
+// because the node takes this time to reject one.
+inline constexpr milliseconds minRepeatDelay{20};
+inline constexpr milliseconds maxRepeatDelay{250};
+inline constexpr std::uint32_t repeatsToConfirm = 3; // consecutive
 
 // Start of the node's process, before which heartbeats may have been sent.
 struct node_start
 {
     time_point at;
     milliseconds noticeInterval{0}; // time between two heartbeats of the worker
+    std::optional<time_point> storeReadAt; // first response of the store
 
     friend bool operator==(const node_start &, const node_start &) = default;
 };
 
-// The first heartbeat of a worker's process that arrived since the start.
-struct first_heartbeat
+// The heartbeats of a worker's process that arrived since the start, apart from stale ones.
+struct received_heartbeats
 {
-    std::uint64_t sequence = 0;
-    time_point receivedAt;
+    std::uint64_t firstSequence = 0;
+    time_point firstAt;
+    std::uint64_t lastSequence = 0;
+    time_point lastAt;
+    std::uint32_t repeats = 0; // how many of the last ones repeated the one before in time
 
-    friend bool operator==(const first_heartbeat &, const first_heartbeat &) = default;
+    friend bool operator==(const received_heartbeats &, const received_heartbeats &) = default;
 };
 
-// isSentSinceStart returns whether the heartbeat `sequence`, which arrived at `now`, must have been sent since the
-// start: otherwise it, or the first one, would have been delayed by `maxHeartbeatDelay` or more. `sequence` is at least
-// that of the first one. Thread safe.
-bool isSentSinceStart(const node_start &start, const first_heartbeat &first, std::uint64_t sequence, time_point now);
+// recordHeartbeat adds a heartbeat to those received.
+void recordHeartbeat(received_heartbeats &received, std::uint64_t sequence, time_point now);
+
+// isSentSinceStart returns whether the last received heartbeat must have been sent since the start, at `now`, when it
+// arrived: otherwise it or the first one would have been delayed by `maxHeartbeatDelay` or more, or late ones would
+// have arrived in step with the rejections. Thread safe.
+bool isSentSinceStart(const node_start &start, const received_heartbeats &received, time_point now);
+
+// shouldRepeatHeartbeat returns whether the last received heartbeat of an unconfirmed worker, which arrived at `now`,
+// is rejected, `minRepeatDelay` later, so that the worker repeats it. A worker whose first heartbeats it does not
+// confirm gets an acknowledgement with the reply address for its next one. Thread safe.
+bool shouldRepeatHeartbeat(const node_start &start, const received_heartbeats &received, time_point now);
 
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -16,12 +16,12 @@
     return worker.workerId == notice.workerId && notice.startedMs.value_or(worker.startedMs) == worker.startedMs;
 }
 
+// Returns whether the last received heartbeat of the worker, which is `notice`, was sent since the start of the node.
 bool wasSentSinceStart(const worker_liveness &worker, const worker_notice &notice, time_point now)
 {
-    const std::uint64_t sequence = notice.sequence.value_or(worker.firstHeartbeat.sequence);
     // A response to an earlier heartbeat has named the reply address. Without one, another process has named it.
-    const bool isReply = notice.isAtReplyAddress && sequence > worker.firstHeartbeat.sequence;
-    return isReply || !worker.nodeStart || isSentSinceStart(*worker.nodeStart, worker.firstHeartbeat, sequence, now);
+    const bool isReply = notice.isAtReplyAddress && worker.heartbeats.lastSequence > worker.heartbeats.firstSequence;
+    return isReply || !worker.nodeStart || isSentSinceStart(*worker.nodeStart, worker.heartbeats, now);
 }
 
 notice_verdict startProcess(worker_liveness &worker, const worker_notice &notice, time_point now)
@@ -39,7 +39,7 @@
     worker.version = notice.version;
     worker.isLeaving = notice.kind != notice_kind::Ready;
     worker.leavingSince = now;
-    worker.firstHeartbeat = {worker.sequence, now};
+    worker.heartbeats = {worker.sequence, now, worker.sequence, now};
     worker.isUnconfirmed = !wasSentSinceStart(worker, notice, now);
     worker.warmUpUntil = now + notice.warmUpRemaining;
     worker.lastHeardAt = now;
@@ -101,6 +101,7 @@
     worker.sequence = notice.sequence.value_or(worker.sequence);
     worker.lastHeardAt = now;
     worker.warmUpUntil = now + notice.warmUpRemaining;
+    recordHeartbeat(worker.heartbeats, worker.sequence, now);
     const bool isConfirmedNow = worker.isUnconfirmed && wasSentSinceStart(worker, notice, now);
     worker.isUnconfirmed = worker.isUnconfirmed && !isConfirmedNow;
     if (isConfirmedNow || worker.isUnreachable || worker.slots != notice.slots || worker.version != notice.version) {
--- a/packages/process/worker_life/worker_life.h
+++ b/packages/process/worker_life/worker_life.h
@@ -68,7 +68,7 @@
     bool isRecovering = false; // the node has restarted and does not know yet which processes have left
     bool isUnconfirmed = false; // all its heartbeats so far may have been sent before `nodeStart`
     std::optional<node_start> nodeStart; // empty: no notice of before the start of the node can arrive
-    first_heartbeat firstHeartbeat; // of the process
+    received_heartbeats heartbeats; // of the process
     departure_list departures; // also of earlier processes of the worker
     time_point warmUpUntil;
     time_point lastHeardAt;
