Worker life: end the rejections with the first heartbeat that is not repeated at once

Cause: a worker whose heartbeats have failed for a second repeats a rejected one only after about half a second. The node went on rejecting for half an interval, and only then named the reply address.

Change: the first heartbeat out of step with the rejections ends them, and is acknowledged with the reply address. Repetitions count only while all heartbeats were in step.

--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -271,7 +271,7 @@
         context.log(log_line("worker", "confirmed")
                         .add("worker", notice.workerId)
                         .add("at_reply_address", notice.isAtReplyAddress)
-                        .add("repeats", context.worker.heartbeats.repeats)
+                        .add("in_step", context.worker.heartbeats.isInStep)
                         .add("took_ms", millisBetween(before.heartbeats.firstAt, now)));
     }
     if (!isDeparture) {
--- a/packages/process/worker_life/confirmation.cc
+++ b/packages/process/worker_life/confirmation.cc
@@ -17,8 +17,8 @@
 void recordHeartbeat(received_heartbeats &received, std::uint64_t sequence, time_point now)
 {
     const duration sinceLast = now - received.lastAt;
-    const bool isRepeat = sinceLast >= minRepeatDelay && sinceLast <= maxRepeatDelay;
-    received.repeats = isRepeat ? received.repeats + 1 : 0;
+    ++received.repeats;
+    received.isInStep = received.isInStep && sinceLast >= minRepeatDelay && sinceLast <= maxRepeatDelay;
     received.lastSequence = sequence;
     received.lastAt = now;
 }
@@ -28,7 +28,7 @@
     if (now - start.at >= maxHeartbeatDelay) {
         return true;
     }
-    const bool isRepeated = received.repeats >= repeatsToConfirm;
+    const bool isRepeated = received.isInStep && received.repeats >= repeatsToConfirm;
     if (isRepeated && start.storeReadAt && mayReject(start, received, *start.storeReadAt)) {
         return true;
     }
@@ -41,7 +41,7 @@
 
 bool shouldRepeatHeartbeat(const node_start &start, const received_heartbeats &received, time_point now)
 {
-    return mayReject(start, received, start.storeReadAt.value_or(now))
+    return received.isInStep && mayReject(start, received, start.storeReadAt.value_or(now))
         && now - received.firstAt < start.noticeInterval / 2;
 }
 
--- a/packages/process/worker_life/confirmation.h
+++ b/packages/process/worker_life/confirmation.h
@@ -10,8 +10,11 @@
 //
 // Both take at least as long as the worker waits between two heartbeats. If the store responds right after the start, a
 // departure can only be lost if it was acknowledged in an outage that ended just before. The node then rejects the
-// first heartbeats: a running worker repeats a rejected heartbeat at once, and `heartbeatsToConfirm` of them confirm
-// it, since fewer can be late at the same time.
+// first heartbeats: a running worker repeats each at once, whereas late ones do not arrive in step with the rejections.
+//
+//   recordHeartbeat(received, sequence, now);
+//   if (isSentSinceStart(start, received, now)) ...
+//   else if (shouldRepeatHeartbeat(start, received, now)) ...
 #pragma once
 
 #include <cstdint>
@@ -27,7 +30,7 @@
 // because the node takes this time to reject one.
 inline constexpr milliseconds minRepeatDelay{20};
 inline constexpr milliseconds maxRepeatDelay{250};
-inline constexpr std::uint32_t repeatsToConfirm = 3; // consecutive
+inline constexpr std::uint32_t repeatsToConfirm = 3;
 
 // Start of the node's process, before which heartbeats may have been sent.
 struct node_start
@@ -46,7 +49,8 @@
     time_point firstAt;
     std::uint64_t lastSequence = 0;
     time_point lastAt;
-    std::uint32_t repeats = 0; // how many of the last ones repeated the one before in time
+    std::uint32_t repeats = 0; // how many repeated the one before
+    bool isInStep = true; // all but the first one did
 
     friend bool operator==(const received_heartbeats &, const received_heartbeats &) = default;
 };
@@ -60,8 +64,8 @@
 bool isSentSinceStart(const node_start &start, const received_heartbeats &received, time_point now);
 
 // shouldRepeatHeartbeat returns whether the last received heartbeat of an unconfirmed worker, which arrived at `now`,
-// is rejected, `minRepeatDelay` later, so that the worker repeats it. A worker whose first heartbeats it does not
-// confirm gets an acknowledgement with the reply address for its next one. Thread safe.
+// is rejected, `minRepeatDelay` later, so that the worker repeats it. A worker that does not repeat one at once gets an
+// acknowledgement with the reply address for its next one. Thread safe.
 bool shouldRepeatHeartbeat(const node_start &start, const received_heartbeats &received, time_point now);
 
 } // namespace pistachioquay
--- a/packages/process/worker_life/worker_life.cc
+++ b/packages/process/worker_life/worker_life.cc
@@ -39,7 +39,10 @@
     worker.version = notice.version;
     worker.isLeaving = notice.kind != notice_kind::Ready;
     worker.leavingSince = now;
-    worker.heartbeats = {worker.sequence, now, worker.sequence, now};
+    worker.heartbeats = {.firstSequence = worker.sequence,
+                         .firstAt = now,
+                         .lastSequence = worker.sequence,
+                         .lastAt = now};
     worker.isUnconfirmed = !wasSentSinceStart(worker, notice, now);
     worker.warmUpUntil = now + notice.warmUpRemaining;
     worker.lastHeardAt = now;
