Tests: a check of the reply address that could not fail, and one way to replace a worker

The test of a worker that ignores the reply address searched the log for "at_reply_address=true", but logs print yes and no. It now requires the line of the confirmation with "at_reply_address=no". Two tests replaced a worker and waited for its first request with the same lines; they share a function now. Their checks are unchanged.

--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -66,6 +66,18 @@
             atMost);
     }
 
+    // Starts a worker in place of that of a node, under its id, and returns whether it gets requests of another node.
+    bool servesWithNewWorker(const std::string &node, const std::string &caller)
+    {
+        startWorker(node, "w-" + node);
+        return waitUntil(
+            [&] {
+                statusOf(caller, "/orders/1", "again");
+                return worker(node).totalRuns() > 0;
+            },
+            recoveryTimeout);
+    }
+
     std::string nodeThatRanRequest(const std::string &id)
     {
         for (const std::string &name : names()) {
@@ -253,14 +265,7 @@
         CHECK(mesh.statusOf("a1", "/orders/1", "left-" + std::to_string(index)) == 200);
     }
     CHECK(mesh.worker("a2").totalRuns() == runsBefore);
-    // A worker that starts in its place is another process and gets requests.
-    mesh.startWorker("a2", "w-a2");
-    CHECK(waitUntil(
-        [&] {
-            mesh.statusOf("a1", "/orders/1", "again");
-            return mesh.worker("a2").totalRuns() > 0;
-        },
-        recoveryTimeout));
+    CHECK(mesh.servesWithNewWorker("a2", "a1"));
 }
 
 // review/8: the leave was acknowledged while the store was away, and all nodes that held it were killed. A heartbeat of
@@ -318,13 +323,7 @@
         CHECK(mesh.statusOf("a1", "/orders/1", "forgotten-" + std::to_string(index)) == 200);
     }
     CHECK(mesh.worker("a2").totalRuns() == runsBefore);
-    mesh.startWorker("a2", "w-a2");
-    CHECK(waitUntil(
-        [&] {
-            mesh.statusOf("a1", "/orders/1", "again");
-            return mesh.worker("a2").totalRuns() > 0;
-        },
-        recoveryTimeout));
+    CHECK(mesh.servesWithNewWorker("a2", "a1"));
 }
 
 TEST_CASE("a worker that ignores the reply address gets requests after its node restarts")
@@ -334,8 +333,12 @@
     mesh.process("b1").kill();
     mesh.startNode("b1");
     CHECK(mesh.waitUntilServing("a1", recoveryTimeout));
+    std::this_thread::sleep_for(milliseconds(500)); // longer than log lines are buffered
     const std::string log = mesh.log("b1");
-    CHECK(log.find("at_reply_address=true", log.rfind("[node] started")) == std::string::npos);
+    const std::size_t confirmed = log.find("[worker] confirmed", log.rfind("[node] started"));
+    REQUIRE(confirmed != std::string::npos);
+    CHECK(log.find("at_reply_address=no", confirmed) != std::string::npos);
+    CHECK(log.find("at_reply_address=yes", confirmed) == std::string::npos);
 }
 
 // The leave was taken for a second departure, which no node could hold, and was refused until the store was back.
