--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -1,5 +1,5 @@
 // Case 11: the store comes back from an older copy, and a key that is taken away afterwards works on.
-#include "../stand-ins-3/stand_ins.h"
+#include "../stand_ins_3.h"
 
 using namespace stand_ins;
 
