Read the operator's log by era, and take no read for a proof that may lack lost versions

Cause: an offset of before the return was read from after it. The store had given it out again, so the log ended where the reader expected its end, the record was never read, and each read that brought nothing counted as a proof that no newer version existed. Store-Era was read nowhere.

Change: a position is an offset with its era (store_position), and one of another era is not read from. All calls to the store pass through store_calls, which notices a return and discards late responses of an earlier era. A read proves that the applied version is the newest only if it was sent rewriteTime after the return was noticed and the store shows that version or a newer one. The first read after an outage does not wait in the store.

--- a/packages/process/freshness/freshness.h
+++ b/packages/process/freshness/freshness.h
@@ -8,7 +8,7 @@
 // A key that was taken away has to be dead everywhere within a limit, also at nodes that have no news of it. A node
 // therefore accepts keys only while it holds a proof: a time before which no version was acknowledged that is newer
 // than the applied one. There are two sources:
-// - an own read of the store, which is linearizable: the proof has the time at which the read was sent;
+// - an own read of the store, which is linearizable within an era: the proof has the time at which the read was sent;
 // - another node whose version is not newer than the own one: the proof has the time at which that node was asked,
 // minus
 //   the age of the proof that it states. The time of the answer is of no use, since it may have been delayed.
@@ -65,8 +65,7 @@
 // proofAge returns the age of the proof; empty if there is none. Thread safe.
 std::optional<duration> proofAge(const freshness_state &state, boot_time now);
 
-// recordStoreProof records that a read of the store which was sent at `sentAt` has succeeded, and that the newest
-// version which it covers was readable and is applied.
+// recordStoreProof records a read of the store for which `provesNewest` holds and which was sent at `sentAt`.
 void recordStoreProof(freshness_state &state, boot_time sentAt);
 
 // recordQuery records that another node is asked now, under an id that nobody can guess.
--- a/packages/process/mesh/config_spread.cc
+++ b/packages/process/mesh/config_spread.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <zlib.h>
 
+#include "process/mesh/store_calls.h"
+
 namespace pistachioquay::internal {
 
 namespace {
@@ -157,12 +159,13 @@
     return message;
 }
 
-// Applies a decodable text if its version is newer than the applied one. Returns whether it is decodable.
-bool config_spread::applyConfig(std::string bytes, std::string_view source)
+// Applies a decodable text if its version is newer than the applied one. Returns its version; empty if it is not
+// decodable.
+std::optional<std::uint64_t> config_spread::applyConfig(std::string bytes, std::string_view source)
 {
     const std::uint64_t hash = hash64(bytes);
     if (hash == m_rejectedHash) {
-        return false;
+        return std::nullopt;
     }
     const auto decoded = attempt([&] {
         return m_context.platform.decodeConfig(bytes);
@@ -174,10 +177,10 @@
                           .add("source", source)
                           .add("error", describe(decoded.failure()))
                           .add("kept_version", m_context.config.table->version));
-        return false;
+        return std::nullopt;
     }
     if (decoded->version <= m_context.config.table->version) {
-        return true;
+        return decoded->version;
     }
     m_context.log(log_line("config", "in-force")
                       .add("version", decoded->version)
@@ -193,42 +196,52 @@
         m_recentConfigs.pop_front();
     }
     m_context.metrics.count("config_applied_total");
-    return true;
+    return decoded->version;
 }
 
-// Records a read of the platform that was sent at `sentAt` and has succeeded. Returns whether it proves that no newer
-// version exists than the applied one.
-bool config_spread::recordRead(config_read read, boot_time sentAt)
+// Records a read of the platform that was sent at `sentAt`, when the node applied `appliedVersion`, and has succeeded.
+// Returns whether it proves that no newer version exists than the applied one.
+bool config_spread::recordRead(config_read read, boot_time sentAt, std::uint64_t appliedVersion)
 {
-    m_logPosition = read.position;
+    if (m_log.position && m_log.position->era != read.position.era) {
+        m_context.log(log_line("store", "position-forgotten")
+                          .add("era", m_log.position->era)
+                          .add("offset", m_log.position->offset)
+                          .add("next_era", read.position.era)
+                          .add("next_offset", read.position.offset));
+    }
     m_storeReadAt = steadyNow();
+    log_read logRead{.position = read.position, .isComplete = read.isComplete, .hasNewest = read.hasNewConfig};
     if (read.hasNewConfig) {
-        m_isNewestReadable = applyConfig(std::move(read.bytes), "platform");
+        logRead.version = applyConfig(std::move(read.bytes), "platform");
     }
-    // A newer version that this node cannot decode may have taken keys away.
-    const bool isProof = read.isComplete && m_isNewestReadable;
+    const store_version_read versions =
+        recordLogRead(m_log, logRead, appliedVersion, mayLackWrites(m_context.storeEras, sentAt));
+    m_isStoreBehind = isBehind(versions);
+    const bool isProof = provesNewest(versions);
     if (isProof && m_context.freshness.limit) {
         recordStoreProof(m_context.freshness, sentAt);
     }
-    m_versionAtLastRead = m_context.config.table->version;
+    logProof(versions, isProof);
+    m_log.appliedVersion = m_context.config.table->version;
     m_behindSince.reset();
     return isProof;
 }
 
-// Returns how many nodes of the data centre come before this one as the reader of the platform. VMs with the fastest
-// links come first, because the other nodes of the data centre fetch the configuration from the reader.
-std::size_t config_spread::readerRank(time_point now) const
+// Logs when reads begin and cease to prove that the applied version is the newest.
+void config_spread::logProof(const store_version_read &read, bool isProof)
 {
-    const auto rankKey = [](std::uint32_t linkBytesPerMs, const std::string &nodeId) {
-        return std::pair(UINT32_MAX - linkBytesPerMs, hash64(nodeId));
-    };
-    const mesh_options &options = m_context.options;
-    const auto own = rankKey(static_cast<std::uint32_t>(options.linkBytesPerMs), options.nodeId);
-    return static_cast<std::size_t>(std::ranges::count_if(m_context.fleet.nodes, [&](const auto &item) {
-        const node_record &record = item.second.record;
-        return record.dataCentre == options.dataCentre && !record.isLeaving
-            && !isSilent(m_context.fleet, item.second, now) && rankKey(record.linkBytesPerMs, record.nodeId) < own;
-    }));
+    if (isProof == !m_isProofLacking || !m_context.freshness.limit) {
+        return;
+    }
+    m_isProofLacking = !isProof;
+    m_context.log(log_line("store", isProof ? "proof" : "no-proof")
+                      .add("era", m_context.storeEras.current.value_or(0))
+                      .add("era_changed", read.mayLackWrites)
+                      .add("complete", read.isComplete)
+                      .add("readable", read.isNewestReadable)
+                      .add("store_version", read.newestVersion)
+                      .add("applied_version", read.appliedVersion));
 }
 
 awaitable<void> config_spread::readLoop()
@@ -249,32 +262,40 @@
     while (!m_context.isStopped) {
         const time_point now = steadyNow();
         reader_status reader;
-        reader.rank = readerRank(now);
+        reader.rank = readerRank(m_context, now);
         reader.behindFor = now - m_behindSince.value_or(now);
         reader.sinceReaderAnnouncement = now - std::max(m_storeReadAt, m_startedAt);
         reader.bound = m_context.options.configApplyLimit;
         const boot_time sentAt = bootNow();
-        const bool isForProof = shouldReadForProof(m_context.freshness, reader.rank, sentAt);
+        // Until the store shows again what it has lost, the reader waits for that, as no read can bring a proof.
+        const milliseconds rewriteLeft = rewriteTimeLeft(m_context.storeEras, sentAt);
+        const bool awaitsRewrite = reader.rank == 0 && (rewriteLeft > milliseconds{0} || m_isStoreBehind);
+        const bool isForProof = !awaitsRewrite && shouldReadForProof(m_context.freshness, reader.rank, sentAt);
         if (hasRead && !isForProof && !shouldRead(reader)) {
             pause.expires_after(standbyInterval);
             co_await pause.async_wait(awaitResult);
             continue;
         }
-        // If the applied version came from another node, the log still holds older versions after the last position.
-        // Only the newest is needed, which position 0 returns.
-        const bool isPositionOld = m_context.config.table->version != m_versionAtLastRead;
-        // A read for a proof is not to wait: its proof is as old as the read.
-        const milliseconds wait = isForProof ? milliseconds{0} : longestWait;
-        config_read read = co_await m_context.platform.readConfig(isPositionOld ? 0 : m_logPosition, wait);
+        // A read for a proof is not to wait: its proof is as old as the read. Nor is the first one after an outage,
+        // whose response tells whether the store has come back from a copy.
+        const milliseconds wait = isForProof || failures > 0 ? milliseconds{0}
+            : rewriteLeft > milliseconds{0}                  ? std::min(longestWait, rewriteLeft)
+                                                             : longestWait;
+        const std::uint64_t appliedVersion = m_context.config.table->version;
+        const std::optional<store_position> position = readPosition(m_log, m_context.storeEras, appliedVersion);
+        config_read read = co_await readConfig(m_context, position, wait);
         if (read.isReached != m_isStoreReached) {
             m_isStoreReached = read.isReached;
-            m_context.log(log_line("store", read.isReached ? "reached" : "lost").add("position", m_logPosition));
+            m_context.log(log_line("store", read.isReached ? "reached" : "lost")
+                              .add("position", m_log.position.value_or(store_position{}).offset));
         }
         bool isUseful = read.isReached;
         if (read.isReached) {
             hasRead = true;
             m_rollouts.applyOrders(read.rolloutOrders, steadyNow());
-            isUseful = recordRead(std::move(read), sentAt) || !isForProof;
+            const bool isProof = recordRead(std::move(read), sentAt, appliedVersion);
+            const bool isRewriteDue = m_isStoreBehind || mayLackWrites(m_context.storeEras, bootNow());
+            isUseful = isProof || !isForProof || (reader.rank == 0 && isRewriteDue);
             m_gossip.announceStoreRead();
         }
         // A read for a proof that brings none, since the newest version cannot be decoded, would repeat at once.
--- a/packages/process/mesh/config_spread.h
+++ b/packages/process/mesh/config_spread.h
@@ -13,6 +13,7 @@
 #include "process/mesh/peer_links.h"
 #include "process/mesh/rollout_keeper.h"
 #include "process/store_reading/store_reading.h"
+#include "process/store_reading/version_log.h"
 
 namespace pistachioquay::internal {
 
@@ -35,22 +36,22 @@
 
 private:
     awaitable<void> readLoop();
-    bool applyConfig(std::string bytes, std::string_view source);
+    std::optional<std::uint64_t> applyConfig(std::string bytes, std::string_view source);
     std::optional<std::string> configText(const config_message &message) const;
-    bool recordRead(config_read read, boot_time sentAt);
-    std::size_t readerRank(time_point now) const;
+    bool recordRead(config_read read, boot_time sentAt, std::uint64_t appliedVersion);
+    void logProof(const store_version_read &read, bool isProof);
 
     mesh_context &m_context;
     gossip_channel &m_gossip;
     peer_links &m_links;
     rollout_keeper &m_rollouts;
-    std::uint64_t m_logPosition = 0; // in the platform's configuration log
+    version_log m_log; // of the platform's configurations
+    bool m_isStoreBehind = false; // at the last read, see `isBehind`
+    bool m_isProofLacking = false; // the last read proved nothing
     std::deque<std::pair<std::uint64_t, std::string>> m_recentConfigs; // version and text, newest last
     std::uint64_t m_rejectedHash = 0; // of the last text that was not decodable
-    bool m_isNewestReadable = true; // the newest text that was read from the platform is decodable
     time_point m_storeReadAt; // when this data centre was last known to have read the platform
     time_point m_startedAt;
-    std::uint64_t m_versionAtLastRead = 0; // applied version when this node last read the platform
     std::optional<time_point> m_behindSince; // since a version newer than the applied one is known
     time_point m_pulledAt; // last configuration request to another node
     std::uint64_t m_pulledVersion = 0;
--- a/packages/process/mesh/context.cc
+++ b/packages/process/mesh/context.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/hash.h"
+
 namespace pistachioquay {
 
 namespace internal {
@@ -27,6 +29,20 @@
     return attempt_outcome::Unknown;
 }
 
+std::size_t readerRank(const mesh_context &context, time_point now)
+{
+    const auto rankKey = [](std::uint32_t linkBytesPerMs, const std::string &nodeId) {
+        return std::pair(UINT32_MAX - linkBytesPerMs, hash64(nodeId));
+    };
+    const mesh_options &options = context.options;
+    const auto own = rankKey(static_cast<std::uint32_t>(options.linkBytesPerMs), options.nodeId);
+    return static_cast<std::size_t>(std::ranges::count_if(context.fleet.nodes, [&](const auto &item) {
+        const node_record &record = item.second.record;
+        return record.dataCentre == options.dataCentre && !record.isLeaving
+            && !isSilent(context.fleet, item.second, now) && rankKey(record.linkBytesPerMs, record.nodeId) < own;
+    }));
+}
+
 namespace {
 
 constexpr milliseconds workerRefreshInterval{250};
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/log_line.h"
 #include "base/milliseconds.h"
@@ -19,6 +20,7 @@
 #include "process/mesh/messages.h"
 #include "process/rollout/rollout.h"
 #include "process/stopping/stopping.h"
+#include "process/store_reading/store_era.h"
 #include "request/link_room/link_booking.h"
 #include "request/link_room/link_room.h"
 #include "request/placement/placement.h"
@@ -103,6 +105,8 @@
     service_retry_budgets retryBudgets;
     active_config config;
     freshness_state freshness; // of `config`
+    store_eras storeEras;
+    std::vector<std::function<void()>> onStoreReturn; // called when the store has come back from a copy
     std::size_t directoryNodes = 0; // nodes in the last directory that was read; 0: none was read yet
     worker_liveness worker;
     crash_tracker crashes; // of the own worker, and crash reports of all nodes
@@ -144,6 +148,10 @@
 // retryLimits returns the retry limits of all nodes together, with the number of nodes that are known.
 retry_budget_limits retryLimits(const mesh_context &context);
 
+// readerRank returns how many nodes of the data centre come before this one as the reader of the platform. VMs with the
+// fastest links come first, because the other nodes of the data centre fetch the configuration from the reader.
+std::size_t readerRank(const mesh_context &context, time_point now);
+
 // isVersionRefused returns whether the own worker gets no calls because its version was taken back.
 bool isVersionRefused(const mesh_context &context);
 
--- a/packages/process/mesh/departure_keeper.cc
+++ b/packages/process/mesh/departure_keeper.cc
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "process/mesh/store_calls.h"
+
 namespace pistachioquay::internal {
 
 namespace {
@@ -88,7 +90,8 @@
         encodeMessage(directory_entry(stored_departure{m_context.options.nodeId, departure}), meshFormatVersion);
     net::steady_timer pause(m_context.executor);
     while (!m_context.isStopped && m_holds.contains(key)) {
-        hold->isStored = co_await m_context.platform.publishNodeRecord(key, bytes);
+        const auto era = co_await publishNodeRecord(m_context, key, bytes);
+        hold->isStored = era.has_value();
         if (hold->isStored) {
             break;
         }
@@ -151,7 +154,7 @@
         net::co_spawn(
             m_context.executor,
             [this, key]() -> awaitable<void> {
-                co_await m_context.platform.publishNodeRecord(key, {});
+                co_await publishNodeRecord(m_context, key, {});
             },
             net::detached);
     }
--- a/packages/process/mesh/mesh.cc
+++ b/packages/process/mesh/mesh.cc
@@ -352,6 +352,7 @@
         text += line("key_proof_age_ms", age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1);
         text += line("keys_provable", isProven(context.freshness, now) ? 1 : 0);
     }
+    text += line("store_era", context.storeEras.current.value_or(0));
     text += line("nodes_known", context.fleet.nodes.size());
     text += line("link_backlog_ms", transferWaitMs(context.linkBookings, linkState(context, steadyNow())));
     text += line("link_queued_bytes", queuedBytes(context.pacer));
--- a/packages/process/mesh/mesh.h
+++ b/packages/process/mesh/mesh.h
@@ -19,6 +19,7 @@
 #include "base/error.h"
 #include "connection/loop/http_server.h"
 #include "process/rollout/rollout.h"
+#include "process/store_reading/store_era.h"
 #include "process/worker_life/worker_life.h"
 #include "request/allowance/desk.h"
 #include "request/placement/placement.h"
@@ -76,7 +77,7 @@
     bool hasNewConfig = false; // the platform has a configuration after the position
     bool isComplete = false; // covers all configurations that were written before the read was sent
     std::string bytes; // text of the configuration, as the operator wrote it
-    std::uint64_t position = 0; // where the next read continues
+    store_position position; // where the next read continues
     std::vector<rollout_order> rolloutOrders; // orders read with it, oldest first
 };
 
@@ -94,28 +95,38 @@
 struct rollout_status_read
 {
     std::optional<rollout_status> status; // empty: none is recorded
-    std::uint64_t position = 0; // of the next record; a write succeeds only if nothing was recorded since
+    store_position position; // of the next record; a write succeeds only if nothing was recorded since
 };
 
-// The platform functions that a node needs. All are called on the loop.
+// Result of one read of the directory of nodes.
+struct node_records_read
+{
+    std::uint64_t era = 0; // of the store
+    std::vector<std::string> values; // entries that nodes have published
+};
+
+// The platform functions that a node needs. All are called on the loop. The results of calls to the store name its era,
+// see `store_eras`.
 struct mesh_platform
 {
-    // Reads the newest configuration after `position`; waits up to `wait` for one. Position 0 returns the newest one at
-    // once.
-    std::function<awaitable<config_read>(std::uint64_t position, milliseconds wait)> readConfig;
+    // Reads the newest configuration after `position`; waits up to `wait` for one. Without a position, or with one of
+    // another era, returns the newest one at once.
+    std::function<awaitable<config_read>(std::optional<store_position> position, milliseconds wait)> readConfig;
     // Decodes the text of a configuration. Fails with Corrupt.
     std::function<result<route_table>(std::string_view bytes)> decodeConfig;
     // Publishes an entry of the directory of nodes under a key: the address record by which starting nodes find this
-    // one, or a departure of its worker. An empty value removes the entry. Returns false if the platform was not
-    // reached.
-    std::function<awaitable<bool>(std::string key, std::string value)> publishNodeRecord;
+    // one, or a departure of its worker. An empty value removes the entry. Returns the era of the store that has
+    // confirmed it; empty optional: the platform was not reached.
+    std::function<awaitable<std::optional<std::uint64_t>>(std::string key, std::string value)> publishNodeRecord;
     // Reads the entries that nodes have published; empty optional: the platform was not reached.
-    std::function<awaitable<std::optional<std::vector<std::string>>>()> readNodeRecords;
+    std::function<awaitable<std::optional<node_records_read>>()> readNodeRecords;
     // Reads the recorded state of a service's roll-out; empty optional: the platform was not reached.
     std::function<awaitable<std::optional<rollout_status_read>>(std::string service)> readRolloutStatus;
-    // Records the state of a roll-out if nothing was recorded after `position`. Returns false if it was not confirmed:
-    // something was recorded, or the response was lost and the state may have been recorded even so.
-    std::function<awaitable<bool>(rollout_status status, std::uint64_t position)> writeRolloutStatus;
+    // Records the state of a roll-out if nothing was recorded after `position`. Returns the era of the store that has
+    // confirmed it. Empty optional: something was recorded, or the response was lost and the state may have been
+    // recorded even so.
+    std::function<awaitable<std::optional<std::uint64_t>>(rollout_status status, store_position position)>
+        writeRolloutStatus;
     // Writes a log line.
     std::function<void(const class log_line &)> log;
 };
--- a/packages/process/mesh/node_directory.cc
+++ b/packages/process/mesh/node_directory.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "process/mesh/store_calls.h"
+
 namespace pistachioquay::internal {
 
 namespace {
@@ -32,13 +34,13 @@
 
 awaitable<std::optional<std::vector<node_record>>> node_directory::readDirectory()
 {
-    const auto values = co_await m_context.platform.readNodeRecords();
-    if (!values) {
+    const auto read = co_await readNodeRecords(m_context);
+    if (!read) {
         co_return std::nullopt;
     }
     std::vector<node_record> records;
     std::vector<worker_departure> ownDepartures;
-    for (const std::string &bytes : *values) {
+    for (const std::string &bytes : read->values) {
         const auto entry = attempt([&] {
             return decodeMessage<directory_entry>(bytes, meshFormatVersion, m_decodeCounters);
         });
@@ -74,8 +76,9 @@
     node_record record = m_gossip.ownRecord(steadyNow());
     record.runMs.clear();
     record.departures.clear(); // have entries of their own
-    co_return co_await m_context.platform.publishNodeRecord(record.nodeId,
-                                                            encodeMessage(directory_entry(record), meshFormatVersion));
+    const std::string entry = encodeMessage(directory_entry(record), meshFormatVersion);
+    const auto era = co_await publishNodeRecord(m_context, record.nodeId, entry);
+    co_return era.has_value();
 }
 
 // Contacts the published nodes that are unknown or silent, to exchange records.
@@ -117,7 +120,7 @@
 
 awaitable<void> node_directory::unpublishRecord()
 {
-    co_await m_context.platform.publishNodeRecord(m_context.options.nodeId, {});
+    co_await publishNodeRecord(m_context, m_context.options.nodeId, {});
 }
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/rollout_keeper.cc
+++ b/packages/process/mesh/rollout_keeper.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "process/mesh/store_calls.h"
+
 namespace pistachioquay::internal {
 
 namespace {
@@ -260,7 +262,7 @@
 // node records first decides.
 awaitable<void> rollout_keeper::settle(std::string service)
 {
-    const auto read = co_await m_context.platform.readRolloutStatus(service);
+    const auto read = co_await readRolloutStatus(m_context, service);
     const time_point now = steadyNow();
     const auto found = m_context.rollouts.services.find(service);
     if (!read || found == m_context.rollouts.services.end() || isEnded(found->second.record.phase)) {
@@ -277,18 +279,20 @@
     }
 }
 
-awaitable<void> rollout_keeper::record(rollout_record record, rollout_phase phase, std::uint64_t position)
+awaitable<void> rollout_keeper::record(rollout_record record, rollout_phase phase, store_position position)
 {
     // GCC 12 destroys an aggregate twice that is created within a co_await expression.
     const rollout_status status{record.service, record.targetVersion, phase};
-    const bool isRecorded = co_await m_context.platform.writeRolloutStatus(status, position);
+    const auto era = co_await writeRolloutStatus(m_context, status, position);
+    const bool isRecorded = era.has_value();
     const time_point now = steadyNow();
     m_context.metrics.count(isRecorded ? "rollout_records_total" : "rollout_records_failed_total");
     m_context.log(log_line("rollout", isRecorded ? "recorded" : "not-recorded")
                       .add("service", record.service)
                       .add("version", record.targetVersion)
                       .add("phase", phaseName(phase))
-                      .add("position", position));
+                      .add("era", position.era)
+                      .add("position", position.offset));
     const auto found = m_context.rollouts.services.find(record.service);
     const bool isSame =
         found != m_context.rollouts.services.end() && found->second.record.targetVersion == record.targetVersion;
--- a/packages/process/mesh/rollout_keeper.h
+++ b/packages/process/mesh/rollout_keeper.h
@@ -48,7 +48,7 @@
                     time_point now) const;
     awaitable<void> settle(std::string service);
     bool applyStored(known_rollout &rollout, const rollout_status_read &read, time_point now);
-    awaitable<void> record(rollout_record record, rollout_phase phase, std::uint64_t position);
+    awaitable<void> record(rollout_record record, rollout_phase phase, store_position position);
     void changePhase(known_rollout &rollout, const phase_change &change, std::string_view source, time_point now);
     void onChange(const known_rollout &rollout, std::string_view source, time_point now);
 
--- /dev/null
+++ b/packages/process/store_reading/store_era.cc
@@ -0,0 +1,71 @@
+#include "process/store_reading/store_era.h"
+
+#include <algorithm>
+
+namespace pistachioquay {
+
+namespace {
+
+void enterEra(store_eras &eras, std::uint64_t era, boot_time now)
+{
+    eras.current = era;
+    eras.knownSince = now;
+}
+
+} // namespace
+
+era_change recordEra(store_eras &eras, std::uint64_t era, boot_time sentAt, boot_time now)
+{
+    if (!eras.current) {
+        enterEra(eras, era, now);
+        return era_change::First;
+    }
+    if (era == *eras.current) {
+        return era_change::None;
+    }
+    if (era < *eras.current) {
+        if (sentAt <= eras.knownSince) {
+            return era_change::Outdated;
+        }
+        eras.refuted = std::max(eras.refuted, *eras.current);
+    }
+    enterEra(eras, era, now);
+    ++eras.returns;
+    return era_change::Returned;
+}
+
+bool recordToldEra(store_eras &eras, std::uint64_t era, boot_time now)
+{
+    if (!eras.current || era <= *eras.current || era <= eras.refuted) {
+        return false;
+    }
+    enterEra(eras, era, now);
+    ++eras.returns;
+    return true;
+}
+
+bool isCurrent(const store_eras &eras, std::uint64_t era)
+{
+    return eras.current == era;
+}
+
+milliseconds rewriteTimeLeft(const store_eras &eras, boot_time now)
+{
+    if (eras.returns == 0) {
+        return milliseconds{0};
+    }
+    const auto left = std::chrono::ceil<milliseconds>(eras.knownSince + rewriteTime - now);
+    return std::max(left, milliseconds{0});
+}
+
+bool mayLackWrites(const store_eras &eras, boot_time sentAt)
+{
+    return rewriteTimeLeft(eras, sentAt) > milliseconds{0};
+}
+
+milliseconds rewriteSpread(std::size_t nodes)
+{
+    return rewriteSpreadPerNode * static_cast<std::int64_t>(nodes);
+}
+
+} // namespace pistachioquay
--- a/testing/platform/process/account_process_test.cc
+++ b/testing/platform/process/account_process_test.cc
@@ -2,6 +2,7 @@
 // the caller made up, against keys that outlive their version, and against keys in the logs.
 #include <catch2/catch.hpp>
 
+#include "process/store_reading/store_era.h"
 #include "process/store_reading/store_reading.h"
 #include "testing/platform/platform_mesh.h"
 
@@ -201,3 +202,51 @@
     mesh.publish(15, routes(), {{{"acme", {firstKey}, 0}}});
     CHECK(mesh.waitUntilAll("/orders/1", firstKey, 200, configApplyLimit));
 }
+
+// Guards against a version that is never read after the store has come back from a copy (docs/incidents/
+// 2026-12-08-review-11.md): its record has the offset of one that was lost.
+TEST_CASE("a key that is taken away after the store came back from a copy is dead within the limit at every node")
+{
+    const int newVersions = GENERATE(1, 2); // the log ends where it ended before, or beyond
+    account_mesh mesh;
+    mesh.store().takeCopy();
+    const std::vector<account_plan> both = {{"acme", {firstKey, "third-secret-key"}, 0}, {"other", {secondKey}, 2}};
+    mesh.publish(6, routes(), both);
+    mesh.publish(7, routes(), both);
+    REQUIRE(mesh.waitUntilAll("/orders/1", "third-secret-key", 200, configApplyLimit));
+    mesh.store().setMode(store_mode::Away);
+    std::this_thread::sleep_for(milliseconds(1500));
+    mesh.store().returnFromCopy();
+    mesh.publish(7, routes(), both);
+    for (int index = 0; index < newVersions; ++index) {
+        mesh.publish(9 + static_cast<unsigned>(index), routes(), {{{"acme", {}, 0}, {"other", {secondKey}, 2}}});
+    }
+    std::this_thread::sleep_for(revocationLimit);
+    for (const std::string &node : mesh.names()) {
+        CAPTURE(node);
+        CHECK(mesh.statusOf(node, "/orders/1", firstKey) == 401);
+        CHECK(mesh.statusOf(node, "/orders/1", secondKey) == 200);
+        CHECK(mesh.log(node).find("position-forgotten") != std::string::npos);
+    }
+}
+
+// Guards against a read that counts as a proof although the operator has not yet written again what the store has lost.
+TEST_CASE("a key that was taken away before the store lost that version stays dead until it is written again")
+{
+    account_mesh mesh;
+    mesh.store().takeCopy();
+    mesh.publish(6, routes(), {{{"acme", {}, 0}, {"other", {secondKey}, 2}}});
+    mesh.store().setMode(store_mode::Away);
+    std::this_thread::sleep_for(revocationLimit);
+    mesh.store().returnFromCopy();
+    const time_point until = steadyNow() + rewriteTime * 4 / 5;
+    while (steadyNow() < until) {
+        for (const std::string &node : mesh.names()) {
+            REQUIRE(mesh.statusOf(node, "/orders/1", firstKey) != 200);
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    mesh.publish(6, routes(), {{{"acme", {}, 0}, {"other", {secondKey}, 2}}});
+    CHECK(mesh.waitUntilAll("/orders/1", firstKey, 401, configApplyLimit));
+    CHECK(mesh.waitUntilAll("/orders/1", secondKey, 200, configApplyLimit));
+}
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -161,6 +161,45 @@
         configApplyLimit));
 }
 
+// Guards against versions that are never read, because their offset was given out before the store came back from a
+// copy.
+TEST_CASE("every node applies the versions that are published after the store came back from a copy")
+{
+    // The log ends before, at or beyond the position of the readers.
+    const auto [returns, added] = GENERATE(std::pair(1U, 1U), std::pair(1U, 2U), std::pair(2U, 2U), std::pair(1U, 3U));
+    serving_mesh mesh;
+    mesh.store().takeCopy();
+    constexpr unsigned lost = 3;
+    unsigned version = 5;
+    std::vector<route_plan> routes = defaultRoutes();
+    routes.push_back({"/lost/", "shop"});
+    for (unsigned index = 0; index < lost; ++index) {
+        mesh.publish(++version, routes);
+    }
+    const auto areServed = [&](const std::string &path) {
+        return waitUntil(
+            [&] {
+                return std::ranges::all_of(mesh.names(), [&](const std::string &name) {
+                    return mesh.statusOf(name, path, "served-" + std::to_string(version)) == 200;
+                });
+            },
+            configApplyLimit);
+    };
+    REQUIRE(areServed("/lost/1"));
+    std::this_thread::sleep_for(configApplyLimit / 2); // the readers have read on
+    for (unsigned count = 0; count < returns; ++count) {
+        mesh.store().setMode(store_mode::Away);
+        std::this_thread::sleep_for(milliseconds(700));
+        mesh.store().returnFromCopy();
+        mesh.publish(version, routes); // the operator writes again the newest that was lost
+    }
+    routes.push_back({"/added/", "shop"});
+    for (unsigned index = 0; index < added; ++index) {
+        mesh.publish(++version, routes);
+    }
+    CHECK(areServed("/added/1"));
+}
+
 TEST_CASE("an unsafe request runs only once when the node beside its worker is killed")
 {
     serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
--- a/testing/platform/store_stand_in.cc
+++ b/testing/platform/store_stand_in.cc
@@ -1,6 +1,7 @@
 #include "testing/platform/store_stand_in.h"
 
 #include <algorithm>
+#include <iterator>
 #include <stdexcept>
 
 #include <boost/beast/core/detail/base64.hpp>
@@ -155,6 +156,52 @@
     });
 }
 
+void store_stand_in::takeCopy()
+{
+    m_loop.run([&] {
+        m_copy = m_topics;
+        return 0;
+    });
+}
+
+void store_stand_in::returnFromCopy()
+{
+    m_loop.run([&] {
+        // A waiting read refers to its topic.
+        std::ranges::for_each(m_topics, [&](auto &topic) {
+            const auto copied = m_copy.find(topic.first);
+            topic.second = copied == m_copy.end() ? topic_log{} : copied->second;
+        });
+        ++m_era;
+        m_mode = store_mode::Up;
+        return 0;
+    });
+}
+
+std::uint64_t store_stand_in::era() const
+{
+    return m_era;
+}
+
+void store_stand_in::setEraHeader(const std::string &text)
+{
+    m_loop.run([&] {
+        m_eraHeader = text;
+        return 0;
+    });
+}
+
+std::vector<std::string> store_stand_in::keys(const std::string &topic)
+{
+    return m_loop.run([&] {
+        std::vector<std::string> keys;
+        std::ranges::transform(m_topics[topic].newest, std::back_inserter(keys), [](const auto &item) {
+            return item.first;
+        });
+        return keys;
+    });
+}
+
 std::string store_stand_in::newestValue(const std::string &topic, const std::string &key)
 {
     return m_loop.run([&] {
@@ -179,11 +226,15 @@
 awaitable<whole_response> store_stand_in::read(topic_log &topic, std::uint64_t from, milliseconds wait)
 {
     const time_point until = steadyNow() + wait;
-    while (topic.end() <= from && steadyNow() < until) {
+    const std::uint64_t era = m_era;
+    while (topic.end() == from && steadyNow() < until && m_era == era && m_mode != store_mode::Away) {
         net::steady_timer pause(m_loop.executor(), pollInterval);
         co_await pause.async_wait(awaitResult);
     }
-    if (from < topic.first) {
+    if (m_era != era || m_mode == store_mode::Away) {
+        co_return whole_response{}; // closes the connection
+    }
+    if (from < topic.first || from > topic.end()) {
         co_return jsonReply(410, {{"firstOffset", topic.first}});
     }
     std::string body = bigEndian(topic.end(), 8) + bigEndian(topic.first, 8);
@@ -207,8 +258,21 @@
 }
 
 awaitable<whole_response> store_stand_in::answer(const whole_request &request)
+{
+    whole_response response = co_await execute(request);
+    const std::string era = m_eraHeader.value_or(std::to_string(m_era));
+    if (!era.empty()) {
+        response.headers.push_back({"Store-Era", era});
+    }
+    co_return response;
+}
+
+awaitable<whole_response> store_stand_in::execute(const whole_request &request)
 {
     ++m_calls;
+    if (m_mode == store_mode::Away) {
+        co_return whole_response{}; // closes the connection
+    }
     if (m_mode == store_mode::Busy) {
         co_return textReply(503, "busy\n");
     }
