Write the own address again after a return of the store, which all nodes hear of

Cause: a node wrote its address record once, when it joined, and took it for kept. Only the readers of the data centres call the store regularly, so the others would not even have noticed the return.

Change: node records tell the era of the store, so that all nodes hear of a return within a gossip round. Without a return, not one call more is made.

--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -76,6 +76,7 @@
     std::map<std::string, double> runMs; // mean run time of the worker by route
     std::vector<worker_departure> departures; // of the worker's processes; other nodes hold them for the node
     worker_evidence evidence; // of the worker in a roll-out of its service
+    std::uint64_t storeEra = 0; // of the platform's store, as the node knows it
 
     friend bool operator==(const node_record &, const node_record &) = default;
 
@@ -93,7 +94,8 @@
                 report,
                 runMs,
                 departures,
-                evidence);
+                evidence,
+                storeEra);
     }
 };
 
--- a/packages/process/mesh/gossip.cc
+++ b/packages/process/mesh/gossip.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <ranges>
 
+#include "process/mesh/store_calls.h"
+
 namespace pistachioquay::internal {
 
 using udp = net::ip::udp;
@@ -102,6 +104,7 @@
     record.configVersion = m_context.config.table->version;
     record.report = m_inbound.report(now);
     record.departures = plainDepartures(worker.departures);
+    record.storeEra = m_context.storeEras.current.value_or(0);
     for (const auto &[route, mean] : m_inbound.runTimes().routes) {
         if (now - mean.lastAt < runTimeExpiry) {
             record.runMs[route] = mean.milliseconds;
@@ -290,6 +293,7 @@
             send(record.gossip, {.receiver = &record});
         }
     }
+    applyToldEra(m_context, record.storeEra, record.nodeId);
     recordReport(m_context.placement, record.service, record.nodeId, record.report, now);
     for (const auto &[route, runMs] : record.runMs) {
         recordWorkerRunTime(m_context.placement, record.service, record.nodeId, route, runMs, now);
--- a/packages/process/mesh/messages.h
+++ b/packages/process/mesh/messages.h
@@ -39,7 +39,7 @@
     archive(response.status, response.headers, response.body);
 }
 
-inline constexpr std::uint16_t meshFormatVersion = 6; // format of all messages between nodes
+inline constexpr std::uint16_t meshFormatVersion = 7; // format of all messages between nodes
 
 // Type of a frame on a link between two nodes.
 enum class frame_kind : std::uint8_t
--- a/packages/process/mesh/node_directory.cc
+++ b/packages/process/mesh/node_directory.cc
@@ -18,7 +18,13 @@
     : m_context(context)
     , m_gossip(gossip)
     , m_departures(departures)
+    , m_timer(context.executor)
+    , m_readAt(steadyNow())
 {
+    m_context.onStoreReturn.push_back([this] {
+        m_mayBeLost = true;
+        m_timer.cancel();
+    });
 }
 
 void node_directory::start()
@@ -73,12 +79,17 @@
     if (own != published.end() && own->peer == m_context.options.peers && own->gossip == m_context.options.gossip) {
         co_return true;
     }
+    co_return co_await publishRecord();
+}
+
+awaitable<bool> node_directory::publishRecord()
+{
     node_record record = m_gossip.ownRecord(steadyNow());
     record.runMs.clear();
     record.departures.clear(); // have entries of their own
     const std::string entry = encodeMessage(directory_entry(record), meshFormatVersion);
     const auto era = co_await publishNodeRecord(m_context, record.nodeId, entry);
-    co_return era.has_value();
+    co_return era &&isCurrent(m_context.storeEras, *era);
 }
 
 // Contacts the published nodes that are unknown or silent, to exchange records.
@@ -96,25 +107,62 @@
     }
 }
 
+// Writes the own address record again. All nodes do so after a return of the store, spread over time.
+awaitable<void> node_directory::publishAgain()
+{
+    const auto spread = static_cast<std::uint64_t>(rewriteSpread(m_context.fleet.nodes.size() + 1).count());
+    co_await sleepUntil(steadyNow() + milliseconds(m_context.generator() % spread));
+    while (m_mayBeLost && !m_context.isStopping) {
+        m_mayBeLost = !co_await publishRecord();
+        m_context.log(log_line("spread", m_mayBeLost ? "address-not-written" : "address-written-again")
+                          .add("era", m_context.storeEras.current.value_or(0)));
+        if (m_mayBeLost) {
+            co_await sleepUntil(steadyNow() + joinRetryInterval + milliseconds(m_context.generator() % 250));
+        }
+    }
+    // Nodes that started meanwhile have found an incomplete directory, and have written their own record to it.
+    if (readerRank(m_context, steadyNow()) == 0) {
+        m_readAt = std::min(m_readAt, steadyNow() + rewriteTime);
+    }
+}
+
+// Reads the directory, contacts the other published nodes, and publishes the own address record.
+awaitable<void> node_directory::readAndJoin()
+{
+    const auto published = co_await readDirectory();
+    if (published) {
+        contactNodes(*published);
+        if (!m_isPublished && !m_context.isStopping) {
+            m_isPublished = co_await publishIfNeeded(*published);
+        }
+    }
+    const bool isJoined = m_isPublished && published;
+    const bool isIsolated = m_context.fleet.nodes.empty();
+    m_readAt = steadyNow()
+        + (!isJoined        ? joinRetryInterval + milliseconds(m_context.generator() % 250)
+               : isIsolated ? isolatedInterval
+                            : std::chrono::duration_cast<milliseconds>(directoryInterval));
+}
+
+// Waits; returns early if the store returns meanwhile.
+awaitable<void> node_directory::sleepUntil(time_point until)
+{
+    m_timer.expires_at(until);
+    co_await m_timer.async_wait(awaitResult);
+}
+
 // Publishes the own address record and contacts the other published nodes, at intervals.
 awaitable<void> node_directory::joinLoop()
 {
-    net::steady_timer pause(m_context.executor);
-    bool isPublished = false;
     while (!m_context.isStopped) {
-        const auto published = co_await readDirectory();
-        if (published) {
-            contactNodes(*published);
-            if (!isPublished && !m_context.isStopping) {
-                isPublished = co_await publishIfNeeded(*published);
-            }
+        // The store may also have returned during a call of this loop.
+        if (m_mayBeLost && m_isPublished && !m_context.isStopping) {
+            co_await publishAgain();
+        } else if (steadyNow() >= m_readAt) {
+            co_await readAndJoin();
+        } else {
+            co_await sleepUntil(m_readAt);
         }
-        const bool isJoined = isPublished && published;
-        const bool isIsolated = m_context.fleet.nodes.empty();
-        pause.expires_after(!isJoined        ? joinRetryInterval + milliseconds(m_context.generator() % 250)
-                                : isIsolated ? isolatedInterval
-                                             : std::chrono::duration_cast<milliseconds>(directoryInterval));
-        co_await pause.async_wait(awaitResult);
     }
 }
 
--- a/packages/process/mesh/node_directory.h
+++ b/packages/process/mesh/node_directory.h
@@ -1,4 +1,5 @@
-// Finds other nodes by the address records that all nodes keep in the platform's store. Private to the mesh library.
+// Finds other nodes by the address records that all nodes keep in the platform's store. Writes the own record again
+// after a return of the store, which may have lost it. Private to the mesh library.
 //
 //   node_directory directory(context, gossip, departures);
 //   directory.start();
@@ -24,6 +25,10 @@
 private:
     awaitable<void> joinLoop();
     awaitable<bool> publishIfNeeded(const std::vector<node_record> &published);
+    awaitable<bool> publishRecord();
+    awaitable<void> publishAgain();
+    awaitable<void> readAndJoin();
+    awaitable<void> sleepUntil(time_point until);
     void contactNodes(const std::vector<node_record> &published);
     awaitable<std::optional<std::vector<node_record>>> readDirectory();
 
@@ -31,6 +36,10 @@
     gossip_channel &m_gossip;
     departure_keeper &m_departures;
     decode_counters m_decodeCounters;
+    net::steady_timer m_timer; // of the join task; cancelled when the store has returned
+    time_point m_readAt; // when the directory is to be read next
+    bool m_isPublished = false;
+    bool m_mayBeLost = false; // the store has returned since the own record was written
 };
 
 } // namespace pistachioquay::internal
--- a/packages/process/mesh/store_calls.cc
+++ b/packages/process/mesh/store_calls.cc
@@ -88,4 +88,12 @@
     co_return isUsable &&*era == position.era ? era : std::nullopt;
 }
 
+void applyToldEra(mesh_context &context, std::uint64_t era, std::string_view nodeId)
+{
+    const std::optional<std::uint64_t> previous = context.storeEras.current;
+    if (recordToldEra(context.storeEras, era, bootNow())) {
+        onReturn(context, previous, nodeId);
+    }
+}
+
 } // namespace pistachioquay::internal
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -11,6 +11,7 @@
 
 #include "base/random.h"
 #include "process/mesh/messages.h"
+#include "process/store_reading/store_era.h"
 #include "testing/harness/raw_socket.h"
 #include "testing/platform/platform_mesh.h"
 
@@ -200,6 +201,28 @@
     CHECK(areServed("/added/1"));
 }
 
+// Guards against nodes that the directory never names again, so that a node that starts finds none.
+TEST_CASE("after the store came back from an empty copy, the directory names all nodes again")
+{
+    serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-2"}});
+    const auto isListed = [&] {
+        const std::vector<std::string> keys = mesh.store().keys("keyed.nodes");
+        return std::ranges::all_of(mesh.names(), [&](const std::string &name) {
+            return std::ranges::find(keys, name) != keys.end();
+        });
+    };
+    REQUIRE(waitUntil(isListed, startTimeout));
+    mesh.store().setMode(store_mode::Away);
+    std::this_thread::sleep_for(milliseconds(700));
+    mesh.store().returnFromCopy();
+    mesh.publish(5, defaultRoutes());
+    CHECK(waitUntil(isListed, configApplyLimit + rewriteTime));
+    const std::uint64_t callsBefore = mesh.store().calls();
+    std::this_thread::sleep_for(milliseconds(2000));
+    CHECK(mesh.store().calls() - callsBefore <= 10); // nothing is written again and again
+    CHECK(mesh.log("a1").find("[store] returned") != std::string::npos);
+}
+
 TEST_CASE("an unsafe request runs only once when the node beside its worker is killed")
 {
     serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "shop", "dc-1"}, {"b1", "orders", "dc-2"}});
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -27,6 +27,9 @@
 constexpr int longestPauseMs = 400;
 constexpr int leastFaultMs = 150;
 constexpr int longestFaultMs = 1800;
+constexpr int mostReturns = 2; // of the store from a copy, in one run
+constexpr int oldestCopyMs = 3000; // when the store goes away
+constexpr milliseconds directoryBound{5000}; // until the directory names all nodes again
 constexpr unsigned firstVersion = 10;
 
 enum class fault_kind : std::uint8_t
@@ -127,12 +130,15 @@
     void restart(const std::string &node);
     void replaceWorker(const std::string &node);
     void publishNext();
+    void planReturns();
+    void returnFromCopy(bool writesNewVersion);
     void endFaults(time_point now);
     void later(milliseconds length, std::function<void()> action)
     {
         m_undos.push_back({steadyNow() + length, std::move(action)});
     }
     void checkRecovery();
+    void checkDirectory();
     void checkRuns();
     void keepLogs();
     int pick(int least, int most)
@@ -448,6 +454,45 @@
     m_version = next;
 }
 
+// Plans returns of the store from a copy. They have a generator of their own, so that a seed keeps its other faults.
+void soak_run::planReturns()
+{
+    random_generator generator(~m_plan.seed);
+    const auto draw = [&](int least, int most) {
+        return milliseconds(std::uniform_int_distribution<int>(least, most)(generator));
+    };
+    const auto returns = draw(1, mostReturns).count();
+    for (std::int64_t index = 0; index < returns; ++index) {
+        const milliseconds copyAt = draw(0, static_cast<int>(m_plan.length.count()));
+        const milliseconds awayAt = copyAt + draw(0, oldestCopyMs);
+        const milliseconds backAt = awayAt + draw(leastFaultMs, longestFaultMs);
+        const bool writesNewVersion = draw(0, 1).count() == 0;
+        later(copyAt, [this] {
+            m_mesh.store().takeCopy();
+        });
+        later(awayAt, [this] {
+            m_mesh.store().setMode(store_mode::Away);
+        });
+        later(backAt, [this, writesNewVersion] {
+            returnFromCopy(writesNewVersion);
+        });
+    }
+}
+
+// The operator writes the newest version again, and at times a further one at once.
+void soak_run::returnFromCopy(bool writesNewVersion)
+{
+    {
+        const std::lock_guard guard(m_mutex);
+        m_report.faults.push_back("store-returns at " + std::to_string(unixNowMs()));
+    }
+    m_mesh.store().returnFromCopy();
+    m_mesh.publish(m_version, m_routes);
+    if (writesNewVersion) {
+        publishNext();
+    }
+}
+
 void soak_run::endFaults(time_point now)
 {
     std::vector<undo> due;
@@ -479,6 +524,20 @@
     }
 }
 
+// All nodes are in the directory, so that one that starts finds them.
+void soak_run::checkDirectory()
+{
+    const auto areListed = [&] {
+        const std::vector<std::string> keys = m_mesh.store().keys("keyed.nodes");
+        return std::ranges::all_of(m_nodes, [&](const std::string &node) {
+            return std::ranges::find(keys, node) != keys.end();
+        });
+    };
+    if (!waitUntil(areListed, directoryBound)) {
+        violated("the directory does not name all nodes after the faults");
+    }
+}
+
 void soak_run::checkRuns()
 {
     std::map<std::string, unsigned> runs = m_runs;
@@ -526,6 +585,7 @@
         });
     }
     const time_point until = steadyNow() + m_plan.length;
+    planReturns();
     while (steadyNow() < until) {
         strike();
         std::this_thread::sleep_for(milliseconds(pick(leastPauseMs, longestPauseMs)));
@@ -538,6 +598,7 @@
         restartEnded(steadyNow());
     }
     checkRecovery();
+    checkDirectory();
     m_isCalling = false;
     callers.clear();
     checkRuns();
