A node that has found an empty directory and heard nobody grants no allowance yet

Cause: a node that starts took the directory for all nodes that there are.

Change: nodes tell each other how many nodes they know, and the largest number counts. A node that has heard of no other one grants nothing until it has read the directory again, 2 s after the first time, which an isolated node does anyway.

--- a/packages/process/mesh/allowances.cc
+++ b/packages/process/mesh/allowances.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 #include "base/hash.h"
 
@@ -51,6 +52,25 @@
     return {UINT32_MAX - static_cast<std::uint32_t>(linkBytesPerMs), hash64(nodeId), nodeId, address};
 }
 
+// Returns the number of nodes; 0 if it is not known yet. A node that knows only a part of them would take too large a
+// share: before it has read the directory, or if the store has lost the records of the others and none was heard yet.
+std::uint32_t knownNodes(const mesh_context &context)
+{
+    const auto &nodes = context.fleet.nodes;
+    const bool isKnown = context.directoryNodes > 0 && (context.isDirectoryComplete || !nodes.empty());
+    if (!isKnown) {
+        return 0;
+    }
+    const std::size_t own = std::max(context.directoryNodes, nodes.size() + 1);
+    return std::accumulate(nodes.begin(),
+                           nodes.end(),
+                           static_cast<std::uint32_t>(own),
+                           [](std::uint32_t most, const auto &item) {
+                               const std::uint32_t told = item.second.record.nodesKnown;
+                               return std::max(most, std::min(told, static_cast<std::uint32_t>(maxNodes)));
+                           });
+}
+
 } // namespace
 
 allowance_keeper::allowance_keeper(mesh_context &context, send_function send)
@@ -118,9 +138,7 @@
     m_desksAt = now;
     const mesh_options &options = m_context.options;
     const fleet_state &fleet = m_context.fleet;
-    const auto known = static_cast<std::uint32_t>(std::max(m_context.directoryNodes, fleet.nodes.size() + 1));
-    // Before the directory was read, the node may know only a part of the nodes, and would take too large a share.
-    m_borrower.nodeCount = m_context.directoryNodes > 0 ? known : 0;
+    m_borrower.nodeCount = knownNodes(m_context);
     setNodeCount(m_desk, m_borrower.nodeCount, now);
 
     std::map<std::string, std::vector<desk_candidate>> byDataCentre;
--- a/packages/process/mesh/allowances_test.cc
+++ b/packages/process/mesh/allowances_test.cc
@@ -1,5 +1,7 @@
 // Guards against requests that wait forever for a token, against messages without need, and against a node that serves
 // more than its part while no desk of another node answers.
+#include <utility>
+
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
@@ -137,3 +139,29 @@
     CHECK(mesh.acquire(*mesh.a, 3)[token_result::Granted] == 3);
     CHECK(mesh.messages == 0);
 }
+
+// review/12: a node that was added after the store had lost the records of the others granted the whole allowance.
+TEST_CASE("a node that has found an empty directory and heard no other node grants nothing until it has read it again")
+{
+    two_nodes mesh;
+    const std::map<std::string, known_node> heard = std::exchange(mesh.a->context.fleet.nodes, {});
+    mesh.a->context.directoryNodes = 1;
+    mesh.start({limited});
+    CHECK(mesh.acquire(*mesh.a, 5)[token_result::Granted] == 0);
+    SECTION("it hears of another one, which knows more nodes than it does")
+    {
+        mesh.a->context.fleet.nodes = heard;
+        mesh.a->context.fleet.nodes.at("b").record.nodesKnown = 10;
+        mesh.isCut = true;
+        mesh.loop.run_for(2 * deskSettleTime);
+        const int granted = mesh.acquire(*mesh.a, 60)[token_result::Granted];
+        CHECK(granted > 0);
+        CHECK(granted <= 5); // a tenth of the burst and of what 0.4 s bring
+    }
+    SECTION("it is alone")
+    {
+        mesh.a->context.isDirectoryComplete = true;
+        mesh.loop.run_for(deskSettleTime);
+        CHECK(mesh.acquire(*mesh.a, 5)[token_result::Granted] == 5);
+    }
+}
--- a/packages/process/mesh/context.h
+++ b/packages/process/mesh/context.h
@@ -108,6 +108,7 @@
     store_eras storeEras;
     std::vector<std::function<void()>> onStoreReturn; // called when the store has come back from a copy
     std::size_t directoryNodes = 0; // nodes in the last directory that was read; 0: none was read yet
+    bool isDirectoryComplete = false; // the directory counts although it names no node that was heard
     worker_liveness worker;
     crash_tracker crashes; // of the own worker, and crash reports of all nodes
     std::function<void(const crash_report &)> announceCrash; // sends a report to all nodes
--- a/packages/process/mesh/gossip.cc
+++ b/packages/process/mesh/gossip.cc
@@ -105,6 +105,7 @@
     record.report = m_inbound.report(now);
     record.departures = plainDepartures(worker.departures);
     record.storeEra = m_context.storeEras.current.value_or(0);
+    record.nodesKnown = static_cast<std::uint32_t>(m_context.fleet.nodes.size() + 1);
     for (const auto &[route, mean] : m_inbound.runTimes().routes) {
         if (now - mean.lastAt < runTimeExpiry) {
             record.runMs[route] = mean.milliseconds;
--- a/packages/process/mesh/node_directory.cc
+++ b/packages/process/mesh/node_directory.cc
@@ -11,6 +11,9 @@
 constexpr milliseconds joinRetryInterval{250}; // pause between attempts to reach the platform; jitter is added
 constexpr seconds directoryInterval{120}; // time between reads of the published node records
 constexpr milliseconds isolatedInterval{2000}; // the same while this node knows no other node
+// Time after the first read of the directory from which a node that has heard of no other one believes that there is
+// none: after a return of the store, the others first write their records again.
+constexpr milliseconds directoryPatience = isolatedInterval;
 
 } // namespace
 
@@ -65,6 +68,8 @@
         }
     }
     m_context.directoryNodes = std::max<std::size_t>(1, records.size());
+    m_firstReadAt = m_firstReadAt.value_or(steadyNow());
+    m_context.isDirectoryComplete = steadyNow() - *m_firstReadAt >= directoryPatience;
     m_departures.recordStoreRead(ownDepartures, steadyNow());
     co_return records;
 }
--- a/packages/process/mesh/node_directory.h
+++ b/packages/process/mesh/node_directory.h
@@ -38,6 +38,7 @@
     decode_counters m_decodeCounters;
     net::steady_timer m_timer; // of the join task; cancelled when the store has returned
     time_point m_readAt; // when the directory is to be read next
+    std::optional<time_point> m_firstReadAt;
     bool m_isPublished = false;
     bool m_mayBeLost = false; // the store has returned since the own record was written
 };
