Write departures again that the store has lost

What callers could see: a worker that had left gets requests after a kill of its node, if the store lost the departure and its entry was the only one that outlived the kill.

Cause: the loop that writes a departure ended with the first confirmation, which a return of the store revokes.

Change: after a return, a node writes all departures again that it keeps, those recovered at its start included, until the store has confirmed them in its present era.

Evidence: "after the store came back from an empty copy, the directory names all nodes and their departures again" fails without the change to departure_keeper, and passes with it.

--- a/packages/process/mesh/departure_keeper.cc
+++ b/packages/process/mesh/departure_keeper.cc
@@ -26,6 +26,9 @@
     m_recovery.startedAt = m_startedAt;
     m_context.worker.isRecovering = true;
     m_context.worker.nodeStart = node_start{m_startedAt, m_context.options.noticeInterval, std::nullopt};
+    m_context.onStoreReturn.push_back([this] {
+        storeAgain();
+    });
 }
 
 void departure_keeper::recordStoreRead(const std::vector<worker_departure> &stored, time_point now)
@@ -40,18 +43,9 @@
 awaitable<bool> departure_keeper::hold(worker_departure departure)
 {
     const time_point startedAt = steadyNow();
-    std::shared_ptr<departure_hold> &entry = m_holds[departureKey(m_context.options.nodeId, departure)];
-    const bool isFirst = !entry;
-    if (isFirst) {
-        entry = std::make_shared<departure_hold>();
-        net::co_spawn(
-            m_context.executor,
-            [this, departure, hold = entry] {
-                return store(departure, hold);
-            },
-            net::detached);
-    }
-    const std::shared_ptr<departure_hold> hold = entry;
+    const auto known = m_holds.find(departureKey(m_context.options.nodeId, departure));
+    const bool isFirst = known == m_holds.end();
+    const std::shared_ptr<departure_hold> hold = isFirst ? startStoring(departure, milliseconds{0}) : known->second;
     net::steady_timer pause(m_context.executor);
     time_point askAt = startedAt + holderAskInterval;
     for (;;) {
@@ -82,22 +76,54 @@
     }
 }
 
-// Writes a departure to the platform's store, until the store confirms it or it is removed.
-awaitable<void> departure_keeper::store(worker_departure departure, std::shared_ptr<departure_hold> hold)
+// Starts to write a departure to the platform's store after a delay, unless that is already under way.
+std::shared_ptr<departure_hold> departure_keeper::startStoring(const worker_departure &departure, milliseconds delay)
+{
+    const std::string key = departureKey(m_context.options.nodeId, departure);
+    std::shared_ptr<departure_hold> &hold = m_holds[key];
+    if (!hold) {
+        hold = std::make_shared<departure_hold>();
+    }
+    hold->isStored = false;
+    if (m_storing.insert(key).second) {
+        net::co_spawn(
+            m_context.executor,
+            [this, departure, hold, delay] {
+                return store(departure, hold, delay);
+            },
+            net::detached);
+    }
+    return hold;
+}
+
+// Writes all departures again: the store may have lost them, or have brought back the entry of an earlier process.
+void departure_keeper::storeAgain()
+{
+    const auto spread = static_cast<std::uint64_t>(rewriteSpread(m_context.fleet.nodes.size() + 1).count());
+    for (const kept_departure &kept : m_context.worker.departures) {
+        startStoring(kept.departure, milliseconds(m_context.generator() % spread));
+    }
+}
+
+// Writes a departure to the platform's store, until the store confirms it in its present era or it is removed.
+awaitable<void>
+departure_keeper::store(worker_departure departure, std::shared_ptr<departure_hold> hold, milliseconds delay)
 {
     const std::string key = departureKey(m_context.options.nodeId, departure);
     const std::string bytes =
         encodeMessage(directory_entry(stored_departure{m_context.options.nodeId, departure}), meshFormatVersion);
-    net::steady_timer pause(m_context.executor);
+    net::steady_timer pause(m_context.executor, delay);
+    co_await pause.async_wait(awaitResult);
     while (!m_context.isStopped && m_holds.contains(key)) {
         const auto era = co_await publishNodeRecord(m_context, key, bytes);
-        hold->isStored = era.has_value();
+        hold->isStored = era && isCurrent(m_context.storeEras, *era);
         if (hold->isStored) {
             break;
         }
         pause.expires_after(storeRetryInterval + milliseconds(m_context.generator() % 250));
         co_await pause.async_wait(awaitResult);
     }
+    m_storing.erase(key);
 }
 
 // Applies what another node holds for this one.
--- a/packages/process/mesh/departure_keeper.h
+++ b/packages/process/mesh/departure_keeper.h
@@ -1,5 +1,6 @@
 // Keeps the departures of the own worker beyond the life of this process: has them held by the platform's store or by
-// other nodes, and recovers them after a restart. Private to the mesh library.
+// other nodes, writes them again after a return of the store, and recovers them after a restart. Private to the mesh
+// library.
 //
 //   departure_keeper departures(context, inbound, gossip);
 //   if (co_await departures.hold(departure)) acknowledge();
@@ -7,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 #include "process/mesh/context.h"
 #include "process/mesh/gossip.h"
@@ -31,7 +33,9 @@
     void recordStoreRead(const std::vector<worker_departure> &stored, time_point now);
 
 private:
-    awaitable<void> store(worker_departure departure, std::shared_ptr<departure_hold> hold);
+    std::shared_ptr<departure_hold> startStoring(const worker_departure &departure, milliseconds delay);
+    awaitable<void> store(worker_departure departure, std::shared_ptr<departure_hold> hold, milliseconds delay);
+    void storeAgain();
     void recoverFrom(const std::vector<worker_departure> &departures, time_point now);
 
     mesh_context &m_context;
@@ -40,6 +44,7 @@
     time_point m_startedAt;
     departure_recovery m_recovery;
     std::map<std::string, std::shared_ptr<departure_hold>> m_holds; // by key of the departure in the store
+    std::set<std::string> m_storing; // keys of departures that are being written to the store
 };
 
 } // namespace pistachioquay::internal
--- a/testing/platform/process/platform_process_test.cc
+++ b/testing/platform/process/platform_process_test.cc
@@ -202,14 +202,18 @@
 }
 
 // Guards against nodes that the directory never names again, so that a node that starts finds none.
-TEST_CASE("after the store came back from an empty copy, the directory names all nodes again")
+TEST_CASE("after the store came back from an empty copy, the directory names all nodes and their departures again")
 {
     serving_mesh mesh({{"a1", "shop", "dc-1"}, {"a2", "orders", "dc-1"}, {"b1", "orders", "dc-2"}});
+    REQUIRE(mesh.worker("a2").leave(milliseconds(4000)));
     const auto isListed = [&] {
         const std::vector<std::string> keys = mesh.store().keys("keyed.nodes");
-        return std::ranges::all_of(mesh.names(), [&](const std::string &name) {
-            return std::ranges::find(keys, name) != keys.end();
+        const bool hasDeparture = std::ranges::any_of(keys, [](const std::string &key) {
+            return key.starts_with("a2/departure/");
         });
+        return hasDeparture && std::ranges::all_of(mesh.names(), [&](const std::string &name) {
+                   return std::ranges::find(keys, name) != keys.end();
+               });
     };
     REQUIRE(waitUntil(isListed, startTimeout));
     mesh.store().setMode(store_mode::Away);
