Compare orders of roll-outs by era, and record again what the store has lost

What callers and operators saw: after a return of the store, the status of a roll-out that had been taken back was `running` for good, and an order that was written after the return was carried out by no node.

Cause: a recorded phase was taken as recorded for good, and orders were compared by offsets, which the store gives out again.

Change: the order of a roll-out is a position with its era. A record tells in which era the store last showed it; if that is not the present one, the nodes that may decide read the status by rank, and record it again if it is gone. Within rewriteTime after a return, an order for another version than the known one is in doubt, since the copy may hold an order that was replaced.

--- a/packages/process/mesh/rollout_keeper.cc
+++ b/packages/process/mesh/rollout_keeper.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -46,7 +47,19 @@
 
 void rollout_keeper::applyOrders(const std::vector<rollout_order> &orders, time_point now)
 {
-    for (const rollout_order &order : orders) {
+    const boot_time readAt = bootNow();
+    for (rollout_order order : orders) {
+        // One that is written again may have ended already.
+        order.isFresh = order.isFresh && !mayLackWrites(m_context.storeEras, readAt);
+        if (isInDoubt(m_context.rollouts, toRecord(order), m_context.storeEras, readAt)) {
+            m_context.log(log_line("rollout", "order-in-doubt")
+                              .add("service", order.service)
+                              .add("version", order.targetVersion)
+                              .add("era", order.position.era)
+                              .add("position", order.position.offset));
+            m_doubtful[order.service] = {toRecord(order), now};
+            continue;
+        }
         if (applyOrder(m_context.rollouts, order, now)) {
             onChange(m_context.rollouts.services.at(order.service), "order", now);
             m_gossip.announce();
@@ -54,10 +67,25 @@
     }
 }
 
+void rollout_keeper::applyDoubtful(time_point now)
+{
+    if (m_doubtful.empty() || mayLackWrites(m_context.storeEras, bootNow())) {
+        return;
+    }
+    for (auto &[service, order] : std::exchange(m_doubtful, {})) {
+        order.record.ageMs = millisBetween(order.readAt, now);
+        if (mergeRollout(m_context.rollouts, order.record, now)) {
+            onChange(m_context.rollouts.services.at(service), "order", now);
+            m_gossip.announce();
+        }
+    }
+}
+
 void rollout_keeper::applyRecords(const std::vector<rollout_record> &records, time_point now)
 {
     for (const rollout_record &record : records) {
-        if (mergeRollout(m_context.rollouts, record, now)) {
+        const bool isDoubtful = isInDoubt(m_context.rollouts, record, m_context.storeEras, bootNow());
+        if (!isDoubtful && mergeRollout(m_context.rollouts, record, now)) {
             onChange(m_context.rollouts.services.at(record.service), "peer", now);
         }
     }
@@ -70,7 +98,8 @@
     m_context.log(log_line("rollout", phaseName(record.phase))
                       .add("service", record.service)
                       .add("version", record.targetVersion)
-                      .add("order", record.order)
+                      .add("era", record.order.era)
+                      .add("order", record.order.offset)
                       .add("source", source)
                       .add("age_ms", millisBetween(rollout.orderedAt, now))
                       .add("announced", record.isAnnounced)
@@ -187,10 +216,11 @@
     if (m_context.rollouts.services.empty() || m_context.isStopped) {
         return;
     }
+    applyDoubtful(now);
     updateCounting(now);
     announceBadRuns(now);
     for (auto &[service, rollout] : m_context.rollouts.services) {
-        if (!isEnded(rollout.record.phase)) {
+        if (!isEnded(rollout.record.phase) || !isAnnouncedIn(rollout.record, m_context.storeEras)) {
             maintainRollout(rollout, now);
         }
     }
@@ -229,9 +259,13 @@
     if (rank > maxDecisionStaggers || m_context.isStopping) {
         return false;
     }
-    const bool isMissing = record.phase == rollout_phase::Unknown || !record.isAnnounced;
-    const duration inPhase = now - rollout.phaseSince;
-    return (isMissing && inPhase >= decisionStagger * static_cast<std::int64_t>(rank))
+    const bool isMissing = record.phase == rollout_phase::Unknown || !isAnnouncedIn(record, m_context.storeEras);
+    const duration stagger = decisionStagger * static_cast<std::int64_t>(rank);
+    const auto inEra = std::chrono::duration_cast<duration>(bootNow() - m_context.storeEras.knownSince);
+    if (isEnded(record.phase)) { // a later order of the service may be among what is written again
+        return isMissing && inEra >= rewriteTime + stagger;
+    }
+    return (isMissing && std::min(now - rollout.phaseSince, inEra) >= stagger)
         || recordableEnd(rollout, workers, rank, now).has_value();
 }
 
@@ -241,7 +275,7 @@
     rollout_record &record = rollout.record;
     const bool isSameVersion = read.status && read.status->targetVersion == record.targetVersion;
     if (isSameVersion) {
-        record.isAnnounced = true;
+        recordAnnounced(record, read.position.era);
         if (isEnded(read.status->phase)) {
             changePhase(rollout, {read.status->phase, record.reason}, "store", now);
             return false;
@@ -265,20 +299,36 @@
     const auto read = co_await readRolloutStatus(m_context, service);
     const time_point now = steadyNow();
     const auto found = m_context.rollouts.services.find(service);
-    if (!read || found == m_context.rollouts.services.end() || isEnded(found->second.record.phase)) {
+    if (!read || found == m_context.rollouts.services.end()) {
         co_return;
     }
     known_rollout &rollout = found->second;
+    if (isEnded(rollout.record.phase)) {
+        co_await settleEnd(rollout.record, *read);
+        co_return;
+    }
     if (!applyStored(rollout, *read, now)) {
         co_return;
     }
     const std::size_t rank = rankOf(rollout.record, now);
     const auto end = recordableEnd(rollout, observe(rollout, now), rank, now);
-    if (end || !rollout.record.isAnnounced) {
+    if (end || !isAnnouncedIn(rollout.record, m_context.storeEras)) {
         co_await record(rollout.record, end.value_or(rollout_phase::Trial), read->position);
     }
 }
 
+// Records the end of a roll-out again that the store has lost.
+awaitable<void> rollout_keeper::settleEnd(rollout_record ended, rollout_status_read read)
+{
+    const rollout_status status{ended.service, ended.targetVersion, ended.phase};
+    if (read.status != status) {
+        co_await record(ended, ended.phase, read.position);
+        co_return;
+    }
+    recordAnnounced(m_context.rollouts.services.at(ended.service).record, read.position.era);
+    m_gossip.announce();
+}
+
 awaitable<void> rollout_keeper::record(rollout_record record, rollout_phase phase, store_position position)
 {
     // GCC 12 destroys an aggregate twice that is created within a co_await expression.
@@ -300,7 +350,7 @@
         co_return;
     }
     known_rollout &rollout = found->second;
-    rollout.record.isAnnounced = true;
+    recordAnnounced(rollout.record, *era);
     if (isEnded(phase) && !isEnded(rollout.record.phase)) {
         changePhase(rollout, {phase, rollout.record.reason}, "recorded", now);
     } else {
--- a/packages/process/rollout/rollout.cc
+++ b/packages/process/rollout/rollout.cc
@@ -205,7 +205,25 @@
         && record.reason.size() <= maxReasonBytes;
 }
 
-bool applyOrder(rollout_state &state, const rollout_order &order, time_point now)
+bool isAnnouncedIn(const rollout_record &record, const store_eras &eras)
+{
+    return record.isAnnounced && (!eras.current || isCurrent(eras, record.announcedEra));
+}
+
+void recordAnnounced(rollout_record &record, std::uint64_t era)
+{
+    record.isAnnounced = true;
+    record.announcedEra = era;
+}
+
+bool isInDoubt(const rollout_state &state, const rollout_record &record, const store_eras &eras, boot_time now)
+{
+    const auto known = state.services.find(record.service);
+    return known != state.services.end() && known->second.record.targetVersion != record.targetVersion
+        && known->second.record.order.era != record.order.era && mayLackWrites(eras, now);
+}
+
+rollout_record toRecord(const rollout_order &order)
 {
     rollout_record record;
     record.service = order.service;
@@ -213,7 +231,12 @@
     record.order = order.position;
     record.durationMs = order.duration.count();
     record.phase = order.isFresh ? rollout_phase::Trial : rollout_phase::Unknown;
-    return mergeRollout(state, record, now);
+    return record;
+}
+
+bool applyOrder(rollout_state &state, const rollout_order &order, time_point now)
+{
+    return mergeRollout(state, toRecord(order), now);
 }
 
 bool mergeRollout(rollout_state &state, const rollout_record &record, time_point now)
@@ -246,7 +269,9 @@
     const rollout_record before = current;
     known.orderedAt = std::min(known.orderedAt, orderedAt);
     current.order = std::max(current.order, record.order);
-    current.isAnnounced = current.isAnnounced || record.isAnnounced;
+    if (record.isAnnounced && (!current.isAnnounced || record.announcedEra > current.announcedEra)) {
+        recordAnnounced(current, record.announcedEra);
+    }
     const bool isFurther = record.phase > current.phase && !isEnded(current.phase);
     if (isFurther) {
         applyChange(known, {record.phase, record.reason}, now);
--- a/packages/process/rollout/rollout.h
+++ b/packages/process/rollout/rollout.h
@@ -29,6 +29,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "process/rollout/evidence.h"
+#include "process/store_reading/store_era.h"
 
 namespace pistachioquay {
 
@@ -68,7 +69,7 @@
     std::string service;
     std::string targetVersion;
     milliseconds duration{0};
-    std::uint64_t position = 0; // in the operator's log; orders later orders
+    store_position position; // in the operator's log; orders later orders
     bool isFresh = false; // read as it was written, so that no status of it can exist
 
     friend auto operator<=>(const rollout_order &, const rollout_order &) = default;
@@ -97,11 +98,12 @@
 {
     std::string service;
     std::string targetVersion;
-    std::uint64_t order = 0; // position of the operator's order
+    store_position order; // of the operator's order
     std::int64_t durationMs = 0;
     std::int64_t ageMs = 0; // of the order, when the record was sent
     rollout_phase phase = rollout_phase::Unknown;
-    bool isAnnounced = false; // the store shows the roll-out as running
+    bool isAnnounced = false; // the store shows the roll-out as running, or its end
+    std::uint64_t announcedEra = 0; // of the store when it last did so
     std::vector<std::string> heldVersions; // of earlier orders that were superseded before they completed
     std::string reason; // of the phase
 
@@ -110,7 +112,8 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(service, targetVersion, order, durationMs, ageMs, phase, isAnnounced, heldVersions, reason);
+        archive(service, targetVersion, order, durationMs, ageMs, phase, isAnnounced, announcedEra);
+        archive(heldVersions, reason);
     }
 };
 
@@ -138,6 +141,20 @@
     std::map<std::string, std::map<std::string, time_point>> versionsSeen; // first time, by service and version
 };
 
+// toRecord returns the record of an order that is not known yet. Thread safe.
+rollout_record toRecord(const rollout_order &order);
+
+// isAnnouncedIn returns whether the store shows the roll-out in its present era. Thread safe.
+bool isAnnouncedIn(const rollout_record &record, const store_eras &eras);
+
+// recordAnnounced records that the store shows the roll-out, or its end.
+void recordAnnounced(rollout_record &record, std::uint64_t era);
+
+// isInDoubt returns whether it is not known yet if a record is of a later order than the known one: the store has come
+// back from a copy, which may hold orders that were replaced, and the operator writes again in order what was lost. The
+// record is applied after `rewriteTime`, unless the known order was written again by then.
+bool isInDoubt(const rollout_state &state, const rollout_record &record, const store_eras &eras, boot_time now);
+
 // applyOrder starts or replaces a roll-out. A repeated order for the same version keeps the phase, also if it has
 // ended: a version that was rolled back does not get requests again under the same name. Returns true if it changed
 // anything.
--- a/packages/process/rollout/rollout_test.cc
+++ b/packages/process/rollout/rollout_test.cc
@@ -13,7 +13,7 @@
 
 const time_point start{seconds(1000)};
 constexpr milliseconds orderTime{15000};
-const rollout_order toV2{"orders", "v2", orderTime, 7, true};
+const rollout_order toV2{"orders", "v2", orderTime, {1, 7}, true};
 
 rollout_state makeState()
 {
@@ -207,7 +207,7 @@
     CHECK(countPool(state, makeWorkers(3, 3), worker_pool::Held, start) == 3);
     CHECK(countPool(state, makeWorkers(0, 3), worker_pool::Held, start) == 3);
     rollout_order again = toV2;
-    again.position = 9;
+    again.position = {1, 9};
     applyOrder(state, again, start);
     CHECK(state.services.at("orders").record.phase == rollout_phase::RollingBack);
 }
@@ -229,16 +229,73 @@
     applyOrder(state, toV2, start);
     rollout_order toV3 = toV2;
     toV3.targetVersion = "v3";
-    toV3.position = 8;
+    toV3.position = {1, 8};
     CHECK(applyOrder(state, toV3, start));
     CHECK(countPool(state, makeWorkers(3, 2), worker_pool::Held, start) == 2);
     CHECK_FALSE(applyOrder(state, toV2, start)); // an older order that arrives late
     rollout_order back = toV2;
-    back.position = 9;
+    back.position = {1, 9};
     CHECK(applyOrder(state, back, start));
     CHECK(state.services.at("orders").record.heldVersions == std::vector<std::string>{"v3"});
 }
 
+// Guards against an order that is never carried out, because the store gave its offset out before it came back from a
+// copy.
+TEST_CASE("an order that was written after a return of the store replaces the one of before, whatever its offset")
+{
+    rollout_state state = makeState();
+    applyOrder(state, toV2, start);
+    const std::uint64_t offset = GENERATE(0U, 6U, 7U, 8U);
+    CHECK(applyOrder(state, {"orders", "v3", orderTime, {2, offset}, true}, start));
+    CHECK(state.services.at("orders").record.targetVersion == "v3");
+    CHECK_FALSE(applyOrder(state, toV2, start));
+}
+
+// Guards against an order that comes back from the copy and takes the place of the one that replaced it.
+TEST_CASE("until lost orders are written again, no other order takes the place of one of before the return")
+{
+    const boot_time returnedAt{std::chrono::hours(5)};
+    store_eras eras;
+    recordEra(eras, 1, returnedAt, returnedAt);
+    rollout_state state = makeState();
+    applyOrder(state, toV2, start);
+    const rollout_record fromCopy = toRecord({"orders", "v1", orderTime, {2, 3}, false});
+    CHECK_FALSE(isInDoubt(state, fromCopy, eras, returnedAt)); // no return is known
+    recordEra(eras, 2, returnedAt, returnedAt);
+    CHECK(isInDoubt(state, fromCopy, eras, returnedAt + rewriteTime - milliseconds(1)));
+    CHECK_FALSE(isInDoubt(state, toRecord({"shop", "v1", orderTime, {2, 3}, false}), eras, returnedAt));
+    // The known order is written again: it keeps its phase, and the one of the copy is older.
+    applyChange(state.services.at("orders"), {rollout_phase::RolledBack, "bad"}, start);
+    const rollout_order again{"orders", "v2", orderTime, {2, 4}, true};
+    CHECK_FALSE(isInDoubt(state, toRecord(again), eras, returnedAt));
+    CHECK(applyOrder(state, again, start));
+    CHECK_FALSE(mergeRollout(state, fromCopy, start));
+    CHECK(state.services.at("orders").record.phase == rollout_phase::RolledBack);
+    // A further one is carried out at once.
+    const rollout_order toV3{"orders", "v3", orderTime, {2, 5}, true};
+    CHECK_FALSE(isInDoubt(state, toRecord(toV3), eras, returnedAt));
+    CHECK(applyOrder(state, toV3, start));
+}
+
+TEST_CASE("what the store showed of a roll-out before a return, it has to show again")
+{
+    const boot_time returnedAt{std::chrono::hours(5)};
+    store_eras eras;
+    recordEra(eras, 1, returnedAt, returnedAt);
+    rollout_state state = makeState();
+    applyOrder(state, toV2, start);
+    rollout_record &record = state.services.at("orders").record;
+    CHECK_FALSE(isAnnouncedIn(record, eras));
+    recordAnnounced(record, 1);
+    CHECK(isAnnouncedIn(record, eras));
+    const rollout_record before = record;
+    recordEra(eras, 2, returnedAt, returnedAt);
+    CHECK_FALSE(isAnnouncedIn(record, eras));
+    recordAnnounced(record, 2);
+    CHECK_FALSE(mergeRollout(state, before, start)); // a node that has not noticed the return
+    CHECK(isAnnouncedIn(state.services.at("orders").record, eras));
+}
+
 TEST_CASE("copies of a roll-out converge on the same phase in any order of arrival, and never leave an end")
 {
     CHECK(holds("convergence", 300, [](const std::vector<std::uint8_t> &words) {
@@ -246,7 +303,7 @@
         rollout_state right = makeState();
         std::vector<rollout_record> records;
         for (const std::uint8_t word : words) {
-            rollout_record record{"orders", "v2", 7, orderTime.count(), word % 50};
+            rollout_record record{"orders", "v2", {1, 7}, orderTime.count(), word % 50};
             record.phase = static_cast<rollout_phase>(word % 6); // of the two ends, only one is ever recorded
             records.push_back(record);
         }
@@ -291,7 +348,7 @@
 TEST_CASE("records of another writer that are out of range are ignored")
 {
     rollout_state state = makeState();
-    rollout_record record{"orders", "v2", 7, orderTime.count(), 0};
+    rollout_record record{"orders", "v2", {1, 7}, orderTime.count(), 0};
     record.ageMs = -1;
     CHECK_FALSE(mergeRollout(state, record, start));
     record.ageMs = 0;
--- a/testing/platform/process/rollout_process_test.cc
+++ b/testing/platform/process/rollout_process_test.cc
@@ -161,3 +161,32 @@
     mesh.process("c2").kill();
     CHECK(mesh.sendUntil("rolled_back", orderTime));
 }
+
+// Guards against an end of a roll-out that the operator never reads, because the store lost it, and against an order
+// that no node carries out, because its offset was given out before.
+TEST_CASE("after a return of the store, the end of a roll-out is recorded again, and a further order is carried out")
+{
+    rollout_mesh mesh(2);
+    REQUIRE(mesh.sendUntil("running", orderTime));
+    mesh.store().takeCopy();
+    mesh.publish(6, {{"/orders/", "orders"}, {"/shop/", "shop"}});
+    mesh.publish(7, {{"/orders/", "orders"}, {"/shop/", "shop"}});
+    mesh.store().put("keyed.op", "rollout/orders", order);
+    REQUIRE(mesh.sendUntil("rolled_back", orderTime));
+    const unsigned exposed = mesh.newRuns();
+    mesh.store().setMode(store_mode::Away);
+    std::this_thread::sleep_for(milliseconds(700));
+    mesh.store().returnFromCopy();
+    mesh.publish(7, {{"/orders/", "orders"}, {"/shop/", "shop"}});
+    CHECK(mesh.hasState("running"));
+    const bool isRecordedAgain = mesh.sendUntil("rolled_back", milliseconds(5000));
+    INFO(mesh.rolloutLog());
+    CHECK(isRecordedAgain);
+    CHECK(mesh.newRuns() == exposed);
+    mesh.store().put("keyed.op", "rollout/orders", R"({"service":"orders","targetVersion":"v3","durationS":10})");
+    CHECK(waitUntil(
+        [&] {
+            return mesh.status().find("\"v3\"") != std::string::npos;
+        },
+        milliseconds(5000)));
+}
