The first reads of a process prove no key, as the store may just have returned

What callers could see: a process that starts right after a return of the store accepts a key that was taken away by a version that the store has lost, and proves it to other nodes, until the operator has written that version again.

Cause: the process knows no earlier era, so it did not notice the return and took its first read for a proof.

Nodes tell for how long they have known the era, so that a process that starts in a running mesh does not wait; and answers of other nodes prove its keys at once, as before. While no read can be a proof, nobody but the reader reads for one; then it is by rank again.

--- a/packages/process/fleet/fleet.h
+++ b/packages/process/fleet/fleet.h
@@ -77,6 +77,7 @@
     std::vector<worker_departure> departures; // of the worker's processes; other nodes hold them for the node
     worker_evidence evidence; // of the worker in a roll-out of its service
     std::uint64_t storeEra = 0; // of the platform's store, as the node knows it
+    std::uint32_t storeEraAgeMs = 0; // for which the node had known it when it wrote the record
     std::uint32_t nodesKnown = 0; // to the node, with itself
 
     friend bool operator==(const node_record &, const node_record &) = default;
@@ -97,6 +98,7 @@
                 departures,
                 evidence,
                 storeEra,
+                storeEraAgeMs,
                 nodesKnown);
     }
 };
--- a/packages/process/freshness/freshness.cc
+++ b/packages/process/freshness/freshness.cc
@@ -107,14 +107,15 @@
     return {true, age >= shareOf(limit, anyNodeParts)};
 }
 
-bool shouldReadForProof(const freshness_state &state, std::size_t rank, boot_time now)
+bool shouldReadForProof(const freshness_state &state, std::size_t rank, boot_time provableFrom, boot_time now)
 {
     if (!state.limit) {
         return false;
     }
     const duration stagger = rankStagger * static_cast<std::int64_t>(std::min(rank, maxStaggers));
-    return state.provenAt ? ageOrMax(state.provenAt, now) > shareOf(*state.limit, ownReadParts) + stagger
-                          : now - state.startedAt > shareOf(*state.limit, startReadParts) + stagger;
+    const boot_time wishedAt = state.provenAt ? *state.provenAt + shareOf(*state.limit, ownReadParts)
+                                              : state.startedAt + shareOf(*state.limit, startReadParts);
+    return now - stagger > std::max(wishedAt, provableFrom);
 }
 
 milliseconds proofReadWait(milliseconds limit)
--- a/packages/process/freshness/freshness.h
+++ b/packages/process/freshness/freshness.h
@@ -82,8 +82,9 @@
 query_plan planQueries(const freshness_state &state, boot_time now);
 
 // shouldReadForProof returns whether the node has to read the store for its own proof, because no other node proves its
-// configuration. `rank` is that of `reader_status`: nodes of a higher rank wait longer. Thread safe.
-bool shouldReadForProof(const freshness_state &state, std::size_t rank, boot_time now);
+// configuration. No read before `provableFrom` can prove it. `rank` is that of `reader_status`: nodes of a higher rank
+// wait longer. Thread safe.
+bool shouldReadForProof(const freshness_state &state, std::size_t rank, boot_time provableFrom, boot_time now);
 
 // proofReadWait returns how long the reader's long poll may wait in the store. Thread safe.
 milliseconds proofReadWait(milliseconds limit);
--- a/packages/process/freshness/freshness_test.cc
+++ b/packages/process/freshness/freshness_test.cc
@@ -222,16 +222,21 @@
     const freshness_state state{.startedAt = start};
     CHECK(isProven(state, start + 10 * limit));
     CHECK(planQueries(state, start + 10 * limit) == query_plan{});
-    CHECK_FALSE(shouldReadForProof(state, 0, start + 10 * limit));
+    CHECK_FALSE(shouldReadForProof(state, 0, start, start + 10 * limit));
     CHECK_FALSE(answerQuery(state, 1, 5, start).age.has_value());
 }
 
 TEST_CASE("the store is read by rank, and only by nodes that nobody proves")
 {
-    CHECK_FALSE(shouldReadForProof(provenState(start), 0, start + limit * 3 / 10));
-    CHECK(shouldReadForProof(provenState(start), 0, start + limit / 2));
-    CHECK_FALSE(shouldReadForProof(provenState(start), maxStaggers, start + limit / 2));
-    CHECK(shouldReadForProof(provenState(start), 1000, start + limit * 4 / 5));
+    CHECK_FALSE(shouldReadForProof(provenState(start), 0, start, start + limit * 3 / 10));
+    CHECK(shouldReadForProof(provenState(start), 0, start, start + limit / 2));
+    CHECK_FALSE(shouldReadForProof(provenState(start), maxStaggers, start, start + limit / 2));
+    CHECK(shouldReadForProof(provenState(start), 1000, start, start + limit * 4 / 5));
+    // While no read can be a proof, nobody reads for one; the first ones come by rank again.
+    const boot_time provableFrom = start + limit;
+    CHECK_FALSE(shouldReadForProof(provenState(start), 0, provableFrom, start + limit));
+    CHECK(shouldReadForProof(provenState(start), 0, provableFrom, start + limit + milliseconds(1)));
+    CHECK_FALSE(shouldReadForProof(provenState(start), 1, provableFrom, start + limit + milliseconds(1)));
     // A poll of the reader that begins when the last one ends keeps its proof and those of the nodes that ask it young.
     CHECK(2 * proofReadWait(limit) <= limit / 3);
 }
--- a/packages/process/freshness/store_return_test.cc
+++ b/packages/process/freshness/store_return_test.cc
@@ -74,9 +74,14 @@
         case 5: // a node is killed and starts again
             self = {.freshness = {.limit = limit, .startedAt = m_now}};
             break;
-        case 6: // gets the configuration from another node
-        case 7:
-            self.applied = std::max(self.applied, m_nodes.at((word >> 24U) % m_nodes.size()).applied);
+        case 6: // hears of another node
+            hear(self, m_nodes.at((word >> 24U) % m_nodes.size()));
+            break;
+        case 7: // asks another node, which answers at once
+            ask(self, m_nodes.at((word >> 24U) % m_nodes.size()));
+            break;
+        case 11: // receives the answer
+            recordAnswer(self.freshness, self.answer, self.applied, m_now);
             break;
         case 8:
         case 9:
@@ -88,15 +93,14 @@
         }
     }
 
-    // Whether a node accepts keys longer than the limit after a version that it does not apply was acknowledged. A
-    // process that has first reached the store since then cannot know of a return before.
+    // Whether a node accepts keys longer than the limit after a version that it does not apply was acknowledged.
     bool hasAcceptedLate() const
     {
         return std::ranges::any_of(m_nodes, [this](const node &each) {
             return each.applied > 0 && isProven(each.freshness, m_now)
                 && std::ranges::any_of(m_acknowledgedAt, [&](const auto &acknowledged) {
                        const auto &[version, at] = acknowledged;
-                       return version > each.applied && m_now - at >= limit && each.firstReadAt <= at;
+                       return version > each.applied && m_now - at >= limit;
                    });
         });
     }
@@ -128,11 +132,11 @@
     struct node
     {
         freshness_state freshness;
-        boot_time firstReadAt = boot_time::max(); // when the store executed its first read that was answered
         store_eras eras;
         version_log log;
         std::uint64_t applied = 0; // version
         std::optional<open_read> open;
+        peer_proof answer; // that is under way
     };
 
     void advance(milliseconds time)
@@ -175,6 +179,19 @@
         }
     }
 
+    void hear(node &self, const node &other) const
+    {
+        self.applied = std::max(self.applied, other.applied);
+        if (other.eras.current) {
+            const auto age = std::chrono::floor<milliseconds>(m_now - other.eras.knownSince);
+            recordToldEra(self.eras, *other.eras.current, age, m_now);
+        }
+    }
+    void ask(node &self, const node &other)
+    {
+        recordQuery(self.freshness, ++m_lastQuery, m_now);
+        self.answer = answerQuery(other.freshness, m_lastQuery, other.applied, m_now);
+    }
     // Sends a read, which the store executes at once.
     void send(node &self)
     {
@@ -203,11 +220,10 @@
         if (recordEra(self.eras, read.era, read.sentAt, m_now) == era_change::Outdated) {
             return;
         }
-        self.firstReadAt = std::min(self.firstReadAt, read.sentAt);
         if (read.result.hasNewest) {
             self.applied = std::max(self.applied, read.result.version.value_or(0));
         }
-        const auto shown = recordLogRead(self.log, read.result, read.applied, mayLackWrites(self.eras, read.sentAt));
+        const auto shown = recordLogRead(self.log, read.result, read.applied, read.sentAt < provableFrom(self.eras));
         self.log.appliedVersion = self.applied;
         const bool isProof = m_trusted == belief::Eras ? provesNewest(shown) : shown.isComplete;
         if (isProof) {
@@ -221,6 +237,7 @@
     bool m_isAway = false;
     std::uint64_t m_era = 1;
     std::uint64_t m_lastVersion = 1;
+    std::uint64_t m_lastQuery = 0;
     std::vector<std::uint64_t> m_log = {1}; // versions by offset
     std::vector<std::uint64_t> m_copy = {1};
     std::set<std::uint64_t> m_lost; // versions that the operator has to write again
--- a/packages/process/mesh/config_spread.cc
+++ b/packages/process/mesh/config_spread.cc
@@ -41,6 +41,14 @@
 constexpr std::size_t assumedCompressionRatio = 8;
 constexpr std::size_t maxRecentConfigs = 6; // versions that a delta can be based on
 
+// Returns the wait of a read in the store such that the next one is not sent before it can be a proof, but no later
+// than necessary.
+milliseconds waitUntilProvable(boot_time provableAt, boot_time now, milliseconds longestWait)
+{
+    const auto left = std::chrono::ceil<milliseconds>(provableAt - now);
+    return left > milliseconds{0} ? std::min(left, longestWait) : longestWait;
+}
+
 std::optional<std::string> decompressText(const config_message &message)
 {
     if (message.uncompressedBytes > maxUncompressedBytes) {
@@ -216,7 +224,7 @@
         logRead.version = applyConfig(std::move(read.bytes), "platform");
     }
     const store_version_read versions =
-        recordLogRead(m_log, logRead, appliedVersion, mayLackWrites(m_context.storeEras, sentAt));
+        recordLogRead(m_log, logRead, appliedVersion, sentAt < provableFrom(m_context.storeEras));
     m_isStoreBehind = isBehind(versions);
     const bool isProof = provesNewest(versions);
     if (isProof && m_context.freshness.limit) {
@@ -268,9 +276,10 @@
         reader.bound = m_context.options.configApplyLimit;
         const boot_time sentAt = bootNow();
         // Until the store shows again what it has lost, the reader waits for that, as no read can bring a proof.
-        const milliseconds rewriteLeft = rewriteTimeLeft(m_context.storeEras, sentAt);
-        const bool awaitsRewrite = reader.rank == 0 && (rewriteLeft > milliseconds{0} || m_isStoreBehind);
-        const bool isForProof = !awaitsRewrite && shouldReadForProof(m_context.freshness, reader.rank, sentAt);
+        const boot_time provableAt = provableFrom(m_context.storeEras);
+        const bool awaitsRewrite = reader.rank == 0 && (sentAt < provableAt || m_isStoreBehind);
+        const bool isForProof =
+            !awaitsRewrite && shouldReadForProof(m_context.freshness, reader.rank, provableAt, sentAt);
         if (hasRead && !isForProof && !shouldRead(reader)) {
             pause.expires_after(standbyInterval);
             co_await pause.async_wait(awaitResult);
@@ -279,8 +288,9 @@
         // A read for a proof is not to wait: its proof is as old as the read. Nor is the first one after an outage,
         // whose response tells whether the store has come back from a copy.
         const milliseconds wait = isForProof || failures > 0 ? milliseconds{0}
-            : rewriteLeft > milliseconds{0}                  ? std::min(longestWait, rewriteLeft)
-                                                             : longestWait;
+            : keyLimit && m_context.storeEras.current && awaitsRewrite
+            ? waitUntilProvable(provableAt, sentAt, longestWait)
+            : longestWait;
         const std::uint64_t appliedVersion = m_context.config.table->version;
         const std::optional<store_position> position = readPosition(m_log, m_context.storeEras, appliedVersion);
         config_read read = co_await readConfig(m_context, position, wait);
@@ -294,7 +304,7 @@
             hasRead = true;
             m_rollouts.applyOrders(read.rolloutOrders, steadyNow());
             const bool isProof = recordRead(std::move(read), sentAt, appliedVersion);
-            const bool isRewriteDue = m_isStoreBehind || mayLackWrites(m_context.storeEras, bootNow());
+            const bool isRewriteDue = m_isStoreBehind || bootNow() < provableFrom(m_context.storeEras);
             isUseful = isProof || !isForProof || (reader.rank == 0 && isRewriteDue);
             m_gossip.announceStoreRead();
         }
--- a/packages/process/mesh/gossip.cc
+++ b/packages/process/mesh/gossip.cc
@@ -18,6 +18,12 @@
 constexpr std::uint32_t maxCrashesBefore = 1000; // of a suspect in a report of another node
 constexpr std::size_t suspectsPerDatagram = 40; // of crash reports, about 20 bytes each
 
+std::uint32_t storeEraAgeMs(const store_eras &eras)
+{
+    const auto age = std::chrono::floor<milliseconds>(bootNow() - eras.knownSince);
+    return eras.current ? static_cast<std::uint32_t>(std::clamp<std::int64_t>(age.count(), 0, UINT32_MAX)) : 0;
+}
+
 // Joins function objects into one that `std::visit` calls by the type of the value.
 template<class... Functions>
 struct overloaded : Functions...
@@ -105,6 +111,7 @@
     record.report = m_inbound.report(now);
     record.departures = plainDepartures(worker.departures);
     record.storeEra = m_context.storeEras.current.value_or(0);
+    record.storeEraAgeMs = storeEraAgeMs(m_context.storeEras);
     record.nodesKnown = static_cast<std::uint32_t>(m_context.fleet.nodes.size() + 1);
     for (const auto &[route, mean] : m_inbound.runTimes().routes) {
         if (now - mean.lastAt < runTimeExpiry) {
@@ -294,7 +301,7 @@
             send(record.gossip, {.receiver = &record});
         }
     }
-    applyToldEra(m_context, record.storeEra, record.nodeId);
+    applyToldEra(m_context, record);
     recordReport(m_context.placement, record.service, record.nodeId, record.report, now);
     for (const auto &[route, runMs] : record.runMs) {
         recordWorkerRunTime(m_context.placement, record.service, record.nodeId, route, runMs, now);
--- a/packages/process/mesh/store_calls.cc
+++ b/packages/process/mesh/store_calls.cc
@@ -88,11 +88,11 @@
     co_return isUsable &&*era == position.era ? era : std::nullopt;
 }
 
-void applyToldEra(mesh_context &context, std::uint64_t era, std::string_view nodeId)
+void applyToldEra(mesh_context &context, const node_record &record)
 {
     const std::optional<std::uint64_t> previous = context.storeEras.current;
-    if (recordToldEra(context.storeEras, era, bootNow())) {
-        onReturn(context, previous, nodeId);
+    if (recordToldEra(context.storeEras, record.storeEra, milliseconds(record.storeEraAgeMs), bootNow())) {
+        onReturn(context, previous, record.nodeId);
     }
 }
 
--- a/packages/process/mesh/store_calls.h
+++ b/packages/process/mesh/store_calls.h
@@ -23,7 +23,7 @@
 awaitable<std::optional<std::uint64_t>>
 writeRolloutStatus(mesh_context &context, rollout_status status, store_position position);
 
-// applyToldEra applies the era of the store that another node has told.
-void applyToldEra(mesh_context &context, std::uint64_t era, std::string_view nodeId);
+// applyToldEra applies the era of the store that another node has told in its record.
+void applyToldEra(mesh_context &context, const node_record &record);
 
 } // namespace pistachioquay::internal
--- a/packages/process/store_reading/store_era.cc
+++ b/packages/process/store_reading/store_era.cc
@@ -34,12 +34,15 @@
     return era_change::Returned;
 }
 
-bool recordToldEra(store_eras &eras, std::uint64_t era, boot_time now)
+bool recordToldEra(store_eras &eras, std::uint64_t era, milliseconds age, boot_time now)
 {
+    if (eras.current == era) {
+        eras.knownSince = std::min<boot_time>(eras.knownSince, now - age);
+    }
     if (!eras.current || era <= *eras.current || era <= eras.refuted) {
         return false;
     }
-    enterEra(eras, era, now);
+    enterEra(eras, era, now - age);
     ++eras.returns;
     return true;
 }
@@ -49,18 +52,14 @@
     return eras.current == era;
 }
 
-milliseconds rewriteTimeLeft(const store_eras &eras, boot_time now)
+boot_time provableFrom(const store_eras &eras)
 {
-    if (eras.returns == 0) {
-        return milliseconds{0};
-    }
-    const auto left = std::chrono::ceil<milliseconds>(eras.knownSince + rewriteTime - now);
-    return std::max(left, milliseconds{0});
+    return eras.current ? eras.knownSince + rewriteTime : boot_time::max();
 }
 
 bool mayLackWrites(const store_eras &eras, boot_time sentAt)
 {
-    return rewriteTimeLeft(eras, sentAt) > milliseconds{0};
+    return eras.returns > 0 && sentAt < provableFrom(eras);
 }
 
 milliseconds rewriteSpread(std::size_t nodes)
--- a/packages/process/store_reading/store_era.h
+++ b/packages/process/store_reading/store_era.h
@@ -44,7 +44,7 @@
 struct store_eras
 {
     std::optional<std::uint64_t> current; // empty: the store has not responded yet
-    boot_time knownSince; // when this node learned of the current era
+    boot_time knownSince; // when a node first noticed the current era, as far as this one knows; after its beginning
     std::uint64_t returns = 0; // changes of the era that this node has noticed
     std::uint64_t refuted = 0; // highest era that a node has told and the store has not confirmed
 
@@ -63,15 +63,17 @@
 // is believed as well, unless the response may have been under way when the node learned of the known one.
 era_change recordEra(store_eras &eras, std::uint64_t era, boot_time sentAt, boot_time now);
 
-// recordToldEra records the era that another node has told. Returns whether it is a return that this node did not know.
-// Lower eras are ignored, and so are those that the store has refuted.
-bool recordToldEra(store_eras &eras, std::uint64_t era, boot_time now);
+// recordToldEra records the era that another node has told, and for how long that node had known it. Returns whether it
+// is a return that this node did not know. Lower eras are ignored, and so are those that the store has refuted.
+bool recordToldEra(store_eras &eras, std::uint64_t era, milliseconds age, boot_time now);
 
 // isCurrent returns whether something that the store confirmed in an era still holds. Thread safe.
 bool isCurrent(const store_eras &eras, std::uint64_t era);
 
-// rewriteTimeLeft returns the rest of `rewriteTime` after a return of the store; zero if it has passed. Thread safe.
-milliseconds rewriteTimeLeft(const store_eras &eras, boot_time now);
+// provableFrom returns the time from which a read of the store lacks no acknowledged write: by then, those that it has
+// lost were written again. A process that has just started cannot tell whether the first era that it knows has just
+// begun. Thread safe.
+boot_time provableFrom(const store_eras &eras);
 
 // mayLackWrites returns whether a read that was sent at `sentAt` may lack what the store had acknowledged, because the
 // store had returned less than `rewriteTime` before. Thread safe.
--- a/packages/process/store_reading/store_era_test.cc
+++ b/packages/process/store_reading/store_era_test.cc
@@ -48,20 +48,37 @@
 TEST_CASE("an era that another node tells is believed if it is higher, until the store refutes it")
 {
     store_eras eras;
-    CHECK_FALSE(recordToldEra(eras, 7, start)); // the store itself tells the first one
+    constexpr milliseconds age{300};
+    CHECK_FALSE(recordToldEra(eras, 7, age, start)); // the store itself tells the first one
     eras = knownEra(3, start);
-    CHECK_FALSE(recordToldEra(eras, 2, start));
-    CHECK_FALSE(recordToldEra(eras, 3, start));
-    CHECK(recordToldEra(eras, 4, start));
+    CHECK_FALSE(recordToldEra(eras, 2, age, start));
+    CHECK_FALSE(recordToldEra(eras, 3, age, start));
+    CHECK(recordToldEra(eras, 4, age, start));
     CHECK(mayLackWrites(eras, start));
+    CHECK(provableFrom(eras) == start - age + rewriteTime);
     CHECK(recordEra(eras, 4, start, start + seconds(1)) == era_change::None);
-    CHECK(recordToldEra(eras, 900, start + seconds(2)));
+    CHECK(recordToldEra(eras, 900, age, start + seconds(2)));
     CHECK(recordEra(eras, 4, start + seconds(3), start + seconds(3)) == era_change::Returned);
-    CHECK_FALSE(recordToldEra(eras, 900, start + seconds(4)));
-    CHECK_FALSE(recordToldEra(eras, 5, start + seconds(4)));
+    CHECK_FALSE(recordToldEra(eras, 900, age, start + seconds(4)));
+    CHECK_FALSE(recordToldEra(eras, 5, age, start + seconds(4)));
     CHECK(recordEra(eras, 5, start + seconds(4), start + seconds(5)) == era_change::Returned);
 }
 
+// Guards against a process that starts after a return and takes its first read for a proof, although the operator has
+// not yet written again what the store has lost.
+TEST_CASE("the first reads of a process prove nothing, unless another node has known the era for long")
+{
+    store_eras eras;
+    CHECK(start < provableFrom(eras));
+    eras = knownEra(3, start);
+    CHECK(provableFrom(eras) == start + rewriteTime);
+    CHECK_FALSE(recordToldEra(eras, 3, milliseconds(200), start + milliseconds(500))); // less than this node itself
+    CHECK(provableFrom(eras) == start + rewriteTime);
+    CHECK_FALSE(recordToldEra(eras, 3, seconds(60), start + milliseconds(500)));
+    CHECK(provableFrom(eras) < start);
+    CHECK_FALSE(mayLackWrites(eras, start)); // there was no return
+}
+
 TEST_CASE("a position of an earlier era is older, whatever its offset, and is not read from")
 {
     CHECK(store_position{1, 900} < store_position{2, 0});
--- a/packages/process/store_reading/version_log.h
+++ b/packages/process/store_reading/version_log.h
@@ -44,7 +44,7 @@
     bool isNewestReadable = true; // the newest of them could be decoded
     std::uint64_t newestVersion = 0; // of them
     std::uint64_t appliedVersion = 0; // by the node when the read was sent
-    bool mayLackWrites = false; // see the function of the same name
+    bool mayLackWrites = false; // it was sent before `provableFrom`
 
     friend auto operator<=>(const store_version_read &, const store_version_read &) = default;
 };
@@ -56,7 +56,7 @@
 readPosition(const version_log &log, const store_eras &eras, std::uint64_t appliedVersion);
 
 // recordLogRead records a read that was sent when the node applied `appliedVersion`, and returns what it has shown.
-// `mayLackWrites` is that of the time at which it was sent.
+// `mayLackWrites` tells whether it was sent before `provableFrom`.
 store_version_read
 recordLogRead(version_log &log, const log_read &read, std::uint64_t appliedVersion, bool mayLackWrites);
 
