--- a/packages/process/mesh/config_spread.cc
+++ b/packages/process/mesh/config_spread.cc
@@ -288,9 +288,8 @@
         // A read for a proof is not to wait: its proof is as old as the read. Nor is the first one after an outage,
         // whose response tells whether the store has come back from a copy.
         const milliseconds wait = isForProof || failures > 0 ? milliseconds{0}
-            : keyLimit && m_context.storeEras.current && awaitsRewrite
-            ? waitUntilProvable(provableAt, sentAt, longestWait)
-            : longestWait;
+            : keyLimit                                       ? waitUntilProvable(provableAt, sentAt, longestWait)
+                                                             : longestWait;
         const std::uint64_t appliedVersion = m_context.config.table->version;
         const std::optional<store_position> position = readPosition(m_log, m_context.storeEras, appliedVersion);
         config_read read = co_await readConfig(m_context, position, wait);
--- a/packages/process/mesh/node_directory.cc
+++ b/packages/process/mesh/node_directory.cc
@@ -94,7 +94,7 @@
     record.departures.clear(); // have entries of their own
     const std::string entry = encodeMessage(directory_entry(record), meshFormatVersion);
     const auto era = co_await publishNodeRecord(m_context, record.nodeId, entry);
-    co_return era &&isCurrent(m_context.storeEras, *era);
+    co_return era.has_value() && isCurrent(m_context.storeEras, *era);
 }
 
 // Contacts the published nodes that are unknown or silent, to exchange records.
--- a/packages/process/mesh/rollout_keeper.cc
+++ b/packages/process/mesh/rollout_keeper.cc
@@ -83,7 +83,9 @@
 
 void rollout_keeper::applyRecords(const std::vector<rollout_record> &records, time_point now)
 {
-    for (const rollout_record &record : records) {
+    for (rollout_record record : records) {
+        // What the store showed in another era may not be there in the present one.
+        record.isAnnounced = isAnnouncedIn(record, m_context.storeEras);
         const bool isDoubtful = isInDoubt(m_context.rollouts, record, m_context.storeEras, bootNow());
         if (!isDoubtful && mergeRollout(m_context.rollouts, record, now)) {
             onChange(m_context.rollouts.services.at(record.service), "peer", now);
--- a/packages/process/mesh/store_calls.cc
+++ b/packages/process/mesh/store_calls.cc
@@ -53,7 +53,8 @@
 {
     const boot_time sentAt = bootNow();
     const auto era = co_await context.platform.publishNodeRecord(std::move(key), std::move(value));
-    co_return era &&recordResponse(context, *era, sentAt) ? era : std::nullopt;
+    const bool isUsable = era.has_value() && recordResponse(context, *era, sentAt);
+    co_return isUsable ? era : std::nullopt;
 }
 
 awaitable<std::optional<node_records_read>> readNodeRecords(mesh_context &context)
@@ -84,8 +85,8 @@
     }
     const boot_time sentAt = bootNow();
     const auto era = co_await context.platform.writeRolloutStatus(std::move(status), position);
-    const bool isUsable = era && recordResponse(context, *era, sentAt);
-    co_return isUsable &&*era == position.era ? era : std::nullopt;
+    const bool isUsable = era.has_value() && recordResponse(context, *era, sentAt) && era == position.era;
+    co_return isUsable ? era : std::nullopt;
 }
 
 void applyToldEra(mesh_context &context, const node_record &record)
--- a/packages/process/store_reading/store_era.h
+++ b/packages/process/store_reading/store_era.h
@@ -1,9 +1,10 @@
-// Tells apart the eras of the platform's store. The store can come back from a copy that is some seconds old; it then
-// begins a new era, which every response names.
+// Tells apart the eras of the platform's store. The store can come back from a copy that is some seconds old (a
+// return); it then begins a new era, which every response names.
 //
 //   const era_change change = recordEra(eras, response.era, sentAt, now);
 //   if (change == era_change::Outdated) treatAsLost(response);
 //   if (change == era_change::Returned) rewriteOwnRecords();
+//   const bool isProof = sentAt >= provableFrom(eras) && ...;
 //
 // What the store has confirmed holds within one era only. In the next one, offsets are given out again, records that
 // were written are gone, and records that were removed are back. The operator and the nodes then write again what is
@@ -20,12 +21,11 @@
 
 namespace pistachioquay {
 
-// Time that the operator and the nodes have after a return to write again what the store has lost.
-inline constexpr milliseconds rewriteTime{1000};
-inline constexpr milliseconds rewriteSpreadPerNode{10};
+inline constexpr milliseconds rewriteTime{1000}; // that the operator has after a return to write again what was lost
+inline constexpr milliseconds rewriteSpreadPerNode{10}; // see `rewriteSpread`
 
-// An offset in a log of the store. Offsets of different eras cannot be compared; positions can: one of a later era is
-// greater.
+// An offset in a log of the store. An offset says nothing without its era, in which it was given out. Positions are
+// ordered by time: each one of a later era is greater.
 struct store_position
 {
     std::uint64_t era = 0;
